--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -6,6 +6,7 @@
 use super::discovery::{Health, List, Watch};
 use super::intake::{Offer, Reply, Standing};
 use super::journal::{Attempt, Journal, Letter, Live, Verdict};
+use super::log::say;
 use super::outcomes::{Notice, Platform};
 use crate::brain::Brain;
 use crate::interface::{self, *};
@@ -290,12 +291,12 @@
         match self.journal.flush() {
             Ok(()) => {
                 if self.disk_failed.take().is_some() {
-                    eprintln!("journal: works again");
+                    say!("journal: works again");
                 }
             }
             Err(e) => {
                 if self.disk_failed.replace(Instant::now()).is_none() {
-                    eprintln!("journal: cannot write: {e}");
+                    say!("journal: cannot write: {e}");
                 }
             }
         }
@@ -315,6 +316,7 @@
             }
             News::Listed(list) => {
                 self.listed = true;
+                say!("list {}: {}", list.seq, list);
                 self.list(list);
             }
             News::Told(messages) => {
@@ -342,6 +344,7 @@
 
     fn offered(&mut self, offer: Offer) {
         let answer = |offer: Offer, reply| {
+            say!("{} at the door: {reply:?}", offer.letter.id);
             // A client that is gone hears nothing, and nothing was taken.
             let _ = offer.reply.send(reply);
         };
@@ -390,6 +393,8 @@
         self.part(endpoint);
         let Some(m) = self.held.get_mut(&message) else { return };
         let Some((sent, _)) = m.out.take() else { return };
+        let (id, took) = (&m.letter.id, end.at.saturating_duration_since(sent).as_millis());
+        say!("{id} attempt {attempt}: {:?} after {took} ms", end.outcome);
         self.events.push(Event::Ended(Ended {
             message: MessageId(message),
             endpoint,
@@ -435,7 +440,7 @@
                         self.numbers.remove(&e.host);
                     }
                 }
-                Action::Note { text } => eprintln!("note: {text}"),
+                Action::Note { text } => say!("note: {text}"),
             }
         }
         self.take_on(&mut refused);
@@ -458,6 +463,7 @@
             self.offers.iter().filter(|(_, o)| o.reply.is_closed()).map(|(n, _)| *n).collect();
         for message in deserted {
             if let Some(offer) = self.offers.remove(&message) {
+                say!("{} not taken on: its client has left", offer.letter.id);
                 self.ids.remove(&offer.letter.id);
             }
             let of = |e: &Event| matches!(e, Event::Taken(t) if t.message.0 == message);
@@ -469,8 +475,9 @@
     fn take_on(&mut self, refused: &mut HashMap<u64, Verdict>) {
         let mut taken = Vec::new();
         for (message, offer) in std::mem::take(&mut self.offers) {
-            let Offer { letter, reply, .. } = offer;
+            let Offer { letter, reply, time_left, .. } = offer;
             if let Some(verdict) = refused.remove(&message) {
+                say!("{} not taken on: {verdict:?}", letter.id);
                 self.ids.remove(&letter.id);
                 let told = match verdict {
                     Verdict::Bounced { wait } => Reply::Refused { wait },
@@ -479,6 +486,8 @@
                 let _ = reply.send(told);
                 continue;
             }
+            let (id, class, dest) = (&letter.id, &letter.class, letter.destination);
+            say!("{id} taken on: {class} for {dest}, {} ms left", time_left.as_millis());
             self.journal.accept(message, letter.clone());
             self.held.insert(message, Held { letter, attempts: 0, out: None });
             taken.push((message, reply));
@@ -497,8 +506,10 @@
 
     /// Nobody is owed anything for the message.
     fn withdraw(&mut self, message: u64) {
+        if let Some(m) = self.held.remove(&message) {
+            say!("{} withdrawn: its client had not heard", m.letter.id);
+        }
         self.end(message);
-        self.held.remove(&message);
         self.events.push(Event::Withdrawn { message: MessageId(message) });
     }
 
@@ -509,6 +520,7 @@
             return;
         }
         let id = m.letter.id.clone();
+        say!("{id} given up: {verdict:?}");
         if m.out.is_none() {
             self.held.remove(&message);
         }
@@ -537,6 +549,7 @@
             let number = m.attempts;
             m.attempts += 1;
             let letter = m.letter.clone();
+            say!("{} attempt {number}: to {} for {} ms", letter.id, e.host, timeout.as_millis());
             let class = self.config.classes.iter().position(|c| *c == letter.class);
             let class = class.and_then(|c| self.config.settings.classes.get(c));
             let once = class.is_some_and(|c| c.effect == Effect::Once);
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -3,11 +3,13 @@
 
 use super::courier::News;
 use super::link::Link;
+use super::log::say;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde::Deserialize;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
@@ -24,6 +26,15 @@
     pub hosts: Vec<Host>,
 }
 
+/// For the log: how many entries, and each one that is not ready.
+impl fmt::Display for List {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{} {}", if self.whole { "whole," } else { "changes," }, self.hosts.len())?;
+        let away = self.hosts.iter().filter(|h| h.health != Health::Ready);
+        away.into_iter().try_for_each(|h| write!(f, " {}={:?}", h.host, h.health))
+    }
+}
+
 #[derive(Clone, Debug, Deserialize)]
 pub struct Host {
     pub host: String,
@@ -88,7 +99,10 @@
 
     /// One watch, from its connection to its end. True if it was answered.
     async fn once(&mut self, news: &Sender<News>) -> bool {
-        let Some(mut link) = Link::open(self.address, CONNECT, None).await else { return false };
+        let Some(mut link) = Link::open(self.address, CONNECT, None).await else {
+            say!("discovery: no connection to {}", self.address);
+            return false;
+        };
         let path = match self.fresh {
             true => "/api/targets?stream=1".to_owned(),
             false => format!("/api/targets?stream=1&index={}", self.seq),
@@ -96,7 +110,11 @@
         let host = self.address.to_string();
         let request = Request::get(path).header(header::HOST, host).body(Full::<Bytes>::default());
         let Ok(request) = request else { return false };
-        let Some(answer) = link.watch(request, FIRST_ANSWER).await else { return false };
+        let Some(answer) = link.watch(request, FIRST_ANSWER).await else {
+            say!("discovery: no answer from {}", self.address);
+            return false;
+        };
+        say!("discovery: {} answers {}", self.address, answer.status());
         if answer.status() != StatusCode::OK {
             return false;
         }
@@ -113,7 +131,7 @@
                     false => match serde_json::from_slice::<List>(&line) {
                         Ok(list) => list,
                         Err(e) => {
-                            eprintln!("discovery: a line that cannot be read: {e}");
+                            say!("discovery: a line that cannot be read: {e}");
                             // What it would have told is asked for again, as a whole list.
                             self.fresh = true;
                             return heard;
@@ -134,6 +152,7 @@
                 }
             }
         }
+        say!("discovery: the watch at {} has ended", self.address);
         heard
     }
 }
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -2,6 +2,7 @@
 
 use super::courier::News;
 use super::journal::Letter;
+use super::log::say;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -305,7 +306,7 @@
                     tokio::task::yield_now().await;
                 }
                 Err(e) => {
-                    eprintln!("intake: cannot accept: {e}");
+                    say!("intake: cannot accept: {e}");
                     sleep(Duration::from_millis(50)).await;
                 }
             }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod intake;
 mod journal;
 mod link;
+mod log;
 mod outcomes;
 
 use crate::brain::Brain;
@@ -16,6 +17,7 @@
 use courier::{Courier, News};
 use intake::{Intake, Standing};
 use journal::Journal;
+use log::say;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,11 +62,11 @@
     while hangup.recv().await.is_some() {
         match config::discovery_again(&file) {
             Ok(Some(discovery)) => {
-                eprintln!("configuration read again: discovery at {discovery}");
+                say!("configuration read again: discovery at {discovery}");
                 let _ = news.send(News::Moved(discovery)).await;
             }
-            Ok(None) => eprintln!("configuration read again: it names no discovery"),
-            Err(fault) => eprintln!("configuration not read again, the old one stays: {fault}"),
+            Ok(None) => say!("configuration read again: it names no discovery"),
+            Err(fault) => say!("configuration not read again, the old one stays: {fault}"),
         }
     }
 }
@@ -102,13 +104,13 @@
     let accepting = tokio::task::spawn_local(intake.run(listener));
     tokio::task::spawn_local(async move {
         if terminate.recv().await.is_some() {
-            eprintln!("stopping");
+            say!("stopping");
             let _ = news.send(News::Stop).await;
             tokio::time::sleep(Duration::from_millis(700)).await;
             accepting.abort();
         }
     });
-    eprintln!("{name} serves {at}; {kept} messages resumed");
+    say!("{name} serves {at}; {kept} messages resumed");
     courier.run(inbox).await;
     Ok(())
 }
--- a/src/node/outcomes.rs
+++ b/src/node/outcomes.rs
@@ -4,6 +4,7 @@
 use super::courier::News;
 use super::journal::Verdict;
 use super::link::Link;
+use super::log::say;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
@@ -82,7 +83,7 @@
                 // One line that cannot be read must not hold back the others: each by itself.
                 Some(StatusCode::BAD_REQUEST) if part > 1 => most = 1,
                 Some(StatusCode::BAD_REQUEST) => {
-                    eprintln!("outcomes: the platform cannot read the notice for {:?}", batch[0].id);
+                    say!("outcomes: the platform cannot read the notice for {:?}", batch[0].id);
                     told.extend(batch.drain(..part).map(|n| n.message));
                 }
                 _ => {
