Open the discovery watch at every start, also where the module need not ask

Ruled out: the reload (both SIGHUPs were read), the list code (it never had anything to read: no line of discovery in the log).

--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -243,6 +243,8 @@
     pub async fn run(mut self, mut inbox: Receiver<News>) {
         let tick = self.config.settings.tick;
         let mut last: Option<Instant> = None;
+        // Also where the module need not ask: on sockets nobody sends the list unasked.
+        self.watch();
         self.post();
         loop {
             let due = self.wake.map(|(at, _)| at);
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -220,6 +220,17 @@
     assert!(discovery.results("pay").len() <= 2, "acknowledged notices are not kept up");
 }
 
+#[test]
+fn the_list_is_watched_also_where_the_module_need_not_ask() {
+    for mode in ["automatic", "subscribe"] {
+        let (folder, _endpoint, discovery) = one(|_| Act::Answer(OK));
+        let mut config = config(&discovery, discovery.lines.lock().expect("lines")[0].clone());
+        config["settings"]["membership-mode"] = json!(mode);
+        let _courier = Courier::with(&folder, &discovery, &config);
+        until(&format!("a watch, {mode}"), || discovery.watches.load(Ordering::SeqCst) == 1);
+    }
+}
+
 #[test]
 fn the_watch_is_asked_for_again_when_it_ends() {
     let (folder, _endpoint, discovery) = one(|_| Act::Answer(OK));
