--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -4,6 +4,7 @@
 use super::courier::News;
 use super::journal::Letter;
 use super::link::{Answer, Link, Lost};
+use super::log::say;
 use crate::interface::{EndpointId, Outcome, Report};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -208,6 +209,10 @@
         let link = tokio::time::timeout_at(until, self.link(endpoint, to, once)).await.ok().flatten();
         let (mut link, idle) = link.ok_or(Lost::Unsent)?;
         let answer = link.ask(request, until).await;
+        if let Err(lost) = answer {
+            let stood = idle.map_or("new".to_owned(), |i| format!("idle for {} ms", i.as_millis()));
+            say!("{to} {lost:?}: on a connection {stood}");
+        }
         self.fates.borrow_mut().note(idle, matches!(answer, Err(Lost::Broken)));
         let answer = answer?;
         if answer.reusable {
