--- a/src/brain.rs
+++ b/src/brain.rs
@@ -321,7 +321,9 @@
                 self.space(id);
             }
             Outcome::Full { wait } => {
-                pool.fulls += 1;
+                // A rush that left before the first refusal was known counts once.
+                pool.fulls = (pool.fulls + u32::from(sent >= pool.full_at)).max(1);
+                pool.full_at = now;
                 pool.cut(now, self.set.couriers);
                 // Backoff with jitter where no wait was told.
                 let u: f64 = self.rng.random();
--- a/src/state.rs
+++ b/src/state.rs
@@ -114,7 +114,9 @@
     pub(crate) rate: Option<f64>,
     pub(crate) tokens: f64,
     pub(crate) filled: Ns,
+    /// Refusals as full since a call was accepted, and when the last one came.
     pub(crate) fulls: u32,
+    pub(crate) full_at: Ns,
     pub(crate) cut_at: Ns,
     /// The limit in calls a second as told by reports, or by the list.
     pub(crate) limit: Option<f64>,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -197,6 +197,22 @@
     assert!(serve(&mut d, 200, 20, 0, 1, Outcome::Delivered, 50) >= 15);
 }
 
+#[test]
+fn a_rush_of_refusals_without_a_wait_counts_once_in_the_backoff() {
+    // Found in ticket5210: a dozen calls that were out together were refused together, and the destination
+    // was left alone for seconds after it had room again.
+    let mut d = Drive::new(Settings { slots: 16, ..settings() }, vec![entry(0, 1, 0, 0)]);
+    assert_eq!(serve(&mut d, 0, 20, 0, 1, Outcome::Delivered, 50), 20);
+    let rush = sends(&d.feed(&(100..110).map(|id| taken(id, 1, 1, MS * 20_000)).collect::<Vec<_>>()));
+    assert!(rush.len() >= 8, "{} out together", rush.len());
+    d.now += MS * 20;
+    for (message, endpoint) in &rush {
+        d.feed(&[ended(*message, *endpoint, Outcome::Full { wait: None }, 20)]);
+    }
+    // The first pause is a tenth of a second, half as much again with its jitter.
+    assert!(!sends(&d.pass(MS * 200)).is_empty(), "still paused after one rush");
+}
+
 #[test]
 fn a_pace_cut_in_a_trouble_does_not_refuse_what_can_be_served_later() {
     // Found on a busy day with failing destinations: the chart counted on the cut pace.
