--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,7 +1,6 @@
 //! The decision module: what one courier does with each message. Pure: time comes with each call, chance
 //! from the seed. Each destination has a Fair-EDF occupancy chart of the messages held for it; they leave
-//! by earliest deadline, and when a chart is infeasible the fewest give way, of the class (or tenant) that
-//! has missed least. `docs/design.md` tells what was kept and where it departs.
+//! by earliest deadline; when a chart is infeasible the fewest give way, of the tenant or class least missed.
 
 use crate::interface::*;
 pub use crate::state::Brain;
@@ -322,8 +321,8 @@
             }
             Outcome::Full { wait } => {
                 // A rush that left before the first refusal was known counts once.
-                pool.fulls = (pool.fulls + u32::from(sent >= pool.full_at)).max(1);
-                pool.full_at = now;
+                let fulls = (pool.fulls + u32::from(sent >= pool.full_at)).max(1);
+                (pool.fulls, pool.full_at) = (fulls, now);
                 pool.cut(now, self.set.couriers);
                 // Backoff with jitter where no wait was told.
                 let u: f64 = self.rng.random();
