Count each message for its tenant, as its client names it

Cause: X-Tenant-Id was never read; every message counted for the first tenant, so the module's choice of victims by tenant had one group only.

--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -65,6 +65,7 @@
     pub known: Option<List>,
     pub settings: Settings,
     pub classes: Vec<String>,
+    pub tenants: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
 }
@@ -139,6 +140,7 @@
             known: page.known,
             settings,
             classes: page.settings.class_names().map(str::to_owned).collect(),
+            tenants: page.settings.tenant_names().map(str::to_owned).collect(),
             zones: page.settings.zone_names().to_vec(),
             kinds: page.settings.kind_names().to_vec(),
         })
--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -154,6 +154,7 @@
             let letter = m.letter;
             self.ids.insert(letter.id.clone(), message);
             let class = self.config.classes.iter().position(|c| *c == letter.class);
+            let tenant = self.config.tenants.iter().position(|t| *t == letter.tenant);
             // A message with its end decided only waits to have it acknowledged: sending it again would
             // deliver what a client was told to hand in again.
             let verdict = m.verdict.or(class.is_none().then_some(Verdict::Dead));
@@ -171,7 +172,7 @@
             self.events.push(Event::Taken(Taken {
                 message: MessageId(message),
                 class: class.unwrap_or_default(),
-                tenant: 0,
+                tenant: tenant.unwrap_or_default(),
                 destination: DestinationId(letter.destination),
                 key: None,
                 time_left: letter.until.saturating_sub(now),
@@ -372,7 +373,7 @@
         self.events.push(Event::Taken(Taken {
             message: MessageId(message),
             class: offer.class,
-            tenant: 0,
+            tenant: offer.tenant,
             destination: DestinationId(offer.letter.destination),
             key: None,
             time_left: offer.time_left.saturating_sub(offer.at.elapsed()),
@@ -489,7 +490,8 @@
                 continue;
             }
             let (id, class, dest) = (&letter.id, &letter.class, letter.destination);
-            say!("{id} taken on: {class} for {dest}, {} ms left", time_left.as_millis());
+            let of = &letter.tenant;
+            say!("{id} taken on: {class} for {dest} of {of}, {} ms left", time_left.as_millis());
             self.journal.accept(message, letter.clone());
             self.held.insert(message, Held { letter, attempts: 0, out: None });
             taken.push((message, reply));
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -51,6 +51,7 @@
 pub struct Offer {
     pub letter: Rc<Letter>,
     pub class: usize,
+    pub tenant: usize,
     pub time_left: Duration,
     pub at: Instant,
     pub reply: oneshot::Sender<Reply>,
@@ -280,6 +281,7 @@
 
 pub struct Intake {
     pub classes: Vec<String>,
+    pub tenants: Vec<String>,
     pub standing: Rc<Standing>,
     pub news: Sender<News>,
     /// Clients' connections at most.
@@ -393,12 +395,12 @@
             return closing(status, why);
         }
         let at = Instant::now();
-        let (letter, class, time_left) = match self.letter(parts.uri.path(), &parts.headers, body) {
+        let (letter, [class, tenant], time_left) = match self.letter(parts.uri.path(), &parts.headers, body) {
             Ok(read) => read,
             Err(why) => return plain(StatusCode::BAD_REQUEST, why),
         };
         let (reply, answered) = oneshot::channel();
-        let offer = Offer { letter: Rc::new(letter), class, time_left, at, reply };
+        let offer = Offer { letter: Rc::new(letter), class, tenant, time_left, at, reply };
         let reply = match timeout(PATIENCE, self.news.send(News::Offered(offer))).await {
             Ok(Ok(())) => answered.await.unwrap_or(Reply::Unavailable),
             _ => Reply::Unavailable,
@@ -412,9 +414,11 @@
         path: &str,
         headers: &HeaderMap,
         body: Bytes,
-    ) -> Result<(Letter, usize, Duration), &'static str> {
+    ) -> Result<(Letter, [usize; 2], Duration), &'static str> {
         // Two that name different messages: one reader would take the first and another the last.
-        for name in ["X-Request-ID", "X-Priority-Class", "X-Timeout", "Envelope", "Idempotency-Key"] {
+        let once =
+            ["X-Request-ID", "X-Priority-Class", "X-Tenant-Id", "X-Timeout", "Envelope", "Idempotency-Key"];
+        for name in once {
             if headers.get_all(name).iter().nth(1).is_some() {
                 return Err("a header that may come once comes twice\n");
             }
@@ -442,9 +446,14 @@
             Some(_) => return Err("Idempotency-Key cannot be read\n"),
             None => None,
         };
+        // Victims are chosen by tenant. One that the settings do not name counts with the first.
+        let tenant = head("X-Tenant-Id").and_then(Result::ok);
+        let tenant = tenant.and_then(|name| self.tenants.iter().position(|t| t == name));
+        let tenant_name = tenant.map_or(String::new(), |t| self.tenants[t].clone());
         let until = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default() + time_left;
         let (id, class_name) = (id.to_owned(), name.to_owned());
-        Ok((Letter { id, class: class_name, destination, key, until, body }, class, time_left))
+        let letter = Letter { id, class: class_name, tenant: tenant_name, destination, key, until, body };
+        Ok((letter, [class, tenant.unwrap_or_default()], time_left))
     }
 }
 
@@ -556,6 +565,29 @@
         }
     }
 
+    #[test]
+    fn a_message_is_counted_for_its_tenant() {
+        let (news, _inbox) = tokio::sync::mpsc::channel(1);
+        let names = |names: &[&str]| names.iter().map(|n| (*n).to_owned()).collect();
+        let (classes, tenants) = (names(&["notice"]), names(&["acme", "zenith"]));
+        let intake = Intake { classes, tenants, standing: Rc::default(), news, sockets: 1, bodies: 1 };
+        let read = |tenants: &[&'static str]| {
+            let mut headers = HeaderMap::new();
+            for (name, value) in [("X-Request-ID", "m"), ("X-Timeout", "480m"), ("Envelope", "dest=7")] {
+                headers.insert(name, HeaderValue::from_static(value));
+            }
+            for tenant in tenants {
+                headers.append("X-Tenant-Id", HeaderValue::from_static(tenant));
+            }
+            intake.letter("/notice", &headers, Bytes::new()).map(|(l, [_, tenant], _)| (l.tenant, tenant))
+        };
+        assert_eq!(read(&["zenith"]), Ok(("zenith".to_owned(), 1)));
+        assert_eq!(read(&["acme"]), Ok(("acme".to_owned(), 0)));
+        assert_eq!(read(&["unheard-of"]), Ok((String::new(), 0)));
+        assert_eq!(read(&[]), Ok((String::new(), 0)));
+        assert!(read(&["acme", "zenith"]).is_err(), "two that name different tenants");
+    }
+
     #[test]
     fn envelopes_name_a_destination() {
         assert_eq!(envelope("dest=7"), Some(7));
--- a/src/node/journal.rs
+++ b/src/node/journal.rs
@@ -29,6 +29,8 @@
 pub struct Letter {
     pub id: String,
     pub class: String,
+    /// By name, empty where the settings know none.
+    pub tenant: String,
     pub destination: u64,
     pub key: Option<String>,
     /// When its time is up, Unix time.
@@ -111,6 +113,7 @@
     to.put_u8(u8::from(letter.key.is_some()));
     put_text(&mut to, letter.key.as_deref().unwrap_or_default().as_bytes());
     put_text(&mut to, &letter.body);
+    put_text(&mut to, letter.tenant.as_bytes());
     to
 }
 
@@ -187,7 +190,9 @@
             let (until, destination) = (Duration::from_micros(f.long()?), f.long()?);
             let (id, class, keyed, key) = (f.text()?, f.text()?, f.byte()? == 1, f.text()?);
             let body = Bytes::copy_from_slice(f.bytes()?);
-            let letter = Letter { id, class, destination, key: keyed.then_some(key), until, body };
+            // Records of earlier versions end here.
+            let tenant = if f.0.is_empty() { String::new() } else { f.text()? };
+            let letter = Letter { id, class, tenant, destination, key: keyed.then_some(key), until, body };
             live.insert(message, Live { letter: Rc::new(letter), attempts: Vec::new(), verdict: None });
         }
         ATTEMPT => {
--- a/src/node/journal_test.rs
+++ b/src/node/journal_test.rs
@@ -29,6 +29,7 @@
     Rc::new(Letter {
         id: id.to_owned(),
         class: "notice".to_owned(),
+        tenant: "acme".to_owned(),
         destination: 7,
         key: body.is_multiple_of(2).then(|| format!("k-{id}")),
         until: Duration::from_micros(1_790_000_000_000_001),
@@ -204,3 +205,14 @@
         j.flush().expect("written");
     }
 }
+
+#[test]
+fn records_from_before_tenants_were_kept_are_read() {
+    let mut record = accepted(1, &letter("old", 4));
+    record.truncate(record.len() - 4 - "acme".len());
+    let mut bytes = Vec::new();
+    frame(&mut bytes, &record);
+    let (live, last, sound) = replay(&bytes);
+    assert_eq!((last, sound), (1, bytes.len()));
+    assert_eq!(*live[&1].letter, Letter { tenant: String::new(), ..(*letter("old", 4)).clone() });
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -93,6 +93,7 @@
     let (name, kept) = (config.name.clone(), journal.live().len());
     let intake = Intake {
         classes: config.classes.clone(),
+        tenants: config.tenants.clone(),
         standing: standing.clone(),
         news: news.clone(),
         sockets: for_clients,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -11,7 +11,7 @@
     #[serde(default)]
     costs: Costs,
     #[serde(default)]
-    customers: Vec<serde_json::Value>,
+    customers: Vec<Customer>,
     #[serde(default)]
     dcs: Vec<String>,
     family_info: FamilyInfo,
@@ -30,6 +30,12 @@
     weight_kind: String,
 }
 
+#[derive(Deserialize)]
+struct Customer {
+    #[serde(default)]
+    name: String,
+}
+
 #[derive(Deserialize, Default)]
 struct Costs {
     #[serde(default)]
@@ -106,6 +112,11 @@
         self.lanes.iter().map(|l| l.name.as_str())
     }
 
+    /// The names of the tenants, in the order of their numbers.
+    pub fn tenant_names(&self) -> impl Iterator<Item = &str> {
+        self.customers.iter().map(|c| c.name.as_str())
+    }
+
     /// The names of the zones and of the kinds of destination, in the order of their numbers.
     pub fn zone_names(&self) -> &[String] {
         &self.dcs
