Do not begin a call whose connection came up after its leave to go had ended

Cause: a call waits up to 1.5 s for its connection, and was written then even if meanwhile the endpoint drained (allowed for 1 s), the destination told a wait or the time in which a repeat is dropped had passed. Ruled out: kept connections, written to at once.

--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use hyper::header::{CONNECTION, HOST};
 use hyper::{HeaderMap, Request, StatusCode};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -43,6 +43,27 @@
     pub timeout: Duration,
     /// It must not be sent again if it may have run.
     pub once: bool,
+    pub leave: Leave,
+}
+
+/// Whether a call may still begin once its connection is there. That can take longer than what allowed it
+/// lasts: its endpoint drains, its destination tells a wait, or the time in which a repeat is dropped ends.
+#[derive(Clone, Default)]
+pub struct Leave {
+    recalled: Rc<Cell<bool>>,
+    /// Not begun from then on.
+    pub ends: Option<Instant>,
+}
+
+impl Leave {
+    /// The call is not begun any more; one that has begun goes on.
+    pub fn recall(&self) {
+        self.recalled.set(true);
+    }
+
+    fn holds(&self) -> bool {
+        !self.recalled.get() && self.ends.is_none_or(|at| Instant::now() < at)
+    }
 }
 
 /// How calls fared on connections by the time for which these had stood idle: some endpoints, or what lies
@@ -204,10 +225,14 @@
         (to, once): (SocketAddr, bool),
         request: Request<Full<Bytes>>,
         until: Instant,
+        leave: &Leave,
     ) -> Result<Answer, Lost> {
         // A call whose time is up while it still has no connection was never sent.
         let link = tokio::time::timeout_at(until, self.link(endpoint, to, once)).await.ok().flatten();
         let (mut link, idle) = link.ok_or(Lost::Unsent)?;
+        if !leave.holds() {
+            return Err(Lost::Recalled);
+        }
         let answer = link.ask(request, until).await;
         if let Err(lost) = answer {
             let stood = idle.map_or("new".to_owned(), |i| format!("idle for {} ms", i.as_millis()));
@@ -224,7 +249,7 @@
     /// Makes one attempt and reports its end. The connection is closed before a time-out or a cancel is
     /// told: else the next call would find this one's slot still taken.
     pub async fn call(self, call: Call, cancel: oneshot::Receiver<()>, news: Sender<News>) {
-        let Call { message, attempt, endpoint, address, letter, timeout, once } = call;
+        let Call { message, attempt, endpoint, address, letter, timeout, once, leave } = call;
         let until = Instant::now() + timeout;
         let mut request = Request::post("/inbox")
             .header(HOST, address.to_string())
@@ -236,7 +261,7 @@
         let end = match request.body(Full::new(letter.body.clone())) {
             Ok(request) => tokio::select! {
                 biased;
-                answer = self.ask(endpoint, (address, once), request, until) => ended(answer),
+                answer = self.ask(endpoint, (address, once), request, until, &leave) => ended(answer),
                 _ = cancel => CallEnd { outcome: Outcome::Cancelled, over: false, report: None, at: Instant::now() },
             },
             Err(_) => CallEnd { outcome: Outcome::Moot, over: false, report: None, at: Instant::now() },
@@ -255,7 +280,9 @@
         let sent = Instant::now();
         let request = Request::get("/-/load").header(HOST, address.to_string()).body(Full::default());
         let answer = match request {
-            Ok(request) => self.ask(endpoint, (address, false), request, sent + timeout).await,
+            Ok(request) => {
+                self.ask(endpoint, (address, false), request, sent + timeout, &Leave::default()).await
+            }
             Err(_) => Err(Lost::Unsent),
         };
         let _ = news.send(News::Probed { endpoint, sent, end: ended(answer) }).await;
@@ -269,6 +296,7 @@
         Err(lost) => {
             let outcome = match lost {
                 Lost::Unsent => Outcome::ConnectFailed,
+                Lost::Recalled => Outcome::Moot,
                 Lost::Broken => Outcome::Reset,
                 Lost::Silent => Outcome::TimedOut,
             };
--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -1,7 +1,7 @@
 //! The only owner of the decision module. Feeds it what happened, no oftener than once a tick, and carries
 //! out what it asks for; holds bodies, ids and timers. It decides nothing about a message itself.
 
-use super::calls::{Call, CallEnd, Calls};
+use super::calls::{Call, CallEnd, Calls, Leave};
 use super::config::Config;
 use super::discovery::{Health, List, Watch};
 use super::intake::{Offer, Reply, Standing};
@@ -66,6 +66,8 @@
     attempts: u32,
     /// The call that is out: when it left, and how to call it off.
     out: Option<(Instant, Option<oneshot::Sender<()>>)>,
+    /// Where its last call went, and whether that may still begin.
+    leave: Option<(EndpointId, Leave)>,
 }
 
 pub struct Courier {
@@ -179,7 +181,7 @@
                 work: None,
                 past: Past { attempts, ran },
             }));
-            self.held.insert(message, Held { letter, attempts, out: None });
+            self.held.insert(message, Held { letter, attempts, out: None, leave: None });
         }
     }
 
@@ -230,6 +232,15 @@
         for endpoint in before {
             self.part(endpoint);
         }
+        let ready = |e: &EndpointId| self.endpoints.get(e).is_some_and(|e| e.ready);
+        let leaves = self.held.values().filter_map(|m| m.leave.as_ref());
+        leaves.filter(|(endpoint, _)| !ready(endpoint)).for_each(|(_, leave)| leave.recall());
+    }
+
+    /// Told to wait by a destination: calls that are still without their connection do not begin there.
+    fn wait(&self, destination: u64) {
+        let there = self.held.values().filter(|m| m.letter.destination == destination);
+        there.filter_map(|m| m.leave.as_ref()).for_each(|(_, leave)| leave.recall());
     }
 
     /// Nothing new goes to an endpoint that is not ready: connections kept for it would only take room, and
@@ -394,6 +405,9 @@
         }
         // It may have gone while the call was out, and its connection was kept after that.
         self.part(endpoint);
+        if let (Outcome::Full { wait: Some(_) }, Some(m)) = (end.outcome, self.held.get(&message)) {
+            self.wait(m.letter.destination);
+        }
         let Some(m) = self.held.get_mut(&message) else { return };
         let Some((sent, _)) = m.out.take() else { return };
         let (id, took) = (&m.letter.id, end.at.saturating_duration_since(sent).as_millis());
@@ -493,7 +507,7 @@
             let of = &letter.tenant;
             say!("{id} taken on: {class} for {dest} of {of}, {} ms left", time_left.as_millis());
             self.journal.accept(message, letter.clone());
-            self.held.insert(message, Held { letter, attempts: 0, out: None });
+            self.held.insert(message, Held { letter, attempts: 0, out: None, leave: None });
             taken.push((message, reply));
         }
         if taken.is_empty() {
@@ -557,8 +571,15 @@
             let class = self.config.classes.iter().position(|c| *c == letter.class);
             let class = class.and_then(|c| self.config.settings.classes.get(c));
             let once = class.is_some_and(|c| c.effect == Effect::Once);
+            let mut leave = Leave::default();
+            if let Some(Effect::Keyed { window, .. }) = class.map(|c| c.effect) {
+                let before = self.journal.live().get(&message).into_iter().flat_map(|m| &m.attempts);
+                let first = before.filter(|a| a.may_have_run).map(|a| a.sent).next();
+                leave.ends = first.map(|at| now + (at + window).saturating_sub(unix()));
+            }
+            m.leave = Some((endpoint, leave.clone()));
             self.journal.attempt(message, attempt);
-            ready.push(Call { message, attempt: number, endpoint, address, letter, timeout, once });
+            ready.push(Call { message, attempt: number, endpoint, address, letter, timeout, once, leave });
         }
         // The attempts are on record before their first byte goes out; the verdicts before their notice.
         if !self.settle() {
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -179,6 +179,8 @@
 pub enum Lost {
     /// No byte of the request left.
     Unsent,
+    /// No byte of the request left: it was not to be begun any more once the connection was there.
+    Recalled,
     /// The connection broke with the request out, or part of it.
     Broken,
     /// Time was up with the request out.
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -146,6 +146,30 @@
     assert_eq!(a.ids(), ["m1", "m3"]);
 }
 
+#[test]
+fn a_call_whose_connection_comes_up_after_the_news_of_a_drain_is_not_begun() {
+    // Its queue is full, so that a connection comes up only once it accepts and the kernel asks again.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().expect("an address").into()).expect("a port");
+    socket.listen(0).expect("listens");
+    let listener = std::net::TcpListener::from(socket);
+    let (slow, other) = (Endpoint::at(&listener), Endpoint::new(|_| Act::Answer(OK)));
+    let _first = TcpStream::connect(slow.address).expect("the one that its queue holds");
+    let discovery = Discovery::new(list(1, true, vec![host("s-1", &slow, 7, "ready")]));
+    let folder = Folder::new();
+    let mut config = config(&discovery, discovery.lines.lock().expect("lines")[0].clone());
+    config["settings"]["limits"]["connect-timeout-ns"] = json!(30_000_000_000u64);
+    let courier = Courier::with(&folder, &discovery, &config);
+    courier.take("m", "payment", 7, 25_000);
+    courier.says("m attempt 0: to s-1");
+    discovery.tell(list(2, false, vec![host("s-1", &slow, 7, "draining"), host("s-2", &other, 7, "ready")]));
+    courier.says("list 2");
+    slow.serve(listener, |_, _| Act::Answer(OK));
+    until("its connection", || slow.connections.load(Ordering::SeqCst) == 2);
+    until("the call elsewhere", || other.ids() == ["m"]);
+    assert!(slow.calls().is_empty(), "begun at a draining endpoint");
+}
+
 #[test]
 fn a_connection_that_the_endpoint_closed_is_not_used_again() {
     let (folder, endpoint, discovery) = one(|_| Act::AnswerAndClose(OK));
@@ -185,7 +209,7 @@
 
 #[test]
 fn a_refused_connection_never_ran_so_an_unsafe_message_is_tried_again() {
-    let closed = Endpoint { address: free(), seen: Default::default() };
+    let closed = Endpoint { address: free(), seen: Default::default(), connections: Default::default() };
     let discovery = Discovery::new(list(1, true, vec![host("s-0", &closed, 7, "ready")]));
     let folder = Folder::new();
     let courier = Courier::start(&folder, &discovery);
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -84,6 +84,8 @@
 pub struct Endpoint {
     pub address: SocketAddr,
     pub seen: Arc<Mutex<Vec<Seen>>>,
+    /// Connections accepted.
+    pub connections: Arc<AtomicUsize>,
 }
 
 impl Endpoint {
@@ -99,9 +101,19 @@
 
     fn with(act: impl Fn(usize, usize) -> Act + Send + Sync + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let endpoint = Endpoint::at(&listener);
+        endpoint.serve(listener, act);
+        endpoint
+    }
+
+    /// One that accepts nothing yet.
+    pub fn at(listener: &TcpListener) -> Self {
         let address = listener.local_addr().expect("an address");
-        let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
-        let (act, all, connections) = (Arc::new(act), seen.clone(), AtomicUsize::new(0));
+        Endpoint { address, seen: Arc::default(), connections: Arc::default() }
+    }
+
+    pub fn serve(&self, listener: TcpListener, act: impl Fn(usize, usize) -> Act + Send + Sync + 'static) {
+        let (act, all, connections) = (Arc::new(act), self.seen.clone(), self.connections.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (act, all) = (act.clone(), all.clone());
@@ -109,7 +121,6 @@
                 thread::spawn(move || serve(stream, connection, &*act, &all));
             }
         });
-        Endpoint { address, seen }
     }
 
     pub fn calls(&self) -> Vec<Seen> {
