--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -289,7 +289,7 @@
     }
 }
 
-/// What PROTOCOL says of an answer. Only what it calls 'never' counts as not run.
+/// What an answer proves. Only what was turned away or never left counts as not run.
 fn ended(answer: Result<Answer, Lost>) -> CallEnd {
     let answer = match answer {
         Ok(answer) => answer,
