--- a/src/brain.rs
+++ b/src/brain.rs
@@ -173,6 +173,7 @@
             Event::Answering { .. } | Event::Told { .. } => {}
             Event::Ended(ended) => self.ended(ended, out),
             Event::Withdrawn { message } => self.close(*message),
+            Event::Maintenance { endpoint, out } => self.maintain(*endpoint, *out),
             Event::Woken { token } => self.wake = self.wake.filter(|w| w.0 != *token),
             Event::Probed { endpoint, outcome, report, .. } => self.heed(*endpoint, *outcome, report),
         }
@@ -684,7 +685,7 @@
 
     /// Rule: an endpoint back from an outage is not pushed over. Each keeps its part of the budget, or,
     /// where that is less than a call, goes once at random while it warms, rather late than early.
-    fn space(&mut self, id: EndpointId) {
+    pub(crate) fn space(&mut self, id: EndpointId) {
         let (gap, u) = (self.gap(id), self.rng.random::<f64>());
         let (now, cold) = (self.now, ns(self.set.cold_span));
         let e = self.endpoints.get_mut(&id).expect("known");
@@ -851,10 +852,6 @@
 }
 
 impl Pool {
-    fn even(&self, couriers: usize) -> Option<f64> {
-        self.limit.map(|l| l / couriers.max(1) as f64)
-    }
-
     /// Tokens now. Without a pace the bucket stays full: calls sent then are no debt later.
     fn filled_up(&self, now: Ns) -> f64 {
         let Some(rate) = self.rate else { return 1.0 };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -240,6 +240,8 @@
     Ended(Ended),
     /// Nobody wants the message any more.
     Withdrawn { message: MessageId },
+    /// Operators leave an endpoint out, whatever the list says, or use it again: then it was restarted.
+    Maintenance { endpoint: EndpointId, out: bool },
     /// A wake-up asked for with [`Action::Wake`].
     Woken { token: u64 },
     /// A probe ended.
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -5,6 +5,7 @@
 use super::journal::Letter;
 use super::link::{Answer, Link, Lost};
 use super::log::say;
+use super::register::Register;
 use crate::interface::{EndpointId, Outcome, Report};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -38,6 +39,7 @@
     pub message: u64,
     pub attempt: u32,
     pub endpoint: EndpointId,
+    pub host: String,
     pub address: SocketAddr,
     pub letter: Rc<Letter>,
     pub timeout: Duration,
@@ -138,11 +140,13 @@
     /// to that one.
     idle: Rc<RefCell<HashMap<EndpointId, Vec<Kept>>>>,
     fates: Rc<RefCell<Fates>>,
+    /// Asked before the first byte of each call: what operators leave out gets none from their yes on.
+    register: Arc<Register>,
 }
 
 impl Calls {
     /// `keep` is how long a connection may stand idle, well below the endpoints' own limit.
-    pub fn new(connect: Duration, keep: Duration, sockets: usize) -> Self {
+    pub fn new(connect: Duration, keep: Duration, sockets: usize, register: Arc<Register>) -> Self {
         let idle = Rc::new(RefCell::new(HashMap::<EndpointId, Vec<Kept>>::new()));
         let swept = Rc::downgrade(&idle);
         tokio::task::spawn_local(async move {
@@ -155,7 +159,8 @@
                 sleep(SWEEP).await;
             }
         });
-        Calls { connect, keep, sockets: Arc::new(Semaphore::new(sockets)), idle, fates: Rc::default() }
+        let sockets = Arc::new(Semaphore::new(sockets));
+        Calls { connect, keep, sockets, idle, fates: Rc::default(), register }
     }
 
     /// Closes the idle connections to an endpoint.
@@ -221,7 +226,7 @@
 
     async fn ask(
         &self,
-        endpoint: EndpointId,
+        (endpoint, host): (EndpointId, &str),
         (to, once): (SocketAddr, bool),
         request: Request<Full<Bytes>>,
         until: Instant,
@@ -230,7 +235,7 @@
         // A call whose time is up while it still has no connection was never sent.
         let link = tokio::time::timeout_at(until, self.link(endpoint, to, once)).await.ok().flatten();
         let (mut link, idle) = link.ok_or(Lost::Unsent)?;
-        if !leave.holds() {
+        if !leave.holds() || self.register.is_out(host) {
             return Err(Lost::Recalled);
         }
         let answer = link.ask(request, until).await;
@@ -249,7 +254,7 @@
     /// Makes one attempt and reports its end. The connection is closed before a time-out or a cancel is
     /// told: else the next call would find this one's slot still taken.
     pub async fn call(self, call: Call, cancel: oneshot::Receiver<()>, news: Sender<News>) {
-        let Call { message, attempt, endpoint, address, letter, timeout, once, leave } = call;
+        let Call { message, attempt, endpoint, host, address, letter, timeout, once, leave } = call;
         let until = Instant::now() + timeout;
         let mut request = Request::post("/inbox")
             .header(HOST, address.to_string())
@@ -261,7 +266,7 @@
         let end = match request.body(Full::new(letter.body.clone())) {
             Ok(request) => tokio::select! {
                 biased;
-                answer = self.ask(endpoint, (address, once), request, until, &leave) => ended(answer),
+                answer = self.ask((endpoint, &host), (address, once), request, until, &leave) => ended(answer),
                 _ = cancel => CallEnd { outcome: Outcome::Cancelled, over: false, report: None, at: Instant::now() },
             },
             Err(_) => CallEnd { outcome: Outcome::Moot, over: false, report: None, at: Instant::now() },
@@ -272,7 +277,7 @@
     /// Sends a check and reports its end.
     pub async fn probe(
         self,
-        endpoint: EndpointId,
+        (endpoint, host): (EndpointId, String),
         address: SocketAddr,
         timeout: Duration,
         news: Sender<News>,
@@ -281,7 +286,8 @@
         let request = Request::get("/-/load").header(HOST, address.to_string()).body(Full::default());
         let answer = match request {
             Ok(request) => {
-                self.ask(endpoint, (address, false), request, sent + timeout, &Leave::default()).await
+                self.ask((endpoint, &host), (address, false), request, sent + timeout, &Leave::default())
+                    .await
             }
             Err(_) => Err(Lost::Unsent),
         };
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -47,6 +47,7 @@
     #[serde(default)]
     seed: String,
     discovery: Option<String>,
+    admin_addr: Option<String>,
     limits: Limits,
     known: Option<List>,
     settings: Conf,
@@ -59,6 +60,8 @@
     /// The file that `LB_CONFIG` names.
     pub file: PathBuf,
     pub discovery: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub admin: Option<SocketAddr>,
     pub state: PathBuf,
     pub seed: u64,
     pub limits: Limits,
@@ -129,11 +132,21 @@
             Some(discovery) => discovery,
             None => address("LB_DISCOVERY")?,
         };
+        // Each process has its own, which the environment tells; the file may be shared.
+        let admin = match text("LB_ADMIN_ADDR") {
+            Ok(admin) => Some(place(&admin).map_err(|why| Fault::Bad("LB_ADMIN_ADDR", why))?),
+            Err(Fault::Missing(_)) => {
+                let admin = page.admin_addr.as_deref().filter(|a| !a.is_empty()).map(place).transpose();
+                admin.map_err(|why| Fault::Bad("admin_addr", why))?
+            }
+            Err(fault) => return Err(fault),
+        };
         Ok(Config {
             name,
             listen,
             file,
             discovery,
+            admin,
             state,
             seed: seed(&page.seed),
             limits: page.limits,
--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -8,13 +8,15 @@
 use super::journal::{Attempt, Journal, Letter, Live, Verdict};
 use super::log::say;
 use super::outcomes::{Notice, Platform};
+use super::register::{Change, Register};
 use crate::brain::Brain;
 use crate::interface::{self, *};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::mpsc::{Receiver, Sender};
+use tokio::sync::mpsc::{Receiver, Sender, UnboundedReceiver};
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep_until};
@@ -59,6 +61,8 @@
     zone: usize,
     /// As the list has it: elsewhere no connection to it is kept.
     ready: bool,
+    /// A list has named it; others are known by a record alone.
+    listed: bool,
 }
 
 struct Held {
@@ -196,7 +200,10 @@
         }
         let id = EndpointId(self.numbered);
         self.numbered += 1;
-        self.endpoints.insert(id, Endpoint { host: host.to_owned(), address: None, zone: 0, ready: false });
+        self.endpoints.insert(
+            id,
+            Endpoint { host: host.to_owned(), address: None, zone: 0, ready: false, listed: false },
+        );
         self.numbers.insert(host.to_owned(), id);
         id
     }
@@ -212,7 +219,7 @@
             let kinds = &self.config.kinds;
             let kind = kinds.iter().position(|k| *k == host.class).unwrap_or(kinds.len());
             let Some(e) = self.endpoints.get_mut(&endpoint) else { continue };
-            e.zone = zone;
+            (e.zone, e.listed) = (zone, true);
             let address = host.dial.parse().ok().or(e.address);
             if std::mem::replace(&mut e.address, address) != address {
                 self.calls.close(endpoint);
@@ -228,7 +235,13 @@
             let (destination, weight) = (DestinationId(host.block), host.share);
             entries.push(Entry { endpoint, destination, zone, kind, standing, weight });
         }
+        let named: Vec<_> = entries.iter().map(|e| e.endpoint).collect();
         self.events.push(Event::Listed { whole: list.whole, entries });
+        // To the module one that it has forgotten is a new one.
+        let left_out: Vec<_> = named.into_iter().filter(|e| self.left_out(*e)).collect();
+        let again = left_out.into_iter().map(|endpoint| Event::Maintenance { endpoint, out: true });
+        self.events.extend(again);
+        self.know();
         for endpoint in before {
             self.part(endpoint);
         }
@@ -237,6 +250,41 @@
         leaves.filter(|(endpoint, _)| !ready(endpoint)).for_each(|(_, leave)| leave.recall());
     }
 
+    fn register(&self) -> &Arc<Register> {
+        &self.standing.register
+    }
+
+    fn left_out(&self, endpoint: EndpointId) -> bool {
+        self.endpoints.get(&endpoint).is_some_and(|e| self.register().is_out(&e.host))
+    }
+
+    /// Tells which ids operators may name.
+    fn know(&self) {
+        let listed = self.endpoints.values().filter(|e| e.listed);
+        self.register().know(listed.map(|e| e.host.clone()).collect());
+    }
+
+    /// Operators have set something, which is on record already.
+    fn operated(&mut self, change: Change) {
+        match change {
+            Change::Service { out } => {
+                say!("operators: {}", if out { "out of service" } else { "in service" });
+                if out {
+                    self.standing.let_go();
+                }
+            }
+            Change::Endpoint { id, out } => {
+                let Some(endpoint) = self.numbers.get(&id).copied() else { return };
+                say!("operators: {id} {}", if out { "left out" } else { "used again, as one that is cold" });
+                // What is kept for it leads to the process that is about to end, or has.
+                self.calls.close(endpoint);
+                let leaves = self.held.values().filter_map(|m| m.leave.as_ref());
+                leaves.filter(|(e, _)| out && *e == endpoint).for_each(|(_, leave)| leave.recall());
+                self.events.push(Event::Maintenance { endpoint, out });
+            }
+        }
+    }
+
     /// Told to wait by a destination: calls that are still without their connection do not begin there.
     fn wait(&self, destination: u64) {
         let there = self.held.values().filter(|m| m.letter.destination == destination);
@@ -246,13 +294,13 @@
     /// Nothing new goes to an endpoint that is not ready: connections kept for it would only take room, and
     /// whatever comes to its address next is another.
     fn part(&self, endpoint: EndpointId) {
-        if !self.endpoints.get(&endpoint).is_some_and(|e| e.ready) {
+        if !self.endpoints.get(&endpoint).is_some_and(|e| e.ready) || self.left_out(endpoint) {
             self.calls.close(endpoint);
         }
     }
 
     /// Runs until the courier has stopped.
-    pub async fn run(mut self, mut inbox: Receiver<News>) {
+    pub async fn run(mut self, mut inbox: Receiver<News>, mut changes: UnboundedReceiver<Change>) {
         let tick = self.config.settings.tick;
         let mut last: Option<Instant> = None;
         // Also where the module need not ask: on sockets nobody sends the list unasked.
@@ -273,6 +321,7 @@
             };
             tokio::select! {
                 biased;
+                Some(change) = changes.recv() => self.operated(change),
                 news = inbox.recv() => {
                     let Some(news) = news else { return };
                     self.hear(news);
@@ -455,6 +504,7 @@
                     self.calls.close(endpoint);
                     if let Some(e) = self.endpoints.remove(&endpoint) {
                         self.numbers.remove(&e.host);
+                        self.know();
                     }
                 }
                 Action::Note { text } => say!("note: {text}"),
@@ -579,7 +629,18 @@
             }
             m.leave = Some((endpoint, leave.clone()));
             self.journal.attempt(message, attempt);
-            ready.push(Call { message, attempt: number, endpoint, address, letter, timeout, once, leave });
+            let host = e.host.clone();
+            ready.push(Call {
+                message,
+                attempt: number,
+                endpoint,
+                host,
+                address,
+                letter,
+                timeout,
+                once,
+                leave,
+            });
         }
         // The attempts are on record before their first byte goes out; the verdicts before their notice.
         if !self.settle() {
@@ -602,9 +663,15 @@
     }
 
     fn probe(&mut self, endpoint: EndpointId) {
-        if let Some(address) = self.endpoints.get(&endpoint).and_then(|e| e.address) {
+        let e = self.endpoints.get(&endpoint);
+        if let Some((host, address)) = e.and_then(|e| Some((e.host.clone(), e.address?))) {
             let timeout = self.config.settings.connect_timeout * 2;
-            tokio::task::spawn_local(self.calls.clone().probe(endpoint, address, timeout, self.news.clone()));
+            tokio::task::spawn_local(self.calls.clone().probe(
+                (endpoint, host),
+                address,
+                timeout,
+                self.news.clone(),
+            ));
         }
     }
 
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -3,6 +3,7 @@
 use super::courier::News;
 use super::journal::Letter;
 use super::log::say;
+use super::register::Register;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -17,6 +18,7 @@
 use std::io;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -71,8 +73,9 @@
 }
 
 /// Standing of the program, as clients may know it.
-#[derive(Default)]
 pub struct Standing {
+    /// What operators have set.
+    pub register: Arc<Register>,
     pub ready: Cell<bool>,
     pub stopping: Cell<bool>,
     /// Told to all connections when the courier stops.
@@ -240,13 +243,34 @@
 }
 
 impl Standing {
+    pub fn new(register: Arc<Register>) -> Self {
+        Standing {
+            register,
+            ready: Cell::default(),
+            stopping: Cell::default(),
+            open: RefCell::default(),
+            next: Cell::default(),
+            bodies: Cell::default(),
+        }
+    }
+
     /// Readiness off; idle connections close, the others after their answer.
     pub fn stop(&self) {
         self.ready.set(false);
         self.stopping.set(true);
+        self.let_go();
+    }
+
+    /// Idle connections close, the others after their answer.
+    pub fn let_go(&self) {
         self.open.borrow().values().for_each(|line| line.close.notify_one());
     }
 
+    /// Whether clients are to go elsewhere.
+    fn sends_away(&self) -> bool {
+        self.stopping.get() || self.register.out_of_service()
+    }
+
     /// Closes the connection that is of least use, if one can go.
     fn shed(&self) -> bool {
         let mut open = self.open.borrow_mut();
@@ -334,7 +358,7 @@
         });
         let conn = http1::Builder::new()
             .max_buf_size(HEAD_MOST)
-            .keep_alive(!self.standing.stopping.get())
+            .keep_alive(!self.standing.sends_away())
             .serve_connection(TokioIo::new(Ear { stream, line: line.clone() }), service);
         let (mut conn, mut late) = (pin!(conn), pin!(sleep(SILENT_TIME)));
         loop {
@@ -355,14 +379,14 @@
 
     async fn handle(&self, request: Request<Incoming>, line: &Line) -> Response<Full<Bytes>> {
         let mut answer = match (request.method(), request.uri().path()) {
-            (&Method::GET, "/-/ready") => match self.standing.ready.get() {
+            (&Method::GET, "/-/ready") => match self.standing.ready.get() && !self.standing.sends_away() {
                 true => plain(StatusCode::OK, "ready\n"),
                 false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             },
             (&Method::POST, _) => self.take(request, line).await,
             _ => plain(StatusCode::NOT_FOUND, "no such page\n"),
         };
-        if self.standing.stopping.get() {
+        if self.standing.sends_away() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         answer
@@ -570,7 +594,9 @@
         let (news, _inbox) = tokio::sync::mpsc::channel(1);
         let names = |names: &[&str]| names.iter().map(|n| (*n).to_owned()).collect();
         let (classes, tenants) = (names(&["notice"]), names(&["acme", "zenith"]));
-        let intake = Intake { classes, tenants, standing: Rc::default(), news, sockets: 1, bodies: 1 };
+        let (register, _changes) = Register::new(std::path::Path::new(""));
+        let standing = Rc::new(Standing::new(register));
+        let intake = Intake { classes, tenants, standing, news, sockets: 1, bodies: 1 };
         let read = |tenants: &[&'static str]| {
             let mut headers = HeaderMap::new();
             for (name, value) in [("X-Request-ID", "m"), ("X-Timeout", "480m"), ("Envelope", "dest=7")] {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,7 +9,9 @@
 mod journal;
 mod link;
 mod log;
+mod operators;
 mod outcomes;
+mod register;
 
 use crate::brain::Brain;
 use calls::Calls;
@@ -18,6 +20,7 @@
 use intake::{Intake, Standing};
 use journal::Journal;
 use log::say;
+use register::Register;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -75,7 +78,14 @@
     // First of all: without a handler either signal ends the process at once.
     let mut terminate = on(SignalKind::terminate(), "SIGTERM")?;
     let hangup = on(SignalKind::hangup(), "SIGHUP")?;
-    let disk = (config.limits.disk_mb * 1e6) as u64;
+    let (register, changes) = Register::new(&config.state);
+    // Early: whoever calls is told at once that this process takes no clients yet.
+    if let Some(admin) = config.admin {
+        let opened = operators::open(admin, register.clone());
+        opened.map_err(|e| Fault::Bad("LB_ADMIN_ADDR", e.to_string()))?;
+    }
+    register.load().map_err(|e| Fault::Bad("LB_STATE", format!("what operators have set: {e}")))?;
+    let disk = ((config.limits.disk_mb * 1e6) as u64).saturating_sub(register::DISK_MOST);
     let opened = Journal::open(&config.state, disk);
     let (journal, last) = opened.map_err(|e| Fault::Bad("LB_STATE", e.to_string()))?;
     let keep = config.settings.keepalive.mul_f64(KEEP_SHARE);
@@ -85,9 +95,10 @@
     let brain = brain.map_err(|e| Fault::Bad("LB_CONFIG", e))?;
     let (news, inbox) = mpsc::channel(INBOX);
     let for_calls = (config.limits.sockets / 3).max(16);
-    let for_clients = config.limits.sockets.saturating_sub(for_calls + SPARE_SOCKETS).max(8);
-    let calls = Calls::new(config.settings.connect_timeout, keep, for_calls);
-    let standing = Rc::new(Standing::default());
+    let for_operators = if config.admin.is_some() { operators::SOCKETS } else { 0 };
+    let for_clients = config.limits.sockets.saturating_sub(for_calls + SPARE_SOCKETS + for_operators).max(8);
+    let calls = Calls::new(config.settings.connect_timeout, keep, for_calls, register.clone());
+    let standing = Rc::new(Standing::new(register.clone()));
     let listener = listen(&config).map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
     let at = listener.local_addr().map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
     let (name, kept) = (config.name.clone(), journal.live().len());
@@ -102,16 +113,18 @@
     tokio::task::spawn_local(reload(hangup, config.file.clone(), news.clone()));
     let courier = Courier::new(config, brain, journal, last, calls, standing.clone(), news.clone());
     standing.ready.set(true);
+    register.set_serving(true);
     let accepting = tokio::task::spawn_local(intake.run(listener));
     tokio::task::spawn_local(async move {
         if terminate.recv().await.is_some() {
             say!("stopping");
+            register.set_serving(false);
             let _ = news.send(News::Stop).await;
             tokio::time::sleep(Duration::from_millis(700)).await;
             accepting.abort();
         }
     });
     say!("{name} serves {at}; {kept} messages resumed");
-    courier.run(inbox).await;
+    courier.run(inbox, changes).await;
     Ok(())
 }
--- /dev/null
+++ b/src/node/register.rs
@@ -0,0 +1,224 @@
+//! What operators have set: endpoints left out, and whether the courier is out of service. A state, kept in
+//! the folder that lasts. Shared by the operators' thread, which changes it, and the courier, which heeds it.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::fmt;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+const NAME: &str = "operators";
+const NEXT: &str = "operators.next";
+/// The file is no longer. It stands beside its successor while it is written: the journal leaves room for both.
+const FILE_MOST: usize = 4 * 1024;
+pub const DISK_MOST: u64 = 4 * FILE_MOST as u64;
+
+/// What a call changes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    Endpoint { id: String, out: bool },
+    Service { out: bool },
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Change::Endpoint { id, out: true } => write!(f, "{id} offline"),
+            Change::Endpoint { id, out: false } => write!(f, "{id} online"),
+            Change::Service { out: true } => write!(f, "out of service"),
+            Change::Service { out: false } => write!(f, "in service"),
+        }
+    }
+}
+
+/// Why nothing has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Unset {
+    /// Nobody has an endpoint of this id.
+    Unknown,
+    /// Another process serves, or none yet.
+    NotServing,
+    /// The folder that lasts does not take it.
+    Unrecorded,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Page {
+    out: BTreeSet<String>,
+    #[serde(default)]
+    out_of_service: bool,
+}
+
+#[derive(Default)]
+struct State {
+    page: Page,
+    /// The ids that the courier's list has.
+    known: BTreeSet<String>,
+    /// This process takes clients.
+    serves: bool,
+}
+
+pub struct Register {
+    folder: PathBuf,
+    state: Mutex<State>,
+    /// One change at a time: each is on record before the next is looked at.
+    turn: tokio::sync::Mutex<()>,
+    changes: UnboundedSender<Change>,
+}
+
+impl Register {
+    /// A register that nobody has changed yet; its changes come from the receiver.
+    pub fn new(folder: &Path) -> (Arc<Self>, UnboundedReceiver<Change>) {
+        let (changes, changed) = unbounded_channel();
+        let (state, turn) = (Mutex::default(), tokio::sync::Mutex::new(()));
+        (Arc::new(Register { folder: folder.to_owned(), state, turn, changes }), changed)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads what was set before this process. A record that cannot be read must not pass for none: calls
+    /// would go to endpoints that are taken apart.
+    pub fn load(&self) -> io::Result<()> {
+        let page = match fs::read(self.folder.join(NAME)) {
+            Ok(bytes) => serde_json::from_slice(&bytes)?,
+            Err(e) if e.kind() == io::ErrorKind::NotFound => Page::default(),
+            Err(e) => return Err(e),
+        };
+        self.state().page = page;
+        Ok(())
+    }
+
+    pub fn serves(&self) -> bool {
+        self.state().serves
+    }
+
+    pub fn set_serving(&self, serves: bool) {
+        self.state().serves = serves;
+    }
+
+    pub fn out_of_service(&self) -> bool {
+        self.state().page.out_of_service
+    }
+
+    pub fn is_out(&self, id: &str) -> bool {
+        self.state().page.out.contains(id)
+    }
+
+    /// The ids on the courier's list, as it stands now.
+    pub fn know(&self, ids: BTreeSet<String>) {
+        self.state().known = ids;
+    }
+
+    /// Makes a change: on record, then in force, then told to the courier. One that changes nothing is
+    /// fulfilled already.
+    pub async fn set(self: Arc<Self>, change: Change) -> Result<(), Unset> {
+        let this = self.clone();
+        let task = async move {
+            let _turn = this.turn.lock().await;
+            let page = {
+                let state = this.state();
+                if !state.serves {
+                    return Err(Unset::NotServing);
+                }
+                let mut page = state.page.clone();
+                match &change {
+                    Change::Service { out } => page.out_of_service = *out,
+                    Change::Endpoint { id, .. } if !state.known.contains(id) && !page.out.contains(id) => {
+                        return Err(Unset::Unknown);
+                    }
+                    Change::Endpoint { id, out: true } => _ = page.out.insert(id.clone()),
+                    Change::Endpoint { id, out: false } => _ = page.out.remove(id),
+                }
+                if page == state.page {
+                    return Ok(());
+                }
+                page
+            };
+            let (folder, kept) = (this.folder.clone(), page.clone());
+            let kept = tokio::task::spawn_blocking(move || record(&folder, &kept)).await;
+            if !matches!(kept, Ok(Ok(()))) {
+                return Err(Unset::Unrecorded);
+            }
+            this.state().page = page;
+            let _ = this.changes.send(change);
+            Ok(())
+        };
+        // Goes on though its caller has given up: what is on record must come into force.
+        tokio::spawn(task).await.unwrap_or(Err(Unset::Unrecorded))
+    }
+}
+
+fn record(folder: &Path, page: &Page) -> io::Result<()> {
+    let bytes = serde_json::to_vec(page)?;
+    if bytes.len() > FILE_MOST {
+        return Err(io::ErrorKind::StorageFull.into());
+    }
+    let next = folder.join(NEXT);
+    fs::write(&next, bytes)?;
+    fs::rename(next, folder.join(NAME))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn folder(name: &str) -> PathBuf {
+        let path = std::env::temp_dir().join(format!("register-{}-{name}", std::process::id()));
+        let _ = fs::remove_dir_all(&path);
+        fs::create_dir_all(&path).expect("a folder");
+        path
+    }
+
+    fn endpoint(out: bool) -> Change {
+        Change::Endpoint { id: "s-1".to_owned(), out }
+    }
+
+    #[tokio::test]
+    async fn what_is_set_is_a_state_and_outlasts_the_process() {
+        let folder = folder("state");
+        let (register, mut changed) = Register::new(&folder);
+        assert_eq!(register.clone().set(endpoint(true)).await, Err(Unset::NotServing));
+        register.set_serving(true);
+        assert_eq!(register.clone().set(endpoint(true)).await, Err(Unset::Unknown));
+        register.know(BTreeSet::from(["s-1".to_owned()]));
+        for _ in 0..2 {
+            assert_eq!(register.clone().set(endpoint(true)).await, Ok(()));
+        }
+        assert!(register.is_out("s-1"));
+        assert_eq!((changed.try_recv(), changed.try_recv().is_err()), (Ok(endpoint(true)), true));
+        // Off the list, and in another process: it is still out, and one call brings it back.
+        let (register, _changed) = Register::new(&folder);
+        register.load().expect("read");
+        register.set_serving(true);
+        assert!(register.is_out("s-1") && !register.out_of_service());
+        assert_eq!(register.clone().set(Change::Service { out: true }).await, Ok(()));
+        assert_eq!(register.clone().set(endpoint(false)).await, Ok(()));
+        assert!(!register.is_out("s-1") && register.out_of_service());
+        assert_eq!(register.clone().set(endpoint(false)).await, Err(Unset::Unknown));
+        let _ = fs::remove_dir_all(folder);
+    }
+
+    #[tokio::test]
+    async fn what_cannot_be_recorded_does_not_come_into_force() {
+        let folder = folder("gone");
+        let (register, _changed) = Register::new(&folder);
+        register.set_serving(true);
+        fs::remove_dir_all(&folder).expect("removed");
+        assert_eq!(register.clone().set(Change::Service { out: true }).await, Err(Unset::Unrecorded));
+        assert!(!register.out_of_service());
+    }
+
+    #[test]
+    fn a_spoilt_record_is_not_taken_for_none() {
+        let folder = folder("spoilt");
+        fs::write(folder.join(NAME), b"{\"out\":[\"s-").expect("written");
+        let (register, _changed) = Register::new(&folder);
+        assert!(register.load().is_err());
+        let _ = fs::remove_dir_all(folder);
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,7 +78,10 @@
     pub(crate) dest: DestinationId,
     pub(crate) zone: usize,
     pub(crate) kind: usize,
+    /// The list has it ready, and operators do not leave it out.
     pub(crate) ready: bool,
+    pub(crate) listed: bool,
+    pub(crate) left_out: bool,
     /// Since when the list has it no more.
     pub(crate) gone: Option<Ns>,
     pub(crate) latency: f64,
@@ -231,9 +234,16 @@
     }
 }
 
+impl Pool {
+    /// An even share of the limit.
+    pub(crate) fn even(&self, couriers: usize) -> Option<f64> {
+        self.limit.map(|l| l / couriers.max(1) as f64)
+    }
+}
+
 impl Endpoint {
     pub(crate) fn leave(&mut self, now: Ns) {
-        self.ready = false;
+        (self.ready, self.listed) = (false, false);
         self.gone.get_or_insert(now);
     }
 
@@ -241,8 +251,23 @@
     pub(crate) fn stand(&mut self, standing: Standing, now: Ns) {
         match standing {
             Standing::Gone => self.leave(now),
-            _ => (self.ready, self.gone) = (standing == Standing::Ready, None),
+            _ => (self.listed, self.gone) = (standing == Standing::Ready, None),
+        }
+        self.ready = self.listed && !self.left_out;
+    }
+
+    /// Left out by operators, or used again. True if it comes back: with a new process, of which nothing is
+    /// known but that it is cold.
+    pub(crate) fn maintain(&mut self, out: bool, now: Ns) -> bool {
+        let back = std::mem::replace(&mut self.left_out, out) && !out;
+        self.ready = self.listed && !out;
+        if back {
+            (self.breaker, self.trial, self.cold, self.doubt) = (Breaker::Closed, None, false, 0.0);
+            (self.unconnected, self.connect_at) = (0, now);
+            (self.warm_from, self.free_at) = (Some(now), now);
+            self.idle.clear();
         }
+        back
     }
 }
 
@@ -276,6 +301,19 @@
     }
 }
 
+impl Brain {
+    /// What operators do with an endpoint, whatever the list says. One that nobody knows is told of again
+    /// with the list that names it.
+    pub(crate) fn maintain(&mut self, id: EndpointId, out: bool) {
+        let Some(e) = self.endpoints.get_mut(&id) else { return };
+        let dest = e.dest;
+        if e.maintain(out, self.now) {
+            self.space(id);
+        }
+        self.touched.insert(dest);
+    }
+}
+
 impl Settings {
     /// Names the first figure that cannot be worked with.
     pub(crate) fn check(&self) -> Result<(), String> {
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -327,6 +327,8 @@
 /// A courier that runs; killed when dropped.
 pub struct Courier {
     pub address: SocketAddr,
+    /// Where operators call, where that is set.
+    pub admin: Option<SocketAddr>,
     child: Child,
     log: Receiver<String>,
 }
@@ -374,10 +376,17 @@
                 let _ = tell.send(line);
             })
         });
-        let line = lines.recv_timeout(LIMIT).expect("it tells where it serves");
-        let address = line.split("serves ").nth(1).and_then(|l| l.split(';').next());
-        let address = address.and_then(|a| a.parse().ok()).unwrap_or_else(|| panic!("no address: {line}"));
-        let courier = Courier { address, child, log: lines };
+        let mut admin = None;
+        let address = loop {
+            let line = lines.recv_timeout(LIMIT).expect("it tells where it serves");
+            let after =
+                |words| line.split(words).nth(1).and_then(|l: &str| l.split(';').next()?.parse().ok());
+            admin = admin.or(after("called at "));
+            if let Some(address) = after("serves ") {
+                break address;
+            }
+        };
+        let courier = Courier { address, admin, child, log: lines };
         until("ready", || courier.get("/-/ready").is_some_and(|page| page.status() == 200));
         courier
     }
@@ -423,6 +432,12 @@
         raw(self.address, format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes())
     }
 
+    /// Calls the operators' address; the status.
+    pub fn operate(&self, method: &str, path: &str) -> u16 {
+        let call = format!("{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n");
+        raw(self.admin.expect("an operators' address"), call.as_bytes()).map_or(0, |page| page.status())
+    }
+
     /// Hands in a message; the answer.
     pub fn hand_in(&self, id: &str, class: &str, dest: u64, time_ms: u64) -> Page {
         raw(self.address, message(id, class, dest, time_ms).as_bytes()).expect("an answer")
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -161,6 +161,24 @@
     assert!(has(&actions, |a| matches!(a, Action::Refuse { .. })));
 }
 
+#[test]
+fn an_endpoint_left_out_stays_out_whatever_the_list_says_and_comes_back_cold() {
+    let mut d = Drive::new(settings(), vec![entry(0, 1, 0, 0)]);
+    assert_eq!(serve(&mut d, 0, 20, 0, 1, Outcome::Delivered, 50), 20);
+    let id = EndpointId(0);
+    let out = |out| Event::Maintenance { endpoint: id, out };
+    d.feed(&[out(true), out(true)]);
+    d.feed(&[Event::Listed { whole: true, entries: vec![entry(0, 1, 0, 0)] }]);
+    let burst: Vec<_> = (100..130).map(|n| taken(n, 0, 1, MS * 20_000)).collect();
+    let mut actions = d.feed(&burst);
+    actions.extend(d.pass(MS * 2000));
+    assert!(sends(&actions).is_empty());
+    // One call back answers both; what was held does not rush at it.
+    let at_once = sends(&d.feed(&[out(false)])).len();
+    let later = sends(&d.pass(MS * 2000)).len();
+    assert!(at_once <= 1 && later >= 1, "{at_once} sent as it came back, {later} within 2 s");
+}
+
 #[test]
 fn a_failed_subscription_is_asked_for_again() {
     let mut d = Drive::new(Settings { must_subscribe: true, ..settings() }, vec![entry(0, 1, 0, 0)]);
