--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,25 +1,26 @@
 //! The vocabulary of the decision module: settings, events, actions and the ids they use.
 //! Plain data without behaviour of its own; every decision is in [`crate::brain`].
 
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// A point on the courier's monotonic clock, as the time since an arbitrary origin.
 pub type Time = Duration;
 
 /// A message, as numbered by the courier. Never reused within a life.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct MessageId(pub u64);
 
 /// An endpoint, as numbered by the courier in the order in which it first heard of them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointId(pub u32);
 
 /// A destination: the party a message is meant for, reached through its endpoints.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct DestinationId(pub u64);
 
 /// What a repeated delivery of a message does.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Effect {
     /// Nothing: repeats are harmless.
     Repeatable,
@@ -30,7 +31,7 @@
 }
 
 /// Which endpoints of a destination share the memory of a key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum KeyScope {
     All,
     Zone,
@@ -39,7 +40,7 @@
 }
 
 /// A class of message.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Class {
     /// Full worth is earned when delivered within this time.
     pub aim: Duration,
@@ -57,7 +58,7 @@
 }
 
 /// How worth falls between the aim and the deadline.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WorthLoss {
     /// Evenly, down to the late share.
     Line,
@@ -66,7 +67,7 @@
 }
 
 /// A kind of destination.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Kind {
     /// The endpoints are routes apart, each with its own limit, pace and outages.
     pub separate_routes: bool,
@@ -75,7 +76,7 @@
 }
 
 /// What the weight of a list entry means.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WeightKind {
     None,
     /// Calls a second the destination or route takes from all couriers together.
@@ -85,7 +86,7 @@
 }
 
 /// What the courier knows when it starts.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Settings {
     /// How many couriers share the destinations, this one included.
     pub couriers: usize,
@@ -151,7 +152,7 @@
 }
 
 /// How an attempt or a probe ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     Delivered,
     /// Answered with an error; it may have run.
@@ -173,7 +174,7 @@
 }
 
 /// What an endpoint tells of its limit.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Report {
     /// Share of the allowance that is left.
     pub left: f64,
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -163,6 +163,11 @@
         Calls { connect, keep, sockets, idle, fates: Rc::default(), register }
     }
 
+    /// Closes all idle connections.
+    pub fn close_all(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes the idle connections to an endpoint.
     pub fn close(&self, endpoint: EndpointId) {
         self.idle.borrow_mut().remove(&endpoint);
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -9,6 +9,7 @@
 use std::fmt;
 use std::fs;
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
 use std::path::{Path, PathBuf};
 
 /// Why a start cannot go on.
@@ -60,6 +61,8 @@
     /// The file that `LB_CONFIG` names.
     pub file: PathBuf,
     pub discovery: SocketAddr,
+    /// The descriptor of the clients' listening socket, where the platform holds it.
+    pub listener: Option<RawFd>,
     /// Where operators call, if anywhere.
     pub admin: Option<SocketAddr>,
     pub state: PathBuf,
@@ -141,11 +144,20 @@
             }
             Err(fault) => return Err(fault),
         };
+        let listener = match text("LB_LISTEN_FD") {
+            Ok(number) => {
+                Some(number.parse().map_err(|_| Fault::Bad("LB_LISTEN_FD", format!("{number:?}")))?)
+            }
+            Err(Fault::Missing(_)) => None,
+            Err(fault) => return Err(fault),
+        };
+        let listener = listener.filter(|fd: &RawFd| *fd >= 0);
         Ok(Config {
             name,
             listen,
             file,
             discovery,
+            listener,
             admin,
             state,
             seed: seed(&page.seed),
--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -4,8 +4,9 @@
 use super::calls::{Call, CallEnd, Calls, Leave};
 use super::config::Config;
 use super::discovery::{Health, List, Watch};
+use super::handover::Successor;
 use super::intake::{Offer, Reply, Standing};
-use super::journal::{Attempt, Journal, Letter, Live, Verdict};
+use super::journal::{Attempt, Journal, Letter, Live, Verdict, unix};
 use super::log::say;
 use super::outcomes::{Notice, Platform};
 use super::register::{Change, Register};
@@ -15,7 +16,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::mpsc::{Receiver, Sender, UnboundedReceiver};
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
@@ -24,12 +25,14 @@
 /// After SIGTERM: how long new attempts are begun, and when it ends whatever is still out. SIGKILL comes
 /// no sooner than 3.7 s after it.
 const STOP_SENDING: Duration = Duration::from_millis(2200);
-const STOP_ALL: Duration = Duration::from_millis(3300);
+pub(super) const STOP_ALL: Duration = Duration::from_millis(3300);
 /// For so long after SIGTERM new connections go on coming.
-const STOP_LISTENING: Duration = Duration::from_millis(700);
+pub(super) const STOP_LISTENING: Duration = Duration::from_millis(700);
 /// Batches of notices on their way at once, and notices in one.
 const POSTS_MOST: usize = 4;
 const BATCH_MOST: usize = 200;
+/// How long a successor waits for notices that are on their way.
+const NOTICES_TIME: Duration = Duration::from_millis(300);
 /// When a disk that failed is tried again.
 const DISK_RETRY: Duration = Duration::from_millis(200);
 
@@ -50,63 +53,75 @@
     Listed(List),
     /// The platform has acknowledged the notices for these.
     Told(Vec<u64>),
+    /// Another process is there to go on in this one's place.
+    Successor(Successor),
     /// The configuration was read again: where discovery is now.
     Moved(SocketAddr),
     Stop,
 }
 
-struct Endpoint {
-    host: String,
-    address: Option<SocketAddr>,
-    zone: usize,
+/// Why the courier does not go on.
+pub enum End {
+    /// All is done that could be after SIGTERM.
+    Stopped,
+    /// Nothing is in judgement: all can be handed over.
+    Asked(Successor),
+    /// The successor has ended after it had taken over.
+    Bereft,
+}
+
+pub(super) struct Endpoint {
+    pub(super) host: String,
+    pub(super) address: Option<SocketAddr>,
+    pub(super) zone: usize,
     /// As the list has it: elsewhere no connection to it is kept.
-    ready: bool,
+    pub(super) ready: bool,
     /// A list has named it; others are known by a record alone.
-    listed: bool,
+    pub(super) listed: bool,
 }
 
-struct Held {
-    letter: Rc<Letter>,
-    attempts: u32,
+pub(super) struct Held {
+    pub(super) letter: Rc<Letter>,
+    pub(super) attempts: u32,
     /// The call that is out: when it left, and how to call it off.
-    out: Option<(Instant, Option<oneshot::Sender<()>>)>,
+    pub(super) out: Option<(Instant, Option<oneshot::Sender<()>>)>,
     /// Where its last call went, and whether that may still begin.
-    leave: Option<(EndpointId, Leave)>,
+    pub(super) leave: Option<(EndpointId, Leave)>,
 }
 
 pub struct Courier {
-    config: Config,
-    brain: Brain,
-    journal: Journal,
-    calls: Calls,
-    platform: Platform,
-    standing: Rc<Standing>,
-    news: Sender<News>,
-    origin: Instant,
-    events: Vec<Event>,
-    offers: BTreeMap<u64, Offer>,
+    pub(super) config: Config,
+    pub(super) brain: Brain,
+    pub(super) journal: Journal,
+    pub(super) calls: Calls,
+    pub(super) platform: Platform,
+    pub(super) standing: Rc<Standing>,
+    pub(super) news: Sender<News>,
+    pub(super) origin: Instant,
+    pub(super) events: Vec<Event>,
+    pub(super) offers: BTreeMap<u64, Offer>,
     /// Those that the module knows; it says when one is forgotten. Numbers are never used again.
-    endpoints: HashMap<EndpointId, Endpoint>,
-    numbered: u32,
-    numbers: HashMap<String, EndpointId>,
-    destinations: BTreeSet<u64>,
-    held: BTreeMap<u64, Held>,
+    pub(super) endpoints: HashMap<EndpointId, Endpoint>,
+    pub(super) numbered: u32,
+    pub(super) numbers: HashMap<String, EndpointId>,
+    pub(super) destinations: BTreeSet<u64>,
+    pub(super) held: BTreeMap<u64, Held>,
     /// Messages by the id that their clients gave them, until they have ended.
-    ids: HashMap<String, u64>,
-    next: u64,
+    pub(super) ids: HashMap<String, u64>,
+    pub(super) next: u64,
     /// The module's one wake-up; a later request for one takes its place.
-    wake: Option<(Instant, u64)>,
-    notices: VecDeque<Notice>,
-    posts: usize,
-    watch: Option<AbortHandle>,
+    pub(super) wake: Option<(Instant, u64)>,
+    pub(super) notices: VecDeque<Notice>,
+    pub(super) posts: usize,
+    pub(super) watch: Option<AbortHandle>,
+    /// The version of the list, where it is one of discovery's.
+    pub(super) seq: Option<u64>,
+    /// A successor that waits, and since when.
+    pub(super) heir: Option<(Successor, Instant)>,
     /// Discovery has answered since the start.
-    listed: bool,
-    stopping: Option<Instant>,
-    disk_failed: Option<Instant>,
-}
-
-fn unix() -> Duration {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+    pub(super) listed: bool,
+    pub(super) stopping: Option<Instant>,
+    pub(super) disk_failed: Option<Instant>,
 }
 
 impl Courier {
@@ -120,7 +135,7 @@
         news: Sender<News>,
     ) -> Self {
         let platform = Platform::new(config.discovery);
-        let mut courier = Courier {
+        Courier {
             config,
             brain,
             journal,
@@ -142,54 +157,62 @@
             notices: VecDeque::new(),
             posts: 0,
             watch: None,
+            seq: None,
+            heir: None,
             listed: false,
             stopping: None,
             disk_failed: None,
-        };
-        let known = courier.config.known.clone().unwrap_or_default();
-        courier.list(List { whole: true, ..known });
-        courier.resume();
-        courier
+        }
+    }
+
+    /// Starts with the list at hand and with what the journal holds.
+    pub fn begin(&mut self) {
+        let known = self.config.known.clone();
+        self.seq = known.as_ref().map(|l| l.seq);
+        self.list(List { whole: true, ..known.unwrap_or_default() });
+        let live: Vec<_> = self.journal.live().iter().map(|(n, m)| (*n, m.clone())).collect();
+        live.into_iter().for_each(|(message, m)| self.resume(message, m));
     }
 
-    /// Hands back what the journal holds, with what is known of its attempts.
-    fn resume(&mut self) {
-        let live: Vec<(u64, Live)> = self.journal.live().iter().map(|(n, m)| (*n, m.clone())).collect();
+    /// Hands back a message that is on record, with what is known of its attempts.
+    pub(super) fn resume(&mut self, message: u64, m: Live) {
         let now = unix();
-        for (message, m) in live {
-            let letter = m.letter;
-            self.ids.insert(letter.id.clone(), message);
-            let class = self.config.classes.iter().position(|c| *c == letter.class);
-            let tenant = self.config.tenants.iter().position(|t| *t == letter.tenant);
-            // A message with its end decided only waits to have it acknowledged: sending it again would
-            // deliver what a client was told to hand in again.
-            let verdict = m.verdict.or(class.is_none().then_some(Verdict::Dead));
-            if let Some(verdict) = verdict {
-                self.notices.push_back(Notice { message, id: letter.id.clone(), verdict });
-                continue;
-            }
-            let ran = m.attempts.iter().find(|a| a.may_have_run).map(|a| Ran {
-                endpoint: self.number(&a.host),
-                zone: self.zone(&a.zone),
-                ago: now.saturating_sub(a.sent),
-            });
-            let attempts = m.attempts.len() as u32;
-            self.destinations.insert(letter.destination);
-            self.events.push(Event::Taken(Taken {
-                message: MessageId(message),
-                class: class.unwrap_or_default(),
-                tenant: tenant.unwrap_or_default(),
-                destination: DestinationId(letter.destination),
-                key: None,
-                time_left: letter.until.saturating_sub(now),
-                work: None,
-                past: Past { attempts, ran },
-            }));
-            self.held.insert(message, Held { letter, attempts, out: None, leave: None });
-        }
-    }
-
-    fn zone(&self, name: &str) -> usize {
+        let letter = m.letter;
+        self.ids.insert(letter.id.clone(), message);
+        let class = self.config.classes.iter().position(|c| *c == letter.class);
+        let tenant = self.config.tenants.iter().position(|t| *t == letter.tenant);
+        // A message with its end decided only waits to have it acknowledged: sending it again would
+        // deliver what a client was told to hand in again.
+        let verdict = m.verdict.or(class.is_none().then_some(Verdict::Dead));
+        if let Some(verdict) = verdict {
+            return self.tell(message, letter.id.clone(), verdict);
+        }
+        let ran = m.attempts.iter().find(|a| a.may_have_run).map(|a| Ran {
+            endpoint: self.number(&a.host),
+            zone: self.zone(&a.zone),
+            ago: now.saturating_sub(a.sent),
+        });
+        let attempts = m.attempts.len() as u32;
+        self.destinations.insert(letter.destination);
+        self.events.push(Event::Taken(Taken {
+            message: MessageId(message),
+            class: class.unwrap_or_default(),
+            tenant: tenant.unwrap_or_default(),
+            destination: DestinationId(letter.destination),
+            key: None,
+            time_left: letter.until.saturating_sub(now),
+            work: None,
+            past: Past { attempts, ran },
+        }));
+        self.held.insert(message, Held { letter, attempts, out: None, leave: None });
+    }
+
+    /// Nothing but its notice is left to do for a message.
+    pub(super) fn tell(&mut self, message: u64, id: String, verdict: Verdict) {
+        self.notices.push_back(Notice { message, id, verdict });
+    }
+
+    pub(super) fn zone(&self, name: &str) -> usize {
         let zones = &self.config.zones;
         zones.iter().position(|z| z == name).unwrap_or(zones.len())
     }
@@ -259,7 +282,7 @@
     }
 
     /// Tells which ids operators may name.
-    fn know(&self) {
+    pub(super) fn know(&self) {
         let listed = self.endpoints.values().filter(|e| e.listed);
         self.register().know(listed.map(|e| e.host.clone()).collect());
     }
@@ -299,8 +322,8 @@
         }
     }
 
-    /// Runs until the courier has stopped.
-    pub async fn run(mut self, mut inbox: Receiver<News>, mut changes: UnboundedReceiver<Change>) {
+    /// Runs until the courier has stopped, or may be handed over.
+    pub async fn run(&mut self, inbox: &mut Receiver<News>, changes: &mut UnboundedReceiver<Change>) -> End {
         let tick = self.config.settings.tick;
         let mut last: Option<Instant> = None;
         // Also where the module need not ask: on sockets nobody sends the list unasked.
@@ -312,7 +335,8 @@
             let due = due.map(|at| last.map_or(at, |t| at.max(t + tick)));
             let retry = self.disk_failed.map(|t| t + DISK_RETRY);
             let stop = self.stopping.map(|_| Instant::now() + Duration::from_millis(20));
-            let at = [due, retry, stop].into_iter().flatten().min();
+            let heir = self.heir.as_ref().map(|_| Instant::now() + Duration::from_millis(2));
+            let at = [due, retry, stop, heir].into_iter().flatten().min();
             let nap = async {
                 match at {
                     Some(at) => sleep_until(at).await,
@@ -323,7 +347,7 @@
                 biased;
                 Some(change) = changes.recv() => self.operated(change),
                 news = inbox.recv() => {
-                    let Some(news) = news else { return };
+                    let Some(news) = news else { return End::Stopped };
                     self.hear(news);
                     while let Ok(news) = inbox.try_recv() {
                         self.hear(news);
@@ -344,13 +368,26 @@
                 }
             }
             if self.stopped() {
-                return;
+                return End::Stopped;
+            }
+            if let Some(successor) = self.asked() {
+                return End::Asked(successor);
             }
         }
     }
 
+    /// The successor, once nothing is in judgement. Notices that are not acknowledged soon go out again from
+    /// there, which does no harm.
+    fn asked(&mut self) -> Option<Successor> {
+        let (_, since) = self.heir.as_ref()?;
+        let told = self.notices.is_empty() && self.posts == 0;
+        let judged = self.offers.is_empty() && self.events.is_empty() && self.standing.judging() == 0;
+        let due = judged && (told || since.elapsed() > NOTICES_TIME);
+        self.heir.take_if(|_| due).map(|(successor, _)| successor)
+    }
+
     /// Brings the records into the file; after an error nothing more is taken on until it works again.
-    fn settle(&mut self) -> bool {
+    pub(super) fn settle(&mut self) -> bool {
         match self.journal.flush() {
             Ok(()) => {
                 if self.disk_failed.take().is_some() {
@@ -378,7 +415,7 @@
                 self.events.push(Event::Probed { endpoint, outcome, took, report: end.report });
             }
             News::Listed(list) => {
-                self.listed = true;
+                (self.listed, self.seq) = (true, Some(list.seq));
                 say!("list {}: {}", list.seq, list);
                 self.list(list);
             }
@@ -389,6 +426,13 @@
                 }
             }
             News::Moved(discovery) => self.moved(discovery),
+            News::Successor(successor) => {
+                // One at a time: another asks again.
+                if self.heir.is_none() {
+                    self.standing.hold();
+                    self.heir = Some((successor, Instant::now()));
+                }
+            }
             News::Stop => {
                 self.standing.stop();
                 self.stopping.get_or_insert(Instant::now());
@@ -593,7 +637,7 @@
             self.held.remove(&message);
         }
         self.journal.judge(message, verdict);
-        self.notices.push_back(Notice { message, id, verdict });
+        self.tell(message, id, verdict);
     }
 
     fn send(&mut self, sends: Vec<(u64, EndpointId, Duration)>, now: Instant) {
@@ -678,8 +722,7 @@
     /// One watch lasts for good and asks again by itself.
     fn watch(&mut self) {
         if self.watch.is_none() {
-            let known = self.config.known.as_ref();
-            self.watch_from(known.map_or(0, |l| l.seq), known.is_none());
+            self.watch_from(self.seq.unwrap_or(0), self.seq.is_none());
         }
     }
 
@@ -689,6 +732,11 @@
         self.watch = Some(task.abort_handle());
     }
 
+    /// Asks discovery for nothing more.
+    pub(super) fn leave_watch(&mut self) {
+        self.watch.take().into_iter().for_each(|watch| watch.abort());
+    }
+
     /// Discovery has another address. A watch that went on at the old one would hear of drains only once
     /// that has closed it; and the new one's versions need not continue the old one's, so all is asked for.
     fn moved(&mut self, discovery: SocketAddr) {
@@ -698,6 +746,7 @@
         self.platform.move_to(discovery);
         if let Some(watch) = self.watch.take() {
             watch.abort();
+            self.seq = None;
             self.watch_from(0, true);
         }
     }
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -1,5 +1,6 @@
 //! The clients' side: takes messages in over HTTP, and tells whether the courier is ready.
 
+use super::channel::Client;
 use super::courier::News;
 use super::journal::Letter;
 use super::log::say;
@@ -12,10 +13,14 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::io;
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
+use std::os::fd::OwnedFd;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -23,24 +28,24 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc::Sender;
+use tokio::sync::mpsc::{Sender, UnboundedSender};
 use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 pub const BODY_MOST: usize = 64 * 1024;
 /// A longer body is read no further and costs its connection.
 const BODY_DRAINED: usize = 1024 * 1024;
-/// A client is owed an answer or a close within 3 s of connecting: so long it may stay silent, a head may
-/// take from its first byte, and a body from the end of its head. Usual clients connect ahead, too, and send
-/// a second or two later: a close before that fails their request.
+/// A client is owed an answer or a close within 3 s of connecting: so long it may stay silent, and so long its
+/// request may take, from its first byte or, for the first one, from connecting. Usual clients connect ahead
+/// and send a second or two later, and some that are true take 2 s to write: a close before that fails them.
 const SILENT_TIME: Duration = Duration::from_millis(2500);
-const HEAD_TIME: Duration = Duration::from_millis(700);
-const BODY_TIME: Duration = Duration::from_millis(700);
+const REQUEST_TIME: Duration = Duration::from_millis(2850);
 /// A connection without an open request may be closed after this time, where room is needed.
 const IDLE_TIME: Duration = Duration::from_secs(2);
 /// A new connection's request is mostly there already and read by then.
 const FRESH_TIME: Duration = Duration::from_millis(10);
 const HEAD_MOST: usize = 16 * 1024;
+const HEARD_MOST: usize = HEAD_MOST + BODY_MOST;
 const ID_MOST: usize = 256;
 /// No class has a time-out near this.
 const TIMEOUT_MOST: Duration = Duration::from_secs(24 * 3600);
@@ -83,6 +88,37 @@
     next: Cell<u64>,
     /// Bytes of bodies that are being read or have no answer yet.
     bodies: Cell<usize>,
+    /// Offers that the courier has not answered.
+    judging: Cell<usize>,
+    /// A successor asks: nothing new is offered to the courier.
+    held: Cell<bool>,
+    go_on: Notify,
+    /// Where connections go once another process is the courier.
+    heir: RefCell<Option<UnboundedSender<Passed>>>,
+}
+
+/// A client's connection on its way to another process.
+pub struct Passed {
+    pub descriptor: OwnedFd,
+    pub heard: Vec<u8>,
+    pub age: Duration,
+    pub served: bool,
+}
+
+/// An offer that the courier judges.
+struct Judging<'a>(&'a Standing);
+
+impl<'a> Judging<'a> {
+    fn new(standing: &'a Standing) -> Self {
+        standing.judging.set(standing.judging.get() + 1);
+        Judging(standing)
+    }
+}
+
+impl Drop for Judging<'_> {
+    fn drop(&mut self) {
+        self.0.judging.set(self.0.judging.get() - 1);
+    }
 }
 
 /// Where a client's connection stands.
@@ -92,8 +128,10 @@
     Silent,
     /// Part of a head has come.
     Head,
-    /// A request is being read or judged.
+    /// A request is being read.
     Busy,
+    /// It is with the courier, or its answer is on its way.
+    Judged,
     /// Between requests; `well` if the last one was not at fault.
     Idle { well: bool },
 }
@@ -103,20 +141,38 @@
     stage: Cell<Stage>,
     /// Since when it stands there.
     since: Cell<Instant>,
+    /// When the request counts as begun.
+    begun: Cell<Instant>,
+    /// An answer has gone out on it.
+    served: Cell<bool>,
+    /// An answer is not wholly written.
+    answering: Cell<bool>,
     framing: RefCell<Framing>,
+    /// What has come of a request that has no answer yet, for another process to read on from; none once it
+    /// is longer than any that is taken.
+    heard: RefCell<Option<Vec<u8>>>,
     close: Notify,
     /// Closes it whatever has come on it.
     drop: Notify,
+    /// Another process goes on with it.
+    pass: Notify,
 }
 
 impl Line {
-    fn new() -> Self {
+    /// For a connection that came so long ago, or stood for so long where it stands.
+    fn new(age: Duration, served: bool) -> Self {
+        let since = Instant::now().checked_sub(age).unwrap_or_else(Instant::now);
         Line {
-            stage: Cell::new(Stage::Silent),
-            since: Cell::new(Instant::now()),
+            stage: Cell::new(if served { Stage::Idle { well: true } } else { Stage::Silent }),
+            since: Cell::new(since),
+            begun: Cell::new(since),
+            served: Cell::new(served),
+            answering: Cell::new(false),
             framing: RefCell::default(),
+            heard: RefCell::new(Some(Vec::new())),
             close: Notify::new(),
             drop: Notify::new(),
+            pass: Notify::new(),
         }
     }
 
@@ -127,17 +183,39 @@
 
     fn heard(&self, bytes: &[u8]) {
         self.framing.borrow_mut().hear(bytes);
+        let mut heard = self.heard.borrow_mut();
+        *heard = heard.take().filter(|h| h.len() + bytes.len() <= HEARD_MOST).map(|mut h| {
+            h.extend_from_slice(bytes);
+            h
+        });
+        if let Stage::Idle { .. } = self.stage.get() {
+            self.begun.set(Instant::now());
+        }
         if matches!(self.stage.get(), Stage::Silent | Stage::Idle { .. }) {
             self.enter(Stage::Head);
         }
     }
 
+    /// The answer is decided: what follows is another request.
+    fn answered(&self, well: bool) {
+        *self.framing.borrow_mut() = Framing::default();
+        *self.heard.borrow_mut() = Some(Vec::new());
+        self.answering.set(true);
+        self.served.set(true);
+        self.enter(Stage::Idle { well });
+    }
+
+    /// When the request that is being read must be there.
+    fn request_due(&self) -> Instant {
+        self.begun.get() + REQUEST_TIME
+    }
+
     /// When it is closed for want of a request.
     fn due(&self) -> Option<Instant> {
         match self.stage.get() {
             Stage::Silent => Some(self.since.get() + SILENT_TIME),
-            Stage::Head => Some(self.since.get() + HEAD_TIME),
-            Stage::Busy | Stage::Idle { .. } => None,
+            Stage::Head => Some(self.request_due()),
+            Stage::Busy | Stage::Judged | Stage::Idle { .. } => None,
         }
     }
 
@@ -213,32 +291,58 @@
 
 /// A client's socket, with its connection told what comes.
 struct Ear {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     line: Rc<Line>,
+    /// What another process has read of it already.
+    ahead: Bytes,
 }
 
 impl AsyncRead for Ear {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        if buf.filled().len() > before {
-            self.line.heard(&buf.filled()[before..]);
+        if !self.ahead.is_empty() {
+            let room = buf.remaining().min(self.ahead.len());
+            let piece = self.ahead.split_to(room);
+            self.line.heard(&piece);
+            buf.put_slice(&piece);
+            return Poll::Ready(Ok(()));
+        }
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
+                Ok(n) => {
+                    let before = buf.filled().len();
+                    buf.advance(n);
+                    if n > 0 {
+                        self.line.heard(&buf.filled()[before..]);
+                    }
+                    return Poll::Ready(Ok(()));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
         }
-        Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for Ear {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write(buf) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    /// Asked once all that was to be written is.
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        self.line.answering.set(false);
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
 
@@ -251,9 +355,54 @@
             open: RefCell::default(),
             next: Cell::default(),
             bodies: Cell::default(),
+            judging: Cell::default(),
+            held: Cell::default(),
+            go_on: Notify::new(),
+            heir: RefCell::default(),
         }
     }
 
+    pub fn judging(&self) -> usize {
+        self.judging.get()
+    }
+
+    /// Requests are read, and wait: the courier is to be handed over.
+    pub fn hold(&self) {
+        self.held.set(true);
+    }
+
+    /// It was not handed over.
+    pub fn release(&self) {
+        self.held.set(false);
+        self.go_on.notify_waiters();
+    }
+
+    /// From here on all connections go to another process.
+    pub fn pass_on(&self, heir: UnboundedSender<Passed>) {
+        *self.heir.borrow_mut() = Some(heir);
+        self.open.borrow().values().for_each(|line| line.pass.notify_one());
+    }
+
+    fn passes_on(&self) -> bool {
+        self.heir.borrow().is_some()
+    }
+
+    /// Sends a connection on its way, if it stands where another process can go on with it.
+    fn pass(&self, line: &Line, stream: &TcpStream) -> bool {
+        let heir = self.heir.borrow();
+        let (Some(heir), Some(heard)) = (heir.as_ref(), line.heard.borrow().clone()) else { return false };
+        if line.stage.get() == Stage::Judged || line.answering.get() {
+            return false;
+        }
+        let Ok(socket) = SockRef::from(stream).try_clone() else { return false };
+        let age = match line.stage.get() {
+            Stage::Idle { .. } => line.since.get().elapsed(),
+            _ => line.begun.get().elapsed(),
+        };
+        let passed = Passed { descriptor: socket.into(), heard, age, served: line.served.get() };
+        heir.send(passed).is_ok()
+    }
+
     /// Readiness off; idle connections close, the others after their answer.
     pub fn stop(&self) {
         self.ready.set(false);
@@ -316,8 +465,8 @@
 
 impl Intake {
     /// Accepts clients until the task is dropped.
-    pub async fn run(self, listener: TcpListener) {
-        let this = Rc::new(self);
+    pub async fn run(self: Rc<Self>, listener: TcpListener) {
+        let this = self;
         loop {
             // Out of sockets is backpressure: the one of least use makes room, else the newcomer waits
             // outside. Each closed one lets one in at once, so that hundreds that say nothing starve nobody.
@@ -327,7 +476,11 @@
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    tokio::task::spawn_local(this.clone().serve(stream));
+                    tokio::task::spawn_local(this.clone().serve(
+                        stream,
+                        Line::new(Duration::ZERO, false),
+                        Bytes::new(),
+                    ));
                     // A newcomer's request is read before the next may push it out.
                     tokio::task::yield_now().await;
                 }
@@ -339,9 +492,19 @@
         }
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream) {
+    /// Goes on with a connection that another process had.
+    pub fn adopt(self: Rc<Self>, descriptor: OwnedFd, client: Client) -> io::Result<()> {
+        let stream = std::net::TcpStream::from(descriptor);
+        stream.set_nonblocking(true)?;
+        let stream = TcpStream::from_std(stream)?;
+        let line = Line::new(client.age, client.served);
+        tokio::task::spawn_local(self.serve(stream, line, client.heard.into()));
+        Ok(())
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream, line: Line, ahead: Bytes) {
         let _ = stream.set_nodelay(true);
-        let line = Rc::new(Line::new());
+        let (stream, line) = (Rc::new(stream), Rc::new(line));
         let id = self.standing.next.get();
         self.standing.next.set(id + 1);
         self.standing.open.borrow_mut().insert(id, line.clone());
@@ -351,26 +514,39 @@
             async move {
                 line.enter(Stage::Busy);
                 let answer = this.handle(request, &line).await;
-                *line.framing.borrow_mut() = Framing::default();
-                line.enter(Stage::Idle { well: !answer.status().is_client_error() });
+                line.answered(!answer.status().is_client_error());
+                if this.standing.passes_on() {
+                    line.pass.notify_one();
+                }
                 Ok::<_, Infallible>(answer)
             }
         });
         let conn = http1::Builder::new()
             .max_buf_size(HEAD_MOST)
             .keep_alive(!self.standing.sends_away())
-            .serve_connection(TokioIo::new(Ear { stream, line: line.clone() }), service);
-        let (mut conn, mut late) = (pin!(conn), pin!(sleep(SILENT_TIME)));
+            .serve_connection(
+                TokioIo::new(Ear { stream: stream.clone(), line: line.clone(), ahead }),
+                service,
+            );
+        let (mut conn, mut late) = (pin!(conn), pin!(sleep_until(line.since.get() + SILENT_TIME)));
+        if self.standing.passes_on() {
+            line.pass.notify_one();
+        }
         loop {
             tokio::select! {
                 biased;
                 () = line.drop.notified() => break,
                 _ = conn.as_mut() => break,
-                () = line.close.notified() => conn.as_mut().graceful_shutdown(),
+                () = line.pass.notified() => if self.standing.pass(&line, &stream) { break },
+                () = line.close.notified() => match line.stage.get() {
+                    // One whose next request is on its way goes after its answer, like all that are at work.
+                    Stage::Idle { .. } if quiet(&stream) => conn.as_mut().graceful_shutdown(),
+                    _ => {}
+                },
                 () = late.as_mut() => match line.due() {
                     // A head without an end, or nothing at all, must not hold a socket.
                     Some(due) if due <= Instant::now() => break,
-                    due => late.as_mut().reset(due.unwrap_or_else(|| Instant::now() + HEAD_TIME)),
+                    due => late.as_mut().reset(due.unwrap_or_else(|| Instant::now() + SILENT_TIME)),
                 },
             }
         }
@@ -408,7 +584,7 @@
             return respond(Reply::Unavailable);
         };
         // Read even if the head is at fault, so that the connection can go on.
-        let body = match timeout(BODY_TIME, read(body)).await {
+        let body = match timeout_at(line.request_due(), read(body)).await {
             Ok(Ok(body)) => body,
             Ok(Err(Unread::Large)) => return plain(StatusCode::PAYLOAD_TOO_LARGE, "over 64 KiB\n"),
             Ok(Err(Unread::Broken)) => return closing(StatusCode::BAD_REQUEST, "the body broke off\n"),
@@ -423,6 +599,12 @@
             Ok(read) => read,
             Err(why) => return plain(StatusCode::BAD_REQUEST, why),
         };
+        // While a successor is being let in; most often it is there that this is read again.
+        while self.standing.held.get() {
+            self.standing.go_on.notified().await;
+        }
+        line.enter(Stage::Judged);
+        let _judging = Judging::new(&self.standing);
         let (reply, answered) = oneshot::channel();
         let offer = Offer { letter: Rc::new(letter), class, tenant, time_left, at, reply };
         let reply = match timeout(PATIENCE, self.news.send(News::Offered(offer))).await {
@@ -481,6 +663,12 @@
     }
 }
 
+/// Whether nothing has come that is not read.
+fn quiet(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    SockRef::from(stream).peek(&mut byte).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+}
+
 enum Unread {
     Large,
     Broken,
@@ -594,7 +782,7 @@
         let (news, _inbox) = tokio::sync::mpsc::channel(1);
         let names = |names: &[&str]| names.iter().map(|n| (*n).to_owned()).collect();
         let (classes, tenants) = (names(&["notice"]), names(&["acme", "zenith"]));
-        let (register, _changes) = Register::new(std::path::Path::new(""));
+        let register = Register::new(std::path::Path::new(""));
         let standing = Rc::new(Standing::new(register));
         let intake = Intake { classes, tenants, standing, news, sockets: 1, bodies: 1 };
         let read = |tenants: &[&'static str]| {
--- a/src/node/journal.rs
+++ b/src/node/journal.rs
@@ -7,7 +7,7 @@
 use std::io::{self, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 const NAME: &str = "journal";
 const NEXT: &str = "journal.next";
@@ -71,6 +71,11 @@
     }
 }
 
+/// The time as records tell it.
+pub fn unix() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
 pub struct Journal {
     path: PathBuf,
     next: PathBuf,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,9 +2,11 @@
 //! and the others tell it what happened.
 
 mod calls;
+mod channel;
 mod config;
 mod courier;
 mod discovery;
+mod handover;
 mod intake;
 mod journal;
 mod link;
@@ -16,14 +18,17 @@
 use crate::brain::Brain;
 use calls::Calls;
 use config::{Config, Fault};
-use courier::{Courier, News};
+use courier::{Courier, End, News, STOP_LISTENING};
 use intake::{Intake, Standing};
 use journal::Journal;
 use log::say;
 use register::Register;
+use socket2::SockRef;
+use std::io;
+use std::os::fd::BorrowedFd;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Duration;
+use std::sync::Arc;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -42,18 +47,43 @@
 
 /// Reads the configuration, then serves until it is told to stop.
 pub fn run() -> Result<(), Fault> {
-    let config = Config::read()?;
-    let runtime = runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| Fault::Bad("runtime", e.to_string()))?;
-    LocalSet::new().block_on(&runtime, serve(config))
+    let mut config = Config::read()?;
+    let register = Register::new(&config.state);
+    // Early: whoever calls is told at once that this process takes no clients yet.
+    if let Some(admin) = config.admin {
+        let opened = operators::open(admin, register.clone());
+        opened.map_err(|e| Fault::Bad("LB_ADMIN_ADDR", e.to_string()))?;
+    }
+    loop {
+        let runtime = runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| Fault::Bad("runtime", e.to_string()))?;
+        // With the set all its tasks end, and with them what they hold open.
+        match LocalSet::new().block_on(&runtime, serve(config, register.clone()))? {
+            End::Bereft => say!("starting anew"),
+            _ => return Ok(()),
+        }
+        config = Config::read()?;
+    }
 }
 
-fn listen(config: &Config) -> std::io::Result<TcpListener> {
-    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    // The address of the process before this one may still be in use by its last connections.
-    socket.set_reuseaddr(true)?;
-    socket.bind(config.listen)?;
-    socket.listen(BACKLOG)
+/// The clients' address: bound here, or a socket that the platform holds and that outlasts this process.
+fn listen(config: &Config) -> io::Result<TcpListener> {
+    let Some(descriptor) = config.listener else {
+        let socket = if config.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        // The address of the process before this one may still be in use by its last connections.
+        socket.set_reuseaddr(true)?;
+        socket.bind(config.listen)?;
+        return socket.listen(BACKLOG);
+    };
+    // SAFETY: the platform hands this descriptor down and nothing here closes it.
+    let held = unsafe { BorrowedFd::borrow_raw(descriptor) };
+    let own = held.try_clone_to_owned()?;
+    if !SockRef::from(&own).is_listener()? {
+        return Err(io::Error::new(io::ErrorKind::InvalidInput, "it does not listen"));
+    }
+    let listener = std::net::TcpListener::from(own);
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
 }
 
 fn on(kind: SignalKind, name: &'static str) -> Result<Signal, Fault> {
@@ -74,26 +104,25 @@
     }
 }
 
-async fn serve(mut config: Config) -> Result<(), Fault> {
+/// One tenure: from the wait for it to its end.
+async fn serve(mut config: Config, register: Arc<Register>) -> Result<End, Fault> {
     // First of all: without a handler either signal ends the process at once.
     let mut terminate = on(SignalKind::terminate(), "SIGTERM")?;
     let hangup = on(SignalKind::hangup(), "SIGHUP")?;
-    let (register, changes) = Register::new(&config.state);
-    // Early: whoever calls is told at once that this process takes no clients yet.
-    if let Some(admin) = config.admin {
-        let opened = operators::open(admin, register.clone());
-        opened.map_err(|e| Fault::Bad("LB_ADMIN_ADDR", e.to_string()))?;
-    }
-    register.load().map_err(|e| Fault::Bad("LB_STATE", format!("what operators have set: {e}")))?;
-    let disk = ((config.limits.disk_mb * 1e6) as u64).saturating_sub(register::DISK_MOST);
-    let opened = Journal::open(&config.state, disk);
-    let (journal, last) = opened.map_err(|e| Fault::Bad("LB_STATE", e.to_string()))?;
     let keep = config.settings.keepalive.mul_f64(KEEP_SHARE);
     // The module reckons with the connections that are kept here.
     config.settings.keepalive = keep;
     let brain = Brain::new(config.settings.clone(), config.seed);
     let brain = brain.map_err(|e| Fault::Bad("LB_CONFIG", e))?;
-    let (news, inbox) = mpsc::channel(INBOX);
+    let state = |e: io::Error| Fault::Bad("LB_STATE", e.to_string());
+    let (tenure, estate) = tokio::select! {
+        taken = handover::take_over(&config.state, &config.settings, config.seed) => taken.map_err(state)?,
+        _ = terminate.recv() => return Ok(End::Stopped),
+    };
+    register.load().map_err(|e| Fault::Bad("LB_STATE", format!("what operators have set: {e}")))?;
+    let disk = ((config.limits.disk_mb * 1e6) as u64).saturating_sub(register::DISK_MOST);
+    let (journal, last) = Journal::open(&config.state, disk).map_err(state)?;
+    let (news, mut inbox) = mpsc::channel(INBOX);
     let for_calls = (config.limits.sockets / 3).max(16);
     let for_operators = if config.admin.is_some() { operators::SOCKETS } else { 0 };
     let for_clients = config.limits.sockets.saturating_sub(for_calls + SPARE_SOCKETS + for_operators).max(8);
@@ -102,29 +131,56 @@
     let listener = listen(&config).map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
     let at = listener.local_addr().map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
     let (name, kept) = (config.name.clone(), journal.live().len());
-    let intake = Intake {
+    let intake = Rc::new(Intake {
         classes: config.classes.clone(),
         tenants: config.tenants.clone(),
         standing: standing.clone(),
         news: news.clone(),
         sockets: for_clients,
         bodies: (config.limits.memory_mb * 1e6 * BODIES_SHARE) as usize,
-    };
+    });
+    let folder = config.state.clone();
     tokio::task::spawn_local(reload(hangup, config.file.clone(), news.clone()));
-    let courier = Courier::new(config, brain, journal, last, calls, standing.clone(), news.clone());
+    let mut courier = Courier::new(config, brain, journal, last, calls, standing.clone(), news.clone());
+    match estate {
+        Some(estate) => estate.enter(&mut courier, intake.clone(), register.clone()),
+        None => courier.begin(),
+    }
+    let mut changes = register.serve();
     standing.ready.set(true);
-    register.set_serving(true);
     let accepting = tokio::task::spawn_local(intake.run(listener));
+    let (accepts, stopped) = (accepting.abort_handle(), register.clone());
+    let to_stop = news.clone();
     tokio::task::spawn_local(async move {
         if terminate.recv().await.is_some() {
             say!("stopping");
-            register.set_serving(false);
-            let _ = news.send(News::Stop).await;
-            tokio::time::sleep(Duration::from_millis(700)).await;
-            accepting.abort();
+            stopped.end();
+            let _ = to_stop.send(News::Stop).await;
+            tokio::time::sleep(STOP_LISTENING).await;
+            accepts.abort();
         }
     });
+    let successors = handover::listen(&folder, news);
+    let successors = successors.inspect_err(|e| say!("handover: no successor can be heard: {e}"));
     say!("{name} serves {at}; {kept} messages resumed");
-    courier.run(inbox, changes).await;
-    Ok(())
+    let mut tenure = Some(tenure);
+    let successor = loop {
+        let mut successor = match courier.run(&mut inbox, &mut changes).await {
+            End::Asked(successor) => successor,
+            end => return Ok(end),
+        };
+        // Operators set nothing while it is open who keeps it.
+        let held = register.hold().await;
+        if courier.hand_over(&mut successor, &mut tenure).await {
+            break (successor, register.forward(), held);
+        }
+        standing.release();
+    };
+    let (successor, forwards, held) = successor;
+    drop(held);
+    successors.into_iter().for_each(|task| task.abort());
+    accepting.abort();
+    let (pass, clients) = mpsc::unbounded_channel();
+    standing.pass_on(pass);
+    Ok(courier.linger(successor, inbox, clients, forwards).await)
 }
--- a/src/node/register.rs
+++ b/src/node/register.rs
@@ -9,6 +9,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::{OwnedMutexGuard, oneshot};
 
 const NAME: &str = "operators";
 const NEXT: &str = "operators.next";
@@ -52,29 +53,40 @@
     out_of_service: bool,
 }
 
+/// A change for the process that serves now, and where its answer goes.
+pub type Forward = (Change, oneshot::Sender<Result<(), Unset>>);
+
+/// What this process is.
+#[derive(Default)]
+enum Role {
+    /// It takes no clients yet, or no longer.
+    #[default]
+    Idle,
+    Serves(UnboundedSender<Change>),
+    /// Another has taken its place.
+    Replaced(UnboundedSender<Forward>),
+}
+
 #[derive(Default)]
 struct State {
     page: Page,
     /// The ids that the courier's list has.
     known: BTreeSet<String>,
-    /// This process takes clients.
-    serves: bool,
+    role: Role,
+    /// It ends, though it still heeds what is set.
+    ends: bool,
 }
 
 pub struct Register {
     folder: PathBuf,
     state: Mutex<State>,
     /// One change at a time: each is on record before the next is looked at.
-    turn: tokio::sync::Mutex<()>,
-    changes: UnboundedSender<Change>,
+    turn: Arc<tokio::sync::Mutex<()>>,
 }
 
 impl Register {
-    /// A register that nobody has changed yet; its changes come from the receiver.
-    pub fn new(folder: &Path) -> (Arc<Self>, UnboundedReceiver<Change>) {
-        let (changes, changed) = unbounded_channel();
-        let (state, turn) = (Mutex::default(), tokio::sync::Mutex::new(()));
-        (Arc::new(Register { folder: folder.to_owned(), state, turn, changes }), changed)
+    pub fn new(folder: &Path) -> Arc<Self> {
+        Arc::new(Register { folder: folder.to_owned(), state: Mutex::default(), turn: Arc::default() })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -94,11 +106,32 @@
     }
 
     pub fn serves(&self) -> bool {
-        self.state().serves
+        let state = self.state();
+        matches!(state.role, Role::Serves(_)) && !state.ends
+    }
+
+    /// From here on this process serves; changes come from the receiver.
+    pub fn serve(&self) -> UnboundedReceiver<Change> {
+        let (changes, changed) = unbounded_channel();
+        self.state().role = Role::Serves(changes);
+        changed
     }
 
-    pub fn set_serving(&self, serves: bool) {
-        self.state().serves = serves;
+    /// This process takes no more clients, and ends.
+    pub fn end(&self) {
+        self.state().ends = true;
+    }
+
+    /// Another process serves from here on; what is asked of this one comes from the receiver.
+    pub fn forward(&self) -> UnboundedReceiver<Forward> {
+        let (forwards, forwarded) = unbounded_channel();
+        self.state().role = Role::Replaced(forwards);
+        forwarded
+    }
+
+    /// Lets nothing change until the guard is dropped.
+    pub async fn hold(&self) -> OwnedMutexGuard<()> {
+        self.turn.clone().lock_owned().await
     }
 
     pub fn out_of_service(&self) -> bool {
@@ -120,11 +153,18 @@
         let this = self.clone();
         let task = async move {
             let _turn = this.turn.lock().await;
+            let forwards = match &this.state().role {
+                Role::Idle => return Err(Unset::NotServing),
+                Role::Serves(_) => None,
+                Role::Replaced(forwards) => Some(forwards.clone()),
+            };
+            if let Some(forwards) = forwards {
+                let (reply, answer) = oneshot::channel();
+                let _ = forwards.send((change, reply));
+                return answer.await.unwrap_or(Err(Unset::NotServing));
+            }
             let page = {
                 let state = this.state();
-                if !state.serves {
-                    return Err(Unset::NotServing);
-                }
                 let mut page = state.page.clone();
                 match &change {
                     Change::Service { out } => page.out_of_service = *out,
@@ -144,8 +184,11 @@
             if !matches!(kept, Ok(Ok(()))) {
                 return Err(Unset::Unrecorded);
             }
-            this.state().page = page;
-            let _ = this.changes.send(change);
+            let mut state = this.state();
+            state.page = page;
+            if let Role::Serves(changes) = &state.role {
+                let _ = changes.send(change);
+            }
             Ok(())
         };
         // Goes on though its caller has given up: what is on record must come into force.
@@ -181,9 +224,9 @@
     #[tokio::test]
     async fn what_is_set_is_a_state_and_outlasts_the_process() {
         let folder = folder("state");
-        let (register, mut changed) = Register::new(&folder);
+        let register = Register::new(&folder);
         assert_eq!(register.clone().set(endpoint(true)).await, Err(Unset::NotServing));
-        register.set_serving(true);
+        let mut changed = register.serve();
         assert_eq!(register.clone().set(endpoint(true)).await, Err(Unset::Unknown));
         register.know(BTreeSet::from(["s-1".to_owned()]));
         for _ in 0..2 {
@@ -192,9 +235,9 @@
         assert!(register.is_out("s-1"));
         assert_eq!((changed.try_recv(), changed.try_recv().is_err()), (Ok(endpoint(true)), true));
         // Off the list, and in another process: it is still out, and one call brings it back.
-        let (register, _changed) = Register::new(&folder);
+        let register = Register::new(&folder);
         register.load().expect("read");
-        register.set_serving(true);
+        let _changed = register.serve();
         assert!(register.is_out("s-1") && !register.out_of_service());
         assert_eq!(register.clone().set(Change::Service { out: true }).await, Ok(()));
         assert_eq!(register.clone().set(endpoint(false)).await, Ok(()));
@@ -206,8 +249,8 @@
     #[tokio::test]
     async fn what_cannot_be_recorded_does_not_come_into_force() {
         let folder = folder("gone");
-        let (register, _changed) = Register::new(&folder);
-        register.set_serving(true);
+        let register = Register::new(&folder);
+        let _changed = register.serve();
         fs::remove_dir_all(&folder).expect("removed");
         assert_eq!(register.clone().set(Change::Service { out: true }).await, Err(Unset::Unrecorded));
         assert!(!register.out_of_service());
@@ -217,7 +260,7 @@
     fn a_spoilt_record_is_not_taken_for_none() {
         let folder = folder("spoilt");
         fs::write(folder.join(NAME), b"{\"out\":[\"s-").expect("written");
-        let (register, _changed) = Register::new(&folder);
+        let register = Register::new(&folder);
         assert!(register.load().is_err());
         let _ = fs::remove_dir_all(folder);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,7 @@
 
 use crate::interface::*;
 use rand::{SeedableRng, rngs::SmallRng};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
     Duration::from_nanos(n.max(0) as u64)
 }
 
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Flight {
     pub(crate) endpoint: EndpointId,
     pub(crate) call: u64,
@@ -34,7 +36,7 @@
     pub(crate) opens: bool,
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Message {
     pub(crate) class: usize,
     pub(crate) group: usize,
@@ -65,7 +67,7 @@
     }
 }
 
-#[derive(Clone, Copy, Default, PartialEq)]
+#[derive(Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Breaker {
     #[default]
     Closed,
@@ -73,7 +75,7 @@
     HalfOpen,
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Endpoint {
     pub(crate) dest: DestinationId,
     pub(crate) zone: usize,
@@ -111,7 +113,7 @@
 }
 
 /// What shares one limit: a destination, or one endpoint of it where routes are separate.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Pool {
     pub(crate) wait_until: Ns,
     pub(crate) rate: Option<f64>,
@@ -138,7 +140,7 @@
 
 pub(crate) type PoolId = (DestinationId, Option<EndpointId>);
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Destination {
     pub(crate) endpoints: BTreeSet<EndpointId>,
     pub(crate) chart: Chart,
@@ -151,7 +153,7 @@
     pub(crate) recent: VecDeque<bool>,
 }
 
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct Tally {
     pub(crate) misses: f64,
     pub(crate) total: f64,
@@ -160,7 +162,7 @@
 
 /// The occupancy chart of one destination: what is held, by deadline, and the busy segments that
 /// these make when each starts as late as it can.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Chart {
     pub(crate) held: BTreeSet<(Ns, MessageId)>,
     pub(crate) segments: Vec<(Ns, Ns)>,
@@ -173,8 +175,10 @@
 pub(crate) const NEVER: Ns = Ns::MAX;
 
 /// The decisions of one courier.
+#[derive(Serialize, Deserialize)]
 pub struct Brain {
     pub(crate) set: Settings,
+    #[serde(skip, default = "unseeded")]
     pub(crate) rng: SmallRng,
     pub(crate) origin: Option<Time>,
     pub(crate) now: Ns,
@@ -203,7 +207,42 @@
     pub(crate) ask_pause: f64,
 }
 
+fn unseeded() -> SmallRng {
+    SmallRng::seed_from_u64(0)
+}
+
 impl Brain {
+    /// All that it remembers, for the process that goes on in its place.
+    pub fn pack(&self) -> Result<Vec<u8>, String> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(self, &mut bytes).map_err(|e| e.to_string())?;
+        Ok(bytes)
+    }
+
+    /// Goes on with what another process remembered, on the same clock. Connections are not carried over,
+    /// and the settings are its own.
+    pub fn unpack(bytes: &[u8], set: Settings, seed: u64) -> Result<Self, String> {
+        set.check()?;
+        let old: Brain = ciborium::from_reader(bytes).map_err(|e| e.to_string())?;
+        // Its tables are made for these: with others it starts anew.
+        let frame = |set: &Settings| {
+            let routes: Vec<_> = set.kinds.iter().map(|k| k.separate_routes).collect();
+            (set.classes.len(), set.tenants, routes)
+        };
+        if frame(&set) != frame(&old.set) {
+            return Err("it was made for other classes, tenants or kinds".to_owned());
+        }
+        let Brain { set, rng, .. } = Brain::blank(set, seed);
+        let mut brain = Brain { set, rng, wake: None, ..old };
+        brain.endpoints.values_mut().for_each(|e| e.idle.clear());
+        Ok(brain)
+    }
+
+    /// The messages that it is to end yet, or whose call is out.
+    pub fn knows(&self, message: MessageId) -> bool {
+        self.messages.contains_key(&message)
+    }
+
     pub(crate) fn blank(set: Settings, seed: u64) -> Self {
         let groups = if set.tenants > 0 { set.tenants } else { set.classes.len() };
         Brain {
