--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -6,6 +6,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -348,6 +349,18 @@
     command
 }
 
+/// A command whose courier inherits the clients' listening socket as descriptor 7, as the platform does it.
+pub fn inheriting(folder: &Folder, discovery: &Discovery, config: &Value, listener: &TcpListener) -> Command {
+    let plain = command(folder, discovery, config);
+    let mut inheriting = Command::new("sh");
+    inheriting.args(["-c", "exec 7<&0 0</dev/null; exec \"$0\""]).arg(plain.get_program());
+    inheriting.envs(plain.get_envs().filter_map(|(name, value)| Some((name, value?))));
+    let socket = OwnedFd::from(listener.try_clone().expect("a handle"));
+    inheriting.env("LB_LISTEN_FD", "7").env("LB_ADMIN_ADDR", "127.0.0.1:0");
+    inheriting.stdin(socket).stderr(Stdio::piped());
+    inheriting
+}
+
 pub fn config(discovery: &Discovery, known: Value) -> Value {
     json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
         "seed": "8c1f30d27a5be964",
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -179,6 +179,29 @@
     assert!(at_once <= 1 && later >= 1, "{at_once} sent as it came back, {later} within 2 s");
 }
 
+#[test]
+fn what_is_packed_goes_on_in_another_process_where_it_stopped() {
+    let mut d = Drive::new(settings(), vec![entry(0, 1, 0, 0), entry(1, 2, 0, 0)]);
+    assert_eq!(serve(&mut d, 100, 20, 0, 1, Outcome::Delivered, 50), 20);
+    // One call is out, one destination has told a wait, and a message is held for it.
+    assert_eq!(sends(&d.feed(&[taken(1, 0, 2, MS * 20_000)])), [(1, 1)]);
+    assert_eq!(sends(&d.feed(&[taken(2, 0, 1, MS * 20_000)])), [(2, 0)]);
+    d.feed(&[ended(2, 0, Outcome::Full { wait: Some(MS * 2000) }, 10)]);
+    let packed = d.brain.pack().expect("packed");
+    let mut other = settings();
+    other.tenants += 1;
+    assert!(Brain::unpack(&packed, other, 5).is_err(), "made for other tenants");
+    assert!(Brain::unpack(&packed[..packed.len() / 2], settings(), 5).is_err());
+    d.brain = Brain::unpack(&packed, settings(), 5).expect("unpacked");
+    assert!(d.brain.knows(MessageId(1)) && d.brain.knows(MessageId(2)) && !d.brain.knows(MessageId(3)));
+    let mut actions = d.feed(&[Event::Woken { token: 0 }]);
+    actions.extend(d.pass(MS * 1900));
+    assert!(sends(&actions).is_empty(), "neither the one that is out, nor into the wait");
+    d.feed(&[ended(1, 1, Outcome::Delivered, 50)]);
+    assert!(!d.brain.knows(MessageId(1)));
+    assert_eq!(sends(&d.pass(MS * 1000)), [(2, 0)]);
+}
+
 #[test]
 fn a_failed_subscription_is_asked_for_again() {
     let mut d = Drive::new(Settings { must_subscribe: true, ..settings() }, vec![entry(0, 1, 0, 0)]);
