--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -727,7 +727,8 @@
     }
 
     fn watch_from(&mut self, seq: u64, fresh: bool) {
-        let watch = Watch { address: self.config.discovery, seed: self.config.seed, seq, fresh };
+        let fleet = self.config.settings.couriers;
+        let watch = Watch { address: self.config.discovery, seed: self.config.seed, seq, fresh, fleet };
         let task = tokio::task::spawn_local(watch.run(self.news.clone()));
         self.watch = Some(task.abort_handle());
     }
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -62,14 +62,20 @@
 }
 
 const CONNECT: Duration = Duration::from_millis(1000);
-/// The agent answers at once; one that does not is asked again.
+/// An agent answers at once; one that does not is asked again. Where a fleet asks together it may be work that
+/// waits in a queue, which each call that is given up and made anew lengthens: patience doubles with each.
 const FIRST_ANSWER: Duration = Duration::from_millis(1000);
+const ANSWER_MOST: Duration = Duration::from_millis(8000);
 /// While nothing changes an empty line comes every 2 s. A machine that vanished leaves the connection open
 /// and silent; a change counts as told 6 s later, so silence must be found out early enough before that for
 /// a watch that is not answered and another that is.
 const SILENT: Duration = Duration::from_millis(3000);
+/// Pause before a watch is asked for again, s, in a fleet of this size or less; in a larger one it grows with
+/// it, so that all together ask no oftener. The first watch is spread likewise where a list is at hand.
 const BACKOFF_FIRST: f64 = 0.15;
 const BACKOFF_MOST: f64 = 2.0;
+const FLEET: f64 = 6.0;
+const SPREAD: f64 = 0.3;
 /// No line is longer; guards memory against one without an end.
 const LINE_MOST: usize = 8 * 1024 * 1024;
 
@@ -80,26 +86,61 @@
     pub seq: u64,
     /// Ask for the whole list: the version is not known to be one of discovery's.
     pub fresh: bool,
+    /// How many couriers there are.
+    pub fleet: usize,
+}
+
+/// When to ask again, and how long to wait for the answer.
+struct Patience {
+    scale: f64,
+    backoff: f64,
+    answer: Duration,
+}
+
+impl Patience {
+    fn new(fleet: usize) -> Self {
+        let scale = (fleet as f64 / FLEET).max(1.0);
+        Patience { scale, backoff: BACKOFF_FIRST, answer: FIRST_ANSWER }
+    }
+
+    /// A watch has held: the next is asked for as if it were the first.
+    fn renew(&mut self) {
+        (self.backoff, self.answer) = (BACKOFF_FIRST, FIRST_ANSWER);
+    }
+
+    /// The pause before the next call; `jitter` is from 0 to 1.
+    fn pause(&mut self, jitter: f64) -> Duration {
+        let pause = self.backoff * self.scale * (0.5 + jitter);
+        self.backoff = (self.backoff * 2.0).min(BACKOFF_MOST);
+        Duration::from_secs_f64(pause)
+    }
+
+    /// The last call had no answer in time.
+    fn unanswered(&mut self) {
+        self.answer = (self.answer * 2).min(ANSWER_MOST);
+    }
 }
 
 impl Watch {
     /// Watches for good. Ends only when nobody listens any more.
     pub async fn run(mut self, news: Sender<News>) {
         let mut rng = SmallRng::seed_from_u64(self.seed);
-        let mut backoff = BACKOFF_FIRST;
+        let mut patience = Patience::new(self.fleet);
+        if !self.fresh {
+            sleep(Duration::from_secs_f64(SPREAD * patience.scale * rng.random::<f64>())).await;
+        }
         while !news.is_closed() {
             let since = Instant::now();
-            let heard = self.once(&news).await;
+            let heard = self.once(&news, &mut patience).await;
             if heard && since.elapsed() > SILENT {
-                backoff = BACKOFF_FIRST;
+                patience.renew();
             }
-            sleep(Duration::from_secs_f64(backoff * (0.5 + rng.random::<f64>()))).await;
-            backoff = (backoff * 2.0).min(BACKOFF_MOST);
+            sleep(patience.pause(rng.random())).await;
         }
     }
 
     /// One watch, from its connection to its end. True if it was answered.
-    async fn once(&mut self, news: &Sender<News>) -> bool {
+    async fn once(&mut self, news: &Sender<News>, patience: &mut Patience) -> bool {
         let Some(mut link) = Link::open(self.address, CONNECT, None).await else {
             say!("discovery: no connection to {}", self.address);
             return false;
@@ -111,11 +152,12 @@
         let host = self.address.to_string();
         let request = Request::get(path).header(header::HOST, host).body(Full::<Bytes>::default());
         let Ok(request) = request else { return false };
-        let Some(answer) = link.watch(request, FIRST_ANSWER).await else {
-            say!("discovery: no answer from {}", self.address);
+        let Some(answer) = link.watch(request, patience.answer).await else {
+            say!("discovery: no answer from {} in {:?}", self.address, patience.answer);
+            patience.unanswered();
             return false;
         };
-        say!("discovery: {} answers {}", self.address, answer.status());
+        say!("discovery: {} answers {} {:?}", self.address, answer.status(), answer.headers());
         if answer.status() != StatusCode::OK {
             return false;
         }
@@ -194,9 +236,38 @@
     #[test]
     fn a_change_is_heard_before_it_counts_as_told_though_a_watch_fell_silent() {
         // The change comes right behind the last line heard; the first watch after that is not answered.
-        let longest = |n: i32| Duration::from_secs_f64(BACKOFF_FIRST * 2f64.powi(n) * 1.5);
-        let heard = SILENT + longest(0) + CONNECT + FIRST_ANSWER + longest(1);
+        let mut patience = Patience::new(3);
+        let heard = SILENT + patience.pause(1.0) + CONNECT + FIRST_ANSWER + patience.pause(1.0);
         assert!(heard < Duration::from_secs(6), "{heard:?}");
         assert!(SILENT > Duration::from_millis(2500), "an empty line comes every 2 s only");
     }
+
+    #[test]
+    fn a_fleet_that_is_turned_away_asks_no_oftener_than_a_few_couriers_do() {
+        // Calls a second of all together at the nth try, with pauses that are neither short nor long.
+        let rate = |fleet: usize, tries: usize| {
+            let mut patience = Patience::new(fleet);
+            let last = (0..tries).map(|_| patience.pause(0.5)).last().expect("a try");
+            fleet as f64 / last.as_secs_f64()
+        };
+        for tries in 1..10 {
+            let (few, many) = (rate(FLEET as usize, tries), rate(48, tries));
+            assert!((few - many).abs() < 1e-6, "{few} and {many} at try {tries}");
+        }
+        assert!(rate(48, 9) < 3.5, "{}", rate(48, 9));
+    }
+
+    #[test]
+    fn an_answer_that_does_not_come_is_waited_for_ever_longer_until_a_watch_has_held() {
+        let mut patience = Patience::new(3);
+        let waits: Vec<_> = (0..5)
+            .map(|_| {
+                patience.unanswered();
+                patience.answer.as_secs()
+            })
+            .collect();
+        assert_eq!(waits, [2, 4, 8, 8, 8]);
+        patience.renew();
+        assert_eq!(patience.answer, FIRST_ANSWER);
+    }
 }
