--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -278,6 +278,12 @@
                 self.held.insert(message, Held { letter, attempts, out, leave });
             }
         }
+        // What operators set last may be on record and not yet in the module.
+        let set =
+            self.endpoints.iter().map(|(endpoint, e)| (*endpoint, self.standing.register.is_out(&e.host)));
+        let set = set.map(|(endpoint, out)| Event::Maintenance { endpoint, out });
+        let set: Vec<_> = set.collect();
+        self.events.extend(set);
         // The wake-up that the module had asked for has stayed behind; this makes it ask again.
         self.events.push(Event::Woken { token: 0 });
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -51,7 +51,7 @@
     let register = Register::new(&config.state);
     // Early: whoever calls is told at once that this process takes no clients yet.
     if let Some(admin) = config.admin {
-        let opened = operators::open(admin, register.clone());
+        let opened = operators::open(admin, config.limits.sockets, register.clone());
         opened.map_err(|e| Fault::Bad("LB_ADMIN_ADDR", e.to_string()))?;
     }
     loop {
@@ -114,6 +114,9 @@
     config.settings.keepalive = keep;
     let brain = Brain::new(config.settings.clone(), config.seed);
     let brain = brain.map_err(|e| Fault::Bad("LB_CONFIG", e))?;
+    // Before anything is asked of the process that serves: one that could not listen must not replace it.
+    let listener = listen(&config).map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
+    let at = listener.local_addr().map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
     let state = |e: io::Error| Fault::Bad("LB_STATE", e.to_string());
     let (tenure, estate) = tokio::select! {
         taken = handover::take_over(&config.state, &config.settings, config.seed) => taken.map_err(state)?,
@@ -124,12 +127,10 @@
     let (journal, last) = Journal::open(&config.state, disk).map_err(state)?;
     let (news, mut inbox) = mpsc::channel(INBOX);
     let for_calls = (config.limits.sockets / 3).max(16);
-    let for_operators = if config.admin.is_some() { operators::SOCKETS } else { 0 };
+    let for_operators = config.admin.map_or(0, |_| operators::sockets(config.limits.sockets));
     let for_clients = config.limits.sockets.saturating_sub(for_calls + SPARE_SOCKETS + for_operators).max(8);
     let calls = Calls::new(config.settings.connect_timeout, keep, for_calls, register.clone());
     let standing = Rc::new(Standing::new(register.clone()));
-    let listener = listen(&config).map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
-    let at = listener.local_addr().map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
     let (name, kept) = (config.name.clone(), journal.live().len());
     let intake = Rc::new(Intake {
         classes: config.classes.clone(),
--- a/src/node/operators.rs
+++ b/src/node/operators.rs
@@ -26,10 +26,13 @@
 use tokio::task::LocalSet;
 use tokio::time::{sleep, timeout};
 
-/// Callers with an open connection at most; beyond it the one longest without a whole call gives way.
-pub const CALLERS_MOST: usize = 24;
-/// What this thread may hold open: callers, its listener and its runtime, and a file while it is written.
-pub const SOCKETS: usize = CALLERS_MOST + 8;
+/// Callers with an open connection at most; beyond it the one longest without a whole call gives way. Fewer
+/// where there are few descriptors: a part of all.
+const CALLERS_MOST: usize = 24;
+const CALLERS_LEAST: usize = 8;
+const CALLERS_PART: usize = 16;
+/// Held open beside callers: a listener, a runtime, and a file while it is written.
+const OWN: usize = 6;
 /// A whole call is there within this time. Answers are owed within 1 s of it.
 const CALL_TIME: Duration = Duration::from_secs(5);
 const ANSWER_TIME: Duration = Duration::from_millis(800);
@@ -64,6 +67,15 @@
     if *method == wanted { Ok(call) } else { Err(StatusCode::METHOD_NOT_ALLOWED) }
 }
 
+fn callers_most(sockets: usize) -> usize {
+    (sockets / CALLERS_PART).clamp(CALLERS_LEAST, CALLERS_MOST)
+}
+
+/// What this thread holds open at most where the courier may have so many descriptors.
+pub fn sockets(of: usize) -> usize {
+    callers_most(of) + OWN
+}
+
 struct Caller {
     /// A whole call has come.
     whole: Cell<bool>,
@@ -72,18 +84,19 @@
 
 struct Desk {
     register: Arc<Register>,
+    most: usize,
     callers: RefCell<BTreeMap<u64, Rc<Caller>>>,
 }
 
 /// Binds the address, then serves it until the process ends.
-pub fn open(address: SocketAddr, register: Arc<Register>) -> io::Result<()> {
+pub fn open(address: SocketAddr, sockets: usize, register: Arc<Register>) -> io::Result<()> {
     // Sets SO_REUSEADDR: the process before this one may have left connections behind.
     let listener = TcpListener::bind(address)?;
     listener.set_nonblocking(true)?;
     let at = listener.local_addr()?;
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
     thread::Builder::new().name("operators".to_owned()).spawn(move || {
-        let desk = Rc::new(Desk { register, callers: RefCell::default() });
+        let desk = Rc::new(Desk { register, most: callers_most(sockets), callers: RefCell::default() });
         LocalSet::new().block_on(&runtime, async move {
             match tokio::net::TcpListener::from_std(listener) {
                 Ok(listener) => desk.run(listener).await,
@@ -114,7 +127,7 @@
 
     async fn make_room(&self) {
         // Where all have a whole call, they are answered in a moment.
-        while self.callers.borrow().len() >= CALLERS_MOST && !self.shed() {
+        while self.callers.borrow().len() >= self.most && !self.shed() {
             sleep(Duration::from_millis(5)).await;
         }
     }
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -227,3 +227,22 @@
     place.all_once(&["m1", "m2", "m3", "m4"]);
     assert!(place.discovery.notices.lock().expect("notices").is_empty());
 }
+
+#[test]
+fn one_that_cannot_listen_does_not_replace_the_one_that_serves() {
+    let place = Place::new(|_| Act::Answer(OK));
+    let old = place.start();
+    let known = place.discovery.lines.lock().expect("lines")[0].clone();
+    let page = config(&place.discovery, known);
+    let mut second = command(&place.folder, &place.discovery, &page);
+    let address = place.listener.local_addr().expect("an address");
+    let ended = second.env("LB_LISTEN", address.to_string()).output().expect("it ends");
+    assert_eq!(ended.status.code(), Some(1), "the address is in use, and no socket is handed down");
+    // Nor one to which a descriptor is handed that listens to nobody.
+    let mut second = command(&place.folder, &place.discovery, &page);
+    let ended = second.env("LB_LISTEN_FD", "0").output().expect("it ends");
+    assert_eq!(ended.status.code(), Some(1));
+    assert_eq!(old.operate("GET", "/control/ready"), 200);
+    old.take("m1", "payment", 7, 20_000);
+    place.all_once(&["m1"]);
+}
