--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -42,6 +42,8 @@
 const REQUEST_TIME: Duration = Duration::from_millis(2850);
 /// A connection without an open request may be closed after this time, where room is needed.
 const IDLE_TIME: Duration = Duration::from_secs(2);
+/// A request that comes in several pieces counts as at work for so long after each.
+const WORK_TIME: Duration = Duration::from_millis(500);
 /// A new connection's request is mostly there already and read by then.
 const FRESH_TIME: Duration = Duration::from_millis(10);
 const HEAD_MOST: usize = 16 * 1024;
@@ -130,6 +132,8 @@
     Head,
     /// A request is being read.
     Busy,
+    /// All of it is here, and it waits to be judged.
+    Whole,
     /// It is with the courier, or its answer is on its way.
     Judged,
     /// Between requests; `well` if the last one was not at fault.
@@ -141,6 +145,10 @@
     stage: Cell<Stage>,
     /// Since when it stands there.
     since: Cell<Instant>,
+    /// When something last came on it.
+    last: Cell<Instant>,
+    /// In how many pieces the request has come so far.
+    pieces: Cell<u32>,
     /// When the request counts as begun.
     begun: Cell<Instant>,
     /// An answer has gone out on it.
@@ -165,6 +173,8 @@
         Line {
             stage: Cell::new(if served { Stage::Idle { well: true } } else { Stage::Silent }),
             since: Cell::new(since),
+            last: Cell::new(since),
+            pieces: Cell::new(0),
             begun: Cell::new(since),
             served: Cell::new(served),
             answering: Cell::new(false),
@@ -183,6 +193,8 @@
 
     fn heard(&self, bytes: &[u8]) {
         self.framing.borrow_mut().hear(bytes);
+        self.last.set(Instant::now());
+        self.pieces.set(self.pieces.get() + 1);
         let mut heard = self.heard.borrow_mut();
         *heard = heard.take().filter(|h| h.len() + bytes.len() <= HEARD_MOST).map(|mut h| {
             h.extend_from_slice(bytes);
@@ -200,6 +212,7 @@
     fn answered(&self, well: bool) {
         *self.framing.borrow_mut() = Framing::default();
         *self.heard.borrow_mut() = Some(Vec::new());
+        self.pieces.set(0);
         self.answering.set(true);
         self.served.set(true);
         self.enter(Stage::Idle { well });
@@ -215,7 +228,7 @@
         match self.stage.get() {
             Stage::Silent => Some(self.since.get() + SILENT_TIME),
             Stage::Head => Some(self.request_due()),
-            Stage::Busy | Stage::Judged | Stage::Idle { .. } => None,
+            Stage::Busy | Stage::Whole | Stage::Judged | Stage::Idle { .. } => None,
         }
     }
 
@@ -223,13 +236,17 @@
     /// goes before a usual client's connection.
     fn use_of(&self) -> Option<u8> {
         let age = self.since.get().elapsed();
+        // Of those that write: what only began, and then stopped, goes before what goes on.
+        let works = self.pieces.get() > 1 && self.last.get().elapsed() < WORK_TIME;
         match self.stage.get() {
             Stage::Silent if age > FRESH_TIME => Some(0),
             Stage::Idle { well: false } => Some(1),
             Stage::Idle { .. } if age > IDLE_TIME => Some(2),
-            Stage::Head if age > FRESH_TIME => Some(3),
+            // A first request that is closed on has failed; a later one could be lost.
+            Stage::Head | Stage::Busy if self.served.get() => None,
             // Clients that ask once and keep their connection would shut out all that come within that time.
             Stage::Idle { .. } => Some(4),
+            Stage::Head | Stage::Busy if age > FRESH_TIME => Some(if works { 5 } else { 3 }),
             _ => None,
         }
     }
@@ -427,7 +444,7 @@
         if open.values().filter(|line| line.use_of().is_none()).count() * 4 > open.len() {
             return false;
         }
-        let least = open.iter().filter_map(|(id, line)| Some((line.use_of()?, line.since.get(), *id))).min();
+        let least = open.iter().filter_map(|(id, line)| Some((line.use_of()?, line.last.get(), *id))).min();
         let line = least.and_then(|(_, _, id)| open.remove(&id));
         line.inspect(|line| line.drop.notify_one()).is_some()
     }
@@ -599,6 +616,7 @@
             Ok(read) => read,
             Err(why) => return plain(StatusCode::BAD_REQUEST, why),
         };
+        line.enter(Stage::Whole);
         // While a successor is being let in; most often it is there that this is read again.
         while self.standing.held.get() {
             self.standing.go_on.notified().await;
--- a/tests/rough.rs
+++ b/tests/rough.rs
@@ -243,6 +243,32 @@
     stream
 }
 
+#[test]
+fn a_slow_but_true_writer_is_served_amid_a_crowd_that_never_finishes() {
+    let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
+    let courier = Courier::start(&folder, &discovery);
+    let text = message("slow", "status", 7, 20_000);
+    let mut writer = open(&courier, "");
+    let mut crowd = Vec::new();
+    // Between any two pieces of its message come others, in all many more than the courier has room for, each
+    // with a head and part of a body, or part of a head.
+    let pieces: Vec<_> = text.as_bytes().chunks(text.len() / 8 + 1).collect();
+    let half = message("half", "status", 7, 20_000);
+    for (n, piece) in pieces.iter().enumerate() {
+        writer.write_all(piece).expect("it is not closed on");
+        for k in 0..40 {
+            let part = if k % 2 == 0 { half.len() - 2 } else { 20 };
+            crowd.push(open(&courier, &half[..part]));
+        }
+        if n % 2 == 0 {
+            assert_eq!(courier.get("/-/ready").map(|page| page.status()), Some(200));
+        }
+    }
+    let answer = Page::read(&mut BufReader::new(writer)).expect("an answer");
+    assert_eq!(answer.status(), 202);
+    until("the call", || endpoint.ids() == ["slow"]);
+}
+
 #[test]
 fn what_never_becomes_a_request_is_answered_or_closed_soon() {
     let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
