--- a/src/node/log.rs
+++ b/src/node/log.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 use std::io::{self, Write};
+use std::sync::mpsc::{SyncSender, sync_channel};
+use std::thread;
 
 /// Writes one line in one call, so that lines never mix. A reader that is gone must not end the courier, as
 /// `eprintln!` would.
@@ -9,6 +11,25 @@
     let _ = io::stderr().write_all(format!("{text}\n").as_bytes());
 }
 
+/// Lines that may wait; more are left out.
+const ASIDE_MOST: usize = 64;
+
+/// A way to the log for those who must not wait for its reader.
+pub struct Aside(SyncSender<String>);
+
+impl Aside {
+    pub fn new() -> io::Result<Self> {
+        let (lines, written) = sync_channel::<String>(ASIDE_MOST);
+        let write = move || written.iter().for_each(|text| line(format_args!("{text}")));
+        thread::Builder::new().name("log".to_owned()).spawn(write)?;
+        Ok(Aside(lines))
+    }
+
+    pub fn line(&self, text: String) {
+        let _ = self.0.try_send(text);
+    }
+}
+
 macro_rules! say {
     ($($text:tt)*) => { $crate::node::log::line(format_args!($($text)*)) };
 }
--- a/src/node/operators.rs
+++ b/src/node/operators.rs
@@ -1,7 +1,7 @@
 //! The operators' address: a thread and a runtime of its own, so that its answers wait neither for clients
 //! nor for the courier's loop. What it may touch is the register alone.
 
-use super::log::say;
+use super::log::{Aside, say};
 use super::register::{Change, Register, Unset};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -84,6 +84,8 @@
 
 struct Desk {
     register: Arc<Register>,
+    /// Not written here: a reader of the log that stalls must not hold up an answer.
+    log: Aside,
     most: usize,
     callers: RefCell<BTreeMap<u64, Rc<Caller>>>,
 }
@@ -95,12 +97,13 @@
     listener.set_nonblocking(true)?;
     let at = listener.local_addr()?;
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+    let log = Aside::new()?;
     thread::Builder::new().name("operators".to_owned()).spawn(move || {
-        let desk = Rc::new(Desk { register, most: callers_most(sockets), callers: RefCell::default() });
+        let desk = Rc::new(Desk { register, log, most: callers_most(sockets), callers: RefCell::default() });
         LocalSet::new().block_on(&runtime, async move {
             match tokio::net::TcpListener::from_std(listener) {
                 Ok(listener) => desk.run(listener).await,
-                Err(e) => say!("operators: cannot listen: {e}"),
+                Err(e) => desk.log.line(format!("operators: cannot listen: {e}")),
             }
         });
     })?;
@@ -118,7 +121,7 @@
                     tokio::task::yield_now().await;
                 }
                 Err(e) => {
-                    say!("operators: cannot accept: {e}");
+                    self.log.line(format!("operators: cannot accept: {e}"));
                     sleep(Duration::from_millis(20)).await;
                 }
             }
@@ -192,7 +195,7 @@
                     Ok(Err(Unset::Unrecorded)) => (StatusCode::INSUFFICIENT_STORAGE, "it cannot be kept\n"),
                     Err(_) => (StatusCode::SERVICE_UNAVAILABLE, "not done in time: ask again\n"),
                 };
-                say!("operators: {told}: {}", answer.0);
+                self.log.line(format!("operators: {told}: {}", answer.0));
                 answer
             }
         };
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -3,7 +3,7 @@
 mod rig;
 use rig::*;
 use serde_json::Value;
-use std::io::{BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
 
@@ -138,15 +138,15 @@
 fn a_courier_out_of_service_lets_clients_go_after_their_answers_and_comes_back() {
     let (folder, [a, b], discovery) = two();
     let courier = with_admin(&folder, &discovery);
-    let connect = || TcpStream::connect(courier.address).expect("connects");
+    let connect = |courier: &Courier| TcpStream::connect(courier.address).expect("connects");
     let hand_in = |stream: &mut TcpStream, id: &str| {
         stream.write_all(message(id, "status", 7, 20_000).as_bytes()).expect("written");
         Page::read(&mut BufReader::new(stream.try_clone().expect("a handle"))).expect("an answer")
     };
-    let mut idle = connect();
+    let mut idle = connect(&courier);
     assert_eq!(hand_in(&mut idle, "m1").status(), 202);
     // One has half a message in when the call comes.
-    let (mut busy, text) = (connect(), message("m2", "status", 7, 20_000));
+    let (mut busy, text) = (connect(&courier), message("m2", "status", 7, 20_000));
     busy.write_all(&text.as_bytes()[..text.len() - 2]).expect("written");
     courier.get("/-/ready");
     assert_eq!(courier.operate("POST", "/control/out-of-service"), 200);
@@ -158,9 +158,15 @@
     assert_eq!((page.status(), page.head("connection")), (202, Some("close")));
     until("both", || a.calls().len() + b.calls().len() == 2);
     assert_eq!(courier.operate("GET", "/control/ready"), 200, "the process serves all the same");
+    // It stays so over a restart, until the call back.
+    courier.kill();
+    let known = discovery.lines.lock().expect("lines")[0].clone();
+    let mut next = command(&folder, &discovery, &config(&discovery, known));
+    let courier = Courier::launch(next.env("LB_ADMIN_ADDR", "127.0.0.1:0"));
+    assert_eq!(courier.get("/-/ready").map(|page| page.status()), Some(503));
     assert_eq!(courier.operate("POST", "/control/in-service"), 200);
     assert_eq!(courier.get("/-/ready").map(|page| page.status()), Some(200));
-    let mut again = connect();
+    let mut again = connect(&courier);
     assert_eq!(hand_in(&mut again, "m3").status(), 202);
     assert_eq!(hand_in(&mut again, "m4").status(), 202, "connections are kept again");
 }
@@ -177,3 +183,42 @@
     let courier = Courier::spawn(command(&folder, &discovery, &page).env("LB_ADMIN_ADDR", "127.0.0.1:0"));
     assert_eq!(courier.operate("GET", "/control/ready"), 200);
 }
+
+#[test]
+fn answers_come_though_the_courier_stands_still() {
+    let (folder, _ends, discovery) = two();
+    let known = discovery.lines.lock().expect("lines")[0].clone();
+    let mut child = command(&folder, &discovery, &config(&discovery, known))
+        .env("LB_ADMIN_ADDR", "127.0.0.1:0")
+        .spawn()
+        .expect("it starts");
+    let mut log = BufReader::new(child.stderr.take().expect("its log"));
+    let mut address = |words: &str| {
+        let mut line = String::new();
+        while !line.contains(words) {
+            line.clear();
+            log.read_line(&mut line).expect("a line");
+        }
+        let after = line.split(words).nth(1).and_then(|l| l.trim().split(';').next()?.parse().ok());
+        after.unwrap_or_else(|| panic!("no address: {line}"))
+    };
+    let (admin, clients): (SocketAddr, SocketAddr) = (address("called at "), address("serves "));
+    // From here on nobody reads its log: once the pipe is full, the loop stops in the middle of a line.
+    let mut n = 0;
+    until("it stands still", || {
+        n += 1;
+        let mut stream = TcpStream::connect(clients).expect("connects");
+        stream.set_read_timeout(Some(1000 * MS)).expect("a limit");
+        stream.write_all(message(&format!("m{n}"), "status", 7, 20_000).as_bytes()).expect("written");
+        Page::read(&mut BufReader::new(stream)).is_none()
+    });
+    for n in 0..100 {
+        let path = format!("/control/endpoints/s-1/{}", if n % 2 == 0 { "offline" } else { "online" });
+        let call = format!("POST {path} HTTP/1.1\r\nHost: x\r\n\r\n");
+        assert_eq!(raw(admin, call.as_bytes()).map(|page| page.status()), Some(200), "{path}");
+    }
+    let ready = raw(admin, b"GET /control/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(ready.map(|page| page.status()), Some(200));
+    child.kill().expect("killed");
+    child.wait().expect("gone");
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -379,7 +379,15 @@
         Self::spawn(&mut command(folder, discovery, config))
     }
 
+    /// Starts one and waits until it is ready.
     pub fn spawn(command: &mut Command) -> Self {
+        let courier = Self::launch(command);
+        until("ready", || courier.get("/-/ready").is_some_and(|page| page.status() == 200));
+        courier
+    }
+
+    /// Starts one that serves, ready or not.
+    pub fn launch(command: &mut Command) -> Self {
         let mut child = command.spawn().expect("the courier starts");
         let log = BufReader::new(child.stderr.take().expect("its log"));
         let (tell, lines) = channel();
@@ -399,9 +407,7 @@
                 break address;
             }
         };
-        let courier = Courier { address, admin, child, log: lines };
-        until("ready", || courier.get("/-/ready").is_some_and(|page| page.status() == 200));
-        courier
+        Courier { address, admin, child, log: lines }
     }
 
     pub fn signal(&self, name: &str) {
