--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -146,12 +146,13 @@
         };
         let listener = match text("LB_LISTEN_FD") {
             Ok(number) => {
-                Some(number.parse().map_err(|_| Fault::Bad("LB_LISTEN_FD", format!("{number:?}")))?)
+                let descriptor = number.parse().ok().filter(|fd: &RawFd| *fd >= 0);
+                let bad = || Fault::Bad("LB_LISTEN_FD", format!("{number:?} is no descriptor"));
+                Some(descriptor.ok_or_else(bad)?)
             }
             Err(Fault::Missing(_)) => None,
             Err(fault) => return Err(fault),
         };
-        let listener = listener.filter(|fd: &RawFd| *fd >= 0);
         Ok(Config {
             name,
             listen,
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -238,10 +238,12 @@
     let address = place.listener.local_addr().expect("an address");
     let ended = second.env("LB_LISTEN", address.to_string()).output().expect("it ends");
     assert_eq!(ended.status.code(), Some(1), "the address is in use, and no socket is handed down");
-    // Nor one to which a descriptor is handed that listens to nobody.
-    let mut second = command(&place.folder, &place.discovery, &page);
-    let ended = second.env("LB_LISTEN_FD", "0").output().expect("it ends");
-    assert_eq!(ended.status.code(), Some(1));
+    // Nor one to which a descriptor is handed that listens to nobody, or is none.
+    for descriptor in ["0", "-1", "seven"] {
+        let mut second = command(&place.folder, &place.discovery, &page);
+        let ended = second.env("LB_LISTEN_FD", descriptor).output().expect("it ends");
+        assert_eq!(ended.status.code(), Some(1), "{descriptor}");
+    }
     assert_eq!(old.operate("GET", "/control/ready"), 200);
     old.take("m1", "payment", 7, 20_000);
     place.all_once(&["m1"]);
