--- a/src/brain.rs
+++ b/src/brain.rs
@@ -906,11 +906,12 @@
         }
     }
 
-    /// Turned away: what that used up of the limit is taken off, for all that are turned away do so. One that
+    /// Turned away: what that used up of a limit is taken off, for all that are turned away do so. One that
     /// took more than its even share goes back to it at once; else AIMD's cut.
     fn cut(&mut self, now: Ns, couriers: usize) {
         let even = self.even(couriers);
-        (self.tokens, self.filled) = ((self.filled_up(now) - 1.0).max(-self.depth()), now);
+        let owed = if even.is_some() { 1.0 } else { 0.0 };
+        (self.tokens, self.filled) = ((self.filled_up(now) - owed).max(-self.depth()), now);
         if now - self.cut_at < sec(PACE_SPAN) && self.cut_at > 0 {
             return;
         }
