Take back that connections are scarce once an outage explains it

Seen: from the first failed connection on each call opened one, for 22 s, at all destinations of the kind. Lines at fault: connects (tight is set by any failed connection), worked (does not take it back). Ruled out: scarce connections (none failed but in the outage).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -737,6 +737,8 @@
         if e.breaker != Breaker::Closed {
             e.breaker = Breaker::Closed;
             if e.cold && secs(now - e.ailing_from) > CONFIRMED {
+                // It was down: that is why there were no connections, not that they are few.
+                self.tight[e.kind] = f64::MIN;
                 (e.warm_from, e.free_at) = (Some(now), now);
                 self.space(id);
             }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -408,3 +408,34 @@
     d.feed(&[list(vec![entry(out, 1, 0, 1)])]);
     assert_eq!(sends(&d.feed(&[taken(2, 0, 1, MS * 8000)])), [(2, out)]);
 }
+
+#[test]
+fn an_outage_is_not_taken_for_scarce_connections() {
+    // Found in a fleet of a hundred: after a destination had been down, each closed its connection behind
+    // every call, to all destinations of that kind, for half a minute.
+    let set = Settings { weights: WeightKind::Nominal, ..settings() };
+    let limited = |e: Entry| Entry { weight: 20.0, ..e };
+    let mut d = Drive::new(set, vec![limited(entry(0, 1, 0, 0)), limited(entry(1, 2, 0, 0))]);
+    serve(&mut d, 0, 1, 0, 1, Outcome::Delivered, 50);
+    d.pass(MS * 2000);
+    // It is down for some seconds, and is seen to be back.
+    let (mut due, mut next, mut seen, start) = (Vec::new(), 100, false, d.now);
+    while d.now < start + MS * 10_000 {
+        if (d.now - start).as_millis() % 500 == 0 {
+            next += 1;
+            due.extend(sends(&d.feed(&[taken(next, 0, 1, MS * 8000)])));
+        }
+        let up = d.now > start + MS * 3000;
+        seen |= up && !due.is_empty();
+        let outcome = if up { Outcome::Delivered } else { Outcome::ConnectFailed };
+        for (message, endpoint) in std::mem::take(&mut due) {
+            due.extend(sends(&d.feed(&[ended(message, endpoint, outcome, 5)])));
+        }
+        due.extend(sends(&d.pass(MS * 5)));
+    }
+    assert!(seen, "it is used again");
+    let log = d.log.len();
+    assert!(serve(&mut d, 200, 3, 0, 2, Outcome::Delivered, 50) > 0);
+    let closed = d.log[log..].iter().any(|(_, a)| matches!(a, Action::Close { .. }));
+    assert!(!closed, "a connection that works was given up");
+}
