--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -98,13 +98,23 @@
     ear: Ear,
 }
 
-/// Waits until this process is the courier: at once where no other is, else from the other's go on.
-pub async fn take_over(folder: &Path, set: &Settings, seed: u64) -> io::Result<(Tenure, Option<Estate>)> {
+/// Waits until this process is the courier: at once where no other is, else from the other's go on, or from its
+/// end where the platform has them share no socket.
+pub async fn take_over(
+    folder: &Path,
+    shared: bool,
+    set: &Settings,
+    seed: u64,
+) -> io::Result<(Tenure, Option<Estate>)> {
     let mut told = false;
     loop {
         if let Some(tenure) = Tenure::take(folder)? {
             return Ok((tenure, None));
         }
+        if !shared {
+            sleep(AGAIN).await;
+            continue;
+        }
         match ask(folder, set, seed).await {
             Ok(estate) => {
                 let since = Instant::now();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -118,8 +118,12 @@
     let listener = listen(&config).map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
     let at = listener.local_addr().map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
     let state = |e: io::Error| Fault::Bad("LB_STATE", e.to_string());
+    // Another process comes only where the platform hands the listening socket down.
+    let shared = config.listener.is_some();
     let (tenure, estate) = tokio::select! {
-        taken = handover::take_over(&config.state, &config.settings, config.seed) => taken.map_err(state)?,
+        taken = handover::take_over(&config.state, shared, &config.settings, config.seed) => {
+            taken.map_err(state)?
+        }
         _ = terminate.recv() => return Ok(End::Stopped),
     };
     register.load().map_err(|e| Fault::Bad("LB_STATE", format!("what operators have set: {e}")))?;
@@ -161,7 +165,7 @@
             accepts.abort();
         }
     });
-    let successors = handover::listen(&folder, news);
+    let successors = shared.then(|| handover::listen(&folder, news)).transpose();
     let successors = successors.inspect_err(|e| say!("handover: no successor can be heard: {e}"));
     say!("{name} serves {at}; {kept} messages resumed");
     let mut tenure = Some(tenure);
@@ -179,7 +183,7 @@
     };
     let (successor, forwards, held) = successor;
     drop(held);
-    successors.into_iter().for_each(|task| task.abort());
+    successors.into_iter().flatten().for_each(|task| task.abort());
     accepting.abort();
     let (pass, clients) = mpsc::unbounded_channel();
     standing.pass_on(pass);
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -248,3 +248,17 @@
     old.take("m1", "payment", 7, 20_000);
     place.all_once(&["m1"]);
 }
+
+#[test]
+fn a_socket_for_successors_is_there_only_where_the_platform_shares_the_listening_one() {
+    let place = Place::new(|_| Act::Answer(OK));
+    let old = place.start();
+    old.take("m1", "payment", 7, 20_000);
+    let socket = |folder: &Folder| folder.0.join("state/handover").exists();
+    assert!(socket(&place.folder), "a successor may come");
+    let folder = Folder::new();
+    let alone = Courier::start(&folder, &place.discovery);
+    alone.take("m2", "payment", 7, 20_000);
+    assert!(!socket(&folder), "nobody comes");
+    place.all_once(&["m1", "m2"]);
+}
