Ask for the first watch within the grace on drains, whatever the size of the fleet

All came more than 7 s after a start and before the first answer of the watch. At fault: Watch::run and Patience::new, which put off the first watch by 0.3 s x couriers / 6, 15 s at 300.

--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -727,8 +727,9 @@
     }
 
     fn watch_from(&mut self, seq: u64, fresh: bool) {
-        let fleet = self.config.settings.couriers;
-        let watch = Watch { address: self.config.discovery, seed: self.config.seed, seq, fresh, fleet };
+        let (fleet, grace) = (self.config.settings.couriers, self.config.settings.drain_grace);
+        let watch =
+            Watch { address: self.config.discovery, seed: self.config.seed, seq, fresh, fleet, grace };
         let task = tokio::task::spawn_local(watch.run(self.news.clone()));
         self.watch = Some(task.abort_handle());
     }
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -76,6 +76,9 @@
 const BACKOFF_MOST: f64 = 2.0;
 const FLEET: f64 = 6.0;
 const SPREAD: f64 = 0.3;
+/// While there is no watch, what the agent has been sent counts as told already. So a first watch, and one
+/// after another that was answered, is up within the grace on drains: its call comes in this part of it.
+const GRACE_PART: f64 = 0.5;
 /// No line is longer; guards memory against one without an end.
 const LINE_MOST: usize = 8 * 1024 * 1024;
 
@@ -88,19 +91,29 @@
     pub fresh: bool,
     /// How many couriers there are.
     pub fleet: usize,
+    /// Nothing new may go to an endpoint this long after news that it drains.
+    pub grace: Duration,
 }
 
 /// When to ask again, and how long to wait for the answer.
 struct Patience {
     scale: f64,
+    /// The first pause, at most, while discovery is not known to turn callers away.
+    most: f64,
     backoff: f64,
     answer: Duration,
 }
 
 impl Patience {
-    fn new(fleet: usize) -> Self {
+    fn new(fleet: usize, grace: Duration) -> Self {
         let scale = (fleet as f64 / FLEET).max(1.0);
-        Patience { scale, backoff: BACKOFF_FIRST, answer: FIRST_ANSWER }
+        let most = grace.as_secs_f64() * GRACE_PART;
+        Patience { scale, most, backoff: BACKOFF_FIRST, answer: FIRST_ANSWER }
+    }
+
+    /// When the first watch is asked for; `jitter` is from 0 to 1.
+    fn spread(&self, jitter: f64) -> Duration {
+        Duration::from_secs_f64((SPREAD * self.scale).min(self.most) * jitter)
     }
 
     /// A watch has held: the next is asked for as if it were the first.
@@ -108,9 +121,11 @@
         (self.backoff, self.answer) = (BACKOFF_FIRST, FIRST_ANSWER);
     }
 
-    /// The pause before the next call; `jitter` is from 0 to 1.
-    fn pause(&mut self, jitter: f64) -> Duration {
-        let pause = self.backoff * self.scale * (0.5 + jitter);
+    /// The pause before the next call, after one that was answered (`heard`) or was not; `jitter` is from 0 to
+    /// 1. Only a discovery that turns callers away is spared by pauses that grow with the fleet.
+    fn pause(&mut self, heard: bool, jitter: f64) -> Duration {
+        let scale = if heard { self.scale.min(self.most / BACKOFF_FIRST).max(1.0) } else { self.scale };
+        let pause = self.backoff * scale * (0.5 + jitter);
         self.backoff = (self.backoff * 2.0).min(BACKOFF_MOST);
         Duration::from_secs_f64(pause)
     }
@@ -125,9 +140,9 @@
     /// Watches for good. Ends only when nobody listens any more.
     pub async fn run(mut self, news: Sender<News>) {
         let mut rng = SmallRng::seed_from_u64(self.seed);
-        let mut patience = Patience::new(self.fleet);
+        let mut patience = Patience::new(self.fleet, self.grace);
         if !self.fresh {
-            sleep(Duration::from_secs_f64(SPREAD * patience.scale * rng.random::<f64>())).await;
+            sleep(patience.spread(rng.random())).await;
         }
         while !news.is_closed() {
             let since = Instant::now();
@@ -135,7 +150,7 @@
             if heard && since.elapsed() > SILENT {
                 patience.renew();
             }
-            sleep(patience.pause(rng.random())).await;
+            sleep(patience.pause(heard, rng.random())).await;
         }
     }
 
@@ -233,11 +248,24 @@
 mod tests {
     use super::*;
 
+    const GRACE: Duration = Duration::from_secs(1);
+
+    #[test]
+    fn what_the_agent_has_is_heard_within_the_grace_on_drains_whatever_the_size_of_the_fleet() {
+        for fleet in [2, 48, 300, 3000] {
+            let mut patience = Patience::new(fleet, GRACE);
+            // After a start, and after a watch that was answered and has ended.
+            let (start, again) = (patience.spread(1.0), patience.pause(true, 1.0));
+            assert!(start.max(again) < GRACE.mul_f64(0.8), "{fleet} couriers: {start:?}, {again:?}");
+            assert!(patience.spread(0.0) < patience.spread(0.5), "they do not ask in one moment");
+        }
+    }
+
     #[test]
     fn a_change_is_heard_before_it_counts_as_told_though_a_watch_fell_silent() {
         // The change comes right behind the last line heard; the first watch after that is not answered.
-        let mut patience = Patience::new(3);
-        let heard = SILENT + patience.pause(1.0) + CONNECT + FIRST_ANSWER + patience.pause(1.0);
+        let mut patience = Patience::new(3, GRACE);
+        let heard = SILENT + patience.pause(true, 1.0) + CONNECT + FIRST_ANSWER + patience.pause(false, 1.0);
         assert!(heard < Duration::from_secs(6), "{heard:?}");
         assert!(SILENT > Duration::from_millis(2500), "an empty line comes every 2 s only");
     }
@@ -246,8 +274,8 @@
     fn a_fleet_that_is_turned_away_asks_no_oftener_than_a_few_couriers_do() {
         // Calls a second of all together at the nth try, with pauses that are neither short nor long.
         let rate = |fleet: usize, tries: usize| {
-            let mut patience = Patience::new(fleet);
-            let last = (0..tries).map(|_| patience.pause(0.5)).last().expect("a try");
+            let mut patience = Patience::new(fleet, GRACE);
+            let last = (0..tries).map(|_| patience.pause(false, 0.5)).last().expect("a try");
             fleet as f64 / last.as_secs_f64()
         };
         for tries in 1..10 {
@@ -259,7 +287,7 @@
 
     #[test]
     fn an_answer_that_does_not_come_is_waited_for_ever_longer_until_a_watch_has_held() {
-        let mut patience = Patience::new(3);
+        let mut patience = Patience::new(3, GRACE);
         let waits: Vec<_> = (0..5)
             .map(|_| {
                 patience.unanswered();
