Reckon a paced call to end its latency after it leaves, not a step of its pace

Each message on a paced chart had to end a whole step, 1/rate, after it could leave; with 300 couriers that is 5 to 8 s of the 5 or 12 s that a message has. Ruled out: the limit itself (no refusal from 5 s on), the slots and the latency (0.12 s in the median).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -380,11 +380,13 @@
         sec((d.latency / self.cap(d) as f64).max(paced)).max(1)
     }
 
-    /// How far its pace has run ahead: calls saved up go at once, and debts come first.
+    /// How far its pace has run ahead: calls saved up go at once, and debts come first. On the chart a call
+    /// ends a whole step of the pace after it left; in truth it takes the latency alone.
     fn credit(&self, id: DestinationId) -> Ns {
         let pool = self.pools.get(&(id, None)).filter(|pool| pool.limit.is_some());
-        let ahead = pool.and_then(|pool| Some((pool.filled_up(self.now) - 1.0) / pool.rate?));
-        sec(ahead.unwrap_or(0.0))
+        let Some((pool, rate)) = pool.and_then(|pool| Some((pool, pool.rate?))) else { return 0 };
+        let idle = (1.0 / rate - self.dests[&id].latency).max(0.0);
+        sec((pool.filled_up(self.now) - 1.0) / rate + idle)
     }
 
     /// Calls that this courier may have out at a destination.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -144,6 +144,19 @@
     assert_eq!(out, 3);
 }
 
+#[test]
+fn a_message_that_meets_its_end_at_a_slow_pace_is_kept() {
+    // A call each 1.4 s: the second one may leave after these and takes 0.1 s, well within its 2 s.
+    let set = Settings { couriers: 100, weights: WeightKind::Nominal, ..settings() };
+    let mut d = Drive::new(set, vec![Entry { weight: 60.0, ..entry(0, 1, 0, 0) }]);
+    assert_eq!(sends(&d.feed(&[taken(1, 0, 1, MS * 8000)])), [(1, 0)]);
+    d.feed(&[ended(1, 0, Outcome::Delivered, 100)]);
+    d.pass(MS * 5);
+    let mut actions = d.feed(&[taken(2, 0, 1, MS * 2000)]);
+    actions.extend(d.pass(MS * 1500));
+    assert_eq!(sends(&actions), [(2, 0)], "{actions:?}");
+}
+
 #[test]
 fn a_destination_that_warms_up_is_used_more_as_it_does() {
     // Each of forty has one call a second; a courier waited after each by what the last found, a fifth of it.
