Cut a courier without a pace to its even share at the first refusal, not to the floor

At fault: Pool::cut. Without a pace it cut from the highest rate seen, which is 0 after one call, so that the floor, three tenths of the even share, was what a first refusal left.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -926,7 +926,8 @@
         self.cut_at = now;
         let blind = (self.peak * PACE_FLOOR_BLIND).max(1.0 / RATE_SPAN);
         let floor = even.map_or(blind, |even| (even * PACE_FLOOR).max(PACE_LEAST));
-        let from = self.rate.unwrap_or(self.peak / PACE_CUT);
+        // Without a pace the even share is all that is known of what is its to take.
+        let from = self.rate.unwrap_or(if even.is_some() { f64::INFINITY } else { self.peak / PACE_CUT });
         let cut = even.filter(|even| from > *even).unwrap_or(from * PACE_CUT);
         self.rate = Some(cut.max(floor));
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -157,6 +157,28 @@
     assert_eq!(sends(&actions), [(2, 0)], "{actions:?}");
 }
 
+#[test]
+fn a_first_refusal_takes_no_more_from_a_courier_than_what_is_over_its_share() {
+    // One call in five seconds is its even share; it had three tenths of that, and called once in 17 s.
+    let set = Settings { couriers: 300, weights: WeightKind::Nominal, ..settings() };
+    let mut d = Drive::new(set, vec![Entry { weight: 60.0, ..entry(0, 1, 0, 0) }]);
+    let mut out = sends(&d.feed(&[taken(1, 1, 1, MS * 20_000)]));
+    out.extend(sends(&d.feed(&[ended(1, 0, Outcome::Delivered, 100)])));
+    out.extend(sends(&d.feed(&[taken(2, 1, 1, MS * 20_000)])));
+    out.extend(sends(&d.feed(&[ended(2, 0, Outcome::Full { wait: None }, 100)])));
+    assert_eq!(out, [(1, 0), (2, 0)]);
+    let mut taken_there = 0;
+    for second in 0..30 {
+        let mut out = sends(&d.feed(&[taken(10 + second, 1, 1, MS * 20_000)]));
+        out.extend(sends(&d.pass(MS * 1000)));
+        taken_there += out.len();
+        for (message, endpoint) in out {
+            assert!(sends(&d.feed(&[ended(message, endpoint, Outcome::Delivered, 100)])).is_empty());
+        }
+    }
+    assert!((5..=8).contains(&taken_there), "{taken_there} calls in 30 s");
+}
+
 #[test]
 fn a_destination_that_warms_up_is_used_more_as_it_does() {
     // Each of forty has one call a second; a courier waited after each by what the last found, a fifth of it.
