--- a/lab/src/world/process.rs
+++ b/lab/src/world/process.rs
@@ -29,6 +29,7 @@
 
 /// The operators' figures of a planned restart.
 const KILL_AFTER: Duration = Duration::from_millis(3700);
+const LEFT_AFTER: Duration = Duration::from_millis(300);
 const START_AFTER: Duration = Duration::from_millis(600);
 /// A successor has so long to say yes.
 const REPLACED_WITHIN: Duration = Duration::from_secs(6);
@@ -243,6 +244,7 @@
         });
         let running = Running { life, pid, told: told.clone(), ended, admin };
         self.running.lock().expect("running").push(running);
+        self.side.leaving.store(false, SeqCst);
         self.side.life.store(life, SeqCst);
         let this = self.clone();
         tokio::spawn(async move {
@@ -292,12 +294,19 @@
         }
     }
 
-    /// SIGTERM, and SIGKILL where it does not end.
+    /// SIGTERM, and SIGKILL where it does not end. New connections go on coming for a while.
     pub async fn stop(&self) {
         self.signal(None, Signal::TERM, "TERM");
-        if timeout(KILL_AFTER, self.gone()).await.is_err() {
-            self.kill().await;
-        }
+        let end = async {
+            if timeout(KILL_AFTER, self.gone()).await.is_err() {
+                self.kill().await;
+            }
+        };
+        let leave = async {
+            sleep(LEFT_AFTER).await;
+            self.side.leaving.store(true, SeqCst);
+        };
+        tokio::join!(end, leave);
     }
 
     pub async fn start_again(self: &Arc<Self>, after: Option<Duration>) {
