--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -1,10 +1,10 @@
 //! Calls to endpoints and probes, and the connections kept for them. One call a connection at a time; what
 //! may have run is told apart from what never did.
 
-use super::courier::News;
 use super::journal::Letter;
 use super::link::{Answer, Link, Lost};
 use super::log::say;
+use super::news::News;
 use super::register::Register;
 use crate::interface::{EndpointId, Outcome, Report};
 use bytes::Bytes;
--- /dev/null
+++ b/src/node/commit.rs
@@ -0,0 +1,201 @@
+//! What waits for the record: a 202, an attempt's first byte and a notice each depend on something that must
+//! outlast this process, or a loss of power. Where nothing is synced the wait is over at once.
+
+use super::calls::Call;
+use super::courier::{Courier, never_sent};
+use super::intake::Reply;
+use super::journal::unix;
+use super::log::say;
+use super::outcomes::Notice;
+use std::io;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// When a disk that failed is tried again.
+const RETRY: Duration = Duration::from_millis(200);
+/// How long records may wait on which nothing depends, and how many bytes of them, where each commit is synced.
+const LAZY: Duration = Duration::from_millis(100);
+const LAZY_MOST: u64 = 256 * 1024;
+/// When the next of several commits in a row is made.
+const NEXT: Duration = Duration::from_millis(10);
+/// A call that has waited for less is not cut short by it.
+const AT_ONCE: Duration = Duration::from_millis(2);
+/// How long the last commit of a process may take.
+const LAST: Duration = Duration::from_millis(300);
+
+/// Something that may be done once the records before it are kept.
+pub(super) enum Due {
+    Reply {
+        message: u64,
+        reply: oneshot::Sender<Reply>,
+    },
+    Call {
+        call: Call,
+        cancelled: oneshot::Receiver<()>,
+        since: Instant,
+    },
+    /// With the time, Unix time, from which on its message would not be sent again whatever the record says.
+    Notice(Notice, Duration),
+}
+
+/// What is due, and how the record fares.
+#[derive(Default)]
+pub(super) struct Dues {
+    waiting: Vec<Due>,
+    /// Those that wait for the commit that is under way.
+    committing: Vec<Due>,
+    failed: Option<Instant>,
+    /// When the last commit was begun.
+    last: Option<Instant>,
+}
+
+impl Dues {
+    pub(super) fn push(&mut self, due: Due) {
+        self.waiting.push(due);
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.waiting.is_empty() && self.committing.is_empty()
+    }
+
+    /// The disk does not take what is to be kept.
+    pub(super) fn failed(&self) -> bool {
+        self.failed.is_some()
+    }
+
+    /// That message is taken on, but its client may not be told so yet.
+    pub(super) fn holds(&self, message: u64) -> bool {
+        let of = |due: &Due| matches!(due, Due::Reply { message: m, .. } if *m == message);
+        self.waiting.iter().chain(&self.committing).any(of)
+    }
+}
+
+impl Courier {
+    /// Brings the records to disk; what is due follows, at once or when that is done. After an error nothing
+    /// more is taken on until it works again.
+    pub(super) fn settle(&mut self) {
+        let later = self.journal.is_busy() || (self.journal.syncs() && self.may_wait());
+        if !later {
+            self.commit();
+        }
+    }
+
+    /// Nothing depends yet on what is to be recorded.
+    fn may_wait(&self) -> bool {
+        self.dues.waiting.is_empty() && !self.dues.failed() && !self.journal.is_behind() && {
+            let lately = self.dues.last.is_some_and(|t| t.elapsed() < LAZY);
+            self.journal.waiting() == 0 || (lately && self.journal.waiting() < LAZY_MOST)
+        }
+    }
+
+    fn commit(&mut self) {
+        self.dues.committing = std::mem::take(&mut self.dues.waiting);
+        let now = Instant::now();
+        // A disk that has just failed is not asked once more for each message.
+        if self.dues.failed.is_some_and(|t| now < t + RETRY) {
+            return self.release(false);
+        }
+        self.dues.last = Some(now);
+        if let Some(result) = self.journal.commit() {
+            self.committed(result);
+        }
+    }
+
+    /// A commit has ended.
+    pub(super) fn committed(&mut self, result: io::Result<()>) {
+        match &result {
+            Ok(()) => {
+                if self.dues.failed.take().is_some() {
+                    say!("journal: works again");
+                }
+            }
+            Err(e) => {
+                if self.dues.failed.replace(Instant::now()).is_none() {
+                    say!("journal: cannot write: {e}");
+                }
+            }
+        }
+        self.standing.ready.set(result.is_ok() && self.stopping.is_none());
+        self.release(result.is_ok());
+    }
+
+    /// Does what was due, or takes it back.
+    fn release(&mut self, kept: bool) {
+        for due in std::mem::take(&mut self.dues.committing) {
+            match due {
+                Due::Reply { message, reply } => {
+                    let told = if kept { Reply::Taken } else { Reply::Unavailable };
+                    if reply.send(told).is_err() || !kept {
+                        self.withdraw(message);
+                    }
+                }
+                Due::Call { call, cancelled, since } => self.begin_call(call, cancelled, since, kept),
+                // A crash before the record would have the message sent again that its client was told to
+                // hand in again; not if its time is up.
+                Due::Notice(notice, until) if kept || unix() >= until => self.notices.push_back(notice),
+                notice => self.dues.waiting.push(notice),
+            }
+        }
+    }
+
+    fn begin_call(
+        &mut self,
+        mut call: Call,
+        mut cancelled: oneshot::Receiver<()>,
+        since: Instant,
+        kept: bool,
+    ) {
+        let out = self.held.get(&call.message).is_some_and(|m| m.out.is_some());
+        let waited = since.elapsed();
+        if kept && out && cancelled.try_recv().is_err() && waited < call.timeout {
+            if waited >= AT_ONCE {
+                call.timeout -= waited;
+            }
+            let calls = self.calls.clone();
+            tokio::task::spawn_local(calls.call(call, cancelled, self.news.clone()));
+            return;
+        }
+        self.journal.never_ran(call.message, call.attempt);
+        if let Some(m) = self.held.get_mut(&call.message) {
+            m.out = None;
+        }
+        self.events.push(never_sent(call.message, call.endpoint));
+    }
+
+    /// When a commit is to be tried though nothing has happened.
+    pub(super) fn commit_due(&self) -> Option<Instant> {
+        if self.journal.is_busy() {
+            return None;
+        }
+        if let Some(failed) = self.dues.failed {
+            return Some(failed + RETRY);
+        }
+        let last = self.dues.last?;
+        let behind = self.journal.is_behind().then(|| last + NEXT);
+        let lazy = (self.journal.syncs() && self.journal.waiting() > 0).then(|| last + LAZY);
+        behind.into_iter().chain(lazy).min()
+    }
+
+    /// Brings all to disk and waits for it, but not for ever. False if it is not known to be there.
+    pub(super) async fn settle_whole(&mut self) -> bool {
+        let all = async {
+            while self.journal.is_busy() || self.journal.waiting() > 0 || !self.dues.waiting.is_empty() {
+                if self.journal.is_busy() {
+                    let done = self.journal.done().await;
+                    self.committed(done);
+                } else {
+                    self.commit();
+                }
+                if self.dues.failed() {
+                    break;
+                }
+            }
+        };
+        tokio::time::timeout(LAST, all).await.is_ok() && !self.dues.failed()
+    }
+}
+
+#[cfg(test)]
+#[path = "commit_test.rs"]
+mod tests;
--- /dev/null
+++ b/src/node/commit_test.rs
@@ -0,0 +1,240 @@
+//! A courier whose commits end when the test says so: nothing that depends on one comes before it.
+
+use super::*;
+use crate::brain::Brain;
+use crate::node::calls::Calls;
+use crate::node::config::{Config, Limits};
+use crate::node::discovery::{Health, Host, List};
+use crate::node::intake::{Offer, Standing};
+use crate::node::journal::{Journal, Letter, Tell};
+use crate::node::news::News;
+use crate::node::options::Options;
+use crate::node::register::Register;
+use crate::settings::Conf;
+use crate::store::Durability;
+use crate::store::segments::{Batch, Status};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::mpsc::Receiver;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::Sender;
+use tokio::task::{LocalSet, spawn_local, yield_now};
+
+struct Bench {
+    folder: PathBuf,
+    news: Sender<News>,
+    standing: Rc<Standing>,
+    batches: Receiver<Batch>,
+    done: Tell,
+    /// The one endpoint of destination 7.
+    endpoint: TcpListener,
+    /// Where notices go.
+    platform: TcpListener,
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Bench {
+    async fn new(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("commit-{}-{name}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        let (journal, batches, done) = Journal::by_hand(&folder).expect("a journal");
+        let endpoint = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let platform = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let at = |listener: &TcpListener| listener.local_addr().expect("an address");
+        let page: Conf = serde_json::from_str(include_str!("../../tests/settings.json")).expect("settings");
+        let host = Host {
+            host: "s-1".to_owned(),
+            dial: at(&endpoint).to_string(),
+            site: "a".to_owned(),
+            class: "shops".to_owned(),
+            block: 7,
+            health: Health::Ready,
+            share: 1.0,
+        };
+        let config = Config {
+            name: "n1".to_owned(),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            file: PathBuf::new(),
+            discovery: at(&platform),
+            listener: None,
+            admin: None,
+            state: folder.clone(),
+            seed: 5,
+            limits: Limits { sockets: 64, disk_mb: 3.0, memory_mb: 100.0 },
+            options: Options::default(),
+            known: Some(List { seq: 1, whole: true, hosts: vec![host] }),
+            settings: page.settings().expect("settings"),
+            classes: page.class_names().map(str::to_owned).collect(),
+            tenants: Vec::new(),
+            zones: page.zone_names().to_vec(),
+            kinds: page.kind_names().to_vec(),
+        };
+        let register = Register::new(&folder, Durability::Power);
+        let calls = Calls::new(Duration::from_secs(1), Duration::from_secs(5), 16, register.clone());
+        let standing = Rc::new(Standing::new(register.clone()));
+        let (news, mut inbox) = tokio::sync::mpsc::channel(64);
+        let brain = Brain::new(config.settings.clone(), 5).expect("a module");
+        let mut courier = Courier::new(config, brain, journal, 0, calls, standing.clone(), news.clone());
+        courier.begin();
+        let mut changes = register.serve();
+        spawn_local(async move {
+            courier.run(&mut inbox, &mut changes).await;
+        });
+        Bench { folder, news, standing, batches, done, endpoint, platform }
+    }
+
+    /// Hands a message in; where its answer comes.
+    async fn offer(&self, id: &str, class: usize, left: Duration) -> oneshot::Receiver<Reply> {
+        let letter = Letter {
+            id: id.to_owned(),
+            class: ["notice", "status", "payment"][class].to_owned(),
+            destination: 7,
+            until: unix() + left,
+            ..Letter::default()
+        };
+        let (reply, answer) = oneshot::channel();
+        let (letter, at) = (Rc::new(letter), Instant::now());
+        let offer = Offer { letter, class, tenant: 0, time_left: left, at, reply };
+        self.news.send(News::Offered(offer)).await.expect("the courier runs");
+        answer
+    }
+
+    /// The next commit that is begun.
+    async fn batch(&self) {
+        while self.batches.try_recv().is_err() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    /// Ends the commit that is under way.
+    fn end(&self, result: io::Result<()>) {
+        self.done.send((result, Status::default())).expect("the courier runs");
+    }
+}
+
+/// Lets everything that can go on do so. What must not happen would, long before this is over.
+async fn pass() {
+    for _ in 0..50 {
+        yield_now().await;
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+async fn connects(listener: &TcpListener) -> bool {
+    tokio::time::timeout(Duration::from_millis(1), listener.accept()).await.is_ok()
+}
+
+#[tokio::test]
+async fn neither_the_202_nor_the_first_byte_comes_before_its_commit() {
+    let test = async {
+        let bench = Bench::new("order").await;
+        let mut answer = bench.offer("m1", 1, Duration::from_secs(20)).await;
+        bench.batch().await;
+        pass().await;
+        assert!(answer.try_recv().is_err(), "not told before it is kept");
+        // The same one, handed in again meanwhile: a 202 would promise what is not kept yet.
+        let again = bench.offer("m1", 1, Duration::from_secs(20)).await;
+        assert_eq!(again.await, Ok(Reply::Unavailable));
+        bench.end(Ok(()));
+        assert_eq!(answer.await, Ok(Reply::Taken));
+        // The attempt, a commit of its own.
+        bench.batch().await;
+        pass().await;
+        assert!(!connects(&bench.endpoint).await, "not called before the attempt is kept");
+        bench.end(Ok(()));
+        bench.endpoint.accept().await.expect("called");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test]
+async fn what_comes_while_a_commit_is_under_way_goes_with_the_next_one() {
+    let test = async {
+        let bench = Bench::new("group").await;
+        let first = bench.offer("m0", 1, Duration::from_secs(20)).await;
+        bench.batch().await;
+        let mut others = Vec::new();
+        for n in 1..=20 {
+            others.push(bench.offer(&format!("m{n}"), 1, Duration::from_secs(20)).await);
+        }
+        pass().await;
+        assert!(bench.batches.try_recv().is_err(), "one commit at a time");
+        bench.end(Ok(()));
+        assert_eq!(first.await, Ok(Reply::Taken));
+        bench.batch().await;
+        bench.end(Ok(()));
+        for answer in others {
+            assert_eq!(answer.await, Ok(Reply::Taken), "one commit carries them all");
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test]
+async fn a_commit_that_fails_takes_back_what_was_due_and_stops_the_taking() {
+    let test = async {
+        let bench = Bench::new("fails").await;
+        let answer = bench.offer("m1", 1, Duration::from_secs(20)).await;
+        bench.batch().await;
+        bench.end(Err(io::ErrorKind::StorageFull.into()));
+        assert_eq!(answer.await, Ok(Reply::Unavailable));
+        assert!(!bench.standing.ready.get(), "ready says no");
+        let refused = bench.offer("m2", 1, Duration::from_secs(20)).await;
+        assert_eq!(refused.await, Ok(Reply::Unavailable));
+        // Tried again by itself, and served again once it works.
+        bench.batch().await;
+        bench.end(Ok(()));
+        while !bench.standing.ready.get() {
+            yield_now().await;
+        }
+        let taken = bench.offer("m3", 1, Duration::from_secs(20)).await;
+        bench.batch().await;
+        bench.end(Ok(()));
+        assert_eq!(taken.await, Ok(Reply::Taken));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// A folder that stays full: a notice needs no record once its message's time is up.
+#[tokio::test]
+async fn a_notice_waits_for_its_record_but_not_beyond_the_time_of_its_message() {
+    let test = async {
+        let bench = Bench::new("notice").await;
+        drop(bench.platform.accept().await.expect("the watch"));
+        let answer = bench.offer("m1", 2, Duration::from_millis(400)).await;
+        bench.batch().await;
+        bench.end(Ok(()));
+        assert_eq!(answer.await, Ok(Reply::Taken));
+        let from = Instant::now();
+        // Its attempt cannot be recorded, so it is never made; nor can its verdict.
+        let fail = async {
+            loop {
+                bench.batch().await;
+                bench.end(Err(io::ErrorKind::StorageFull.into()));
+            }
+        };
+        let told = async {
+            use tokio::io::AsyncReadExt;
+            loop {
+                let (mut stream, _) = bench.platform.accept().await.expect("a call");
+                let mut head = [0; 18];
+                if stream.read_exact(&mut head).await.is_ok() && head.starts_with(b"POST /v1/outcomes") {
+                    return from.elapsed();
+                }
+            }
+        };
+        let told = tokio::select! {
+            told = told => told,
+            () = fail => unreachable!("it goes on for ever"),
+            () = tokio::time::sleep(Duration::from_secs(5)) => panic!("the notice waits for the disk"),
+        };
+        assert!(told >= Duration::from_millis(380), "not before its record or its time: {told:?}");
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -2,6 +2,7 @@
 //! the file again.
 
 use super::discovery::List;
+use super::options::Options;
 use crate::interface::Settings;
 use crate::settings::Conf;
 use serde::Deserialize;
@@ -68,6 +69,8 @@
     pub state: PathBuf,
     pub seed: u64,
     pub limits: Limits,
+    /// What operators set beside the platform.
+    pub options: Options,
     pub known: Option<List>,
     pub settings: Settings,
     pub classes: Vec<String>,
@@ -153,6 +156,11 @@
             Err(Fault::Missing(_)) => None,
             Err(fault) => return Err(fault),
         };
+        let options = match text("LB_OPTIONS") {
+            Ok(path) => Options::read(Path::new(&path)).map_err(|why| Fault::Bad("LB_OPTIONS", why))?,
+            Err(Fault::Missing(_)) => Options::default(),
+            Err(fault) => return Err(fault),
+        };
         Ok(Config {
             name,
             listen,
@@ -163,6 +171,7 @@
             state,
             seed: seed(&page.seed),
             limits: page.limits,
+            options,
             known: page.known,
             settings,
             classes: page.settings.class_names().map(str::to_owned).collect(),
--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -2,12 +2,14 @@
 //! out what it asks for; holds bodies, ids and timers. It decides nothing about a message itself.
 
 use super::calls::{Call, CallEnd, Calls, Leave};
+use super::commit::{Due, Dues};
 use super::config::Config;
 use super::discovery::{Health, List, Watch};
 use super::handover::Successor;
 use super::intake::{Offer, Reply, Standing};
-use super::journal::{Attempt, Journal, Letter, Live, Verdict, unix};
+use super::journal::{Attempt, Journal, Letter, Live, Scrubbed, Verdict, unix};
 use super::log::say;
+use super::news::News;
 use super::outcomes::{Notice, Platform};
 use super::register::{Change, Register};
 use crate::brain::Brain;
@@ -33,32 +35,6 @@
 const BATCH_MOST: usize = 200;
 /// How long a successor waits for notices that are on their way.
 const NOTICES_TIME: Duration = Duration::from_millis(300);
-/// When a disk that failed is tried again.
-const DISK_RETRY: Duration = Duration::from_millis(200);
-
-/// What reaches the courier from its other parts.
-pub enum News {
-    Offered(Offer),
-    Called {
-        message: u64,
-        attempt: u32,
-        endpoint: EndpointId,
-        end: CallEnd,
-    },
-    Probed {
-        endpoint: EndpointId,
-        sent: Instant,
-        end: CallEnd,
-    },
-    Listed(List),
-    /// The platform has acknowledged the notices for these.
-    Told(Vec<u64>),
-    /// Another process is there to go on in this one's place.
-    Successor(Successor),
-    /// The configuration was read again: where discovery is now.
-    Moved(SocketAddr),
-    Stop,
-}
 
 /// Why the courier does not go on.
 pub enum End {
@@ -121,7 +97,10 @@
     /// Discovery has answered since the start.
     pub(super) listed: bool,
     pub(super) stopping: Option<Instant>,
-    pub(super) disk_failed: Option<Instant>,
+    /// What waits for the record.
+    pub(super) dues: Dues,
+    /// When the next segment of the journal is read again.
+    scrub: Option<Instant>,
 }
 
 impl Courier {
@@ -161,7 +140,8 @@
             heir: None,
             listed: false,
             stopping: None,
-            disk_failed: None,
+            dues: Dues::default(),
+            scrub: None,
         }
     }
 
@@ -170,7 +150,9 @@
         let known = self.config.known.clone();
         self.seq = known.as_ref().map(|l| l.seq);
         self.list(List { whole: true, ..known.unwrap_or_default() });
-        let live: Vec<_> = self.journal.live().map(|(n, m)| (n, m.clone())).collect();
+        let mut live: Vec<_> = self.journal.live().map(|(n, m)| (n, m.clone())).collect();
+        // Those that are out of time end first, and the others come to judgement by how little they have left.
+        live.sort_by_key(|(_, m)| m.letter.until);
         live.into_iter().for_each(|(message, m)| self.resume(message, m));
     }
 
@@ -329,14 +311,15 @@
         // Also where the module need not ask: on sockets nobody sends the list unasked.
         self.watch();
         self.post();
+        self.scrub = self.config.options.store.scrub().map(|every| Instant::now() + every);
         loop {
             let due = self.wake.map(|(at, _)| at);
             let due = if self.events.is_empty() { due } else { Some(Instant::now()) };
             let due = due.map(|at| last.map_or(at, |t| at.max(t + tick)));
-            let retry = self.disk_failed.map(|t| t + DISK_RETRY);
+            let commit = self.commit_due();
             let stop = self.stopping.map(|_| Instant::now() + Duration::from_millis(20));
             let heir = self.heir.as_ref().map(|_| Instant::now() + Duration::from_millis(2));
-            let at = [due, retry, stop, heir].into_iter().flatten().min();
+            let at = [due, commit, stop, heir, self.scrub].into_iter().flatten().min();
             let nap = async {
                 match at {
                     Some(at) => sleep_until(at).await,
@@ -346,6 +329,11 @@
             tokio::select! {
                 biased;
                 Some(change) = changes.recv() => self.operated(change),
+                done = self.journal.done() => {
+                    self.committed(done);
+                    self.settle();
+                    self.post();
+                }
                 news = inbox.recv() => {
                     let Some(news) = news else { return End::Stopped };
                     self.hear(news);
@@ -357,8 +345,12 @@
                 }
                 () = nap => {
                     let now = Instant::now();
-                    if retry.is_some_and(|at| at <= now) {
+                    if commit.is_some_and(|at| at <= now) {
                         self.settle();
+                        self.post();
+                    }
+                    if self.scrub.is_some_and(|at| at <= now) {
+                        self.scrub(now);
                     }
                     if due.is_some_and(|at| at <= now) {
                         last = Some(now);
@@ -368,6 +360,7 @@
                 }
             }
             if self.stopped() {
+                self.settle_whole().await;
                 return End::Stopped;
             }
             if let Some(successor) = self.asked() {
@@ -382,27 +375,28 @@
         let (_, since) = self.heir.as_ref()?;
         let told = self.notices.is_empty() && self.posts == 0;
         let judged = self.offers.is_empty() && self.events.is_empty() && self.standing.judging() == 0;
-        let due = judged && (told || since.elapsed() > NOTICES_TIME);
+        let kept = self.dues.is_empty() || self.dues.failed();
+        let due = judged && kept && (told || since.elapsed() > NOTICES_TIME);
         self.heir.take_if(|_| due).map(|(successor, _)| successor)
     }
 
-    /// Brings the records into the file; after an error nothing more is taken on until it works again.
-    pub(super) fn settle(&mut self) -> bool {
-        match self.journal.flush() {
-            Ok(()) => {
-                if self.disk_failed.take().is_some() {
-                    say!("journal: works again");
-                }
-            }
-            Err(e) => {
-                if self.disk_failed.replace(Instant::now()).is_none() {
-                    say!("journal: cannot write: {e}");
+    /// Has the next segment of the journal read again, beside the loop: the disk may take its time.
+    fn scrub(&mut self, now: Instant) {
+        self.scrub = self.config.options.store.scrub().map(|every| now + every);
+        if let Some(scrub) = self.journal.scrub() {
+            let news = self.news.clone();
+            tokio::task::spawn_local(async move {
+                if let Ok(scrubbed) = tokio::task::spawn_blocking(|| scrub.run()).await {
+                    let _ = news.send(News::Scrubbed(scrubbed)).await;
                 }
-            }
+            });
+        }
+    }
+
+    fn scrubbed(&mut self, scrubbed: &Scrubbed) {
+        if let (true, Some(damage)) = (self.journal.scrubbed(scrubbed), &scrubbed.damage) {
+            say!("journal: damaged: {damage}; what lives of it is written anew from memory");
         }
-        let well = self.disk_failed.is_none();
-        self.standing.ready.set(well && self.stopping.is_none());
-        well
     }
 
     fn hear(&mut self, news: News) {
@@ -426,6 +420,7 @@
                 }
             }
             News::Moved(discovery) => self.moved(discovery),
+            News::Scrubbed(scrubbed) => self.scrubbed(&scrubbed),
             News::Successor(successor) => {
                 // One at a time: another asks again.
                 if self.heir.is_none() {
@@ -457,10 +452,10 @@
         };
         // Handed in twice under one id: it is taken already, or about to be judged.
         if let Some(message) = self.ids.get(&offer.letter.id) {
-            let judged = !self.offers.contains_key(message);
+            let judged = !self.offers.contains_key(message) && !self.dues.holds(*message);
             return answer(offer, if judged { Reply::Taken } else { Reply::Unavailable });
         }
-        if self.disk_failed.is_some() {
+        if self.dues.failed() {
             return answer(offer, Reply::Unavailable);
         }
         if !self.destinations.contains(&offer.letter.destination) {
@@ -584,7 +579,6 @@
 
     /// Records the new messages that the module keeps, then tells the clients.
     fn take_on(&mut self, refused: &mut HashMap<u64, Verdict>) {
-        let mut taken = Vec::new();
         for (message, offer) in std::mem::take(&mut self.offers) {
             let Offer { letter, reply, time_left, .. } = offer;
             if let Some(verdict) = refused.remove(&message) {
@@ -602,22 +596,13 @@
             say!("{id} taken on: {class} for {dest} of {of}, {} ms left", time_left.as_millis());
             self.journal.accept(message, letter.clone());
             self.held.insert(message, Held { letter, attempts: 0, out: None, leave: None });
-            taken.push((message, reply));
-        }
-        if taken.is_empty() {
-            return;
-        }
-        let recorded = self.settle();
-        for (message, reply) in taken {
-            let told = if recorded { Reply::Taken } else { Reply::Unavailable };
-            if reply.send(told).is_err() || !recorded {
-                self.withdraw(message);
-            }
+            self.dues.push(Due::Reply { message, reply });
         }
+        self.settle();
     }
 
     /// Nobody is owed anything for the message.
-    fn withdraw(&mut self, message: u64) {
+    pub(super) fn withdraw(&mut self, message: u64) {
         if let Some(m) = self.held.remove(&message) {
             say!("{} withdrawn: its client had not heard", m.letter.id);
         }
@@ -631,18 +616,17 @@
         if self.journal.get(message).is_none_or(|m| m.verdict.is_some()) {
             return;
         }
-        let id = m.letter.id.clone();
+        let (id, until) = (m.letter.id.clone(), m.letter.until);
         say!("{id} given up: {verdict:?}");
         if m.out.is_none() {
             self.held.remove(&message);
         }
         self.journal.judge(message, verdict);
-        self.tell(message, id, verdict);
+        self.dues.push(Due::Notice(Notice { message, id, verdict }, until));
     }
 
     fn send(&mut self, sends: Vec<(u64, EndpointId, Duration)>, now: Instant) {
         let late = self.stopping.is_some_and(|t| now >= t + STOP_SENDING);
-        let mut ready = Vec::new();
         for (message, endpoint, timeout) in sends {
             let e = self.endpoints.get(&endpoint);
             let to = e.and_then(|e| Some((e, e.address?)));
@@ -674,36 +658,16 @@
             m.leave = Some((endpoint, leave.clone()));
             self.journal.attempt(message, attempt);
             let host = e.host.clone();
-            ready.push(Call {
-                message,
-                attempt: number,
-                endpoint,
-                host,
-                address,
-                letter,
-                timeout,
-                once,
-                leave,
-            });
-        }
-        // The attempts are on record before their first byte goes out; the verdicts before their notice.
-        if !self.settle() {
-            for call in ready {
-                self.journal.never_ran(call.message, call.attempt);
-                if let Some(m) = self.held.get_mut(&call.message) {
-                    m.out = None;
-                }
-                self.events.push(never_sent(call.message, call.endpoint));
-            }
-            return;
-        }
-        for call in ready {
             let (cancel, cancelled) = oneshot::channel();
-            if let Some(m) = self.held.get_mut(&call.message) {
+            if let Some(m) = self.held.get_mut(&message) {
                 m.out = Some((now, Some(cancel)));
             }
-            tokio::task::spawn_local(self.calls.clone().call(call, cancelled, self.news.clone()));
+            let call =
+                Call { message, attempt: number, endpoint, host, address, letter, timeout, once, leave };
+            self.dues.push(Due::Call { call, cancelled, since: now });
         }
+        // The attempts are on record before their first byte goes out; the verdicts before their notice.
+        self.settle();
     }
 
     fn probe(&mut self, endpoint: EndpointId) {
@@ -754,8 +718,7 @@
     }
 
     fn post(&mut self) {
-        // A notice must not go out before its verdict is on record.
-        while self.posts < POSTS_MOST && !self.notices.is_empty() && self.disk_failed.is_none() {
+        while self.posts < POSTS_MOST && !self.notices.is_empty() {
             let batch: Vec<_> = self.notices.drain(..self.notices.len().min(BATCH_MOST)).collect();
             self.posts += 1;
             tokio::task::spawn_local(self.platform.clone().post(batch, self.news.clone()));
@@ -771,11 +734,7 @@
             since >= STOP_LISTENING && self.standing.open.borrow().is_empty() && self.offers.is_empty();
         let calls = self.held.values().any(|m| matches!(m.out, Some((_, Some(_)))));
         let idle = self.held.is_empty() || since >= STOP_SENDING;
-        let done = since >= STOP_ALL || (quiet && told && idle && !calls);
-        if done {
-            self.settle();
-        }
-        done
+        since >= STOP_ALL || (quiet && told && idle && !calls && self.dues.is_empty())
     }
 }
 
@@ -787,7 +746,7 @@
     }
 }
 
-fn never_sent(message: u64, endpoint: EndpointId) -> Event {
+pub(super) fn never_sent(message: u64, endpoint: EndpointId) -> Event {
     Event::Ended(Ended {
         message: MessageId(message),
         endpoint,
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -1,9 +1,9 @@
 //! The watch on the list of endpoints. It lasts until its connection ends or falls silent; then it is
 //! asked for again, with backoff.
 
-use super::courier::News;
 use super::link::Link;
 use super::log::say;
+use super::news::News;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -3,15 +3,17 @@
 
 use super::calls::{CallEnd, Leave};
 use super::channel::{self, Client, Ear, Ended, Known, Mouth, Out, State, Word};
-use super::courier::{Courier, End, Endpoint, Held, News, STOP_ALL, STOP_LISTENING};
+use super::courier::{Courier, End, Endpoint, Held, STOP_ALL, STOP_LISTENING};
 use super::intake::{Intake, Passed, Reply};
 use super::journal::unix;
 use super::log::say;
+use super::news::News;
 use super::register::{Forward, Register};
 use crate::brain::Brain;
 use crate::interface::{EndpointId, Event, MessageId, Outcome, Settings};
+use crate::store::lock::Lock;
 use std::collections::HashMap;
-use std::fs::{self, File, TryLockError};
+use std::fs::{self, File};
 use std::io;
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
@@ -24,7 +26,6 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep, timeout};
 
-const LOCK: &str = "lock";
 const SOCKET: &str = "handover";
 /// How long either process waits for the other's next word; clients wait as long.
 const WORD_TIME: Duration = Duration::from_millis(1500);
@@ -33,22 +34,6 @@
 /// Calls that were cut off have closed their connections by then.
 const CUT: Duration = Duration::from_millis(10);
 
-/// The right to be the courier. It ends with the process, however that ends.
-pub struct Tenure {
-    _lock: File,
-}
-
-impl Tenure {
-    pub fn take(folder: &Path) -> io::Result<Option<Self>> {
-        let lock = File::options().write(true).create(true).truncate(false).open(folder.join(LOCK))?;
-        match lock.try_lock() {
-            Ok(()) => Ok(Some(Tenure { _lock: lock })),
-            Err(TryLockError::WouldBlock) => Ok(None),
-            Err(TryLockError::Error(e)) => Err(e),
-        }
-    }
-}
-
 /// The socket's address by way of the open folder: the folder's own path may be longer than an address.
 fn socket(folder: &Path) -> io::Result<(File, PathBuf)> {
     let open = File::open(folder)?;
@@ -105,10 +90,10 @@
     shared: bool,
     set: &Settings,
     seed: u64,
-) -> io::Result<(Tenure, Option<Estate>)> {
+) -> io::Result<(Lock, Option<Estate>)> {
     let mut told = false;
     loop {
-        if let Some(tenure) = Tenure::take(folder)? {
+        if let Some(tenure) = Lock::take(folder)? {
             return Ok((tenure, None));
         }
         if !shared {
@@ -119,7 +104,7 @@
             Ok(estate) => {
                 let since = Instant::now();
                 while since.elapsed() < WORD_TIME {
-                    if let Some(tenure) = Tenure::take(folder)? {
+                    if let Some(tenure) = Lock::take(folder)? {
                         return Ok((tenure, Some(estate)));
                     }
                     sleep(AGAIN / 10).await;
@@ -299,7 +284,7 @@
     }
 
     /// Offers all to the successor. False if this process is still the courier; after true it never is again.
-    pub async fn hand_over(&mut self, to: &mut Successor, tenure: &mut Option<Tenure>) -> bool {
+    pub async fn hand_over(&mut self, to: &mut Successor, tenure: &mut Option<Lock>) -> bool {
         match self.offer(to).await {
             Ok(()) => {}
             Err(e) => {
@@ -318,7 +303,7 @@
     async fn offer(&mut self, to: &mut Successor) -> io::Result<()> {
         // A call without its connection does not begin any more.
         self.held.values().filter_map(|m| m.leave.as_ref()).for_each(|(_, leave)| leave.recall());
-        if !self.settle() {
+        if !self.settle_whole().await {
             return Err(io::Error::other("the journal cannot be written"));
         }
         let state = self.state().map_err(io::Error::other)?;
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -1,9 +1,9 @@
 //! The clients' side: takes messages in over HTTP, and tells whether the courier is ready.
 
 use super::channel::Client;
-use super::courier::News;
 use super::journal::Letter;
 use super::log::say;
+use super::news::News;
 use super::register::Register;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -765,6 +765,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::store::Durability;
 
     #[test]
     fn time_outs_have_a_number_and_a_unit() {
@@ -800,7 +801,7 @@
         let (news, _inbox) = tokio::sync::mpsc::channel(1);
         let names = |names: &[&str]| names.iter().map(|n| (*n).to_owned()).collect();
         let (classes, tenants) = (names(&["notice"]), names(&["acme", "zenith"]));
-        let register = Register::new(std::path::Path::new(""));
+        let register = Register::new(std::path::Path::new(""), Durability::Process);
         let standing = Rc::new(Standing::new(register));
         let intake = Intake { classes, tenants, standing, news, sockets: 1, bodies: 1 };
         let read = |tenants: &[&'static str]| {
--- a/src/node/journal_test.rs
+++ b/src/node/journal_test.rs
@@ -5,6 +5,17 @@
 
 const DISK: u64 = 3_000_000;
 
+fn keeping(room: u64) -> Keeping {
+    Keeping { room, durability: Durability::Process, refuse_damage: false }
+}
+
+impl<D: Disk> Journal<D> {
+    /// Commits where that is done at once.
+    pub(super) fn flush(&mut self) -> io::Result<()> {
+        self.commit().expect("done at once")
+    }
+}
+
 struct Place(std::path::PathBuf);
 
 impl Place {
@@ -18,7 +29,7 @@
     }
 
     fn open(&self, seed: u64) -> (Journal, Recovery) {
-        Journal::open(&self.0, DISK, seed).expect("opens")
+        Journal::open(&self.0, keeping(DISK), seed).expect("opens")
     }
 
     /// The segments, oldest first.
@@ -36,7 +47,7 @@
     }
 }
 
-fn letter(id: &str, body: usize) -> Rc<Letter> {
+pub(super) fn letter(id: &str, body: usize) -> Rc<Letter> {
     Rc::new(Letter {
         id: id.to_owned(),
         class: "notice".to_owned(),
@@ -48,15 +59,15 @@
     })
 }
 
-fn attempt(host: &str) -> Attempt {
+pub(super) fn attempt(host: &str) -> Attempt {
     let sent = Duration::from_micros(1_790_000_000_000_002);
     Attempt { host: host.to_owned(), zone: "a".to_owned(), sent, may_have_run: true }
 }
 
 /// What is live, without the time at which it was taken on, which is the clock's.
-type State = Vec<(u64, Live)>;
+pub(super) type State = Vec<(u64, Live)>;
 
-fn state<D: Disk>(journal: &Journal<D>) -> State {
+pub(super) fn state<D: Disk>(journal: &Journal<D>) -> State {
     journal.live().map(|(n, live)| (n, Live { taken: Duration::ZERO, ..live.clone() })).collect()
 }
 
@@ -82,7 +93,7 @@
 ];
 
 fn simulated(disk: &Simulated, room: u64) -> io::Result<(Journal<Simulated>, Recovery)> {
-    Journal::on(disk.clone(), room, 7)
+    Journal::on(disk.clone(), Plan::of(keeping(room), 7), room)
 }
 
 /// Plays the script for so many messages; after each flush that succeeds `done` is told.
@@ -186,6 +197,64 @@
     assert!(points > 900, "{points}");
 }
 
+/// Each call that reads fails at a start: that start is refused, nothing is changed, and the next one finds all.
+#[test]
+fn a_folder_that_cannot_be_read_refuses_the_start_and_loses_nothing() {
+    let disk = full(700);
+    let counting = Simulated::new(disk.files(), Fault::None);
+    simulated(&counting, DISK).expect("opens");
+    let reads = counting.reads();
+    assert!(reads > 6, "{reads}");
+    for call in 0..reads {
+        let failing = Simulated::new(disk.files(), Fault::FailsRead { call });
+        let refused = simulated(&failing, DISK).map(|_| ()).expect_err("refused").to_string();
+        assert!(refused.contains("cannot be read"), "{refused}");
+        assert_eq!(failing.files(), disk.files(), "{call}");
+        let (journal, _) = simulated(&failing, DISK).expect("opens");
+        assert_eq!(journal.len(), 700, "{call}");
+    }
+}
+
+/// Where the policy is to refuse, a start on damage tells it and changes nothing.
+#[test]
+fn a_start_on_damage_is_refused_where_the_policy_says_so() {
+    let refusing = |disk: &Simulated| {
+        let plan = Plan::of(Keeping { refuse_damage: true, ..keeping(DISK) }, 7);
+        Journal::on(disk.clone(), plan, DISK).map(|(journal, _)| journal.len())
+    };
+    let disk = full(100);
+    assert_eq!(refusing(&disk).expect("nothing is damaged"), 100);
+    let spoilt = spoil(&disk, |files| files[0][5000] ^= 4);
+    let (before, why) = (spoilt.files(), refusing(&spoilt).expect_err("refused").to_string());
+    assert!(why.contains("0000000000000001 at ") && why.contains("nothing was changed"), "{why}");
+    assert_eq!(spoilt.files(), before);
+}
+
+/// A sealed segment that spoils while the process runs: found by reading it again, and written anew from memory.
+#[test]
+fn what_spoils_while_it_runs_is_written_anew_from_memory() {
+    let disk = full(1000);
+    let (mut journal, _) = simulated(&disk, DISK).expect("opens");
+    let want = state(&journal);
+    let sealed = disk.files().len();
+    for _ in 0..sealed {
+        let scrubbed = journal.scrub().expect("a sealed segment").run();
+        assert!(scrubbed.damage.is_none(), "{scrubbed:?}");
+    }
+    disk.spoil("0000000000000002", 9000);
+    let damaged: Vec<_> = (0..sealed).filter_map(|_| journal.scrub()).map(Scrub::run).collect();
+    let damaged: Vec<_> = damaged.into_iter().filter(|s| s.damage.is_some()).collect();
+    assert_eq!(damaged.iter().map(|s| s.number).collect::<Vec<_>>(), [2]);
+    assert!(journal.scrubbed(&damaged[0]) && journal.is_behind());
+    while journal.is_behind() {
+        journal.flush().expect("written");
+    }
+    assert!(!disk.files().contains_key("0000000000000002"), "it is dropped");
+    assert!(disk.files().keys().any(|name| name.starts_with("aside-0000000000000002")), "and kept aside");
+    let (again, recovery) = simulated(&disk, DISK).expect("opens");
+    assert_eq!((state(&again), recovery.damage.len(), recovery.doubted), (want, 0, 0));
+}
+
 /// Messages that live, each with one attempt that is known not to have run.
 fn full(messages: u64) -> Simulated {
     let disk = Simulated::default();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod channel;
+mod commit;
 mod config;
 mod courier;
 mod discovery;
@@ -12,18 +13,23 @@
 mod ledger;
 mod link;
 mod log;
+mod news;
+pub mod offline;
 mod old_journal;
 mod operators;
+mod options;
 mod outcomes;
 mod register;
 
 use crate::brain::Brain;
 use calls::Calls;
 use config::{Config, Fault};
-use courier::{Courier, End, News, STOP_LISTENING};
+use courier::{Courier, End, STOP_LISTENING};
 use intake::{Intake, Standing};
-use journal::{Journal, Recovery};
+use journal::{Journal, Keeping, Recovery};
 use log::say;
+use news::News;
+use options::OnDamage;
 use register::Register;
 use socket2::SockRef;
 use std::io;
@@ -52,7 +58,7 @@
 /// Reads the configuration, then serves until it is told to stop.
 pub fn run() -> Result<(), Fault> {
     let mut config = Config::read()?;
-    let register = Register::new(&config.state);
+    let register = Register::new(&config.state, config.options.store.durability);
     // Early: whoever calls is told at once that this process takes no clients yet.
     if let Some(admin) = config.admin {
         let opened = operators::open(admin, config.limits.sockets, register.clone());
@@ -113,6 +119,9 @@
     for damage in recovery.damage.iter().take(DAMAGE_TOLD) {
         say!("journal: damaged: {damage}");
     }
+    if let Some(cut) = &recovery.cut {
+        say!("journal: {cut}");
+    }
     let Recovery { damage, doubted, ghosts, unreadable, .. } = recovery;
     if !damage.is_empty() || *doubted > 0 {
         say!(
@@ -146,8 +155,13 @@
         _ = terminate.recv() => return Ok(End::Stopped),
     };
     register.load().map_err(|e| Fault::Bad("LB_STATE", format!("what operators have set: {e}")))?;
-    let disk = ((config.limits.disk_mb * 1e6) as u64).saturating_sub(register::DISK_MOST);
-    let (journal, recovery) = Journal::open(&config.state, disk, config.seed).map_err(state)?;
+    let store = config.options.store;
+    let keeping = Keeping {
+        room: ((config.limits.disk_mb * 1e6) as u64).saturating_sub(register::DISK_MOST),
+        durability: store.durability,
+        refuse_damage: store.on_damage == OnDamage::Refuse,
+    };
+    let (journal, recovery) = Journal::open(&config.state, keeping, config.seed).map_err(state)?;
     tell(&recovery);
     let (news, mut inbox) = mpsc::channel(INBOX);
     let for_calls = (config.limits.sockets / 3).max(16);
--- /dev/null
+++ b/src/node/news.rs
@@ -0,0 +1,35 @@
+//! What reaches the courier from its other parts.
+
+use super::calls::CallEnd;
+use super::discovery::List;
+use super::handover::Successor;
+use super::intake::Offer;
+use super::journal::Scrubbed;
+use crate::interface::EndpointId;
+use std::net::SocketAddr;
+use tokio::time::Instant;
+
+pub enum News {
+    Offered(Offer),
+    Called {
+        message: u64,
+        attempt: u32,
+        endpoint: EndpointId,
+        end: CallEnd,
+    },
+    Probed {
+        endpoint: EndpointId,
+        sent: Instant,
+        end: CallEnd,
+    },
+    Listed(List),
+    /// The platform has acknowledged the notices for these.
+    Told(Vec<u64>),
+    /// Another process is there to go on in this one's place.
+    Successor(Successor),
+    /// The configuration was read again: where discovery is now.
+    Moved(SocketAddr),
+    /// A segment of the journal was read again.
+    Scrubbed(Scrubbed),
+    Stop,
+}
--- /dev/null
+++ b/src/node/offline.rs
@@ -0,0 +1,231 @@
+//! The journal of a courier that does not run: looked at, shown, mended. `docs/on-call.md` tells when to use which.
+
+use super::journal::{self, Found, Live, NAME, Verdict, unix};
+use super::old_journal::{self, IN};
+use crate::store::disk::{Disk, Folder};
+use crate::store::lock::{Lock, Look};
+use serde::Serialize;
+use std::fmt;
+use std::fs;
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+/// What a command has found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Finding {
+    Sound,
+    Damaged,
+    /// It was damaged, and is not any more.
+    Mended,
+}
+
+/// Why a command could do nothing.
+#[derive(Debug)]
+pub enum Fault {
+    /// A courier runs on that folder.
+    InUse(PathBuf),
+    NoJournal(PathBuf),
+    Io(PathBuf, io::Error),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Fault::InUse(at) => write!(f, "{}: a courier runs on it; stop that first", at.display()),
+            Fault::NoJournal(at) => {
+                write!(f, "{}: holds no journal; the folder that LB_STATE names is meant", at.display())
+            }
+            Fault::Io(at, e) => write!(f, "{}: {e}", at.display()),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// A folder that nobody else writes to while this is kept.
+struct Idle {
+    folder: PathBuf,
+    _lock: Option<Lock>,
+}
+
+impl Idle {
+    fn take(folder: &Path) -> Result<Self, Fault> {
+        let at = |e| Fault::Io(folder.to_owned(), e);
+        match Lock::look(folder).map_err(at)? {
+            Look::InUse => Err(Fault::InUse(folder.to_owned())),
+            Look::Free(_lock) => Ok(Idle { folder: folder.to_owned(), _lock }),
+        }
+    }
+
+    /// Reads the journal, in whichever form it is.
+    fn read(&self) -> Result<Found, Fault> {
+        let path = self.folder.join(NAME);
+        let at = |e| Fault::Io(path.clone(), e);
+        match fs::metadata(&path) {
+            Ok(found) if found.is_file() => {
+                let bytes = fs::read(&path).map_err(at)?;
+                let (live, sound) = old_journal::replay(&bytes);
+                let mut recovery = journal::Recovery::default();
+                if sound < bytes.len() {
+                    recovery.damage.push(old_journal::unread(&bytes, sound));
+                }
+                Ok(Found { live, recovery, segments: 1, size: bytes.len() as u64 })
+            }
+            Ok(_) => journal::read(&path).map_err(at),
+            Err(e) if e.kind() == io::ErrorKind::NotFound => Err(Fault::NoJournal(self.folder.clone())),
+            Err(e) => Err(at(e)),
+        }
+    }
+}
+
+/// Tells what is damaged. Changes nothing.
+pub fn check(folder: &Path, to: &mut impl Write) -> Result<Finding, Fault> {
+    let found = Idle::take(folder)?.read()?;
+    tell(&found, to).map_err(|e| Fault::Io(folder.to_owned(), e))
+}
+
+fn tell(found: &Found, to: &mut impl Write) -> io::Result<Finding> {
+    let Found { live, recovery, segments, size } = found;
+    let judged = live.values().filter(|m| m.verdict.is_some()).count();
+    writeln!(to, "{segments} segments, {size} bytes")?;
+    writeln!(to, "{} messages live, {judged} of them decided and not yet told", live.len())?;
+    if let Some(cut) = &recovery.cut {
+        writeln!(to, "{cut}")?;
+    }
+    if recovery.damage.is_empty() {
+        writeln!(to, "sound")?;
+        return Ok(Finding::Sound);
+    }
+    for damage in &recovery.damage {
+        writeln!(to, "damaged: {damage}")?;
+    }
+    let journal::Recovery { damage, doubted, ghosts, unreadable, .. } = recovery;
+    writeln!(
+        to,
+        "{} damaged places; {doubted} messages count as ones that may have run, {ghosts} end as dead, \
+         {unreadable} cannot be read",
+        damage.len()
+    )?;
+    Ok(Finding::Damaged)
+}
+
+/// A message as `show --json` prints it: one object a line.
+#[derive(Serialize)]
+struct Shown<'a> {
+    message: u64,
+    id: &'a str,
+    class: &'a str,
+    tenant: &'a str,
+    destination: u64,
+    key: Option<&'a str>,
+    bytes: usize,
+    /// Unix time, s.
+    taken: f64,
+    until: f64,
+    attempts: Vec<Tried<'a>>,
+    verdict: Option<&'static str>,
+}
+
+#[derive(Serialize)]
+struct Tried<'a> {
+    host: &'a str,
+    zone: &'a str,
+    sent: f64,
+    may_have_run: bool,
+}
+
+impl<'a> Shown<'a> {
+    fn of(message: u64, live: &'a Live) -> Self {
+        let tried = |a: &'a journal::Attempt| Tried {
+            host: &a.host,
+            zone: &a.zone,
+            sent: a.sent.as_secs_f64(),
+            may_have_run: a.may_have_run,
+        };
+        let letter = &live.letter;
+        Shown {
+            message,
+            id: &letter.id,
+            class: &letter.class,
+            tenant: &letter.tenant,
+            destination: letter.destination,
+            key: letter.key.as_deref(),
+            bytes: letter.body.len(),
+            taken: live.taken.as_secs_f64(),
+            until: letter.until.as_secs_f64(),
+            attempts: live.attempts.iter().map(tried).collect(),
+            verdict: live.verdict.map(|v| match v {
+                Verdict::Dead => "dead",
+                Verdict::Bounced { .. } => "bounced",
+            }),
+        }
+    }
+}
+
+/// Prints the messages that live, or the one of that id. Changes nothing.
+pub fn show(folder: &Path, id: Option<&str>, json: bool, to: &mut impl Write) -> Result<Finding, Fault> {
+    let found = Idle::take(folder)?.read()?;
+    let now = unix().as_secs_f64();
+    let mut print = || -> io::Result<()> {
+        let of = |live: &&Live| id.is_none_or(|id| live.letter.id == id);
+        for (message, live) in found.live.iter().filter(|(_, live)| of(live)) {
+            let shown = Shown::of(*message, live);
+            if json {
+                writeln!(to, "{}", serde_json::to_string(&shown)?)?;
+                continue;
+            }
+            let Shown { id, class, destination, until, attempts, verdict, .. } = &shown;
+            let ran = attempts.iter().filter(|a| a.may_have_run).count();
+            let state = verdict.unwrap_or(if *until > now { "waits" } else { "out of time" });
+            let (tried, left) = (attempts.len(), until - now);
+            writeln!(
+                to,
+                "{id}: {class} for {destination}, {state}, {left:.1} s left, {tried} attempts, {ran} may have run"
+            )?;
+            for a in attempts {
+                let (host, ago) = (if a.host.is_empty() { "unknown" } else { a.host }, now - a.sent);
+                let ran = if a.may_have_run { "may have run" } else { "did not run" };
+                writeln!(to, "  to {host} {ago:.1} s ago: {ran}")?;
+            }
+        }
+        Ok(())
+    };
+    print().map_err(|e| Fault::Io(folder.to_owned(), e))?;
+    Ok(if found.recovery.damage.is_empty() { Finding::Sound } else { Finding::Damaged })
+}
+
+/// Writes a damaged journal anew from what can be read of it. The new one is made whole beside it and read again
+/// before it takes its place; the damaged one stays, under another name.
+pub fn repair(folder: &Path, seed: u64, to: &mut impl Write) -> Result<Finding, Fault> {
+    let idle = Idle::take(folder)?;
+    let found = idle.read()?;
+    let at = |e| Fault::Io(folder.to_owned(), e);
+    if tell(&found, to).map_err(at)? == Finding::Sound {
+        return Ok(Finding::Sound);
+    }
+    let (journal, new) = (folder.join(NAME), folder.join(IN));
+    let mend = || -> io::Result<PathBuf> {
+        old_journal::remove(&new)?;
+        journal::write(&new, &found.live, seed)?;
+        let written = journal::read(&new)?;
+        if written.live != found.live || !written.recovery.damage.is_empty() {
+            return Err(io::Error::other("what was written does not read as it should; nothing was changed"));
+        }
+        let aside = (1..).map(|n| folder.join(format!("{NAME}.damaged-{n}"))).find(|path| !path.exists());
+        let aside = aside.unwrap_or_default();
+        fs::rename(&journal, &aside)?;
+        // A start finds the new one under this name too, if this process ends here.
+        fs::rename(&new, &journal)?;
+        Folder::at(folder).sync_folder()?;
+        Ok(aside)
+    };
+    let aside = mend().map_err(at)?;
+    writeln!(
+        to,
+        "mended: {} messages live; the damaged journal is kept in {}",
+        found.live.len(),
+        aside.display()
+    )
+    .map_err(at)?;
+    Ok(Finding::Mended)
+}
--- a/src/node/old_journal.rs
+++ b/src/node/old_journal.rs
@@ -4,6 +4,7 @@
 use super::journal::{Attempt, Letter, Live, NAME};
 use super::ledger::Fields;
 use super::log::say;
+use crate::store::scan::Damage;
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::fs;
@@ -13,11 +14,11 @@
 
 /// The file on its way out, the folder on its way in, and what that form's rewrites may have left.
 const OUT: &str = "journal.1";
-const IN: &str = "journal.2";
+pub const IN: &str = "journal.2";
 const REWRITE: &str = "journal.next";
 const RECORD_MOST: usize = 128 * 1024;
 
-fn remove(path: &Path) -> io::Result<()> {
+pub fn remove(path: &Path) -> io::Result<()> {
     let gone = match fs::symlink_metadata(path) {
         Ok(found) if found.is_dir() => fs::remove_dir_all(path),
         Ok(_) => fs::remove_file(path),
@@ -41,9 +42,8 @@
         remove(&new)?;
         let bytes = fs::read(&journal)?;
         let (live, sound) = replay(&bytes);
-        let rest = bytes.len() - sound;
-        if rest > 0 {
-            say!("journal: of the form of before {rest} bytes cannot be read, from offset {sound} on");
+        if sound < bytes.len() {
+            say!("journal: {}", unread(&bytes, sound));
         }
         say!("journal: {} messages are carried over from the form of before", live.len());
         write(live, &new)?;
@@ -103,8 +103,14 @@
     Some(())
 }
 
+/// What cannot be read of one that is sound up to there.
+pub fn unread(bytes: &[u8], sound: usize) -> Damage {
+    let what = "the form of before cannot be read from here on";
+    Damage { file: NAME.to_owned(), offset: sound, length: bytes.len() - sound, what, aside: false }
+}
+
 /// Replays what is sound: the live messages, and the length of the sound part.
-fn replay(bytes: &[u8]) -> (BTreeMap<u64, Live>, usize) {
+pub fn replay(bytes: &[u8]) -> (BTreeMap<u64, Live>, usize) {
     let (mut live, mut sound) = (BTreeMap::new(), 0);
     let mut f = Fields(bytes);
     while let (Some(len), Some(sum)) = (f.short(), f.short()) {
--- a/src/node/outcomes.rs
+++ b/src/node/outcomes.rs
@@ -1,10 +1,10 @@
 //! Notices to the platform: what was taken on and is not delivered ends by one. Sent until it is
 //! acknowledged, however long that takes.
 
-use super::courier::News;
 use super::journal::Verdict;
 use super::link::Link;
 use super::log::say;
+use super::news::News;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
--- a/src/node/register.rs
+++ b/src/node/register.rs
@@ -1,10 +1,12 @@
 //! What operators have set: endpoints left out, and whether the courier is out of service. A state, kept in
 //! the folder that lasts. Shared by the operators' thread, which changes it, and the courier, which heeds it.
 
+use crate::store::Durability;
+use crate::store::disk::Folder;
+use crate::store::page;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::fmt;
-use std::fs;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -12,7 +14,6 @@
 use tokio::sync::{OwnedMutexGuard, oneshot};
 
 const NAME: &str = "operators";
-const NEXT: &str = "operators.next";
 /// The file is no longer. It stands beside its successor while it is written: the journal leaves room for both.
 const FILE_MOST: usize = 4 * 1024;
 pub const DISK_MOST: u64 = 4 * FILE_MOST as u64;
@@ -79,14 +80,16 @@
 
 pub struct Register {
     folder: PathBuf,
+    durability: Durability,
     state: Mutex<State>,
     /// One change at a time: each is on record before the next is looked at.
     turn: Arc<tokio::sync::Mutex<()>>,
 }
 
 impl Register {
-    pub fn new(folder: &Path) -> Arc<Self> {
-        Arc::new(Register { folder: folder.to_owned(), state: Mutex::default(), turn: Arc::default() })
+    pub fn new(folder: &Path, durability: Durability) -> Arc<Self> {
+        let folder = folder.to_owned();
+        Arc::new(Register { folder, durability, state: Mutex::default(), turn: Arc::default() })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -96,12 +99,8 @@
     /// Reads what was set before this process. A record that cannot be read must not pass for none: calls
     /// would go to endpoints that are taken apart.
     pub fn load(&self) -> io::Result<()> {
-        let page = match fs::read(self.folder.join(NAME)) {
-            Ok(bytes) => serde_json::from_slice(&bytes)?,
-            Err(e) if e.kind() == io::ErrorKind::NotFound => Page::default(),
-            Err(e) => return Err(e),
-        };
-        self.state().page = page;
+        let page: Option<Page> = page::read(&Folder::at(&self.folder), NAME)?;
+        self.state().page = page.unwrap_or_default();
         Ok(())
     }
 
@@ -179,8 +178,9 @@
                 }
                 page
             };
-            let (folder, kept) = (this.folder.clone(), page.clone());
-            let kept = tokio::task::spawn_blocking(move || record(&folder, &kept)).await;
+            let (folder, kept, durability) = (Folder::at(&this.folder), page.clone(), this.durability);
+            let record = move || page::replace(&folder, durability, (NAME, kept), FILE_MOST);
+            let kept = tokio::task::spawn_blocking(record).await;
             if !matches!(kept, Ok(Ok(()))) {
                 return Err(Unset::Unrecorded);
             }
@@ -196,19 +196,10 @@
     }
 }
 
-fn record(folder: &Path, page: &Page) -> io::Result<()> {
-    let bytes = serde_json::to_vec(page)?;
-    if bytes.len() > FILE_MOST {
-        return Err(io::ErrorKind::StorageFull.into());
-    }
-    let next = folder.join(NEXT);
-    fs::write(&next, bytes)?;
-    fs::rename(next, folder.join(NAME))
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::fs;
 
     fn folder(name: &str) -> PathBuf {
         let path = std::env::temp_dir().join(format!("register-{}-{name}", std::process::id()));
@@ -224,7 +215,7 @@
     #[tokio::test]
     async fn what_is_set_is_a_state_and_outlasts_the_process() {
         let folder = folder("state");
-        let register = Register::new(&folder);
+        let register = Register::new(&folder, Durability::Process);
         assert_eq!(register.clone().set(endpoint(true)).await, Err(Unset::NotServing));
         let mut changed = register.serve();
         assert_eq!(register.clone().set(endpoint(true)).await, Err(Unset::Unknown));
@@ -235,7 +226,7 @@
         assert!(register.is_out("s-1"));
         assert_eq!((changed.try_recv(), changed.try_recv().is_err()), (Ok(endpoint(true)), true));
         // Off the list, and in another process: it is still out, and one call brings it back.
-        let register = Register::new(&folder);
+        let register = Register::new(&folder, Durability::Process);
         register.load().expect("read");
         let _changed = register.serve();
         assert!(register.is_out("s-1") && !register.out_of_service());
@@ -249,7 +240,7 @@
     #[tokio::test]
     async fn what_cannot_be_recorded_does_not_come_into_force() {
         let folder = folder("gone");
-        let register = Register::new(&folder);
+        let register = Register::new(&folder, Durability::Process);
         let _changed = register.serve();
         fs::remove_dir_all(&folder).expect("removed");
         assert_eq!(register.clone().set(Change::Service { out: true }).await, Err(Unset::Unrecorded));
@@ -259,9 +250,19 @@
     #[test]
     fn a_spoilt_record_is_not_taken_for_none() {
         let folder = folder("spoilt");
-        fs::write(folder.join(NAME), b"{\"out\":[\"s-").expect("written");
-        let register = Register::new(&folder);
-        assert!(register.load().is_err());
+        let load = |bytes: &[u8]| {
+            fs::write(folder.join(NAME), bytes).expect("written");
+            let register = Register::new(&folder, Durability::Process);
+            register.load().map(|()| register.is_out("s-1"))
+        };
+        assert!(load(b"{\"out\":[\"s-").is_err());
+        // The form of before has no check; one that says something else than what was written fails its own.
+        assert!(load(br#"{"out":["s-1"],"out_of_service":false}"#).expect("read"));
+        page::replace(&Folder::at(&folder), Durability::Power, (NAME, Page::default()), FILE_MOST)
+            .expect("kept");
+        let kept = fs::read_to_string(folder.join(NAME)).expect("read");
+        assert!(!load(kept.as_bytes()).expect("read"));
+        assert!(load(kept.replace("false", "true").as_bytes()).is_err());
         let _ = fs::remove_dir_all(folder);
     }
 }
--- a/src/store/disk.rs
+++ b/src/store/disk.rs
@@ -19,14 +19,28 @@
     fn write(&self, file: &mut Self::File, bytes: &[u8]) -> io::Result<()>;
     /// Cuts a file that is being written back to so many bytes.
     fn cut(&self, file: &mut Self::File, size: u64) -> io::Result<()>;
+    /// What the file holds outlasts a loss of power from here on. After an error nothing is known of what was
+    /// written since the last success, and asking again tells nothing.
+    fn sync(&self, file: &mut Self::File) -> io::Result<()>;
+    /// The same for a file that another process has written.
+    fn sync_left(&self, name: &str) -> io::Result<()>;
+    /// The same for what was created, renamed and removed.
+    fn sync_folder(&self) -> io::Result<()>;
+    /// Puts a file in another's place.
+    fn rename(&self, from: &str, to: &str) -> io::Result<()>;
     fn remove(&self, name: &str) -> io::Result<()>;
 }
 
 /// A real folder.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Folder(PathBuf);
 
 impl Folder {
+    /// A folder that is there.
+    pub(crate) fn at(path: &Path) -> Self {
+        Folder(path.to_owned())
+    }
+
     /// Makes it if it is not there.
     pub(crate) fn open(path: &Path) -> io::Result<Self> {
         match fs::create_dir(path) {
@@ -71,6 +85,22 @@
         file.set_len(size)
     }
 
+    fn sync(&self, file: &mut File) -> io::Result<()> {
+        file.sync_data()
+    }
+
+    fn sync_left(&self, name: &str) -> io::Result<()> {
+        File::open(self.0.join(name))?.sync_all()
+    }
+
+    fn sync_folder(&self) -> io::Result<()> {
+        File::open(&self.0)?.sync_all()
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.0.join(from), self.0.join(to))
+    }
+
     fn remove(&self, name: &str) -> io::Result<()> {
         fs::remove_file(self.0.join(name))
     }
--- a/src/store/frame.rs
+++ b/src/store/frame.rs
@@ -23,6 +23,8 @@
     pub(crate) first: u64,
     /// The oldest segment that was needed when it was made.
     pub(crate) oldest: u64,
+    /// Its records were synced before anything depended on them, and marks in it tell how far.
+    pub(crate) synced: bool,
 }
 
 fn long(bytes: &[u8], at: usize) -> u64 {
@@ -49,6 +51,7 @@
         for field in [self.number, self.identity, self.first, self.oldest] {
             one.extend_from_slice(&field.to_le_bytes());
         }
+        one.push(u8::from(self.synced));
         one.resize(HEAD - 4, 0);
         one.extend_from_slice(&crc32fast::hash(&one).to_le_bytes());
         one.extend_from_within(..HEAD);
@@ -67,7 +70,7 @@
             newer => return Err(Unread::Format(newer)),
         }
         let [number, identity, first, oldest] = [8, 16, 24, 32].map(|at| long(one, at));
-        Ok(Head { number, identity, first, oldest })
+        Ok(Head { number, identity, first, oldest, synced: one[40] == 1 })
     }
 }
 
@@ -123,6 +126,16 @@
     },
 }
 
+impl Piece<'_> {
+    /// Bytes that it takes in the file.
+    pub(crate) fn size(&self) -> usize {
+        match self {
+            Piece::Record { payload, .. } | Piece::Spoilt { payload, .. } => FRAME + payload.len(),
+            Piece::Unknown { bytes } | Piece::Torn { bytes } => bytes.len(),
+        }
+    }
+}
+
 /// A piece and its offset in the file.
 pub(crate) type Found<'a> = (usize, Piece<'a>);
 
@@ -182,7 +195,7 @@
     use rand::{Rng, SeedableRng, rngs::SmallRng};
 
     fn segment(records: usize) -> (Vec<u8>, Vec<usize>) {
-        let head = Head { number: 3, identity: 77, first: 10, oldest: 2 };
+        let head = Head { number: 3, identity: 77, first: 10, oldest: 2, synced: false };
         let mut bytes = head.bytes();
         let mut ends = Vec::new();
         for n in 0..records {
@@ -207,7 +220,10 @@
     fn what_is_written_is_read() {
         let (bytes, _) = segment(20);
         assert_eq!(sound(&bytes), (10..30).collect::<Vec<_>>());
-        assert_eq!(read(&bytes).expect("read").0, Head { number: 3, identity: 77, first: 10, oldest: 2 });
+        assert_eq!(
+            read(&bytes).expect("read").0,
+            Head { number: 3, identity: 77, first: 10, oldest: 2, synced: false }
+        );
     }
 
     #[test]
@@ -279,10 +295,7 @@
             let mut at = HEADS.min(bytes.len());
             for (offset, piece) in found {
                 assert_eq!(offset, at);
-                at += match piece {
-                    Piece::Record { payload, .. } | Piece::Spoilt { payload, .. } => FRAME + payload.len(),
-                    Piece::Unknown { bytes } | Piece::Torn { bytes } => bytes.len(),
-                };
+                at += piece.size();
             }
             assert_eq!(at, bytes.len());
         }
--- /dev/null
+++ b/src/store/lock.rs
@@ -0,0 +1,43 @@
+//! The lock on a folder that lasts: who holds it is the only one that writes there.
+
+use std::fs::{File, TryLockError};
+use std::io;
+use std::path::Path;
+
+const NAME: &str = "lock";
+
+/// Held until it is dropped, or the process ends, however that ends.
+pub(crate) struct Lock {
+    _file: File,
+}
+
+fn taken(file: File) -> io::Result<Option<Lock>> {
+    match file.try_lock() {
+        Ok(()) => Ok(Some(Lock { _file: file })),
+        Err(TryLockError::WouldBlock) => Ok(None),
+        Err(TryLockError::Error(e)) => Err(e),
+    }
+}
+
+impl Lock {
+    /// None if another process holds it.
+    pub(crate) fn take(folder: &Path) -> io::Result<Option<Self>> {
+        taken(File::options().write(true).create(true).truncate(false).open(folder.join(NAME))?)
+    }
+
+    /// The same without leaving a file where there is none: nobody has ever held it then.
+    pub(crate) fn look(folder: &Path) -> io::Result<Look> {
+        match File::open(folder.join(NAME)) {
+            Ok(file) => Ok(taken(file)?.map_or(Look::InUse, |lock| Look::Free(Some(lock)))),
+            Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(Look::Free(None)),
+            Err(e) => Err(e),
+        }
+    }
+}
+
+/// Whether another process writes to a folder.
+pub(crate) enum Look {
+    InUse,
+    /// Nobody does, while this is kept.
+    Free(Option<Lock>),
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,8 +1,27 @@
-//! What lasts: the one place that writes it. Segments of checked records, on a disk that may fail at any call
-//! and lose or spoil what it held. `docs/recovery.md` tells the form byte by byte.
+//! What lasts: the one place that writes it. Segments of checked records, pages that are replaced whole, and the
+//! lock, on a disk that may fail at any call and lose or spoil what it held. `docs/recovery.md` tells the form
+//! byte by byte.
 
 pub(crate) mod disk;
 pub(crate) mod frame;
+pub(crate) mod lock;
+pub(crate) mod page;
+pub(crate) mod safeguard;
+pub(crate) mod scan;
 pub(crate) mod segments;
 #[cfg(test)]
 pub(crate) mod simulated;
+pub(crate) mod writer;
+
+use serde::Deserialize;
+
+/// What a record outlasts once something depends on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Durability {
+    /// The process, however it ends. Nothing is synced.
+    #[default]
+    Process,
+    /// A loss of power too.
+    Power,
+}
--- /dev/null
+++ b/src/store/page.rs
@@ -0,0 +1,65 @@
+//! A page: a small file that is replaced whole. It carries a checksum of what it says, so that a spoilt one is
+//! told from a valid one that says something else.
+
+use super::Durability;
+use super::disk::Disk;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::io;
+
+#[derive(Serialize, Deserialize)]
+struct Checked<T> {
+    #[serde(flatten)]
+    page: T,
+    /// CRC-32 of the page written without it. None on pages of before.
+    check: Option<u32>,
+}
+
+fn sum(page: &impl Serialize) -> io::Result<u32> {
+    Ok(crc32fast::hash(&serde_json::to_vec(page)?))
+}
+
+/// The page under that name; none if there never was one.
+///
+/// # Errors
+/// One that is spoilt is an error: it must not pass for none.
+pub(crate) fn read<T: Serialize + DeserializeOwned>(disk: &impl Disk, name: &str) -> io::Result<Option<T>> {
+    let bytes = match disk.read(name) {
+        Ok(bytes) => bytes,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(e) => return Err(e),
+    };
+    let Checked { page, check } = serde_json::from_slice::<Checked<T>>(&bytes)?;
+    let sound = check.is_none_or(|check| sum(&page).is_ok_and(|of| of == check));
+    let spoilt = || io::Error::new(io::ErrorKind::InvalidData, format!("{name}: fails its check"));
+    sound.then_some(Some(page)).ok_or_else(spoilt)
+}
+
+/// Puts a page of at most so many bytes in the place of the one before: whoever reads finds either whole, with
+/// `Power` also after a loss of it.
+pub(crate) fn replace<T: Serialize>(
+    disk: &impl Disk,
+    durability: Durability,
+    (name, page): (&str, T),
+    most: usize,
+) -> io::Result<()> {
+    let check = Some(sum(&page)?);
+    let bytes = serde_json::to_vec(&Checked { page, check })?;
+    if bytes.len() > most {
+        return Err(io::ErrorKind::StorageFull.into());
+    }
+    let next = format!("{name}.next");
+    match disk.remove(&next) {
+        Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
+        _ => {}
+    }
+    let mut file = disk.create(&next)?;
+    disk.write(&mut file, &bytes)?;
+    if durability == Durability::Process {
+        return disk.rename(&next, name);
+    }
+    // Before the rename: else the name could be on disk before what it names.
+    disk.sync(&mut file)?;
+    disk.rename(&next, name)?;
+    disk.sync_folder()
+}
--- /dev/null
+++ b/src/store/scan.rs
@@ -0,0 +1,359 @@
+//! Reads a folder of segments, oldest first, after whatever has happened to it. Changes nothing in it.
+
+use super::Durability;
+use super::disk::Disk;
+use super::frame::{self, Found, Head, Label, Piece, Unread};
+use super::safeguard::{Safeguard, holds};
+use std::fmt;
+use std::io;
+use std::ops::Range;
+
+/// A record that tells that the segment with its message's number is needed no more.
+pub(crate) const DROPPED: u8 = 0xF0;
+/// A record that tells that all before it has been synced. It has the sequence number of the record behind it: one
+/// that is lost leaves no gap.
+pub(crate) const SYNCED: u8 = 0xF1;
+
+pub(crate) fn name(number: u64) -> String {
+    format!("{number:016x}")
+}
+
+/// A segment whose first batch is not on disk yet: nothing depends on it. No other ever has the same name, as a
+/// rename may come to the disk without the removal of the one before.
+pub(crate) fn unnamed(number: u64, identity: u64) -> String {
+    format!("{number:016x}-{identity:016x}{UNNAMED}")
+}
+
+pub(crate) fn is_unnamed(name: &str) -> bool {
+    let name = name.strip_suffix(UNNAMED).and_then(|name| name.split_once('-'));
+    name.is_some_and(|(n, identity)| number(n).is_some() && number(identity).is_some())
+}
+
+const UNNAMED: &str = ".new";
+
+fn number(name: &str) -> Option<u64> {
+    (name.len() == 16).then(|| u64::from_str_radix(name, 16).ok()).flatten()
+}
+
+/// What recovery comes upon, in the order in which it was written.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Read<'a> {
+    /// What follows stands in that segment.
+    Segment(u64),
+    Record {
+        label: Label,
+        payload: &'a [u8],
+    },
+    /// A record of which only the label passes its check.
+    Spoilt {
+        label: Label,
+        payload: &'a [u8],
+    },
+    /// Records are missing here; nobody knows whose.
+    Missing,
+}
+
+/// Something that is not as it was written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Damage {
+    pub(crate) file: String,
+    pub(crate) offset: usize,
+    pub(crate) length: usize,
+    pub(crate) what: &'static str,
+    /// The bytes are kept in a file of their own.
+    pub(crate) aside: bool,
+}
+
+impl fmt::Display for Damage {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let Damage { file, offset, length, what, aside } = self;
+        write!(f, "{file} at {offset}, {length} bytes: {what}{}", if *aside { "; kept aside" } else { "" })
+    }
+}
+
+/// A segment that is not written to any more.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Sealed {
+    pub(crate) number: u64,
+    pub(crate) size: u64,
+    /// Sequence numbers of its records, each of which is whole; none where one is known not to be.
+    pub(crate) whole: Option<Range<u64>>,
+}
+
+/// All that a folder holds beside the records.
+pub(crate) struct Scan {
+    pub(crate) names: Vec<String>,
+    /// Oldest first.
+    pub(crate) sealed: Vec<Sealed>,
+    pub(crate) damage: Vec<Damage>,
+    /// The end of the last write, cut short by a loss of power. Nothing had depended on it.
+    pub(crate) cut: Option<Damage>,
+    /// Segments that were dropped and are still there.
+    pub(crate) stale: Vec<u64>,
+    /// Segments that nobody has synced.
+    pub(crate) unsynced: Vec<u64>,
+    /// Records that may not have been synced, from `next - tail.len()` on.
+    pub(crate) tail: Vec<(Label, Vec<u8>)>,
+    /// The number of the next segment, and the sequence number of the next record.
+    pub(crate) number: u64,
+    pub(crate) next: u64,
+    /// Bytes that may still be kept aside.
+    pub(crate) room: u64,
+}
+
+pub(crate) fn unusable(file: &str, why: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, format!("journal/{file}: {why}"))
+}
+
+/// How much of one segment counts.
+struct Extent {
+    /// Sequence numbers from here on stand in a later segment, whatever is left of them here.
+    until: u64,
+    /// Before this one all has been synced: what is missing of it was lost, and what is missing from it on
+    /// was never acknowledged. None where nothing was synced: all was acknowledged once it was written.
+    synced: Option<u64>,
+}
+
+/// What of a segment counts, up to a place where the last write was cut short.
+struct Part<'a> {
+    pieces: &'a [Found<'a>],
+    cut: Option<usize>,
+}
+
+impl Extent {
+    fn of<'a>(&self, head: Head, found: &'a [Found<'a>]) -> Part<'a> {
+        let mut next = head.first;
+        for (n, (at, piece)) in found.iter().enumerate() {
+            let part = |cut| Part { pieces: &found[..n], cut };
+            if next >= self.until {
+                return part(None);
+            }
+            let open = self.synced.is_some_and(|synced| next >= synced);
+            match piece {
+                Piece::Record { label, .. } if open && label.sequence > next => return part(Some(*at)),
+                Piece::Record { label, .. } if label.kind == SYNCED => next = next.max(label.sequence),
+                Piece::Record { label, .. } => next = next.max(label.sequence + 1),
+                _ if open => return part(Some(*at)),
+                Piece::Spoilt { label, .. } => next = next.max(label.sequence + 1),
+                Piece::Unknown { .. } | Piece::Torn { .. } => {}
+            }
+        }
+        Part { pieces: found, cut: None }
+    }
+}
+
+/// The segments of a folder, by what their heads say.
+struct Layout {
+    numbers: Vec<u64>,
+    heads: Vec<Option<Head>>,
+    /// The place of the newest segment in which a record can stand.
+    last: Option<usize>,
+}
+
+impl Layout {
+    fn of(disk: &impl Disk, names: &[String]) -> io::Result<Self> {
+        let mut numbers: Vec<u64> = names.iter().filter_map(|n| number(n)).collect();
+        numbers.sort_unstable();
+        let (mut heads, mut last) = (Vec::new(), None);
+        for (place, n) in numbers.iter().enumerate() {
+            let bytes = disk.read_head(&name(*n), frame::HEADS)?;
+            match frame::head(&bytes) {
+                Err(Unread::Format(format)) => {
+                    let why =
+                        format!("format {format}, this program knows {}; nothing was changed", frame::FORMAT);
+                    return Err(unusable(&name(*n), &why));
+                }
+                head => heads.push(head.ok().filter(|head| head.number == *n)),
+            }
+            // One whose first write was cut short ends no other.
+            if bytes.len() >= frame::HEADS || heads[place].is_some() {
+                last = Some(place);
+            }
+        }
+        Ok(Layout { numbers, heads, last })
+    }
+
+    fn extent(&self, place: usize, head: Head, found: &[Found]) -> Extent {
+        let later = self.heads[place + 1..].iter().flatten().map(|h| h.first);
+        let marks = found.iter().filter_map(|(_, piece)| match piece {
+            Piece::Record { label, .. } if label.kind == SYNCED => Some(label.sequence),
+            _ => None,
+        });
+        let synced = || marks.max().unwrap_or(0).max(head.first);
+        let open = head.synced && self.last == Some(place) && holds(Safeguard::CutShort);
+        let until = later.min().filter(|_| holds(Safeguard::WrittenAnew));
+        Extent { until: until.unwrap_or(u64::MAX), synced: open.then(synced) }
+    }
+
+    /// The oldest segment that is still needed, as the newest that can be read tells it.
+    fn needed(&self, disk: &impl Disk) -> io::Result<Option<u64>> {
+        for (place, n) in self.numbers.iter().enumerate().rev() {
+            let Some(head) = self.heads[place] else { continue };
+            let bytes = disk.read(&name(*n))?;
+            let Ok((_, found)) = frame::read(&bytes) else { continue };
+            let part = self.extent(place, head, &found).of(head, &found);
+            let pieces = if holds(Safeguard::DroppedWhole) { part.pieces } else { &found };
+            let dropped = pieces.iter().filter_map(|(_, piece)| match piece {
+                Piece::Record { label, .. } if label.kind == DROPPED => Some(label.message + 1),
+                _ => None,
+            });
+            return Ok(dropped.chain([head.oldest]).max());
+        }
+        Ok(None)
+    }
+}
+
+struct Reader<F> {
+    scan: Scan,
+    /// The sequence number of the next record, once one is known.
+    next: Option<u64>,
+    read: F,
+}
+
+impl<F: FnMut(Read)> Reader<F> {
+    fn damaged(&mut self, n: u64, offset: usize, length: usize, what: &'static str) {
+        self.scan.damage.push(Damage { file: name(n), offset, length, what, aside: false });
+    }
+
+    /// One segment whose head can be read.
+    fn segment(&mut self, n: u64, head: Head, found: &[Found], extent: &Extent, last: bool) {
+        let part = extent.of(head, found);
+        let damages = self.scan.damage.len();
+        // The end of the segment before is lost, if this one begins later than that one ended.
+        if self.next.is_some_and(|next| head.first > next) {
+            (self.read)(Read::Missing);
+        }
+        let mut next = self.next.map_or(head.first, |next| next.max(head.first));
+        for (place, (at, piece)) in part.pieces.iter().enumerate() {
+            match *piece {
+                Piece::Record { label, payload } | Piece::Spoilt { label, payload } => {
+                    // Written once more after a disk that had failed, though it was there.
+                    if label.sequence < next {
+                        continue;
+                    }
+                    if label.sequence > next {
+                        (self.read)(Read::Missing);
+                    }
+                    next = label.sequence;
+                    if label.kind == SYNCED {
+                        continue;
+                    }
+                    next += 1;
+                    let sound = matches!(piece, Piece::Record { .. });
+                    if !sound {
+                        self.damaged(n, *at, payload.len(), "a record fails its check");
+                    }
+                    if label.kind != DROPPED {
+                        (self.read)(if sound {
+                            Read::Record { label, payload }
+                        } else {
+                            Read::Spoilt { label, payload }
+                        });
+                    }
+                    if sound && extent.synced.is_some_and(|synced| label.sequence >= synced) {
+                        self.scan.tail.push((label, payload.to_vec()));
+                    }
+                }
+                Piece::Unknown { bytes } => {
+                    self.damaged(n, *at, bytes.len(), "no record");
+                    // Behind it a sequence number tells what is missing; at the very end nothing does.
+                    if last && place + 1 == found.len() {
+                        (self.read)(Read::Missing);
+                    }
+                }
+                Piece::Torn { .. } => {}
+            }
+        }
+        if let Some(offset) = part.cut {
+            let end = found.last().map_or(offset, |(at, piece)| at + piece.size());
+            let torn = matches!(found.last(), Some((at, Piece::Torn { .. })) if *at == offset);
+            let what = "the last write was cut short; nothing had depended on it";
+            self.scan.cut =
+                (!torn).then(|| Damage { file: name(n), offset, length: end - offset, what, aside: false });
+        }
+        self.next = Some(next);
+        let sealed = &mut self.scan.sealed;
+        if let Some(sealed) = sealed.last_mut().filter(|_| self.scan.damage.len() == damages) {
+            sealed.whole = Some(head.first..next);
+        }
+    }
+}
+
+/// Reads all that is there, oldest first, and tells what was damaged.
+pub(crate) fn scan(disk: &impl Disk, read: impl FnMut(Read)) -> io::Result<Scan> {
+    let names = disk.list()?;
+    // A format that is not known is an error before anything else is done.
+    let layout = Layout::of(disk, &names)?;
+    let needed = layout.needed(disk)?;
+    let number = layout.numbers.last().map_or(1, |n| n + 1);
+    let scan = Scan {
+        names,
+        sealed: Vec::new(),
+        damage: Vec::new(),
+        cut: None,
+        stale: Vec::new(),
+        unsynced: Vec::new(),
+        tail: Vec::new(),
+        number,
+        next: 1,
+        room: 0,
+    };
+    let mut reader = Reader { scan, next: None, read };
+    let mut expected = needed.filter(|_| !layout.numbers.is_empty());
+    for (place, n) in layout.numbers.iter().copied().enumerate() {
+        if needed.is_some_and(|needed| n < needed) {
+            reader.scan.stale.push(n);
+            continue;
+        }
+        for vanished in expected.map_or(n, |e| e.min(n))..n {
+            reader.damaged(vanished, 0, 0, "the segment has vanished");
+            (reader.read)(Read::Missing);
+        }
+        expected = Some(n + 1);
+        let bytes = disk.read(&name(n))?;
+        reader.scan.sealed.push(Sealed { number: n, size: bytes.len() as u64, whole: None });
+        (reader.read)(Read::Segment(n));
+        match (layout.heads[place], frame::read(&bytes)) {
+            (Some(head), Ok((_, found))) => {
+                let extent = layout.extent(place, head, &found);
+                reader.segment(n, head, &found, &extent, layout.last == Some(place));
+                if !head.synced {
+                    reader.scan.unsynced.push(n);
+                }
+            }
+            (None, Ok(_)) => {
+                // A copy of another: what it holds stands there too.
+                reader.damaged(n, 0, bytes.len(), "a segment under another's number");
+                (reader.read)(Read::Missing);
+            }
+            // Made, and its first write was cut short. If it held more, the sequence numbers tell.
+            (_, Err(_)) if bytes.len() < frame::HEADS => {}
+            (_, Err(_)) => {
+                reader.damaged(n, 0, bytes.len(), "no head of the segment is sound");
+                (reader.read)(Read::Missing);
+            }
+        }
+    }
+    let Reader { mut scan, next, .. } = reader;
+    scan.next = next.unwrap_or(1);
+    Ok(scan)
+}
+
+/// Whether a sealed segment still holds all that it held.
+pub(crate) fn is_whole(bytes: &[u8], number: u64, whole: &Range<u64>) -> bool {
+    let Ok((head, found)) = frame::read(bytes) else { return false };
+    let mut next = whole.start;
+    for (_, piece) in found {
+        match piece {
+            Piece::Record { label, .. } if label.kind != SYNCED && label.sequence == next => next += 1,
+            _ => {}
+        }
+    }
+    head.number == number && next >= whole.end
+}
+
+impl Durability {
+    pub(crate) fn syncs(self) -> bool {
+        self == Durability::Power
+    }
+}
--- a/src/store/segments.rs
+++ b/src/store/segments.rs
@@ -1,65 +1,52 @@
-//! Numbered segments of records in one folder: written at the end of the newest, dropped oldest first, and read
-//! again whole after whatever has happened to them.
+//! Numbered segments of records in one folder: written at the end of the newest, dropped oldest first.
 
+use super::Durability;
 use super::disk::Disk;
-use super::frame::{self, Head, Label, Piece, Unread};
+use super::frame::{self, Head, Label};
+use super::safeguard::{Safeguard, holds};
+use super::scan::{self, DROPPED, Damage, Read, SYNCED, Scan, Sealed, name, unnamed, unusable};
 use std::collections::VecDeque;
-use std::fmt;
 use std::io;
 
-/// A record that tells that the segment with its message's number is needed no more.
-pub(crate) const DROPPED: u8 = 0xF0;
+/// Pieces of damaged files are kept under this name, with the file's and the offset.
 const ASIDE: &str = "aside-";
+/// Room that is kept for the next batch.
+const SPACE_KEPT: usize = 256 * 1024;
 
-fn name(number: u64) -> String {
-    format!("{number:016x}")
+/// Records on their way to a file: labels with the ends of their payloads.
+#[derive(Default)]
+pub(crate) struct Batch {
+    records: Vec<(u8, u64, usize)>,
+    payloads: Vec<u8>,
+    /// The oldest segment is dropped with it: all of it that lives is in the batch.
+    drops: bool,
 }
 
-fn number(name: &str) -> Option<u64> {
-    (name.len() == 16).then(|| u64::from_str_radix(name, 16).ok()).flatten()
-}
+impl Batch {
+    pub(crate) fn append(&mut self, kind: u8, message: u64, payload: &[u8]) {
+        self.payloads.extend_from_slice(payload);
+        self.records.push((kind, message, self.payloads.len()));
+    }
 
-/// What recovery comes upon, in the order in which it was written.
-#[derive(Debug, PartialEq, Eq)]
-pub(crate) enum Read<'a> {
-    /// What follows stands in that segment.
-    Segment(u64),
-    Record {
-        label: Label,
-        payload: &'a [u8],
-    },
-    /// A record of which only the label passes its check.
-    Spoilt {
-        label: Label,
-        payload: &'a [u8],
-    },
-    /// Records are missing here; nobody knows whose.
-    Missing,
-}
+    pub(crate) fn drop_oldest(&mut self) {
+        self.drops = true;
+    }
 
-/// Something that is not as it was written.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Damage {
-    pub(crate) file: String,
-    pub(crate) offset: usize,
-    pub(crate) length: usize,
-    pub(crate) what: &'static str,
-    /// The bytes are kept in a file of their own.
-    pub(crate) aside: bool,
-}
+    pub(crate) fn is_empty(&self) -> bool {
+        self.records.is_empty() && !self.drops
+    }
 
-impl fmt::Display for Damage {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let Damage { file, offset, length, what, aside } = self;
-        let kept = if *aside { "kept aside" } else { "not kept: no room" };
-        write!(f, "{file} at {offset}, {length} bytes: {what}; {kept}")
+    /// Bytes that it will take.
+    pub(crate) fn size(&self) -> u64 {
+        (self.payloads.len() + self.records.len() * frame::FRAME) as u64
     }
-}
 
-/// A segment that is there.
-struct Kept {
-    number: u64,
-    size: u64,
+    fn clear(&mut self) {
+        self.records.clear();
+        self.payloads.clear();
+        self.payloads.shrink_to(SPACE_KEPT);
+        self.drops = false;
+    }
 }
 
 struct Open<F> {
@@ -67,27 +54,28 @@
     identity: u64,
     file: F,
     size: u64,
+    /// The sequence number of its first record.
+    first: u64,
 }
 
-pub(crate) struct Segments<D: Disk> {
-    disk: D,
-    /// Sealed ones, oldest first.
-    sealed: VecDeque<Kept>,
-    open: Option<Open<D::File>>,
-    /// The number of the open one, or of the next.
-    number: u64,
-    /// Of the next record that is written.
-    sequence: u64,
-    /// At this size a segment is sealed.
-    size: u64,
-    identities: u64,
-    /// Records not yet in a file: labels with the ends of their payloads.
-    pending: Vec<(u8, u64, usize)>,
-    payloads: Vec<u8>,
-    space: Vec<u8>,
+/// How things stand after a commit, whether it succeeded or not.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Status {
+    /// Where the last batch that was committed stands.
+    pub(crate) segment: u64,
+    /// Bytes in all segments, and of records that a failed commit has left.
+    pub(crate) total: u64,
+    pub(crate) waiting: u64,
+    /// The oldest segment that is not written to any more.
+    pub(crate) oldest: Option<u64>,
+    /// Segments that were sealed by it.
+    pub(crate) sealed: Vec<Sealed>,
+    /// Syncs that it took.
+    pub(crate) syncs: u32,
 }
 
-/// How a folder is read.
+/// How a folder is opened.
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Plan {
     /// At this size a segment is sealed.
     pub(crate) size: u64,
@@ -95,10 +83,29 @@
     pub(crate) seed: u64,
     /// Bytes that may be kept aside.
     pub(crate) aside: u64,
+    pub(crate) durability: Durability,
+    /// Damage is an error, and nothing is changed.
+    pub(crate) refuse_damage: bool,
 }
 
-fn unusable(file: &str, why: String) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, format!("journal/{file}: {why}"))
+pub(crate) struct Segments<D: Disk> {
+    disk: D,
+    plan: Plan,
+    /// Oldest first.
+    sealed: VecDeque<Sealed>,
+    open: Option<Open<D::File>>,
+    /// The number of the open one, or of the next.
+    number: u64,
+    /// Of the next record that is written.
+    sequence: u64,
+    /// Not yet in a file, or not known to be.
+    pending: Batch,
+    /// Dropped at the start: they go once what is left of them is on disk elsewhere.
+    stale: Vec<u64>,
+    status: Status,
+    /// Segments that this process has made.
+    made: u64,
+    space: Vec<u8>,
 }
 
 /// Scrambles a number: identities of segments have nothing in common. (SplitMix64's finish.)
@@ -109,272 +116,252 @@
 }
 
 impl<D: Disk> Segments<D> {
-    /// Reads all that is there, oldest first, and tells what was damaged. Changes no segment; those that were
-    /// dropped and not yet removed go now. Writing begins in a new one.
-    pub(crate) fn open(disk: D, plan: &Plan, mut read: impl FnMut(Read)) -> io::Result<(Self, Vec<Damage>)> {
-        let names = disk.list()?;
-        let mut numbers: Vec<u64> = names.iter().filter_map(|n| number(n)).collect();
-        numbers.sort_unstable();
-        // A format that is not known is left untouched, before anything else is done.
-        for n in &numbers {
-            if let Err(Unread::Format(format)) = frame::head(&disk.read_head(&name(*n), frame::HEADS)?) {
-                let why =
-                    format!("format {format}, this program knows {}; nothing was changed", frame::FORMAT);
-                return Err(unusable(&name(*n), why));
-            }
+    /// Reads all that is there, and keeps what is damaged aside. Writing begins in a new segment, with what
+    /// was read and may not have been synced.
+    pub(crate) fn open(disk: D, plan: Plan, read: impl FnMut(Read)) -> io::Result<(Self, Scan)> {
+        let mut scan = scan::scan(&disk, read)?;
+        if let Some(first) = scan.damage.first().filter(|_| plan.refuse_damage) {
+            let why = format!("{} damaged places, first {first}; nothing was changed", scan.damage.len());
+            return Err(unusable("", &why));
         }
-        let needed = Self::needed(&disk, &numbers)?;
-        let mut aside = Aside { disk: &disk, names: &names, left: plan.aside };
-        let (mut damage, mut sealed, mut next) = (Vec::new(), VecDeque::new(), None);
-        let mut expected = needed.filter(|_| !numbers.is_empty());
-        for n in numbers.iter().copied() {
-            let file = name(n);
-            if needed.is_some_and(|needed| n < needed) {
-                disk.remove(&file)?;
-                continue;
-            }
-            for vanished in expected.map_or(n, |e| e.min(n))..n {
-                let (file, what) = (name(vanished), "the segment has vanished");
-                damage.push(Damage { file, offset: 0, length: 0, what, aside: false });
-                read(Read::Missing);
-            }
-            expected = Some(n + 1);
-            let bytes = disk.read(&file)?;
-            sealed.push_back(Kept { number: n, size: bytes.len() as u64 });
-            read(Read::Segment(n));
-            match frame::read(&bytes) {
-                Ok((head, _)) if head.number != n => {
-                    // A copy of another: what it holds stands there too.
-                    damage.push(aside.keep(&file, 0, &bytes, "a segment under another's number"));
-                    read(Read::Missing);
-                }
-                Ok((head, found)) => {
-                    let last = numbers.last() == Some(&n);
-                    Self::replay(head, &found, &mut next, last, &mut read, |at, bytes, what| {
-                        damage.push(aside.keep(&file, at, bytes, what));
-                    });
-                }
-                // Made, and its first write was cut short. If it held more, the sequence numbers tell.
-                Err(_) if bytes.len() < frame::HEADS => {}
-                Err(_) => {
-                    damage.push(aside.keep(&file, 0, &bytes, "no head of the segment is sound"));
-                    read(Read::Missing);
-                }
+        for n in scan.names.iter().filter(|n| scan::is_unnamed(n)) {
+            disk.remove(n)?;
+        }
+        if plan.durability.syncs() {
+            for n in &scan.unsynced {
+                disk.sync_left(&name(*n))?;
             }
+            disk.sync_folder()?;
+        }
+        scan.room = plan.aside;
+        for damage in scan.damage.iter_mut().chain(&mut scan.cut) {
+            keep_aside(&disk, &scan.names, &mut scan.room, damage);
         }
-        let number = numbers.last().map_or(1, |n| n + 1);
-        let segments = Segments {
+        let mut pending = Batch::default();
+        for (label, payload) in scan.tail.iter().filter(|_| holds(Safeguard::TailAnew)) {
+            pending.append(label.kind, label.message, payload);
+        }
+        let mut segments = Segments {
             disk,
-            sealed,
+            plan,
+            sealed: scan.sealed.iter().cloned().collect(),
             open: None,
-            number,
-            sequence: next.unwrap_or(1),
-            size: plan.size,
-            identities: plan.seed,
-            pending: Vec::new(),
-            payloads: Vec::new(),
+            number: scan.number,
+            sequence: scan.next - pending.records.len() as u64,
+            pending,
+            stale: std::mem::take(&mut scan.stale),
+            status: Status::default(),
+            made: 0,
             space: Vec::new(),
         };
-        Ok((segments, damage))
-    }
-
-    /// The oldest segment that is still needed, as the newest that can be read tells it.
-    fn needed(disk: &D, numbers: &[u64]) -> io::Result<Option<u64>> {
-        for n in numbers.iter().rev() {
-            let bytes = disk.read(&name(*n))?;
-            let Ok((head, found)) = frame::read(&bytes) else { continue };
-            if head.number != *n {
-                continue;
-            }
-            let dropped = found.iter().filter_map(|(_, piece)| match piece {
-                Piece::Record { label, .. } if label.kind == DROPPED => Some(label.message + 1),
-                _ => None,
-            });
-            return Ok(dropped.chain([head.oldest]).max());
-        }
-        Ok(None)
+        segments.tell();
+        Ok((segments, scan))
     }
 
-    /// One segment: its records to `read`, what is spoilt to `damaged`.
-    fn replay(
-        head: Head,
-        found: &[frame::Found],
-        next: &mut Option<u64>,
-        last: bool,
-        read: &mut impl FnMut(Read),
-        mut damaged: impl FnMut(usize, &[u8], &'static str),
-    ) {
-        // The end of the segment before is lost, if this one begins later than that one ended.
-        if next.is_some_and(|n| head.first > n) {
-            read(Read::Missing);
-        }
-        *next = Some(next.map_or(head.first, |n| n.max(head.first)));
-        for (n, (at, piece)) in found.iter().enumerate() {
-            match *piece {
-                Piece::Record { label, payload } | Piece::Spoilt { label, payload } => {
-                    let expected = next.unwrap_or(label.sequence);
-                    // Written once more after a disk that had failed, though it was there.
-                    if label.sequence < expected {
-                        continue;
-                    }
-                    if label.sequence > expected {
-                        read(Read::Missing);
-                    }
-                    *next = Some(label.sequence + 1);
-                    if let Piece::Record { .. } = piece {
-                        if label.kind != DROPPED {
-                            read(Read::Record { label, payload });
-                        }
-                    } else {
-                        damaged(*at, payload, "a record fails its check");
-                        if label.kind != DROPPED {
-                            read(Read::Spoilt { label, payload });
-                        }
-                    }
-                }
-                Piece::Unknown { bytes } => {
-                    damaged(*at, bytes, "no record");
-                    // Behind it a sequence number tells what is missing; at the very end nothing does.
-                    if last && n + 1 == found.len() {
-                        read(Read::Missing);
-                    }
-                }
-                Piece::Torn { .. } => {}
-            }
-        }
+    pub(crate) fn status(&self) -> Status {
+        self.status.clone()
     }
 
-    /// The number of the segment to which the next record goes.
-    pub(crate) fn number(&self) -> u64 {
-        self.number
+    fn tell(&mut self) {
+        let open = self.open.as_ref().map_or(0, |o| o.size);
+        self.status.total = self.sealed.iter().map(|k| k.size).sum::<u64>() + open;
+        self.status.waiting = self.pending.size();
+        self.status.oldest = self.sealed.front().map(|k| k.number);
     }
 
-    /// Bytes in all segments.
-    pub(crate) fn total(&self) -> u64 {
-        self.sealed.iter().map(|k| k.size).sum::<u64>() + self.open.as_ref().map_or(0, |o| o.size)
+    /// Brings the batch to disk, behind what an earlier commit has failed to. After an error all of it still
+    /// waits here, and goes first the next time. The batch is left empty.
+    pub(crate) fn commit(&mut self, batch: &mut Batch) -> (io::Result<()>, Status) {
+        self.status.sealed.clear();
+        self.status.syncs = 0;
+        if self.pending.is_empty() {
+            std::mem::swap(&mut self.pending, batch);
+        } else {
+            let from = self.pending.payloads.len();
+            self.pending.payloads.append(&mut batch.payloads);
+            self.pending.records.extend(batch.records.drain(..).map(|(kind, m, end)| (kind, m, from + end)));
+            self.pending.drops |= batch.drops;
+        }
+        batch.clear();
+        let result = self.flush();
+        self.tell();
+        (result, self.status.clone())
     }
 
-    /// Bytes that wait to be written.
-    pub(crate) fn waiting(&self) -> u64 {
-        (self.payloads.len() + self.pending.len() * frame::FRAME) as u64
+    fn flush(&mut self) -> io::Result<()> {
+        if !holds(Safeguard::DroppedLast)
+            && let Some(oldest) = self.sealed.front().filter(|_| self.pending.drops)
+        {
+            let _ = self.disk.remove(&name(oldest.number));
+        }
+        if !self.pending.is_empty() {
+            if self.pending.drops
+                && let Some(oldest) = self.sealed.front()
+                && !self.pending.records.iter().any(|(kind, m, _)| (*kind, *m) == (DROPPED, oldest.number))
+            {
+                let number = oldest.number;
+                self.pending.append(DROPPED, number, &[]);
+            }
+            let mut space = std::mem::take(&mut self.space);
+            space.clear();
+            let written = self.write(&mut space);
+            // What one large batch took is not kept for all time.
+            space.shrink_to(SPACE_KEPT);
+            self.space = space;
+            written?;
+            self.sequence += self.pending.records.len() as u64;
+            let drops = self.pending.drops;
+            self.pending.clear();
+            self.mark();
+            if self.open.as_ref().is_some_and(|o| o.size >= self.plan.size) {
+                self.seal();
+            }
+            if drops && let Some(oldest) = self.sealed.pop_front() {
+                self.stale.push(oldest.number);
+            }
+        }
+        // They are needed no more: that one could not be removed is no failure of the records.
+        let disk = &self.disk;
+        let gone = |n: &u64| disk.remove(&name(*n)).is_err_and(|e| e.kind() != io::ErrorKind::NotFound);
+        self.stale.retain(gone);
+        Ok(())
     }
 
-    /// The oldest segment that is not written to any more.
-    pub(crate) fn oldest(&self) -> Option<u64> {
-        self.sealed.front().map(|k| k.number)
+    /// A new segment; its head is the beginning of what is written next.
+    fn create(&mut self, space: &mut Vec<u8>) -> io::Result<Open<D::File>> {
+        self.made += 1;
+        let identity = scramble(self.plan.seed ^ scramble(self.number ^ (self.made << 40)));
+        let identity = if holds(Safeguard::Identity) { identity } else { 0 };
+        let oldest = self.sealed.front().map_or(self.number, |k| k.number);
+        let synced = self.plan.durability.syncs();
+        let head = Head { number: self.number, identity, first: self.sequence, oldest, synced };
+        space.extend_from_slice(&head.bytes());
+        let made = self.disk.create(&if self.names_later() {
+            unnamed(self.number, identity)
+        } else {
+            name(self.number)
+        });
+        if let Err(e) = &made {
+            // Whatever stands there, it is not this process's.
+            self.number += u64::from(e.kind() == io::ErrorKind::AlreadyExists);
+        }
+        Ok(Open { number: self.number, identity, file: made?, size: 0, first: self.sequence })
     }
 
-    /// Adds a record; it is on disk after the next flush that succeeds.
-    pub(crate) fn append(&mut self, kind: u8, message: u64, payload: &[u8]) {
-        self.payloads.extend_from_slice(payload);
-        self.pending.push((kind, message, self.payloads.len()));
+    /// Where records are synced, a segment gets its name once its first batch is on disk: that takes the place
+    /// of what an earlier segment may hold of it, and must not do so before it is there.
+    fn names_later(&self) -> bool {
+        self.plan.durability.syncs() && holds(Safeguard::NamedWhole)
     }
 
-    /// Writes what waits. After an error it still waits, and goes first the next time.
-    pub(crate) fn flush(&mut self) -> io::Result<()> {
-        if self.pending.is_empty() {
-            return Ok(());
-        }
-        let mut space = std::mem::take(&mut self.space);
-        space.clear();
-        let written = self.write(&mut space);
-        // What one large batch took is not kept for all time.
-        space.shrink_to(SPACE_KEPT);
-        self.space = space;
-        written?;
-        self.sequence += self.pending.len() as u64;
-        self.pending.clear();
-        self.payloads.clear();
-        self.payloads.shrink_to(SPACE_KEPT);
-        if self.open.as_ref().is_some_and(|o| o.size >= self.size) {
-            self.seal();
+    /// Nothing more is written to a segment of which nobody knows what it holds. One that holds nothing else
+    /// goes, and another takes its number.
+    fn forsake(&mut self, open: Open<D::File>, size: u64) {
+        let gone = |name: String| self.disk.remove(&name).is_ok();
+        if open.size == 0 && (gone(unnamed(open.number, open.identity)) || gone(name(open.number))) {
+            return;
         }
-        Ok(())
+        self.number = open.number + 1;
+        self.close(Sealed { number: open.number, size, whole: None });
     }
 
     fn write(&mut self, space: &mut Vec<u8>) -> io::Result<()> {
         let mut open = match self.open.take() {
             Some(open) => open,
-            None => {
-                let identity = scramble(self.identities ^ scramble(self.number));
-                let oldest = self.oldest().unwrap_or(self.number);
-                let head = Head { number: self.number, identity, first: self.sequence, oldest };
-                space.extend_from_slice(&head.bytes());
-                let file = match self.disk.create(&name(self.number)) {
-                    Ok(file) => file,
-                    Err(e) => {
-                        // Whatever stands there, it is not this process's.
-                        self.number += u64::from(e.kind() == io::ErrorKind::AlreadyExists);
-                        return Err(e);
-                    }
-                };
-                Open { number: self.number, identity, file, size: 0 }
-            }
+            None => self.create(space)?,
         };
         let mut from = 0;
-        for (n, (kind, message, end)) in self.pending.iter().enumerate() {
+        for (n, (kind, message, end)) in self.pending.records.iter().enumerate() {
             let label = Label { kind: *kind, sequence: self.sequence + n as u64, message: *message };
-            frame::put(space, open.identity, label, &self.payloads[from..*end]);
+            frame::put(space, open.identity, label, &self.pending.payloads[from..*end]);
             from = *end;
         }
-        let result = self.disk.write(&mut open.file, space);
-        if result.is_ok() {
+        let size = open.size + space.len() as u64;
+        if let Err(e) = self.disk.write(&mut open.file, space) {
+            if open.size > 0 && self.disk.cut(&mut open.file, open.size).is_ok() {
+                self.open = Some(open);
+            } else {
+                // Part of it may stand there: the records are written anew in the next one.
+                self.forsake(open, size);
+            }
+            return Err(e);
+        }
+        if self.plan.durability.syncs()
+            && let Err(e) = self.bring(&mut open)
+        {
+            // A sync that failed may succeed the next time though nothing came to the disk.
+            if holds(Safeguard::FreshAfterFailedSync) {
+                self.forsake(open, size);
+            } else {
+                self.open = Some(Open { size, ..open });
+            }
+            return Err(e);
+        }
+        self.status.segment = open.number;
+        self.open = Some(Open { size, ..open });
+        Ok(())
+    }
+
+    /// Brings what was written to disk, and with the first of it the segment's name.
+    fn bring(&mut self, open: &mut Open<D::File>) -> io::Result<()> {
+        self.status.syncs += 1;
+        self.disk.sync(&mut open.file)?;
+        if open.size == 0 {
+            if self.names_later() {
+                self.disk.rename(&unnamed(open.number, open.identity), &name(open.number))?;
+            }
+            self.status.syncs += 1;
+            self.disk.sync_folder()?;
+        }
+        Ok(())
+    }
+
+    /// Tells how far all has been synced. Not synced itself: it goes with what is synced next, and where it
+    /// is lost the last write only counts as one that may have been cut short.
+    fn mark(&mut self) {
+        let Some(mut open) = self.open.take_if(|_| self.plan.durability.syncs()) else { return };
+        let label = Label { kind: SYNCED, sequence: self.sequence, message: 0 };
+        let mut space = std::mem::take(&mut self.space);
+        space.clear();
+        frame::put(&mut space, open.identity, label, &[]);
+        if self.disk.write(&mut open.file, &space).is_ok() {
             open.size += space.len() as u64;
             self.open = Some(open);
-        } else if open.size > 0 && self.disk.cut(&mut open.file, open.size).is_ok() {
-            self.open = Some(open);
         } else {
-            // Part of it may stand there: the records are written anew in the next one.
-            let size = open.size + space.len() as u64;
-            self.sealed.push_back(Kept { number: open.number, size });
+            let whole = Some(open.first..self.sequence);
             self.number = open.number + 1;
+            self.close(Sealed { number: open.number, size: open.size + space.len() as u64, whole });
         }
-        result
+        self.space = space;
+    }
+
+    fn close(&mut self, sealed: Sealed) {
+        self.status.sealed.push(sealed.clone());
+        self.sealed.push_back(sealed);
     }
 
     fn seal(&mut self) {
         if let Some(open) = self.open.take() {
-            self.sealed.push_back(Kept { number: open.number, size: open.size });
+            let whole = Some(open.first..self.sequence);
             self.number = open.number + 1;
+            self.close(Sealed { number: open.number, size: open.size, whole });
         }
     }
-
-    /// Drops the oldest segment; all of it that lives has been appended anew.
-    pub(crate) fn drop_oldest(&mut self) -> io::Result<()> {
-        let Some(oldest) = self.oldest() else { return Ok(()) };
-        self.append(DROPPED, oldest, &[]);
-        self.flush()?;
-        self.sealed.pop_front();
-        match self.disk.remove(&name(oldest)) {
-            Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
-            _ => Ok(()),
-        }
-    }
-}
-
-/// Room that is kept for the next batch.
-const SPACE_KEPT: usize = 256 * 1024;
-
-/// Keeps what is damaged.
-struct Aside<'a, D: Disk> {
-    disk: &'a D,
-    names: &'a [String],
-    left: u64,
 }
 
-impl<D: Disk> Aside<'_, D> {
-    fn keep(&mut self, file: &str, offset: usize, bytes: &[u8], what: &'static str) -> Damage {
-        let to = format!("{ASIDE}{file}-{offset}");
-        let size = bytes.len().next_multiple_of(512) as u64;
-        // Found at an earlier start already, it stands there.
-        let mut aside = self.names.contains(&to);
-        if size <= self.left {
-            self.left -= size;
-            if !aside {
-                let kept = self.disk.create(&to).and_then(|mut f| self.disk.write(&mut f, bytes));
-                aside = kept.is_ok();
-            }
-        }
-        Damage { file: file.to_owned(), offset, length: bytes.len(), what, aside }
+/// Keeps a copy of what is damaged, while there is room.
+pub(crate) fn keep_aside(disk: &impl Disk, names: &[String], left: &mut u64, damage: &mut Damage) {
+    let Damage { file, offset, length, .. } = damage;
+    let to = format!("{ASIDE}{file}-{offset}");
+    let size = length.next_multiple_of(512) as u64;
+    if *length == 0 || size > *left {
+        return;
     }
+    *left -= size;
+    // Found at an earlier start already, it stands there.
+    damage.aside = names.contains(&to)
+        || disk.read(file).is_ok_and(|bytes| {
+            let piece = bytes.get(*offset..*offset + *length);
+            piece.is_some_and(|p| disk.create(&to).and_then(|mut f| disk.write(&mut f, p)).is_ok())
+        });
 }
--- a/src/store/simulated.rs
+++ b/src/store/simulated.rs
@@ -1,11 +1,21 @@
-//! A disk in memory that fails, or loses its process, at a call of one's choice.
+//! A disk in memory that fails, or loses its process or its power, at a call of one's choice. What was not synced
+//! is kept apart: after a loss of power any part of it may be there.
 
 use super::disk::Disk;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::rc::Rc;
 
+/// A disk writes so many bytes whole, or, where it is torn, their beginning.
+const SECTOR: usize = 512;
+/// Up to so many things that were not synced, each subset of them is played; beyond it so many are drawn.
+const ALL_OF: usize = 5;
+const DRAWN: usize = 24;
+
 /// What is done at a call, counted from 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -15,6 +25,10 @@
         call: usize,
         after: usize,
     },
+    /// That call of those that read fails.
+    FailsRead {
+        call: usize,
+    },
     /// The process ends within that call, after so many bytes of it.
     Ends {
         call: usize,
@@ -22,30 +36,211 @@
     },
 }
 
-#[derive(Default)]
+/// Calls that do nothing, though they say that they did.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Lies {
+    pub(crate) sync: bool,
+    pub(crate) sync_folder: bool,
+}
+
+/// A file, whatever its name.
+#[derive(Clone, Debug, Default)]
+struct Inode {
+    /// As it reads.
+    data: Vec<u8>,
+    /// As it is on disk.
+    synced: Vec<u8>,
+    /// Sectors that a sync would bring to disk, and those that a failed one has given up: nothing does.
+    dirty: BTreeSet<usize>,
+    given_up: BTreeSet<usize>,
+}
+
+impl Inode {
+    fn touched(&self) -> impl Iterator<Item = usize> {
+        self.dirty.union(&self.given_up).copied()
+    }
+
+    fn touch(&mut self, from: usize, to: usize) {
+        self.dirty.extend(from / SECTOR..to.div_ceil(SECTOR));
+    }
+
+    fn bring(&mut self, sector: usize, bytes: usize) {
+        let from = sector * SECTOR;
+        let to = (from + bytes).min(self.data.len());
+        if to > from {
+            self.synced.resize(self.synced.len().max(to), 0);
+            self.synced[from..to].copy_from_slice(&self.data[from..to]);
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Name {
+    Is(String, usize),
+    Moved(String, String),
+    Gone(String),
+}
+
+impl Name {
+    fn apply(&self, names: &mut BTreeMap<String, usize>) {
+        match self {
+            Name::Is(name, inode) => _ = names.insert(name.clone(), *inode),
+            Name::Gone(name) => _ = names.remove(name),
+            Name::Moved(from, to) => {
+                if let Some(inode) = names.remove(from) {
+                    names.insert(to.clone(), inode);
+                }
+            }
+        }
+    }
+}
+
+#[derive(Clone, Default)]
 struct State {
-    files: BTreeMap<String, Vec<u8>>,
+    inodes: Vec<Inode>,
+    names: BTreeMap<String, usize>,
+    synced: BTreeMap<String, usize>,
+    /// What was done to names since the folder was synced.
+    unsynced: Vec<Name>,
     calls: usize,
+    /// Calls that read.
+    reads: usize,
     gone: bool,
-    /// Bytes of each call that writes, 0 of the others.
+    /// Bytes of each call that changes something, 0 of the others.
     sizes: Vec<usize>,
 }
 
+pub(crate) type Files = BTreeMap<String, Vec<u8>>;
+
+impl State {
+    fn inode(&mut self, name: &str) -> Option<&mut Inode> {
+        let inode = *self.names.get(name)?;
+        self.inodes.get_mut(inode)
+    }
+
+    /// One thing that was not synced and may be there nevertheless.
+    fn loose(&self) -> Vec<Loose> {
+        let sectors = self.inodes.iter().enumerate().flat_map(|(n, inode)| {
+            inode.touched().map(move |sector| Loose::Sector(n, sector)).collect::<Vec<_>>()
+        });
+        sectors.chain((0..self.unsynced.len()).map(Loose::Name)).collect()
+    }
+
+    /// The disk after a loss of power at which these came through; of one sector only the beginning.
+    fn left(&self, came: &[Loose], torn: Option<(Loose, usize)>, long: bool) -> Files {
+        let mut names = self.synced.clone();
+        let mut inodes = self.inodes.clone();
+        let came = came.iter().filter(|l| Some(**l) != torn.map(|t| t.0)).map(|l| (*l, SECTOR)).chain(torn);
+        let mut came: Vec<_> = came.collect();
+        came.sort();
+        for (loose, bytes) in came {
+            match loose {
+                Loose::Sector(n, sector) => inodes[n].bring(sector, bytes),
+                Loose::Name(n) => self.unsynced[n].apply(&mut names),
+            }
+        }
+        let file = |inode: &Inode| {
+            let mut bytes = inode.synced.clone();
+            // Its length may have come through without what stands there.
+            bytes.resize(if long { bytes.len().max(inode.data.len()) } else { bytes.len() }, 0);
+            bytes
+        };
+        names.into_iter().map(|(name, n)| (name, file(&inodes[n]))).collect()
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Loose {
+    Name(usize),
+    Sector(usize, usize),
+}
+
+type Watch = Box<dyn FnMut()>;
+
 /// Its clones are handles of the same disk.
 #[derive(Clone, Default)]
 pub(crate) struct Simulated {
     state: Rc<RefCell<State>>,
     fault: Rc<RefCell<Option<Fault>>>,
+    lies: Lies,
+    /// Called after each call that has changed something.
+    watch: Rc<RefCell<Option<Watch>>>,
 }
 
 impl Simulated {
-    pub(crate) fn new(files: BTreeMap<String, Vec<u8>>, fault: Fault) -> Self {
-        let state = State { files, ..State::default() };
-        Simulated { state: Rc::new(RefCell::new(state)), fault: Rc::new(RefCell::new(Some(fault))) }
+    /// A disk that holds these, synced.
+    pub(crate) fn new(files: Files, fault: Fault) -> Self {
+        let mut state = State::default();
+        for (name, bytes) in files {
+            state.names.insert(name, state.inodes.len());
+            state.inodes.push(Inode { data: bytes.clone(), synced: bytes, ..Inode::default() });
+        }
+        state.synced = state.names.clone();
+        let state = Rc::new(RefCell::new(state));
+        Simulated { state, fault: Rc::new(RefCell::new(Some(fault))), ..Simulated::default() }
+    }
+
+    pub(crate) fn lying(self, lies: Lies) -> Self {
+        Simulated { lies, ..self }
+    }
+
+    /// From now on `watch` is called after each call that changes something.
+    pub(crate) fn watch(&self, watch: impl FnMut() + 'static) {
+        *self.watch.borrow_mut() = Some(Box::new(watch));
+    }
+
+    pub(crate) fn unwatch(&self) {
+        *self.watch.borrow_mut() = None;
     }
 
-    pub(crate) fn files(&self) -> BTreeMap<String, Vec<u8>> {
-        self.state.borrow().files.clone()
+    /// The disk as a process finds it that comes after one that was killed now: what was not synced reads as
+    /// written, and is still not synced.
+    pub(crate) fn after_a_kill(&self) -> Simulated {
+        let state = State { calls: 0, sizes: Vec::new(), ..self.state.borrow().clone() };
+        Simulated { state: Rc::new(RefCell::new(state)), ..Simulated::default() }
+    }
+
+    pub(crate) fn files(&self) -> Files {
+        let state = self.state.borrow();
+        state.names.iter().map(|(name, n)| (name.clone(), state.inodes[*n].data.clone())).collect()
+    }
+
+    /// What may be found after a loss of power now: each once.
+    pub(crate) fn after_power_loss(&self, seed: u64) -> BTreeSet<Files> {
+        let state = self.state.borrow();
+        let (loose, mut rng) = (state.loose(), SmallRng::seed_from_u64(seed));
+        let sets: Vec<Vec<Loose>> = if loose.len() <= ALL_OF {
+            let of = |set: usize| (0..loose.len()).filter(move |n| set & (1 << n) != 0);
+            (0..1 << loose.len()).map(|set| of(set).map(|n| loose[n]).collect()).collect()
+        } else {
+            let drawn = (0..DRAWN).map(|_| {
+                let mut some = loose.clone();
+                some.shuffle(&mut rng);
+                some.truncate(rng.random_range(0..=loose.len()));
+                some
+            });
+            drawn.chain([Vec::new(), loose.clone()]).collect()
+        };
+        let mut left = BTreeSet::new();
+        for came in sets {
+            let sectors: Vec<_> = came.iter().filter(|l| matches!(l, Loose::Sector(..))).copied().collect();
+            left.insert(state.left(&came, None, false));
+            left.insert(state.left(&came, None, true));
+            if !sectors.is_empty() {
+                let torn = (sectors[rng.random_range(0..sectors.len())], rng.random_range(1..SECTOR));
+                left.insert(state.left(&came, Some(torn), false));
+                left.insert(state.left(&came, Some(torn), true));
+            }
+        }
+        left
+    }
+
+    /// Spoils a byte, on disk and as it reads.
+    pub(crate) fn spoil(&self, name: &str, at: usize) {
+        if let Some(inode) = self.state.borrow_mut().inode(name) {
+            inode.data[at] ^= 1;
+            inode.synced = inode.data.clone();
+        }
     }
 
     /// Bytes that each call so far has written.
@@ -57,47 +252,90 @@
         self.state.borrow().gone
     }
 
-    /// Bytes, in whole 512 for each file.
+    /// Bytes, in whole sectors for each file.
     pub(crate) fn size(&self) -> u64 {
-        self.state.borrow().files.values().map(|f| f.len().next_multiple_of(512) as u64).sum()
+        self.files().values().map(|f| f.len().next_multiple_of(SECTOR) as u64).sum()
     }
 
     /// One call that changes the disk: done whole, or as far as the fault lets it.
     fn call(&self, bytes: usize, act: impl FnOnce(&mut State, usize)) -> io::Result<()> {
-        let mut state = self.state.borrow_mut();
-        if state.gone {
-            return Err(io::ErrorKind::BrokenPipe.into());
-        }
-        let call = state.calls;
-        state.calls += 1;
-        state.sizes.push(bytes);
-        match self.fault.borrow().unwrap_or(Fault::None) {
-            Fault::Fails { call: at, after } if at == call => {
-                act(&mut state, after.min(bytes));
-                Err(io::ErrorKind::StorageFull.into())
+        let done = {
+            let mut state = self.state.borrow_mut();
+            if state.gone {
+                return Err(io::ErrorKind::BrokenPipe.into());
             }
-            Fault::Ends { call: at, after } if at == call => {
-                act(&mut state, after.min(bytes));
-                state.gone = true;
-                Err(io::ErrorKind::BrokenPipe.into())
+            let call = state.calls;
+            state.calls += 1;
+            state.sizes.push(bytes);
+            match self.fault.borrow().unwrap_or(Fault::None) {
+                Fault::Fails { call: at, after } if at == call => {
+                    act(&mut state, after.min(bytes));
+                    Err(io::ErrorKind::StorageFull.into())
+                }
+                Fault::Ends { call: at, after } if at == call => {
+                    act(&mut state, after.min(bytes));
+                    state.gone = true;
+                    Err(io::ErrorKind::BrokenPipe.into())
+                }
+                _ => {
+                    act(&mut state, bytes);
+                    Ok(())
+                }
             }
-            _ => {
-                act(&mut state, bytes);
-                Ok(())
+        };
+        if let Some(watch) = self.watch.borrow_mut().as_mut() {
+            watch();
+        }
+        done
+    }
+
+    fn reading(&self) -> io::Result<()> {
+        let mut state = self.state.borrow_mut();
+        state.reads += 1;
+        match *self.fault.borrow() {
+            Some(Fault::FailsRead { call }) if call + 1 == state.reads => {
+                Err(io::Error::other("cannot be read"))
             }
+            _ => Ok(()),
+        }
+    }
+
+    pub(crate) fn reads(&self) -> usize {
+        self.state.borrow().reads
+    }
+
+    fn sync_inode(&self, of: impl Fn(&State) -> Option<usize>) -> io::Result<()> {
+        if self.lies.sync {
+            return Ok(());
         }
+        self.call(1, |state, done| {
+            let Some(n) = of(state) else { return };
+            let inode = &mut state.inodes[n];
+            let dirty = std::mem::take(&mut inode.dirty);
+            if done == 0 {
+                // The pages count as clean from here on, and are not on disk.
+                inode.given_up.extend(dirty);
+            } else {
+                dirty.iter().for_each(|sector| inode.bring(*sector, SECTOR));
+                let length = inode.data.len();
+                inode.synced.truncate(length);
+            }
+        })
     }
 }
 
 impl Disk for Simulated {
-    type File = String;
+    type File = usize;
 
     fn list(&self) -> io::Result<Vec<String>> {
-        Ok(self.state.borrow().files.keys().cloned().collect())
+        self.reading()?;
+        Ok(self.state.borrow().names.keys().cloned().collect())
     }
 
     fn read(&self, name: &str) -> io::Result<Vec<u8>> {
-        self.state.borrow().files.get(name).cloned().ok_or_else(|| io::ErrorKind::NotFound.into())
+        self.reading()?;
+        let mut state = self.state.borrow_mut();
+        state.inode(name).map(|inode| inode.data.clone()).ok_or_else(|| io::ErrorKind::NotFound.into())
     }
 
     fn read_head(&self, name: &str, most: usize) -> io::Result<Vec<u8>> {
@@ -106,39 +344,81 @@
         Ok(head)
     }
 
-    fn create(&self, name: &str) -> io::Result<String> {
-        if self.state.borrow().files.contains_key(name) {
+    fn create(&self, name: &str) -> io::Result<usize> {
+        if self.state.borrow().names.contains_key(name) {
             return Err(io::ErrorKind::AlreadyExists.into());
         }
+        let mut made = 0;
         self.call(1, |state, done| {
             if done > 0 {
-                state.files.insert(name.to_owned(), Vec::new());
+                made = state.inodes.len();
+                state.inodes.push(Inode::default());
+                state.names.insert(name.to_owned(), made);
+                state.unsynced.push(Name::Is(name.to_owned(), made));
             }
         })?;
-        Ok(name.to_owned())
+        Ok(made)
     }
 
-    fn write(&self, file: &mut String, bytes: &[u8]) -> io::Result<()> {
+    fn write(&self, file: &mut usize, bytes: &[u8]) -> io::Result<()> {
         self.call(bytes.len(), |state, done| {
-            // A file that was removed can still be written to; nobody will read it.
-            if let Some(held) = state.files.get_mut(file) {
-                held.extend_from_slice(&bytes[..done]);
+            let inode = &mut state.inodes[*file];
+            let from = inode.data.len();
+            inode.data.extend_from_slice(&bytes[..done]);
+            inode.touch(from, from + done);
+        })
+    }
+
+    fn cut(&self, file: &mut usize, size: u64) -> io::Result<()> {
+        self.call(1, |state, done| {
+            if done > 0 {
+                let inode = &mut state.inodes[*file];
+                let (to, from) = (inode.data.len(), size as usize);
+                inode.data.truncate(from);
+                inode.touch(from, to);
             }
         })
     }
 
-    fn cut(&self, file: &mut String, size: u64) -> io::Result<()> {
+    fn sync(&self, file: &mut usize) -> io::Result<()> {
+        self.sync_inode(|_| Some(*file))
+    }
+
+    fn sync_left(&self, name: &str) -> io::Result<()> {
+        self.sync_inode(|state| state.names.get(name).copied())
+    }
+
+    fn sync_folder(&self) -> io::Result<()> {
+        if self.lies.sync_folder {
+            return Ok(());
+        }
+        self.call(1, |state, done| {
+            if done > 0 {
+                state.unsynced.clear();
+                state.synced = state.names.clone();
+            }
+        })
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
         self.call(1, |state, done| {
-            if let Some(held) = state.files.get_mut(file).filter(|_| done > 0) {
-                held.truncate(size as usize);
+            if done > 0 {
+                let moved = Name::Moved(from.to_owned(), to.to_owned());
+                moved.apply(&mut state.names);
+                state.unsynced.push(moved);
             }
         })
     }
 
     fn remove(&self, name: &str) -> io::Result<()> {
+        if !self.state.borrow().names.contains_key(name) {
+            return Err(io::ErrorKind::NotFound.into());
+        }
         self.call(1, |state, done| {
             if done > 0 {
-                state.files.remove(name);
+                let gone = Name::Gone(name.to_owned());
+                gone.apply(&mut state.names);
+                state.unsynced.push(gone);
             }
         })
     }
--- /dev/null
+++ b/src/store/writer.rs
@@ -0,0 +1,89 @@
+//! Who writes: the caller itself, or, where each commit waits for the disk, a thread that owns the segments. Then
+//! one commit is under way at a time, and what comes meanwhile goes with the next: one sync carries all of it.
+
+use super::disk::Disk;
+use super::segments::{Batch, Segments, Status};
+use std::io;
+use std::sync::mpsc;
+use std::thread;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+
+pub(crate) type Done = (io::Result<()>, Status);
+
+pub(crate) enum Writer<D: Disk> {
+    Here(Box<Segments<D>>),
+    Apart(Apart),
+}
+
+pub(crate) struct Apart {
+    batches: mpsc::Sender<Batch>,
+    done: UnboundedReceiver<Done>,
+    busy: bool,
+}
+
+impl<D: Disk + Send + 'static> Writer<D>
+where
+    D::File: Send,
+{
+    /// Gives the segments to a thread of their own.
+    pub(crate) fn apart(mut segments: Segments<D>) -> io::Result<Self> {
+        let (batches, coming) = mpsc::channel::<Batch>();
+        let (tell, done) = unbounded_channel();
+        let write = move || {
+            for mut batch in coming {
+                if tell.send(segments.commit(&mut batch)).is_err() {
+                    return;
+                }
+            }
+        };
+        thread::Builder::new().name("journal".to_owned()).spawn(write)?;
+        Ok(Writer::Apart(Apart { batches, done, busy: false }))
+    }
+}
+
+#[cfg(test)]
+impl<D: Disk> Writer<D> {
+    /// One whose commits end when the other side says so.
+    pub(crate) fn by_hand() -> (Self, mpsc::Receiver<Batch>, tokio::sync::mpsc::UnboundedSender<Done>) {
+        let (batches, coming) = mpsc::channel();
+        let (tell, done) = unbounded_channel();
+        (Writer::Apart(Apart { batches, done, busy: false }), coming, tell)
+    }
+}
+
+impl<D: Disk> Writer<D> {
+    /// Commits the batch, which is left empty. None: that is under way, and `done` tells how it ended.
+    pub(crate) fn commit(&mut self, batch: &mut Batch) -> Option<Done> {
+        match self {
+            Writer::Here(segments) => Some(segments.commit(batch)),
+            Writer::Apart(apart) => {
+                if apart.batches.send(std::mem::take(batch)).is_err() {
+                    return Some((Err(gone()), Status::default()));
+                }
+                apart.busy = true;
+                None
+            }
+        }
+    }
+
+    /// A commit is under way.
+    pub(crate) fn is_busy(&self) -> bool {
+        matches!(self, Writer::Apart(apart) if apart.busy)
+    }
+
+    /// The end of the commit that is under way; waits for ever if none is.
+    pub(crate) async fn done(&mut self) -> Done {
+        match self {
+            Writer::Apart(apart) if apart.busy => {
+                let done = apart.done.recv().await;
+                apart.busy = false;
+                done.unwrap_or_else(|| (Err(gone()), Status::default()))
+            }
+            _ => std::future::pending().await,
+        }
+    }
+}
+
+fn gone() -> io::Error {
+    io::Error::other("the thread that writes has ended")
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -286,24 +286,7 @@
 }
 
 pub fn settings() -> Value {
-    let lane = |name: &str, effect: &str| {
-        json!({"aim-ns": 2_000_000_000u64, "credit": 1.0, "deadline-ns": 28_000_000_000u64, "effect": effect,
-            "key-scope": "zone", "key-ttl-ns": 12_000_000_000u64, "late-share": 0.3, "name": name,
-            "streamed": false})
-    };
-    json!({
-        "costs": {"handshake": 0.04}, "customers": [], "dcs": ["a", "b"],
-        "family-info": {"bundle-max": [1], "fee-by-zone": [0.0, 0.03], "loses-worth": "line",
-            "separate-routes": [true], "slots": 8},
-        "lanes": [lane("notice", "by_key"), lane("status", "repeatable"), lane("payment", "once")],
-        "limits": {"cancel": true, "connect-timeout-ns": 1_000_000_000u64, "keepalive-ns": 10_000_000_000u64,
-            "max-open": 100, "max-retry-after-ns": 5_000_000_000u64, "probing": true, "retry-after": true, "send-cap": 6},
-        "membership-mode": "subscribe",
-        "rules": {"cold-from": 0.18, "cold-ns": 10_000_000_000u64, "drain-grace-ns": 1_000_000_000u64,
-            "fall-multiple": 2.0, "fall-ns": 3_000_000_000u64, "grace-to-answer-ns": 20_000_000u64},
-        "siblings": 1, "skus": ["shops"], "stats": {"fields": ["x0", "x1"], "how": "answers"},
-        "tick-ns": 5_000_000u64, "weight-kind": "nominal"
-    })
+    serde_json::from_str(include_str!("../settings.json")).expect("settings")
 }
 
 /// A folder of one test, removed with it.
