--- /dev/null
+++ b/benches/journal.rs
@@ -0,0 +1,144 @@
+//! The journal: what a record costs, and how long a start takes. Figures that pages rest on come from here; they
+//! are compared within one run only.
+
+use bytes::Bytes;
+use criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
+use rand::rngs::SmallRng;
+use rand::{RngCore, SeedableRng};
+use std::hint::black_box;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use walnutshift::node::journal::{self, Attempt, Journal, Keeping, Letter, Verdict};
+use walnutshift::store::{Durability, frame};
+
+struct Place(PathBuf);
+
+impl Place {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("bench-journal-{}-{name}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&path);
+        std::fs::create_dir_all(&path).expect("a folder");
+        Place(path)
+    }
+
+    fn open(&self, room: u64, durability: Durability) -> Journal {
+        let keeping = Keeping { room, durability, refuse_damage: false };
+        Journal::open(&self.0, keeping, 1).expect("opens").0
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn letter(n: u64, body: usize) -> Rc<Letter> {
+    Rc::new(Letter {
+        id: format!("9b1f03aa5c7e{n:08x}"),
+        class: "update-notices".to_owned(),
+        tenant: "namib-marine".to_owned(),
+        destination: 7,
+        key: Some(format!("k-{n}")),
+        until: journal::unix() + Duration::from_secs(1000),
+        body: Bytes::from(vec![b'x'; body]),
+    })
+}
+
+fn attempt() -> Attempt {
+    let sent = journal::unix();
+    Attempt { host: "s-117".to_owned(), zone: "a".to_owned(), sent, may_have_run: true }
+}
+
+/// Lets a commit end where it is made on another thread.
+fn commit(journal: &mut Journal, runtime: &tokio::runtime::Runtime) {
+    let done = journal.commit().unwrap_or_else(|| runtime.block_on(journal.done()));
+    done.expect("written");
+}
+
+/// A message's usual records: taken on, tried, ended; each in a commit of its own, as a courier with one message
+/// at a time makes them.
+fn message(c: &mut Criterion) {
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+    let mut group = c.benchmark_group("message");
+    for (name, durability) in [("process", Durability::Process), ("power", Durability::Power)] {
+        let place = Place::new(name);
+        let mut journal = place.open(3_000_000, durability);
+        let mut n = 0;
+        group.sample_size(if durability == Durability::Power { 10 } else { 50 });
+        group.bench_function(name, |b| {
+            b.iter(|| {
+                n += 1;
+                journal.accept(n, letter(n, 350));
+                commit(&mut journal, &runtime);
+                journal.attempt(n, attempt());
+                commit(&mut journal, &runtime);
+                journal.end(n);
+                commit(&mut journal, &runtime);
+            });
+        });
+    }
+    group.finish();
+}
+
+/// A folder in which so many bytes of messages live, a tenth of them decided.
+fn filled(name: &str, live: u64, body: usize) -> (Place, u64) {
+    let (place, room) = (Place::new(name), live * 3);
+    let mut journal = place.open(room, Durability::Process);
+    let (mut n, mut held) = (0, 0);
+    while held < live {
+        n += 1;
+        held += body as u64 + 200;
+        journal.accept(n, letter(n, body));
+        journal.attempt(n, attempt());
+        journal.never_ran(n, 0);
+        if n % 10 == 0 {
+            journal.judge(n, Verdict::Bounced { wait: None });
+        }
+        if n % 64 == 0 {
+            journal.commit().expect("at once").expect("written");
+        }
+    }
+    journal.commit().expect("at once").expect("written");
+    (place, room)
+}
+
+/// From the call to all that lives, by bytes that live. The largest is a gigabyte.
+fn open(c: &mut Criterion) {
+    let mut group = c.benchmark_group("open");
+    group.sample_size(10);
+    for megabytes in [1, 10, 100, 1000] {
+        let (place, room) = filled(&format!("open-{megabytes}"), megabytes * 1_000_000, 4000);
+        group.throughput(Throughput::Bytes(megabytes * 1_000_000));
+        group.bench_function(BenchmarkId::from_parameter(format!("{megabytes}MB")), |b| {
+            b.iter(|| black_box(place.open(room, Durability::Process).count()));
+        });
+    }
+    group.finish();
+}
+
+/// Reading bytes of every kind takes time linear in them.
+fn read(c: &mut Criterion) {
+    let mut group = c.benchmark_group("read");
+    group.sample_size(10);
+    let mut rng = SmallRng::seed_from_u64(1);
+    for megabytes in [1usize, 2, 4] {
+        let head = frame::Head { number: 1, identity: 5, first: 1, oldest: 1, synced: false }.bytes();
+        let mut noise = vec![0; megabytes * 1_000_000];
+        rng.fill_bytes(&mut noise);
+        // The worst: every two bytes could begin a record.
+        let magic: Vec<u8> = [0xD5, 0x4C].repeat(megabytes * 500_000);
+        for (name, rest) in [("noise", noise), ("beginnings", magic)] {
+            let bytes = [&head[..], &rest].concat();
+            group.throughput(Throughput::Bytes(bytes.len() as u64));
+            group.bench_function(BenchmarkId::new(name, format!("{megabytes}MB")), |b| {
+                b.iter(|| black_box(frame::read(&bytes).map(|(_, found)| found.len())));
+            });
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, message, open, read);
+criterion_main!(benches);
--- a/lab/src/audit/mutants.rs
+++ b/lab/src/audit/mutants.rs
@@ -156,6 +156,12 @@
         self.at(ms, What::Noticed { courier, id: id.to_owned(), result: result.to_owned(), wait_ms });
     }
 
+    fn damaged(&mut self, ms: u64, kind: &str, lost: &[&str], told: bool) {
+        let lost = lost.iter().map(|id| (*id).to_owned()).collect();
+        let told = told.then(|| "damaged: some place".to_owned()).into_iter().collect();
+        self.at(ms, What::Damaged { courier: 0, kind: kind.to_owned(), lost, told });
+    }
+
     fn broken(mut self) -> BTreeSet<String> {
         self.at(61_000, What::Ended { arrivals_late: 0, answers_late: 0 });
         self.events.sort_by_key(|e| e.0);
@@ -179,6 +185,21 @@
         t.taken("m", 10_000, 0, 0);
         t.call("m", 10_010, 0, 0, 10_050, CallEnd::Answered { status: 200, wait_ms: None, heard: false });
     }),
+    ("final", |t| {
+        // Another message's bytes were destroyed.
+        t.taken("m", 10_000, 0, 0);
+        t.damaged(10_500, "journal flipped", &["n"], true);
+    }),
+    ("final", |t| {
+        // Its own were, and the courier has not told.
+        t.taken("m", 10_000, 0, 0);
+        t.damaged(10_500, "journal flipped", &["m"], false);
+    }),
+    ("final", |t| {
+        // They were before it was taken on.
+        t.damaged(9_500, "journal flipped", &["m"], true);
+        t.taken("m", 10_000, 0, 0);
+    }),
     ("one-end", |t| {
         t.taken("m", 10_000, 0, 0);
         t.notice(11_000, 0, "m", "dead", None);
@@ -345,7 +366,11 @@
     }),
     ("what a lost folder held is handed to others", |t| {
         t.taken("m", 10_000, 0, 0);
-        t.at(10_500, What::Damaged { courier: 0, kind: "folder lost".to_owned() });
+        t.damaged(10_500, "folder lost", &[], false);
+    }),
+    ("what has lost its own bytes, and was told to be damaged", |t| {
+        t.taken("m", 10_000, 0, 0);
+        t.damaged(10_500, "journal flipped", &["m"], true);
     }),
     ("a call within the grace after a drain", |t| {
         t.told(10_000, 0, 0, Health::Draining);
--- a/lab/src/audit/record.rs
+++ b/lab/src/audit/record.rs
@@ -2,7 +2,7 @@
 
 use crate::event::{CallEnd, Event, Health, SCHEMA, Terms, What};
 use anyhow::{Result, bail};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// What a client was answered.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -146,6 +146,19 @@
     pub calls: Vec<(usize, u32)>,
 }
 
+/// A folder that was lost, or a file in it spoilt.
+#[derive(Clone, Debug)]
+pub struct Damaged {
+    pub at: u64,
+    pub courier: usize,
+    /// All of it is lost.
+    pub folder: bool,
+    /// Ids that cannot be read any more.
+    pub lost: BTreeSet<String>,
+    /// The courier has told that it is damaged.
+    pub told: bool,
+}
+
 pub struct Record {
     pub experiment: String,
     pub seed: u64,
@@ -173,7 +186,7 @@
     pub samples: Vec<Sample>,
     pub operated: Vec<Operated>,
     pub rude: Vec<Rude>,
-    pub damaged: Vec<(u64, usize, String)>,
+    pub damaged: Vec<Damaged>,
     /// Of new connections: when, to which endpoint.
     pub connected: Vec<(u64, usize)>,
     pub steps: Vec<(u64, String)>,
@@ -352,7 +365,13 @@
                 let (descriptors, disk, cpu) = (*descriptors, *disk, *cpu);
                 self.samples.push(Sample { at, courier, life, rss, descriptors, disk, cpu });
             }
-            What::Damaged { courier, kind } => self.damaged.push((at, *courier, kind.clone())),
+            What::Damaged { courier, kind, lost, told } => self.damaged.push(Damaged {
+                at,
+                courier: *courier,
+                folder: kind == "folder lost",
+                lost: lost.iter().cloned().collect(),
+                told: !told.is_empty(),
+            }),
             What::Step { text } => self.steps.push((at, text.clone())),
             What::Ended { arrivals_late, answers_late } => {
                 (self.ended, self.late) = (at, [*arrivals_late, *answers_late]);
--- a/lab/src/event.rs
+++ b/lab/src/event.rs
@@ -256,10 +256,15 @@
         disk: u64,
         cpu: u64,
     },
-    /// The folder that lasts was lost, or a file in it spoilt, between two lives.
+    /// The folder that lasts was lost, or a file in it spoilt, between two lives. With the ids that could be read
+    /// before and cannot any more, and with what the courier's own check says of it.
     Damaged {
         courier: usize,
         kind: String,
+        #[serde(default)]
+        lost: Vec<String>,
+        #[serde(default)]
+        told: Vec<String>,
     },
     /// A step of the timeline, for the reader.
     Step {
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -105,6 +105,8 @@
     pub operators: bool,
     /// Inherit the clients' listening socket, so that a process can be replaced.
     pub shared_socket: bool,
+    /// What the operators' own file says; without it there is none.
+    pub options: Option<toml::Table>,
 }
 
 impl Default for Couriers {
@@ -119,6 +121,7 @@
             cores: 1.0,
             operators: true,
             shared_socket: false,
+            options: None,
         }
     }
 }
@@ -326,6 +329,9 @@
     /// Steps that pick several are spread evenly over this time.
     #[serde(default)]
     pub over: Option<f64>,
+    /// So many times, each at one of those picked, at moments drawn within `over`.
+    #[serde(default)]
+    pub times: Option<u32>,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
@@ -347,6 +353,10 @@
     Truncate,
     /// Couriers: killed, and one bit of the journal at the share `by` is flipped before the next start.
     Flip,
+    /// Couriers: killed, and 512 bytes of the journal at the share `by` are zeroed before the next start.
+    Zero,
+    /// Couriers: killed, and one file of the journal is gone at the next start.
+    Vanish,
     /// Couriers: the folder that lasts cannot be written to.
     FolderFull,
     /// Endpoints: connections are refused; after `lasts` it comes back cold.
@@ -393,16 +403,26 @@
     /// Whether `lasts` says when it is taken back; elsewhere it has a meaning of its own, or none.
     pub fn passes(self) -> bool {
         let once = matches!(self, Act::Kill | Act::Restart | Act::Pause | Act::Reload | Act::Replace);
-        !once && !matches!(self, Act::LoseFolder | Act::Truncate | Act::Flip | Act::Remove | Act::Break)
+        !once
+            && !matches!(
+                self,
+                Act::LoseFolder
+                    | Act::Truncate
+                    | Act::Flip
+                    | Act::Zero
+                    | Act::Vanish
+                    | Act::Remove
+                    | Act::Break
+            )
     }
 
     /// Whether it takes couriers, endpoints, and a measure.
     fn takes(self) -> (bool, bool, bool) {
         match self {
             Act::Kill | Act::Restart | Act::Pause | Act::Reload | Act::Replace => (true, false, false),
-            Act::LoseFolder | Act::FolderFull | Act::OutOfService => (true, false, false),
+            Act::LoseFolder | Act::Vanish | Act::FolderFull | Act::OutOfService => (true, false, false),
             Act::Silence | Act::Overbook => (true, false, false),
-            Act::Truncate | Act::Flip => (true, false, true),
+            Act::Truncate | Act::Flip | Act::Zero => (true, false, true),
             Act::Down | Act::Hang | Act::Drain | Act::Remove | Act::Offline => (false, true, false),
             Act::Slow | Act::Failing | Act::Resets | Act::Lost | Act::Spoilt => (false, true, true),
             Act::Limits => (false, true, true),
@@ -545,6 +565,12 @@
         if !(step.t >= 0.0 && step.t.is_finite()) {
             bail!("t = {}: has to be 0 or more", step.t);
         }
+        if step.times.is_some() && (!couriers || endpoints) {
+            bail!("times: only for what couriers alone suffer");
+        }
+        if step.times.is_some() != step.times.and(step.over).is_some() {
+            bail!("times: needs over, the time within which the moments are drawn");
+        }
         if step.act == Act::Replace && !self.couriers.shared_socket {
             bail!("do = \"replace\": couriers.shared_socket has to be true");
         }
--- a/lab/src/report/compare.rs
+++ b/lab/src/report/compare.rs
@@ -24,6 +24,8 @@
     ("calls", |s| s.destinations.iter().map(|d| d.calls).sum::<u64>() as f64),
     ("refused there", |s| s.destinations.iter().map(|d| d.refused).sum::<u64>() as f64),
     ("connections", |s| s.destinations.iter().map(|d| d.connections).sum::<u64>() as f64),
+    ("back after s", |s| s.returned.as_ref().map_or(0.0, |r| r.back_after.unwrap_or(f64::INFINITY))),
+    ("refused then", |s| s.returned.as_ref().map_or(0.0, |r| r.refused as f64)),
     ("cpu s", |s| s.couriers.iter().map(|c| c.cpu).sum()),
     ("memory MB", |s| s.couriers.iter().map(|c| c.memory_mb).fold(0.0, f64::max)),
 ];
--- a/lab/src/summary.rs
+++ b/lab/src/summary.rs
@@ -68,6 +68,24 @@
     pub p99_ms: f64,
 }
 
+/// How service came back after the last time that all couriers were killed at once.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Return {
+    /// Seconds of the load before it.
+    pub at: f64,
+    /// Messages delivered a second before it, the median.
+    pub before: f64,
+    /// Seconds until as many as nine tenths of that are delivered in one; none if they never were.
+    pub back_after: Option<f64>,
+    /// Calls that endpoints refused in the seconds after it.
+    pub refused: u64,
+}
+
+/// Seconds after a herd's return in which refused calls count, and before it that tell how it was.
+const RETURN_SECONDS: usize = 10;
+/// Of the goodput of before.
+const RETURNED: f64 = 0.9;
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
     pub schema: u32,
@@ -93,6 +111,9 @@
     pub destinations: Vec<Destination>,
     pub couriers: Vec<Courier>,
     pub by_second: Vec<Second>,
+    /// After a herd was killed, if one was.
+    #[serde(default)]
+    pub returned: Option<Return>,
     /// At the 99th percentile: arrivals, answers.
     pub lab_late_us: [u64; 2],
     /// By rule, how often it was broken, and the first breaches.
@@ -229,6 +250,7 @@
                 answer.add(at.saturating_sub(m.offered));
             }
         }
+        let returned = returned(record, &by_second);
         let mut notices: BTreeMap<String, u64> = BTreeMap::new();
         let told = record.messages.values().filter_map(|m| m.notices.first());
         told.for_each(|n| *notices.entry(n.result.clone()).or_default() += 1);
@@ -266,6 +288,7 @@
             destinations,
             couriers: couriers(record),
             by_second,
+            returned,
             lab_late_us: record.late,
             broken,
             failed: Vec::new(),
@@ -297,6 +320,23 @@
     }
 }
 
+fn returned(record: &Record, seconds: &[Second]) -> Option<Return> {
+    let herd = record.steps.iter().rev().find(|(_, text)| text == "Kill")?.0.saturating_sub(record.loaded);
+    let at = (herd / 1_000_000) as usize;
+    let mut done: Vec<_> =
+        seconds[at.saturating_sub(RETURN_SECONDS).min(at)..at].iter().map(|s| s.done).collect();
+    done.sort_unstable();
+    let before = *done.get(done.len() / 2)? as f64;
+    let after = seconds.get(at + 1..)?;
+    let back = after.iter().position(|s| s.done as f64 >= before * RETURNED);
+    Some(Return {
+        at: herd as f64 / 1e6,
+        before,
+        back_after: back.map(|n| (at + 2 + n) as f64 - herd as f64 / 1e6),
+        refused: after.iter().take(RETURN_SECONDS).map(|s| s.refused).sum(),
+    })
+}
+
 /// When a message was first delivered under this id, where it still counted.
 fn delivered(record: &Record, message: &Message) -> Option<u64> {
     message.taken()?;
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -221,8 +221,15 @@
     /// Does a step; one that passes is undone by `take_back`.
     async fn begin(self: &Arc<Self>, step: &Move) -> Result<()> {
         match step.act {
-            Act::Kill | Act::Restart | Act::LoseFolder | Act::Truncate | Act::Flip => {
+            Act::Kill
+            | Act::Restart
+            | Act::LoseFolder
+            | Act::Truncate
+            | Act::Flip
+            | Act::Zero
+            | Act::Vanish => {
                 self.each(step, move |machine, step| async move {
+                    let _turn = machine.turn.lock().await;
                     match step.act {
                         Act::Restart => machine.stop().await,
                         _ => machine.kill().await,
@@ -231,6 +238,8 @@
                         Act::LoseFolder => machine.lose_folder()?,
                         Act::Truncate => machine.truncate(step.by)?,
                         Act::Flip => machine.flip(step.by)?,
+                        Act::Zero => machine.zero(step.by)?,
+                        Act::Vanish => machine.vanish()?,
                         _ => {}
                     }
                     machine.start_again(step.lasts.map(Duration::from_micros)).await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod node;
 pub mod settings;
 mod state;
-mod store;
+pub mod store;
 pub mod wire;
 
 #[cfg(test)]
--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -7,7 +7,7 @@
 use super::discovery::{Health, List, Watch};
 use super::handover::Successor;
 use super::intake::{Offer, Reply, Standing};
-use super::journal::{Attempt, Journal, Letter, Live, Scrubbed, Verdict, unix};
+use super::journal::{Attempt, Journal, Letter, Scrubbed, Verdict, unix};
 use super::log::say;
 use super::news::News;
 use super::outcomes::{Notice, Platform};
@@ -150,31 +150,33 @@
         let known = self.config.known.clone();
         self.seq = known.as_ref().map(|l| l.seq);
         self.list(List { whole: true, ..known.unwrap_or_default() });
-        let mut live: Vec<_> = self.journal.live().map(|(n, m)| (n, m.clone())).collect();
+        let mut live: Vec<_> = self.journal.live().map(|(n, m)| (m.letter.until, n)).collect();
         // Those that are out of time end first, and the others come to judgement by how little they have left.
-        live.sort_by_key(|(_, m)| m.letter.until);
-        live.into_iter().for_each(|(message, m)| self.resume(message, m));
+        live.sort_unstable();
+        live.into_iter().for_each(|(_, message)| self.resume(message));
     }
 
     /// Hands back a message that is on record, with what is known of its attempts.
-    pub(super) fn resume(&mut self, message: u64, m: Live) {
-        let now = unix();
-        let letter = m.letter;
+    pub(super) fn resume(&mut self, message: u64) {
+        let Some(m) = self.journal.get(message) else { return };
+        let (now, letter, taken, verdict) = (unix(), m.letter.clone(), m.taken, m.verdict);
+        let attempts = m.attempts.len() as u32;
+        let ran = m.attempts.iter().find(|a| a.may_have_run).cloned();
         self.ids.insert(letter.id.clone(), message);
         let class = self.config.classes.iter().position(|c| *c == letter.class);
         let tenant = self.config.tenants.iter().position(|t| *t == letter.tenant);
         // A message with its end decided only waits to have it acknowledged: sending it again would
         // deliver what a client was told to hand in again.
-        let verdict = m.verdict.or(class.is_none().then_some(Verdict::Dead));
+        let verdict = verdict.or(class.is_none().then_some(Verdict::Dead));
         if let Some(verdict) = verdict {
             return self.tell(message, letter.id.clone(), verdict);
         }
-        let ran = m.attempts.iter().find(|a| a.may_have_run).map(|a| Ran {
+        let time_left = time_left(&letter, taken, now);
+        let ran = ran.map(|a| Ran {
             endpoint: self.number(&a.host),
             zone: self.zone(&a.zone),
-            ago: now.saturating_sub(a.sent),
+            ago: age(a.sent, now),
         });
-        let attempts = m.attempts.len() as u32;
         self.destinations.insert(letter.destination);
         self.events.push(Event::Taken(Taken {
             message: MessageId(message),
@@ -182,7 +184,7 @@
             tenant: tenant.unwrap_or_default(),
             destination: DestinationId(letter.destination),
             key: None,
-            time_left: letter.until.saturating_sub(now),
+            time_left,
             work: None,
             past: Past { attempts, ran },
         }));
@@ -361,6 +363,7 @@
             }
             if self.stopped() {
                 self.settle_whole().await;
+                say!("journal: {} commits, {} syncs in this life", self.journal.commits, self.journal.syncs);
                 return End::Stopped;
             }
             if let Some(successor) = self.asked() {
@@ -738,6 +741,21 @@
     }
 }
 
+/// What a message on record has left. A clock that went back gives it no more than it had when it was taken on.
+fn time_left(letter: &Letter, taken: Duration, now: Duration) -> Duration {
+    letter.until.saturating_sub(now.max(taken))
+}
+
+/// How long ago an attempt on record was made. If the clock has gone back since, nobody knows: then any time in
+/// which a repeat is dropped counts as over.
+fn age(sent: Duration, now: Duration) -> Duration {
+    if sent > now + CLOCK_SLACK { AGES } else { now.saturating_sub(sent) }
+}
+
+const AGES: Duration = Duration::from_secs(24 * 3600);
+/// A clock that is being set right may go back by so much.
+const CLOCK_SLACK: Duration = Duration::from_secs(1);
+
 /// A wait runs from when its answer arrived: the age of the batch is not added to it.
 fn aged(outcome: Outcome, at: Instant) -> Outcome {
     match outcome {
@@ -756,3 +774,19 @@
         report: None,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_clock_that_went_back_between_two_lives_gives_no_time_and_no_window() {
+        let at = Duration::from_secs;
+        let letter = Letter { until: at(120), ..Letter::default() };
+        assert_eq!(time_left(&letter, at(100), at(105)), at(15));
+        assert_eq!(time_left(&letter, at(100), at(130)), Duration::ZERO);
+        assert_eq!(time_left(&letter, at(100), at(10)), at(20), "no more than it ever had");
+        assert_eq!(age(at(100), at(105)), at(5));
+        assert_eq!(age(at(100), at(10)), AGES, "nobody knows: as if long ago");
+    }
+}
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -249,7 +249,7 @@
         let live: Vec<_> = self.journal.live().map(|(n, m)| (n, m.clone())).collect();
         for (message, m) in live {
             if !self.brain.knows(MessageId(message)) {
-                self.resume(message, m);
+                self.resume(message);
                 continue;
             }
             self.ids.insert(m.letter.id.clone(), message);
--- a/src/node/journal.rs
+++ b/src/node/journal.rs
@@ -35,6 +35,9 @@
 const SEGMENT_SHARE: f64 = 1.0 / 32.0;
 const SEGMENT: (u64, u64) = (64 * 1024, 4 * 1024 * 1024);
 
+/// Attempts in a row of which the records may be lost, and the next one is still believed.
+const LOST_MOST: usize = 16;
+
 /// A message as its client handed it in.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Letter {
@@ -289,7 +292,9 @@
             Kind::Attempt => {
                 let (number, attempt) = ledger::attempt(payload)?;
                 let Some(Told { live, .. }) = of else { return Some(()) };
-                // The records of those between are lost.
+                // The records of those between are lost. More than a few are claimed only by what was never
+                // written, and must not take room.
+                (number <= live.attempts.len() + LOST_MOST).then_some(())?;
                 let unknown = Attempt { sent: live.taken, may_have_run: true, ..Attempt::default() };
                 if live.attempts.len() <= number {
                     live.attempts.resize(number + 1, unknown);
@@ -460,7 +465,7 @@
         self.live.get(&message).map(|entry| &entry.live)
     }
 
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.live.len()
     }
 
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -160,15 +160,9 @@
 /// An attempt's number, and the attempt.
 pub fn attempt(payload: &[u8]) -> Option<(usize, Attempt)> {
     let mut f = Fields(payload);
-    let number = f.short()? as usize;
-    // No message has more: the courier numbers them from its own count.
-    (number < ATTEMPTS_MOST).then_some(())?;
-    Some((number, f.attempted(true)?))
+    Some((f.short()? as usize, f.attempted(true)?))
 }
 
-/// Room for a number that a spoilt record could claim.
-const ATTEMPTS_MOST: usize = 4096;
-
 pub fn never_ran(payload: &[u8]) -> Option<usize> {
     Fields(payload).short().map(|n| n as usize)
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,7 +9,7 @@
 mod discovery;
 mod handover;
 mod intake;
-mod journal;
+pub mod journal;
 mod ledger;
 mod link;
 mod log;
@@ -169,7 +169,7 @@
     let for_clients = config.limits.sockets.saturating_sub(for_calls + SPARE_SOCKETS + for_operators).max(8);
     let calls = Calls::new(config.settings.connect_timeout, keep, for_calls, register.clone());
     let standing = Rc::new(Standing::new(register.clone()));
-    let (name, kept) = (config.name.clone(), journal.len());
+    let (name, kept) = (config.name.clone(), journal.count());
     let intake = Rc::new(Intake {
         classes: config.classes.clone(),
         tenants: config.tenants.clone(),
--- a/src/store/disk.rs
+++ b/src/store/disk.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 
 /// One folder. Names are of files in it.
-pub(crate) trait Disk {
+pub trait Disk {
     type File;
 
     /// Names of the files, in no order.
@@ -33,16 +33,16 @@
 
 /// A real folder.
 #[derive(Clone, Debug)]
-pub(crate) struct Folder(PathBuf);
+pub struct Folder(PathBuf);
 
 impl Folder {
     /// A folder that is there.
-    pub(crate) fn at(path: &Path) -> Self {
+    pub fn at(path: &Path) -> Self {
         Folder(path.to_owned())
     }
 
     /// Makes it if it is not there.
-    pub(crate) fn open(path: &Path) -> io::Result<Self> {
+    pub fn open(path: &Path) -> io::Result<Self> {
         match fs::create_dir(path) {
             Err(e) if e.kind() != io::ErrorKind::AlreadyExists => Err(e),
             _ => Ok(Folder(path.to_owned())),
--- a/src/store/frame.rs
+++ b/src/store/frame.rs
@@ -4,27 +4,30 @@
 use crc32fast::Hasher;
 
 /// A segment's head, of which there are two.
-pub(crate) const HEAD: usize = 64;
-pub(crate) const HEADS: usize = 2 * HEAD;
+pub const HEAD: usize = 64;
+pub const HEADS: usize = 2 * HEAD;
 /// A record's head.
-pub(crate) const FRAME: usize = 32;
+pub const FRAME: usize = 32;
 /// No record is longer; a length over this is none.
-pub(crate) const PAYLOAD_MOST: usize = 16 * 1024 * 1024;
+pub const PAYLOAD_MOST: usize = 16 * 1024 * 1024;
 const MAGIC: &[u8; 7] = b"LNGTSEG";
 const RECORD: [u8; 2] = [0xD5, 0x4C];
-pub(crate) const FORMAT: u8 = 2;
+/// Where nothing is synced.
+pub const FORMAT: u8 = 2;
+/// With marks that tell how far all has been synced. Who knows the other form only must not read it.
+pub const FORMAT_SYNCED: u8 = 3;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Head {
-    pub(crate) number: u64,
+pub struct Head {
+    pub number: u64,
     /// Drawn for each segment: what was left of another file does not pass for a part of this one.
-    pub(crate) identity: u64,
+    pub identity: u64,
     /// The sequence number of its first record.
-    pub(crate) first: u64,
+    pub first: u64,
     /// The oldest segment that was needed when it was made.
-    pub(crate) oldest: u64,
+    pub oldest: u64,
     /// Its records were synced before anything depended on them, and marks in it tell how far.
-    pub(crate) synced: bool,
+    pub synced: bool,
 }
 
 fn long(bytes: &[u8], at: usize) -> u64 {
@@ -44,14 +47,13 @@
 
 impl Head {
     /// Both copies.
-    pub(crate) fn bytes(&self) -> Vec<u8> {
+    pub fn bytes(&self) -> Vec<u8> {
         let mut one = Vec::with_capacity(HEADS);
         one.extend_from_slice(MAGIC);
-        one.push(FORMAT);
+        one.push(if self.synced { FORMAT_SYNCED } else { FORMAT });
         for field in [self.number, self.identity, self.first, self.oldest] {
             one.extend_from_slice(&field.to_le_bytes());
         }
-        one.push(u8::from(self.synced));
         one.resize(HEAD - 4, 0);
         one.extend_from_slice(&crc32fast::hash(&one).to_le_bytes());
         one.extend_from_within(..HEAD);
@@ -65,18 +67,19 @@
         {
             return Err(Unread::Spoilt);
         }
-        match one[MAGIC.len()] {
-            FORMAT => {}
+        let synced = match one[MAGIC.len()] {
+            FORMAT => false,
+            FORMAT_SYNCED => true,
             newer => return Err(Unread::Format(newer)),
-        }
+        };
         let [number, identity, first, oldest] = [8, 16, 24, 32].map(|at| long(one, at));
-        Ok(Head { number, identity, first, oldest, synced: one[40] == 1 })
+        Ok(Head { number, identity, first, oldest, synced })
     }
 }
 
 /// Why a segment cannot be read at all.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Unread {
+pub enum Unread {
     /// Neither head is sound.
     Spoilt,
     /// It is of a format that this program does not know.
@@ -85,14 +88,14 @@
 
 /// Whose a record is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Label {
-    pub(crate) kind: u8,
-    pub(crate) sequence: u64,
-    pub(crate) message: u64,
+pub struct Label {
+    pub kind: u8,
+    pub sequence: u64,
+    pub message: u64,
 }
 
 /// Appends a record.
-pub(crate) fn put(to: &mut Vec<u8>, identity: u64, label: Label, payload: &[u8]) {
+pub fn put(to: &mut Vec<u8>, identity: u64, label: Label, payload: &[u8]) {
     let at = to.len();
     to.extend_from_slice(&RECORD);
     to.extend_from_slice(&[label.kind, 0]);
@@ -106,7 +109,7 @@
 
 /// What stands at some place of a segment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Piece<'a> {
+pub enum Piece<'a> {
     Record {
         label: Label,
         payload: &'a [u8],
@@ -128,7 +131,7 @@
 
 impl Piece<'_> {
     /// Bytes that it takes in the file.
-    pub(crate) fn size(&self) -> usize {
+    pub fn size(&self) -> usize {
         match self {
             Piece::Record { payload, .. } | Piece::Spoilt { payload, .. } => FRAME + payload.len(),
             Piece::Unknown { bytes } | Piece::Torn { bytes } => bytes.len(),
@@ -137,7 +140,7 @@
 }
 
 /// A piece and its offset in the file.
-pub(crate) type Found<'a> = (usize, Piece<'a>);
+pub type Found<'a> = (usize, Piece<'a>);
 
 /// A record's head, if one stands there: its label, length and the payload's sum.
 fn label(identity: u64, bytes: &[u8]) -> Option<(Label, usize, u32)> {
@@ -151,7 +154,7 @@
 }
 
 /// The head of a segment, by whichever copy is sound.
-pub(crate) fn head(bytes: &[u8]) -> Result<Head, Unread> {
+pub fn head(bytes: &[u8]) -> Result<Head, Unread> {
     let second = bytes.get(HEAD..).unwrap_or_default();
     Head::read(bytes).or_else(|e| match e {
         Unread::Spoilt => Head::read(second),
@@ -160,7 +163,7 @@
 }
 
 /// Reads a whole segment. Behind what is spoilt the next record is looked for, byte by byte.
-pub(crate) fn read(bytes: &[u8]) -> Result<(Head, Vec<Found<'_>>), Unread> {
+pub fn read(bytes: &[u8]) -> Result<(Head, Vec<Found<'_>>), Unread> {
     let head = head(bytes)?;
     let mut found: Vec<Found> = Vec::new();
     let mut at = HEADS.min(bytes.len());
--- a/src/store/lock.rs
+++ b/src/store/lock.rs
@@ -7,7 +7,7 @@
 const NAME: &str = "lock";
 
 /// Held until it is dropped, or the process ends, however that ends.
-pub(crate) struct Lock {
+pub struct Lock {
     _file: File,
 }
 
@@ -21,12 +21,12 @@
 
 impl Lock {
     /// None if another process holds it.
-    pub(crate) fn take(folder: &Path) -> io::Result<Option<Self>> {
+    pub fn take(folder: &Path) -> io::Result<Option<Self>> {
         taken(File::options().write(true).create(true).truncate(false).open(folder.join(NAME))?)
     }
 
     /// The same without leaving a file where there is none: nobody has ever held it then.
-    pub(crate) fn look(folder: &Path) -> io::Result<Look> {
+    pub fn look(folder: &Path) -> io::Result<Look> {
         match File::open(folder.join(NAME)) {
             Ok(file) => Ok(taken(file)?.map_or(Look::InUse, |lock| Look::Free(Some(lock)))),
             Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(Look::Free(None)),
@@ -36,7 +36,7 @@
 }
 
 /// Whether another process writes to a folder.
-pub(crate) enum Look {
+pub enum Look {
     InUse,
     /// Nobody does, while this is kept.
     Free(Option<Lock>),
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -2,16 +2,16 @@
 //! lock, on a disk that may fail at any call and lose or spoil what it held. `docs/recovery.md` tells the form
 //! byte by byte.
 
-pub(crate) mod disk;
-pub(crate) mod frame;
-pub(crate) mod lock;
-pub(crate) mod page;
+pub mod disk;
+pub mod frame;
+pub mod lock;
+pub mod page;
 pub(crate) mod safeguard;
-pub(crate) mod scan;
-pub(crate) mod segments;
+pub mod scan;
+pub mod segments;
 #[cfg(test)]
 pub(crate) mod simulated;
-pub(crate) mod writer;
+pub mod writer;
 
 use serde::Deserialize;
 
--- a/src/store/page.rs
+++ b/src/store/page.rs
@@ -23,7 +23,7 @@
 ///
 /// # Errors
 /// One that is spoilt is an error: it must not pass for none.
-pub(crate) fn read<T: Serialize + DeserializeOwned>(disk: &impl Disk, name: &str) -> io::Result<Option<T>> {
+pub fn read<T: Serialize + DeserializeOwned>(disk: &impl Disk, name: &str) -> io::Result<Option<T>> {
     let bytes = match disk.read(name) {
         Ok(bytes) => bytes,
         Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
@@ -37,7 +37,7 @@
 
 /// Puts a page of at most so many bytes in the place of the one before: whoever reads finds either whole, with
 /// `Power` also after a loss of it.
-pub(crate) fn replace<T: Serialize>(
+pub fn replace<T: Serialize>(
     disk: &impl Disk,
     durability: Durability,
     (name, page): (&str, T),
--- a/src/store/scan.rs
+++ b/src/store/scan.rs
@@ -9,22 +9,22 @@
 use std::ops::Range;
 
 /// A record that tells that the segment with its message's number is needed no more.
-pub(crate) const DROPPED: u8 = 0xF0;
+pub const DROPPED: u8 = 0xF0;
 /// A record that tells that all before it has been synced. It has the sequence number of the record behind it: one
 /// that is lost leaves no gap.
-pub(crate) const SYNCED: u8 = 0xF1;
+pub const SYNCED: u8 = 0xF1;
 
-pub(crate) fn name(number: u64) -> String {
+pub fn name(number: u64) -> String {
     format!("{number:016x}")
 }
 
 /// A segment whose first batch is not on disk yet: nothing depends on it. No other ever has the same name, as a
 /// rename may come to the disk without the removal of the one before.
-pub(crate) fn unnamed(number: u64, identity: u64) -> String {
+pub fn unnamed(number: u64, identity: u64) -> String {
     format!("{number:016x}-{identity:016x}{UNNAMED}")
 }
 
-pub(crate) fn is_unnamed(name: &str) -> bool {
+pub fn is_unnamed(name: &str) -> bool {
     let name = name.strip_suffix(UNNAMED).and_then(|name| name.split_once('-'));
     name.is_some_and(|(n, identity)| number(n).is_some() && number(identity).is_some())
 }
@@ -37,7 +37,7 @@
 
 /// What recovery comes upon, in the order in which it was written.
 #[derive(Debug, PartialEq, Eq)]
-pub(crate) enum Read<'a> {
+pub enum Read<'a> {
     /// What follows stands in that segment.
     Segment(u64),
     Record {
@@ -55,13 +55,13 @@
 
 /// Something that is not as it was written.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Damage {
-    pub(crate) file: String,
-    pub(crate) offset: usize,
-    pub(crate) length: usize,
-    pub(crate) what: &'static str,
+pub struct Damage {
+    pub file: String,
+    pub offset: usize,
+    pub length: usize,
+    pub what: &'static str,
     /// The bytes are kept in a file of their own.
-    pub(crate) aside: bool,
+    pub aside: bool,
 }
 
 impl fmt::Display for Damage {
@@ -73,35 +73,35 @@
 
 /// A segment that is not written to any more.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Sealed {
-    pub(crate) number: u64,
-    pub(crate) size: u64,
+pub struct Sealed {
+    pub number: u64,
+    pub size: u64,
     /// Sequence numbers of its records, each of which is whole; none where one is known not to be.
-    pub(crate) whole: Option<Range<u64>>,
+    pub whole: Option<Range<u64>>,
 }
 
 /// All that a folder holds beside the records.
-pub(crate) struct Scan {
-    pub(crate) names: Vec<String>,
+pub struct Scan {
+    pub names: Vec<String>,
     /// Oldest first.
-    pub(crate) sealed: Vec<Sealed>,
-    pub(crate) damage: Vec<Damage>,
+    pub sealed: Vec<Sealed>,
+    pub damage: Vec<Damage>,
     /// The end of the last write, cut short by a loss of power. Nothing had depended on it.
-    pub(crate) cut: Option<Damage>,
+    pub cut: Option<Damage>,
     /// Segments that were dropped and are still there.
-    pub(crate) stale: Vec<u64>,
+    pub stale: Vec<u64>,
     /// Segments that nobody has synced.
-    pub(crate) unsynced: Vec<u64>,
+    pub unsynced: Vec<u64>,
     /// Records that may not have been synced, from `next - tail.len()` on.
-    pub(crate) tail: Vec<(Label, Vec<u8>)>,
+    pub tail: Vec<(Label, Vec<u8>)>,
     /// The number of the next segment, and the sequence number of the next record.
-    pub(crate) number: u64,
-    pub(crate) next: u64,
+    pub number: u64,
+    pub next: u64,
     /// Bytes that may still be kept aside.
-    pub(crate) room: u64,
+    pub room: u64,
 }
 
-pub(crate) fn unusable(file: &str, why: &str) -> io::Error {
+pub fn unusable(file: &str, why: &str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, format!("journal/{file}: {why}"))
 }
 
@@ -159,8 +159,8 @@
             let bytes = disk.read_head(&name(*n), frame::HEADS)?;
             match frame::head(&bytes) {
                 Err(Unread::Format(format)) => {
-                    let why =
-                        format!("format {format}, this program knows {}; nothing was changed", frame::FORMAT);
+                    let newest = frame::FORMAT_SYNCED;
+                    let why = format!("format {format}, this program knows {newest}; nothing was changed");
                     return Err(unusable(&name(*n), &why));
                 }
                 head => heads.push(head.ok().filter(|head| head.number == *n)),
@@ -280,7 +280,7 @@
 }
 
 /// Reads all that is there, oldest first, and tells what was damaged.
-pub(crate) fn scan(disk: &impl Disk, read: impl FnMut(Read)) -> io::Result<Scan> {
+pub fn scan(disk: &impl Disk, read: impl FnMut(Read)) -> io::Result<Scan> {
     let names = disk.list()?;
     // A format that is not known is an error before anything else is done.
     let layout = Layout::of(disk, &names)?;
@@ -340,7 +340,7 @@
 }
 
 /// Whether a sealed segment still holds all that it held.
-pub(crate) fn is_whole(bytes: &[u8], number: u64, whole: &Range<u64>) -> bool {
+pub fn is_whole(bytes: &[u8], number: u64, whole: &Range<u64>) -> bool {
     let Ok((head, found)) = frame::read(bytes) else { return false };
     let mut next = whole.start;
     for (_, piece) in found {
@@ -353,7 +353,7 @@
 }
 
 impl Durability {
-    pub(crate) fn syncs(self) -> bool {
+    pub fn syncs(self) -> bool {
         self == Durability::Power
     }
 }
--- a/src/store/segments.rs
+++ b/src/store/segments.rs
@@ -15,7 +15,7 @@
 
 /// Records on their way to a file: labels with the ends of their payloads.
 #[derive(Default)]
-pub(crate) struct Batch {
+pub struct Batch {
     records: Vec<(u8, u64, usize)>,
     payloads: Vec<u8>,
     /// The oldest segment is dropped with it: all of it that lives is in the batch.
@@ -23,21 +23,21 @@
 }
 
 impl Batch {
-    pub(crate) fn append(&mut self, kind: u8, message: u64, payload: &[u8]) {
+    pub fn append(&mut self, kind: u8, message: u64, payload: &[u8]) {
         self.payloads.extend_from_slice(payload);
         self.records.push((kind, message, self.payloads.len()));
     }
 
-    pub(crate) fn drop_oldest(&mut self) {
+    pub fn drop_oldest(&mut self) {
         self.drops = true;
     }
 
-    pub(crate) fn is_empty(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         self.records.is_empty() && !self.drops
     }
 
     /// Bytes that it will take.
-    pub(crate) fn size(&self) -> u64 {
+    pub fn size(&self) -> u64 {
         (self.payloads.len() + self.records.len() * frame::FRAME) as u64
     }
 
@@ -60,35 +60,35 @@
 
 /// How things stand after a commit, whether it succeeded or not.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Status {
+pub struct Status {
     /// Where the last batch that was committed stands.
-    pub(crate) segment: u64,
+    pub segment: u64,
     /// Bytes in all segments, and of records that a failed commit has left.
-    pub(crate) total: u64,
-    pub(crate) waiting: u64,
+    pub total: u64,
+    pub waiting: u64,
     /// The oldest segment that is not written to any more.
-    pub(crate) oldest: Option<u64>,
+    pub oldest: Option<u64>,
     /// Segments that were sealed by it.
-    pub(crate) sealed: Vec<Sealed>,
+    pub sealed: Vec<Sealed>,
     /// Syncs that it took.
-    pub(crate) syncs: u32,
+    pub syncs: u32,
 }
 
 /// How a folder is opened.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Plan {
+pub struct Plan {
     /// At this size a segment is sealed.
-    pub(crate) size: u64,
+    pub size: u64,
     /// Feeds the identities of segments; new with each start.
-    pub(crate) seed: u64,
+    pub seed: u64,
     /// Bytes that may be kept aside.
-    pub(crate) aside: u64,
-    pub(crate) durability: Durability,
+    pub aside: u64,
+    pub durability: Durability,
     /// Damage is an error, and nothing is changed.
-    pub(crate) refuse_damage: bool,
+    pub refuse_damage: bool,
 }
 
-pub(crate) struct Segments<D: Disk> {
+pub struct Segments<D: Disk> {
     disk: D,
     plan: Plan,
     /// Oldest first.
@@ -118,7 +118,7 @@
 impl<D: Disk> Segments<D> {
     /// Reads all that is there, and keeps what is damaged aside. Writing begins in a new segment, with what
     /// was read and may not have been synced.
-    pub(crate) fn open(disk: D, plan: Plan, read: impl FnMut(Read)) -> io::Result<(Self, Scan)> {
+    pub fn open(disk: D, plan: Plan, read: impl FnMut(Read)) -> io::Result<(Self, Scan)> {
         let mut scan = scan::scan(&disk, read)?;
         if let Some(first) = scan.damage.first().filter(|_| plan.refuse_damage) {
             let why = format!("{} damaged places, first {first}; nothing was changed", scan.damage.len());
@@ -158,7 +158,7 @@
         Ok((segments, scan))
     }
 
-    pub(crate) fn status(&self) -> Status {
+    pub fn status(&self) -> Status {
         self.status.clone()
     }
 
@@ -171,7 +171,7 @@
 
     /// Brings the batch to disk, behind what an earlier commit has failed to. After an error all of it still
     /// waits here, and goes first the next time. The batch is left empty.
-    pub(crate) fn commit(&mut self, batch: &mut Batch) -> (io::Result<()>, Status) {
+    pub fn commit(&mut self, batch: &mut Batch) -> (io::Result<()>, Status) {
         self.status.sealed.clear();
         self.status.syncs = 0;
         if self.pending.is_empty() {
@@ -350,7 +350,7 @@
 }
 
 /// Keeps a copy of what is damaged, while there is room.
-pub(crate) fn keep_aside(disk: &impl Disk, names: &[String], left: &mut u64, damage: &mut Damage) {
+pub fn keep_aside(disk: &impl Disk, names: &[String], left: &mut u64, damage: &mut Damage) {
     let Damage { file, offset, length, .. } = damage;
     let to = format!("{ASIDE}{file}-{offset}");
     let size = length.next_multiple_of(512) as u64;
--- a/src/store/writer.rs
+++ b/src/store/writer.rs
@@ -8,14 +8,14 @@
 use std::thread;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
-pub(crate) type Done = (io::Result<()>, Status);
+pub type Done = (io::Result<()>, Status);
 
-pub(crate) enum Writer<D: Disk> {
+pub enum Writer<D: Disk> {
     Here(Box<Segments<D>>),
     Apart(Apart),
 }
 
-pub(crate) struct Apart {
+pub struct Apart {
     batches: mpsc::Sender<Batch>,
     done: UnboundedReceiver<Done>,
     busy: bool,
@@ -26,7 +26,7 @@
     D::File: Send,
 {
     /// Gives the segments to a thread of their own.
-    pub(crate) fn apart(mut segments: Segments<D>) -> io::Result<Self> {
+    pub fn apart(mut segments: Segments<D>) -> io::Result<Self> {
         let (batches, coming) = mpsc::channel::<Batch>();
         let (tell, done) = unbounded_channel();
         let write = move || {
@@ -44,7 +44,7 @@
 #[cfg(test)]
 impl<D: Disk> Writer<D> {
     /// One whose commits end when the other side says so.
-    pub(crate) fn by_hand() -> (Self, mpsc::Receiver<Batch>, tokio::sync::mpsc::UnboundedSender<Done>) {
+    pub fn by_hand() -> (Self, mpsc::Receiver<Batch>, tokio::sync::mpsc::UnboundedSender<Done>) {
         let (batches, coming) = mpsc::channel();
         let (tell, done) = unbounded_channel();
         (Writer::Apart(Apart { batches, done, busy: false }), coming, tell)
@@ -53,7 +53,7 @@
 
 impl<D: Disk> Writer<D> {
     /// Commits the batch, which is left empty. None: that is under way, and `done` tells how it ended.
-    pub(crate) fn commit(&mut self, batch: &mut Batch) -> Option<Done> {
+    pub fn commit(&mut self, batch: &mut Batch) -> Option<Done> {
         match self {
             Writer::Here(segments) => Some(segments.commit(batch)),
             Writer::Apart(apart) => {
@@ -67,12 +67,12 @@
     }
 
     /// A commit is under way.
-    pub(crate) fn is_busy(&self) -> bool {
+    pub fn is_busy(&self) -> bool {
         matches!(self, Writer::Apart(apart) if apart.busy)
     }
 
     /// The end of the commit that is under way; waits for ever if none is.
-    pub(crate) async fn done(&mut self) -> Done {
+    pub async fn done(&mut self) -> Done {
         match self {
             Writer::Apart(apart) if apart.busy => {
                 let done = apart.done.recv().await;
