--- /dev/null
+++ b/benches/stall.rs
@@ -0,0 +1,69 @@
+//! How long the courier's loop stands in a commit, with much alive and old segments dropped all the time: in `power`
+//! the thread that writes does the rest. Prints the median, the 99th percentile and the longest of the calls.
+
+use bytes::Bytes;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use walnutshift::node::journal::{self, Journal, Keeping, Letter};
+use walnutshift::store::Durability;
+
+const LIVE: u64 = 100_000_000;
+const BODY: usize = 4000;
+const COMMITS: usize = 20_000;
+/// Messages that come, and as many that end, between two commits.
+const BATCH: u64 = 8;
+
+fn letter(n: u64) -> Rc<Letter> {
+    Rc::new(Letter {
+        id: format!("9b1f03aa5c7e{n:08x}"),
+        class: "status".to_owned(),
+        destination: n % 40,
+        until: journal::unix() + Duration::from_secs(1000),
+        body: Bytes::from(vec![b'x'; BODY]),
+        ..Letter::default()
+    })
+}
+
+fn main() {
+    println!("{LIVE} bytes live, {COMMITS} commits of {BATCH} messages in and out");
+    println!("{:>8} {:>9} {:>9} {:>9} {:>9}", "mode", "p50 ms", "p99 ms", "p99.9 ms", "max ms");
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+    for (name, durability) in [("process", Durability::Process), ("power", Durability::Power)] {
+        let folder = std::env::temp_dir().join(format!("bench-stall-{}-{name}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let keeping = Keeping { room: LIVE * 3, durability, refuse_damage: false };
+        let (mut journal, _) = Journal::open(&folder, keeping, 1).expect("opens");
+        let (mut next, mut live, mut took) = (0, VecDeque::new(), Vec::new());
+        let commit = |journal: &mut Journal| {
+            let from = Instant::now();
+            let done = journal.commit();
+            let stood = from.elapsed();
+            done.unwrap_or_else(|| runtime.block_on(journal.done())).expect("written");
+            stood
+        };
+        let mut accept = |journal: &mut Journal, live: &mut VecDeque<u64>| {
+            next += 1;
+            journal.accept(next, letter(next));
+            live.push_back(next);
+        };
+        while (live.len() * BODY) < LIVE as usize {
+            (0..256).for_each(|_| accept(&mut journal, &mut live));
+            commit(&mut journal);
+        }
+        for n in 0..COMMITS {
+            for _ in 0..BATCH {
+                accept(&mut journal, &mut live);
+                // Every second one stays: what is dropped holds messages that live.
+                let out = if n % 2 == 0 { live.pop_front() } else { live.pop_back() };
+                journal.end(out.expect("one lives"));
+            }
+            took.push(commit(&mut journal).as_secs_f64() * 1e3);
+        }
+        took.sort_by(f64::total_cmp);
+        let at = |part: f64| took[((took.len() - 1) as f64 * part) as usize];
+        println!("{name:>8} {:9.3} {:9.3} {:9.3} {:9.3}", at(0.5), at(0.99), at(0.999), at(1.0));
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -108,6 +108,7 @@
             self.tidy(*dest, out);
             self.check_health(*dest);
         }
+        self.judge_zones(out);
         self.release(&touched, out);
         for dest in &touched {
             self.plan(*dest);
@@ -337,7 +338,9 @@
                 e.trial = None;
             }
             // Too many connections look like a dead endpoint, but for answers on the others.
-            Outcome::ConnectFailed if e.last_ok > sent || (!e.calls.is_empty() && e.last_ok > 0) => {}
+            Outcome::ConnectFailed if e.last_ok > sent || (!e.calls.is_empty() && e.last_ok > 0) => {
+                return self.free_connection(id, out);
+            }
             Outcome::Cancelled | Outcome::Moot => {}
             _ => {
                 // A call takes at least as long as it was out: else a slow one never meets its time-out.
@@ -346,6 +349,7 @@
                 self.failed(id, call);
             }
         }
+        self.zone_heard(id, outcome);
         self.free_connection(id, out);
     }
 
@@ -816,7 +820,10 @@
             let waits = e.calls.values().filter(|c| c.0 != Ns::MIN && !hung(c)).map(|c| c.0 + hang + 1).min();
             let trial_lost = |t| e.calls.get(&t).is_none_or(hung);
             match e.breaker {
-                Breaker::Closed if e.calls.values().any(hung) => self.open(id, false),
+                Breaker::Closed if e.calls.values().any(hung) => {
+                    self.open(id, false);
+                    self.zone_heard(id, Outcome::TimedOut);
+                }
                 Breaker::Open if held && e.turn_at.max(pool_waits) <= now => {
                     (e.breaker, e.trial) = (Breaker::HalfOpen, None);
                 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 mod state;
 pub mod store;
 pub mod wire;
+mod zones;
 
 #[cfg(test)]
 mod chart_test;
--- a/src/state.rs
+++ b/src/state.rs
@@ -75,6 +75,32 @@
     HalfOpen,
 }
 
+/// How an endpoint's last call failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Ill {
+    Unconnected,
+    Silent,
+    Reset,
+    Error,
+}
+
+/// What is thought of a zone as a whole.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum ZoneStanding {
+    #[default]
+    Healthy,
+    Suspect,
+    Out,
+    Returning,
+}
+
+#[derive(Default, Serialize, Deserialize)]
+pub(crate) struct Zone {
+    pub(crate) standing: ZoneStanding,
+    /// Since when.
+    pub(crate) since: Ns,
+}
+
 #[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Endpoint {
     pub(crate) dest: DestinationId,
@@ -110,6 +136,11 @@
     pub(crate) free_at: Ns,
     /// This courier's own leaning among equals, 0 to 1.
     pub(crate) lean: f64,
+    /// When a call last told something of it, and what it ailed from then.
+    #[serde(default)]
+    pub(crate) heard: Ns,
+    #[serde(default)]
+    pub(crate) ill: Option<Ill>,
 }
 
 /// What shares one limit: a destination, or one endpoint of it where routes are separate.
@@ -205,6 +236,11 @@
     /// When to ask for the list again.
     pub(crate) ask_at: Option<Ns>,
     pub(crate) ask_pause: f64,
+    /// By number; those of which something was heard that may change what is thought of them.
+    #[serde(default)]
+    pub(crate) zones: BTreeMap<usize, Zone>,
+    #[serde(default)]
+    pub(crate) zones_with_news: BTreeSet<usize>,
 }
 
 fn unseeded() -> SmallRng {
@@ -268,6 +304,8 @@
             stuck_at: NEVER,
             ask_at: set.must_subscribe.then_some(0),
             ask_pause: 0.0,
+            zones: BTreeMap::new(),
+            zones_with_news: BTreeSet::new(),
             set,
         }
     }
