Do not read a segment again that was dropped as the only sealed one

It took off what is older than the oldest one, and nothing where none was left: the scrub then looked for a file that is gone and told that it had vanished.

Change: where no sealed segment is left, none is kept in the list.

Result: a test that fails without it; nothing else changes.

--- a/src/node/journal.rs
+++ b/src/node/journal.rs
@@ -581,10 +581,10 @@
     fn take_in(&mut self, (result, status): Done) -> io::Result<()> {
         self.syncs += u64::from(status.syncs);
         self.sealed.extend(status.sealed.iter().cloned());
-        if status.oldest.is_some() {
-            while self.sealed.front().is_some_and(|s| Some(s.number) < status.oldest) {
-                self.sealed.pop_front();
-            }
+        // Where none is left, the last one was dropped as well.
+        let oldest = status.oldest.unwrap_or(u64::MAX);
+        while self.sealed.front().is_some_and(|s| s.number < oldest) {
+            self.sealed.pop_front();
         }
         self.status = status;
         result?;
--- a/src/node/journal_test.rs
+++ b/src/node/journal_test.rs
@@ -248,6 +248,18 @@
     assert_eq!((state(&again), recovery.damage.len(), recovery.doubted), (want, 0, 0));
 }
 
+/// The only sealed segment is dropped: there is nothing to read again, and nothing has vanished.
+#[test]
+fn a_segment_that_was_dropped_is_not_read_again() {
+    let (mut journal, _) = simulated(&Simulated::default(), DISK).expect("opens");
+    (1..=300).for_each(|n| journal.accept(n, letter(&format!("m{n}"), 900)));
+    journal.flush().expect("written");
+    assert!(journal.scrub().is_some_and(|scrub| scrub.run().damage.is_none()), "one is sealed");
+    (1..=300).for_each(|n| journal.end(n));
+    journal.flush().expect("written");
+    assert!(journal.scrub().is_none());
+}
+
 /// Messages that live, each with one attempt that is known not to have run.
 fn full(messages: u64) -> Simulated {
     let disk = Simulated::default();
