--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -79,8 +79,10 @@
 /// While there is no watch, what the agent has been sent counts as told already. So a first watch, and one
 /// after another that was answered, is up within the grace on drains: its call comes in this part of it.
 const GRACE_PART: f64 = 0.5;
-/// No line is longer; guards memory against one without an end.
-const LINE_MOST: usize = 8 * 1024 * 1024;
+/// No list is longer; guards memory against one without an end.
+const VALUE_MOST: usize = 8 * 1024 * 1024;
+/// Bytes that the log shows of what cannot be read.
+const SHOWN: usize = 60;
 
 pub struct Watch {
     pub address: SocketAddr,
@@ -176,20 +178,23 @@
         if answer.status() != StatusCode::OK {
             return false;
         }
-        let (mut body, mut lines) = (answer.into_body(), Lines::default());
+        let (mut body, mut told) = (answer.into_body(), Told::default());
         let mut heard = false;
-        while let Some(piece) = link.piece(&mut body, SILENT).await {
-            if !lines.push(&piece) {
+        while let Some(piece) = link.piece(&mut body, told.patience()).await {
+            if !told.push(&piece) {
+                say!("discovery: {} tells a list without an end", self.address);
+                self.fresh = true;
                 return heard;
             }
-            while let Some(line) = lines.next() {
+            while let Some(item) = told.next() {
                 // An empty line says that all is as it was: an answer too.
-                let list = match line.iter().all(u8::is_ascii_whitespace) {
-                    true => List { seq: self.seq, ..List::default() },
-                    false => match serde_json::from_slice::<List>(&line) {
+                let list = match item {
+                    Item::Beat => List { seq: self.seq, ..List::default() },
+                    Item::Value(value) => match serde_json::from_slice::<List>(&value) {
                         Ok(list) => list,
                         Err(e) => {
-                            say!("discovery: a line that cannot be read: {e}");
+                            let from = String::from_utf8_lossy(&value[..value.len().min(SHOWN)]);
+                            say!("discovery: {} tells what cannot be read, {from:?}: {e}", self.address);
                             // What it would have told is asked for again, as a whole list.
                             self.fresh = true;
                             return heard;
@@ -210,37 +215,109 @@
                 }
             }
         }
-        say!("discovery: the watch at {} has ended", self.address);
+        let cut = if told.is_within() { ", in the middle of a list" } else { "" };
+        say!("discovery: the watch at {} has ended{cut}", self.address);
         heard
     }
 }
 
-/// Cuts a stream of bytes into lines.
+/// What discovery says at one time.
+#[derive(Debug, PartialEq)]
+enum Item {
+    /// An empty line.
+    Beat,
+    /// A JSON value, or a line that is none.
+    Value(Vec<u8>),
+}
+
+/// Cuts a stream of bytes into JSON values. Each has a line of its own, or several where lists come indented.
 #[derive(Default)]
-struct Lines {
+struct Told {
     bytes: Vec<u8>,
-    /// Up to here there is no end of a line.
+    /// Up to here there is no end of a value.
     seen: usize,
+    /// Brackets that are open there, and whether it is within a string, right behind a backslash.
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+    /// Something but white space stands before.
+    begun: bool,
+    /// The rest of a value's last line is no empty line.
+    ended: bool,
+    /// Since when a value is unfinished.
+    since: Option<Instant>,
 }
 
-impl Lines {
-    /// False if a line has grown too long.
+impl Told {
+    /// False if a value has grown too long.
     fn push(&mut self, piece: &[u8]) -> bool {
         self.bytes.extend_from_slice(piece);
-        self.bytes.len() <= LINE_MOST
+        self.bytes.len() <= VALUE_MOST
     }
 
-    fn next(&mut self) -> Option<Vec<u8>> {
-        let Some(at) = self.bytes[self.seen..].iter().position(|b| *b == b'\n') else {
-            self.seen = self.bytes.len();
-            return None;
-        };
-        let end = self.seen + at;
-        self.seen = 0;
-        let rest = self.bytes.split_off(end + 1);
-        let mut line = std::mem::replace(&mut self.bytes, rest);
-        line.truncate(end);
-        Some(line)
+    /// Whether a value is unfinished.
+    fn is_within(&self) -> bool {
+        self.begun
+    }
+
+    /// How long what follows may stay away. A value that does not end hides all that is told after it, and so is
+    /// no better than silence, whatever else comes meanwhile.
+    fn patience(&self) -> Duration {
+        self.since.map_or(SILENT, |since| SILENT.saturating_sub(since.elapsed()))
+    }
+
+    fn next(&mut self) -> Option<Item> {
+        while let Some(byte) = self.bytes.get(self.seen).copied() {
+            self.seen += 1;
+            let whole = match byte {
+                _ if self.escaped => {
+                    self.escaped = false;
+                    false
+                }
+                b'\\' if self.quoted => {
+                    self.escaped = true;
+                    false
+                }
+                // No string of JSON spans lines: this one was cut.
+                b'\n' if self.quoted || self.depth == 0 => true,
+                b'"' => {
+                    (self.quoted, self.begun) = (!self.quoted, true);
+                    false
+                }
+                _ if self.quoted => false,
+                b'{' | b'[' => {
+                    (self.depth, self.begun) = (self.depth + 1, true);
+                    false
+                }
+                b'}' | b']' => {
+                    (self.depth, self.begun) = (self.depth.saturating_sub(1), true);
+                    self.depth == 0
+                }
+                _ => {
+                    self.begun |= !byte.is_ascii_whitespace();
+                    false
+                }
+            };
+            if !whole {
+                continue;
+            }
+            let rest = self.bytes.split_off(self.seen);
+            let value = std::mem::replace(&mut self.bytes, rest);
+            let (begun, behind) = (self.begun, self.ended);
+            *self = Told {
+                bytes: std::mem::take(&mut self.bytes),
+                ended: begun && byte != b'\n',
+                ..Told::default()
+            };
+            if begun {
+                return Some(Item::Value(value));
+            }
+            if !behind {
+                return Some(Item::Beat);
+            }
+        }
+        self.since = self.begun.then(|| self.since.unwrap_or_else(Instant::now));
+        None
     }
 }
 
@@ -261,6 +338,38 @@
         }
     }
 
+    #[test]
+    fn lists_come_in_one_line_or_several_and_an_empty_line_is_an_answer() {
+        let text = "\n{\"a\":\"}\\\"\"}\n\n{\n  \"b\": [\n\n    {}\n  ]\n}\n{}{\"c\":1} \n \njunk\n{\"cut\":\"of\n[\n";
+        let value = |text: &str| Item::Value(text.as_bytes().to_vec());
+        for size in [1, 2, 7, 1000] {
+            let (mut told, mut items) = (Told::default(), Vec::new());
+            for piece in text.as_bytes().chunks(size) {
+                assert!(told.push(piece));
+                items.extend(std::iter::from_fn(|| told.next()));
+            }
+            let expected = [
+                Item::Beat,
+                value("{\"a\":\"}\\\"\"}"),
+                Item::Beat,
+                value("{\n  \"b\": [\n\n    {}\n  ]\n}"),
+                value("\n{}"),
+                value("{\"c\":1}"),
+                Item::Beat,
+                value("junk\n"),
+                value("{\"cut\":\"of\n"),
+            ];
+            let trimmed = |item: &Item| match item {
+                Item::Beat => Item::Beat,
+                Item::Value(value) => Item::Value(value.trim_ascii().to_vec()),
+            };
+            let (items, expected): (Vec<_>, Vec<_>) =
+                (items.iter().map(trimmed).collect(), expected.iter().map(trimmed).collect());
+            assert_eq!(items, expected, "in pieces of {size}");
+            assert!(told.is_within() && told.patience() <= SILENT, "the last one has no end yet");
+        }
+    }
+
     #[test]
     fn a_change_is_heard_before_it_counts_as_told_though_a_watch_fell_silent() {
         // The change comes right behind the last line heard; the first watch after that is not answered.
--- /dev/null
+++ b/tests/endings.rs
@@ -0,0 +1,432 @@
+//! What is owed in the instant in which something ends. Each crossing is forced: by a peer that stops at a byte, by
+//! a courier that stands still while both things come, or by a process that is killed. `docs/endings.md` lists them.
+
+mod rig;
+use rig::*;
+use serde_json::{Value, json};
+use std::io::{BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::Ordering;
+use std::thread;
+
+/// One endpoint of destination 7, and discovery that lists it.
+fn one(act: impl Fn(usize) -> Act + Send + Sync + 'static) -> (Folder, Endpoint, Discovery) {
+    let endpoint = Endpoint::new(act);
+    let discovery = Discovery::new(list(1, true, vec![host("s-1", &endpoint, 7, "ready")]));
+    (Folder::new(), endpoint, discovery)
+}
+
+/// A client's connection.
+struct Client {
+    stream: TcpStream,
+    from: BufReader<TcpStream>,
+}
+
+impl Client {
+    fn new(courier: &Courier) -> Self {
+        let stream = TcpStream::connect(courier.address).expect("a connection");
+        stream.set_read_timeout(Some(LIMIT)).expect("a limit");
+        let from = BufReader::new(stream.try_clone().expect("a handle"));
+        Client { stream, from }
+    }
+
+    /// One that has had an answer and rests.
+    fn resting(courier: &Courier, id: &str) -> Self {
+        let mut client = Client::new(courier);
+        client.send(&message(id, "status", 7, 20_000));
+        assert_eq!(client.status(), 202, "{id}");
+        client
+    }
+
+    fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).expect("written");
+    }
+
+    /// The answer that comes; none if the connection ends without one.
+    fn answer(&mut self) -> Option<Page> {
+        Page::read(&mut self.from)
+    }
+
+    fn status(&mut self) -> u16 {
+        self.answer().map_or(0, |page| page.status())
+    }
+
+    /// Whether the connection has ended.
+    fn is_closed(&mut self) -> bool {
+        !self.from.read(&mut [0]).is_ok_and(|n| n > 0)
+    }
+}
+
+/// A message, cut into what ends within its head and the rest.
+fn halves(id: &str) -> (String, String) {
+    let text = message(id, "status", 7, 20_000);
+    let at = text.find("X-Timeout").expect("a head");
+    (text[..at].to_owned(), text[at..].to_owned())
+}
+
+fn ready(endpoint: &Endpoint) -> Value {
+    host("s-1", endpoint, 7, "ready")
+}
+
+// ---- clients -----------------------------------------------------------------------------------------
+
+#[test]
+fn a_request_half_read_at_sigterm_is_read_to_its_end_and_delivered() {
+    let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
+    let mut courier = Courier::start(&folder, &discovery);
+    let (head, rest) = halves("half");
+    let mut served = Client::resting(&courier, "before");
+    let mut new = Client::new(&courier);
+    served.send(&head);
+    new.send(&message("body", "payment", 7, 20_000)[..150]);
+    courier.signal("-TERM");
+    courier.says("stopping");
+    served.send(&rest);
+    new.send(&message("body", "payment", 7, 20_000)[150..]);
+    for client in [&mut served, &mut new] {
+        let page = client.answer().expect("an answer");
+        assert_eq!((page.status(), page.head("connection")), (202, Some("close")));
+        assert!(client.is_closed());
+    }
+    assert_eq!(courier.exit(), 0);
+    let mut ids = endpoint.ids();
+    ids.sort();
+    assert_eq!(ids, ["before", "body", "half"]);
+}
+
+#[test]
+fn requests_that_come_together_with_sigterm_are_answered() {
+    let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
+    let mut courier = Courier::start(&folder, &discovery);
+    let (mut rests, mut silent) = (Client::resting(&courier, "m0"), Client::new(&courier));
+    // Once this is answered the silent one is let in as well.
+    assert_eq!(courier.get("/-/ready").map(|page| page.status()), Some(200));
+    courier.stop();
+    rests.send(&message("m1", "payment", 7, 20_000));
+    silent.send(&message("m2", "payment", 7, 20_000));
+    courier.signal("-TERM");
+    courier.go();
+    let taken: Vec<_> = [("m1", &mut rests), ("m2", &mut silent)]
+        .into_iter()
+        .filter_map(|(id, client)| {
+            let status = client.status();
+            assert!([202, 503].contains(&status), "{id}: {status}");
+            (status == 202).then_some(id)
+        })
+        .collect();
+    assert_eq!(courier.exit(), 0);
+    // What was taken on has gone, or goes in the next life; nothing else.
+    let _next = Courier::start(&folder, &discovery);
+    until("what was taken on", || endpoint.calls().len() > taken.len());
+    let mut ids = endpoint.ids();
+    ids.sort();
+    assert_eq!(ids[1..], taken);
+}
+
+#[test]
+fn a_request_that_comes_as_its_courier_goes_out_of_service_is_answered() {
+    let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
+    let known = discovery.lines.lock().expect("lines")[0].clone();
+    let mut command = command(&folder, &discovery, &config(&discovery, known));
+    let courier = Courier::spawn(command.env("LB_ADMIN_ADDR", "127.0.0.1:0"));
+    let mut client = Client::resting(&courier, "m0");
+    let mut operator = TcpStream::connect(courier.admin.expect("an address")).expect("a connection");
+    courier.stop();
+    operator.write_all(b"POST /control/out-of-service HTTP/1.1\r\nHost: x\r\n\r\n").expect("sent");
+    client.send(&message("m1", "payment", 7, 20_000));
+    courier.go();
+    let page = client.answer().expect("an answer");
+    assert_eq!(page.status(), 202);
+    assert!(client.is_closed(), "and its connection is let go");
+    until("both", || endpoint.ids() == ["m0", "m1"]);
+}
+
+// ---- calls -------------------------------------------------------------------------------------------
+
+#[test]
+fn a_call_whose_endpoint_is_removed_while_its_connection_comes_up_is_not_begun() {
+    for reload in [false, true] {
+        // Its queue is full, so that a connection comes up only once it accepts and the kernel asks again.
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().expect("one").into()).expect("a port");
+        socket.listen(0).expect("listens");
+        let listener = TcpListener::from(socket);
+        let (slow, other) = (Endpoint::at(&listener), Endpoint::new(|_| Act::Answer(OK)));
+        let _first = TcpStream::connect(slow.address).expect("the one that its queue holds");
+        let discovery = Discovery::new(list(1, true, vec![ready(&slow)]));
+        let folder = Folder::new();
+        let mut config = config(&discovery, discovery.lines.lock().expect("lines")[0].clone());
+        config["settings"]["limits"]["connect-timeout-ns"] = json!(30_000_000_000u64);
+        let courier = Courier::with(&folder, &discovery, &config);
+        courier.take("m", "payment", 7, 25_000);
+        courier.says("m attempt 0: to s-1");
+        let without = list(2, true, vec![host("s-2", &other, 7, "ready")]);
+        let moved = Discovery::new(without.clone());
+        if reload {
+            config["discovery"] = json!(moved.address.to_string());
+            courier.reload(&folder, &config.to_string());
+        } else {
+            discovery.tell(without);
+        }
+        courier.says("list 2");
+        slow.serve(listener, |_, _| Act::Answer(OK));
+        until("its connection", || slow.connections.load(Ordering::SeqCst) == 2);
+        until("the call elsewhere", || other.ids() == ["m"]);
+        assert!(slow.calls().is_empty(), "begun at one that is gone; by a reload: {reload}");
+    }
+}
+
+/// An endpoint that says `head` to its first call, and then `more` for ever; later calls are answered well.
+fn endless(head: &'static str, more: &'static str) -> (Folder, TcpListener, Discovery, Value) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let place = Endpoint::at(&listener);
+    let discovery = Discovery::new(list(1, true, vec![ready(&place)]));
+    let own = listener.try_clone().expect("a handle");
+    thread::spawn(move || {
+        for (n, mut stream) in own.incoming().flatten().enumerate() {
+            thread::spawn(move || {
+                let mut from = BufReader::new(stream.try_clone().expect("a handle"));
+                while Page::read(&mut from).is_some() {
+                    if n > 0 {
+                        let _ = stream.write_all(OK.as_bytes());
+                        continue;
+                    }
+                    let _ = stream.write_all(head.as_bytes());
+                    while stream.write_all(more.as_bytes()).is_ok() {
+                        thread::sleep(10 * MS);
+                    }
+                }
+            });
+        }
+    });
+    let known = discovery.lines.lock().expect("lines")[0].clone();
+    let config = config(&discovery, known);
+    (Folder::new(), listener, discovery, config)
+}
+
+#[test]
+fn an_answer_that_never_ends_is_judged_by_its_first_line() {
+    for (head, more, result) in [
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n", None),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n", "more", None),
+        ("HTTP/1.1 200 OK\r\n", "X-More: and more\r\n", None),
+        ("HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n", Some("dead")),
+        ("HTTP/1.1 503 No\r\n", "X-More: and more\r\n", Some("dead")),
+    ] {
+        let (folder, _listener, discovery, config) = endless(head, more);
+        let courier = Courier::with(&folder, &discovery, &config);
+        courier.take("pay", "payment", 7, 25_000);
+        courier.says(if result.is_some() { "pay given up: Dead" } else { "pay attempt 0: Delivered" });
+        courier.take("next", "payment", 7, 25_000);
+        courier.says("next attempt 0: Delivered");
+        if let Some(result) = result {
+            until("its notice", || discovery.results("pay") == [result]);
+        } else {
+            assert!(discovery.results("pay").is_empty(), "{head:?}");
+        }
+    }
+}
+
+#[test]
+fn a_connection_that_resets_halfway_may_have_run() {
+    for half in ["HTTP/1.1 20", "HTTP", "\r\n"] {
+        let (folder, endpoint, discovery) =
+            one(move |n| if n == 0 { Act::AnswerAndClose(half) } else { Act::Answer(OK) });
+        let courier = Courier::start(&folder, &discovery);
+        courier.take("pay", "payment", 7, 20_000);
+        until("the notice", || discovery.results("pay") == ["dead"]);
+        courier.take("state", "status", 7, 20_000);
+        until("the next", || endpoint.ids() == ["pay", "state"]);
+    }
+}
+
+#[test]
+fn an_abandoned_call_is_closed_before_the_next_attempt_begins() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let place = Endpoint::at(&listener);
+    let discovery = Discovery::new(list(1, true, vec![ready(&place)]));
+    let folder = Folder::new();
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("m", "status", 7, 20_000);
+    let call = |listener: &TcpListener| {
+        let (stream, _) = listener.accept().expect("a connection");
+        let mut from = BufReader::new(stream.try_clone().expect("a handle"));
+        let id = Page::read(&mut from).expect("a call").head("x-request-id").unwrap_or_default().to_owned();
+        (stream, id)
+    };
+    let (mut first, id) = call(&listener);
+    assert_eq!(id, "m");
+    // Half a line, which proves nothing, just before its time is up.
+    thread::sleep(900 * MS);
+    first.write_all(b"HTTP/1.").expect("written");
+    let (mut second, id) = call(&listener);
+    assert_eq!(id, "m");
+    // The next call is here: the end of the first one's connection must be too, or it would be a second copy.
+    first.set_nonblocking(true).expect("set");
+    let end = first.read(&mut [0]);
+    assert!(
+        end.as_ref().is_ok_and(|n| *n == 0)
+            || end.is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionReset)
+    );
+    second.write_all(OK.as_bytes()).expect("written");
+    courier.says("m attempt 1: Delivered");
+}
+
+// ---- discovery and the platform ----------------------------------------------------------------------
+
+#[test]
+fn lists_that_come_indented_are_read() {
+    let (a, b) = (Endpoint::new(|_| Act::Answer(OK)), Endpoint::new(|_| Act::Answer(OK)));
+    let discovery = Discovery::new(list(1, true, vec![ready(&a)]));
+    discovery.indented.store(true, Ordering::SeqCst);
+    let folder = Folder::new();
+    let courier = Courier::with(&folder, &discovery, &config(&discovery, Value::Null));
+    courier.says("list 1");
+    courier.take("m1", "status", 7, 20_000);
+    until("the first", || a.ids() == ["m1"]);
+    discovery.tell(list(2, false, vec![host("s-1", &a, 7, "draining"), host("s-2", &b, 7, "ready")]));
+    courier.says("list 2");
+    courier.take("m2", "status", 7, 20_000);
+    until("the second", || b.ids() == ["m2"]);
+    assert_eq!(discovery.watches.load(Ordering::SeqCst), 1, "on one watch");
+    assert_eq!(a.ids(), ["m1"]);
+}
+
+#[test]
+fn what_a_watch_was_telling_when_it_ended_or_fell_silent_is_asked_for_again() {
+    for (silent, indented) in [(false, false), (true, false), (true, true)] {
+        let (a, b) = (Endpoint::new(|_| Act::Answer(OK)), Endpoint::new(|_| Act::Answer(OK)));
+        let discovery = Discovery::new(list(1, true, vec![ready(&a)]));
+        discovery.torn.store(1, Ordering::SeqCst);
+        discovery.torn_silent.store(silent, Ordering::SeqCst);
+        discovery.indented.store(indented, Ordering::SeqCst);
+        let folder = Folder::new();
+        let courier = Courier::start(&folder, &discovery);
+        courier.says("list 1");
+        discovery.tell(list(2, false, vec![host("s-1", &a, 7, "draining"), host("s-2", &b, 7, "ready")]));
+        courier.says("in the middle of a list");
+        courier.says("list 2");
+        courier.take("m", "status", 7, 20_000);
+        until("the call", || b.ids() == ["m"]);
+        assert!(a.calls().is_empty());
+    }
+}
+
+#[test]
+fn a_watch_that_dies_with_discovery_down_is_asked_for_until_it_is_back() {
+    let (a, b) = (Endpoint::new(|_| Act::Answer(OK)), Endpoint::new(|_| Act::Answer(OK)));
+    // A second socket holds the port, so that it stays refused, and nobody else gets it, while the first is away.
+    let bound = |address: std::net::SocketAddr| {
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        socket.set_reuse_port(true).expect("shared");
+        socket.bind(&address.into()).expect("a port");
+        socket
+    };
+    let first = bound("127.0.0.1:0".parse().expect("an address"));
+    first.listen(8).expect("listens");
+    let listener = TcpListener::from(first);
+    let address = listener.local_addr().expect("an address");
+    let later = bound(address);
+    let first = list(1, true, vec![ready(&a)]);
+    let folder = Folder::new();
+    let mut config = config(&Discovery::new(first.clone()), first.clone());
+    config["discovery"] = json!(address.to_string());
+    let courier = Courier::with(&folder, &Discovery::new(first.clone()), &config);
+    let tell = |stream: &mut TcpStream, list: &Value| {
+        let text = format!("{list}\n");
+        write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{text}\r\n", text.len())
+            .expect("written");
+    };
+    let (mut watch, _) = listener.accept().expect("a watch");
+    tell(&mut watch, &first);
+    courier.says("list 1");
+    // Down: the watch breaks, and nobody listens.
+    drop(listener);
+    drop(watch);
+    courier.says("no connection");
+    later.listen(8).expect("listens");
+    let listener = TcpListener::from(later);
+    let (mut watch, _) = listener.accept().expect("a watch");
+    tell(&mut watch, &list(2, true, vec![host("s-2", &b, 7, "ready")]));
+    courier.says("list 2");
+    courier.take("m", "status", 7, 20_000);
+    until("the call", || b.ids() == ["m"]);
+    assert!(a.calls().is_empty());
+}
+
+// ---- the start ---------------------------------------------------------------------------------------
+
+/// A folder with so many messages that were taken on and never tried: nothing could be sent there yet.
+fn untried(endpoint: &Endpoint, count: usize, class: &str, time_ms: u64) -> (Folder, Discovery) {
+    let folder = Folder::new();
+    let discovery = Discovery::new(list(1, true, vec![host("s-1", endpoint, 7, "draining")]));
+    let courier = Courier::start(&folder, &discovery);
+    for n in 0..count {
+        courier.take(&format!("m{n}"), class, 7, time_ms);
+    }
+    courier.kill();
+    (folder, discovery)
+}
+
+#[test]
+fn what_a_killed_process_had_untried_is_tried_by_the_next_though_its_list_comes_late() {
+    let endpoint = Endpoint::new(|_| Act::Answer(OK));
+    let (folder, discovery) = untried(&endpoint, 20, "payment", 20_000);
+    assert!(endpoint.calls().is_empty());
+    // The list at hand is older than the destination itself, and the news comes only after a while.
+    let other = Endpoint::new(|_| Act::Hang);
+    discovery.lines.lock().expect("lines")[0] = list(2, true, vec![]);
+    let known = list(1, true, vec![host("s-9", &other, 9, "ready")]);
+    let courier = Courier::with(&folder, &discovery, &config(&discovery, known));
+    courier.says("list 2");
+    thread::sleep(1500 * MS);
+    discovery.tell(list(3, false, vec![ready(&endpoint)]));
+    until("all of them", || endpoint.calls().len() == 20);
+    let mut ids = endpoint.ids();
+    ids.sort();
+    ids.dedup();
+    assert_eq!(ids.len(), 20, "each once");
+    assert!(discovery.notices.lock().expect("notices").is_empty());
+}
+
+#[test]
+fn what_is_out_of_time_at_the_start_is_told_at_once() {
+    let endpoint = Endpoint::new(|_| Act::Answer(OK));
+    let (folder, discovery) = untried(&endpoint, 3, "payment", 700);
+    thread::sleep(800 * MS);
+    discovery.lines.lock().expect("lines")[0] = list(2, true, vec![ready(&endpoint)]);
+    let _courier = Courier::start(&folder, &discovery);
+    until("their notices", || (0..3).all(|n| discovery.results(&format!("m{n}")) == ["bounced"]));
+    assert!(endpoint.calls().is_empty());
+}
+
+// ---- one process in another's place ------------------------------------------------------------------
+
+#[test]
+fn a_request_that_comes_together_with_a_successor_is_answered_and_delivered_once() {
+    let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let known = discovery.lines.lock().expect("lines")[0].clone();
+    let config = config(&discovery, known);
+    let mut old = Courier::spawn(&mut inheriting(&folder, &discovery, &config, &listener));
+    let mut clients: Vec<_> = (0..4).map(|n| Client::resting(&old, &format!("a{n}"))).collect();
+    old.stop();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&message(&format!("b{n}"), "payment", 7, 20_000));
+    }
+    // It asks while the old one stands still, so that both are there when that goes on.
+    let mut next = inheriting(&folder, &discovery, &config, &listener);
+    let next = thread::spawn(move || Courier::spawn(&mut next));
+    thread::sleep(300 * MS);
+    old.go();
+    assert!(clients.iter_mut().all(|client| client.status() == 202));
+    let _next = next.join().expect("it serves");
+    old.signal("-TERM");
+    assert_eq!(old.exit(), 0);
+    until("all", || endpoint.calls().len() >= 8);
+    let mut ids = endpoint.ids();
+    ids.sort();
+    assert_eq!(ids, ["a0", "a1", "a2", "a3", "b0", "b1", "b2", "b3"]);
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -184,6 +184,11 @@
     pub picky: Arc<AtomicBool>,
     /// Watches with a lower number fall silent after their first line, and stay open.
     pub mute: Arc<AtomicUsize>,
+    /// Watches with a lower number get half of what follows their first line; then they end, or fall silent.
+    pub torn: Arc<AtomicUsize>,
+    pub torn_silent: Arc<AtomicBool>,
+    /// Lists come indented, over several lines.
+    pub indented: Arc<AtomicBool>,
 }
 
 impl Discovery {
@@ -200,6 +205,9 @@
             posts: Arc::default(),
             picky: Arc::default(),
             mute: Arc::default(),
+            torn: Arc::default(),
+            torn_silent: Arc::default(),
+            indented: Arc::default(),
         };
         let own = this.clone();
         thread::spawn(move || {
@@ -244,8 +252,17 @@
         let (mut sent, mut beat) = (0, Instant::now());
         while self.cut.load(Ordering::SeqCst) <= number {
             let lines = self.lines.lock().expect("lines").clone();
-            let mut text: String =
-                lines[sent.min(lines.len())..].iter().map(|l| l.to_string() + "\n").collect();
+            let indented = self.indented.load(Ordering::SeqCst);
+            let form = |l: &Value| if indented { format!("{l:#}\n") } else { format!("{l}\n") };
+            let mut text: String = lines[sent.min(lines.len())..].iter().map(form).collect();
+            if sent > 0 && number < self.torn.load(Ordering::SeqCst) && !text.is_empty() {
+                let half = &text[..text.len() / 2];
+                let _ = write!(out, "{:x}\r\n{half}\r\n", half.len());
+                if self.torn_silent.load(Ordering::SeqCst) {
+                    thread::sleep(LIMIT);
+                }
+                return;
+            }
             let silent = sent > 0 && number < self.mute.load(Ordering::SeqCst);
             if silent {
                 thread::sleep(5 * MS);
@@ -398,6 +415,21 @@
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
     }
 
+    /// Has it stand still, as on a machine that does something else: whatever comes now comes at one moment to it.
+    pub fn stop(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        until("it stands still", || {
+            let stat = fs::read_to_string(&stat).expect("its state");
+            stat.rsplit_once(')').is_some_and(|(_, rest)| rest.trim_start().starts_with('T'))
+        });
+    }
+
+    /// Lets it go on.
+    pub fn go(&self) {
+        self.signal("-CONT");
+    }
+
     /// Waits for a line of its log.
     pub fn says(&self, words: &str) {
         let end = Instant::now() + LIMIT;
