--- a/src/brain.rs
+++ b/src/brain.rs
@@ -447,8 +447,8 @@
         }
     }
 
-    /// The message to give way: of the group that has missed least, weighted by worth, the one that loses
-    /// least by it; of these the one with most time left.
+    /// The message to give way: of the group that has missed least, weighted by worth, one that no restart
+    /// has found untried, the one that loses least by it; of these the one with most time left.
     fn victim(&self, candidates: &[MessageId]) -> MessageId {
         let score = |id: &MessageId| {
             let m = &self.messages[id];
@@ -459,7 +459,12 @@
         let by = |a: &&MessageId, b: &&MessageId| {
             let (x, y) = (&self.messages[*a], &self.messages[*b]);
             let loss = self.setback(x).1.total_cmp(&self.setback(y).1);
-            score(a).total_cmp(&score(b)).then(loss).then(y.due.cmp(&x.due)).then(b.cmp(a))
+            score(a)
+                .total_cmp(&score(b))
+                .then(x.found.cmp(&y.found))
+                .then(loss)
+                .then(y.due.cmp(&x.due))
+                .then(b.cmp(a))
         };
         *candidates.iter().min_by(by).expect("a segment holds a message")
     }
@@ -584,6 +589,7 @@
         let (dest, due) = (m.dest, m.due);
         (m.attempts, m.last) = (m.attempts + 1, Some(endpoint));
         m.flight = Some(Flight { endpoint, call, cancelled: false, sent: now, opens });
+        m.found = false;
         self.dest(dest).chart.remove(due, id);
         out.push(Action::Send { message: id, endpoint, timeout: span(timeout.max(1)) });
         self.space(endpoint);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -201,6 +201,8 @@
 /// What is on record of a message that was taken before the courier restarted.
 #[derive(Clone, Debug, Default)]
 pub struct Past {
+    /// It was taken on before a restart.
+    pub found: bool,
     pub attempts: u32,
     /// The first attempt that may have run.
     pub ran: Option<Ran>,
--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -186,7 +186,7 @@
             key: None,
             time_left,
             work: None,
-            past: Past { attempts, ran },
+            past: Past { found: true, attempts, ran },
         }));
         self.held.insert(message, Held { letter, attempts, out: None, leave: None });
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -55,6 +55,10 @@
     pub(crate) last: Option<EndpointId>,
     /// Not sent again before this: its own backoff.
     pub(crate) not_before: Ns,
+    /// A restart found it, surely not run, and it has not been tried since: its time was spent on the restart, so
+    /// that newer ones would always lose more by giving way.
+    #[serde(default)]
+    pub(crate) found: bool,
     /// The final answer is out; kept until its attempt has an outcome.
     pub(crate) over: bool,
 }
@@ -63,7 +67,8 @@
     /// What is known of a message at the start: for a resumed one its attempts, and the one that may have run.
     pub(crate) fn with_past(past: &Past, now: Ns) -> Self {
         let ran = past.ran.map(|r| (r.endpoint, r.zone, now - ns(r.ago)));
-        Message { attempts: past.attempts, ran, ..Message::default() }
+        let found = past.found && ran.is_none();
+        Message { attempts: past.attempts, ran, found, ..Message::default() }
     }
 }
 
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -391,6 +391,24 @@
     assert!(discovery.notices.lock().expect("notices").is_empty());
 }
 
+#[test]
+fn what_a_killed_process_had_untried_is_tried_though_little_time_is_left_and_more_comes() {
+    let endpoint = Endpoint::new(|_| Act::Late(50 * MS, OK));
+    let (folder, discovery) = untried(&endpoint, 24, "status", 4_000);
+    discovery.lines.lock().expect("lines")[0] = list(2, true, vec![ready(&endpoint)]);
+    let mut command =
+        command(&folder, &discovery, &config(&discovery, list(2, true, vec![ready(&endpoint)])));
+    let courier = Courier::launch(&mut command);
+    // Newcomers from the first moment on, faster than they can go.
+    for n in 0..60 {
+        courier.hand_in(&format!("new{n}"), "status", 7, 4_000);
+    }
+    let tried = || endpoint.ids().iter().filter(|id| id.starts_with('m')).count();
+    let given = || (0..24).filter(|n| !discovery.results(&format!("m{n}")).is_empty()).count();
+    until("an end for each", || tried() + given() >= 24);
+    assert!(tried() >= 20, "{} tried, {} given up", tried(), given());
+}
+
 #[test]
 fn what_is_out_of_time_at_the_start_is_told_at_once() {
     let endpoint = Endpoint::new(|_| Act::Answer(OK));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -439,3 +439,39 @@
     let closed = d.log[log..].iter().any(|(_, a)| matches!(a, Action::Close { .. }));
     assert!(!closed, "a connection that works was given up");
 }
+
+#[test]
+fn what_a_restart_found_untried_is_tried_though_more_comes_than_can_go() {
+    // Found on short days with restarts: half of what a restart found gave way to newcomers, which lost more by it.
+    let mut d = Drive::new(Settings { slots: 1, ..settings() }, vec![entry(0, 1, 0, 0)]);
+    assert_eq!(serve(&mut d, 0, 20, 1, 1, Outcome::Delivered, 500), 20);
+    // One call takes half a second: all of these could go in what they have left.
+    let found: Vec<_> = (100..110)
+        .map(|id| match taken(id, 1, 1, MS * 8000) {
+            Event::Taken(t) => Event::Taken(Taken { past: Past { found: true, ..Past::default() }, ..t }),
+            other => other,
+        })
+        .collect();
+    let mut out = sends(&d.feed(&found));
+    let (mut tried, mut given) = (Vec::new(), Vec::new());
+    for id in 1000..1040 {
+        // Two newcomers for each call that ends.
+        let mut actions = d.feed(&[taken(2 * id, 1, 1, MS * 20_000), taken(2 * id + 1, 1, 1, MS * 20_000)]);
+        actions.extend(d.pass(MS * 500));
+        out.extend(sends(&actions));
+        let ends: Vec<_> = out.drain(..).map(|(m, e)| (m, ended(m, e, Outcome::Delivered, 500))).collect();
+        for (message, end) in ends {
+            tried.push(message);
+            let more = d.feed(&[end]);
+            out.extend(sends(&more));
+            actions.extend(more);
+        }
+        given.extend(actions.iter().filter_map(|a| match a {
+            Action::Refuse { message, .. } | Action::Fail { message } => Some(message.0),
+            _ => None,
+        }));
+    }
+    let of = |all: &[u64]| all.iter().filter(|id| (100..110).contains(*id)).count();
+    assert!(!given.is_empty(), "there was more than could go");
+    assert!(of(&tried) >= 9, "{} of 10 tried, {} given up", of(&tried), of(&given));
+}
