--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -2,7 +2,7 @@
 //! may have run is told apart from what never did.
 
 use super::journal::Letter;
-use super::link::{Answer, Link, Lost};
+use super::link::{Answer, LAST_LOOK, Link, Lost};
 use super::log::say;
 use super::news::News;
 use super::register::Register;
@@ -14,12 +14,13 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_millis(500);
@@ -213,7 +214,7 @@
                 kept.remove(0);
             }
         }
-        tokio::time::timeout(self.connect, self.sockets.clone().acquire_owned()).await.ok()?.ok()
+        timeout(self.connect, self.sockets.clone().acquire_owned()).await.ok()?.ok()
     }
 
     async fn link(
@@ -238,7 +239,7 @@
         leave: &Leave,
     ) -> Result<Answer, Lost> {
         // A call whose time is up while it still has no connection was never sent.
-        let link = tokio::time::timeout_at(until, self.link(endpoint, to, once)).await.ok().flatten();
+        let link = timeout_at(until, self.link(endpoint, to, once)).await.ok().flatten();
         let (mut link, idle) = link.ok_or(Lost::Unsent)?;
         if !leave.holds() || self.register.is_out(host) {
             return Err(Lost::Recalled);
@@ -269,11 +270,22 @@
             request = request.header("Idempotency-Key", key);
         }
         let end = match request.body(Full::new(letter.body.clone())) {
-            Ok(request) => tokio::select! {
-                biased;
-                answer = self.ask((endpoint, &host), (address, once), request, until, &leave) => ended(answer),
-                _ = cancel => CallEnd { outcome: Outcome::Cancelled, over: false, report: None, at: Instant::now() },
-            },
+            Ok(request) => {
+                let mut asked = pin!(self.ask((endpoint, &host), (address, once), request, until, &leave));
+                let answer = tokio::select! {
+                    biased;
+                    answer = &mut asked => Some(answer),
+                    _ = cancel => {
+                        // It may not begin any more; and an answer that is there already counts.
+                        leave.recall();
+                        tokio::time::timeout(LAST_LOOK, &mut asked).await.ok()
+                    }
+                };
+                answer.map_or_else(
+                    || CallEnd { outcome: Outcome::Cancelled, over: false, report: None, at: Instant::now() },
+                    ended,
+                )
+            }
             Err(_) => CallEnd { outcome: Outcome::Moot, over: false, report: None, at: Instant::now() },
         };
         let _ = news.send(News::Called { message, attempt, endpoint, end }).await;
--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -22,7 +22,7 @@
 use tokio::sync::mpsc::{Receiver, Sender, UnboundedReceiver};
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// After SIGTERM: how long new attempts are begun, and when it ends whatever is still out. SIGKILL comes
 /// no sooner than 3.7 s after it.
@@ -30,6 +30,9 @@
 pub(super) const STOP_ALL: Duration = Duration::from_millis(3300);
 /// For so long after SIGTERM new connections go on coming.
 pub(super) const STOP_LISTENING: Duration = Duration::from_millis(700);
+/// A turn that is late by more was held up, and first lets others read what came meanwhile.
+const STANDSTILL: Duration = Duration::from_millis(50);
+const CATCH_UP: Duration = Duration::from_millis(2);
 /// Batches of notices on their way at once, and notices in one.
 const POSTS_MOST: usize = 4;
 const BATCH_MOST: usize = 200;
@@ -355,6 +358,14 @@
                         self.scrub(now);
                     }
                     if due.is_some_and(|at| at <= now) {
+                        // After a standstill answers may be there that nobody has read yet. They come first: a
+                        // message must not be given up for want of one.
+                        if self.wake.is_some_and(|(at, _)| at + STANDSTILL < now) {
+                            sleep(CATCH_UP).await;
+                            while let Ok(news) = inbox.try_recv() {
+                                self.hear(news);
+                            }
+                        }
                         last = Some(now);
                         self.turn(now);
                         self.post();
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -31,8 +31,8 @@
 const WORD_TIME: Duration = Duration::from_millis(1500);
 /// When the lock, or the process that holds it, is asked again.
 const AGAIN: Duration = Duration::from_millis(20);
-/// Calls that were cut off have closed their connections by then.
-const CUT: Duration = Duration::from_millis(10);
+/// Calls that were cut off have closed their connections by then: after a last look for their answers.
+const CUT: Duration = Duration::from_millis(30);
 
 /// The socket's address by way of the open folder: the folder's own path may be longer than an address.
 fn socket(folder: &Path) -> io::Result<(File, PathBuf)> {
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -26,6 +26,8 @@
 const HEAD_TIME: Duration = Duration::from_millis(400);
 /// How long the rest of an answer may take once its head is here.
 const BODY_TIME: Duration = Duration::from_millis(200);
+/// Bytes that wait unread when time is up are an answer that has come in time: they are read for so long yet.
+pub const LAST_LOOK: Duration = Duration::from_millis(20);
 const BODY_MOST: usize = 64 * 1024;
 
 /// The socket, how much has been written to it, and what its answer began with.
@@ -206,17 +208,32 @@
     }
 }
 
+impl Wire {
+    /// What has come and is not read: bytes, or `Ok(0)` for the end. Asks the kernel, as the runtime may not have
+    /// heard of it yet.
+    fn unread(&self) -> io::Result<usize> {
+        SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()])
+    }
+}
+
 /// Waits for the head of an answer: till `until`, or a short while from its first byte.
 async fn in_time<F: Future>(wire: &Wire, until: Instant, work: F) -> Option<F::Output> {
     let (mut work, mut end) = (pin!(work), pin!(sleep_until(until)));
+    let mut looked = false;
     poll_fn(|cx| {
         if let Poll::Ready(out) = work.as_mut().poll(cx) {
             return Poll::Ready(Some(out));
         }
         let at = wire.first.borrow().begun.map_or(until, |at| until.min(at + HEAD_TIME));
-        if end.deadline() != at {
+        if !looked && end.deadline() != at {
             end.as_mut().reset(at);
         }
+        ready!(end.as_mut().poll(cx));
+        if looked || !wire.unread().is_ok_and(|n| n > 0) {
+            return Poll::Ready(None);
+        }
+        looked = true;
+        end.as_mut().reset(Instant::now() + LAST_LOOK);
         end.as_mut().poll(cx).map(|()| None)
     })
     .await
@@ -261,9 +278,7 @@
         {
             self.driver = None;
         }
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&self.wire.stream).peek(&mut byte);
-        let quiet = peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
+        let quiet = self.wire.unread().is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
         quiet && self.driver.is_some() && !self.sender.is_closed()
     }
 
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -6,7 +6,8 @@
 use serde_json::{Value, json};
 use std::io::{BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 
 /// One endpoint of destination 7, and discovery that lists it.
@@ -143,6 +144,53 @@
 
 // ---- calls -------------------------------------------------------------------------------------------
 
+/// An endpoint that answers its first call while its courier stands still, which then goes on after `span`.
+fn answered_in_a_standstill(
+    class: &str,
+    time_ms: u64,
+    span_ms: u32,
+) -> (Endpoint, Discovery, Courier, Folder) {
+    let answers = Arc::new(AtomicBool::new(false));
+    let open = answers.clone();
+    let (folder, endpoint, discovery) = one(move |_| {
+        until("the answer is due", || open.load(Ordering::SeqCst));
+        Act::Answer(OK)
+    });
+    // Nothing can be sent to destination 9.
+    let hosts = vec![ready(&endpoint), host("s-9", &endpoint, 9, "draining")];
+    discovery.lines.lock().expect("lines")[0] = list(1, true, hosts);
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("m", class, 7, time_ms);
+    until("the call", || endpoint.calls().len() == 1);
+    courier.stop();
+    answers.store(true, Ordering::SeqCst);
+    thread::sleep(span_ms * MS);
+    courier.go();
+    (endpoint, discovery, courier, folder)
+}
+
+#[test]
+fn an_answer_that_is_there_when_a_call_times_out_counts() {
+    // The least time-out is 1 s.
+    let (endpoint, discovery, courier, _folder) = answered_in_a_standstill("status", 20_000, 1300);
+    courier.says("m attempt 0: Delivered");
+    courier.take("next", "status", 7, 20_000);
+    until("the next", || endpoint.calls().len() == 2);
+    assert_eq!(endpoint.ids(), ["m", "next"]);
+    assert!(discovery.results("m").is_empty());
+}
+
+#[test]
+fn an_answer_that_is_there_at_the_deadline_counts() {
+    // What may run only once is waited for as long as it has.
+    let (_endpoint, discovery, courier, _folder) = answered_in_a_standstill("payment", 1000, 1300);
+    courier.says("m attempt 0: Delivered");
+    // Nobody answers this one: once its notice is there, the other's would be.
+    courier.take("other", "status", 9, 1000);
+    until("the other's end", || !discovery.results("other").is_empty());
+    assert!(discovery.results("m").is_empty(), "{:?}", discovery.results("m"));
+}
+
 #[test]
 fn a_call_whose_endpoint_is_removed_while_its_connection_comes_up_is_not_begun() {
     for reload in [false, true] {
