--- a/src/node/outcomes.rs
+++ b/src/node/outcomes.rs
@@ -17,7 +17,10 @@
 use tokio::time::{Instant, sleep};
 
 const CONNECT: Duration = Duration::from_millis(500);
-const ANSWER: Duration = Duration::from_millis(1000);
+/// The platform answers at once. A connection on which it does not may be dead, and a notice that goes twice does no
+/// harm, while one that comes 300 ms after its message's time is too late: patience starts short, and doubles.
+const ANSWER_FIRST: Duration = Duration::from_millis(120);
+const ANSWER_MOST: Duration = Duration::from_millis(1000);
 const BACKOFF_FIRST: Duration = Duration::from_millis(20);
 const BACKOFF_MOST: Duration = Duration::from_millis(500);
 /// A kept connection is used again within this time only.
@@ -73,10 +76,10 @@
     /// Posts a batch until it is acknowledged, then reports it.
     pub async fn post(self, mut batch: Vec<Notice>, news: Sender<News>) {
         let mut backoff = BACKOFF_FIRST;
-        let (mut told, mut most) = (Vec::new(), batch.len());
+        let (mut told, mut most, mut patience) = (Vec::new(), batch.len(), ANSWER_FIRST);
         while !batch.is_empty() {
             let part = most.min(batch.len());
-            match self.once(&batch[..part]).await {
+            match self.once(&batch[..part], patience).await {
                 Some(StatusCode::NO_CONTENT | StatusCode::OK) => {
                     told.extend(batch.drain(..part).map(|n| n.message));
                 }
@@ -87,6 +90,7 @@
                     told.extend(batch.drain(..part).map(|n| n.message));
                 }
                 _ => {
+                    patience = (patience * 2).min(ANSWER_MOST);
                     sleep(backoff).await;
                     backoff = (backoff * 2).min(BACKOFF_MOST);
                 }
@@ -95,7 +99,7 @@
         let _ = news.send(News::Told(told)).await;
     }
 
-    async fn once(&self, batch: &[Notice]) -> Option<StatusCode> {
+    async fn once(&self, batch: &[Notice], patience: Duration) -> Option<StatusCode> {
         let to = self.address.get();
         let kept = self.kept.borrow_mut().take().filter(|(_, at)| at.elapsed() < KEEP);
         let mut link = match kept.and_then(|(mut link, _)| link.sound().then_some(link)) {
@@ -108,7 +112,7 @@
             .header(header::CONTENT_TYPE, "application/x-ndjson")
             .body(Full::new(Bytes::from(text)))
             .ok()?;
-        let answer = link.ask(request, Instant::now() + ANSWER).await.ok()?;
+        let answer = link.ask(request, Instant::now() + patience).await.ok()?;
         // After a reload the next batch would go to the old address on it.
         if answer.reusable && to == self.address.get() {
             *self.kept.borrow_mut() = Some((link, Instant::now()));
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
+use std::time::Instant;
 
 /// One endpoint of destination 7, and discovery that lists it.
 fn one(act: impl Fn(usize) -> Act + Send + Sync + 'static) -> (Folder, Endpoint, Discovery) {
@@ -404,6 +405,51 @@
     assert!(a.calls().is_empty());
 }
 
+#[test]
+fn a_notice_whose_connection_has_died_in_silence_goes_on_another_in_time() {
+    let platform = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = platform.local_addr().expect("an address");
+    let endpoint = Endpoint::new(|_| Act::Break);
+    let watched = Discovery::new(list(1, true, vec![ready(&endpoint)]));
+    let mut config = config(&watched, watched.lines.lock().expect("lines")[0].clone());
+    config["discovery"] = json!(address.to_string());
+    let folder = Folder::new();
+    let courier = Courier::with(&folder, &watched, &config);
+    courier.take("pay", "payment", 7, 20_000);
+    // Posts come on connections of their own; the watch's is another, and has no answer here.
+    let (tell, posts) = std::sync::mpsc::channel();
+    thread::spawn(move || {
+        for mut stream in platform.incoming().flatten() {
+            let tell = tell.clone();
+            thread::spawn(move || {
+                let mut from = BufReader::new(stream.try_clone().expect("a handle"));
+                while let Some(page) = Page::read(&mut from) {
+                    if page.first.starts_with("POST /v1/outcomes") {
+                        let (answer, wait) = std::sync::mpsc::channel::<bool>();
+                        let _ = tell.send((page, Instant::now(), answer));
+                        if wait.recv().unwrap_or(false) {
+                            let _ = stream.write_all(b"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n");
+                        } else {
+                            thread::sleep(LIMIT);
+                        }
+                    }
+                }
+            });
+        }
+    });
+    let next = || posts.recv_timeout(LIMIT).expect("a post");
+    let (_, _, answer) = next();
+    answer.send(true).expect("told");
+    // The connection is kept, and dies now: whatever is posted on it has no answer.
+    courier.take("pay2", "payment", 7, 20_000);
+    let (first, at, _never) = next();
+    let (again, later, answer) = next();
+    answer.send(true).expect("told");
+    assert_eq!(first.body, again.body);
+    // A message ends at the latest as its time is up, and its notice is owed 300 ms after that.
+    assert!(later - at < 300 * MS, "posted again after {:?}", later - at);
+}
+
 // ---- the start ---------------------------------------------------------------------------------------
 
 /// A folder with so many messages that were taken on and never tried: nothing could be sent there yet.
