--- a/src/node/commit.rs
+++ b/src/node/commit.rs
@@ -3,7 +3,7 @@
 
 use super::calls::Call;
 use super::courier::{Courier, never_sent};
-use super::intake::Reply;
+use super::intake::{Answer, Reply};
 use super::journal::unix;
 use super::log::say;
 use super::outcomes::Notice;
@@ -28,7 +28,7 @@
 pub(super) enum Due {
     Reply {
         message: u64,
-        reply: oneshot::Sender<Reply>,
+        reply: Answer,
     },
     Call {
         call: Call,
@@ -63,10 +63,12 @@
         self.failed.is_some()
     }
 
-    /// That message is taken on, but its client may not be told so yet.
-    pub(super) fn holds(&self, message: u64) -> bool {
-        let of = |due: &Due| matches!(due, Due::Reply { message: m, .. } if *m == message);
-        self.waiting.iter().chain(&self.committing).any(of)
+    /// Where the answer will go for a message that is taken on, but whose client may not be told so yet.
+    pub(super) fn answer(&mut self, message: u64) -> Option<&mut Answer> {
+        self.waiting.iter_mut().chain(&mut self.committing).find_map(|due| match due {
+            Due::Reply { message: m, reply } if *m == message => Some(reply),
+            _ => None,
+        })
     }
 }
 
@@ -125,7 +127,7 @@
             match due {
                 Due::Reply { message, reply } => {
                     let told = if kept { Reply::Taken } else { Reply::Unavailable };
-                    if reply.send(told).is_err() || !kept {
+                    if !reply.send(told) || !kept {
                         self.withdraw(message);
                     }
                 }
--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -464,10 +464,13 @@
             // A client that is gone hears nothing, and nothing was taken.
             let _ = offer.reply.send(reply);
         };
-        // Handed in twice under one id: it is taken already, or about to be judged.
+        // Handed in twice under one id: it is taken already, or both hear what becomes of it.
         if let Some(message) = self.ids.get(&offer.letter.id) {
-            let judged = !self.offers.contains_key(message) && !self.dues.holds(*message);
-            return answer(offer, if judged { Reply::Taken } else { Reply::Unavailable });
+            let judged = self.offers.get_mut(message).map(|first| &mut first.reply);
+            return match judged.or_else(|| self.dues.answer(*message)) {
+                Some(reply) => reply.join(offer.reply),
+                None => answer(offer, Reply::Taken),
+            };
         }
         if self.dues.failed() {
             return answer(offer, Reply::Unavailable);
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -63,7 +63,34 @@
     pub tenant: usize,
     pub time_left: Duration,
     pub at: Instant,
-    pub reply: oneshot::Sender<Reply>,
+    pub reply: Answer,
+}
+
+/// Where an answer goes: to all who have handed in the same message under the same id. One told otherwise than the
+/// others might hand it in anew though it is taken on.
+pub struct Answer(Vec<oneshot::Sender<Reply>>);
+
+impl Answer {
+    pub fn new() -> (Self, oneshot::Receiver<Reply>) {
+        let (reply, answered) = oneshot::channel();
+        (Answer(vec![reply]), answered)
+    }
+
+    /// Goes to those as well.
+    pub fn join(&mut self, others: Answer) {
+        self.0.extend(others.0);
+    }
+
+    /// Nobody waits for it any more.
+    pub fn is_closed(&self) -> bool {
+        self.0.iter().all(oneshot::Sender::is_closed)
+    }
+
+    /// False if nobody hears it.
+    pub fn send(self, reply: Reply) -> bool {
+        let heard: Vec<_> = self.0.into_iter().map(|to| to.send(reply).is_ok()).collect();
+        heard.contains(&true)
+    }
 }
 
 /// What a client is told.
@@ -623,7 +650,7 @@
         }
         line.enter(Stage::Judged);
         let _judging = Judging::new(&self.standing);
-        let (reply, answered) = oneshot::channel();
+        let (reply, answered) = Answer::new();
         let offer = Offer { letter: Rc::new(letter), class, tenant, time_left, at, reply };
         let reply = match timeout(PATIENCE, self.news.send(News::Offered(offer))).await {
             Ok(Ok(())) => answered.await.unwrap_or(Reply::Unavailable),
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -143,6 +143,25 @@
     until("both", || endpoint.ids() == ["m0", "m1"]);
 }
 
+#[test]
+fn a_client_that_leaves_and_comes_again_midway_is_served_once_or_not_at_all() {
+    let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
+    let courier = Courier::start(&folder, &discovery);
+    let (mut leaves, mut again) = (Client::new(&courier), Client::new(&courier));
+    assert_eq!(courier.get("/-/ready").map(|page| page.status()), Some(200));
+    courier.stop();
+    leaves.send(&message("pay", "payment", 7, 20_000));
+    drop(leaves);
+    again.send(&message("pay", "payment", 7, 20_000));
+    courier.go();
+    let status = again.status();
+    assert!([202, 503].contains(&status), "{status}");
+    courier.take("end", "payment", 7, 20_000);
+    until("the end", || endpoint.ids().contains(&"end".to_owned()));
+    let calls = endpoint.ids().iter().filter(|id| *id == "pay").count();
+    assert_eq!(calls, usize::from(status == 202), "told {status}");
+}
+
 // ---- calls -------------------------------------------------------------------------------------------
 
 /// An endpoint that answers its first call while its courier stands still, which then goes on after `span`.
