--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -30,6 +30,9 @@
 pub(super) const STOP_ALL: Duration = Duration::from_millis(3300);
 /// For so long after SIGTERM new connections go on coming.
 pub(super) const STOP_LISTENING: Duration = Duration::from_millis(700);
+/// When clients that have not handed in a whole request after SIGTERM are told that nobody waits for it any more:
+/// in time for all of them to hear it before the process ends.
+pub(super) const STOP_CLOSING: Duration = Duration::from_millis(2900);
 /// A turn that is late by more was held up, and first lets others read what came meanwhile.
 const STANDSTILL: Duration = Duration::from_millis(50);
 const CATCH_UP: Duration = Duration::from_millis(2);
@@ -747,8 +750,8 @@
         let Some(since) = self.stopping else { return false };
         let since = since.elapsed();
         let told = self.notices.is_empty() && self.posts == 0;
-        let quiet =
-            since >= STOP_LISTENING && self.standing.open.borrow().is_empty() && self.offers.is_empty();
+        let closed = !self.standing.listening.get() && self.standing.open.borrow().is_empty();
+        let quiet = closed && self.offers.is_empty();
         let calls = self.held.values().any(|m| matches!(m.out, Some((_, Some(_)))));
         let idle = self.held.is_empty() || since >= STOP_SENDING;
         since >= STOP_ALL || (quiet && told && idle && !calls && self.dues.is_empty())
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -46,6 +46,18 @@
 const WORK_TIME: Duration = Duration::from_millis(500);
 /// A new connection's request is mostly there already and read by then.
 const FRESH_TIME: Duration = Duration::from_millis(10);
+/// Bytes that wait unread when a connection's time is up may be the rest of its request: they are read for so long
+/// yet, in steps, which still ends within the 3 s.
+const LAST_LOOK: Duration = Duration::from_millis(80);
+const LOOK_STEP: Duration = Duration::from_millis(5);
+/// What comes behind the courier's last word is read and dropped for so long: a close over unread bytes is a reset,
+/// which may overtake that word.
+const LINGER: Duration = Duration::from_millis(60);
+const LINGER_MOST: usize = 256 * 1024;
+/// Of those to whom room could go, so many are looked at more closely; the others are for the next time.
+const SHED_TRIES: usize = 8;
+/// Nobody has come for so long: the listening socket may close.
+const SHUT_TIME: Duration = Duration::from_millis(20);
 const HEAD_MOST: usize = 16 * 1024;
 const HEARD_MOST: usize = HEAD_MOST + BODY_MOST;
 const ID_MOST: usize = 256;
@@ -112,6 +124,12 @@
     pub register: Arc<Register>,
     pub ready: Cell<bool>,
     pub stopping: Cell<bool>,
+    /// No request is waited for any more.
+    closing: Cell<bool>,
+    /// The listening socket is to close once nobody stands before it.
+    shut: Notify,
+    /// It is open.
+    pub listening: Cell<bool>,
     /// Told to all connections when the courier stops.
     pub open: RefCell<BTreeMap<u64, Rc<Line>>>,
     next: Cell<u64>,
@@ -165,10 +183,43 @@
     Judged,
     /// Between requests; `well` if the last one was not at fault.
     Idle { well: bool },
+    /// Its last word is said, and it waits for the client to go.
+    Over,
+}
+
+/// How a connection ends.
+enum Parting {
+    /// Another process goes on with it.
+    Passed,
+    /// Its last answer is written, or its client has gone.
+    Done,
+    /// For want of a request in time.
+    Late,
+    /// Its descriptor is needed.
+    Room,
+    /// The process is about to end.
+    Closing,
+}
+
+impl Parting {
+    /// What a client is told that has begun a request.
+    fn word(&self) -> Option<&'static [u8]> {
+        match self {
+            Parting::Passed | Parting::Done => None,
+            Parting::Late => {
+                Some(b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+            }
+            Parting::Room | Parting::Closing => Some(
+                b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\nConnection: close\r\n\
+                  Content-Length: 0\r\n\r\n",
+            ),
+        }
+    }
 }
 
 /// One client's connection.
 pub struct Line {
+    stream: Rc<TcpStream>,
     stage: Cell<Stage>,
     /// Since when it stands there.
     since: Cell<Instant>,
@@ -178,6 +229,8 @@
     pieces: Cell<u32>,
     /// When the request counts as begun.
     begun: Cell<Instant>,
+    /// Nothing is waited for after this, whatever has begun.
+    ends: Cell<Option<Instant>>,
     /// An answer has gone out on it.
     served: Cell<bool>,
     /// An answer is not wholly written.
@@ -195,14 +248,16 @@
 
 impl Line {
     /// For a connection that came so long ago, or stood for so long where it stands.
-    fn new(age: Duration, served: bool) -> Self {
+    fn new(stream: Rc<TcpStream>, age: Duration, served: bool) -> Self {
         let since = Instant::now().checked_sub(age).unwrap_or_else(Instant::now);
         Line {
+            stream,
             stage: Cell::new(if served { Stage::Idle { well: true } } else { Stage::Silent }),
             since: Cell::new(since),
             last: Cell::new(since),
             pieces: Cell::new(0),
             begun: Cell::new(since),
+            ends: Cell::new(None),
             served: Cell::new(served),
             answering: Cell::new(false),
             framing: RefCell::default(),
@@ -218,6 +273,17 @@
         self.since.set(Instant::now());
     }
 
+    /// Whether nothing has come that is not read. Asks the kernel: the runtime may not have heard of it yet.
+    fn quiet(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        SockRef::from(&*self.stream).peek(&mut byte).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Whether a request is under way that has no answer yet, and of which nothing is written.
+    fn unanswered(&self) -> bool {
+        matches!(self.stage.get(), Stage::Head | Stage::Busy | Stage::Whole) && !self.answering.get()
+    }
+
     fn heard(&self, bytes: &[u8]) {
         self.framing.borrow_mut().hear(bytes);
         self.last.set(Instant::now());
@@ -250,12 +316,18 @@
         self.begun.get() + REQUEST_TIME
     }
 
+    /// Whatever has not come whole by then is not waited for.
+    fn end_by(&self, at: Instant) {
+        self.ends.set(Some(at));
+    }
+
     /// When it is closed for want of a request.
     fn due(&self) -> Option<Instant> {
         match self.stage.get() {
+            Stage::Silent | Stage::Head | Stage::Busy if self.ends.get().is_some() => self.ends.get(),
             Stage::Silent => Some(self.since.get() + SILENT_TIME),
             Stage::Head => Some(self.request_due()),
-            Stage::Busy | Stage::Whole | Stage::Judged | Stage::Idle { .. } => None,
+            Stage::Busy | Stage::Whole | Stage::Judged | Stage::Idle { .. } | Stage::Over => None,
         }
     }
 
@@ -266,6 +338,7 @@
         // Of those that write: what only began, and then stopped, goes before what goes on.
         let works = self.pieces.get() > 1 && self.last.get().elapsed() < WORK_TIME;
         match self.stage.get() {
+            Stage::Over => Some(0),
             Stage::Silent if age > FRESH_TIME => Some(0),
             Stage::Idle { well: false } => Some(1),
             Stage::Idle { .. } if age > IDLE_TIME => Some(2),
@@ -396,6 +469,9 @@
             register,
             ready: Cell::default(),
             stopping: Cell::default(),
+            closing: Cell::default(),
+            shut: Notify::new(),
+            listening: Cell::default(),
             open: RefCell::default(),
             next: Cell::default(),
             bodies: Cell::default(),
@@ -454,6 +530,18 @@
         self.let_go();
     }
 
+    /// No new connections, but for those that are there already.
+    pub fn shut(&self) {
+        self.shut.notify_one();
+    }
+
+    /// Whoever has not handed in a whole request by now is told so, while there is time to tell it: the end of the
+    /// process would cut it off without a word.
+    pub fn close(&self) {
+        self.closing.set(true);
+        self.let_go();
+    }
+
     /// Idle connections close, the others after their answer.
     pub fn let_go(&self) {
         self.open.borrow().values().for_each(|line| line.close.notify_one());
@@ -464,15 +552,24 @@
         self.stopping.get() || self.register.out_of_service()
     }
 
-    /// Closes the connection that is of least use, if one can go.
+    /// Closes the connection that is of least use, if one can go. One on which something waits to be read is not
+    /// closed: it may be the whole of a request.
     fn shed(&self) -> bool {
         let mut open = self.open.borrow_mut();
         // In a flood of newcomers the silent ones show in a moment, and go before what has served.
         if open.values().filter(|line| line.use_of().is_none()).count() * 4 > open.len() {
             return false;
         }
-        let least = open.iter().filter_map(|(id, line)| Some((line.use_of()?, line.last.get(), *id))).min();
-        let line = least.and_then(|(_, _, id)| open.remove(&id));
+        let mut least: Vec<_> =
+            open.iter().filter_map(|(id, line)| Some((line.use_of()?, line.last.get(), *id))).collect();
+        let looked = least.len().min(SHED_TRIES);
+        if least.len() > looked {
+            least.select_nth_unstable(looked - 1);
+        }
+        least[..looked].sort_unstable();
+        let free = |line: &Line| line.stage.get() == Stage::Over || line.quiet();
+        let line =
+            least[..looked].iter().find(|(.., id)| free(&open[id])).and_then(|(.., id)| open.remove(id));
         line.inspect(|line| line.drop.notify_one()).is_some()
     }
 }
@@ -508,9 +605,11 @@
 }
 
 impl Intake {
-    /// Accepts clients until the task is dropped.
+    /// Accepts clients until the task is dropped, or the listening socket is to close.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         let this = self;
+        let mut shut = false;
+        this.standing.listening.set(true);
         loop {
             // Out of sockets is backpressure: the one of least use makes room, else the newcomer waits
             // outside. Each closed one lets one in at once, so that hundreds that say nothing starve nobody.
@@ -518,13 +617,19 @@
                 sleep(Duration::from_millis(5)).await;
                 continue;
             }
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                () = this.standing.shut.notified(), if !shut => {
+                    shut = true;
+                    continue;
+                }
+                // Whoever was let in by the system, and not by this loop yet, would be reset with the socket.
+                () = sleep(SHUT_TIME), if shut => return this.standing.listening.set(false),
+            };
+            match accepted {
                 Ok((stream, _)) => {
-                    tokio::task::spawn_local(this.clone().serve(
-                        stream,
-                        Line::new(Duration::ZERO, false),
-                        Bytes::new(),
-                    ));
+                    tokio::task::spawn_local(this.clone().serve(stream, Duration::ZERO, false, Bytes::new()));
                     // A newcomer's request is read before the next may push it out.
                     tokio::task::yield_now().await;
                 }
@@ -541,14 +646,14 @@
         let stream = std::net::TcpStream::from(descriptor);
         stream.set_nonblocking(true)?;
         let stream = TcpStream::from_std(stream)?;
-        let line = Line::new(client.age, client.served);
-        tokio::task::spawn_local(self.serve(stream, line, client.heard.into()));
+        tokio::task::spawn_local(self.serve(stream, client.age, client.served, client.heard.into()));
         Ok(())
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream, line: Line, ahead: Bytes) {
+    async fn serve(self: Rc<Self>, stream: TcpStream, age: Duration, served: bool, ahead: Bytes) {
         let _ = stream.set_nodelay(true);
-        let (stream, line) = (Rc::new(stream), Rc::new(line));
+        let stream = Rc::new(stream);
+        let line = Rc::new(Line::new(stream.clone(), age, served));
         let id = self.standing.next.get();
         self.standing.next.set(id + 1);
         self.standing.open.borrow_mut().insert(id, line.clone());
@@ -573,30 +678,82 @@
                 service,
             );
         let (mut conn, mut late) = (pin!(conn), pin!(sleep_until(line.since.get() + SILENT_TIME)));
+        let mut looks: Option<Instant> = None;
         if self.standing.passes_on() {
             line.pass.notify_one();
         }
-        loop {
+        let parting = loop {
             tokio::select! {
                 biased;
-                () = line.drop.notified() => break,
-                _ = conn.as_mut() => break,
-                () = line.pass.notified() => if self.standing.pass(&line, &stream) { break },
+                () = line.drop.notified() => match line.stage.get() {
+                    // Its request came between the choice and the close: it stays, if only for that.
+                    Stage::Silent | Stage::Idle { .. } if !line.quiet() => {
+                        self.standing.open.borrow_mut().insert(id, line.clone());
+                    }
+                    _ => break Parting::Room,
+                },
+                _ = conn.as_mut() => break Parting::Done,
+                () = line.pass.notified() => if self.standing.pass(&line, &stream) { break Parting::Passed },
                 () = line.close.notified() => match line.stage.get() {
                     // One whose next request is on its way goes after its answer, like all that are at work.
-                    Stage::Idle { .. } if quiet(&stream) => conn.as_mut().graceful_shutdown(),
+                    Stage::Idle { .. } if line.quiet() => conn.as_mut().graceful_shutdown(),
+                    Stage::Silent | Stage::Head | Stage::Busy if self.standing.closing.get() => {
+                        line.end_by(Instant::now());
+                        late.as_mut().reset(Instant::now());
+                    }
                     _ => {}
                 },
                 () = late.as_mut() => match line.due() {
                     // A head without an end, or nothing at all, must not hold a socket.
-                    Some(due) if due <= Instant::now() => break,
-                    due => late.as_mut().reset(due.unwrap_or_else(|| Instant::now() + SILENT_TIME)),
+                    Some(due) if due <= Instant::now() => {
+                        let now = Instant::now();
+                        if line.quiet() || now >= *looks.get_or_insert(now + LAST_LOOK) {
+                            break if self.standing.closing.get() { Parting::Closing } else { Parting::Late };
+                        }
+                        late.as_mut().reset(now + LOOK_STEP);
+                    }
+                    due => {
+                        looks = None;
+                        late.as_mut().reset(due.unwrap_or_else(|| Instant::now() + SILENT_TIME));
+                    }
                 },
             }
-        }
+        };
+        self.part(&line, parting).await;
         self.standing.open.borrow_mut().remove(&id);
     }
 
+    /// Says the last word on a connection, if one is owed, and closes it so that it arrives.
+    async fn part(&self, line: &Line, parting: Parting) {
+        if let Some(word) = parting.word().filter(|_| line.unanswered()) {
+            // Nothing else is on its way to the client, so that there is room for so little.
+            let _ = line.stream.try_write(word);
+        }
+        line.enter(Stage::Over);
+        let _ = match parting {
+            Parting::Passed | Parting::Room => return,
+            Parting::Done | Parting::Late | Parting::Closing => {
+                SockRef::from(&*line.stream).shutdown(Shutdown::Write)
+            }
+        };
+        let rest = async {
+            let (mut bytes, mut dropped) = ([0; 4096], 0);
+            while dropped < LINGER_MOST && line.stream.readable().await.is_ok() {
+                match line.stream.try_read(&mut bytes) {
+                    Ok(0) => break,
+                    Ok(n) => dropped += n,
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(_) => break,
+                }
+            }
+        };
+        tokio::select! {
+            () = rest => {}
+            () = line.drop.notified() => {}
+            () = sleep(LINGER) => {}
+        }
+    }
+
     async fn handle(&self, request: Request<Incoming>, line: &Line) -> Response<Full<Bytes>> {
         let mut answer = match (request.method(), request.uri().path()) {
             (&Method::GET, "/-/ready") => match self.standing.ready.get() && !self.standing.sends_away() {
@@ -628,7 +785,12 @@
             return respond(Reply::Unavailable);
         };
         // Read even if the head is at fault, so that the connection can go on.
-        let body = match timeout_at(line.request_due(), read(body)).await {
+        let mut body = pin!(read(body));
+        let mut come = timeout_at(line.request_due(), &mut body).await;
+        if come.is_err() && !line.quiet() {
+            come = timeout(LAST_LOOK, &mut body).await;
+        }
+        let body = match come {
             Ok(Ok(body)) => body,
             Ok(Err(Unread::Large)) => return plain(StatusCode::PAYLOAD_TOO_LARGE, "over 64 KiB\n"),
             Ok(Err(Unread::Broken)) => return closing(StatusCode::BAD_REQUEST, "the body broke off\n"),
@@ -708,12 +870,6 @@
     }
 }
 
-/// Whether nothing has come that is not read.
-fn quiet(stream: &TcpStream) -> bool {
-    let mut byte = [MaybeUninit::uninit()];
-    SockRef::from(stream).peek(&mut byte).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
-}
-
 enum Unread {
     Large,
     Broken,
@@ -823,6 +979,28 @@
         }
     }
 
+    #[tokio::test]
+    async fn room_is_not_made_by_closing_on_a_request_that_has_come() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let at = listener.local_addr().expect("an address");
+        let standing = Standing::new(Register::new(std::path::Path::new(""), Durability::Process));
+        let mut clients = Vec::new();
+        // Two that rest; the first one has rested for longer.
+        for (id, age) in [(1, 60), (2, 30)] {
+            clients.push(TcpStream::connect(at).await.expect("a connection"));
+            let (stream, _) = listener.accept().await.expect("accepted");
+            let line = Line::new(Rc::new(stream), Duration::from_secs(age), true);
+            standing.open.borrow_mut().insert(id, Rc::new(line));
+        }
+        clients[0].try_write(b"POST").expect("written");
+        let first = standing.open.borrow()[&1].clone();
+        while first.quiet() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        assert!(standing.shed() && standing.open.borrow().keys().eq([&1]), "the one that is quiet has gone");
+        assert!(!standing.shed(), "nobody else can go");
+    }
+
     #[test]
     fn a_message_is_counted_for_its_tenant() {
         let (news, _inbox) = tokio::sync::mpsc::channel(1);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -24,7 +24,7 @@
 use crate::brain::Brain;
 use calls::Calls;
 use config::{Config, Fault};
-use courier::{Courier, End, STOP_LISTENING};
+use courier::{Courier, End, STOP_CLOSING, STOP_LISTENING};
 use intake::{Intake, Standing};
 use journal::{Journal, Keeping, Recovery};
 use log::say;
@@ -184,15 +184,16 @@
     let mut changes = register.serve();
     standing.ready.set(true);
     let accepting = tokio::task::spawn_local(intake.run(listener));
-    let (accepts, stopped) = (accepting.abort_handle(), register.clone());
-    let to_stop = news.clone();
+    let (to_stop, stopped, stops) = (news.clone(), register.clone(), standing.clone());
     tokio::task::spawn_local(async move {
         if terminate.recv().await.is_some() {
             say!("stopping");
             stopped.end();
             let _ = to_stop.send(News::Stop).await;
             tokio::time::sleep(STOP_LISTENING).await;
-            accepts.abort();
+            stops.shut();
+            tokio::time::sleep(STOP_CLOSING - STOP_LISTENING).await;
+            stops.close();
         }
     });
     let successors = shared.then(|| handover::listen(&folder, news)).transpose();
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -125,6 +125,94 @@
     assert_eq!(ids[1..], taken);
 }
 
+#[test]
+fn whoever_writes_until_the_process_ends_is_told_before_it_does() {
+    let (folder, _endpoint, discovery) = one(|_| Act::Answer(OK));
+    let mut courier = Courier::start(&folder, &discovery);
+    let mut served = Client::resting(&courier, "m0");
+    served.send("POST /status HTTP/1.1\r\n");
+    courier.signal("-TERM");
+    courier.says("stopping");
+    // Late enough that its own time would outlast the process.
+    thread::sleep(500 * MS);
+    let (mut head, mut body) = (Client::new(&courier), Client::new(&courier));
+    let (first, _) = halves("half");
+    head.send(&first);
+    let text = message("body", "payment", 7, 20_000);
+    body.send(&text[..text.len() - 1]);
+    // Each has begun a request: an end without a word could hide that it was taken on.
+    for client in [&mut served, &mut head, &mut body] {
+        let page = client.answer().expect("a word before the end");
+        assert!([408, 503].contains(&page.status()), "{page:?}");
+        assert!(client.is_closed());
+    }
+    assert_eq!(courier.exit(), 0);
+}
+
+#[test]
+fn who_waits_before_a_full_house_at_sigterm_is_let_in_and_answered() {
+    let (folder, _endpoint, discovery) = one(|_| Act::Answer(OK));
+    let mut config = config(&discovery, discovery.lines.lock().expect("lines")[0].clone());
+    // The least that is taken: room for eleven clients.
+    config["limits"]["sockets"] = json!(64);
+    let mut courier = Courier::with(&folder, &discovery, &config);
+    let (head, rest) = halves("half");
+    // One more would push out a resting one; these are at work, and none gives way.
+    let mut house: Vec<_> = (0..11).map(|n| Client::resting(&courier, &format!("m{n}"))).collect();
+    house.iter_mut().for_each(|client| client.send(&head));
+    house.retain_mut(|client| {
+        // All but those that had to make room while the house filled up.
+        client.stream.set_read_timeout(Some(20 * MS)).expect("a limit");
+        let open = client.from.read(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+        client.stream.set_read_timeout(Some(LIMIT)).expect("a limit");
+        open
+    });
+    let mut waits: Vec<_> = (0..3).map(|_| Client::new(&courier)).collect();
+    waits.iter_mut().enumerate().for_each(|(n, c)| c.send(&message(&format!("w{n}"), "status", 7, 20_000)));
+    courier.signal("-TERM");
+    courier.says("stopping");
+    thread::sleep(1000 * MS);
+    for (n, client) in house.iter_mut().enumerate() {
+        client.send(&rest.replace("half", &format!("half{n}")));
+    }
+    for client in &mut waits {
+        let status = client.status();
+        assert!([202, 503].contains(&status), "{status}");
+    }
+    assert_eq!(courier.exit(), 0);
+}
+
+#[test]
+fn what_comes_just_as_a_connections_time_is_up_is_read() {
+    let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
+    let courier = Courier::start(&folder, &discovery);
+    let (head, rest) = halves("head");
+    let body = message("body", "status", 7, 20_000);
+    let (mut silent, mut first, mut last) =
+        (Client::new(&courier), Client::new(&courier), Client::new(&courier));
+    first.send(&head);
+    last.send(&body[..body.len() - 1]);
+    thread::sleep(2300 * MS);
+    courier.stop();
+    thread::sleep(700 * MS);
+    silent.send(&message("silent", "status", 7, 20_000));
+    first.send(&rest);
+    last.send(&body[body.len() - 1..]);
+    courier.go();
+    assert_eq!([silent.status(), first.status(), last.status()], [202; 3]);
+    until("all of them", || endpoint.calls().len() == 3);
+}
+
+#[test]
+fn a_later_request_that_does_not_end_gets_a_word_before_the_close() {
+    let (folder, _endpoint, discovery) = one(|_| Act::Answer(OK));
+    let courier = Courier::start(&folder, &discovery);
+    let mut client = Client::resting(&courier, "m0");
+    client.send(&halves("half").0);
+    assert_eq!(client.status(), 408);
+    assert!(client.is_closed());
+}
+
 #[test]
 fn a_request_that_comes_as_its_courier_goes_out_of_service_is_answered() {
     let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
