--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -475,7 +475,8 @@
                 None => answer(offer, Reply::Taken),
             };
         }
-        if self.dues.failed() {
+        // What cannot be tried here any more is better handed in elsewhere than left to the next process.
+        if self.dues.failed() || self.ends(Instant::now()) {
             return answer(offer, Reply::Unavailable);
         }
         if !self.destinations.contains(&offer.letter.destination) {
@@ -646,7 +647,7 @@
     }
 
     fn send(&mut self, sends: Vec<(u64, EndpointId, Duration)>, now: Instant) {
-        let late = self.stopping.is_some_and(|t| now >= t + STOP_SENDING);
+        let late = self.ends(now);
         for (message, endpoint, timeout) in sends {
             let e = self.endpoints.get(&endpoint);
             let to = e.and_then(|e| Some((e, e.address?)));
@@ -745,6 +746,11 @@
         }
     }
 
+    /// Whether no call is begun any more, as this process would end before its answer.
+    fn ends(&self, now: Instant) -> bool {
+        self.stopping.is_some_and(|at| now >= at + STOP_SENDING)
+    }
+
     /// Whether all is done that can be done after SIGTERM.
     fn stopped(&mut self) -> bool {
         let Some(since) = self.stopping else { return false };
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -149,6 +149,26 @@
     assert_eq!(courier.exit(), 0);
 }
 
+#[test]
+fn a_request_whose_last_byte_comes_near_the_end_is_refused_not_left_to_the_next_process() {
+    let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
+    let mut courier = Courier::start(&folder, &discovery);
+    let mut client = Client::new(&courier);
+    let text = message("late", "payment", 7, 20_000);
+    courier.signal("-TERM");
+    courier.says("stopping");
+    client.send(&text[..text.len() - 1]);
+    // No call is begun any more then.
+    thread::sleep(2300 * MS);
+    client.send(&text[text.len() - 1..]);
+    assert_eq!(client.status(), 503);
+    assert_eq!(courier.exit(), 0);
+    let next = Courier::start(&folder, &discovery);
+    next.take("next", "payment", 7, 20_000);
+    until("the next", || !endpoint.calls().is_empty());
+    assert_eq!(endpoint.ids(), ["next"]);
+}
+
 #[test]
 fn who_waits_before_a_full_house_at_sigterm_is_let_in_and_answered() {
     let (folder, _endpoint, discovery) = one(|_| Act::Answer(OK));
