--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -54,6 +54,7 @@
 #[derive(Clone, Default)]
 pub struct Leave {
     recalled: Rc<Cell<bool>>,
+    begun: Rc<Cell<bool>>,
     /// Not begun from then on.
     pub ends: Option<Instant>,
 }
@@ -64,6 +65,11 @@
         self.recalled.set(true);
     }
 
+    /// Whether its first byte may have gone out.
+    pub fn has_begun(&self) -> bool {
+        self.begun.get()
+    }
+
     fn holds(&self) -> bool {
         !self.recalled.get() && self.ends.is_none_or(|at| Instant::now() < at)
     }
@@ -244,6 +250,7 @@
         if !leave.holds() || self.register.is_out(host) {
             return Err(Lost::Recalled);
         }
+        leave.begun.set(true);
         let answer = link.ask(request, until).await;
         if let Err(lost) = answer {
             let stood = idle.map_or("new".to_owned(), |i| format!("idle for {} ms", i.as_millis()));
--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -376,6 +376,7 @@
                 }
             }
             if self.stopped() {
+                self.spare();
                 self.settle_whole().await;
                 say!("journal: {} commits, {} syncs in this life", self.journal.commits, self.journal.syncs);
                 return End::Stopped;
@@ -751,6 +752,18 @@
         self.stopping.is_some_and(|at| now >= at + STOP_SENDING)
     }
 
+    /// At the end: what still waits for its connection has not run, whatever the record of its attempt says, and the
+    /// next process may send it.
+    fn spare(&mut self) {
+        for (message, m) in &self.held {
+            let Some((_, leave)) = m.leave.as_ref().filter(|(_, leave)| !leave.has_begun()) else { continue };
+            leave.recall();
+            if m.out.is_some() && m.attempts > 0 {
+                self.journal.never_ran(*message, m.attempts - 1);
+            }
+        }
+    }
+
     /// Whether all is done that can be done after SIGTERM.
     fn stopped(&mut self) -> bool {
         let Some(since) = self.stopping else { return false };
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -314,15 +314,19 @@
     assert!(discovery.results("m").is_empty(), "{:?}", discovery.results("m"));
 }
 
+/// A socket that holds one connection in its queue: further ones come up only once it accepts and the kernel asks
+/// again.
+fn full() -> TcpListener {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().expect("one").into()).expect("a port");
+    socket.listen(0).expect("listens");
+    socket.into()
+}
+
 #[test]
 fn a_call_whose_endpoint_is_removed_while_its_connection_comes_up_is_not_begun() {
     for reload in [false, true] {
-        // Its queue is full, so that a connection comes up only once it accepts and the kernel asks again.
-        let socket =
-            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-        socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().expect("one").into()).expect("a port");
-        socket.listen(0).expect("listens");
-        let listener = TcpListener::from(socket);
+        let listener = full();
         let (slow, other) = (Endpoint::at(&listener), Endpoint::new(|_| Act::Answer(OK)));
         let _first = TcpStream::connect(slow.address).expect("the one that its queue holds");
         let discovery = Discovery::new(list(1, true, vec![ready(&slow)]));
@@ -348,6 +352,29 @@
     }
 }
 
+#[test]
+fn a_call_that_still_waits_for_its_connection_at_the_end_has_not_run() {
+    let listener = full();
+    let place = Endpoint::at(&listener);
+    let _first = TcpStream::connect(place.address).expect("the one that its queue holds");
+    let discovery = Discovery::new(list(1, true, vec![ready(&place)]));
+    let folder = Folder::new();
+    let mut config = config(&discovery, discovery.lines.lock().expect("lines")[0].clone());
+    config["settings"]["limits"]["connect-timeout-ns"] = json!(30_000_000_000u64);
+    let mut courier = Courier::with(&folder, &discovery, &config);
+    courier.take("pay", "payment", 7, 25_000);
+    courier.says("pay attempt 0: to s-1");
+    courier.signal("-TERM");
+    assert_eq!(courier.exit(), 0);
+    place.serve(listener, |_, _| Act::Answer(OK));
+    let next = Courier::with(&folder, &discovery, &config);
+    next.take("next", "payment", 7, 25_000);
+    until("the calls", || place.calls().len() + discovery.results("pay").len() >= 2);
+    let mut ids = place.ids();
+    ids.sort();
+    assert_eq!(ids, ["next", "pay"], "it may run only once, and had not");
+}
+
 /// An endpoint that says `head` to its first call, and then `more` for ever; later calls are answered well.
 fn endless(head: &'static str, more: &'static str) -> (Folder, TcpListener, Discovery, Value) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
