--- a/src/brain.rs
+++ b/src/brain.rs
@@ -9,6 +9,9 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
+// Times are in s, and stand here only where the settings tell none. Deadlines, windows, graces, limits and
+// costs come from these alone; what acts on load is a share of them, or of what was measured there.
+
 /// Latency before the first answer, s, shares of the slots (the design's), calls that tell what ails.
 const FIRST_LATENCY: f64 = 0.05;
 const DEST_CAP: f64 = 0.75;
@@ -27,21 +30,26 @@
 /// Failure ratio (each failure moves it) above which a breaker opens.
 const TRIP_RATIO: f64 = 0.5;
 /// Pause of an open breaker: first, s, and growth with the time for which it has ailed; least, s; part of a
-/// pause between the trials of one destination.
+/// pause between the trials of one destination. A trial is a real message: the first pause outlasts a
+/// hiccup, the growth spares a long outage most of them, and a known rate ends a pause sooner.
 const OPEN_FIRST: f64 = 1.5;
 const OPEN_LEAST: f64 = 0.5;
 const OPEN_GROWTH: f64 = 6.0;
 const TRIAL_APART: f64 = 0.5;
-/// Length, s, of an outage, and of a told wait, that ends cold.
+/// Length, s, of an outage, and of a told wait, that ends cold. In a shorter outage nobody has stopped
+/// calling; a limit tells waits of its window, a second or two, and only one that is shut tells more.
 const CONFIRMED: f64 = 1.0;
 const SHUT_WAIT: f64 = 2.5;
-/// A call this many latencies old with no answer since is taken as hung; and the least, s.
+/// A call this many latencies old with no answer since is taken as hung; and the least, s, which one slow
+/// call among fast ones does not reach.
 const HANG_LATENCIES: f64 = 6.0;
 const HANG_LEAST: f64 = 0.8;
 /// Attempts spread over the time left; before these, backoff after a second failure, as its share.
 const LAST_ATTEMPTS: u32 = 2;
 const RETRY_SHARE: f64 = 0.06;
-/// Pause after a refusal that tells no wait, s: first, doublings at most, and longest at a full pace.
+/// Pause after a refusal that tells no wait, s: first, doublings at most, and longest at a full pace, which
+/// a known slower pace extends. Limits are told in calls a second: a tenth of one is the least that can
+/// help.
 const FULL_PAUSE: f64 = 0.1;
 const FULL_DOUBLINGS: u32 = 7;
 const FULL_LONGEST: f64 = 1.6;
@@ -56,10 +64,12 @@
 const PACE_LEAST: f64 = 0.03;
 const PACE_SPAN: f64 = 0.5;
 const PACE_DEPTH: f64 = 2.0;
-/// Span of the rate of accepted calls, and memory of their flow, s.
+/// Span of the rate of accepted calls, and memory of their flow, s: some windows of a limit told in calls a
+/// second, and some spans of that.
 const RATE_SPAN: f64 = 2.0;
 const FLOW_SPAN: f64 = 10.0;
-/// Time-out in latencies, and least, s; time-outs after which a call that blocks others is called off.
+/// Time-out in latencies, and least, s, as a call that is given up is work done twice, and the time that is
+/// left bounds it anyway; time-outs after which a call that blocks others is called off.
 const TIMEOUT_LATENCIES: f64 = 7.0;
 const TIMEOUT_LEAST: f64 = 1.0;
 const STUCK_PATIENCE: f64 = 1.5;
@@ -68,7 +78,7 @@
 const DOUBT_HALVES: f64 = 4.0;
 /// Held messages past this share of the room: the longest chart sheds.
 const ROOM_SHARE: f64 = 0.9;
-/// Retry of a failed list call, s.
+/// Retry of a failed list call, s, before it doubles.
 const LIST_RETRY: f64 = 1.0;
 /// Endpoints are compared in points of the result: latency (per aim), doubt, and each courier's own leaning.
 const COST_LATENCY: f64 = 0.05;
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -279,9 +279,15 @@
         SockRef::from(&*self.stream).peek(&mut byte).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Whether a request is under way that has no answer yet, and of which nothing is written.
+    /// Whether a request is under way that has no answer yet, and of which nothing is written. Empty lines between
+    /// two requests are none.
     fn unanswered(&self) -> bool {
-        matches!(self.stage.get(), Stage::Head | Stage::Busy | Stage::Whole) && !self.answering.get()
+        let begun = match self.stage.get() {
+            Stage::Head => self.framing.borrow().begun,
+            Stage::Busy | Stage::Whole => true,
+            Stage::Silent | Stage::Judged | Stage::Idle { .. } | Stage::Over => false,
+        };
+        begun && !self.answering.get()
     }
 
     fn heard(&self, bytes: &[u8]) {
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -22,7 +22,8 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, sleep_until, timeout};
 
-/// How long a head may take from its first byte: one without an end must not hold a slot till the time-out.
+/// How long a head may take from its first byte: one without an end must not hold a slot till the time-out. It is a
+/// few hundred bytes, written at once: this is many times any way between two machines.
 const HEAD_TIME: Duration = Duration::from_millis(400);
 /// How long the rest of an answer may take once its head is here.
 const BODY_TIME: Duration = Duration::from_millis(200);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -134,7 +134,8 @@
     pub fn settings(&self) -> Result<Settings, String> {
         let conf = self;
         let mut classes = Vec::new();
-        for lane in &conf.lanes {
+        for (number, lane) in conf.lanes.iter().enumerate() {
+            let of = |what: &str| format!("lanes[{number}] ({}): {what}", lane.name);
             let effect = match lane.effect.as_str() {
                 "repeatable" => Effect::Repeatable,
                 "by_key" => Effect::Keyed {
@@ -143,14 +144,14 @@
                         "zone" => KeyScope::Zone,
                         _ => KeyScope::Endpoint,
                     },
-                    window: span(lane.key_ttl_ns, "key-ttl-ns")?,
+                    window: span(lane.key_ttl_ns, &of("key-ttl-ns"))?,
                 },
                 "once" => Effect::Once,
-                other => return Err(format!("unknown effect {other}")),
+                other => return Err(of(&format!("unknown effect {other:?}"))),
             };
             classes.push(Class {
-                aim: span(lane.aim_ns, "aim-ns")?,
-                deadline: span(lane.deadline_ns, "deadline-ns")?,
+                aim: span(lane.aim_ns, &of("aim-ns"))?,
+                deadline: span(lane.deadline_ns, &of("deadline-ns"))?,
                 worth: lane.credit,
                 late_share: lane.late_share,
                 effect,
@@ -201,3 +202,37 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::{Value, json};
+
+    fn read(change: impl Fn(&mut Value)) -> Result<Settings, String> {
+        let mut page: Value = serde_json::from_str(include_str!("../tests/settings.json")).expect("settings");
+        change(&mut page);
+        serde_json::from_value::<Conf>(page).map_err(|e| e.to_string())?.settings()
+    }
+
+    #[test]
+    fn a_class_may_have_any_effect_and_what_cannot_be_worked_with_is_named() {
+        let effect = |effect: &str| read(|page| page["lanes"][0]["effect"] = json!(effect));
+        for (word, expected) in [("repeatable", Effect::Repeatable), ("once", Effect::Once)] {
+            assert_eq!(effect(word).map(|set| set.classes[0].effect), Ok(expected));
+        }
+        let wrong = effect("twice").map(|_| ()).expect_err("no such effect");
+        assert_eq!(wrong, "lanes[0] (notice): unknown effect \"twice\"");
+        let wrong = read(|page| page["lanes"][2]["aim-ns"] = json!(-1)).map(|_| ()).expect_err("no time");
+        assert_eq!(wrong, "lanes[2] (payment): aim-ns is negative");
+    }
+
+    #[test]
+    fn names_that_are_not_known_are_passed_over() {
+        let known = read(|_| ()).expect("sound");
+        let more = read(|page| {
+            page["new-part"] = json!({"x": 1});
+            page["lanes"][0]["new-name"] = json!("y");
+        });
+        assert_eq!(more.expect("sound").classes.len(), known.classes.len());
+    }
+}
