--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 use walnutshift_lab::experiment::Experiment;
 use walnutshift_lab::report::sweep::Axis;
-use walnutshift_lab::report::{compare, page, story, sweep};
+use walnutshift_lab::report::{compare, found, page, story, sweep};
 use walnutshift_lab::run::{self, Options, Outcome};
 
 #[derive(Parser)]
@@ -71,6 +71,13 @@
         /// Any id under which it was handed in.
         id: String,
     },
+    /// Count what became of the messages that restarts found untried. Exit 1 if over half of those with half of
+    /// their time left were given up with no call, in any of the folders.
+    Found {
+        /// Folders of couriers' logs, `*.log`, with a time before each line.
+        #[arg(required = true)]
+        folders: Vec<PathBuf>,
+    },
 }
 
 const COURIER: &str = "target/release/stairshed";
@@ -146,5 +153,16 @@
             print!("{}", story::tell(&folder, &id)?);
             Ok(Outcome::Holds)
         }
+        Command::Found { folders } => {
+            let mut outcome = Outcome::Holds;
+            for folder in &folders {
+                let found = found::count(folder)?;
+                println!("{}: {found}", folder.display());
+                if found.fails() {
+                    outcome = Outcome::Fails;
+                }
+            }
+            Ok(outcome)
+        }
     }
 }
