--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc::{Receiver, Sender, UnboundedReceiver};
 use tokio::sync::oneshot;
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, yield_now};
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// After SIGTERM: how long new attempts are begun, and when it ends whatever is still out. SIGKILL comes
@@ -365,6 +365,8 @@
                         // message must not be given up for want of one.
                         if self.wake.is_some_and(|(at, _)| at + STANDSTILL < now) {
                             sleep(CATCH_UP).await;
+                            // Whoever was woken together with this has its turn first.
+                            yield_now().await;
                             while let Ok(news) = inbox.try_recv() {
                                 self.hear(news);
                             }
