--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -148,11 +148,7 @@
 
 #[test]
 fn a_call_whose_connection_comes_up_after_the_news_of_a_drain_is_not_begun() {
-    // Its queue is full, so that a connection comes up only once it accepts and the kernel asks again.
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().expect("an address").into()).expect("a port");
-    socket.listen(0).expect("listens");
-    let listener = std::net::TcpListener::from(socket);
+    let listener = full();
     let (slow, other) = (Endpoint::at(&listener), Endpoint::new(|_| Act::Answer(OK)));
     let _first = TcpStream::connect(slow.address).expect("the one that its queue holds");
     let discovery = Discovery::new(list(1, true, vec![host("s-1", &slow, 7, "ready")]));
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -314,15 +314,6 @@
     assert!(discovery.results("m").is_empty(), "{:?}", discovery.results("m"));
 }
 
-/// A socket that holds one connection in its queue: further ones come up only once it accepts and the kernel asks
-/// again.
-fn full() -> TcpListener {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().expect("one").into()).expect("a port");
-    socket.listen(0).expect("listens");
-    socket.into()
-}
-
 #[test]
 fn a_call_whose_endpoint_is_removed_while_its_connection_comes_up_is_not_begun() {
     for reload in [false, true] {
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -293,6 +293,15 @@
     }
 }
 
+/// A socket that holds one connection in its queue: further ones come up only once it accepts and the kernel asks
+/// again.
+pub fn full() -> TcpListener {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("a port");
+    socket.listen(0).expect("listens");
+    socket.into()
+}
+
 pub fn host(name: &str, endpoint: &Endpoint, block: u64, health: &str) -> Value {
     json!({"host": name, "dial": endpoint.address.to_string(), "site": "a", "class": "shops", "block": block,
         "health": health, "share": 50.0, "born_ms": 0})
