--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -14,13 +14,6 @@
 const FULL_TOLD: &str = "HTTP/1.1 429 Too Many Requests\r\nWait-Ms: 700\r\nContent-Length: 0\r\n\r\n";
 const ERROR: &str = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
 
-/// One endpoint of destination 7, and discovery that lists it.
-fn one(act: impl Fn(usize) -> Act + Send + Sync + 'static) -> (Folder, Endpoint, Discovery) {
-    let endpoint = Endpoint::new(act);
-    let discovery = Discovery::new(list(1, true, vec![host("s-1", &endpoint, 7, "ready")]));
-    (Folder::new(), endpoint, discovery)
-}
-
 #[test]
 fn a_message_is_delivered_with_its_id_key_and_body() {
     let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
@@ -148,13 +141,8 @@
 
 #[test]
 fn a_call_whose_connection_comes_up_after_the_news_of_a_drain_is_not_begun() {
-    let listener = full();
-    let (slow, other) = (Endpoint::at(&listener), Endpoint::new(|_| Act::Answer(OK)));
-    let _first = TcpStream::connect(slow.address).expect("the one that its queue holds");
-    let discovery = Discovery::new(list(1, true, vec![host("s-1", &slow, 7, "ready")]));
-    let folder = Folder::new();
-    let mut config = config(&discovery, discovery.lines.lock().expect("lines")[0].clone());
-    config["settings"]["limits"]["connect-timeout-ns"] = json!(30_000_000_000u64);
+    let Unconnected { listener, endpoint: slow, discovery, config, queued: _queued } = Unconnected::new();
+    let (folder, other) = (Folder::new(), Endpoint::new(|_| Act::Answer(OK)));
     let courier = Courier::with(&folder, &discovery, &config);
     courier.take("m", "payment", 7, 25_000);
     courier.says("m attempt 0: to s-1");
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -11,13 +11,6 @@
 use std::thread;
 use std::time::Instant;
 
-/// One endpoint of destination 7, and discovery that lists it.
-fn one(act: impl Fn(usize) -> Act + Send + Sync + 'static) -> (Folder, Endpoint, Discovery) {
-    let endpoint = Endpoint::new(act);
-    let discovery = Discovery::new(list(1, true, vec![host("s-1", &endpoint, 7, "ready")]));
-    (Folder::new(), endpoint, discovery)
-}
-
 /// A client's connection.
 struct Client {
     stream: TcpStream,
@@ -317,13 +310,9 @@
 #[test]
 fn a_call_whose_endpoint_is_removed_while_its_connection_comes_up_is_not_begun() {
     for reload in [false, true] {
-        let listener = full();
-        let (slow, other) = (Endpoint::at(&listener), Endpoint::new(|_| Act::Answer(OK)));
-        let _first = TcpStream::connect(slow.address).expect("the one that its queue holds");
-        let discovery = Discovery::new(list(1, true, vec![ready(&slow)]));
-        let folder = Folder::new();
-        let mut config = config(&discovery, discovery.lines.lock().expect("lines")[0].clone());
-        config["settings"]["limits"]["connect-timeout-ns"] = json!(30_000_000_000u64);
+        let Unconnected { listener, endpoint: slow, discovery, mut config, queued: _queued } =
+            Unconnected::new();
+        let (folder, other) = (Folder::new(), Endpoint::new(|_| Act::Answer(OK)));
         let courier = Courier::with(&folder, &discovery, &config);
         courier.take("m", "payment", 7, 25_000);
         courier.says("m attempt 0: to s-1");
@@ -345,13 +334,8 @@
 
 #[test]
 fn a_call_that_still_waits_for_its_connection_at_the_end_has_not_run() {
-    let listener = full();
-    let place = Endpoint::at(&listener);
-    let _first = TcpStream::connect(place.address).expect("the one that its queue holds");
-    let discovery = Discovery::new(list(1, true, vec![ready(&place)]));
+    let Unconnected { listener, endpoint: place, discovery, config, queued: _queued } = Unconnected::new();
     let folder = Folder::new();
-    let mut config = config(&discovery, discovery.lines.lock().expect("lines")[0].clone());
-    config["settings"]["limits"]["connect-timeout-ns"] = json!(30_000_000_000u64);
     let mut courier = Courier::with(&folder, &discovery, &config);
     courier.take("pay", "payment", 7, 25_000);
     courier.says("pay attempt 0: to s-1");
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -293,15 +293,46 @@
     }
 }
 
+/// One endpoint of destination 7, and discovery that lists it.
+pub fn one(act: impl Fn(usize) -> Act + Send + Sync + 'static) -> (Folder, Endpoint, Discovery) {
+    let endpoint = Endpoint::new(act);
+    let discovery = Discovery::new(list(1, true, vec![host("s-1", &endpoint, 7, "ready")]));
+    (Folder::new(), endpoint, discovery)
+}
+
 /// A socket that holds one connection in its queue: further ones come up only once it accepts and the kernel asks
 /// again.
-pub fn full() -> TcpListener {
+fn full() -> TcpListener {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("a port");
     socket.listen(0).expect("listens");
     socket.into()
 }
 
+/// An endpoint of destination 7 whose connections do not come up before it is served, and discovery that lists it.
+pub struct Unconnected {
+    pub listener: TcpListener,
+    pub endpoint: Endpoint,
+    pub discovery: Discovery,
+    /// A call waits for its connection longer than any test does.
+    pub config: Value,
+    /// The connection that its queue holds, to be kept.
+    pub queued: TcpStream,
+}
+
+impl Unconnected {
+    pub fn new() -> Self {
+        let listener = full();
+        let endpoint = Endpoint::at(&listener);
+        let queued = TcpStream::connect(endpoint.address).expect("the one that its queue holds");
+        let known = list(1, true, vec![host("s-1", &endpoint, 7, "ready")]);
+        let discovery = Discovery::new(known.clone());
+        let mut config = config(&discovery, known);
+        config["settings"]["limits"]["connect-timeout-ns"] = json!(30_000_000_000u64);
+        Unconnected { listener, endpoint, discovery, config, queued }
+    }
+}
+
 pub fn host(name: &str, endpoint: &Endpoint, block: u64, health: &str) -> Value {
     json!({"host": name, "dial": endpoint.address.to_string(), "site": "a", "class": "shops", "block": block,
         "health": health, "share": 50.0, "born_ms": 0})
--- a/tests/rough.rs
+++ b/tests/rough.rs
@@ -10,13 +10,6 @@
 use std::thread;
 use std::time::Instant;
 
-/// One endpoint of destination 7, and discovery that lists it.
-fn one(act: impl Fn(usize) -> Act + Send + Sync + 'static) -> (Folder, Endpoint, Discovery) {
-    let endpoint = Endpoint::new(act);
-    let discovery = Discovery::new(list(1, true, vec![host("s-1", &endpoint, 7, "ready")]));
-    (Folder::new(), endpoint, discovery)
-}
-
 // ---- configurations read again -----------------------------------------------------------------------
 
 #[test]
