--- /dev/null
+++ b/crates/coordination/src/feed.rs
@@ -0,0 +1,1 @@
+//! Change feed: a snapshot, then changes from an offset.
--- /dev/null
+++ b/crates/coordination/src/membership.rs
@@ -0,0 +1,1 @@
+//! Membership: who is live, and whom each process monitors (rendezvous hashing).
--- /dev/null
+++ b/crates/coordination/src/registry.rs
@@ -0,0 +1,1 @@
+//! Registry of endpoints: shards by hash of the service name.
--- /dev/null
+++ b/crates/coordination/src/simulation.rs
@@ -0,0 +1,1 @@
+//! Simulated network, disks and clocks for scenarios.
--- /dev/null
+++ b/crates/coordination/src/storage.rs
@@ -0,0 +1,1 @@
+//! Versioned files: written aside, synced, renamed.
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,7 @@
+//! The decisions of a router, without I/O: which endpoint a request goes to, when it leaves, when it is
+//! tried again and when it is refused. Time and chance are passed in.
+
+pub mod dispatcher;
+pub mod interface;
+
+pub use dispatcher::Dispatcher;
--- /dev/null
+++ b/crates/lanegate/src/main.rs
@@ -0,0 +1,3 @@
+//! lanegate: router, agent and controller in one program.
+
+fn main() {}
--- /dev/null
+++ b/crates/model/src/configuration.rs
@@ -0,0 +1,154 @@
+//! The operator's configuration: routes, services and limits, as the control interface takes it.
+//!
+//! These types hold what the system reads; the document itself is kept and returned as it was sent.
+
+use serde::Deserialize;
+
+/// A whole configuration.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Configuration {
+    /// Rises with every change, in uneven steps; 0 stands for "none yet".
+    pub version: u64,
+    #[serde(default)]
+    pub routes: Vec<Route>,
+    #[serde(default)]
+    pub backends: Vec<Backend>,
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+/// Where requests of one host and path prefix go, and how they may be handled.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Route {
+    pub name: String,
+    pub hostname: String,
+    /// Begins and ends with a slash.
+    pub path_prefix: String,
+    #[serde(default)]
+    pub route_type: RouteType,
+    /// Longest time that a request may be held, ms.
+    pub timeout_ms: f64,
+    /// Time within which an answer earns its full worth (streams: its first event), ms.
+    #[serde(default)]
+    pub target_ms: f64,
+    /// Rank, 0 is the highest.
+    #[serde(default)]
+    pub priority: u8,
+    /// The one service of the route, unless `traffic_split` names several.
+    #[serde(default)]
+    pub backend: Option<String>,
+    #[serde(default)]
+    pub traffic_split: Vec<WeightedBackend>,
+    /// Most endpoints to which one try of a client may be sent.
+    #[serde(default = "one")]
+    pub max_attempts: u32,
+    #[serde(default)]
+    pub sticky: bool,
+    /// Whether a stream may be taken up at another endpoint by `Last-Event-Id`.
+    #[serde(default)]
+    pub resumable: bool,
+    /// Longest pause between two events of a stream that is in time, ms.
+    #[serde(default, rename = "gap_aim_ms")]
+    pub gap_aim_ms: Option<f64>,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// What may be repeated of a route's requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RouteType {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once for each try.
+    #[default]
+    NonIdempotent,
+    /// Answers with events; runs at most once unless it may be resumed.
+    Streaming,
+}
+
+/// One part of a route's traffic.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct WeightedBackend {
+    pub backend: String,
+    pub weight: f64,
+}
+
+/// A service: a set of endpoints that register under its name.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Backend {
+    pub name: String,
+    #[serde(default)]
+    pub health_path: Option<String>,
+    /// Connections that one endpoint takes from all callers together.
+    #[serde(default)]
+    pub max_conns: Option<u32>,
+    /// Present where the endpoints are model engines.
+    #[serde(default)]
+    pub runtime: Option<Runtime>,
+}
+
+/// The engines of a service and the models that they may hold.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Runtime {
+    /// Requests that an endpoint runs in one batch.
+    pub capacity: u32,
+    /// Memory shared by running requests and cached prompt parts, tokens.
+    pub kv_cache_tokens: f64,
+    /// Tokens in one event of a stream.
+    #[serde(default, rename = "stride")]
+    pub stride: Option<f64>,
+    #[serde(default)]
+    pub models: Vec<Model>,
+    /// Room of an endpoint for weights and adapters together, MB.
+    #[serde(default)]
+    pub weights_mb: f64,
+    /// Adapters that an endpoint holds at most.
+    #[serde(default)]
+    pub max_adapters: u32,
+    /// Loads a second that the weight store allows over all endpoints.
+    #[serde(default)]
+    pub loads_per_s: f64,
+}
+
+/// A model and the adapters that may be loaded for it (`a1`, `a2`, ...).
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Model {
+    pub name: String,
+    pub weights_mb: f64,
+    /// Time of a load from the weight store, s.
+    pub load_time_s: f64,
+    #[serde(default)]
+    pub adapters: u32,
+    #[serde(default)]
+    pub adapter_size_mb: f64,
+}
+
+/// What a client may send and how long it may take.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+pub struct Limits {
+    pub max_header_bytes: usize,
+    pub max_body_bytes: usize,
+    pub header_timeout_ms: f64,
+    pub idle_timeout_ms: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            max_header_bytes: 16 * 1024,
+            max_body_bytes: 4 * 1024 * 1024,
+            header_timeout_ms: 3_000.0,
+            idle_timeout_ms: 15_000.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/demand.rs
@@ -0,0 +1,28 @@
+//! What routers tell the control plane of the demand that they see.
+
+use serde::{Deserialize, Serialize};
+
+/// Requests for one model, or one adapter of it, that a router saw since its last report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ModelDemand {
+    /// Name of the service.
+    pub backend: String,
+    /// Name of the model.
+    pub model: String,
+    /// Name of the adapter, where the request asked for one.
+    pub adapter: Option<String>,
+    /// Requests that arrived.
+    pub requests: u32,
+    /// Prompt and output tokens that those requests asked for.
+    pub tokens: u64,
+    /// Of `requests`, those for which no endpoint held the model (and adapter).
+    pub unplaced: u32,
+}
+
+/// The demand that one router saw over one period.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct DemandReport {
+    /// Length of the period, ms.
+    pub period_ms: u32,
+    pub models: Vec<ModelDemand>,
+}
--- /dev/null
+++ b/crates/model/src/feed.rs
@@ -0,0 +1,20 @@
+//! What a router hears from the control plane.
+
+use crate::configuration::Configuration;
+use crate::instance::Instance;
+use std::sync::Arc;
+
+/// One piece of news, in the order in which it is to be applied.
+#[derive(Debug, Clone)]
+pub enum FeedEvent {
+    /// A configuration newer than any before.
+    Configuration(Arc<Configuration>),
+    /// The newest registration of an endpoint; replaces what was known of that incarnation.
+    Instance(Instance),
+    /// An endpoint is gone: it said so, or its heartbeats stopped.
+    Removed { id: String },
+    /// How many routers are live, this one included.
+    Routers { live: u32 },
+    /// Everything that was known at the source when the feed began has been told.
+    Synchronized,
+}
--- /dev/null
+++ b/crates/model/src/instance.rs
@@ -0,0 +1,59 @@
+//! Registrations of endpoints: what one incarnation of an endpoint says of itself in a heartbeat.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// One incarnation of an endpoint, as its newest heartbeat describes it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Instance {
+    /// The `InstanceId`; it stands in the path of a heartbeat and may be missing from its body.
+    #[serde(default)]
+    pub id: String,
+    /// The service under which the endpoint registers.
+    pub backend: String,
+    pub address: SocketAddr,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default)]
+    pub version: String,
+    /// Requests that the endpoint works on at the same time.
+    #[serde(default)]
+    pub capacity: u32,
+    #[serde(default)]
+    pub state: InstanceState,
+    /// Time during which the endpoint is still slow after its start, ms.
+    #[serde(default)]
+    pub cold_left_ms: f64,
+    /// What the engine is doing; absent for endpoints without engines.
+    #[serde(default)]
+    pub phase: Option<String>,
+    #[serde(default)]
+    pub models: Vec<HeldModel>,
+    /// Rises with each heartbeat, so that a late one is recognised.
+    #[serde(default)]
+    pub sequence: u64,
+    /// Time until the endpoint is gone whatever it runs, ms; only in a short notice.
+    #[serde(default)]
+    pub remaining_ms: Option<f64>,
+}
+
+/// Whether an endpoint takes new requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum InstanceState {
+    #[default]
+    Ready,
+    Draining,
+}
+
+/// A model that an endpoint holds, with its adapters.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct HeldModel {
+    pub name: String,
+    #[serde(default)]
+    pub version: u64,
+    #[serde(default)]
+    pub adapters: Vec<String>,
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,9 @@
+//! The documents that every lanegate process shares: the settings file of a process, the operator's
+//! configuration and the registrations of endpoints.
+
+pub mod configuration;
+pub mod demand;
+pub mod feed;
+pub mod instance;
+pub mod routes;
+pub mod settings;
--- /dev/null
+++ b/crates/model/src/routes.rs
@@ -0,0 +1,1 @@
+//! The route table: host and longest path prefix to a route.
--- /dev/null
+++ b/crates/model/src/settings.rs
@@ -0,0 +1,137 @@
+//! The settings file of a process (YAML, named by `LANEGATE_NODE_FILE`).
+
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+
+/// Variable that names the settings file.
+pub const SETTINGS_VARIABLE: &str = "LANEGATE_NODE_FILE";
+
+/// Settings of one process; unknown fields are ignored.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Settings {
+    pub node_name: String,
+    #[serde(default)]
+    pub role: String,
+    pub ip: IpAddr,
+    pub zone: String,
+    #[serde(default)]
+    pub region: String,
+    /// Region of each zone.
+    #[serde(default)]
+    pub zones: BTreeMap<String, String>,
+    #[serde(default)]
+    pub listeners_map: Listeners,
+    /// First and last port free for what processes say to one another.
+    pub port_range: (u16, u16),
+    /// `ControlPlane` addresses of up to three machines.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// True only at the first start of the whole system.
+    #[serde(default)]
+    pub bootstrap: bool,
+    #[serde(default)]
+    pub counts_for_quorum: bool,
+    #[serde(default)]
+    pub limits: ProcessLimits,
+    #[serde(default)]
+    pub data_dir: Option<PathBuf>,
+    #[serde(default = "default_heartbeat_ms")]
+    pub heartbeat_ms: f64,
+    #[serde(default)]
+    pub fault_tolerance: FaultTolerance,
+    #[serde(default)]
+    pub bounds: Bounds,
+}
+
+fn default_heartbeat_ms() -> f64 {
+    1_200.0
+}
+
+/// Addresses for what the process serves to callers from outside.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+pub struct Listeners {
+    pub frontend: Option<SocketAddr>,
+    pub readiness: Option<SocketAddr>,
+    pub control_plane: Option<SocketAddr>,
+}
+
+/// What the machine grants the process.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+pub struct ProcessLimits {
+    pub cpu_quota: f64,
+    pub cores: u32,
+    pub memory_mb: f64,
+    pub max_fds: u32,
+    pub link_mbps: f64,
+    pub disk_mb: f64,
+}
+
+/// What may be lost at once while all rules are kept.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+pub struct FaultTolerance {
+    pub machines: u32,
+    pub zones: u32,
+    pub regions: u32,
+}
+
+/// Figures of the rules in force; the defaults hold where a file names none.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+pub struct Bounds {
+    pub seed_lag_s: f64,
+    pub reuse_after_s: f64,
+    pub contact_ms: f64,
+    pub ack_ms: f64,
+    pub catch_up_s: f64,
+    pub drain_ms: f64,
+    pub grace_s: f64,
+    pub loss_slack_ms: f64,
+    pub config_apply_ms: f64,
+    pub rollback_slack_ms: f64,
+    pub max_stretch_ms: f64,
+    pub retry_ratio: f64,
+    pub retry_window_s: f64,
+    pub retry_slack: f64,
+    pub recover_s: f64,
+    #[serde(rename = "pass_ms")]
+    pub pass_ms: f64,
+    pub fencing: bool,
+    pub lease_ms: f64,
+    pub thaw_ms: f64,
+    pub ceiling_window_s: f64,
+    pub ceiling_overshoot: f64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds {
+            seed_lag_s: 3.0,
+            reuse_after_s: 2.0,
+            contact_ms: 3_000.0,
+            ack_ms: 4_000.0,
+            catch_up_s: 4.0,
+            drain_ms: 2_000.0,
+            grace_s: 8.0,
+            loss_slack_ms: 200.0,
+            config_apply_ms: 2_000.0,
+            rollback_slack_ms: 250.0,
+            max_stretch_ms: 5_000.0,
+            retry_ratio: 0.2,
+            retry_window_s: 10.0,
+            retry_slack: 0.0,
+            recover_s: 12.0,
+            pass_ms: 120.0,
+            fencing: false,
+            lease_ms: 3_000.0,
+            thaw_ms: 300.0,
+            ceiling_window_s: 5.0,
+            ceiling_overshoot: 1.0,
+        }
+    }
+}
