Dispatch requests to the least loaded endpoint from the feed, in a first thin form

Cause: the router needs the dispatcher's interface to be callable before its parts are there. Ruled out: a stub that sends at random, as it would break the rule of one run for each try. Change: endpoint table, least in flight, repeats only where a request may run again.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -2,6 +2,9 @@
 //! tried again and when it is refused. Time and chance are passed in.
 
 pub mod dispatcher;
+pub mod endpoints;
 pub mod interface;
+pub mod settings;
 
 pub use dispatcher::Dispatcher;
+pub use settings::DispatchSettings;
