Add replicated registers without log or leader, and versioned files for their records

Cause: control state needs agreement on a value per shard that outlasts lost machines and lost disks. Ruled out: a replicated log with a leader, as shards are to share neither; recovery of a wiped replica from one other, as that forgets votes. Change: CASPaxos replica (acceptor, proposer, quorum reads, recovery with registered incarnations, joint changes of members), its codec, and a store of one file per version with checksum and folder sync.

--- a/crates/coordination/src/register.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Replicated registers: agreement on one value by a group of replicas.
--- /dev/null
+++ b/crates/coordination/src/register/acceptor.rs
@@ -0,0 +1,193 @@
+//! The voting part: promises and accepts, and answers only once the record is durable.
+
+use std::mem::discriminant;
+use std::time::Duration;
+
+use super::ballot::Ballot;
+use super::core::Core;
+use super::event::Output;
+use super::message::Message;
+use super::node::Node;
+use super::record::Record;
+use super::settings::Fault;
+use super::value::{Carried, Value};
+
+/// An answer that waits for a version of the record to be durable.
+struct Reply {
+    version: u64,
+    to: Node,
+    message: Message,
+}
+
+/// A record handed out to be written.
+struct Write {
+    version: u64,
+    record: Record,
+}
+
+pub(super) struct Acceptor {
+    current: Record,
+    version: u64,
+    durable: Option<Record>,
+    durable_version: u64,
+    write: Option<Write>,
+    retry_at: Option<Duration>,
+    replies: Vec<Reply>,
+}
+
+impl Acceptor {
+    /// An acceptor whose record is on disk.
+    pub(super) fn stored(record: Record) -> Self {
+        Self { durable_version: 1, durable: Some(record.clone()), ..Self::fresh(record) }
+    }
+
+    /// An acceptor whose record is yet to be written.
+    pub(super) fn fresh(record: Record) -> Self {
+        Self {
+            current: record,
+            version: 1,
+            durable: None,
+            durable_version: 0,
+            write: None,
+            retry_at: None,
+            replies: Vec::new(),
+        }
+    }
+
+    pub(super) fn record(&self) -> &Record {
+        &self.current
+    }
+
+    /// Starts a write if one is due and none is under way.
+    pub(super) fn persist(&mut self, core: &mut Core) {
+        let wait = self.retry_at.is_some_and(|at| at > core.now);
+        if self.version == self.durable_version || self.write.is_some() || wait {
+            return;
+        }
+        self.retry_at = None;
+        self.write = Some(Write { version: self.version, record: self.current.clone() });
+        core.outputs.push_back(Output::Persist { token: self.version, record: self.current.clone() });
+    }
+
+    pub(super) fn on_persisted(&mut self, core: &mut Core, token: u64) {
+        let Some(write) = self.write.take_if(|write| write.version == token) else {
+            return;
+        };
+        self.durable = Some(write.record);
+        self.durable_version = write.version;
+        let (due, waiting) = std::mem::take(&mut self.replies).into_iter().partition(|r| r.version <= token);
+        self.replies = waiting;
+        let due: Vec<Reply> = due;
+        for reply in due {
+            core.send(reply.to, reply.message);
+        }
+    }
+
+    pub(super) fn on_persist_failed(&mut self, core: &Core, token: u64) {
+        if self.write.take_if(|write| write.version == token).is_some() {
+            self.retry_at = Some(core.now + core.settings.persist_retry);
+        }
+    }
+
+    pub(super) fn next_wake(&self) -> Option<Duration> {
+        self.retry_at
+    }
+
+    pub(super) fn on_prepare(&mut self, core: &mut Core, from: Node, ballot: Ballot, known: Ballot) {
+        if ballot < self.current.promised {
+            let promised = self.current.promised;
+            return core.send(from, Message::Refused { ballot, promised });
+        }
+        if ballot > self.current.promised {
+            self.current.promised = ballot;
+            self.version += 1;
+        }
+        let message = Message::Promise {
+            ballot,
+            incarnation: self.current.incarnation,
+            floors: self.current.floors.clone(),
+            accepted: self.current.accepted,
+            value: carry(&self.current, known),
+        };
+        self.reply(core, from, message);
+    }
+
+    pub(super) fn on_accept(&mut self, core: &mut Core, from: Node, ballot: Ballot, value: Value) {
+        if ballot < self.current.promised && !core.settings.has(Fault::AcceptBelowPromise) {
+            let promised = self.current.promised;
+            return core.send(from, Message::Refused { ballot, promised });
+        }
+        if ballot != self.current.accepted || core.settings.has(Fault::ReuseBallot) {
+            self.accept(ballot, value);
+        }
+        let message = Message::Accepted {
+            ballot,
+            incarnation: self.current.incarnation,
+            floors: self.current.floors.clone(),
+        };
+        self.reply(core, from, message);
+    }
+
+    /// Catches up with a decided value, as if its proposer had just asked to accept it.
+    pub(super) fn on_decided(&mut self, ballot: Ballot, value: &Value) {
+        if ballot >= self.current.promised && ballot > self.current.accepted {
+            self.accept(ballot, value.clone());
+        }
+    }
+
+    fn accept(&mut self, ballot: Ballot, value: Value) {
+        self.current.promised = ballot;
+        self.current.accepted = ballot;
+        self.current.value = value;
+        self.version += 1;
+    }
+
+    /// Answers a quorum read with what the disk holds, so that a stalled disk does not hold up reads.
+    pub(super) fn on_query(&mut self, core: &mut Core, from: Node, request: u64, known: Ballot) {
+        let record = self.durable.as_ref().unwrap_or(&self.current);
+        let message = Message::State {
+            request,
+            incarnation: record.incarnation,
+            floors: record.floors.clone(),
+            promised: record.promised,
+            accepted: record.accepted,
+            value: carry(record, known),
+        };
+        if self.durable.is_some() {
+            core.send(from, message);
+        } else {
+            self.reply(core, from, message);
+        }
+    }
+
+    /// Registers an incarnation of a recovering replica and tells it what is known here.
+    pub(super) fn on_register(&mut self, core: &mut Core, from: Node, nonce: u64, incarnation: u64) {
+        if self.current.floors.raise(from, incarnation) {
+            self.version += 1;
+        }
+        let message = Message::Registered {
+            nonce,
+            asked: incarnation,
+            incarnation: self.current.incarnation,
+            floors: self.current.floors.clone(),
+            promised: self.current.promised,
+            accepted: self.current.accepted,
+            value: self.current.value.clone(),
+        };
+        self.reply(core, from, message);
+    }
+
+    /// Sends an answer, at once or when the record as it is now is durable.
+    fn reply(&mut self, core: &mut Core, to: Node, message: Message) {
+        if self.durable_version == self.version || core.settings.has(Fault::ReplyBeforePersist) {
+            return core.send(to, message);
+        }
+        let kind = discriminant(&message);
+        self.replies.retain(|reply| reply.to != to || discriminant(&reply.message) != kind);
+        self.replies.push(Reply { version: self.version, to, message });
+    }
+}
+
+fn carry(record: &Record, known: Ballot) -> Carried {
+    if record.accepted > known { Carried::Full(record.value.clone()) } else { Carried::Omitted }
+}
--- /dev/null
+++ b/crates/coordination/src/register/event.rs
@@ -0,0 +1,178 @@
+//! What goes into a replica and what comes out.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::message::Message;
+use super::node::Node;
+use super::record::Record;
+use super::value::Value;
+
+/// What the state machine makes of a command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Applied {
+    /// The state changes.
+    Changed {
+        /// The state after the command.
+        state: Vec<u8>,
+        /// Handed to whoever proposed.
+        answer: Vec<u8>,
+    },
+    /// The state is already as asked.
+    Unchanged {
+        /// Handed to whoever proposed.
+        answer: Vec<u8>,
+    },
+    /// The command does not apply to this state.
+    Refused {
+        /// Handed to whoever proposed.
+        answer: Vec<u8>,
+    },
+}
+
+/// Applies commands to the opaque state. Must depend on nothing but its arguments.
+pub trait StateMachine: Send {
+    /// The effect of `command` on the state `current`.
+    fn apply(&self, current: &[u8], command: &[u8]) -> Applied;
+}
+
+/// An event for a replica.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Input {
+    /// A message arrived.
+    Message {
+        /// The sender.
+        from: Node,
+        /// The message.
+        message: Message,
+    },
+    /// The record of [`Output::Persist`] is on disk.
+    Persisted {
+        /// As in the output.
+        token: u64,
+    },
+    /// The record of [`Output::Persist`] could not be written; it is handed out again later.
+    PersistFailed {
+        /// As in the output.
+        token: u64,
+    },
+    /// The time of [`super::Replica::next_wake`] has come.
+    Tick,
+    /// Applies a command.
+    Propose {
+        /// Named in [`Output::Done`].
+        request: u64,
+        /// For the state machine.
+        command: Vec<u8>,
+        /// When to give up.
+        deadline: Duration,
+    },
+    /// Reads the value; never older than any change acknowledged before.
+    Read {
+        /// Named in [`Output::Done`].
+        request: u64,
+        /// When to give up.
+        deadline: Duration,
+    },
+    /// Changes the members.
+    ProposeMembers {
+        /// Named in [`Output::Done`].
+        request: u64,
+        /// Members that leave.
+        remove: Vec<Node>,
+        /// Nodes that join.
+        add: Vec<Node>,
+        /// When to give up.
+        deadline: Duration,
+    },
+    /// A node that may know the group can be reached.
+    Contact {
+        /// The node.
+        node: Node,
+    },
+}
+
+/// An order of a replica to its driver.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Output {
+    /// Send a message; it may be lost, doubled or overtaken.
+    Send {
+        /// The receiver, never the replica itself.
+        to: Node,
+        /// The message.
+        message: Message,
+    },
+    /// Write a record in place of the one before. At most one is under way.
+    Persist {
+        /// To be named when done.
+        token: u64,
+        /// What to write.
+        record: Record,
+    },
+    /// A request is answered.
+    Done {
+        /// The request.
+        request: u64,
+        /// Its answer.
+        outcome: Outcome,
+    },
+    /// A newer decided value became known. Revisions never fall.
+    Learned {
+        /// The value.
+        value: Value,
+    },
+}
+
+/// The answer to a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// The change is decided and durable.
+    Changed {
+        /// The revision the change led to.
+        revision: u64,
+        /// From the state machine; empty for a change of members.
+        answer: Vec<u8>,
+    },
+    /// Nothing had to change.
+    Unchanged {
+        /// The revision that was looked at.
+        revision: u64,
+        /// From the state machine.
+        answer: Vec<u8>,
+    },
+    /// The command does not apply.
+    Refused {
+        /// The revision that was looked at.
+        revision: u64,
+        /// From the state machine.
+        answer: Vec<u8>,
+    },
+    /// The value read.
+    Value {
+        /// Its revision.
+        revision: u64,
+        /// Its state.
+        state: Bytes,
+    },
+    /// The deadline passed before the command was proposed: it has no effect, now or later.
+    Expired,
+    /// No clear answer: the command may have taken effect, or may yet.
+    Timeout,
+}
+
+/// Where a replica stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Status {
+    /// The disk was empty: not voting until enough members have answered.
+    Recovering {
+        /// Replicas that answered so far.
+        answered: usize,
+        /// Replicas that must answer in the first group that lacks some; zero while no group is known.
+        needed: usize,
+    },
+    /// Voting member.
+    Member,
+    /// Able to vote, but no member of the newest group that it knows.
+    Spare,
+}
--- /dev/null
+++ b/crates/coordination/src/register/node.rs
@@ -0,0 +1,95 @@
+//! Names of replicas: the control address a replica is reached at.
+
+use std::fmt;
+use std::net::{AddrParseError, Ipv4Addr, SocketAddrV4};
+use std::str::FromStr;
+
+use deku::prelude::*;
+
+/// A replica, named by its control address.
+///
+/// The address alone does not tell one life of a replica from the next: see [`Floor`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Node {
+    /// IPv4 address, most significant byte first.
+    pub ip: u32,
+    /// Port.
+    pub port: u16,
+}
+
+impl From<SocketAddrV4> for Node {
+    fn from(address: SocketAddrV4) -> Self {
+        Self { ip: u32::from(*address.ip()), port: address.port() }
+    }
+}
+
+impl From<Node> for SocketAddrV4 {
+    fn from(node: Node) -> Self {
+        Self::new(Ipv4Addr::from(node.ip), node.port)
+    }
+}
+
+impl FromStr for Node {
+    type Err = AddrParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        SocketAddrV4::from_str(text).map(Self::from)
+    }
+}
+
+impl fmt::Display for Node {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        SocketAddrV4::from(*self).fmt(formatter)
+    }
+}
+
+/// The lowest incarnation of a node whose votes still count.
+///
+/// A node whose disk was lost registers a higher incarnation before it votes again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Floor {
+    /// The node.
+    pub node: Node,
+    /// Votes of lower incarnations are discarded.
+    pub incarnation: u64,
+}
+
+/// Floors known to one replica, at most one for each node; a node not listed has floor zero.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Floors {
+    #[deku(temp, temp_value = "entries.len() as u16")]
+    count: u16,
+    #[deku(count = "count")]
+    entries: Vec<Floor>,
+}
+
+impl Floors {
+    /// The floor of a node.
+    #[must_use]
+    pub fn of(&self, node: Node) -> u64 {
+        self.entries.iter().find(|floor| floor.node == node).map_or(0, |floor| floor.incarnation)
+    }
+
+    /// Raises the floor of a node; tells whether anything changed.
+    pub fn raise(&mut self, node: Node, incarnation: u64) -> bool {
+        if self.of(node) >= incarnation {
+            return false;
+        }
+        match self.entries.iter_mut().find(|floor| floor.node == node) {
+            Some(floor) => floor.incarnation = incarnation,
+            None => self.entries.push(Floor { node, incarnation }),
+        }
+        true
+    }
+
+    /// Takes over all higher floors of another list.
+    pub fn merge(&mut self, other: &Self) {
+        for floor in &other.entries {
+            self.raise(floor.node, floor.incarnation);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/register/record.rs
@@ -0,0 +1,42 @@
+//! What a replica keeps on disk.
+
+use deku::prelude::*;
+
+use super::ballot::Ballot;
+use super::codec::{self, CodecError};
+use super::node::Floors;
+use super::value::Value;
+
+/// The durable state of a replica. One that is still recovering has none.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "big")]
+pub struct Record {
+    /// Which of the node's lives with a disk this is; zero for a founder.
+    pub incarnation: u64,
+    /// Nothing below is accepted any more.
+    pub promised: Ballot,
+    /// The ballot of the accepted value.
+    pub accepted: Ballot,
+    /// The accepted value.
+    pub value: Value,
+    /// Floors of other nodes.
+    pub floors: Floors,
+}
+
+impl Record {
+    /// The binary form.
+    ///
+    /// # Errors
+    /// If the state is longer than a length field can say.
+    pub fn encode(&self) -> Result<Vec<u8>, CodecError> {
+        Ok(self.to_bytes()?)
+    }
+
+    /// Reads the binary form.
+    ///
+    /// # Errors
+    /// If the bytes are not exactly one record.
+    pub fn decode(bytes: &[u8]) -> Result<Self, CodecError> {
+        codec::decode(bytes)
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/register/value.rs
@@ -0,0 +1,173 @@
+//! The value of a register: revision, member groups, recent changes, opaque state.
+
+use bytes::Bytes;
+use deku::prelude::*;
+
+use super::codec;
+use super::node::Node;
+
+/// Changes a value remembers, so that a proposer can tell whether its preempted proposal took effect.
+/// More than the proposals that usually pass between two tries of one proposer.
+pub const HISTORY_LENGTH: usize = 16;
+
+/// Members of which a majority must vote.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Group {
+    #[deku(temp, temp_value = "members.len() as u8")]
+    count: u8,
+    #[deku(count = "count")]
+    members: Vec<Node>,
+}
+
+impl Group {
+    /// A group; order and repetitions do not matter. At most 255 members are taken.
+    #[must_use]
+    pub fn new(mut members: Vec<Node>) -> Self {
+        members.sort_unstable();
+        members.dedup();
+        members.truncate(usize::from(u8::MAX));
+        Self { members }
+    }
+
+    /// Members in ascending order.
+    #[must_use]
+    pub fn members(&self) -> &[Node] {
+        &self.members
+    }
+
+    /// Whether a node is a member.
+    #[must_use]
+    pub fn contains(&self, node: Node) -> bool {
+        self.members.contains(&node)
+    }
+
+    /// Members that are more than half.
+    #[must_use]
+    pub fn majority(&self) -> usize {
+        self.members.len() / 2 + 1
+    }
+
+    /// Members, the recovering one left out, that together overlap every majority it may have voted in.
+    #[must_use]
+    pub fn recovery_quorum(&self) -> usize {
+        self.members.len().saturating_sub(self.majority()) + 1
+    }
+}
+
+/// Names one proposal that changed the value.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct ChangeId {
+    /// Chance drawn at the start of the proposer's process.
+    pub nonce: u64,
+    /// Counted by the proposer.
+    pub sequence: u64,
+}
+
+/// A recent change and the revision it led to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Change {
+    /// The change.
+    pub id: ChangeId,
+    /// The revision after it.
+    pub revision: u64,
+}
+
+/// The value of a register.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Value {
+    /// Rises by one with each change.
+    pub revision: u64,
+    #[deku(temp, temp_value = "groups.len() as u8")]
+    group_count: u8,
+    /// One group, or two while a change of members is under way (old, new).
+    #[deku(count = "group_count")]
+    pub groups: Vec<Group>,
+    #[deku(temp, temp_value = "history.len() as u8")]
+    history_length: u8,
+    /// The latest changes, oldest first.
+    #[deku(count = "history_length")]
+    pub history: Vec<Change>,
+    /// Opaque state.
+    #[deku(reader = "codec::read_bytes(deku::reader)", writer = "codec::write_bytes(deku::writer, state)")]
+    pub state: Bytes,
+}
+
+impl Value {
+    /// The value a group starts from.
+    #[must_use]
+    pub fn initial(members: Vec<Node>, state: Bytes) -> Self {
+        Self { revision: 0, groups: vec![Group::new(members)], history: Vec::new(), state }
+    }
+
+    /// Whether a change of members is under way.
+    #[must_use]
+    pub fn is_joint(&self) -> bool {
+        self.groups.len() > 1
+    }
+
+    /// The newest group: the only one, or the one being changed to.
+    #[must_use]
+    pub fn newest_group(&self) -> &[Node] {
+        self.groups.last().map_or(&[], Group::members)
+    }
+
+    /// Members of all groups in force, each once.
+    #[must_use]
+    pub fn members(&self) -> Vec<Node> {
+        let all = self.groups.iter().flat_map(|group| group.members().iter().copied()).collect();
+        Group::new(all).members
+    }
+
+    /// This value after a change that adds `revisions` to the revision.
+    #[must_use]
+    pub fn changed(&self, id: ChangeId, revisions: u64, groups: Vec<Group>, state: Bytes) -> Self {
+        let revision = self.revision + revisions;
+        let mut history = self.history.clone();
+        if history.len() >= HISTORY_LENGTH {
+            history.remove(0);
+        }
+        history.push(Change { id, revision });
+        Self { revision, groups, history, state }
+    }
+
+    /// Whether the change is among the remembered ones.
+    #[must_use]
+    pub fn remembers(&self, id: ChangeId) -> bool {
+        self.history.iter().any(|change| change.id == id)
+    }
+
+    /// Whether every change made after `revision` is still remembered.
+    #[must_use]
+    pub fn remembers_since(&self, revision: u64) -> bool {
+        self.history.len() < HISTORY_LENGTH || self.history[0].revision <= revision
+    }
+}
+
+/// A value on its way, or the word that the receiver has it already.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(id_type = "u8", endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub enum Carried {
+    /// The receiver has the value of the ballot named beside this field.
+    #[deku(id = 0)]
+    Omitted,
+    /// The value.
+    #[deku(id = 1)]
+    Full(Value),
+}
+
+impl Carried {
+    /// The value, if it was sent.
+    #[must_use]
+    pub fn into_value(self) -> Option<Value> {
+        match self {
+            Self::Omitted => None,
+            Self::Full(value) => Some(value),
+        }
+    }
+}
--- a/crates/coordination/src/storage.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Versioned files: written aside, synced, renamed.
--- /dev/null
+++ b/crates/coordination/src/storage/directory.rs
@@ -0,0 +1,97 @@
+//! A flat folder of files, and the one of the operating system.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::PathBuf;
+
+/// A flat folder of files.
+pub trait Directory {
+    /// Names of all files.
+    ///
+    /// # Errors
+    /// If the folder cannot be read.
+    fn list(&mut self) -> io::Result<Vec<String>>;
+
+    /// The content of a file.
+    ///
+    /// # Errors
+    /// If the file cannot be read.
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>>;
+
+    /// Writes a new file, in place of an old one of that name, and waits until its content is durable.
+    ///
+    /// # Errors
+    /// If the disk refuses; part of the file may then be there.
+    fn write_new(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+
+    /// Renames a file. Durable after [`Self::sync_folder`].
+    ///
+    /// # Errors
+    /// If the disk refuses.
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+
+    /// Removes a file. Durable after [`Self::sync_folder`].
+    ///
+    /// # Errors
+    /// If the disk refuses.
+    fn remove(&mut self, name: &str) -> io::Result<()>;
+
+    /// Waits until all names are durable.
+    ///
+    /// # Errors
+    /// If the disk refuses.
+    fn sync_folder(&mut self) -> io::Result<()>;
+}
+
+/// A folder of the operating system.
+#[derive(Debug)]
+pub struct Folder {
+    path: PathBuf,
+    handle: File,
+}
+
+impl Folder {
+    /// Opens a folder, made if it is missing.
+    ///
+    /// # Errors
+    /// If it cannot be made or opened.
+    pub fn open(path: impl Into<PathBuf>) -> io::Result<Self> {
+        let path = path.into();
+        fs::create_dir_all(&path)?;
+        let handle = File::open(&path)?;
+        Ok(Self { path, handle })
+    }
+}
+
+impl Directory for Folder {
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.path)? {
+            names.extend(entry?.file_name().into_string());
+        }
+        Ok(names)
+    }
+
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>> {
+        fs::read(self.path.join(name))
+    }
+
+    fn write_new(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let path = self.path.join(name);
+        let mut file = OpenOptions::new().write(true).create(true).truncate(true).open(path)?;
+        file.write_all(bytes)?;
+        file.sync_data()
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.path.join(from), self.path.join(to))
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        fs::remove_file(self.path.join(name))
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.handle.sync_all()
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/storage/simulated.rs
@@ -0,0 +1,156 @@
+//! A simulated folder: what is not synced may be lost, torn or kept when power is lost.
+
+use std::collections::BTreeMap;
+use std::io;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+/// A change of names that no sync of the folder has covered yet.
+#[derive(Debug, Clone)]
+enum NameChange {
+    Renamed { from: String, to: String },
+    Removed { name: String },
+}
+
+/// A file's content.
+#[derive(Debug, Clone, Default)]
+struct Content {
+    written: Vec<u8>,
+    synced: bool,
+}
+
+/// A folder in memory with the rules of a disk.
+#[derive(Debug, Clone, Default)]
+pub struct SimulatedDirectory {
+    /// Files as a running process sees them.
+    files: BTreeMap<String, Content>,
+    /// Files that outlast a loss of power.
+    durable: BTreeMap<String, Vec<u8>>,
+    unsynced: Vec<NameChange>,
+    /// Bytes that fit, if limited.
+    pub capacity: Option<usize>,
+    /// Whether every write is refused.
+    pub refusing: bool,
+    /// Steps until the machine stops, if it is about to.
+    pub steps_left: Option<u32>,
+}
+
+impl SimulatedDirectory {
+    /// An empty folder.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Power is lost: each thing not synced is kept, torn or lost; at times all of it is lost.
+    pub fn lose_power(&mut self, random: &mut SmallRng) {
+        let keeps = !random.random_bool(0.25);
+        for (name, content) in std::mem::take(&mut self.files) {
+            if !content.synced && keeps && random.random_bool(0.5) {
+                let kept = random.random_range(0..=content.written.len());
+                self.durable.insert(name, content.written[..kept].to_vec());
+            }
+        }
+        for change in std::mem::take(&mut self.unsynced) {
+            if keeps && random.random_bool(0.5) {
+                self.make_durable(change);
+            }
+        }
+        let whole = |written: &Vec<u8>| Content { written: written.clone(), synced: true };
+        self.files = self.durable.iter().map(|(name, written)| (name.clone(), whole(written))).collect();
+        self.steps_left = None;
+    }
+
+    /// The disk is replaced by an empty one.
+    pub fn wipe(&mut self) {
+        let capacity = self.capacity;
+        *self = Self { capacity, ..Self::default() };
+    }
+
+    fn make_durable(&mut self, change: NameChange) {
+        match change {
+            NameChange::Renamed { from, to } => {
+                if let Some(content) = self.durable.remove(&from) {
+                    self.durable.insert(to, content);
+                }
+            }
+            NameChange::Removed { name } => {
+                self.durable.remove(&name);
+            }
+        }
+    }
+
+    /// Counts a step; fails once the machine has stopped.
+    fn step(&mut self) -> io::Result<()> {
+        match &mut self.steps_left {
+            Some(0) => Err(io::Error::other("the machine has stopped")),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
+    fn used(&self) -> usize {
+        self.files.values().map(|content| content.written.len()).sum()
+    }
+
+    fn write(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.files.remove(name);
+        let room = self.capacity.map_or(usize::MAX, |capacity| capacity.saturating_sub(self.used()));
+        let fits = if self.refusing { 0 } else { bytes.len().min(room) };
+        let content = Content { written: bytes[..fits].to_vec(), synced: false };
+        self.files.insert(name.to_owned(), content);
+        if fits < bytes.len() || self.refusing {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        Ok(())
+    }
+}
+
+impl super::directory::Directory for SimulatedDirectory {
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        Ok(self.files.keys().cloned().collect())
+    }
+
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>> {
+        let content = self.files.get(name).ok_or(io::ErrorKind::NotFound)?;
+        Ok(content.written.clone())
+    }
+
+    fn write_new(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.step()?;
+        self.write(name, bytes)?;
+        self.step()?;
+        if let Some(content) = self.files.get_mut(name) {
+            content.synced = true;
+        }
+        self.durable.insert(name.to_owned(), bytes.to_vec());
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.step()?;
+        let content = self.files.remove(from).ok_or(io::ErrorKind::NotFound)?;
+        self.files.insert(to.to_owned(), content);
+        self.unsynced.push(NameChange::Renamed { from: from.to_owned(), to: to.to_owned() });
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.step()?;
+        self.files.remove(name).ok_or(io::ErrorKind::NotFound)?;
+        self.unsynced.push(NameChange::Removed { name: name.to_owned() });
+        Ok(())
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.step()?;
+        for change in std::mem::take(&mut self.unsynced) {
+            self.make_durable(change);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/storage/store.rs
@@ -0,0 +1,188 @@
+//! One record, each version in a file of its own.
+
+use std::io;
+
+use deku::prelude::*;
+use thiserror::Error;
+
+use super::directory::Directory;
+
+/// Ends the name of a file that is not complete yet.
+const ASIDE_SUFFIX: &str = ".tmp";
+
+/// First bytes of every version: names the format.
+const MAGIC: u32 = 0x4c47_5631;
+
+/// Length of the header in bytes.
+const HEADER_BYTES: usize = 20;
+
+/// Versions that stay: the newest, and the one before as long as there is room.
+const KEPT_VERSIONS: usize = 2;
+
+/// Why a version could not be saved or the store not be opened.
+#[derive(Debug, Error)]
+pub enum StoreError {
+    /// The disk refused.
+    #[error("cannot {action}: {source}")]
+    Disk {
+        /// What was tried.
+        action: &'static str,
+        /// The reason.
+        #[source]
+        source: io::Error,
+    },
+    /// The record does not fit the format.
+    #[error("a record of {0} bytes is too long")]
+    TooLong(usize),
+}
+
+/// Precedes the content of each file.
+#[derive(Debug, Clone, Copy, DekuRead, DekuWrite)]
+#[deku(endian = "big")]
+struct Header {
+    magic: u32,
+    version: u64,
+    length: u32,
+    checksum: u32,
+}
+
+/// The newest version of one record in a folder that others may share.
+#[derive(Debug)]
+pub struct VersionedStore {
+    prefix: String,
+    /// The highest version number that any file has or had.
+    last: u64,
+    /// Complete versions in the folder, oldest first.
+    complete: Vec<u64>,
+}
+
+impl VersionedStore {
+    /// Opens the record named `prefix`; gives its newest intact version. Files left aside are removed.
+    ///
+    /// # Errors
+    /// If the folder or a file cannot be read.
+    pub fn open(directory: &mut dyn Directory, prefix: &str) -> Result<(Self, Option<Vec<u8>>), StoreError> {
+        let mut store = Self { prefix: prefix.to_owned(), last: 0, complete: Vec::new() };
+        for name in directory.list().map_err(disk("list the folder"))? {
+            store.take_stock(directory, &name)?;
+        }
+        store.complete.sort_unstable();
+        let newest = store.newest(directory)?;
+        Ok((store, newest))
+    }
+
+    fn take_stock(&mut self, directory: &mut dyn Directory, name: &str) -> Result<(), StoreError> {
+        let (base, aside) = match name.strip_suffix(ASIDE_SUFFIX) {
+            Some(base) => (base, true),
+            None => (name, false),
+        };
+        let Some(version) = self.version_of(base) else {
+            return Ok(());
+        };
+        self.last = self.last.max(version);
+        if aside {
+            return directory.remove(name).map_err(disk("remove a file left aside"));
+        }
+        self.complete.push(version);
+        Ok(())
+    }
+
+    /// The newest version that is intact; damaged ones are forgotten, and removed with the next save.
+    fn newest(&self, directory: &mut dyn Directory) -> Result<Option<Vec<u8>>, StoreError> {
+        for version in self.complete.iter().rev() {
+            let bytes = directory.read(&self.name(*version)).map_err(disk("read a version"))?;
+            if let Some(record) = unpack(bytes, *version) {
+                return Ok(Some(record));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Saves a new version. Once this returns without error it outlasts a loss of power.
+    ///
+    /// # Errors
+    /// If the disk refuses. The versions before are then still there, and a later save may work.
+    pub fn save(&mut self, directory: &mut dyn Directory, record: &[u8]) -> Result<(), StoreError> {
+        self.last += 1;
+        let version = self.last;
+        let bytes = pack(record, version)?;
+        let aside = format!("{}{ASIDE_SUFFIX}", self.name(version));
+        let name = self.name(version);
+        let written = self.write_aside(directory, &aside, &bytes);
+        let named = written.and_then(|()| directory.rename(&aside, &name).map_err(disk("rename a version")));
+        if let Err(error) = named {
+            // Whatever is left of it is removed now, or when the store is opened again.
+            let _ = directory.remove(&aside);
+            return Err(error);
+        }
+        self.complete.push(version);
+        directory.sync_folder().map_err(disk("sync the folder"))?;
+        self.remove_old(directory, KEPT_VERSIONS);
+        Ok(())
+    }
+
+    /// Writes the file aside; if the disk is full, once more after making room.
+    fn write_aside(
+        &mut self,
+        directory: &mut dyn Directory,
+        aside: &str,
+        bytes: &[u8],
+    ) -> Result<(), StoreError> {
+        let write = directory.write_new(aside, bytes);
+        let full = write.as_ref().is_err_and(|error| error.kind() == io::ErrorKind::StorageFull);
+        if !full || self.complete.len() < KEPT_VERSIONS {
+            return write.map_err(disk("write a version"));
+        }
+        self.remove_old(directory, 1);
+        directory.write_new(aside, bytes).map_err(disk("write a version"))
+    }
+
+    /// Removes all but the newest versions. One that cannot be removed stays for the next time.
+    fn remove_old(&mut self, directory: &mut dyn Directory, kept: usize) {
+        let old = self.complete.len().saturating_sub(kept);
+        let (old, newest) = self.complete.split_at(old);
+        let stuck: Vec<u64> =
+            old.iter().copied().filter(|version| directory.remove(&self.name(*version)).is_err()).collect();
+        self.complete = stuck.into_iter().chain(newest.iter().copied()).collect();
+    }
+
+    fn name(&self, version: u64) -> String {
+        format!("{}.{version:016x}", self.prefix)
+    }
+
+    fn version_of(&self, name: &str) -> Option<u64> {
+        let digits = name.strip_prefix(&self.prefix)?.strip_prefix('.')?;
+        u64::from_str_radix(digits, 16).ok().filter(|version| self.name(*version) == name)
+    }
+}
+
+fn disk(action: &'static str) -> impl Fn(io::Error) -> StoreError {
+    move |source| StoreError::Disk { action, source }
+}
+
+fn pack(record: &[u8], version: u64) -> Result<Vec<u8>, StoreError> {
+    let too_long = |_| StoreError::TooLong(record.len());
+    let length = u32::try_from(record.len()).map_err(too_long)?;
+    let header = Header { magic: MAGIC, version, length, checksum: checksum(record, version) };
+    let mut bytes = header.to_bytes().map_err(|_| StoreError::TooLong(record.len()))?;
+    bytes.extend_from_slice(record);
+    Ok(bytes)
+}
+
+/// The record in a file, if the file is whole.
+fn unpack(mut bytes: Vec<u8>, version: u64) -> Option<Vec<u8>> {
+    let (_, header) = Header::from_bytes((&bytes, 0)).ok()?;
+    let record = bytes.split_off(HEADER_BYTES.min(bytes.len()));
+    let intact = header.magic == MAGIC
+        && header.version == version
+        && header.length as usize == record.len()
+        && header.checksum == checksum(&record, version);
+    intact.then_some(record)
+}
+
+fn checksum(record: &[u8], version: u64) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&version.to_be_bytes());
+    hasher.update(record);
+    hasher.finalize()
+}
