Read configurations, route tables and settings files

Cause: every process needs the operator's configuration, its routes and its own settings. Ruled out: a typed document alone, as unknown fields and the spelling of numbers would be lost; a JSON tree for patches, as texts of unchanged items can be copied as they are. Change: Document keeps the bytes and a typed view, patches by name and names every mistake with its place; RouteTable hashes host and prefix; Settings names all missing and ill-typed fields at once.

--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration/mod.rs
@@ -2,6 +2,16 @@
 //!
 //! These types hold what the system reads; the document itself is kept and returned as it was sent.
 
+mod document;
+mod members;
+mod patch;
+mod reading;
+mod validation;
+
+pub use document::Document;
+pub use validation::{validate, warnings};
+
+use crate::lenient;
 use serde::Deserialize;
 
 /// A whole configuration.
@@ -9,12 +19,13 @@
 #[serde(rename_all = "PascalCase")]
 pub struct Configuration {
     /// Rises with every change, in uneven steps; 0 stands for "none yet".
+    #[serde(deserialize_with = "lenient::whole")]
     pub version: u64,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub routes: Vec<Route>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub backends: Vec<Backend>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub limits: Limits,
 }
 
@@ -26,28 +37,28 @@
     pub hostname: String,
     /// Begins and ends with a slash.
     pub path_prefix: String,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub route_type: RouteType,
     /// Longest time that a request may be held, ms.
     pub timeout_ms: f64,
     /// Time within which an answer earns its full worth (streams: its first event), ms.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub target_ms: f64,
     /// Rank, 0 is the highest.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::whole")]
     pub priority: u8,
     /// The one service of the route, unless `traffic_split` names several.
     #[serde(default)]
     pub backend: Option<String>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub traffic_split: Vec<WeightedBackend>,
     /// Most endpoints to which one try of a client may be sent.
-    #[serde(default = "one")]
+    #[serde(default = "one", deserialize_with = "lenient::whole_or_one")]
     pub max_attempts: u32,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub sticky: bool,
     /// Whether a stream may be taken up at another endpoint by `Last-Event-Id`.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub resumable: bool,
     /// Longest pause between two events of a stream that is in time, ms.
     #[serde(default, rename = "gap_aim_ms")]
@@ -58,6 +69,13 @@
     1
 }
 
+impl Route {
+    /// The service of `backend`; an empty name counts as none.
+    pub fn named_backend(&self) -> Option<&str> {
+        self.backend.as_deref().filter(|backend| !backend.is_empty())
+    }
+}
+
 /// What may be repeated of a route's requests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -87,7 +105,7 @@
     #[serde(default)]
     pub health_path: Option<String>,
     /// Connections that one endpoint takes from all callers together.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::whole_or_none")]
     pub max_conns: Option<u32>,
     /// Present where the endpoints are model engines.
     #[serde(default)]
@@ -99,22 +117,23 @@
 #[serde(rename_all = "PascalCase")]
 pub struct Runtime {
     /// Requests that an endpoint runs in one batch.
+    #[serde(deserialize_with = "lenient::whole")]
     pub capacity: u32,
     /// Memory shared by running requests and cached prompt parts, tokens.
     pub kv_cache_tokens: f64,
     /// Tokens in one event of a stream.
     #[serde(default, rename = "stride")]
     pub stride: Option<f64>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub models: Vec<Model>,
     /// Room of an endpoint for weights and adapters together, MB.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub weights_mb: f64,
     /// Adapters that an endpoint holds at most.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::whole")]
     pub max_adapters: u32,
     /// Loads a second that the weight store allows over all endpoints.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub loads_per_s: f64,
 }
 
@@ -126,9 +145,9 @@
     pub weights_mb: f64,
     /// Time of a load from the weight store, s.
     pub load_time_s: f64,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::whole")]
     pub adapters: u32,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub adapter_size_mb: f64,
 }
 
@@ -136,7 +155,9 @@
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct Limits {
+    #[serde(deserialize_with = "lenient::whole")]
     pub max_header_bytes: usize,
+    #[serde(deserialize_with = "lenient::whole")]
     pub max_body_bytes: usize,
     pub header_timeout_ms: f64,
     pub idle_timeout_ms: f64,
--- /dev/null
+++ b/crates/model/src/configuration/reading.rs
@@ -0,0 +1,126 @@
+//! From the text of a configuration to its typed view, with the place of every mistake.
+
+use super::members::Members;
+use super::validation::validate_routes;
+use super::{Backend, Configuration, Limits, Route};
+use crate::findings::Findings;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
+use std::borrow::Cow;
+use std::collections::HashSet;
+
+/// The typed view of a valid configuration.
+pub fn read_configuration(bytes: &[u8]) -> Result<Configuration, Findings> {
+    let members = read_object(bytes)?;
+    let mut findings = Findings::default();
+    let version = read_version(&members, &mut findings);
+    let raw_backends = read_list(&members, "Backends", &mut findings);
+    let backends = read_items::<Backend>(&raw_backends, "Backends", &mut findings);
+    let raw_routes = read_list(&members, "Routes", &mut findings);
+    let routes = read_items::<Route>(&raw_routes, "Routes", &mut findings);
+    let limits = read_optional::<Limits>(&members, "Limits", &mut findings);
+    let names: Vec<_> = raw_backends.iter().filter_map(|raw| name_of(raw)).collect();
+    let known: HashSet<&str> = names.iter().map(|name| name.as_ref()).collect();
+    validate_routes(routes.iter().map(|(index, route)| (*index, route)), &known, &mut findings);
+    findings.into_result()?;
+    Ok(Configuration {
+        version: version.unwrap_or_default(),
+        routes: without_places(routes),
+        backends: without_places(backends),
+        limits: limits.unwrap_or_default(),
+    })
+}
+
+/// The members of the object that a whole body holds.
+pub fn read_object(bytes: &[u8]) -> Result<Members<'_>, Findings> {
+    serde_json::from_slice(bytes)
+        .map_err(|error| Findings::one("", format!("cannot be read as a JSON object: {error}")))
+}
+
+/// The member `Version`, which every change has to hold.
+pub fn read_version(members: &Members, findings: &mut Findings) -> Option<u64> {
+    #[derive(Deserialize)]
+    struct Version(#[serde(deserialize_with = "crate::lenient::whole")] u64);
+
+    if members.get("Version").is_none() {
+        findings.add("Version", "is missing");
+    }
+    read_optional::<Version>(members, "Version", findings).map(|Version(version)| version)
+}
+
+/// The items of a list as text; none where it is missing.
+pub fn read_list<'a>(members: &Members<'a>, key: &str, findings: &mut Findings) -> Vec<&'a RawValue> {
+    let Some(raw) = members.get(key) else {
+        return Vec::new();
+    };
+    read_borrowed(raw, key, findings).unwrap_or_default()
+}
+
+fn read_optional<T: DeserializeOwned>(members: &Members, key: &str, findings: &mut Findings) -> Option<T> {
+    read_borrowed(members.get(key)?, key, findings)
+}
+
+/// Each item that can be read, with its place in the list.
+fn read_items<T: DeserializeOwned>(
+    raw: &[&RawValue],
+    list: &str,
+    findings: &mut Findings,
+) -> Vec<(usize, T)> {
+    let mut items = Vec::with_capacity(raw.len());
+    for (index, item) in raw.iter().enumerate() {
+        match serde_json::from_str(item.get()) {
+            Ok(item) => items.push((index, item)),
+            // Read again, only to learn the place of the mistake.
+            Err(_) => drop(read_borrowed::<T>(item, &format!("{list}[{index}]"), findings)),
+        }
+    }
+    items
+}
+
+fn without_places<T>(items: Vec<(usize, T)>) -> Vec<T> {
+    items.into_iter().map(|(_, item)| item).collect()
+}
+
+/// Reads the value that stands at `place`.
+pub fn read_borrowed<'a, T: Deserialize<'a>>(
+    raw: &'a RawValue,
+    place: &str,
+    findings: &mut Findings,
+) -> Option<T> {
+    let mut deserializer = serde_json::Deserializer::from_str(raw.get());
+    match serde_path_to_error::deserialize(&mut deserializer) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            findings.add(join(place, &error.path().to_string()), message_of(error.inner()));
+            None
+        }
+    }
+}
+
+fn join(place: &str, path: &str) -> String {
+    match path {
+        "." => place.to_owned(),
+        _ if path.starts_with('[') => format!("{place}{path}"),
+        _ => format!("{place}.{path}"),
+    }
+}
+
+/// The message without line and column, which count from the start of the item.
+fn message_of(error: &serde_json::Error) -> String {
+    let text = error.to_string();
+    match text.rfind(" at line ") {
+        Some(end) => text[..end].to_owned(),
+        None => text,
+    }
+}
+
+/// The `Name` of an item.
+pub fn name_of(item: &RawValue) -> Option<Cow<'_, str>> {
+    #[derive(Deserialize)]
+    struct Named<'a> {
+        #[serde(rename = "Name", borrow)]
+        name: Cow<'a, str>,
+    }
+    serde_json::from_str::<Named>(item.get()).ok().map(|named| named.name)
+}
--- /dev/null
+++ b/crates/model/src/configuration/validation.rs
@@ -0,0 +1,112 @@
+//! What makes a configuration invalid, and what is only odd.
+
+use super::{Configuration, Route};
+use crate::findings::Findings;
+use std::collections::{HashMap, HashSet};
+
+/// Everything for which `configuration` has to be refused.
+///
+/// Whether its version is higher than the current one is not looked at: that is for whoever knows the
+/// current one.
+pub fn validate(configuration: &Configuration) -> Findings {
+    let backends = configuration.backends.iter().map(|backend| backend.name.as_str()).collect();
+    let mut findings = Findings::default();
+    validate_routes(configuration.routes.iter().enumerate(), &backends, &mut findings);
+    findings
+}
+
+/// Checks routes, each given with its place in the list.
+pub(super) fn validate_routes<'a>(
+    routes: impl Iterator<Item = (usize, &'a Route)>,
+    backends: &HashSet<&str>,
+    findings: &mut Findings,
+) {
+    let mut places = HashMap::new();
+    for (index, route) in routes {
+        let place = format!("Routes[{index}]");
+        check_time_out(route, &place, findings);
+        check_backends(route, &place, backends, findings);
+        let key = (route.hostname.to_ascii_lowercase(), route.path_prefix.as_str());
+        if let Some(first) = places.insert(key, index) {
+            let message = format!("same host and prefix as Routes[{first}]: {}", describe(route));
+            findings.add(format!("{place}.PathPrefix"), message);
+        }
+    }
+}
+
+fn describe(route: &Route) -> String {
+    format!("{}{}", route.hostname, route.path_prefix)
+}
+
+fn check_time_out(route: &Route, place: &str, findings: &mut Findings) {
+    if route.timeout_ms <= 0.0 {
+        findings.add(format!("{place}.TimeoutMs"), format!("must be above 0, is {}", route.timeout_ms));
+    }
+}
+
+fn check_backends(route: &Route, place: &str, backends: &HashSet<&str>, findings: &mut Findings) {
+    if let Some(backend) = route.named_backend()
+        && !backends.contains(backend)
+    {
+        findings.add(format!("{place}.Backend"), format!("unknown service \"{backend}\""));
+    }
+    for (index, part) in route.traffic_split.iter().enumerate() {
+        check_part(&part.backend, part.weight, &format!("{place}.TrafficSplit[{index}]"), backends, findings);
+    }
+    if route.traffic_split.is_empty() {
+        if route.named_backend().is_none() {
+            findings.add(place, "names no service: neither Backend nor TrafficSplit is given");
+        }
+        return;
+    }
+    let sum: f64 = route.traffic_split.iter().map(|part| part.weight).sum();
+    if sum <= 0.0 {
+        findings.add(format!("{place}.TrafficSplit"), format!("weights add up to {sum}"));
+    }
+}
+
+fn check_part(backend: &str, weight: f64, place: &str, backends: &HashSet<&str>, findings: &mut Findings) {
+    if !backends.contains(backend) {
+        findings.add(format!("{place}.Backend"), format!("unknown service \"{backend}\""));
+    }
+    if weight < 0.0 {
+        findings.add(format!("{place}.Weight"), format!("must not be below 0, is {weight}"));
+    }
+}
+
+/// What is odd in `configuration`, though no reason to refuse it.
+pub fn warnings(configuration: &Configuration) -> Findings {
+    let mut warnings = Findings::default();
+    let routes = configuration.routes.iter().map(|route| route.name.as_str());
+    warn_of_names(routes, "Routes", &mut warnings);
+    let backends = configuration.backends.iter().map(|backend| backend.name.as_str());
+    warn_of_names(backends, "Backends", &mut warnings);
+    for (index, route) in configuration.routes.iter().enumerate() {
+        warn_of_route(route, &format!("Routes[{index}]"), &mut warnings);
+    }
+    warnings
+}
+
+fn warn_of_names<'a>(names: impl Iterator<Item = &'a str>, list: &str, warnings: &mut Findings) {
+    let mut places = HashMap::new();
+    for (index, name) in names.enumerate() {
+        let place = format!("{list}[{index}].Name");
+        if name.is_empty() {
+            warnings.add(place, "is empty");
+        } else if let Some(first) = places.insert(name, index) {
+            warnings.add(place, format!("same name as {list}[{first}]: \"{name}\""));
+        }
+    }
+}
+
+fn warn_of_route(route: &Route, place: &str, warnings: &mut Findings) {
+    if !route.path_prefix.starts_with('/') || !route.path_prefix.ends_with('/') {
+        warnings.add(format!("{place}.PathPrefix"), "should begin and end with a slash");
+    }
+    if route.hostname.is_empty() {
+        warnings.add(format!("{place}.Hostname"), "is empty");
+    }
+    if route.named_backend().is_some() && !route.traffic_split.is_empty() {
+        warnings.add(format!("{place}.Backend"), "has no effect beside TrafficSplit");
+    }
+}
--- /dev/null
+++ b/crates/model/src/findings.rs
@@ -0,0 +1,87 @@
+//! What is wrong with a document: every mistake with its place, all at once.
+
+use std::fmt;
+
+/// One mistake and the place where it is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Finding {
+    /// Path of the field, as in `Routes[3].Backend`; empty for the document as a whole.
+    pub place: String,
+    pub message: String,
+}
+
+impl Finding {
+    /// A finding at `place`.
+    pub fn new(place: impl Into<String>, message: impl Into<String>) -> Self {
+        Finding { place: place.into(), message: message.into() }
+    }
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.place.is_empty() {
+            return formatter.write_str(&self.message);
+        }
+        write!(formatter, "{}: {}", self.place, self.message)
+    }
+}
+
+/// All mistakes of a document, in the order in which they stand in it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Findings(Vec<Finding>);
+
+impl Findings {
+    /// Findings that hold only one.
+    pub fn one(place: impl Into<String>, message: impl Into<String>) -> Self {
+        Findings(vec![Finding::new(place, message)])
+    }
+
+    /// Adds a finding at `place`.
+    pub fn add(&mut self, place: impl Into<String>, message: impl Into<String>) {
+        self.0.push(Finding::new(place, message));
+    }
+
+    /// Adds all of `others`.
+    pub fn append(&mut self, others: Findings) {
+        self.0.extend(others.0);
+    }
+
+    /// Whether nothing was found.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// The findings in order.
+    pub fn iter(&self) -> std::slice::Iter<'_, Finding> {
+        self.0.iter()
+    }
+
+    /// `Ok` where nothing was found.
+    pub fn into_result(self) -> Result<(), Findings> {
+        if self.is_empty() { Ok(()) } else { Err(self) }
+    }
+}
+
+impl<'a> IntoIterator for &'a Findings {
+    type Item = &'a Finding;
+    type IntoIter = std::slice::Iter<'a, Finding>;
+
+    fn into_iter(self) -> Self::IntoIter {
+        self.iter()
+    }
+}
+
+/// One finding a line.
+impl fmt::Display for Findings {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, finding) in self.0.iter().enumerate() {
+            if index > 0 {
+                formatter.write_str("\n")?;
+            }
+            finding.fmt(formatter)?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Findings {}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -2,8 +2,11 @@
 //! configuration and the registrations of endpoints.
 
 pub mod configuration;
+pub mod control_state;
 pub mod demand;
 pub mod feed;
+pub mod findings;
 pub mod instance;
+mod lenient;
 pub mod routes;
 pub mod settings;
--- a/crates/model/src/routes.rs
+++ b/crates/model/src/routes.rs
@@ -1,1 +1,100 @@
 //! The route table: host and longest path prefix to a route.
+//!
+//! A look-up costs one hash of the host and one of each part of the path that ends with a slash and is
+//! as long as some prefix of that host, however many routes there are.
+
+use crate::configuration::{Backend, Configuration, Route};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// Longest host that is folded to lower case without an allocation, bytes.
+const FOLDED_HOST_BYTES: usize = 255;
+
+/// The routes of one configuration, ready for look-ups.
+///
+/// ```
+/// use lanegate_model::configuration::Document;
+/// use lanegate_model::routes::RouteTable;
+///
+/// let document = Document::parse(
+///     r#"{"Version": 1, "Backends": [{"Name": "b"}], "Routes": [
+///         {"Name": "outer", "Hostname": "a.example", "PathPrefix": "/x/", "TimeoutMs": 500, "Backend": "b"},
+///         {"Name": "inner", "Hostname": "a.example", "PathPrefix": "/x/y/", "TimeoutMs": 500, "Backend": "b"}]}"#,
+/// )?;
+/// let table = RouteTable::new(document.configuration().clone());
+/// assert_eq!(table.lookup("A.example", "/x/y/z").unwrap().name, "inner");
+/// assert_eq!(table.lookup("a.example", "/x/y").unwrap().name, "outer");
+/// assert!(table.lookup("b.example", "/x/").is_none());
+/// # Ok::<(), lanegate_model::findings::Findings>(())
+/// ```
+#[derive(Debug)]
+pub struct RouteTable {
+    configuration: Arc<Configuration>,
+    hosts: HashMap<Box<str>, Host>,
+    backends: HashMap<Box<str>, usize>,
+}
+
+/// The routes of one host.
+#[derive(Debug, Default)]
+struct Host {
+    /// Place of the route of each prefix.
+    prefixes: HashMap<Box<str>, usize>,
+    /// Lengths that prefixes have, the longest first.
+    lengths: Vec<usize>,
+}
+
+impl Host {
+    fn insert(&mut self, prefix: &str, place: usize) {
+        self.prefixes.insert(prefix.into(), place);
+        if let Err(index) = self.lengths.binary_search_by(|length| prefix.len().cmp(length)) {
+            self.lengths.insert(index, prefix.len());
+        }
+    }
+
+    fn lookup(&self, path: &str) -> Option<usize> {
+        let lengths = self.lengths.iter();
+        let mut parts = lengths.filter_map(|length| path.get(..*length));
+        parts.find_map(|part| self.prefixes.get(part).copied())
+    }
+}
+
+impl RouteTable {
+    /// Builds the table; of two routes with the same host and prefix, the last counts.
+    pub fn new(configuration: Arc<Configuration>) -> Self {
+        let mut hosts: HashMap<Box<str>, Host> = HashMap::new();
+        for (place, route) in configuration.routes.iter().enumerate() {
+            let host = route.hostname.to_ascii_lowercase();
+            hosts.entry(host.into()).or_default().insert(&route.path_prefix, place);
+        }
+        let named = configuration.backends.iter().enumerate();
+        let backends = named.map(|(place, backend)| (backend.name.as_str().into(), place)).collect();
+        RouteTable { configuration, hosts, backends }
+    }
+
+    /// The route of `host` (without port, in any case) whose prefix begins `path` and is the longest.
+    pub fn lookup(&self, host: &str, path: &str) -> Option<&Route> {
+        let place = self.host(host)?.lookup(path)?;
+        self.configuration.routes.get(place)
+    }
+
+    fn host(&self, host: &str) -> Option<&Host> {
+        if !host.bytes().any(|byte| byte.is_ascii_uppercase()) {
+            return self.hosts.get(host);
+        }
+        let mut folded = [0; FOLDED_HOST_BYTES];
+        let folded = folded.get_mut(..host.len())?;
+        folded.copy_from_slice(host.as_bytes());
+        folded.make_ascii_lowercase();
+        self.hosts.get(std::str::from_utf8(folded).ok()?)
+    }
+
+    /// The service of that name.
+    pub fn backend(&self, name: &str) -> Option<&Backend> {
+        self.configuration.backends.get(*self.backends.get(name)?)
+    }
+
+    /// The configuration that the table was built of.
+    pub fn configuration(&self) -> &Arc<Configuration> {
+        &self.configuration
+    }
+}
--- /dev/null
+++ b/crates/model/src/settings/checks.rs
@@ -0,0 +1,54 @@
+//! Checks of settings whose fields all have their types.
+
+use super::Settings;
+use crate::findings::Findings;
+
+/// What a process is started as.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProcessRole {
+    Router,
+    Agent,
+    Controller,
+}
+
+/// Mistakes whatever the role.
+pub(super) fn check(settings: &Settings) -> Findings {
+    let mut findings = Findings::default();
+    if settings.node_name.is_empty() {
+        findings.add("NodeName", "is empty");
+    }
+    if settings.zone.is_empty() {
+        findings.add("Zone", "is empty");
+    }
+    let (first, last) = settings.port_range;
+    if first == 0 {
+        findings.add("PortRange", "begins at 0");
+    }
+    if first > last {
+        findings.add("PortRange", format!("first port {first} is above the last, {last}"));
+    }
+    if settings.heartbeat_ms.is_nan() || settings.heartbeat_ms <= 0.0 {
+        findings.add("HeartbeatMs", format!("must be above 0, is {}", settings.heartbeat_ms));
+    }
+    findings
+}
+
+/// What a process of `role` needs beyond that.
+pub(super) fn check_for(settings: &Settings, role: ProcessRole) -> Findings {
+    let mut findings = Findings::default();
+    let listeners = &settings.listeners_map;
+    let needed = match role {
+        ProcessRole::Router => {
+            vec![("Frontend", listeners.frontend.is_some()), ("Readiness", listeners.readiness.is_some())]
+        }
+        ProcessRole::Controller => vec![("ControlPlane", listeners.control_plane.is_some())],
+        ProcessRole::Agent => Vec::new(),
+    };
+    for (name, _) in needed.into_iter().filter(|(_, given)| !given) {
+        findings.add(format!("ListenersMap.{name}"), format!("is missing, and {role:?} needs it"));
+    }
+    if role == ProcessRole::Controller && settings.data_dir.is_none() {
+        findings.add("DataDir", "is missing, and Controller needs it");
+    }
+    findings
+}
--- /dev/null
+++ b/crates/model/src/settings/loading.rs
@@ -0,0 +1,133 @@
+//! Reading of a settings file.
+//!
+//! Deserialization ends at the first mistake. So that all are named at once, each field that is found
+//! wrong is put right and the rest is tried again.
+
+use super::{Settings, checks};
+use crate::findings::Findings;
+use figment::Figment;
+use figment::error::Kind;
+use figment::providers::{Format, Yaml};
+use figment::value::{Dict, Value};
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+/// Why there are no settings.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The variable that names the settings file is not set.
+    #[error("{} is not set; it names the settings file", super::SETTINGS_VARIABLE)]
+    NotNamed,
+    /// The settings file could not be read at all.
+    #[error("{}: {source}", path.display())]
+    Unreadable { path: PathBuf, source: std::io::Error },
+    /// Fields are missing, ill-typed or do not fit one another.
+    #[error("{}:\n{findings}", path.display())]
+    Invalid { path: PathBuf, findings: Findings },
+}
+
+/// Bound on mistakes that are named, so that a file that is no settings file ends the search.
+const MOST_FINDINGS: usize = 100;
+
+/// Stands in for required fields that are missing or wrong while the others are tried.
+const STAND_IN: &str = "
+NodeName: stand-in
+Ip: 127.0.0.1
+Zone: stand-in
+PortRange: [1, 1]
+";
+
+/// Stands in for an item of a list of addresses.
+const STAND_IN_ITEM: &str = "127.0.0.1:1";
+
+/// Reads the settings file at `path`.
+pub(super) fn load(path: &Path) -> Result<Settings, SettingsError> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| SettingsError::Unreadable { path: path.to_owned(), source })?;
+    from_yaml(&text).map_err(|findings| SettingsError::Invalid { path: path.to_owned(), findings })
+}
+
+/// Reads settings from the text of a settings file.
+pub(super) fn from_yaml(text: &str) -> Result<Settings, Findings> {
+    let mut fields = read_fields(text).map_err(|error| Findings::one("", error.to_string()))?;
+    let mut findings = Findings::default();
+    let settings = loop {
+        match Value::from(fields.clone()).deserialize::<Settings>() {
+            Ok(settings) => break settings,
+            Err(error) => put_right(&error, &mut fields, &mut findings)?,
+        }
+    };
+    findings.append(checks::check(&settings));
+    findings.into_result()?;
+    Ok(settings)
+}
+
+fn read_fields(text: &str) -> Result<Dict, Box<figment::Error>> {
+    let fields: Dict = Figment::from(Yaml::string(text)).extract()?;
+    Ok(without_empty(fields))
+}
+
+/// Empty fields count as not given.
+fn without_empty(fields: Dict) -> Dict {
+    let given = fields.into_iter().filter(|(_, value)| !matches!(value, Value::Empty(..)));
+    given
+        .map(|(key, value)| match value {
+            Value::Dict(tag, nested) => (key, Value::Dict(tag, without_empty(nested))),
+            other => (key, other),
+        })
+        .collect()
+}
+
+/// Names the mistakes in `error` and puts stand-ins, or nothing, in the place of the wrong fields.
+fn put_right(error: &figment::Error, fields: &mut Dict, findings: &mut Findings) -> Result<(), Findings> {
+    for error in error.clone() {
+        let (path, message) = describe(&error);
+        findings.add(path.join("."), message);
+        let replaced = !path.is_empty() && replace(fields, &path, &stand_in());
+        if !replaced || findings.iter().count() >= MOST_FINDINGS {
+            return Err(std::mem::take(findings));
+        }
+    }
+    Ok(())
+}
+
+fn describe(error: &figment::Error) -> (Vec<String>, String) {
+    let mut path = error.path.clone();
+    if let Kind::MissingField(name) = &error.kind {
+        path.push(name.to_string());
+        return (path, "is missing".to_owned());
+    }
+    (path, error.kind.to_string())
+}
+
+fn stand_in() -> Dict {
+    Figment::from(Yaml::string(STAND_IN)).extract().unwrap_or_default()
+}
+
+/// Replaces the field at `path` by its stand-in, or removes it where there is none.
+fn replace(fields: &mut Dict, path: &[String], stand_in: &Dict) -> bool {
+    let Some((key, rest)) = path.split_first() else {
+        return false;
+    };
+    if let Some(value) = stand_in.get(key) {
+        return fields.insert(key.clone(), value.clone()).as_ref() != Some(value);
+    }
+    let nested = match fields.get_mut(key) {
+        Some(Value::Dict(_, nested)) => replace(nested, rest, &Dict::new()),
+        Some(Value::Array(_, items)) => replace_item(items, rest),
+        _ => false,
+    };
+    nested || fields.remove(key).is_some()
+}
+
+/// Replaces the item at the index that `path` is, so that the others keep theirs.
+fn replace_item(items: &mut [Value], path: &[String]) -> bool {
+    let index = path.first().and_then(|index| index.parse::<usize>().ok());
+    let Some(item) = index.and_then(|index| items.get_mut(index)) else {
+        return false;
+    };
+    let value = Value::from(STAND_IN_ITEM);
+    let replaced = *item != value;
+    *item = value;
+    replaced
+}
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings/mod.rs
@@ -1,9 +1,17 @@
 //! The settings file of a process (YAML, named by `LANEGATE_NODE_FILE`).
 
+mod checks;
+mod loading;
+
+pub use checks::ProcessRole;
+pub use loading::SettingsError;
+
+use crate::findings::Findings;
+use crate::lenient;
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// Variable that names the settings file.
 pub const SETTINGS_VARIABLE: &str = "LANEGATE_NODE_FILE";
@@ -46,6 +54,29 @@
     pub bounds: Bounds,
 }
 
+impl Settings {
+    /// Reads the settings file at `path`; names everything that is missing or ill-typed at once.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        loading::load(path)
+    }
+
+    /// Reads settings from the text of a settings file.
+    pub fn from_yaml(text: &str) -> Result<Self, Findings> {
+        loading::from_yaml(text)
+    }
+
+    /// Reads the settings file that [`SETTINGS_VARIABLE`] names.
+    pub fn from_environment() -> Result<Self, SettingsError> {
+        let path = std::env::var_os(SETTINGS_VARIABLE).ok_or(SettingsError::NotNamed)?;
+        loading::load(Path::new(&path))
+    }
+
+    /// What these settings lack for a process of `role`.
+    pub fn check_for(&self, role: ProcessRole) -> Findings {
+        checks::check_for(self, role)
+    }
+}
+
 fn default_heartbeat_ms() -> f64 {
     1_200.0
 }
@@ -64,8 +95,10 @@
 #[serde(rename_all = "PascalCase", default)]
 pub struct ProcessLimits {
     pub cpu_quota: f64,
+    #[serde(deserialize_with = "lenient::whole")]
     pub cores: u32,
     pub memory_mb: f64,
+    #[serde(deserialize_with = "lenient::whole")]
     pub max_fds: u32,
     pub link_mbps: f64,
     pub disk_mb: f64,
@@ -75,8 +108,11 @@
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct FaultTolerance {
+    #[serde(deserialize_with = "lenient::whole")]
     pub machines: u32,
+    #[serde(deserialize_with = "lenient::whole")]
     pub zones: u32,
+    #[serde(deserialize_with = "lenient::whole")]
     pub regions: u32,
 }
 
