Add the state of the configuration's register and its compare-and-set

Cause: replicas have to agree on changes of the configuration and acknowledge one sent again. Change: ControlState, Command and Outcome, encoded with deku, and apply as a pure function of bytes.

--- /dev/null
+++ b/crates/model/src/control_state/command.rs
@@ -0,0 +1,83 @@
+//! Changes that an operator asks for.
+
+use super::DecodeError;
+use deku::{DekuContainerRead, DekuContainerWrite, DekuRead, DekuWrite};
+use sha2::{Digest, Sha256};
+
+/// How the body describes the new configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(id_type = "u8")]
+pub enum Method {
+    /// The body is the whole configuration.
+    #[deku(id = 1)]
+    Put,
+    /// The body names what changes.
+    #[deku(id = 2)]
+    Patch,
+}
+
+/// A change as it was asked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Command {
+    pub method: Method,
+    /// The version that the change builds on.
+    pub if_match: Option<u64>,
+    pub body: Vec<u8>,
+}
+
+/// All of an encoded command but the body, which comes last.
+#[derive(DekuRead, DekuWrite)]
+struct CommandHead {
+    method: Method,
+    has_if_match: u8,
+    #[deku(endian = "little")]
+    if_match: u64,
+}
+
+/// Half of a SHA-256 over a change, enough to tell any two apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub(super) struct RequestDigest(u128);
+
+impl Command {
+    /// The command as bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = self.head().to_bytes().expect("a head has no field that cannot be written");
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+
+    /// Reads a command.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        let ((body, _), head) =
+            CommandHead::from_bytes((bytes, 0)).map_err(|error| DecodeError::new("a command", &error))?;
+        let if_match = (head.has_if_match != 0).then_some(head.if_match);
+        Ok(Command { method: head.method, if_match, body: body.to_vec() })
+    }
+
+    fn head(&self) -> CommandHead {
+        CommandHead {
+            method: self.method,
+            has_if_match: self.if_match.is_some().into(),
+            if_match: self.if_match.unwrap_or_default(),
+        }
+    }
+
+    /// What tells this change from every other.
+    ///
+    /// A whole configuration is the same change whatever it was built on.
+    pub(super) fn digest(&self) -> RequestDigest {
+        let mut hasher = Sha256::new();
+        match self.method {
+            Method::Put => hasher.update(b"PUT\0"),
+            Method::Patch => {
+                hasher.update(b"PATCH\0");
+                hasher.update(self.if_match.unwrap_or_default().to_le_bytes());
+            }
+        }
+        hasher.update(&self.body);
+        let mut half = [0; 16];
+        half.copy_from_slice(&hasher.finalize()[..16]);
+        RequestDigest(u128::from_le_bytes(half))
+    }
+}
--- /dev/null
+++ b/crates/model/src/control_state/mod.rs
@@ -0,0 +1,190 @@
+//! The value of the configuration's register, and its compare-and-set as a pure function of two byte
+//! strings: the value in force and a command.
+//!
+//! ```
+//! use lanegate_model::control_state::{Command, ControlState, Method, Outcome};
+//!
+//! let state = ControlState::default();
+//! let command = Command { method: Method::Put, if_match: Some(0), body: br#"{"Version":4}"#.to_vec() };
+//! let applied = state.apply(&command);
+//! assert_eq!(applied.outcome, Outcome::Taken { version: 4 });
+//!
+//! let state = applied.state.expect("a change that was taken makes a new state");
+//! assert_eq!(state.apply(&command).outcome, Outcome::AlreadyTaken { current: 4 });
+//!
+//! let stale = Command { body: br#"{"Version":9}"#.to_vec(), ..command };
+//! assert_eq!(state.apply(&stale).outcome, Outcome::Conflict { current: 4 });
+//! ```
+
+mod command;
+mod outcome;
+
+pub use command::{Command, Method};
+pub use outcome::Outcome;
+
+use crate::configuration::Document;
+use crate::findings::Findings;
+use command::RequestDigest;
+use deku::{DekuContainerRead, DekuContainerWrite, DekuError, DekuRead, DekuWrite};
+use thiserror::Error;
+
+/// Accepted changes that are remembered, so that one sent again is acknowledged again. A change is sent
+/// again for seconds; this many last for a long day of changes and take 96 KB.
+pub const HISTORY_LENGTH: usize = 4_096;
+
+/// Why bytes are no state, command or outcome.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("not readable as {what}: {reason}")]
+pub struct DecodeError {
+    what: &'static str,
+    reason: String,
+}
+
+impl DecodeError {
+    fn new(what: &'static str, error: &DekuError) -> Self {
+        DecodeError { what, reason: error.to_string() }
+    }
+}
+
+/// The newest configuration and what is needed to answer changes of it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ControlState {
+    version: u64,
+    /// The text of the configuration; empty before the first.
+    document: Vec<u8>,
+    /// Accepted changes, the oldest first.
+    history: Vec<AcceptedChange>,
+}
+
+/// A change that was accepted and the version that it made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+struct AcceptedChange {
+    version: u64,
+    request: RequestDigest,
+}
+
+/// All of an encoded state but the document, which comes last.
+#[derive(DekuRead, DekuWrite)]
+#[deku(endian = "little", magic = b"LGC1")]
+struct Head {
+    version: u64,
+    #[deku(assert = "*history_length as usize <= HISTORY_LENGTH")]
+    history_length: u32,
+    #[deku(count = "history_length")]
+    history: Vec<AcceptedChange>,
+}
+
+/// What a command did to a state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Applied {
+    pub outcome: Outcome,
+    /// The state after the command; absent where nothing changed.
+    pub state: Option<ControlState>,
+}
+
+impl Applied {
+    fn unchanged(outcome: Outcome) -> Self {
+        Applied { outcome, state: None }
+    }
+}
+
+impl ControlState {
+    /// The version in force, 0 before the first configuration.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The text of the newest configuration; absent before the first.
+    pub fn document(&self) -> Option<&[u8]> {
+        (!self.document.is_empty()).then_some(&self.document)
+    }
+
+    /// The state as bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        let head = Head {
+            version: self.version,
+            history_length: self.history.len() as u32,
+            history: self.history.clone(),
+        };
+        let mut bytes = head.to_bytes().expect("a head has no field that cannot be written");
+        bytes.extend_from_slice(&self.document);
+        bytes
+    }
+
+    /// Reads a state; no bytes at all are the state before the first configuration.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        if bytes.is_empty() {
+            return Ok(ControlState::default());
+        }
+        let ((document, _), head) =
+            Head::from_bytes((bytes, 0)).map_err(|error| DecodeError::new("a control state", &error))?;
+        Ok(ControlState { version: head.version, document: document.to_vec(), history: head.history })
+    }
+
+    /// What `command` does to this state.
+    ///
+    /// The same state and command give the same result on every machine.
+    pub fn apply(&self, command: &Command) -> Applied {
+        let request = command.digest();
+        if self.has_taken(&request) || self.is_current(command) {
+            return Applied::unchanged(Outcome::AlreadyTaken { current: self.version });
+        }
+        match command.if_match {
+            None => return Applied::unchanged(Outcome::Invalid(missing_precondition())),
+            Some(version) if version != self.version => {
+                return Applied::unchanged(Outcome::Conflict { current: self.version });
+            }
+            Some(_) => {}
+        }
+        match self.next_document(command) {
+            Ok(document) => self.take(request, &document),
+            Err(findings) => Applied::unchanged(Outcome::Invalid(findings)),
+        }
+    }
+
+    fn has_taken(&self, request: &RequestDigest) -> bool {
+        self.history.iter().rev().any(|change| change.request == *request)
+    }
+
+    /// Whether `command` puts exactly what is in force.
+    fn is_current(&self, command: &Command) -> bool {
+        command.method == Method::Put && !self.document.is_empty() && command.body == self.document
+    }
+
+    fn next_document(&self, command: &Command) -> Result<Document, Findings> {
+        let document = match command.method {
+            Method::Put => Document::parse(command.body.clone())?,
+            Method::Patch => self.base()?.patch(&command.body)?,
+        };
+        let checked = document.check_follows(self.version);
+        checked.map_err(|finding| Findings::one(finding.place, finding.message))?;
+        Ok(document)
+    }
+
+    fn base(&self) -> Result<Document, Findings> {
+        match self.document() {
+            Some(document) => Document::parse(document.to_vec()),
+            None => Ok(Document::empty()),
+        }
+    }
+
+    fn take(&self, request: RequestDigest, document: &Document) -> Applied {
+        let version = document.version();
+        let forgotten = (self.history.len() + 1).saturating_sub(HISTORY_LENGTH);
+        let mut history = self.history[forgotten..].to_vec();
+        history.push(AcceptedChange { version, request });
+        let state = ControlState { version, document: document.serialize().to_vec(), history };
+        Applied { outcome: Outcome::Taken { version }, state: Some(state) }
+    }
+}
+
+fn missing_precondition() -> Findings {
+    Findings::one("If-Match", "is missing; it names the version that the change builds on, 0 for the first")
+}
+
+/// The outcome of an encoded command on an encoded state, and the new state's bytes where there is one.
+pub fn apply(state: &[u8], command: &[u8]) -> Result<(Outcome, Option<Vec<u8>>), DecodeError> {
+    let applied = ControlState::decode(state)?.apply(&Command::decode(command)?);
+    Ok((applied.outcome, applied.state.map(|state| state.encode())))
+}
--- /dev/null
+++ b/crates/model/src/control_state/outcome.rs
@@ -0,0 +1,147 @@
+//! What became of a change.
+
+use super::DecodeError;
+use crate::findings::{Finding, Findings};
+use deku::{DekuContainerRead, DekuContainerWrite, DekuRead, DekuWrite};
+
+/// Bound on findings that an encoded outcome holds; the others are only counted.
+const MOST_ENCODED_FINDINGS: usize = 50;
+
+/// Bound on a text of an encoded finding, bytes.
+const MOST_TEXT_BYTES: usize = 1_000;
+
+/// What became of a change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// It is in force as `version`.
+    Taken { version: u64 },
+    /// It was taken before; `current` is in force now.
+    AlreadyTaken { current: u64 },
+    /// It builds on another version than `current`.
+    Conflict { current: u64 },
+    /// It cannot be read or makes no valid configuration.
+    Invalid(Findings),
+}
+
+#[derive(DekuRead, DekuWrite)]
+#[deku(id_type = "u8", endian = "little")]
+enum EncodedOutcome {
+    #[deku(id = 1)]
+    Taken { version: u64 },
+    #[deku(id = 2)]
+    AlreadyTaken { current: u64 },
+    #[deku(id = 3)]
+    Conflict { current: u64 },
+    #[deku(id = 4)]
+    Invalid {
+        length: u16,
+        #[deku(count = "length")]
+        findings: Vec<EncodedFinding>,
+    },
+}
+
+#[derive(DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+struct EncodedFinding {
+    place: EncodedText,
+    message: EncodedText,
+}
+
+#[derive(DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+struct EncodedText {
+    length: u16,
+    #[deku(count = "length")]
+    bytes: Vec<u8>,
+}
+
+impl Outcome {
+    /// Whether the change is in force, or was.
+    pub fn is_acknowledged(&self) -> bool {
+        matches!(self, Outcome::Taken { .. } | Outcome::AlreadyTaken { .. })
+    }
+
+    /// The status of the answer to the operator.
+    pub fn status(&self) -> u16 {
+        match self {
+            Outcome::Taken { .. } | Outcome::AlreadyTaken { .. } => 200,
+            Outcome::Conflict { .. } => 412,
+            Outcome::Invalid(_) => 400,
+        }
+    }
+
+    /// The outcome as bytes; of many findings only the first are kept.
+    pub fn encode(&self) -> Vec<u8> {
+        EncodedOutcome::from(self).to_bytes().expect("an outcome has no field that cannot be written")
+    }
+
+    /// Reads an outcome.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        let (_, outcome) =
+            EncodedOutcome::from_bytes((bytes, 0)).map_err(|error| DecodeError::new("an outcome", &error))?;
+        Ok(outcome.into())
+    }
+}
+
+impl From<&Outcome> for EncodedOutcome {
+    fn from(outcome: &Outcome) -> Self {
+        match outcome {
+            Outcome::Taken { version } => EncodedOutcome::Taken { version: *version },
+            Outcome::AlreadyTaken { current } => EncodedOutcome::AlreadyTaken { current: *current },
+            Outcome::Conflict { current } => EncodedOutcome::Conflict { current: *current },
+            Outcome::Invalid(findings) => {
+                let findings = encode_findings(findings);
+                EncodedOutcome::Invalid { length: findings.len() as u16, findings }
+            }
+        }
+    }
+}
+
+fn encode_findings(findings: &Findings) -> Vec<EncodedFinding> {
+    let kept = findings.iter().take(MOST_ENCODED_FINDINGS);
+    let mut encoded: Vec<_> = kept.map(EncodedFinding::from).collect();
+    let left_out = findings.iter().count() - encoded.len();
+    if left_out > 0 {
+        encoded.push((&Finding::new("", format!("{left_out} more"))).into());
+    }
+    encoded
+}
+
+impl From<&Finding> for EncodedFinding {
+    fn from(finding: &Finding) -> Self {
+        EncodedFinding { place: (&*finding.place).into(), message: (&*finding.message).into() }
+    }
+}
+
+impl From<&str> for EncodedText {
+    fn from(text: &str) -> Self {
+        let mut end = text.len().min(MOST_TEXT_BYTES);
+        while !text.is_char_boundary(end) {
+            end -= 1;
+        }
+        EncodedText { length: end as u16, bytes: text.as_bytes()[..end].to_vec() }
+    }
+}
+
+impl From<EncodedOutcome> for Outcome {
+    fn from(outcome: EncodedOutcome) -> Self {
+        match outcome {
+            EncodedOutcome::Taken { version } => Outcome::Taken { version },
+            EncodedOutcome::AlreadyTaken { current } => Outcome::AlreadyTaken { current },
+            EncodedOutcome::Conflict { current } => Outcome::Conflict { current },
+            EncodedOutcome::Invalid { findings, .. } => {
+                let mut decoded = Findings::default();
+                for finding in findings {
+                    decoded.add(String::from(finding.place), String::from(finding.message));
+                }
+                Outcome::Invalid(decoded)
+            }
+        }
+    }
+}
+
+impl From<EncodedText> for String {
+    fn from(text: EncodedText) -> Self {
+        String::from_utf8_lossy(&text.bytes).into_owned()
+    }
+}
