Add the program's command line, log, check and status commands

Cause: router, agent and controller are one program that operators start, check and ask. Ruled out: log4rs's own console appender, as it writes each part of a line by its own call. Change: bpaf command line, one-line log to standard error, check of settings and configurations, status of a controller; the three processes answer "not built yet" until they are wired.

--- /dev/null
+++ b/crates/lanegate/src/command_line.rs
@@ -0,0 +1,108 @@
+//! The command line.
+
+use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long, positional};
+use log::LevelFilter;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Width of help texts, columns.
+const HELP_WIDTH: usize = 100;
+
+/// What the command line asks for.
+#[derive(Debug, Clone)]
+pub struct Arguments {
+    pub log_level: LevelFilter,
+    pub command: Command,
+}
+
+/// One command.
+#[derive(Debug, Clone)]
+pub enum Command {
+    Router(Process),
+    Agent(Process),
+    Controller(Process),
+    Check { files: Vec<PathBuf> },
+    Status { address: SocketAddr },
+}
+
+/// How a process that serves is started.
+#[derive(Debug, Clone)]
+pub struct Process {
+    /// The settings file, where it is not named by the environment.
+    pub settings: Option<PathBuf>,
+}
+
+/// A command line, read.
+pub enum Parsed {
+    Arguments(Arguments),
+    /// Help or version.
+    Information(String),
+    /// What is wrong with it.
+    Mistake(String),
+}
+
+/// Reads the command line of this process.
+pub fn parse() -> Parsed {
+    match options().run_inner(Args::current_args()) {
+        Ok(arguments) => Parsed::Arguments(arguments),
+        Err(ParseFailure::Stdout(text, full)) => Parsed::Information(text.monochrome(full)),
+        Err(ParseFailure::Completion(text)) => Parsed::Information(text),
+        Err(ParseFailure::Stderr(text)) => Parsed::Mistake(text.monochrome(true)),
+    }
+}
+
+fn options() -> OptionParser<Arguments> {
+    let log_level = log_level();
+    let command = command();
+    construct!(Arguments { log_level, command })
+        .to_options()
+        .descr("A router and placer for many models")
+        .version(env!("CARGO_PKG_VERSION"))
+        .max_width(HELP_WIDTH)
+}
+
+fn log_level() -> impl Parser<LevelFilter> {
+    long("log-level")
+        .env("LANEGATE_LOG")
+        .help("What is logged to standard error: off, error, warn, info, debug or trace")
+        .argument::<String>("LEVEL")
+        .parse(|level| read_level(&level))
+        .fallback(LevelFilter::Warn)
+        .display_fallback()
+}
+
+fn read_level(level: &str) -> Result<LevelFilter, String> {
+    let read = level.parse();
+    read.map_err(|_| format!("log level {level:?} is none of off, error, warn, info, debug and trace"))
+}
+
+fn command() -> impl Parser<Command> {
+    let router = process().map(Command::Router).to_options().descr("Serve clients").command("router");
+    let agent = process().map(Command::Agent).to_options().descr("Keep a router fed").command("agent");
+    let controller = process().map(Command::Controller).to_options();
+    let controller = controller.descr("Keep configuration and registrations").command("controller");
+    let check = check().to_options().descr("Check settings and configuration files").command("check");
+    let status = status().to_options().descr("Ask a controller how it is").command("status");
+    construct!([router, agent, controller, check, status])
+}
+
+fn process() -> impl Parser<Process> {
+    let settings = long("settings")
+        .help("Settings file; without it, LANEGATE_NODE_FILE names it")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    construct!(Process { settings })
+}
+
+fn check() -> impl Parser<Command> {
+    let files = positional::<PathBuf>("FILE")
+        .help("A settings file (YAML) or a configuration (JSON)")
+        .some("name at least one file");
+    construct!(Command::Check { files })
+}
+
+fn status() -> impl Parser<Command> {
+    let address =
+        positional::<SocketAddr>("ADDRESS").help("Address of a control interface, as 10.0.0.4:8080");
+    construct!(Command::Status { address })
+}
--- /dev/null
+++ b/crates/lanegate/src/commands/check.rs
@@ -0,0 +1,82 @@
+//! Checks files without starting anything.
+
+use super::CommandError;
+use lanegate_model::configuration::{Document, warnings};
+use lanegate_model::findings::Findings;
+use lanegate_model::settings::{ProcessRole, Settings};
+use std::path::{Path, PathBuf};
+
+/// What is said of one file.
+#[derive(Default)]
+struct Report {
+    mistakes: Findings,
+    warnings: Findings,
+}
+
+/// Prints every finding of `files` with its place; fails where one is a mistake.
+pub fn run(files: &[PathBuf]) -> Result<(), CommandError> {
+    let mut mistakes = 0;
+    for file in files {
+        let report = check(file);
+        mistakes += report.mistakes.iter().count();
+        print(file, &report);
+    }
+    if mistakes > 0 {
+        return Err(CommandError::Findings { mistakes });
+    }
+    Ok(())
+}
+
+fn check(file: &Path) -> Report {
+    match std::fs::read(file) {
+        Ok(bytes) if is_configuration(file, &bytes) => check_configuration(bytes),
+        Ok(bytes) => Report { mistakes: check_settings(&bytes), ..Report::default() },
+        Err(error) => Report { mistakes: Findings::one("", error.to_string()), ..Report::default() },
+    }
+}
+
+/// Configurations are JSON objects; settings files are YAML.
+fn is_configuration(file: &Path, bytes: &[u8]) -> bool {
+    match file.extension().and_then(|extension| extension.to_str()) {
+        Some("json") => true,
+        Some("yaml" | "yml") => false,
+        _ => bytes.trim_ascii_start().starts_with(b"{"),
+    }
+}
+
+fn check_configuration(bytes: Vec<u8>) -> Report {
+    match Document::parse(bytes) {
+        Ok(document) => {
+            Report { warnings: warnings(document.configuration()), mistakes: Findings::default() }
+        }
+        Err(mistakes) => Report { mistakes, warnings: Findings::default() },
+    }
+}
+
+fn check_settings(bytes: &[u8]) -> Findings {
+    let settings = Settings::from_yaml(&String::from_utf8_lossy(bytes));
+    settings.map_or_else(|mistakes| mistakes, |settings| check_role(&settings))
+}
+
+/// Where the settings name a role of this program, what that role needs.
+fn check_role(settings: &Settings) -> Findings {
+    match settings.role.as_str() {
+        "router" => settings.check_for(ProcessRole::Router),
+        "agent" => settings.check_for(ProcessRole::Agent),
+        "controller" => settings.check_for(ProcessRole::Controller),
+        _ => Findings::default(),
+    }
+}
+
+fn print(file: &Path, report: &Report) {
+    let file = file.display();
+    for mistake in &report.mistakes {
+        println!("{file}: {mistake}");
+    }
+    for warning in &report.warnings {
+        println!("{file}: warning: {warning}");
+    }
+    if report.mistakes.is_empty() {
+        println!("{file}: ok");
+    }
+}
--- /dev/null
+++ b/crates/lanegate/src/commands/mod.rs
@@ -0,0 +1,58 @@
+//! What each command does.
+
+mod agent;
+mod check;
+mod controller;
+mod process;
+mod router;
+mod status;
+
+use crate::command_line::Command;
+use crate::exit;
+use lanegate_model::findings::Findings;
+use lanegate_model::settings::SettingsError;
+use std::error::Error;
+use thiserror::Error;
+
+/// Why a command failed.
+#[derive(Debug, Error)]
+pub enum CommandError {
+    /// There are no settings.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// The settings lack what this role needs.
+    #[error("settings:\n{0}")]
+    RoleSettings(Findings),
+    /// A process ended by an error.
+    #[error("{0}")]
+    Process(Box<dyn Error>),
+    /// Files that were checked have mistakes.
+    #[error("{mistakes} mistake(s) found")]
+    Findings { mistakes: usize },
+    /// A controller could not be asked.
+    #[error(transparent)]
+    Status(#[from] status::StatusError),
+}
+
+impl CommandError {
+    /// The exit code that tells of it.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            CommandError::Settings(_) | CommandError::RoleSettings(_) => exit::SETTINGS,
+            CommandError::Process(_) | CommandError::Findings { .. } | CommandError::Status(_) => {
+                exit::FAILURE
+            }
+        }
+    }
+}
+
+/// Does what `command` asks for.
+pub fn run(command: Command) -> Result<(), CommandError> {
+    match command {
+        Command::Router(process) => router::run(&process),
+        Command::Agent(process) => agent::run(&process),
+        Command::Controller(process) => controller::run(&process),
+        Command::Check { files } => check::run(&files),
+        Command::Status { address } => status::run(address),
+    }
+}
