--- /dev/null
+++ b/crates/controller/src/agent/sources.rs
@@ -0,0 +1,87 @@
+//! Which controllers an agent follows: two that reach their quorum, in an order of its own.
+
+use lanegate_coordination::membership::rendezvous_order;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Sources followed at a time: one may fail, lag or be cut off unnoticed, and news still arrive at once.
+const WANTED: usize = 2;
+/// Pause before a source whose link failed is dialled again.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// Being dialled, or up without a word on its quorum yet.
+    Starting,
+    /// Up, and in touch with more than half of its group.
+    Trusted,
+    /// Up, but cut off from its group.
+    CutOff,
+}
+
+/// The sources in use and those that failed lately.
+#[derive(Debug, Default)]
+pub struct Sources {
+    followed: BTreeMap<SocketAddr, Standing>,
+    retry_at: BTreeMap<SocketAddr, Duration>,
+}
+
+/// What to change.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Plan {
+    pub start: Vec<SocketAddr>,
+    pub stop: Vec<SocketAddr>,
+}
+
+impl Sources {
+    /// Notes what a source says of its quorum.
+    pub fn heard(&mut self, source: SocketAddr, quorum: bool) {
+        if let Some(standing) = self.followed.get_mut(&source) {
+            *standing = if quorum { Standing::Trusted } else { Standing::CutOff };
+        }
+    }
+
+    /// Notes that a source's link has ended.
+    pub fn ended(&mut self, now: Duration, source: SocketAddr) {
+        self.followed.remove(&source);
+        self.retry_at.insert(source, now + RETRY_PAUSE);
+    }
+
+    /// The source to which this agent's own messages go.
+    pub fn preferred(&self) -> Option<SocketAddr> {
+        let trusted = self.followed.iter().find(|(_, standing)| **standing == Standing::Trusted);
+        trusted.or_else(|| self.followed.iter().next()).map(|(source, _)| *source)
+    }
+
+    /// Whether nobody who can be trusted is followed.
+    pub fn none_trusted(&self) -> bool {
+        !self.followed.values().any(|standing| *standing == Standing::Trusted)
+    }
+
+    /// Decides which sources among `known` to begin and to end.
+    pub fn plan(&mut self, now: Duration, name: &str, known: &BTreeSet<SocketAddr>) -> Plan {
+        self.retry_at.retain(|_, at| *at > now);
+        let mut plan = Plan::default();
+        let mut useful = self.followed.values().filter(|standing| **standing != Standing::CutOff).count();
+        let all: Vec<SocketAddr> = known.iter().copied().collect();
+        for source in rendezvous_order(name.as_bytes(), &all) {
+            if useful >= WANTED {
+                break;
+            }
+            if self.followed.contains_key(&source) || self.retry_at.contains_key(&source) {
+                continue;
+            }
+            self.followed.insert(source, Standing::Starting);
+            plan.start.push(source);
+            useful += 1;
+        }
+        let trusted = self.followed.values().filter(|standing| **standing == Standing::Trusted).count();
+        if trusted >= WANTED {
+            let cut_off = self.followed.iter().filter(|(_, standing)| **standing == Standing::CutOff);
+            plan.stop = cut_off.map(|(source, _)| *source).collect();
+            self.followed.retain(|source, _| !plan.stop.contains(source));
+        }
+        plan
+    }
+}
--- /dev/null
+++ b/crates/controller/src/controller/calls.rs
@@ -0,0 +1,139 @@
+//! Calls on the control interface.
+
+use super::event::{Answer, Call, Method};
+use super::operator::ANSWER_TIMEOUT;
+use super::{Asked, Controller, shards};
+use crate::message::{Forwarded, Message, Token};
+use lanegate_coordination::register::Input;
+use lanegate_model::control_state::{Command, Method as ChangeMethod, Outcome};
+
+/// Where the configuration is read and changed.
+const CONFIGURATION_PATH: &str = "/config";
+/// Where endpoints register.
+const INSTANCES_PATH: &str = "/instances/";
+/// Where this controller tells how it is.
+const STATUS_PATH: &str = "/status";
+
+impl Controller {
+    /// Answers a call, at once or later.
+    pub(super) fn call(&mut self, call: Call) {
+        if let Some(id) = call.path.strip_prefix(INSTANCES_PATH) {
+            let id = id.to_owned();
+            return self.instance_call(&id, call);
+        }
+        match (call.path.as_str(), call.method) {
+            (CONFIGURATION_PATH, Method::Get) => self.read_configuration(call),
+            (CONFIGURATION_PATH, Method::Put) => self.change_configuration(ChangeMethod::Put, call),
+            (CONFIGURATION_PATH, Method::Patch) => self.change_configuration(ChangeMethod::Patch, call),
+            (STATUS_PATH, Method::Get) => answer(call, self.status()),
+            (CONFIGURATION_PATH | STATUS_PATH, _) => answer(call, Answer::error(405, "no such method here")),
+            _ => answer(call, Answer::error(404, "no such path")),
+        }
+    }
+
+    fn instance_call(&mut self, id: &str, call: Call) {
+        if id.is_empty() || id.contains('/') {
+            return answer(call, Answer::error(404, "no such path"));
+        }
+        let (now, needed) = (self.now(), self.majority());
+        let changes = match call.method {
+            Method::Put => self.endpoints.put(now, id, call.body, needed, call.reply),
+            Method::Delete => self.endpoints.delete(now, id, needed, call.reply),
+            _ => return answer(call, Answer::error(405, "no such method here")),
+        };
+        for message in &changes.messages {
+            self.readers.append(message);
+            self.peers.broadcast(message);
+        }
+        if let Some(token) = changes.flush {
+            self.peers.broadcast(&Message::Flush(Token { token }));
+        }
+    }
+
+    fn read_configuration(&mut self, call: Call) {
+        let now = self.now();
+        let request = self.request_number();
+        self.asked.insert(request, Asked::Read(call.reply));
+        let deadline = now + ANSWER_TIMEOUT;
+        let outputs = self.shards.handle(now, shards::CONFIGURATION, Input::Read { request, deadline });
+        self.follow(shards::CONFIGURATION, outputs);
+    }
+
+    fn change_configuration(&mut self, method: ChangeMethod, call: Call) {
+        let if_match = match call.if_match {
+            Some(Err(text)) => {
+                let text = format!("If-Match: {text:?} is no version");
+                let _ = call.reply.send(Answer::error(400, &text));
+                return;
+            }
+            Some(Ok(version)) => Some(version),
+            None => None,
+        };
+        let command = Command { method, if_match, body: call.body.to_vec() }.encode();
+        let owner = self.owner(shards::CONFIGURATION, &[shards::CONFIGURATION]);
+        let elsewhere = owner != self.this;
+        let now = self.now();
+        let Some(request) = self.operator.begin(now, command.clone(), call.reply, elsewhere) else { return };
+        if elsewhere {
+            self.peers.send(owner, &Message::Change(Forwarded { request, body: command.into() }));
+        } else {
+            self.propose(request);
+        }
+    }
+
+    fn status(&self) -> Answer {
+        let shards: Vec<serde_json::Value> = self
+            .shards
+            .iter()
+            .map(|(shard, replica)| {
+                let members: Vec<String> = self.group(shard).iter().map(ToString::to_string).collect();
+                serde_json::json!({
+                    "Shard": shard,
+                    "Replica": format!("{:?}", replica.status()),
+                    "Revision": replica.decided().map(|value| value.revision),
+                    "Members": members,
+                    "Owner": self.owner(shard, &[shard]).to_string(),
+                })
+            })
+            .collect();
+        let live: Vec<String> = self.membership.live().map(|node| node.to_string()).collect();
+        let status = serde_json::json!({
+            "Controller": self.this.to_string(),
+            "Name": self.settings.node_name,
+            "Life": self.life,
+            "UptimeS": self.now().as_secs(),
+            "Quorum": self.has_quorum(),
+            "Complete": self.complete,
+            "LiveControllers": live,
+            "Instances": self.endpoints.live().count(),
+            "Readers": self.readers.count(),
+            "Routers": self.routers.len(),
+            "Shards": shards,
+        });
+        Answer::new(200, status.to_string())
+    }
+}
+
+fn answer(call: Call, answer: Answer) {
+    let _ = call.reply.send(answer);
+}
+
+/// What the operator gets for the encoded outcome of a change.
+pub(super) fn change_answer(encoded: &[u8]) -> Answer {
+    let outcome = match Outcome::decode(encoded) {
+        Ok(outcome) => outcome,
+        Err(error) => return Answer::error(503, &format!("no clear answer: {error}")),
+    };
+    let body = match &outcome {
+        Outcome::Taken { version } => serde_json::json!({ "Version": version }),
+        Outcome::AlreadyTaken { current } => serde_json::json!({ "Version": current, "AlreadyTaken": true }),
+        Outcome::Conflict { current } => {
+            serde_json::json!({ "Error": "another version is current", "Version": current })
+        }
+        Outcome::Invalid(findings) => {
+            let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
+            serde_json::json!({ "Error": "the change is not valid", "Findings": findings })
+        }
+    };
+    Answer::new(outcome.status(), body.to_string())
+}
--- /dev/null
+++ b/crates/controller/src/controller/endpoints.rs
@@ -0,0 +1,258 @@
+//! Registrations of endpoints at a controller: what is taken, told to the others, acknowledged.
+
+use super::event::Answer;
+use crate::message::{Heard, HeardList, Message, Registered as RegisteredMessage, Removed};
+use crate::registration::Registered;
+use crate::view::registered_message;
+use bytes::Bytes;
+use lanegate_coordination::registry::{FINAL_SEQUENCE, Registry, Taken};
+use lanegate_model::instance::InstanceState;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Longest wait for the other replicas before a leaving endpoint is sent elsewhere; it waits a second.
+const REPLICATION_TIMEOUT: Duration = Duration::from_millis(850);
+/// How long the end of an incarnation is remembered.
+const REMOVAL_MEMORY: Duration = Duration::from_secs(60);
+/// Heartbeats that an endpoint may miss before it counts as lost. Routers see a dead endpoint long before;
+/// this only keeps the list from growing.
+const MISSED_HEARTBEATS: f64 = 3.5;
+
+/// An acknowledgement that waits until a majority of the group has what it promises.
+#[derive(Debug)]
+struct Waiting {
+    reply: oneshot::Sender<Answer>,
+    id: String,
+    confirmed_by: BTreeSet<SocketAddr>,
+    needed: usize,
+    until: Duration,
+}
+
+/// What a call changed: messages for the other controllers, those of them that readers hear too.
+#[derive(Debug, Default)]
+pub struct Changes {
+    pub messages: Vec<Message>,
+    /// Asks the other controllers to confirm what was sent before.
+    pub flush: Option<u64>,
+}
+
+/// The registry, and the acknowledgements under way.
+#[derive(Debug)]
+pub struct Endpoints {
+    registry: Registry<Registered>,
+    silence: Duration,
+    /// Heartbeats since the last report to the other controllers.
+    heard: BTreeMap<String, u64>,
+    /// Leaving incarnations of which a majority knows.
+    confirmed: BTreeSet<String>,
+    waiting: BTreeMap<u64, Waiting>,
+    next_token: u64,
+}
+
+impl Endpoints {
+    /// An empty registry for endpoints that send a heartbeat every `heartbeat`.
+    pub fn new(heartbeat: Duration) -> Self {
+        Endpoints {
+            registry: Registry::default(),
+            silence: heartbeat.mul_f64(MISSED_HEARTBEATS),
+            heard: BTreeMap::new(),
+            confirmed: BTreeSet::new(),
+            waiting: BTreeMap::new(),
+            next_token: 1,
+        }
+    }
+
+    /// A heartbeat of `id`. `needed` replicas, this one included, have to know of one that is leaving.
+    pub fn put(
+        &mut self,
+        now: Duration,
+        id: &str,
+        body: Bytes,
+        needed: usize,
+        reply: oneshot::Sender<Answer>,
+    ) -> Changes {
+        let registration = match Registered::parse(id, body) {
+            Ok(registration) => registration,
+            Err(error) => {
+                let _ = reply.send(Answer::error(400, &format!("registration: {error}")));
+                return Changes::default();
+            }
+        };
+        let sequence = registration.instance.sequence;
+        let leaving = registration.instance.state == InstanceState::Draining;
+        let mut changes = Changes::default();
+        match self.registry.take(now, id, sequence, registration) {
+            Taken::Stale => {}
+            Taken::Refreshed => {
+                self.heard.insert(id.to_owned(), sequence);
+            }
+            Taken::Changed { replaced } => changes.messages = self.changed(id, replaced),
+        }
+        if leaving && !self.confirmed.contains(id) {
+            changes.messages.extend(self.current(id));
+            changes.flush = self.wait(now, id, needed, reply);
+        } else {
+            let _ = reply.send(acknowledged());
+        }
+        changes
+    }
+
+    /// `id` says that it has ended.
+    pub fn delete(
+        &mut self,
+        now: Duration,
+        id: &str,
+        needed: usize,
+        reply: oneshot::Sender<Answer>,
+    ) -> Changes {
+        self.registry.remove(now, id, FINAL_SEQUENCE);
+        self.heard.remove(id);
+        let messages = vec![removed_message(id, FINAL_SEQUENCE)];
+        Changes { messages, flush: self.wait(now, id, needed, reply) }
+    }
+
+    /// Another controller heard a registration. Tells what readers have to hear.
+    pub fn merge(&mut self, now: Duration, message: &RegisteredMessage) -> Vec<Message> {
+        let id = message.id.text();
+        let Ok(registration) = Registered::parse(&id, message.body.bytes.clone().into()) else {
+            return Vec::new();
+        };
+        match self.registry.take(now, &id, message.sequence, registration) {
+            Taken::Changed { replaced } => self.changed(&id, replaced),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Another controller removed an incarnation. Tells what readers have to hear.
+    pub fn merge_removal(&mut self, now: Duration, removed: &Removed) -> Option<Message> {
+        let news = self.registry.remove(now, &removed.id.text(), removed.sequence);
+        news.then(|| Message::Removed(removed.clone()))
+    }
+
+    /// Another controller heard these.
+    pub fn merge_heard(&mut self, now: Duration, list: &HeardList) {
+        for heard in &list.heard {
+            self.registry.touch(now, &heard.id.text(), heard.sequence);
+        }
+    }
+
+    /// What was heard here since the last call, for the other controllers.
+    pub fn take_heard(&mut self) -> Option<Message> {
+        if self.heard.is_empty() {
+            return None;
+        }
+        let heard = std::mem::take(&mut self.heard).into_iter();
+        let heard: Vec<Heard> =
+            heard.map(|(id, sequence)| Heard { id: id.as_str().into(), sequence }).collect();
+        Some(Message::HeardList(heard.into()))
+    }
+
+    /// Removes what nobody has heard, in the services that this controller owns.
+    pub fn expire(&mut self, now: Duration, owns: impl Fn(&str) -> bool) -> Vec<Message> {
+        self.registry.forget(now, REMOVAL_MEMORY);
+        let registry = &self.registry;
+        self.confirmed.retain(|id| registry.get(id).is_some_and(|entry| entry.registration.is_some()));
+        let silent = self.registry.expire(now, self.silence, owns);
+        silent.into_iter().map(|(id, sequence)| removed_message(&id, sequence)).collect()
+    }
+
+    /// This process could not listen for a while.
+    pub fn excuse(&mut self, now: Duration) {
+        self.registry.excuse(now);
+    }
+
+    /// A peer has everything up to the flush `token`.
+    pub fn flushed(&mut self, token: u64, peer: SocketAddr) {
+        let Some(waiting) = self.waiting.get_mut(&token) else { return };
+        waiting.confirmed_by.insert(peer);
+        if waiting.confirmed_by.len() + 1 >= waiting.needed {
+            let waiting = self.waiting.remove(&token).expect("it was just there");
+            self.confirmed.insert(waiting.id);
+            let _ = waiting.reply.send(acknowledged());
+        }
+    }
+
+    /// Gives up acknowledgements for which no majority was reached in time.
+    pub fn give_up(&mut self, now: Duration) {
+        let late: Vec<u64> = self
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| waiting.until <= now)
+            .map(|(token, _)| *token)
+            .collect();
+        for token in late {
+            let waiting = self.waiting.remove(&token).expect("it was just there");
+            let _ = waiting.reply.send(Answer::error(503, "too few controllers can be reached"));
+        }
+    }
+
+    /// When [`Endpoints::give_up`] is to be called next.
+    pub fn next_wake(&self) -> Option<Duration> {
+        self.waiting.values().map(|waiting| waiting.until).min()
+    }
+
+    /// Live incarnations, for readers of the feed.
+    pub fn snapshot(&self) -> impl Iterator<Item = Message> {
+        self.registry.entries().filter_map(|(id, entry)| {
+            let registration = entry.registration.as_ref()?;
+            Some(registered_message(id, entry.sequence, registration))
+        })
+    }
+
+    /// All incarnations, those that are gone included, for another controller.
+    pub fn full_snapshot(&self) -> impl Iterator<Item = Message> {
+        self.registry.entries().map(|(id, entry)| match &entry.registration {
+            Some(registration) => registered_message(id, entry.sequence, registration),
+            None => removed_message(id, entry.sequence),
+        })
+    }
+
+    /// Live registrations.
+    pub fn live(&self) -> impl Iterator<Item = (&String, &Registered)> {
+        self.registry.entries().filter_map(|(id, entry)| Some((id, entry.registration.as_ref()?)))
+    }
+
+    fn changed(&self, id: &str, replaced: Vec<String>) -> Vec<Message> {
+        let removed = replaced.iter().map(|id| removed_message(id, FINAL_SEQUENCE));
+        self.current(id).into_iter().chain(removed).collect()
+    }
+
+    fn current(&self, id: &str) -> Option<Message> {
+        let entry = self.registry.get(id)?;
+        Some(match &entry.registration {
+            Some(registration) => registered_message(id, entry.sequence, registration),
+            None => removed_message(id, entry.sequence),
+        })
+    }
+
+    /// Lets an acknowledgement wait for the other replicas. Tells the token of the flush, if any is needed.
+    fn wait(
+        &mut self,
+        now: Duration,
+        id: &str,
+        needed: usize,
+        reply: oneshot::Sender<Answer>,
+    ) -> Option<u64> {
+        if needed <= 1 {
+            self.confirmed.insert(id.to_owned());
+            let _ = reply.send(acknowledged());
+            return None;
+        }
+        let token = self.next_token;
+        self.next_token += 1;
+        let until = now + REPLICATION_TIMEOUT;
+        let waiting = Waiting { reply, id: id.to_owned(), confirmed_by: BTreeSet::new(), needed, until };
+        self.waiting.insert(token, waiting);
+        Some(token)
+    }
+}
+
+fn acknowledged() -> Answer {
+    Answer::new(200, "{}")
+}
+
+fn removed_message(id: &str, sequence: u64) -> Message {
+    Message::Removed(Removed { id: id.into(), sequence })
+}
--- /dev/null
+++ b/crates/controller/src/controller/event.rs
@@ -0,0 +1,88 @@
+//! What happens to a controller: messages, calls, and ends of writes, one after the other.
+
+use crate::link::Outbox;
+use crate::message::{Hello, Message};
+use bytes::Bytes;
+use std::net::SocketAddr;
+use tokio::sync::oneshot;
+
+/// Method of a call on the control interface.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Method {
+    Get,
+    Put,
+    Patch,
+    Delete,
+    Other,
+}
+
+/// A call on the control interface, read whole.
+#[derive(Debug)]
+pub struct Call {
+    pub method: Method,
+    pub path: String,
+    /// The version in `If-Match`; `Err` holds what stood there instead of a number.
+    pub if_match: Option<Result<u64, String>>,
+    pub body: Bytes,
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// Answer to a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// An answer with a body of JSON.
+    pub fn new(status: u16, body: impl Into<Bytes>) -> Self {
+        Answer { status, body: body.into() }
+    }
+
+    /// An error as JSON: `{"Error": text}`.
+    pub fn error(status: u16, text: &str) -> Self {
+        Answer::new(status, serde_json::json!({ "Error": text }).to_string())
+    }
+}
+
+/// Everything that a controller reacts to.
+#[derive(Debug)]
+pub enum Event {
+    /// The link to another controller is up.
+    PeerUp {
+        peer: SocketAddr,
+        outbox: Outbox,
+    },
+    /// That link has ended; it is dialled again by itself.
+    PeerDown {
+        peer: SocketAddr,
+    },
+    /// Another controller opened a link.
+    PeerHello {
+        hello: Hello,
+    },
+    PeerMessage {
+        peer: SocketAddr,
+        message: Message,
+    },
+    /// An agent opened a link.
+    AgentUp {
+        agent: u64,
+        hello: Hello,
+        outbox: Outbox,
+    },
+    AgentMessage {
+        message: Message,
+    },
+    AgentDown {
+        agent: u64,
+    },
+    Call(Call),
+    /// A record of a shard is on disk, or could not be written.
+    Written {
+        shard: u8,
+        token: u64,
+        durable: bool,
+    },
+}
--- /dev/null
+++ b/crates/controller/src/controller/links.rs
@@ -0,0 +1,130 @@
+//! The links of a controller: those it dials to its peers, and those that peers and agents open.
+
+use super::event::Event;
+use crate::link::{self, Outbox, REDIAL_PAUSE, Reader};
+use crate::message::{Hello, Message, MessageError, Role};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+/// Longest wait for the first message on a link that was opened.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Keeps a link to the peer `peer` (its control address) at `address`, until the returned handle ends it.
+/// What the peer has to say comes on the link that it opens itself.
+pub fn keep_link(
+    peer: SocketAddr,
+    address: SocketAddr,
+    hello: Hello,
+    events: mpsc::UnboundedSender<Event>,
+) -> AbortHandle {
+    let task = async move {
+        loop {
+            if let Err(error) = speak(peer, address, &hello, &events).await {
+                log::debug!("link to {peer}: {error}");
+            }
+            tokio::time::sleep(REDIAL_PAUSE).await;
+        }
+    };
+    tokio::task::spawn_local(task).abort_handle()
+}
+
+async fn speak(
+    peer: SocketAddr,
+    address: SocketAddr,
+    hello: &Hello,
+    events: &mpsc::UnboundedSender<Event>,
+) -> std::io::Result<()> {
+    let stream = link::dial(address).await?;
+    // The read half stays open: dropping it would shut nothing, but it tells when the peer has gone.
+    let (mut read, write) = stream.into_split();
+    let (outbox, frames) = Outbox::new();
+    outbox.message(&Message::Hello(hello.clone()));
+    let _ = events.send(Event::PeerUp { peer, outbox });
+    let result = tokio::select! {
+        written = link::write_frames(write, frames) => written,
+        ended = until_closed(&mut read) => ended,
+    };
+    let _ = events.send(Event::PeerDown { peer });
+    result
+}
+
+/// Waits for the end of a link on which nothing is to be read.
+async fn until_closed(read: &mut tokio::net::tcp::OwnedReadHalf) -> std::io::Result<()> {
+    use tokio::io::AsyncReadExt;
+    let mut byte = [0];
+    read.read(&mut byte).await.map(|_| ())
+}
+
+/// Takes links of peers and agents for the life of the process.
+pub async fn accept(listener: TcpListener, events: mpsc::UnboundedSender<Event>) {
+    let mut opened = 0;
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(REDIAL_PAUSE).await;
+            continue;
+        };
+        opened += 1;
+        let events = events.clone();
+        tokio::task::spawn_local(async move {
+            if let Err(error) = listen(stream, opened, &events).await {
+                log::debug!("opened link: {error}");
+            }
+        });
+    }
+}
+
+async fn listen(
+    stream: TcpStream,
+    opened: u64,
+    events: &mpsc::UnboundedSender<Event>,
+) -> Result<(), MessageError> {
+    link::set_options(&stream)?;
+    let (read, write) = stream.into_split();
+    let mut reader = Reader::new(read);
+    let first =
+        tokio::time::timeout(HELLO_TIMEOUT, reader.next()).await.map_err(|_| MessageError::Silent)??;
+    let Message::Hello(hello) = first else { return Ok(()) };
+    match hello.role {
+        Role::Controller => peer_link(reader, hello, events).await,
+        Role::Agent | Role::Router => agent_link(reader, write, opened, hello, events).await,
+    }
+}
+
+async fn peer_link(
+    mut reader: Reader,
+    hello: Hello,
+    events: &mpsc::UnboundedSender<Event>,
+) -> Result<(), MessageError> {
+    let Ok(peer) = hello.control_address.text().parse() else { return Ok(()) };
+    let _ = events.send(Event::PeerHello { hello });
+    loop {
+        let message = reader.next().await?;
+        let _ = events.send(Event::PeerMessage { peer, message });
+    }
+}
+
+async fn agent_link(
+    mut reader: Reader,
+    write: tokio::net::tcp::OwnedWriteHalf,
+    agent: u64,
+    hello: Hello,
+    events: &mpsc::UnboundedSender<Event>,
+) -> Result<(), MessageError> {
+    let (outbox, frames) = Outbox::new();
+    let writer = tokio::task::spawn_local(link::write_frames(write, frames));
+    let _ = events.send(Event::AgentUp { agent, hello, outbox });
+    let result = loop {
+        match reader.next().await {
+            Ok(message) => {
+                let _ = events.send(Event::AgentMessage { message });
+            }
+            Err(error) => break Err(error),
+        }
+    };
+    writer.abort();
+    let _ = events.send(Event::AgentDown { agent });
+    result
+}
--- /dev/null
+++ b/crates/controller/src/controller/mod.rs
@@ -0,0 +1,114 @@
+//! A controller: keeps the configuration and the list of endpoints with its peers, answers operators and
+//! endpoints, and feeds agents.
+
+mod calls;
+mod disk;
+mod endpoints;
+mod event;
+mod http;
+mod links;
+mod members;
+mod operator;
+mod peers;
+mod readers;
+mod setup;
+mod shards;
+mod turn;
+
+pub use setup::{ControllerError, run_controller};
+
+use crate::message::Decided;
+use disk::Disk;
+use endpoints::Endpoints;
+use lanegate_coordination::lease::LeaseNode;
+use lanegate_coordination::membership::Membership;
+use lanegate_model::settings::Settings;
+use members::Members;
+use operator::Operator;
+use peers::Peers;
+use readers::Readers;
+use shards::Shards;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// One controller. All of its state belongs to one task; nothing in it waits.
+struct Controller {
+    settings: Settings,
+    /// Control address, which names this controller to its peers.
+    this: SocketAddr,
+    /// Drawn at each start of the process.
+    life: u64,
+    started: Instant,
+    peers: Peers,
+    readers: Readers,
+    endpoints: Endpoints,
+    shards: Shards,
+    disk: Disk,
+    operator: Operator,
+    membership: Membership,
+    members: Members,
+    leases: LeaseNode,
+    /// The newest decided configuration, as readers get it.
+    decided: Option<Decided>,
+    /// Reads and changes of members under way, by the number of their request.
+    asked: BTreeMap<u64, Asked>,
+    next_request: u64,
+    /// Whether everyone that registers with the system has been heard, here or by a peer.
+    complete: bool,
+    /// Routers that told their demand, and when last.
+    routers: BTreeMap<String, Duration>,
+    next_housekeeping: Duration,
+    next_beat: Duration,
+    last_turn: Duration,
+}
+
+/// What a request to a register was for.
+#[derive(Debug)]
+enum Asked {
+    /// The operator reads the configuration.
+    Read(tokio::sync::oneshot::Sender<event::Answer>),
+    /// A change of the group.
+    Members,
+    /// A change of the operator, by its number there.
+    Change(u64),
+    /// An epoch for a lease.
+    Epoch(u32, lanegate_coordination::lease::Tenure),
+}
+
+impl Controller {
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn request_number(&mut self) -> u64 {
+        self.next_request += 1;
+        self.next_request
+    }
+
+    /// Members of the group of a shard, as far as this controller knows them.
+    fn group(&self, shard: u8) -> Vec<SocketAddr> {
+        let decided = self.shards.get(shard).decided();
+        let members = decided.map(|value| value.newest_group().to_vec()).unwrap_or_default();
+        members.into_iter().map(|node| SocketAddr::V4(node.into())).collect()
+    }
+
+    /// Members that make a majority of the group of the configuration's shard.
+    fn majority(&self) -> usize {
+        self.group(shards::CONFIGURATION).len() / 2 + 1
+    }
+
+    /// Whether this controller reaches more than half of the group (itself counted, if it is a member).
+    fn has_quorum(&self) -> bool {
+        let group = self.group(shards::CONFIGURATION);
+        let live = group.iter().filter(|member| self.membership.is_live(**member)).count();
+        !group.is_empty() && live > group.len() / 2
+    }
+
+    /// The controller that acts for a key first: the first live member of the group in the key's order.
+    fn owner(&self, shard: u8, key: &[u8]) -> SocketAddr {
+        let group = self.group(shard);
+        let order = lanegate_coordination::membership::rendezvous_order(key, &group);
+        order.into_iter().find(|member| self.membership.is_live(*member)).unwrap_or(self.this)
+    }
+}
--- /dev/null
+++ b/crates/controller/src/controller/operator.rs
@@ -0,0 +1,136 @@
+//! Calls of the operator: changes of the configuration and reading it back.
+//!
+//! Any controller may propose a change. The owner of the shard is preferred, so that proposals do not
+//! collide; when it does not answer, this controller proposes the same change itself. Taking a change twice
+//! is harmless: the second time it is found among those already taken.
+
+use super::event::Answer;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// How long the owner of the shard has before this controller proposes a change itself.
+pub const OWNER_PATIENCE: Duration = Duration::from_millis(350);
+/// Longest wait for a clear answer. The operator asks another controller after a second.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(950);
+/// Calls of the operator under way at a time.
+const MAX_PENDING: usize = 64;
+
+/// Whom the outcome of a proposal is for.
+#[derive(Debug)]
+enum Caller {
+    Operator(oneshot::Sender<Answer>),
+    /// Another controller, and its number for the change.
+    Peer(std::net::SocketAddr, u64),
+}
+
+#[derive(Debug)]
+struct Pending {
+    caller: Caller,
+    command: Vec<u8>,
+    /// When this controller proposes it itself; `None` once it has.
+    propose_at: Option<Duration>,
+    until: Duration,
+}
+
+/// What is done with the outcome of a proposal.
+#[derive(Debug)]
+pub enum Settled {
+    Answered,
+    /// Send this outcome to the controller that asked.
+    Return {
+        peer: std::net::SocketAddr,
+        request: u64,
+    },
+    /// Nobody waits any more.
+    Unknown,
+}
+
+/// Calls of the operator under way.
+#[derive(Debug, Default)]
+pub struct Operator {
+    pending: BTreeMap<u64, Pending>,
+    next: u64,
+}
+
+impl Operator {
+    /// Takes a change. It is proposed here at once, unless `owner_live`: then the owner is asked first.
+    /// Tells its number, or `None` if too many are under way.
+    pub fn begin(
+        &mut self,
+        now: Duration,
+        command: Vec<u8>,
+        reply: oneshot::Sender<Answer>,
+        owner_live: bool,
+    ) -> Option<u64> {
+        if self.pending.len() >= MAX_PENDING {
+            let _ = reply.send(Answer::error(503, "too many calls are under way"));
+            return None;
+        }
+        let propose_at = owner_live.then_some(now + OWNER_PATIENCE);
+        Some(self.insert(now, Caller::Operator(reply), command, propose_at))
+    }
+
+    /// Takes a change that another controller handed over; it is proposed here at once.
+    pub fn begin_for(
+        &mut self,
+        now: Duration,
+        peer: std::net::SocketAddr,
+        request: u64,
+        command: Vec<u8>,
+    ) -> u64 {
+        self.insert(now, Caller::Peer(peer, request), command, None)
+    }
+
+    fn insert(
+        &mut self,
+        now: Duration,
+        caller: Caller,
+        command: Vec<u8>,
+        propose_at: Option<Duration>,
+    ) -> u64 {
+        self.next += 1;
+        let pending = Pending { caller, command, propose_at, until: now + ANSWER_TIMEOUT };
+        self.pending.insert(self.next, pending);
+        self.next
+    }
+
+    /// The command of a change under way.
+    pub fn command(&self, request: u64) -> Option<&[u8]> {
+        self.pending.get(&request).map(|pending| pending.command.as_slice())
+    }
+
+    /// An outcome has come, here or from the owner; `answer` is what the operator gets.
+    pub fn settle(&mut self, request: u64, answer: impl FnOnce() -> Answer) -> Settled {
+        match self.pending.remove(&request).map(|pending| pending.caller) {
+            Some(Caller::Operator(reply)) => {
+                let _ = reply.send(answer());
+                Settled::Answered
+            }
+            Some(Caller::Peer(peer, request)) => Settled::Return { peer, request },
+            None => Settled::Unknown,
+        }
+    }
+
+    /// Changes that the owner has not answered in time, to be proposed here now; ends those too late.
+    pub fn due(&mut self, now: Duration) -> Vec<u64> {
+        let late: Vec<u64> =
+            self.pending.iter().filter(|(_, pending)| pending.until <= now).map(|(id, _)| *id).collect();
+        for request in late {
+            self.settle(request, || Answer::error(503, "no clear answer in time; send the same again"));
+        }
+        let mut due = Vec::new();
+        for (request, pending) in &mut self.pending {
+            if pending.propose_at.is_some_and(|at| at <= now) {
+                pending.propose_at = None;
+                due.push(*request);
+            }
+        }
+        due
+    }
+
+    /// When [`Operator::due`] is to be called next.
+    pub fn next_wake(&self) -> Option<Duration> {
+        self.pending.values().map(|p| p.propose_at.map_or(p.until, |at| at.min(p.until))).min()
+    }
+}
--- /dev/null
+++ b/crates/controller/src/controller/setup.rs
@@ -0,0 +1,197 @@
+//! Starting a controller and ending it.
+
+use super::disk::Disk;
+use super::endpoints::Endpoints;
+use super::event::Event;
+use super::members::Members;
+use super::operator::Operator;
+use super::peers::Peers;
+use super::readers::Readers;
+use super::shards::{self, ConfigurationMachine, EpochCounter, Shards};
+use super::{Controller, http, links};
+use crate::life::draw_life;
+use crate::link;
+use crate::message::{Hello, Role};
+use lanegate_coordination::lease::{GrantorStart, LeaseNode, LeaseSettings};
+use lanegate_coordination::membership::{Membership, MembershipSettings, NodeId};
+use lanegate_coordination::register::{self, Node, Record, Replica, StateMachine};
+use lanegate_coordination::storage::{Folder, StoreError, VersionedStore};
+use lanegate_model::settings::Settings;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+/// Time between heartbeats of controllers.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+/// Every controller monitors every other: there are a few of them.
+const MONITORS: usize = 16;
+/// Time that calls under way get at the end of the process.
+const END_PATIENCE: Duration = Duration::from_millis(300);
+
+/// Why a controller cannot run.
+#[derive(Debug, thiserror::Error)]
+pub enum ControllerError {
+    #[error("settings: {0} is missing, and a controller needs it")]
+    Missing(&'static str),
+    #[error("settings: {0} is no IPv4 address and port")]
+    Address(SocketAddr),
+    #[error("data folder {folder}: {error}")]
+    Data { folder: PathBuf, error: StoreError },
+    #[error("data folder {folder}: {error}")]
+    Folder { folder: PathBuf, error: std::io::Error },
+    #[error("{address}: {error}")]
+    Listen { address: SocketAddr, error: std::io::Error },
+    #[error(transparent)]
+    System(#[from] std::io::Error),
+}
+
+/// Runs a controller until SIGTERM. Must run inside a `LocalSet`.
+pub async fn run_controller(settings: Settings) -> Result<(), ControllerError> {
+    let control = settings.listeners_map.control_plane;
+    let control = control.ok_or(ControllerError::Missing("ListenersMap.ControlPlane"))?;
+    let links_at = SocketAddr::new(control.ip(), settings.port_range.0);
+    let listen = |address| link::listen(address).map_err(|error| ControllerError::Listen { address, error });
+    let (calls, peer_links) = (listen(control)?, listen(links_at)?);
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let (events, mut queue) = mpsc::unbounded_channel();
+    let mut controller = Controller::new(settings, control, events.clone())?;
+    tokio::task::spawn_local(http::serve(calls, events.clone()));
+    tokio::task::spawn_local(links::accept(peer_links, events));
+    loop {
+        let wake = controller.next_wake();
+        tokio::select! {
+            biased;
+            _ = terminate.recv() => break,
+            _ = reload.recv() => controller.read_settings(),
+            Some(event) = queue.recv() => {
+                controller.take(event);
+                while let Ok(event) = queue.try_recv() {
+                    controller.take(event);
+                }
+            }
+            () = tokio::time::sleep_until(wake.into()) => {}
+        }
+        controller.turn();
+    }
+    controller.leave();
+    let end = Instant::now() + END_PATIENCE;
+    while let Ok(Some(event)) = tokio::time::timeout_at(end.into(), queue.recv()).await {
+        controller.take(event);
+        controller.turn();
+        if controller.is_idle() {
+            break;
+        }
+    }
+    Ok(())
+}
+
+impl Controller {
+    fn new(
+        settings: Settings,
+        control: SocketAddr,
+        events: mpsc::UnboundedSender<Event>,
+    ) -> Result<Self, ControllerError> {
+        let started = Instant::now();
+        let life = draw_life();
+        let now = Duration::ZERO;
+        let this = ipv4(control)?;
+        let folder = settings.data_dir.clone().ok_or(ControllerError::Missing("DataDir"))?;
+        let mut directory = Folder::open(&folder)
+            .map_err(|error| ControllerError::Folder { folder: folder.clone(), error })?;
+        let (stores, records) = open_stores(&folder, &mut directory)?;
+        let first = settings.bootstrap && records.is_empty();
+        let replicas = start_replicas(&settings, this, records, life)?;
+        let disk = Disk::start(directory, stores, events.clone())?;
+        let node = NodeId::new(this, life);
+        let lease = LeaseSettings::for_quiet_period(Duration::from_secs_f64(settings.bounds.lease_ms / 1e3));
+        let start = if first { GrantorStart::First } else { GrantorStart::Restarted };
+        let hello = Hello {
+            role: Role::Controller,
+            name: settings.node_name.as_str().into(),
+            control_address: control.to_string().as_str().into(),
+            life,
+            source: 0,
+            offset: 0,
+        };
+        let heartbeat = Duration::from_secs_f64(settings.heartbeat_ms / 1e3);
+        let mut controller = Controller {
+            this: control,
+            life,
+            started,
+            peers: Peers::new(control, settings.port_range.0, hello, events),
+            readers: Readers::new(life),
+            endpoints: Endpoints::new(heartbeat),
+            shards: Shards::new(replicas),
+            disk,
+            operator: Operator::default(),
+            membership: Membership::new(MembershipSettings::new(HEARTBEAT_INTERVAL, MONITORS), node, now),
+            members: Members::default(),
+            leases: LeaseNode::new(lease, node, start, now),
+            decided: None,
+            asked: BTreeMap::new(),
+            next_request: 0,
+            complete: first,
+            routers: BTreeMap::new(),
+            next_housekeeping: now,
+            next_beat: now,
+            last_turn: now,
+            settings,
+        };
+        controller.start();
+        Ok(controller)
+    }
+}
+
+fn ipv4(address: SocketAddr) -> Result<SocketAddrV4, ControllerError> {
+    match address {
+        SocketAddr::V4(address) => Ok(address),
+        SocketAddr::V6(_) => Err(ControllerError::Address(address)),
+    }
+}
+
+type Stores = BTreeMap<u8, VersionedStore>;
+type Records = BTreeMap<u8, Record>;
+
+fn open_stores(path: &Path, folder: &mut Folder) -> Result<(Stores, Records), ControllerError> {
+    let data = |error| ControllerError::Data { folder: path.to_owned(), error };
+    let (mut stores, mut records) = (Stores::new(), Records::new());
+    for shard in shards::all() {
+        let (store, newest) = VersionedStore::open(folder, &format!("shard-{shard}")).map_err(data)?;
+        stores.insert(shard, store);
+        match newest.as_deref().map(Record::decode) {
+            Some(Ok(record)) => {
+                records.insert(shard, record);
+            }
+            Some(Err(error)) => log::error!("shard {shard}: the newest record cannot be read: {error}"),
+            None => {}
+        }
+    }
+    Ok((stores, records))
+}
+
+fn start_replicas(
+    settings: &Settings,
+    this: SocketAddrV4,
+    mut records: Records,
+    life: u64,
+) -> Result<BTreeMap<u8, Replica>, ControllerError> {
+    let seeds: Vec<SocketAddrV4> = settings.seeds.iter().map(|seed| ipv4(*seed)).collect::<Result<_, _>>()?;
+    let seeds: Vec<Node> = seeds.into_iter().map(Node::from).collect();
+    let start = |shard: u8| {
+        let machine: Box<dyn StateMachine> = match shard {
+            shards::CONFIGURATION => Box::new(ConfigurationMachine),
+            _ => Box::new(EpochCounter),
+        };
+        let mut of_shard = register::Settings::new(this.into(), seeds.clone());
+        of_shard.bootstrap = settings.bootstrap;
+        of_shard.seed = u64::from(shard);
+        let nonce = life.wrapping_add(u64::from(shard));
+        let replica = Replica::new(of_shard, machine, records.remove(&shard), Duration::ZERO, nonce);
+        (shard, replica)
+    };
+    Ok(shards::all().map(start).collect())
+}
--- /dev/null
+++ b/crates/controller/src/controller/shards.rs
@@ -0,0 +1,111 @@
+//! The shards of control state: one register each, all with replicas on the same group of controllers.
+//!
+//! Shard 0 holds the configuration. The others are found by a hash of the service's name; each holds the
+//! epoch of the role that acts for its services.
+
+use lanegate_coordination::membership::stable_hash;
+use lanegate_coordination::register::{Applied, Input, Output, Replica, StateMachine};
+use lanegate_model::control_state::{self, Outcome};
+use lanegate_model::findings::Findings;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The shard of the configuration.
+pub const CONFIGURATION: u8 = 0;
+/// Shards for services.
+const SERVICE_SHARDS: u8 = 4;
+
+/// The shard of a service.
+pub fn shard_of(service: &str) -> u8 {
+    1 + (stable_hash(service.as_bytes()) % u64::from(SERVICE_SHARDS)) as u8
+}
+
+/// All shards.
+pub fn all() -> impl Iterator<Item = u8> {
+    0..=SERVICE_SHARDS
+}
+
+/// Counts up: every command takes the next epoch.
+#[derive(Debug)]
+pub struct EpochCounter;
+
+impl StateMachine for EpochCounter {
+    fn apply(&self, current: &[u8], _command: &[u8]) -> Applied {
+        let next = read_epoch(current) + 1;
+        let bytes = next.to_be_bytes().to_vec();
+        Applied::Changed { state: bytes.clone(), answer: bytes }
+    }
+}
+
+/// The epoch that a register's state, or the answer to a command, holds; 0 for none yet.
+pub fn read_epoch(bytes: &[u8]) -> u64 {
+    bytes.try_into().map_or(0, u64::from_be_bytes)
+}
+
+/// Applies changes of the operator to the configuration.
+#[derive(Debug)]
+pub struct ConfigurationMachine;
+
+impl StateMachine for ConfigurationMachine {
+    fn apply(&self, current: &[u8], command: &[u8]) -> Applied {
+        apply_change(current, command)
+    }
+}
+
+fn handle(replica: &mut Replica, now: Duration, input: Input) -> Vec<Output> {
+    replica.handle(now, input);
+    std::iter::from_fn(|| replica.poll_output()).collect()
+}
+
+/// The replicas of this controller.
+pub struct Shards {
+    replicas: BTreeMap<u8, Replica>,
+}
+
+impl Shards {
+    pub fn new(replicas: BTreeMap<u8, Replica>) -> Self {
+        Shards { replicas }
+    }
+
+    /// Hands `input` to the replica of `shard` and takes what it has to say.
+    pub fn handle(&mut self, now: Duration, shard: u8, input: Input) -> Vec<Output> {
+        match self.replicas.get_mut(&shard) {
+            Some(replica) => handle(replica, now, input),
+            None => Vec::new(),
+        }
+    }
+
+    /// Lets every replica do what is due.
+    pub fn due(&mut self, now: Duration) -> Vec<(u8, Vec<Output>)> {
+        let is_due = |replica: &Replica| replica.next_wake().is_some_and(|at| at <= now);
+        let due = self.replicas.iter_mut().filter(|(_, replica)| is_due(replica));
+        due.map(|(shard, replica)| (*shard, handle(replica, now, Input::Tick))).collect()
+    }
+
+    /// When [`Shards::due`] is to be called next.
+    pub fn next_wake(&self) -> Option<Duration> {
+        self.replicas.values().filter_map(Replica::next_wake).min()
+    }
+
+    /// The replica of one shard.
+    pub fn get(&self, shard: u8) -> &Replica {
+        &self.replicas[&shard]
+    }
+
+    /// All replicas.
+    pub fn iter(&self) -> impl Iterator<Item = (u8, &Replica)> {
+        self.replicas.iter().map(|(shard, replica)| (*shard, replica))
+    }
+}
+
+fn apply_change(current: &[u8], command: &[u8]) -> Applied {
+    match control_state::apply(current, command) {
+        Ok((outcome, Some(state))) => Applied::Changed { state, answer: outcome.encode() },
+        Ok((outcome, None)) if outcome.is_acknowledged() => Applied::Unchanged { answer: outcome.encode() },
+        Ok((outcome, None)) => Applied::Refused { answer: outcome.encode() },
+        Err(error) => {
+            let findings = Findings::one("", error.to_string());
+            Applied::Refused { answer: Outcome::Invalid(findings).encode() }
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/message.rs
@@ -0,0 +1,247 @@
+//! What lanegate's processes say to one another: controllers among themselves, agents to controllers, and
+//! routers to their agent. One message a frame: a length (u32, little endian), then the encoded message.
+
+use deku::prelude::*;
+
+/// Largest frame that is read; a configuration with its history is far below.
+pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+
+/// Bytes of any length.
+#[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Blob {
+    #[deku(update = "self.bytes.len()")]
+    length: u32,
+    #[deku(count = "length")]
+    pub bytes: Vec<u8>,
+}
+
+impl From<Vec<u8>> for Blob {
+    fn from(bytes: Vec<u8>) -> Self {
+        Blob { length: bytes.len() as u32, bytes }
+    }
+}
+
+impl From<&str> for Blob {
+    fn from(text: &str) -> Self {
+        text.as_bytes().to_vec().into()
+    }
+}
+
+impl Blob {
+    /// The bytes as text; what is no UTF-8 is replaced.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.bytes).into_owned()
+    }
+}
+
+/// Who opens a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(id_type = "u8", endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub enum Role {
+    #[deku(id = 1)]
+    Controller,
+    #[deku(id = 2)]
+    Agent,
+    #[deku(id = 3)]
+    Router,
+}
+
+/// First message on every link.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Hello {
+    pub role: Role,
+    /// `NodeName` of the process.
+    pub name: Blob,
+    /// Control address (`ip:port`) of a controller; empty for others.
+    pub control_address: Blob,
+    /// Drawn at each start of the process.
+    pub life: u64,
+    /// Source of the feed that the reader has followed so far, 0 for none.
+    pub source: u64,
+    /// Offset from which it would go on.
+    pub offset: u64,
+}
+
+/// A message of one shard's register to another replica.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct ShardMessage {
+    pub shard: u8,
+    pub body: Blob,
+}
+
+/// The newest registration of an incarnation.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Registered {
+    pub id: Blob,
+    pub sequence: u64,
+    /// The registration as JSON, as the endpoint sent it.
+    pub body: Blob,
+}
+
+/// An incarnation that is gone as of a sequence.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Removed {
+    pub id: Blob,
+    pub sequence: u64,
+}
+
+/// One heartbeat that changed nothing.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Heard {
+    pub id: Blob,
+    pub sequence: u64,
+}
+
+/// Heartbeats since the last such message that changed nothing.
+#[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct HeardList {
+    #[deku(update = "self.heard.len()")]
+    length: u32,
+    #[deku(count = "length")]
+    pub heard: Vec<Heard>,
+}
+
+impl From<Vec<Heard>> for HeardList {
+    fn from(heard: Vec<Heard>) -> Self {
+        HeardList { length: heard.len() as u32, heard }
+    }
+}
+
+/// A decided configuration.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Decided {
+    /// Revision of the register, which orders configurations.
+    pub revision: u64,
+    /// The configuration as JSON; empty while none was taken.
+    pub document: Blob,
+}
+
+/// A feed's heartbeat; says how much the sender may be trusted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct FeedBeat {
+    /// 1 while the sender reaches more than half of its replica group.
+    pub quorum: u8,
+    /// Where the reader stands once it has applied all before.
+    pub source: u64,
+    pub offset: u64,
+    /// Live routers.
+    pub routers: u32,
+}
+
+/// Controllers that the sender knows, as control addresses separated by spaces.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Controllers {
+    pub addresses: Blob,
+}
+
+/// A change of the operator, handed to the owner of the configuration's shard, or its outcome handed back.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Forwarded {
+    /// Number that the asking controller gave it.
+    pub request: u64,
+    pub body: Blob,
+}
+
+/// A number that asks for, or gives, an acknowledgement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Token {
+    pub token: u64,
+}
+
+/// The demand that a router saw.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct RouterDemand {
+    /// `NodeName` of the router.
+    pub router: Blob,
+    /// A `DemandReport` as JSON.
+    pub report: Blob,
+}
+
+/// Every message.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(id_type = "u8", endian = "little")]
+pub enum Message {
+    #[deku(id = 1)]
+    Hello(Hello),
+    /// The snapshot begins: what the reader knows of this sender and is not told again is gone.
+    #[deku(id = 2)]
+    SnapshotBegin,
+    /// The snapshot is whole: 1 if the sender itself has heard from everyone it has to.
+    #[deku(id = 3)]
+    SnapshotEnd { complete: u8 },
+    #[deku(id = 4)]
+    Decided(Decided),
+    #[deku(id = 5)]
+    Registered(Registered),
+    #[deku(id = 6)]
+    Removed(Removed),
+    #[deku(id = 7)]
+    HeardList(HeardList),
+    #[deku(id = 8)]
+    FeedBeat(FeedBeat),
+    #[deku(id = 9)]
+    Controllers(Controllers),
+    #[deku(id = 10)]
+    Register(ShardMessage),
+    #[deku(id = 11)]
+    Lease(ShardMessage),
+    #[deku(id = 12)]
+    Change(Forwarded),
+    #[deku(id = 13)]
+    ChangeOutcome(Forwarded),
+    /// Asks the receiver to acknowledge all that was sent before.
+    #[deku(id = 14)]
+    Flush(Token),
+    #[deku(id = 15)]
+    Flushed(Token),
+    #[deku(id = 16)]
+    Demand(RouterDemand),
+    /// A controller's heartbeat to another, as the membership writes it.
+    #[deku(id = 17)]
+    Heartbeat { body: Blob },
+}
+
+impl Message {
+    /// The message as one frame, its length first.
+    pub fn frame(&self) -> bytes::Bytes {
+        let body = self.to_bytes().expect("messages hold nothing that cannot be encoded");
+        let mut frame = Vec::with_capacity(4 + body.len());
+        frame.extend_from_slice(&(body.len() as u32).to_le_bytes());
+        frame.extend_from_slice(&body);
+        frame.into()
+    }
+
+    /// Reads the body of one frame; bytes left over are an error.
+    pub fn decode(body: &[u8]) -> Result<Message, MessageError> {
+        let ((rest, _), message) = Message::from_bytes((body, 0))?;
+        if rest.is_empty() { Ok(message) } else { Err(MessageError::Trailing(rest.len())) }
+    }
+}
+
+/// A frame that is no message.
+#[derive(Debug, thiserror::Error)]
+pub enum MessageError {
+    #[error("not a message: {0}")]
+    Unreadable(#[from] DekuError),
+    #[error("{0} bytes behind the message")]
+    Trailing(usize),
+    #[error("a frame of {0} bytes")]
+    TooLong(usize),
+    #[error("silent for too long")]
+    Silent,
+    #[error(transparent)]
+    Link(#[from] std::io::Error),
+}
--- /dev/null
+++ b/crates/controller/tests/message.rs
@@ -0,0 +1,52 @@
+//! Messages come back as they were written, and nothing else is taken for one.
+
+use lanegate_controller::message::*;
+use proptest::prelude::*;
+
+fn hello() -> Message {
+    Message::Hello(Hello {
+        role: Role::Agent,
+        name: "edge-1".into(),
+        control_address: "".into(),
+        life: 9,
+        source: 3,
+        offset: 12,
+    })
+}
+
+#[test]
+fn messages_come_back_as_they_were_written() {
+    let heard = vec![Heard { id: "i-1".into(), sequence: 4 }, Heard { id: "i-2".into(), sequence: 5 }];
+    let messages = [
+        hello(),
+        Message::SnapshotBegin,
+        Message::SnapshotEnd { complete: 1 },
+        Message::Decided(Decided { revision: 8, document: vec![1, 2, 3].into() }),
+        Message::HeardList(heard.into()),
+        Message::Removed(Removed { id: "i-1".into(), sequence: u64::MAX }),
+        Message::FeedBeat(FeedBeat { quorum: 1, source: 4, offset: 5, routers: 9 }),
+        Message::Flush(Token { token: 1 }),
+        Message::Heartbeat { body: vec![7; 20].into() },
+    ];
+    for message in messages {
+        let frame = message.frame();
+        let length = u32::from_le_bytes(frame[..4].try_into().unwrap()) as usize;
+        assert_eq!(length, frame.len() - 4);
+        assert_eq!(Message::decode(&frame[4..]).unwrap(), message);
+    }
+}
+
+#[test]
+fn a_frame_with_bytes_left_over_or_missing_is_refused() {
+    let mut body = hello().frame()[4..].to_vec();
+    assert!(Message::decode(&body[..body.len() - 1]).is_err());
+    body.push(0);
+    assert!(matches!(Message::decode(&body), Err(MessageError::Trailing(1))));
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_read_or_refused(body in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = Message::decode(&body);
+    }
+}
--- a/crates/coordination/src/registry.rs
+++ b/crates/coordination/src/registry.rs
@@ -135,6 +135,11 @@
             .retain(|_, entry| entry.registration.is_some() || now.saturating_sub(entry.heard) <= span);
     }
 
+    /// Forgets an incarnation at once; a message of any sequence makes it known again.
+    pub fn drop_entry(&mut self, id: &str) {
+        self.entries.remove(id);
+    }
+
     /// Gives every incarnation a fresh start, after a time in which this process could not listen.
     pub fn excuse(&mut self, now: Duration) {
         for entry in self.entries.values_mut().filter(|entry| entry.registration.is_some()) {
