--- /dev/null
+++ b/crates/router/src/activity.rs
@@ -0,0 +1,190 @@
+//! What a client's connection is doing, so that those idle or stalled for too long can be ended.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// What a connection waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// For the first byte of a request.
+    Idle,
+    /// For the rest of a head.
+    Head,
+    /// For the rest of a body.
+    Body,
+    /// For the answer, or for the client to take it.
+    Answering,
+}
+
+/// What the task of a connection is asked to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Order {
+    Continue,
+    /// Close once no request is under way.
+    Finish,
+    /// Close at once.
+    Abort,
+}
+
+/// The state of one client connection, shared by its task, its stream and the sweep.
+#[derive(Debug)]
+pub struct Activity {
+    phase: Cell<Phase>,
+    /// When the present phase began, or when its last byte arrived.
+    since: Cell<Instant>,
+    /// When the first byte of the present request arrived.
+    request_began: Cell<Instant>,
+    order: Cell<Order>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Activity {
+    /// A connection that was just accepted.
+    pub fn new(now: Instant) -> Rc<Self> {
+        Rc::new(Activity {
+            phase: Cell::new(Phase::Idle),
+            since: Cell::new(now),
+            request_began: Cell::new(now),
+            order: Cell::new(Order::Continue),
+            waker: RefCell::new(None),
+        })
+    }
+
+    /// What the connection waits for.
+    pub fn phase(&self) -> Phase {
+        self.phase.get()
+    }
+
+    /// When the present phase began, or when its last byte arrived.
+    pub fn since(&self) -> Instant {
+        self.since.get()
+    }
+
+    /// Notes that bytes of the client arrived.
+    fn received(&self, now: Instant) {
+        match self.phase.get() {
+            Phase::Idle => {
+                self.phase.set(Phase::Head);
+                self.request_began.set(now);
+                self.since.set(now);
+            }
+            Phase::Body => self.since.set(now),
+            Phase::Head | Phase::Answering => {}
+        }
+    }
+
+    /// Notes that a head is complete; tells when its first byte arrived.
+    pub fn head_complete(&self, now: Instant) -> Instant {
+        let began = match self.phase.get() {
+            Phase::Head => self.request_began.get(),
+            Phase::Idle | Phase::Body | Phase::Answering => now,
+        };
+        self.enter(Phase::Body, now);
+        began
+    }
+
+    /// Notes that a phase begins.
+    pub fn enter(&self, phase: Phase, now: Instant) {
+        self.phase.set(phase);
+        self.since.set(now);
+    }
+
+    /// Asks the task of the connection to end it; a stronger order is not taken back.
+    pub fn ask(&self, order: Order) {
+        if order <= self.order.get() {
+            return;
+        }
+        self.order.set(order);
+        if let Some(waker) = self.waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+
+    /// The present order; the task is woken when it changes.
+    pub fn order(&self, cx: &Context<'_>) -> Order {
+        let mut waker = self.waker.borrow_mut();
+        if !waker.as_ref().is_some_and(|known| known.will_wake(cx.waker())) {
+            *waker = Some(cx.waker().clone());
+        }
+        self.order.get()
+    }
+}
+
+/// Marks the connection as idle again once the answer is handed over or given up.
+#[derive(Debug)]
+pub struct AnswerGuard(Rc<Activity>);
+
+impl AnswerGuard {
+    /// Marks the connection as busy with an answer.
+    pub fn new(activity: Rc<Activity>) -> Self {
+        activity.enter(Phase::Answering, Instant::now());
+        AnswerGuard(activity)
+    }
+}
+
+impl Drop for AnswerGuard {
+    fn drop(&mut self) {
+        self.0.enter(Phase::Idle, Instant::now());
+    }
+}
+
+/// A client's stream that notes when bytes arrive.
+#[derive(Debug)]
+pub struct ClientStream {
+    stream: TcpStream,
+    activity: Rc<Activity>,
+}
+
+impl ClientStream {
+    /// Notes in `activity` what arrives on `stream`.
+    pub fn new(stream: TcpStream, activity: Rc<Activity>) -> Self {
+        ClientStream { stream, activity }
+    }
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > before {
+            self.activity.received(Instant::now());
+        }
+        result
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/router/src/attempt.rs
@@ -0,0 +1,225 @@
+//! One send of a request to one endpoint.
+
+use crate::connection::{EndpointConnection, ExchangeError};
+use crate::headers::{
+    DEADLINE_MS, EXPECT_INSTANCE, LAST_EVENT_ID, PRIORITY, instance_load, keep_alive, milliseconds,
+};
+use crate::pool::Standing;
+use crate::state::RouterState;
+use crate::verify::{self, Expected};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::http::response::Parts;
+use hyper::{Method, Request, Uri};
+use lanegate_dispatch::interface::{AttemptEnd, InstanceLoad};
+use std::cell::Cell;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+/// A request of a client, ready to be sent.
+#[derive(Debug)]
+pub struct Outbound {
+    pub method: Method,
+    /// Path and query as the client sent them.
+    pub target: Uri,
+    /// Without those that concern one connection.
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub attempt_id: Option<HeaderValue>,
+    /// When the client or the route gives up.
+    pub deadline: Duration,
+    /// Whether it asks something of an engine.
+    pub engine: bool,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Whether a stream that broke off may be taken up elsewhere.
+    pub resumable: bool,
+}
+
+/// Where the dispatcher sends a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Destination {
+    pub attempt: u32,
+    pub instance: Arc<str>,
+    pub address: SocketAddr,
+    pub engine_priority: u8,
+    pub resume: bool,
+}
+
+/// The answer of an endpoint, checked, its body still on the way.
+pub struct EndpointAnswer {
+    pub head: Parts,
+    pub load: Option<InstanceLoad>,
+    pub body: EndpointBody,
+}
+
+/// The body of an endpoint's answer. Its connection goes back to the pool after the last byte, and is closed
+/// when this is dropped before.
+pub struct EndpointBody {
+    state: Rc<RouterState>,
+    connection: Option<EndpointConnection>,
+    incoming: Incoming,
+    told_idle: Option<Duration>,
+}
+
+impl EndpointBody {
+    /// The next bytes; after an error, or the end, the connection is gone.
+    pub fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<hyper::Result<Bytes>>> {
+        let Some(connection) = &mut self.connection else {
+            return Poll::Ready(None);
+        };
+        let next = ready!(connection.poll_body(&mut self.incoming, cx));
+        match &next {
+            Some(Ok(data)) => self.state.counters.bytes_passed.add(data.len() as u64),
+            Some(Err(_)) => self.connection = None,
+            None => self.give_back(),
+        }
+        Poll::Ready(next)
+    }
+
+    /// Waits for the next bytes.
+    pub async fn next(&mut self) -> Option<hyper::Result<Bytes>> {
+        poll_fn(|cx| self.poll_data(cx)).await
+    }
+
+    /// Length of the body, where the head tells it.
+    pub fn exact_length(&self) -> Option<u64> {
+        self.incoming.size_hint().exact()
+    }
+
+    fn give_back(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.state.pool.give_back(connection, self.told_idle);
+        }
+    }
+}
+
+/// Sends the request and waits for the head of the answer. `sent` is set as soon as the endpoint may have
+/// got some of the request.
+pub async fn send(
+    state: &Rc<RouterState>,
+    request: &Outbound,
+    destination: &Destination,
+    last_event: Option<HeaderValue>,
+    sent: &Cell<bool>,
+) -> Result<EndpointAnswer, AttemptEnd> {
+    state.counters.attempts.increment();
+    let result = exchange(state, request, destination, last_event, sent).await;
+    if let Err(end) = &result {
+        state.counters.failed_attempts.increment();
+        log::debug!("attempt {:?} at {} ended: {end:?}", request.attempt_id, destination.instance);
+    }
+    result
+}
+
+async fn exchange(
+    state: &Rc<RouterState>,
+    request: &Outbound,
+    destination: &Destination,
+    last_event: Option<HeaderValue>,
+    sent: &Cell<bool>,
+) -> Result<EndpointAnswer, AttemptEnd> {
+    loop {
+        let (mut connection, used_before) = connect(state, destination).await?;
+        let Some(left) = time_left(state, request) else {
+            return Err(AttemptEnd::NotSent);
+        };
+        if state.pool.standing(&destination.instance) == Standing::Closed {
+            return Err(AttemptEnd::NotSent);
+        }
+        sent.set(true);
+        let answer = match connection.exchange(compose(request, destination, &last_event, left)).await {
+            Ok(answer) => answer,
+            Err(ExchangeError::NotSent) => {
+                sent.set(false);
+                match used_before {
+                    true => continue,
+                    false => return Err(AttemptEnd::NotSent),
+                }
+            }
+            Err(ExchangeError::Garbled(_)) => return Err(AttemptEnd::Garbled),
+            Err(ExchangeError::Broken(_)) => return Err(AttemptEnd::Broken),
+        };
+        let expected = Expected {
+            attempt_id: request.attempt_id.as_ref(),
+            instance: &destination.instance,
+            engine: request.engine,
+        };
+        let verdict = verify::check(expected, &answer);
+        let (head, incoming) = answer.into_parts();
+        let told_idle = keep_alive(&head.headers);
+        let body = EndpointBody { state: state.clone(), connection: Some(connection), incoming, told_idle };
+        return match verdict {
+            Ok(()) => Ok(EndpointAnswer { load: instance_load(&head.headers), head, body }),
+            Err(end) => {
+                discard(body, end).await;
+                Err(end)
+            }
+        };
+    }
+}
+
+/// Reads the rest of an answer that says the request did not run, so that the connection can be used again.
+/// Only what is already there is read: nobody waits for it.
+async fn discard(mut body: EndpointBody, end: AttemptEnd) {
+    if !matches!(end, AttemptEnd::NotExecuted { .. }) {
+        return;
+    }
+    poll_fn(|cx| {
+        while let Poll::Ready(Some(Ok(_))) = body.poll_data(cx) {}
+        Poll::Ready(())
+    })
+    .await;
+}
+
+async fn connect(
+    state: &Rc<RouterState>,
+    destination: &Destination,
+) -> Result<(EndpointConnection, bool), AttemptEnd> {
+    if let Some(connection) = state.pool.take_idle(&destination.instance, destination.address) {
+        return Ok((connection, true));
+    }
+    let lease = state.pool.lease(&destination.instance, destination.address).ok_or(AttemptEnd::NotSent)?;
+    state.counters.connections_opened.increment();
+    match EndpointConnection::open(destination.address, lease).await {
+        Ok(connection) => Ok((connection, false)),
+        Err(error) => {
+            log::debug!("no connection to {} at {}: {error}", destination.instance, destination.address);
+            Err(AttemptEnd::NotSent)
+        }
+    }
+}
+
+fn time_left(state: &RouterState, request: &Outbound) -> Option<Duration> {
+    request.deadline.checked_sub(state.now()).filter(|left| !left.is_zero())
+}
+
+fn compose(
+    request: &Outbound,
+    destination: &Destination,
+    last_event: &Option<HeaderValue>,
+    left: Duration,
+) -> Request<Full<Bytes>> {
+    let mut message = Request::new(Full::new(request.body.clone()));
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = request.target.clone();
+    let mut headers = request.headers.clone();
+    headers.insert(DEADLINE_MS, milliseconds(left));
+    if let Ok(instance) = HeaderValue::from_str(&destination.instance) {
+        headers.insert(EXPECT_INSTANCE, instance);
+    }
+    if request.engine {
+        headers.insert(PRIORITY, HeaderValue::from(u16::from(destination.engine_priority)));
+    }
+    if let Some(id) = last_event {
+        headers.insert(LAST_EVENT_ID, id.clone());
+    }
+    *message.headers_mut() = headers;
+    message
+}
--- /dev/null
+++ b/crates/router/src/body.rs
@@ -0,0 +1,70 @@
+//! The body of an answer to a client.
+
+use crate::activity::AnswerGuard;
+use crate::stream::AnswerStream;
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// The answer ends here though it is not whole; the client's connection is to be broken off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the answer ended early")]
+pub struct AnswerCut;
+
+/// Body of an answer: whole, or passed on as it arrives.
+pub struct RouterBody {
+    content: Content,
+    _guard: Option<AnswerGuard>,
+}
+
+enum Content {
+    Whole(Bytes),
+    Stream(Box<AnswerStream>),
+}
+
+impl RouterBody {
+    /// A body that is there as a whole.
+    pub fn whole(bytes: Bytes) -> Self {
+        RouterBody { content: Content::Whole(bytes), _guard: None }
+    }
+
+    /// A body that arrives yet.
+    pub fn stream(stream: AnswerStream) -> Self {
+        RouterBody { content: Content::Stream(Box::new(stream)), _guard: None }
+    }
+
+    /// Keeps the client's connection marked as busy until the body is handed over.
+    pub fn guarded(self, guard: AnswerGuard) -> Self {
+        RouterBody { _guard: Some(guard), ..self }
+    }
+}
+
+impl Body for RouterBody {
+    type Data = Bytes;
+    type Error = AnswerCut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
+        match &mut self.content {
+            Content::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Content::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Content::Stream(stream) => {
+                stream.poll_data(cx).map(|next| next.map(|data| data.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(&self.content, Content::Whole(bytes) if bytes.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.content {
+            Content::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Content::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/carry.rs
@@ -0,0 +1,238 @@
+//! Carries out what the dispatcher decides for one request, up to the head of its answer.
+
+use crate::answers::OwnAnswer;
+use crate::attempt::{self, Destination, EndpointAnswer, EndpointBody, Outbound};
+use crate::body::RouterBody;
+use crate::events::EventSplitter;
+use crate::headers::remove_hop_by_hop;
+use crate::mailbox::Instruction;
+use crate::resume::is_event_stream;
+use crate::stream::{AnswerStream, Opened};
+use crate::ticket::Ticket;
+use bytes::{Bytes, BytesMut};
+use hyper::http::response::Parts;
+use hyper::{Response, StatusCode, Version};
+use lanegate_dispatch::interface::{AttemptEnd, Decision, FailReason, Progress};
+use std::cell::Cell;
+use std::future::{Future, poll_fn};
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+
+/// Largest answer that is read whole before any of it is passed on, bytes: until then a break can be mended
+/// by another attempt.
+const WHOLE_ANSWER_BYTES: u64 = 64 * 1024;
+/// When to come back after a request that was given up without being sent.
+const UNSENT_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// When to come back to a process that ends.
+const STOPPED_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Where a decision sends a request; `None` for decisions that end it.
+pub fn destination(decision: Decision) -> Option<Destination> {
+    match decision {
+        Decision::Send { attempt, instance, address, engine_priority, resume, .. } => {
+            Some(Destination { attempt, instance, address, engine_priority, resume })
+        }
+        Decision::Refuse { .. } | Decision::Fail { .. } => None,
+    }
+}
+
+/// Follows the dispatcher until there is an answer for the client.
+pub async fn carry(ticket: Rc<Ticket>, request: Rc<Outbound>) -> Response<RouterBody> {
+    let mut may_have_run = false;
+    let mut instruction = ticket.next().await;
+    loop {
+        let destination = match conclude(&ticket, &request, instruction, may_have_run) {
+            Ok(destination) => destination,
+            Err(answer) => return answer.into(),
+        };
+        let sent = Cell::new(false);
+        instruction = match attempt_once(&ticket, &request, &destination, &sent).await {
+            Step::Answer(answer) => return answer,
+            Step::Ended(end) => {
+                may_have_run |= !is_proof_of_rest(end);
+                ticket.ended(destination.attempt, end);
+                ticket.next().await
+            }
+            Step::Superseded(instruction) => {
+                may_have_run |= sent.get();
+                instruction
+            }
+        };
+    }
+}
+
+/// Whether the end proves that the request did not run there.
+fn is_proof_of_rest(end: AttemptEnd) -> bool {
+    matches!(end, AttemptEnd::NotExecuted { .. } | AttemptEnd::NotSent)
+}
+
+/// Where to send the request next, or the answer that ends it.
+fn conclude(
+    ticket: &Ticket,
+    request: &Outbound,
+    instruction: Instruction,
+    may_have_run: bool,
+) -> Result<Destination, OwnAnswer> {
+    let counters = &ticket.state().counters;
+    let refuse = |retry_after| match may_have_run {
+        false => {
+            counters.refusals.increment();
+            OwnAnswer::Refusal { retry_after }
+        }
+        true => {
+            counters.failures.increment();
+            OwnAnswer::Failure(StatusCode::BAD_GATEWAY)
+        }
+    };
+    match instruction {
+        Instruction::Stopped => Err(refuse(STOPPED_RETRY_AFTER)),
+        Instruction::Decided(Decision::Refuse { retry_after, .. }) => Err(refuse(retry_after)),
+        Instruction::Decided(Decision::Fail { .. }) if !may_have_run => Err(refuse(UNSENT_RETRY_AFTER)),
+        Instruction::Decided(Decision::Fail { reason, .. }) => {
+            counters.failures.increment();
+            Err(OwnAnswer::Failure(status_of(reason)))
+        }
+        Instruction::Decided(decision @ Decision::Send { .. }) => match destination(decision) {
+            Some(destination) if request.repeatable || !may_have_run => Ok(destination),
+            _ => {
+                log::error!("{:?} may have run and would have been sent again", request.attempt_id);
+                Err(refuse(UNSENT_RETRY_AFTER))
+            }
+        },
+    }
+}
+
+fn status_of(reason: FailReason) -> StatusCode {
+    match reason {
+        FailReason::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        FailReason::MayHaveRun | FailReason::Attempts => StatusCode::BAD_GATEWAY,
+    }
+}
+
+enum Step {
+    Answer(Response<RouterBody>),
+    Ended(AttemptEnd),
+    /// The dispatcher gave the attempt up.
+    Superseded(Instruction),
+}
+
+async fn attempt_once(
+    ticket: &Rc<Ticket>,
+    request: &Rc<Outbound>,
+    destination: &Destination,
+    sent: &Cell<bool>,
+) -> Step {
+    let mut opening = pin!(open(ticket, request, destination, sent));
+    let result = poll_fn(|cx| match opening.as_mut().poll(cx) {
+        Poll::Ready(result) => Poll::Ready(Ok(result)),
+        Poll::Pending => ticket.poll_next(cx).map(Err),
+    });
+    match result.await {
+        Ok(Ok(answer)) => Step::Answer(answer),
+        Ok(Err(end)) => Step::Ended(end),
+        Err(instruction) => Step::Superseded(instruction),
+    }
+}
+
+/// Sends the request and waits until there is something to pass on: the whole answer where it is small,
+/// otherwise its first bytes.
+async fn open(
+    ticket: &Rc<Ticket>,
+    request: &Rc<Outbound>,
+    destination: &Destination,
+    sent: &Cell<bool>,
+) -> Result<Response<RouterBody>, AttemptEnd> {
+    let answer = attempt::send(ticket.state(), request, destination, None, sent).await?;
+    ticket.progress(destination.attempt, Progress::Head { load: answer.load });
+    let is_stream = answer.head.status.is_success() && is_event_stream(&answer.head.headers);
+    let is_small = answer.body.exact_length().is_some_and(|length| length <= WHOLE_ANSWER_BYTES);
+    match is_stream || !is_small {
+        true => open_stream(ticket, request, destination, answer, is_stream).await,
+        false => open_whole(ticket, destination, answer).await,
+    }
+}
+
+async fn open_whole(
+    ticket: &Ticket,
+    destination: &Destination,
+    mut answer: EndpointAnswer,
+) -> Result<Response<RouterBody>, AttemptEnd> {
+    let body = read_whole(&mut answer.body).await.map_err(|_| AttemptEnd::Broken)?;
+    Ok(finished(ticket, destination, answer, body))
+}
+
+async fn read_whole(body: &mut EndpointBody) -> hyper::Result<Bytes> {
+    let Some(first) = body.next().await.transpose()? else {
+        return Ok(Bytes::new());
+    };
+    let mut gathered = BytesMut::new();
+    while let Some(more) = body.next().await.transpose()? {
+        if gathered.is_empty() {
+            gathered.extend_from_slice(&first);
+        }
+        gathered.extend_from_slice(&more);
+    }
+    Ok(if gathered.is_empty() { first } else { gathered.freeze() })
+}
+
+async fn open_stream(
+    ticket: &Rc<Ticket>,
+    request: &Rc<Outbound>,
+    destination: &Destination,
+    mut answer: EndpointAnswer,
+    events: bool,
+) -> Result<Response<RouterBody>, AttemptEnd> {
+    let mut splitter = (events && request.resumable).then(EventSplitter::default);
+    let mut reported = false;
+    let first = loop {
+        let Some(data) = answer.body.next().await.transpose().map_err(|_| AttemptEnd::Broken)? else {
+            let rest = splitter.as_mut().map(EventSplitter::finish).unwrap_or_default();
+            return Ok(finished(ticket, destination, answer, rest));
+        };
+        if !std::mem::replace(&mut reported, true) {
+            ticket.progress(destination.attempt, Progress::FirstByte);
+        }
+        let passed = match &mut splitter {
+            Some(splitter) => splitter.push(data),
+            None => data,
+        };
+        if !passed.is_empty() {
+            break passed;
+        }
+    };
+    let opened = Opened {
+        ticket: ticket.clone(),
+        request: request.clone(),
+        attempt: destination.attempt,
+        load: answer.load,
+        first,
+        splitter,
+        body: answer.body,
+    };
+    Ok(compose(answer.head, RouterBody::stream(AnswerStream::new(opened))))
+}
+
+/// The answer to the client after a whole answer of the endpoint.
+fn finished(
+    ticket: &Ticket,
+    destination: &Destination,
+    answer: EndpointAnswer,
+    body: Bytes,
+) -> Response<RouterBody> {
+    let success = answer.head.status.is_success();
+    let counters = &ticket.state().counters;
+    match success {
+        true => counters.successes.increment(),
+        false => counters.failures.increment(),
+    }
+    ticket.ended(destination.attempt, AttemptEnd::Answered { success, load: answer.load });
+    compose(answer.head, RouterBody::whole(body))
+}
+
+fn compose(mut head: Parts, body: RouterBody) -> Response<RouterBody> {
+    remove_hop_by_hop(&mut head.headers);
+    head.version = Version::HTTP_11;
+    Response::from_parts(head, body)
+}
--- /dev/null
+++ b/crates/router/src/connection.rs
@@ -0,0 +1,205 @@
+//! One connection to an endpoint. It is driven by whoever uses it, not by a task of its own, so that dropping
+//! it closes it at once and an idle one costs nothing.
+
+use crate::pool::Lease;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use std::cell::RefCell;
+use std::future::{Future, poll_fn};
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout};
+
+/// Longest time that a connection may take to come up: many round trips between regions, but less than the
+/// second after which a lost opening packet is sent again.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after which a peer that acknowledges nothing counts as gone; clients leave a stream after 2 s of
+/// silence.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Silence after which the kernel asks the peer for a sign of life, and the pause between two such probes;
+/// one second is the shortest that can be set.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// Why a request got no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum ExchangeError {
+    /// Nothing of the request was sent.
+    #[error("the connection was closed before the request was sent")]
+    NotSent,
+    /// The connection broke after some of the request was sent.
+    #[error("the connection broke: {0}")]
+    Broken(hyper::Error),
+    /// The bytes that came are no answer.
+    #[error("the bytes that came are no answer: {0}")]
+    Garbled(hyper::Error),
+}
+
+/// A connection to an endpoint, for one request at a time.
+pub struct EndpointConnection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: Pin<Box<Connection<TokioIo<EndpointStream>, Full<Bytes>>>>,
+    driver_ended: bool,
+    stream: Rc<RefCell<TcpStream>>,
+    lease: Lease,
+    /// When the connection may no longer be used again.
+    usable_until: Instant,
+}
+
+impl EndpointConnection {
+    /// Opens a connection; `lease` is its place among those of the endpoint.
+    pub async fn open(address: SocketAddr, lease: Lease) -> io::Result<Self> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+        configure(&stream)?;
+        let stream = Rc::new(RefCell::new(stream));
+        let io = TokioIo::new(EndpointStream(stream.clone()));
+        let (sender, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
+        let driver = Box::pin(connection);
+        Ok(EndpointConnection {
+            sender,
+            driver,
+            driver_ended: false,
+            stream,
+            lease,
+            usable_until: Instant::now(),
+        })
+    }
+
+    /// The place of the connection among those of its endpoint.
+    pub fn lease(&self) -> &Lease {
+        &self.lease
+    }
+
+    /// Notes how long the endpoint keeps the connection when it is idle.
+    pub fn usable_for(&mut self, idle: Duration) {
+        self.usable_until = Instant::now() + idle;
+    }
+
+    /// Whether the endpoint is told to keep the connection for longer than until `now`.
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        now < self.usable_until
+    }
+
+    /// Sends the request and waits for the head of the answer.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        let mut answer = pin!(self.sender.try_send_request(request));
+        let driver = &mut self.driver;
+        let driver_ended = &mut self.driver_ended;
+        let result = poll_fn(|cx| {
+            drive(driver, driver_ended, cx);
+            answer.as_mut().poll(cx)
+        });
+        result.await.map_err(|mut failed| match failed.take_message() {
+            Some(_) => ExchangeError::NotSent,
+            None => match failed.into_error() {
+                error if error.is_parse() => ExchangeError::Garbled(error),
+                error => ExchangeError::Broken(error),
+            },
+        })
+    }
+
+    /// The next bytes of the body.
+    pub fn poll_body(
+        &mut self,
+        body: &mut Incoming,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<hyper::Result<Bytes>>> {
+        loop {
+            drive(&mut self.driver, &mut self.driver_ended, cx);
+            match ready!(Pin::new(&mut *body).poll_frame(cx)) {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) if !data.is_empty() => return Poll::Ready(Some(Ok(data))),
+                    Ok(_) | Err(_) => continue,
+                },
+                Some(Err(error)) => return Poll::Ready(Some(Err(error))),
+                None => return Poll::Ready(None),
+            }
+        }
+    }
+
+    /// Whether a request may be sent: the last answer was whole, and since then nothing came that belongs to
+    /// no request and the endpoint did not close.
+    pub fn is_clean(&mut self) -> bool {
+        drive(&mut self.driver, &mut self.driver_ended, &mut Context::from_waker(Waker::noop()));
+        !self.driver_ended && self.sender.is_ready()
+    }
+
+    /// Asks the kernel whether the peer is silent; its news may not have reached the runtime yet.
+    pub fn is_silent(&self) -> bool {
+        let stream = self.stream.borrow();
+        let mut byte = [MaybeUninit::uninit()];
+        SockRef::from(&*stream).peek(&mut byte).is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+/// Lets the connection do what it can; its errors reach whoever waits for an answer.
+fn drive(
+    driver: &mut Pin<Box<Connection<TokioIo<EndpointStream>, Full<Bytes>>>>,
+    ended: &mut bool,
+    cx: &mut Context<'_>,
+) {
+    if !*ended {
+        *ended = driver.as_mut().poll(cx).is_ready();
+    }
+}
+
+fn configure(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE))
+}
+
+/// The stream of a connection, shared with what asks the kernel about it.
+#[derive(Debug)]
+struct EndpointStream(Rc<RefCell<TcpStream>>);
+
+impl AsyncRead for EndpointStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for EndpointStream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.borrow().is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/router/src/counters.rs
@@ -0,0 +1,65 @@
+//! Counts of what the router did, for its log.
+
+use std::cell::Cell;
+
+/// Counts since the start of the process.
+#[derive(Debug, Default)]
+pub struct Counters {
+    pub accepted: Count,
+    pub requests: Count,
+    pub successes: Count,
+    pub refusals: Count,
+    pub failures: Count,
+    pub unrouted: Count,
+    pub attempts: Count,
+    pub failed_attempts: Count,
+    pub resumed: Count,
+    pub cut: Count,
+    pub cancelled: Count,
+    pub connections_opened: Count,
+    pub bytes_passed: Count,
+}
+
+/// One count.
+#[derive(Debug, Default)]
+pub struct Count(Cell<u64>);
+
+impl Count {
+    /// Adds one.
+    pub fn increment(&self) {
+        self.add(1);
+    }
+
+    /// Adds `amount`.
+    pub fn add(&self, amount: u64) {
+        self.0.set(self.0.get().wrapping_add(amount));
+    }
+
+    /// The count.
+    pub fn get(&self) -> u64 {
+        self.0.get()
+    }
+}
+
+impl Counters {
+    /// Writes one line with all counts.
+    pub fn log(&self) {
+        log::info!(
+            "accepted={} requests={} successes={} refusals={} failures={} unrouted={} attempts={} \
+             failed_attempts={} resumed={} cut={} cancelled={} connections_opened={} bytes_passed={}",
+            self.accepted.get(),
+            self.requests.get(),
+            self.successes.get(),
+            self.refusals.get(),
+            self.failures.get(),
+            self.unrouted.get(),
+            self.attempts.get(),
+            self.failed_attempts.get(),
+            self.resumed.get(),
+            self.cut.get(),
+            self.cancelled.get(),
+            self.connections_opened.get(),
+            self.bytes_passed.get(),
+        );
+    }
+}
--- /dev/null
+++ b/crates/router/src/frontend.rs
@@ -0,0 +1,178 @@
+//! Takes clients' requests: reads them whole, finds their route and hands them to the dispatcher.
+
+use crate::activity::{Activity, AnswerGuard};
+use crate::answers::OwnAnswer;
+use crate::attempt::Outbound;
+use crate::body::RouterBody;
+use crate::carry::carry;
+use crate::headers::{ATTEMPT_ID, client_deadline, generation, remove_framing, remove_hop_by_hop};
+use crate::routing::{Resolved, host};
+use crate::state::RouterState;
+use crate::ticket::Ticket;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode, Uri};
+use lanegate_dispatch::interface;
+use lanegate_model::configuration::{Limits, RouteType};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time before a deadline at which a request is given up, so that the client has the answer by then: several
+/// ways between machines of a region.
+const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+/// Largest part of a request's time that the margin may take.
+const ANSWER_MARGIN_SHARE: u32 = 10;
+/// When to come back to a router that has no configuration yet.
+const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// Answers one request of a client.
+pub async fn handle(
+    state: Rc<RouterState>,
+    activity: Rc<Activity>,
+    request: Request<Incoming>,
+) -> Result<Response<RouterBody>, Infallible> {
+    let began = state.time_of(activity.head_complete(Instant::now()));
+    state.counters.requests.increment();
+    let answer = answer(&state, &activity, request, began).await;
+    let mut answer = answer.map(|body| body.guarded(AnswerGuard::new(activity)));
+    if state.is_draining() {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(answer)
+}
+
+async fn answer(
+    state: &Rc<RouterState>,
+    activity: &Rc<Activity>,
+    request: Request<Incoming>,
+    began: Duration,
+) -> Response<RouterBody> {
+    let limits = state.routing().map(|routing| routing.limits().clone()).unwrap_or_default();
+    let (head, incoming) = request.into_parts();
+    let body = match read_body(incoming, &limits).await {
+        Ok(body) => body,
+        Err(status) => return OwnAnswer::Closing(status).into(),
+    };
+    let _guard = AnswerGuard::new(activity.clone());
+    let (request, outbound) = match prepare(state, head, body, began) {
+        Ok(prepared) => prepared,
+        Err(answer) => return answer.into(),
+    };
+    let ticket = Ticket::open(state.clone(), request);
+    carry(Rc::new(ticket), Rc::new(outbound)).await
+}
+
+/// Reads the whole body; the error is the status to answer with.
+async fn read_body(mut incoming: Incoming, limits: &Limits) -> Result<Bytes, StatusCode> {
+    let bound = limits.max_body_bytes;
+    if incoming.size_hint().lower() > bound as u64 {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    let mut first = Bytes::new();
+    let mut gathered = BytesMut::new();
+    while let Some(frame) = incoming.frame().await {
+        let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() else {
+            continue;
+        };
+        if first.len().max(gathered.len()) + data.len() > bound {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        if first.is_empty() {
+            first = data;
+            continue;
+        }
+        if gathered.is_empty() {
+            gathered.extend_from_slice(&first);
+        }
+        gathered.extend_from_slice(&data);
+    }
+    Ok(if gathered.is_empty() { first } else { gathered.freeze() })
+}
+
+/// Finds the route of a request that was read whole.
+fn prepare(
+    state: &RouterState,
+    head: Parts,
+    body: Bytes,
+    began: Duration,
+) -> Result<(interface::Request, Outbound), OwnAnswer> {
+    let Some(routing) = state.routing() else {
+        state.counters.refusals.increment();
+        return Err(OwnAnswer::Refusal { retry_after: UNCONFIGURED_RETRY_AFTER });
+    };
+    let Some(host) = host(&head.uri, &head.headers) else {
+        return Err(OwnAnswer::Failure(StatusCode::BAD_REQUEST));
+    };
+    let Some(resolved) = routing.resolve(host, head.uri.path(), state.chance()) else {
+        state.counters.unrouted.increment();
+        return Err(OwnAnswer::Failure(StatusCode::NOT_FOUND));
+    };
+    let request = describe(state, resolved, &head, body.len() as u64, began);
+    let outbound = outbound(resolved, head, body, request.deadline);
+    Ok((request, outbound))
+}
+
+/// What the dispatcher is told of the request.
+fn describe(
+    state: &RouterState,
+    resolved: Resolved<'_>,
+    head: &Parts,
+    body_bytes: u64,
+    began: Duration,
+) -> interface::Request {
+    let route = resolved.route;
+    let allowed = milliseconds(route.timeout_ms);
+    let time = client_deadline(&head.headers).map_or(allowed, |told| told.min(allowed));
+    let margin = ANSWER_MARGIN.min(time / ANSWER_MARGIN_SHARE);
+    interface::Request {
+        id: state.new_request_id(),
+        backend: resolved.backend.into(),
+        route: route.name.as_str().into(),
+        route_type: route.route_type,
+        resumable: route.resumable,
+        max_attempts: route.max_attempts,
+        priority: route.priority,
+        arrived: began,
+        target: began + milliseconds(route.target_ms),
+        deadline: began + time - margin,
+        body_bytes,
+        generation: resolved.engine.then(|| generation(&head.headers)).flatten(),
+    }
+}
+
+fn outbound(resolved: Resolved<'_>, head: Parts, body: Bytes, deadline: Duration) -> Outbound {
+    let route = resolved.route;
+    let resumable = route.route_type == RouteType::Streaming && route.resumable;
+    let mut headers = head.headers;
+    remove_hop_by_hop(&mut headers);
+    remove_framing(&mut headers);
+    Outbound {
+        method: head.method,
+        target: origin_form(head.uri),
+        attempt_id: headers.get(&ATTEMPT_ID).cloned(),
+        headers,
+        body,
+        deadline,
+        engine: resolved.engine,
+        repeatable: resumable || route.route_type == RouteType::Idempotent,
+        resumable,
+    }
+}
+
+/// Path and query alone, as endpoints take them.
+fn origin_form(target: Uri) -> Uri {
+    match target.into_parts().path_and_query {
+        Some(path) => Uri::from(path),
+        None => Uri::default(),
+    }
+}
+
+/// A time of the configuration; what is no time counts as none.
+fn milliseconds(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value / 1_000.0).unwrap_or_default()
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,31 @@
 //! The data plane: accepts clients, picks an endpoint for each request and streams the answer back.
+//!
+//! Everything here is I/O on one thread. Which request goes where and when is decided by the dispatcher of
+//! `lanegate-dispatch`; this crate carries its decisions out and reports what became of them.
+
+pub mod activity;
+pub mod answers;
+pub mod attempt;
+pub mod body;
+pub mod carry;
+pub mod connection;
+pub mod counters;
+pub mod events;
+pub mod frontend;
+pub mod headers;
+pub mod listener;
+pub mod mailbox;
+pub mod maintenance;
+pub mod pool;
+pub mod readiness;
+pub mod resume;
+pub mod routing;
+pub mod run;
+pub mod shutdown;
+pub mod signals;
+pub mod state;
+pub mod stream;
+pub mod ticket;
+pub mod verify;
+
+pub use run::{RouterError, run, run_on};
--- /dev/null
+++ b/crates/router/src/maintenance.rs
@@ -0,0 +1,69 @@
+//! What has to be done from time to time, all on one tick: ends clients that stall, closes connections that
+//! are not used, reports demand and writes the counts to the log.
+
+use crate::activity::{Activity, Order, Phase};
+use crate::listener::Clients;
+use crate::state::RouterState;
+use lanegate_model::configuration::Limits;
+use lanegate_model::demand::DemandReport;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
+
+/// Pause between two ticks: limits are met within a second, for one wake-up a second.
+const TICK: Duration = Duration::from_secs(1);
+/// Ticks between two lines of counts in the log.
+const TICKS_PER_LOG: u32 = 60;
+
+/// Ticks for as long as it is polled.
+pub async fn maintain(state: Rc<RouterState>, clients: Rc<Clients>, demand: UnboundedSender<DemandReport>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut until_log = TICKS_PER_LOG;
+    loop {
+        let now = ticks.tick().await;
+        let limits = state.routing().map(|routing| routing.limits().clone()).unwrap_or_default();
+        clients.each(|activity| sweep(activity, &limits, now));
+        state.pool.close_stale(now);
+        report(&state, &demand);
+        until_log -= 1;
+        if until_log == 0 {
+            until_log = TICKS_PER_LOG;
+            state.counters.log();
+        }
+    }
+}
+
+fn report(state: &RouterState, demand: &UnboundedSender<DemandReport>) {
+    let report = state.decide(|dispatcher, now| dispatcher.demand_report(now));
+    if demand.send(report).is_err() {
+        log::trace!("nobody listens for demand");
+    }
+}
+
+/// Ends a connection that has been idle, or has stalled within a request, for longer than allowed.
+fn sweep(activity: &Activity, limits: &Limits, now: Instant) {
+    let spent = now.saturating_duration_since(activity.since());
+    let over = |milliseconds: f64| spent.as_secs_f64() * 1_000.0 > milliseconds;
+    match activity.phase() {
+        Phase::Idle if over(limits.idle_timeout_ms) => activity.ask(Order::Finish),
+        Phase::Head if over(limits.header_timeout_ms) => activity.ask(Order::Abort),
+        Phase::Body if over(limits.idle_timeout_ms) => activity.ask(Order::Abort),
+        Phase::Idle | Phase::Head | Phase::Body | Phase::Answering => {}
+    }
+}
+
+/// Calls the dispatcher when it has asked for that, for as long as it is polled.
+pub async fn keep_time(state: Rc<RouterState>) {
+    loop {
+        let Some(wake) = state.armed() else {
+            state.rearm.notified().await;
+            continue;
+        };
+        tokio::select! {
+            () = sleep_until(state.instant_of(wake)) => state.wake_dispatcher(),
+            () = state.rearm.notified() => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/pool.rs
@@ -0,0 +1,186 @@
+//! Connections to endpoints: idle ones are used again, and each endpoint has a bound for this router.
+
+use crate::connection::EndpointConnection;
+use lanegate_model::configuration::Configuration;
+use lanegate_model::feed::FeedEvent;
+use lanegate_model::instance::{Instance, InstanceState};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time for which an idle connection is used again where the endpoint tells none: it tells whole seconds, so
+/// it closes in under a second.
+const UNTOLD_IDLE: Duration = Duration::from_millis(400);
+/// Part of the told time for which an idle connection is used again; the rest is for the way of the request.
+const IDLE_SHARE: f64 = 0.8;
+/// Idle time from which the kernel is asked for news of a connection before it is used again.
+const UNCHECKED_IDLE: Duration = Duration::from_millis(5);
+/// Part of an endpoint's connections that routers take; the rest is for health checks and orders.
+const ROUTERS_SHARE: f64 = 0.9;
+/// Connections that one router may open to an endpoint whose service names no bound.
+const UNTOLD_CONNECTIONS: u32 = 256;
+
+/// Whether a request may be sent to an endpoint now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    Serving,
+    /// Leaving, gone, or never heard of.
+    Closed,
+}
+
+/// Connections to all endpoints.
+#[derive(Default)]
+pub struct Pool {
+    endpoints: RefCell<HashMap<Box<str>, Endpoint>>,
+    configuration: RefCell<Option<Arc<Configuration>>>,
+    routers: Cell<u32>,
+}
+
+/// Connections to one endpoint.
+struct Endpoint {
+    backend: String,
+    address: SocketAddr,
+    serving: bool,
+    open: Rc<Cell<u32>>,
+    /// The one used last comes last.
+    idle: Vec<IdleConnection>,
+}
+
+struct IdleConnection {
+    connection: EndpointConnection,
+    since: Instant,
+}
+
+/// One place among the connections of an endpoint, given back when dropped.
+#[derive(Debug)]
+pub struct Lease {
+    instance: Arc<str>,
+    address: SocketAddr,
+    open: Rc<Cell<u32>>,
+}
+
+impl Lease {
+    fn new(instance: Arc<str>, address: SocketAddr, open: Rc<Cell<u32>>) -> Self {
+        open.set(open.get() + 1);
+        Lease { instance, address, open }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.open.set(self.open.get().saturating_sub(1));
+    }
+}
+
+impl Pool {
+    /// Takes news of the control plane in.
+    pub fn apply(&self, event: &FeedEvent) {
+        match event {
+            FeedEvent::Configuration(configuration) => {
+                *self.configuration.borrow_mut() = Some(configuration.clone());
+            }
+            FeedEvent::Instance(instance) => self.register(instance),
+            FeedEvent::Removed { id } => {
+                self.endpoints.borrow_mut().remove(id.as_str());
+            }
+            FeedEvent::Routers { live } => self.routers.set(*live),
+            FeedEvent::Synchronized => {}
+        }
+    }
+
+    fn register(&self, instance: &Instance) {
+        let mut endpoints = self.endpoints.borrow_mut();
+        let endpoint = endpoints.entry(instance.id.as_str().into()).or_insert_with(|| Endpoint {
+            backend: instance.backend.clone(),
+            address: instance.address,
+            serving: true,
+            open: Rc::default(),
+            idle: Vec::new(),
+        });
+        endpoint.serving = instance.state == InstanceState::Ready;
+        if endpoint.address != instance.address {
+            endpoint.address = instance.address;
+            endpoint.idle.clear();
+        }
+        if !endpoint.serving {
+            endpoint.idle.clear();
+        }
+    }
+
+    /// Whether a request may be sent to the endpoint now.
+    pub fn standing(&self, instance: &str) -> Standing {
+        match self.endpoints.borrow().get(instance) {
+            Some(endpoint) if endpoint.serving => Standing::Serving,
+            _ => Standing::Closed,
+        }
+    }
+
+    /// An idle connection that can be used again.
+    pub fn take_idle(&self, instance: &str, address: SocketAddr) -> Option<EndpointConnection> {
+        let now = Instant::now();
+        let mut endpoints = self.endpoints.borrow_mut();
+        let endpoint = endpoints.get_mut(instance).filter(|endpoint| endpoint.address == address)?;
+        while let Some(mut candidate) = endpoint.idle.pop() {
+            let rested = now.saturating_duration_since(candidate.since);
+            let usable = candidate.connection.is_fresh(now)
+                && candidate.connection.is_clean()
+                && (rested < UNCHECKED_IDLE || candidate.connection.is_silent());
+            if usable {
+                return Some(candidate.connection);
+            }
+        }
+        None
+    }
+
+    /// A place for a new connection, if this router has one left at the endpoint.
+    pub fn lease(&self, instance: &Arc<str>, address: SocketAddr) -> Option<Lease> {
+        let endpoints = self.endpoints.borrow();
+        let endpoint = endpoints.get(&**instance)?;
+        let free = endpoint.open.get() < self.bound(&endpoint.backend);
+        free.then(|| Lease::new(instance.clone(), address, endpoint.open.clone()))
+    }
+
+    /// Connections that this router may have to one endpoint of the service.
+    fn bound(&self, backend: &str) -> u32 {
+        let configuration = self.configuration.borrow();
+        let services = configuration.iter().flat_map(|configuration| &configuration.backends);
+        let mut bounds =
+            services.filter(|service| service.name == backend).filter_map(|service| service.max_conns);
+        match bounds.next() {
+            Some(bound) => share(bound, self.routers.get()),
+            None => UNTOLD_CONNECTIONS,
+        }
+    }
+
+    /// Takes a connection back after a whole answer.
+    pub fn give_back(&self, mut connection: EndpointConnection, told_idle: Option<Duration>) {
+        if !connection.is_clean() {
+            return;
+        }
+        let mut endpoints = self.endpoints.borrow_mut();
+        let Some(endpoint) = endpoints.get_mut(&*connection.lease().instance) else {
+            return;
+        };
+        if endpoint.serving && endpoint.address == connection.lease().address {
+            connection.usable_for(told_idle.map_or(UNTOLD_IDLE, |told| told.mul_f64(IDLE_SHARE)));
+            endpoint.idle.push(IdleConnection { connection, since: Instant::now() });
+        }
+    }
+
+    /// Closes connections that will not be used again.
+    pub fn close_stale(&self, now: Instant) {
+        for endpoint in self.endpoints.borrow_mut().values_mut() {
+            endpoint.idle.retain(|idle| idle.connection.is_fresh(now));
+        }
+    }
+}
+
+/// This router's share of the connections that an endpoint takes.
+pub fn share(bound: u32, routers: u32) -> u32 {
+    let shared = f64::from(bound) * ROUTERS_SHARE / f64::from(routers.max(1));
+    (shared as u32).max(1)
+}
--- /dev/null
+++ b/crates/router/src/readiness.rs
@@ -0,0 +1,60 @@
+//! Tells the platform whether new clients are welcome.
+
+use crate::state::RouterState;
+use bytes::Bytes;
+use http_body_util::Empty;
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+/// Path that the platform asks for.
+const READY_PATH: &str = "/readyz";
+/// Longest time that a connection is kept: the platform asks each second.
+const LONGEST_CONNECTION: Duration = Duration::from_secs(60);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Answers for as long as it is polled.
+pub async fn accept(listener: TcpListener, state: Rc<RouterState>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(stream, state.clone()));
+            }
+            Err(error) => {
+                log::warn!("a question for readiness was not accepted: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, state: Rc<RouterState>) {
+    let service = service_fn(|request| {
+        let answer = answer(&state, &request);
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let mut builder = Builder::new();
+    let connection = builder.auto_date_header(false).serve_connection(TokioIo::new(stream), service);
+    if let Ok(Err(error)) = timeout(LONGEST_CONNECTION, connection).await {
+        log::debug!("a question for readiness ended: {error}");
+    }
+}
+
+fn answer(state: &RouterState, request: &Request<Incoming>) -> Response<Empty<Bytes>> {
+    let status = match (request.method(), request.uri().path()) {
+        (&Method::GET | &Method::HEAD, READY_PATH) if state.is_ready() => StatusCode::OK,
+        (&Method::GET | &Method::HEAD, READY_PATH) => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::NOT_FOUND,
+    };
+    let mut answer = Response::new(Empty::new());
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/router/src/resume.rs
@@ -0,0 +1,80 @@
+//! Takes a stream that broke off up at another endpoint, inside the same answer.
+
+use crate::attempt::{self, Destination, EndpointAnswer, EndpointBody, Outbound};
+use crate::carry::destination;
+use crate::mailbox::Instruction;
+use crate::ticket::Ticket;
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use lanegate_dispatch::interface::{AttemptEnd, InstanceLoad, Progress};
+use std::cell::Cell;
+use std::future::{Future, poll_fn};
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::Poll;
+
+/// A run that goes on after the last event that was passed on.
+pub struct Resumed {
+    pub attempt: u32,
+    pub load: Option<InstanceLoad>,
+    pub body: EndpointBody,
+}
+
+/// Follows the dispatcher until another run has begun; `None` when the request is given up.
+pub async fn resume(ticket: Rc<Ticket>, request: Rc<Outbound>, last_event: HeaderValue) -> Option<Resumed> {
+    let mut instruction = ticket.next().await;
+    loop {
+        let destination = match instruction {
+            Instruction::Decided(decision) => destination(decision)?,
+            Instruction::Stopped => return None,
+        };
+        instruction = match send(&ticket, &request, &destination, &last_event).await {
+            Sent::Resumed(resumed) => return Some(resumed),
+            Sent::Ended(end) => {
+                ticket.ended(destination.attempt, end);
+                ticket.next().await
+            }
+            Sent::Superseded(instruction) => instruction,
+        };
+    }
+}
+
+enum Sent {
+    Resumed(Resumed),
+    Ended(AttemptEnd),
+    Superseded(Instruction),
+}
+
+async fn send(
+    ticket: &Ticket,
+    request: &Outbound,
+    destination: &Destination,
+    last_event: &HeaderValue,
+) -> Sent {
+    let sent = Cell::new(false);
+    let last_event = Some(last_event.clone());
+    let mut attempt = pin!(attempt::send(ticket.state(), request, destination, last_event, &sent));
+    let result = poll_fn(|cx| match attempt.as_mut().poll(cx) {
+        Poll::Ready(result) => Poll::Ready(Ok(result)),
+        Poll::Pending => ticket.poll_next(cx).map(Err),
+    });
+    match result.await {
+        Ok(Ok(answer)) => take_up(ticket, destination, answer),
+        Ok(Err(end)) => Sent::Ended(end),
+        Err(instruction) => Sent::Superseded(instruction),
+    }
+}
+
+fn take_up(ticket: &Ticket, destination: &Destination, answer: EndpointAnswer) -> Sent {
+    if !answer.head.status.is_success() || !is_event_stream(&answer.head.headers) {
+        return Sent::Ended(AttemptEnd::Broken);
+    }
+    ticket.progress(destination.attempt, Progress::Head { load: answer.load });
+    Sent::Resumed(Resumed { attempt: destination.attempt, load: answer.load, body: answer.body })
+}
+
+/// Whether the answer is a series of events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let kind = kind.split(';').next().unwrap_or_default();
+    kind.trim().eq_ignore_ascii_case("text/event-stream")
+}
--- /dev/null
+++ b/crates/router/src/routing.rs
@@ -0,0 +1,79 @@
+//! Where a request goes: the route of its host and path, and the service picked among those of the route.
+
+use hyper::header::{HOST, HeaderMap};
+use hyper::{Uri, http::uri::Authority};
+use lanegate_model::configuration::{Configuration, Limits, Route};
+use lanegate_model::routes::RouteTable;
+use std::sync::Arc;
+
+/// The configuration in force, ready for look-ups.
+#[derive(Debug)]
+pub struct Routing {
+    table: RouteTable,
+}
+
+/// The route of a request and the service that it goes to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Resolved<'a> {
+    pub route: &'a Route,
+    pub backend: &'a str,
+    /// Whether the endpoints of the service are engines.
+    pub engine: bool,
+}
+
+impl Routing {
+    /// Prepares a configuration.
+    pub fn new(configuration: Arc<Configuration>) -> Self {
+        Routing { table: RouteTable::new(configuration) }
+    }
+
+    /// What clients may send and how long they may take.
+    pub fn limits(&self) -> &Limits {
+        &self.table.configuration().limits
+    }
+
+    /// Finds the route; `chance`, from 0 up to 1, picks among the services of a route that splits its
+    /// traffic.
+    pub fn resolve(&self, host: &str, path: &str, chance: f64) -> Option<Resolved<'_>> {
+        let route = self.table.lookup(host, path)?;
+        let backend = pick(route, chance)?;
+        let engine = self.table.backend(backend).is_some_and(|service| service.runtime.is_some());
+        Some(Resolved { route, backend, engine })
+    }
+}
+
+fn pick(route: &Route, chance: f64) -> Option<&str> {
+    if route.traffic_split.is_empty() {
+        return route.backend.as_deref();
+    }
+    let weighted = || route.traffic_split.iter().filter(|part| part.weight > 0.0);
+    let total: f64 = weighted().map(|part| part.weight).sum();
+    let mut left = chance * total;
+    for part in weighted() {
+        if left < part.weight {
+            return Some(&part.backend);
+        }
+        left -= part.weight;
+    }
+    weighted().next_back().map(|part| part.backend.as_str())
+}
+
+/// The host that a request names, without its port; `None` where it names none, or several.
+pub fn host<'a>(target: &'a Uri, headers: &'a HeaderMap) -> Option<&'a str> {
+    if let Some(authority) = target.authority() {
+        return Some(Authority::host(authority));
+    }
+    let mut hosts = headers.get_all(HOST).iter();
+    let host = hosts.next()?.to_str().ok()?.trim();
+    match hosts.next() {
+        None => Some(without_port(host)),
+        Some(_) => None,
+    }
+}
+
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
--- /dev/null
+++ b/crates/router/src/run.rs
@@ -0,0 +1,108 @@
+//! Puts the router together and runs it until the process is asked to end.
+
+use crate::listener::{self, Clients};
+use crate::maintenance;
+use crate::readiness;
+use crate::shutdown;
+use crate::signals::Signals;
+use crate::state::RouterState;
+use lanegate_dispatch::DispatchSettings;
+use lanegate_model::demand::DemandReport;
+use lanegate_model::feed::FeedEvent;
+use lanegate_model::settings::Settings;
+use rand::rngs::SmallRng;
+use rand::{RngCore, SeedableRng};
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::task::{LocalSet, spawn_local};
+
+/// Part of the process's descriptors that clients may hold; the rest is for endpoints and files.
+const CLIENTS_SHARE: f64 = 0.6;
+/// Clients at most where the settings name no bound of descriptors.
+const UNTOLD_CLIENTS: usize = 2_000;
+
+/// Why a router could not run.
+#[derive(Debug, thiserror::Error)]
+pub enum RouterError {
+    /// The settings name no address for clients.
+    #[error("the settings name no Frontend address")]
+    NoFrontend,
+    /// An address cannot be listened on.
+    #[error("{address} cannot be listened on: {source}")]
+    Bind { address: SocketAddr, source: io::Error },
+    /// Signals cannot be listened for.
+    #[error("signals cannot be listened for: {0}")]
+    Signals(io::Error),
+}
+
+/// The sockets that a router serves.
+#[derive(Debug)]
+pub struct Sockets {
+    pub frontend: TcpListener,
+    pub readiness: Option<TcpListener>,
+}
+
+/// Runs a router until SIGTERM, and finishes what runs then.
+pub async fn run(
+    settings: Settings,
+    feed: UnboundedReceiver<FeedEvent>,
+    demand: UnboundedSender<DemandReport>,
+) -> Result<(), RouterError> {
+    let mut signals = Signals::listen().map_err(RouterError::Signals)?;
+    let sockets = Sockets {
+        frontend: bind(settings.listeners_map.frontend.ok_or(RouterError::NoFrontend)?)?,
+        readiness: settings.listeners_map.readiness.map(bind).transpose()?,
+    };
+    run_on(sockets, settings, feed, demand, signals.terminated()).await;
+    Ok(())
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, RouterError> {
+    listener::bind(address).map_err(|source| RouterError::Bind { address, source })
+}
+
+/// Runs a router on sockets that are there already until `stop`, and finishes what runs then.
+pub async fn run_on(
+    sockets: Sockets,
+    settings: Settings,
+    feed: UnboundedReceiver<FeedEvent>,
+    demand: UnboundedSender<DemandReport>,
+    stop: impl Future<Output = ()>,
+) {
+    let seed = SmallRng::from_os_rng().next_u64();
+    let state = RouterState::new(DispatchSettings::from(&settings), seed);
+    let clients = Clients::new(most_clients(&settings));
+    let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or_default();
+    let work = async {
+        spawn_local(follow(feed, state.clone()));
+        spawn_local(maintenance::keep_time(state.clone()));
+        spawn_local(maintenance::maintain(state.clone(), clients.clone(), demand));
+        if let Some(socket) = sockets.readiness {
+            spawn_local(readiness::accept(socket, state.clone()));
+        }
+        let accepting = spawn_local(listener::accept(sockets.frontend, state.clone(), clients.clone()));
+        stop.await;
+        shutdown::drain(&state, &clients, accepting, grace).await;
+    };
+    LocalSet::new().run_until(work).await;
+}
+
+fn most_clients(settings: &Settings) -> usize {
+    match settings.limits.max_fds {
+        0 => UNTOLD_CLIENTS,
+        descriptors => (f64::from(descriptors) * CLIENTS_SHARE) as usize,
+    }
+}
+
+/// Takes the news of the control plane in; when it ends, what is known stays in force.
+async fn follow(mut feed: UnboundedReceiver<FeedEvent>, state: Rc<RouterState>) {
+    while let Some(event) = feed.recv().await {
+        state.apply(event);
+    }
+    log::warn!("the feed has ended");
+}
--- /dev/null
+++ b/crates/router/src/state.rs
@@ -0,0 +1,192 @@
+//! What all tasks of the router share: the dispatcher, the configuration in force and the connections.
+
+use crate::counters::Counters;
+use crate::mailbox::Mailbox;
+use crate::pool::Pool;
+use crate::routing::Routing;
+use lanegate_dispatch::interface::{Decision, RequestId};
+use lanegate_dispatch::{DispatchSettings, Dispatcher};
+use lanegate_model::feed::FeedEvent;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Whether the process takes requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Service {
+    /// All is as usual.
+    Running,
+    /// The process was asked to end and finishes what runs.
+    Draining,
+}
+
+/// State of one router; all of it is used by one thread.
+pub struct RouterState {
+    epoch: Instant,
+    dispatcher: RefCell<Dispatcher>,
+    mailboxes: RefCell<HashMap<RequestId, Rc<Mailbox>>>,
+    next_request: Cell<u64>,
+    random: RefCell<SmallRng>,
+    routing: RefCell<Option<Rc<Routing>>>,
+    synchronized: Cell<bool>,
+    service: Cell<Service>,
+    /// When the timer task will call the dispatcher; never later than the dispatcher asks.
+    armed: Cell<Option<Duration>>,
+    /// Wakes the timer task when it has to be earlier.
+    pub rearm: Notify,
+    pub pool: Pool,
+    pub counters: Counters,
+}
+
+impl RouterState {
+    /// A router that knows nothing yet.
+    pub fn new(settings: DispatchSettings, seed: u64) -> Rc<Self> {
+        Rc::new(RouterState {
+            epoch: Instant::now(),
+            dispatcher: RefCell::new(Dispatcher::new(settings, seed)),
+            mailboxes: RefCell::default(),
+            next_request: Cell::new(0),
+            random: RefCell::new(SmallRng::seed_from_u64(seed)),
+            routing: RefCell::new(None),
+            synchronized: Cell::new(false),
+            service: Cell::new(Service::Running),
+            armed: Cell::new(None),
+            rearm: Notify::new(),
+            pool: Pool::default(),
+            counters: Counters::default(),
+        })
+    }
+
+    /// The time of `instant` on the process's steady clock.
+    pub fn time_of(&self, instant: Instant) -> Duration {
+        instant.saturating_duration_since(self.epoch)
+    }
+
+    /// The present time on the process's steady clock.
+    pub fn now(&self) -> Duration {
+        self.time_of(Instant::now())
+    }
+
+    /// The instant of a time on the process's steady clock.
+    pub fn instant_of(&self, time: Duration) -> Instant {
+        self.epoch + time
+    }
+
+    /// A number from 0 up to 1, drawn by chance.
+    pub fn chance(&self) -> f64 {
+        self.random.borrow_mut().random()
+    }
+
+    /// A number for a new request.
+    pub fn new_request_id(&self) -> RequestId {
+        let id = self.next_request.get();
+        self.next_request.set(id + 1);
+        RequestId(id)
+    }
+
+    /// Takes one piece of news in.
+    pub fn apply(&self, event: FeedEvent) {
+        self.pool.apply(&event);
+        match &event {
+            FeedEvent::Configuration(configuration) => {
+                log::info!("configuration version {} in force", configuration.version);
+                *self.routing.borrow_mut() = Some(Rc::new(Routing::new(configuration.clone())));
+            }
+            FeedEvent::Synchronized => self.synchronized.set(true),
+            FeedEvent::Instance(_) | FeedEvent::Removed { .. } | FeedEvent::Routers { .. } => {}
+        }
+        self.decide(|dispatcher, now| dispatcher.apply(now, &event));
+    }
+
+    /// The configuration in force, if there is one yet.
+    pub fn routing(&self) -> Option<Rc<Routing>> {
+        self.routing.borrow().clone()
+    }
+
+    /// Whether new clients are welcome.
+    pub fn is_ready(&self) -> bool {
+        self.synchronized.get() && self.routing.borrow().is_some() && !self.is_draining()
+    }
+
+    /// Whether the process was asked to end.
+    pub fn is_draining(&self) -> bool {
+        self.service.get() == Service::Draining
+    }
+
+    /// Notes that the process was asked to end.
+    pub fn drain(&self) {
+        self.service.set(Service::Draining);
+    }
+
+    /// Requests that have no end yet.
+    pub fn open_requests(&self) -> usize {
+        self.mailboxes.borrow().len()
+    }
+
+    /// Tells all open requests that the process ends.
+    pub fn stop_requests(&self) {
+        let open: Vec<Rc<Mailbox>> = self.mailboxes.borrow().values().cloned().collect();
+        open.iter().for_each(|mailbox| mailbox.stop());
+    }
+
+    /// Decisions for the request go to this mailbox from now on.
+    pub fn register(&self, id: RequestId, mailbox: Rc<Mailbox>) {
+        self.mailboxes.borrow_mut().insert(id, mailbox);
+    }
+
+    /// Decisions for the request are no longer asked for.
+    pub fn unregister(&self, id: RequestId) {
+        self.mailboxes.borrow_mut().remove(&id);
+    }
+
+    /// Calls the dispatcher and hands out what it decides.
+    pub fn decide<T>(&self, act: impl FnOnce(&mut Dispatcher, Duration) -> T) -> T {
+        let now = self.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        let result = act(&mut dispatcher, now);
+        let decisions = dispatcher.take_decisions();
+        let wake = dispatcher.next_wake();
+        drop(dispatcher);
+        decisions.into_iter().for_each(|decision| self.deliver(decision));
+        self.arm(wake);
+        result
+    }
+
+    fn deliver(&self, decision: Decision) {
+        let id = match &decision {
+            Decision::Send { request, .. }
+            | Decision::Refuse { request, .. }
+            | Decision::Fail { request, .. } => *request,
+        };
+        if let Some(mailbox) = self.mailboxes.borrow().get(&id) {
+            mailbox.push(decision);
+        }
+    }
+
+    /// Wakes the timer task if it would be too late.
+    fn arm(&self, wake: Option<Duration>) {
+        let Some(wake) = wake else {
+            return;
+        };
+        if self.armed.get().is_none_or(|armed| wake < armed) {
+            self.armed.set(Some(wake));
+            self.rearm.notify_one();
+        }
+    }
+
+    /// When the timer task is to call the dispatcher.
+    pub fn armed(&self) -> Option<Duration> {
+        self.armed.get()
+    }
+
+    /// Calls the dispatcher because its time has come.
+    pub fn wake_dispatcher(&self) {
+        self.armed.set(None);
+        self.decide(|dispatcher, now| dispatcher.wake(now));
+    }
+}
--- /dev/null
+++ b/crates/router/src/stream.rs
@@ -0,0 +1,139 @@
+//! An answer that is passed on to the client as it arrives.
+
+use crate::attempt::{EndpointBody, Outbound};
+use crate::body::AnswerCut;
+use crate::events::EventSplitter;
+use crate::mailbox::Instruction;
+use crate::resume::{self, Resumed};
+use crate::ticket::Ticket;
+use bytes::Bytes;
+use hyper::header::HeaderValue;
+use lanegate_dispatch::interface::{AttemptEnd, InstanceLoad};
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+/// Passes the bytes of an endpoint on; takes the answer up at another endpoint where the route allows that.
+pub struct AnswerStream {
+    ticket: Rc<Ticket>,
+    request: Rc<Outbound>,
+    attempt: u32,
+    load: Option<InstanceLoad>,
+    /// Bytes that arrived before the head was passed on.
+    first: Option<Bytes>,
+    /// Present on streams that may be taken up elsewhere.
+    splitter: Option<EventSplitter>,
+    source: Source,
+}
+
+enum Source {
+    Endpoint(EndpointBody),
+    Resuming(Pin<Box<dyn Future<Output = Option<Resumed>>>>),
+    Ended,
+}
+
+/// An answer of which the first bytes are there.
+pub struct Opened {
+    pub ticket: Rc<Ticket>,
+    pub request: Rc<Outbound>,
+    pub attempt: u32,
+    pub load: Option<InstanceLoad>,
+    pub first: Bytes,
+    pub splitter: Option<EventSplitter>,
+    pub body: EndpointBody,
+}
+
+impl AnswerStream {
+    /// Passes on `opened.first` and what follows.
+    pub fn new(opened: Opened) -> Self {
+        AnswerStream {
+            ticket: opened.ticket,
+            request: opened.request,
+            attempt: opened.attempt,
+            load: opened.load,
+            first: Some(opened.first),
+            splitter: opened.splitter,
+            source: Source::Endpoint(opened.body),
+        }
+    }
+
+    /// The next bytes for the client.
+    pub fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, AnswerCut>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(first)));
+        }
+        loop {
+            match &mut self.source {
+                Source::Endpoint(body) => match body.poll_data(cx) {
+                    Poll::Ready(Some(Ok(data))) => {
+                        let passed = self.pass(data);
+                        if !passed.is_empty() {
+                            return Poll::Ready(Some(Ok(passed)));
+                        }
+                    }
+                    Poll::Ready(None) => {
+                        let rest = self.finish();
+                        return Poll::Ready((!rest.is_empty()).then_some(Ok(rest)));
+                    }
+                    Poll::Ready(Some(Err(error))) => {
+                        log::debug!("answer to {:?} broke off: {error}", self.request.attempt_id);
+                        if self.broken_off().is_err() {
+                            return self.cut();
+                        }
+                    }
+                    Poll::Pending => match ready!(self.ticket.poll_next(cx)) {
+                        Instruction::Decided(_) | Instruction::Stopped => return self.cut(),
+                    },
+                },
+                Source::Resuming(resuming) => match ready!(resuming.as_mut().poll(cx)) {
+                    Some(resumed) => self.take_up(resumed),
+                    None => return self.cut(),
+                },
+                Source::Ended => return Poll::Ready(None),
+            }
+        }
+    }
+
+    fn pass(&mut self, data: Bytes) -> Bytes {
+        match &mut self.splitter {
+            Some(splitter) => splitter.push(data),
+            None => data,
+        }
+    }
+
+    /// The endpoint's answer is whole.
+    fn finish(&mut self) -> Bytes {
+        self.source = Source::Ended;
+        self.ticket.state().counters.successes.increment();
+        self.ticket.ended(self.attempt, AttemptEnd::Answered { success: true, load: self.load });
+        self.splitter.as_mut().map(EventSplitter::finish).unwrap_or_default()
+    }
+
+    /// The endpoint's answer broke off: looks for another run where that is allowed.
+    fn broken_off(&mut self) -> Result<(), AnswerCut> {
+        self.source = Source::Ended;
+        self.ticket.ended(self.attempt, AttemptEnd::BrokenMidway);
+        let splitter = self.splitter.as_mut().ok_or(AnswerCut)?;
+        splitter.begin_run();
+        let last = splitter.last_id().ok_or(AnswerCut)?;
+        let last = HeaderValue::from_bytes(last).map_err(|_| AnswerCut)?;
+        self.source =
+            Source::Resuming(Box::pin(resume::resume(self.ticket.clone(), self.request.clone(), last)));
+        Ok(())
+    }
+
+    fn take_up(&mut self, resumed: Resumed) {
+        self.ticket.state().counters.resumed.increment();
+        self.attempt = resumed.attempt;
+        self.load = resumed.load;
+        self.source = Source::Endpoint(resumed.body);
+    }
+
+    /// Ends the answer so that it does not look whole.
+    fn cut(&mut self) -> Poll<Option<Result<Bytes, AnswerCut>>> {
+        self.source = Source::Ended;
+        self.ticket.state().counters.cut.increment();
+        Poll::Ready(Some(Err(AnswerCut)))
+    }
+}
--- /dev/null
+++ b/crates/router/src/verify.rs
@@ -0,0 +1,61 @@
+//! Tells whether bytes that came back are the endpoint's answer to this request, and whether it ran.
+
+use crate::headers::{ATTEMPT_ID, INSTANCE_ID, NOT_EXECUTED, SERVER_SIGNATURE, instance_load};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_ENCODING, HeaderValue, TRANSFER_ENCODING};
+use hyper::{Response, StatusCode};
+use lanegate_dispatch::interface::AttemptEnd;
+
+/// What an answer has to match.
+#[derive(Debug, Clone, Copy)]
+pub struct Expected<'a> {
+    pub attempt_id: Option<&'a HeaderValue>,
+    pub instance: &'a str,
+    /// Whether the endpoint is an engine: it also answers 421 for a model that it does not hold.
+    pub engine: bool,
+}
+
+/// Checks the head of an answer; an error says what becomes of the attempt.
+pub fn check(expected: Expected<'_>, answer: &Response<Incoming>) -> Result<(), AttemptEnd> {
+    let headers = answer.headers();
+    if headers.get(&ATTEMPT_ID) != expected.attempt_id {
+        return Err(AttemptEnd::Garbled);
+    }
+    let status = answer.status();
+    if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&NOT_EXECUTED) {
+        let load = instance_load(headers);
+        let wrong_instance = status == StatusCode::MISDIRECTED_REQUEST && is_other_instance(expected, answer);
+        return Err(AttemptEnd::NotExecuted { status: status.as_u16(), load, wrong_instance });
+    }
+    if headers.contains_key(CONTENT_ENCODING) {
+        return Err(AttemptEnd::Garbled);
+    }
+    if status.is_success() && (!headers.contains_key(&SERVER_SIGNATURE) || !has_marked_end(answer)) {
+        return Err(AttemptEnd::Garbled);
+    }
+    if promises_not_to_have_run(status) {
+        return Err(AttemptEnd::Broken);
+    }
+    Ok(())
+}
+
+fn is_other_instance(expected: Expected<'_>, answer: &Response<Incoming>) -> bool {
+    match answer.headers().get(&INSTANCE_ID) {
+        Some(id) => id.as_bytes() != expected.instance.as_bytes(),
+        None => !expected.engine,
+    }
+}
+
+/// Whether the end of the body can be told from a connection that broke.
+fn has_marked_end(answer: &Response<Incoming>) -> bool {
+    answer.body().size_hint().exact().is_some() || answer.headers().contains_key(TRANSFER_ENCODING)
+}
+
+/// Whether clients take the status for a promise that the request never runs. An endpoint that did not say
+/// so by `Not-Executed` may have run it, so the status cannot be passed on.
+fn promises_not_to_have_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
--- /dev/null
+++ b/crates/router/tests/attempts.rs
@@ -0,0 +1,255 @@
+//! What becomes of a request when an endpoint does not run it, breaks off, or sends what is no answer to it.
+
+mod common;
+
+use common::{Endpoint, Message, Router, answer_to, pass_time, play};
+use std::time::Duration;
+
+/// Answers that the request did not run.
+fn turned_away(request: &Message, status: &str) -> String {
+    let id = request.header("Attempt-Id").unwrap();
+    format!(
+        "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\nNot-Executed: true\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
+#[test]
+fn a_request_that_was_turned_away_goes_to_another_endpoint() {
+    play(async {
+        let endpoints = [Endpoint::start("i-1").await, Endpoint::start("i-2").await];
+        let router = Router::serving(&[&endpoints[0], &endpoints[1]]).await;
+        for (status, id) in [("421 Misdirected Request", "1"), ("503 Service Unavailable", "2")] {
+            let mut client = router.client().await;
+            client.get("/once/a", id).await;
+            let ((mut first, request), second) = tokio::select! {
+                got = endpoints[0].request() => (got, &endpoints[1]),
+                got = endpoints[1].request() => (got, &endpoints[0]),
+            };
+            first.write(turned_away(&request, status)).await;
+            let (mut upstream, request) = second.request().await;
+            assert_eq!(request.header("Attempt-Id"), Some(id));
+            assert_eq!(request.header("Expect-Instance"), Some(second.id.as_str()));
+            upstream.answer(&request, "done").await;
+            assert_eq!(client.answer().await.text(), "done");
+            first.write("").await;
+            drop((first, upstream));
+        }
+    });
+}
+
+#[test]
+fn a_request_that_nobody_ran_is_refused_with_a_time_and_without_a_stamp() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client
+            .write("GET /once/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\nDeadline-Ms: 300\r\n\r\n")
+            .await;
+        let (mut upstream, request) = endpoint.request().await;
+        upstream.write(turned_away(&request, "503 Service Unavailable")).await;
+        tokio::spawn(async move { while upstream.stream.readable().await.is_ok() {} });
+        let answer = client.answer().await;
+        assert_eq!(answer.status, 503);
+        assert!(answer.header("Retry-After").unwrap().parse::<f64>().unwrap() > 0.0);
+        assert_eq!(answer.header("Server-Signature"), None);
+    });
+}
+
+#[test]
+fn a_request_that_may_have_run_is_not_sent_again_unless_it_may_be() {
+    play(async {
+        let endpoints = [Endpoint::start("i-1").await, Endpoint::start("i-2").await];
+        let router = Router::serving(&[&endpoints[0], &endpoints[1]]).await;
+        for path in ["/once/a", "/stream/a"] {
+            let mut client = router.client().await;
+            client.get(path, "1").await;
+            let broken =
+                tokio::select! { got = endpoints[0].request() => got, got = endpoints[1].request() => got };
+            drop(broken);
+            assert_eq!(client.answer().await.status, 502);
+        }
+        for path in ["/again/a", "/resumable/a"] {
+            let mut client = router.client().await;
+            client.get(path, "2").await;
+            let broken =
+                tokio::select! { got = endpoints[0].request() => got, got = endpoints[1].request() => got };
+            drop(broken);
+            let (mut upstream, request) =
+                tokio::select! { got = endpoints[0].request() => got, got = endpoints[1].request() => got };
+            assert_eq!(request.header("Attempt-Id"), Some("2"));
+            upstream.answer(&request, "done").await;
+            assert_eq!(client.answer().await.text(), "done");
+        }
+    });
+}
+
+/// Sends a request that may run once, lets the endpoint write `bytes`, and tells what the client gets.
+async fn what_comes_of(bytes: &'static str) -> Message {
+    let endpoint = Endpoint::start("i-1").await;
+    let router = Router::serving(&[&endpoint]).await;
+    let mut client = router.client().await;
+    client.get("/once/a", "1").await;
+    let (mut upstream, _) = endpoint.request().await;
+    upstream.write(bytes).await;
+    let answer = client.answer().await;
+    upstream.closed().await;
+    answer
+}
+
+#[test]
+fn what_is_no_answer_to_the_request_never_reaches_the_client() {
+    play(async {
+        let spoilt = [
+            "HTTP/1.1 200 OK\r\nAttempt-Id: 2\r\nServer-Signature: s\r\nContent-Length: 2\r\n\r\nno",
+            "HTTP/1.1 200 OK\r\nServer-Signature: s\r\nContent-Length: 2\r\n\r\nno",
+            "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nContent-Length: 2\r\n\r\nno",
+            "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nServer-Signature: s\r\nContent-Encoding: gzip\r\n\
+             Content-Length: 2\r\n\r\nno",
+            "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nServer-Signature: s\r\n\r\nno end is marked",
+            "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: 1\r\nServer-Signature: s\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 429 Too Many Requests\r\nAttempt-Id: 1\r\nServer-Signature: s\r\nContent-Length: 0\r\n\r\n",
+            "\x01\x02 these bytes are no answer\r\n\r\n",
+        ];
+        for bytes in spoilt {
+            let answer = what_comes_of(bytes).await;
+            assert_eq!(answer.status, 502, "{bytes}");
+            assert_eq!(answer.header("Server-Signature"), None);
+            assert!(answer.body.is_empty());
+        }
+    });
+}
+
+#[test]
+fn an_answer_that_ends_early_is_not_passed_on() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client.get("/once/a", "1").await;
+        let (mut upstream, request) = endpoint.request().await;
+        let whole = answer_to(&request, "200 OK", "0123456789");
+        upstream.write(&whole[..whole.len() - 1]).await;
+        drop(upstream);
+        assert_eq!(client.answer().await.status, 502);
+    });
+}
+
+#[test]
+fn bytes_behind_a_whole_answer_belong_to_no_request() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client.get("/once/a", "1").await;
+        let (mut upstream, request) = endpoint.request().await;
+        let extra = answer_to(&request, "200 OK", "extra");
+        upstream.write(answer_to(&request, "200 OK", "first") + &extra).await;
+        assert_eq!(client.answer().await.text(), "first");
+        client.get("/once/a", "2").await;
+        let (mut fresh, request) = endpoint.request().await;
+        assert_eq!(request.header("Attempt-Id"), Some("2"));
+        fresh.answer(&request, "second").await;
+        assert_eq!(client.answer().await.text(), "second");
+    });
+}
+
+#[test]
+fn a_late_extra_answer_belongs_to_no_request() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client.get("/once/a", "1").await;
+        let (mut upstream, request) = endpoint.request().await;
+        upstream.answer(&request, "first").await;
+        assert_eq!(client.answer().await.text(), "first");
+        upstream.answer(&request, "extra").await;
+        client.get("/once/a", "2").await;
+        let (mut fresh, request) = endpoint.request().await;
+        fresh.answer(&request, "second").await;
+        assert_eq!(client.answer().await.text(), "second");
+    });
+}
+
+#[test]
+fn a_connection_that_the_endpoint_closed_is_not_used_again() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client.get("/once/a", "1").await;
+        let (mut upstream, request) = endpoint.request().await;
+        upstream.answer(&request, "first").await;
+        assert_eq!(client.answer().await.text(), "first");
+        drop(upstream);
+        client.get("/once/a", "2").await;
+        let (mut fresh, request) = endpoint.request().await;
+        fresh.answer(&request, "second").await;
+        assert_eq!(client.answer().await.text(), "second");
+    });
+}
+
+#[test]
+fn a_connection_idle_for_longer_than_told_is_not_used_again() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client.get("/once/a", "1").await;
+        let (mut upstream, request) = endpoint.request().await;
+        upstream.answer(&request, "first").await;
+        assert_eq!(client.answer().await.text(), "first");
+        pass_time(Duration::from_millis(4_500)).await;
+        client.get("/once/a", "2").await;
+        let (mut fresh, request) = endpoint.request().await;
+        fresh.answer(&request, "second").await;
+        assert_eq!(client.answer().await.text(), "second");
+    });
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_request_along() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client.get("/once/a", "1").await;
+        let (upstream, _) = endpoint.request().await;
+        drop(client);
+        upstream.closed().await;
+    });
+}
+
+#[test]
+fn an_address_where_nobody_listens_is_not_the_end_of_a_request() {
+    play(async {
+        let gone = Endpoint::start("i-0").await;
+        let gone_registration = gone.registration("plain");
+        drop(gone);
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[]).await;
+        router.tell(gone_registration);
+        let mut client = router.client().await;
+        client.get("/once/a", "1").await;
+        router.tell(endpoint.registration("plain"));
+        let (mut upstream, request) = endpoint.request().await;
+        upstream.answer(&request, "done").await;
+        assert_eq!(client.answer().await.text(), "done");
+    });
+}
+
+#[test]
+fn a_request_that_ran_until_its_deadline_is_told_so() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client
+            .write("GET /once/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\nDeadline-Ms: 200\r\n\r\n")
+            .await;
+        let (upstream, _) = endpoint.request().await;
+        assert_eq!(client.answer().await.status, 504);
+        upstream.closed().await;
+    });
+}
--- /dev/null
+++ b/crates/router/tests/common/mod.rs
@@ -0,0 +1,349 @@
+//! A router on real sockets with an in-process feed, endpoints whose every byte the test writes, and clients.
+#![allow(dead_code, reason = "each file of tests uses a part")]
+
+use lanegate_model::configuration::Configuration;
+use lanegate_model::demand::DemandReport;
+use lanegate_model::feed::FeedEvent;
+use lanegate_model::instance::Instance;
+use lanegate_model::settings::Settings;
+use lanegate_router::run::Sockets;
+use lanegate_router::run_on;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::sync::oneshot;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::timeout;
+
+/// Longest time that a test may take, passed time included; reached only by tests that fail.
+const GUARD: Duration = Duration::from_secs(120);
+
+/// Runs a test on one thread.
+pub fn play(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let guarded = async { timeout(GUARD, test).await.expect("the test hangs") };
+    runtime.block_on(LocalSet::new().run_until(guarded));
+}
+
+/// Lets `time` go by at once; nothing else may be under way.
+pub async fn pass_time(time: Duration) {
+    tokio::time::pause();
+    tokio::time::advance(time).await;
+    tokio::time::resume();
+}
+
+pub struct Router {
+    pub address: SocketAddr,
+    pub readiness: SocketAddr,
+    pub feed: UnboundedSender<FeedEvent>,
+    pub demand: UnboundedReceiver<DemandReport>,
+    stop: Option<oneshot::Sender<()>>,
+    running: JoinHandle<()>,
+}
+
+/// Two services, `plain` and `engine`, and a route of each kind.
+pub const CONFIGURATION: &str = r#"{
+    "Version": 1,
+    "Routes": [
+        {"Name": "once", "Hostname": "a.example", "PathPrefix": "/once/", "RouteType": "non_idempotent",
+         "TimeoutMs": 20000, "TargetMs": 5000, "Backend": "plain", "MaxAttempts": 3},
+        {"Name": "again", "Hostname": "a.example", "PathPrefix": "/again/", "RouteType": "idempotent",
+         "TimeoutMs": 20000, "TargetMs": 5000, "Backend": "plain", "MaxAttempts": 3},
+        {"Name": "deeper", "Hostname": "a.example", "PathPrefix": "/again/deeper/", "RouteType": "idempotent",
+         "TimeoutMs": 20000, "TargetMs": 5000, "Backend": "other", "MaxAttempts": 3},
+        {"Name": "stream", "Hostname": "a.example", "PathPrefix": "/stream/", "RouteType": "streaming",
+         "TimeoutMs": 20000, "TargetMs": 5000, "Backend": "plain", "MaxAttempts": 3},
+        {"Name": "resumable", "Hostname": "a.example", "PathPrefix": "/resumable/", "RouteType": "streaming",
+         "TimeoutMs": 20000, "TargetMs": 5000, "Backend": "plain", "MaxAttempts": 3, "Resumable": true}
+    ],
+    "Backends": [{"Name": "plain", "MaxConns": 50}, {"Name": "other", "MaxConns": 50}],
+    "Limits": {"MaxHeaderBytes": 4096, "MaxBodyBytes": 1000, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}
+}"#;
+
+impl Router {
+    /// A router that has heard nothing yet.
+    pub async fn start() -> Router {
+        let frontend = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let readiness = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (feed, feed_end) = mpsc::unbounded_channel();
+        let (demand_end, demand) = mpsc::unbounded_channel();
+        let (stop, stopped) = oneshot::channel::<()>();
+        let address = frontend.local_addr().unwrap();
+        let readiness_address = readiness.local_addr().unwrap();
+        let sockets = Sockets { frontend, readiness: Some(readiness) };
+        let running = spawn_local(async move {
+            let stopped = async { stopped.await.unwrap_or_default() };
+            run_on(sockets, settings(), feed_end, demand_end, stopped).await;
+        });
+        Router { address, readiness: readiness_address, feed, demand, stop: Some(stop), running }
+    }
+
+    /// A router with the configuration, that knows these endpoints of the service `plain`.
+    pub async fn serving(endpoints: &[&Endpoint]) -> Router {
+        let router = Router::start().await;
+        router.configure(CONFIGURATION);
+        endpoints.iter().for_each(|endpoint| router.tell(endpoint.registration("plain")));
+        router.tell(FeedEvent::Routers { live: 1 });
+        router.tell(FeedEvent::Synchronized);
+        router
+    }
+
+    pub fn configure(&self, json: &str) {
+        let configuration: Configuration = serde_json::from_str(json).unwrap();
+        self.tell(FeedEvent::Configuration(Arc::new(configuration)));
+    }
+
+    pub fn tell(&self, event: FeedEvent) {
+        self.feed.send(event).unwrap();
+    }
+
+    pub async fn client(&self) -> Client {
+        Client { stream: TcpStream::connect(self.address).await.unwrap(), unread: Vec::new() }
+    }
+
+    /// The status that the platform hears.
+    pub async fn readiness(&self) -> u16 {
+        let stream = TcpStream::connect(self.readiness).await.unwrap();
+        let mut client = Client { stream, unread: Vec::new() };
+        client.write("GET /readyz HTTP/1.1\r\nHost: r\r\n\r\n").await;
+        client.answer().await.status
+    }
+
+    /// Does what SIGTERM does.
+    pub fn terminate(&mut self) {
+        self.stop.take().unwrap().send(()).unwrap();
+    }
+
+    pub async fn ended(self) {
+        self.running.await.unwrap();
+    }
+}
+
+fn settings() -> Settings {
+    serde_json::from_str(
+        r#"{"NodeName": "edge-1", "Ip": "127.0.0.1", "Zone": "z1", "Zones": {"z1": "r"}, "PortRange": [1, 2],
+            "Bounds": {"GraceS": 8}}"#,
+    )
+    .unwrap()
+}
+
+/// An endpoint whose answers the test writes.
+pub struct Endpoint {
+    pub id: String,
+    pub address: SocketAddr,
+    listener: TcpListener,
+}
+
+impl Endpoint {
+    pub async fn start(id: &str) -> Endpoint {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Endpoint { id: id.into(), address: listener.local_addr().unwrap(), listener }
+    }
+
+    pub fn registration(&self, backend: &str) -> FeedEvent {
+        self.registration_as(backend, "ready")
+    }
+
+    pub fn registration_as(&self, backend: &str, state: &str) -> FeedEvent {
+        let instance: Instance = serde_json::from_value(serde_json::json!({
+            "Id": self.id, "Backend": backend, "Address": self.address, "Zone": "z1", "Capacity": 8,
+            "State": state, "Sequence": 1,
+        }))
+        .unwrap();
+        FeedEvent::Instance(instance)
+    }
+
+    /// The next connection of the router.
+    pub async fn accept(&self) -> Upstream {
+        Upstream { stream: self.listener.accept().await.unwrap().0, unread: Vec::new() }
+    }
+
+    /// The first request on the next connection of the router.
+    pub async fn request(&self) -> (Upstream, Message) {
+        let mut upstream = self.accept().await;
+        let request = upstream.request().await;
+        (upstream, request)
+    }
+}
+
+/// A request or an answer, as it was read.
+#[derive(Debug, Clone)]
+pub struct Message {
+    pub first_line: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    /// Status of an answer, 0 for requests.
+    pub status: u16,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut found = self.headers.iter().filter(|(known, _)| known.eq_ignore_ascii_case(name));
+        found.next().map(|(_, value)| value.as_str())
+    }
+
+    pub fn text(&self) -> &str {
+        std::str::from_utf8(&self.body).unwrap()
+    }
+}
+
+/// A connection of the router to an endpoint.
+pub struct Upstream {
+    pub stream: TcpStream,
+    unread: Vec<u8>,
+}
+
+impl Upstream {
+    pub async fn request(&mut self) -> Message {
+        read_message(&mut self.stream, &mut self.unread).await.expect("a request")
+    }
+
+    pub async fn write(&mut self, bytes: impl AsRef<[u8]>) {
+        self.stream.write_all(bytes.as_ref()).await.unwrap();
+    }
+
+    /// Answers 200 with a stamp.
+    pub async fn answer(&mut self, request: &Message, body: &str) {
+        self.write(answer_to(request, "200 OK", body)).await;
+    }
+
+    /// Writes the head of a stream of events.
+    pub async fn begin_events(&mut self, request: &Message) {
+        let id = request.header("Attempt-Id").unwrap();
+        self.write(format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: s1\r\nContent-Type: text/event-stream\r\n\
+             Transfer-Encoding: chunked\r\n\r\n"
+        ))
+        .await;
+    }
+
+    pub async fn chunk(&mut self, data: &str) {
+        self.write(format!("{:x}\r\n{data}\r\n", data.len())).await;
+    }
+
+    pub async fn end_chunks(&mut self) {
+        self.write("0\r\n\r\n").await;
+    }
+
+    /// Waits until the router has closed the connection.
+    pub async fn closed(mut self) {
+        let mut rest = Vec::new();
+        let _ = self.stream.read_to_end(&mut rest).await;
+    }
+}
+
+/// A whole answer with a stamp, as an endpoint gives it.
+pub fn answer_to(request: &Message, status: &str, body: &str) -> String {
+    let id = request.header("Attempt-Id").unwrap();
+    format!(
+        "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\nServer-Signature: s1\r\nKeep-Alive: timeout=5\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    unread: Vec<u8>,
+}
+
+impl Client {
+    pub async fn write(&mut self, bytes: impl AsRef<[u8]>) {
+        self.stream.write_all(bytes.as_ref()).await.unwrap();
+    }
+
+    /// Sends a request without a body.
+    pub async fn get(&mut self, path: &str, id: &str) {
+        self.write(format!("GET {path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {id}\r\n\r\n")).await;
+    }
+
+    /// The next whole answer.
+    pub async fn answer(&mut self) -> Message {
+        read_message(&mut self.stream, &mut self.unread).await.expect("a whole answer")
+    }
+
+    /// Reads until `end` has come, which has to be the last of what has come.
+    pub async fn read_through(&mut self, end: &str) -> String {
+        loop {
+            let text = String::from_utf8_lossy(&self.unread).into_owned();
+            if let Some(place) = text.find(end) {
+                assert_eq!(place + end.len(), text.len(), "more than asked for has come: {text}");
+                self.unread.clear();
+                return text;
+            }
+            assert_ne!(self.stream.read_buf(&mut self.unread).await.unwrap(), 0, "the end has come: {text}");
+        }
+    }
+
+    /// All that comes until the connection ends, in whatever way.
+    pub async fn rest(mut self) -> String {
+        while matches!(self.stream.read_buf(&mut self.unread).await, Ok(read) if read > 0) {}
+        String::from_utf8_lossy(&self.unread).into_owned()
+    }
+}
+
+async fn read_message(stream: &mut TcpStream, unread: &mut Vec<u8>) -> Option<Message> {
+    let head_end = loop {
+        if let Some(place) = find(unread, b"\r\n\r\n") {
+            break place;
+        }
+        fill(stream, unread).await?;
+    };
+    let head = String::from_utf8(unread.drain(..head_end + 4).collect()).unwrap();
+    let mut lines = head.trim_end().split("\r\n");
+    let first_line = lines.next().unwrap().to_string();
+    let headers: Vec<(String, String)> = lines
+        .map(|line| line.split_once(':').unwrap())
+        .map(|(name, value)| (name.to_string(), value.trim().to_string()))
+        .collect();
+    let status = match first_line.strip_prefix("HTTP/1.1 ") {
+        Some(rest) => rest[..3].parse().unwrap(),
+        None => 0,
+    };
+    let mut message = Message { first_line, headers, body: Vec::new(), status };
+    if message.header("Transfer-Encoding").is_some() {
+        message.body = read_chunks(stream, unread).await?;
+        return Some(message);
+    }
+    let length: usize = message.header("Content-Length").map_or(0, |length| length.parse().unwrap());
+    while unread.len() < length {
+        fill(stream, unread).await?;
+    }
+    message.body = unread.drain(..length).collect();
+    Some(message)
+}
+
+async fn read_chunks(stream: &mut TcpStream, unread: &mut Vec<u8>) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let line_end = loop {
+            if let Some(place) = find(unread, b"\r\n") {
+                break place;
+            }
+            fill(stream, unread).await?;
+        };
+        let line: Vec<u8> = unread.drain(..line_end + 2).collect();
+        let length = usize::from_str_radix(std::str::from_utf8(&line).unwrap().trim(), 16).unwrap();
+        while unread.len() < length + 2 {
+            fill(stream, unread).await?;
+        }
+        body.extend(unread.drain(..length));
+        unread.drain(..2);
+        if length == 0 {
+            return Some(body);
+        }
+    }
+}
+
+async fn fill(stream: &mut TcpStream, unread: &mut Vec<u8>) -> Option<()> {
+    let read = stream.read_buf(unread).await.ok()?;
+    (read > 0).then_some(())
+}
+
+fn find(haystack: &[u8], needle: &[u8]) -> Option<usize> {
+    haystack.windows(needle.len()).position(|window| window == needle)
+}
--- /dev/null
+++ b/crates/router/tests/streams.rs
@@ -0,0 +1,135 @@
+//! Streams of events: passed on as they come, never ended as whole when they are not, taken up elsewhere.
+
+mod common;
+
+use common::{Client, Endpoint, Message, Router, Upstream, play};
+
+/// A stream that has begun, with its first event passed on.
+async fn begun(router: &Router, endpoint: &Endpoint, path: &str) -> (Client, Upstream, Message) {
+    let mut client = router.client().await;
+    client.get(path, "1").await;
+    let (mut upstream, request) = endpoint.request().await;
+    upstream.begin_events(&request).await;
+    upstream.chunk("id: 1\ndata: a\n\n").await;
+    let head = client.read_through("id: 1\ndata: a\n\n\r\n").await;
+    assert!(head.starts_with("HTTP/1.1 200 OK\r\n"), "{head}");
+    assert!(head.contains("server-signature: s1"), "{head}");
+    (client, upstream, request)
+}
+
+#[test]
+fn events_are_passed_on_one_by_one() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        for path in ["/stream/a", "/resumable/a"] {
+            let (mut client, mut upstream, _) = begun(&router, &endpoint, path).await;
+            for number in 2..6 {
+                let event = format!("id: {number}\ndata: x\n\n");
+                upstream.chunk(&event).await;
+                let passed = client.read_through(&format!("{event}\r\n")).await;
+                assert_eq!(passed, format!("{:X}\r\n{event}\r\n", event.len()));
+            }
+            upstream.end_chunks().await;
+            assert_eq!(client.read_through("0\r\n\r\n").await, "0\r\n\r\n");
+            drop(upstream);
+        }
+    });
+}
+
+#[test]
+fn a_stream_that_breaks_off_does_not_look_whole() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let (client, mut upstream, _) = begun(&router, &endpoint, "/stream/a").await;
+        upstream.chunk("id: 2\nda").await;
+        drop(upstream);
+        let rest = client.rest().await;
+        assert!(!rest.contains("0\r\n\r\n"), "{rest}");
+    });
+}
+
+#[test]
+fn a_stream_is_taken_up_elsewhere_inside_the_same_answer() {
+    play(async {
+        let endpoints = [Endpoint::start("i-1").await, Endpoint::start("i-2").await];
+        let router = Router::serving(&[&endpoints[0]]).await;
+        let (mut client, mut upstream, _) = begun(&router, &endpoints[0], "/resumable/a").await;
+        router.tell(endpoints[1].registration("plain"));
+        upstream.chunk("id: 2\ndata: b\n\nid: 3\ndata: lost").await;
+        client.read_through("id: 2\ndata: b\n\n\r\n").await;
+        drop(upstream);
+        let (mut upstream, request) = endpoints[1].request().await;
+        assert_eq!(request.header("Last-Event-Id"), Some("2"));
+        assert_eq!(request.header("Attempt-Id"), Some("1"));
+        upstream.begin_events(&request).await;
+        upstream.chunk("id: 3\ndata: c\n\n").await;
+        assert_eq!(client.read_through("c\n\n\r\n").await, "F\r\nid: 3\ndata: c\n\n\r\n");
+        upstream.end_chunks().await;
+        client.read_through("0\r\n\r\n").await;
+    });
+}
+
+#[test]
+fn events_that_a_second_run_repeats_are_passed_on_once() {
+    play(async {
+        let endpoints = [Endpoint::start("i-1").await, Endpoint::start("i-2").await];
+        let router = Router::serving(&[&endpoints[0]]).await;
+        let (mut client, upstream, _) = begun(&router, &endpoints[0], "/resumable/a").await;
+        router.tell(endpoints[1].registration("plain"));
+        drop(upstream);
+        let (mut upstream, request) = endpoints[1].request().await;
+        upstream.begin_events(&request).await;
+        upstream.chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\n").await;
+        upstream.end_chunks().await;
+        assert_eq!(client.read_through("0\r\n\r\n").await, "F\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+    });
+}
+
+#[test]
+fn a_stream_that_nobody_takes_up_does_not_look_whole() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client
+            .write(
+                "GET /resumable/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\nDeadline-Ms: 400\r\n\r\n",
+            )
+            .await;
+        let (mut upstream, request) = endpoint.request().await;
+        upstream.begin_events(&request).await;
+        upstream.chunk("id: 1\ndata: a\n\n").await;
+        client.read_through("data: a\n\n\r\n").await;
+        router.tell(lanegate_model::feed::FeedEvent::Removed { id: "i-1".into() });
+        drop((upstream, endpoint));
+        assert_eq!(client.rest().await, "");
+    });
+}
+
+#[test]
+fn a_client_that_leaves_a_stream_ends_it_at_the_endpoint() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let (client, upstream, _) = begun(&router, &endpoint, "/stream/a").await;
+        drop(client);
+        upstream.closed().await;
+    });
+}
+
+#[test]
+fn a_stream_of_nothing_is_whole() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client.get("/resumable/a", "1").await;
+        let (mut upstream, request) = endpoint.request().await;
+        upstream.begin_events(&request).await;
+        upstream.end_chunks().await;
+        let answer = client.answer().await;
+        assert_eq!((answer.status, answer.text()), (200, ""));
+    });
+}
