Add crate fair-edf: charts, miss ratios, smoothed times and caps for courier and router

Cause: the chart, victim counts, smoothed times and caps of the design stood inside the courier's decision module, where the router cannot use them. Ruled out: one chart with a slot time for each request, as it changes the form in which a courier hands its charts over; a second type shares the segments and costs the uniform one nothing. Change: `Chart`, `VariedChart` (engines that batch), `MissRatios`, `Smoothing`/`Smoothed`, `RecentCalls`; release of the earliest deadline keeps the segments in place where they were made anew. The courier does not use it yet.

--- /dev/null
+++ b/crates/fair-edf/tests/estimates.rs
@@ -0,0 +1,74 @@
+//! Miss ratios, smoothed times and caps.
+
+use fair_edf::cap::RecentCalls;
+use fair_edf::{MissRatios, Smoothing};
+
+const SECOND: i64 = 1_000_000_000;
+
+#[test]
+fn the_class_that_missed_least_has_the_smallest_ratio() {
+    let mut ratios = MissRatios::new(2);
+    for class in [0, 1] {
+        (0..10).for_each(|_| ratios.request(class, SECOND));
+    }
+    ratios.miss(0, SECOND);
+    assert!(ratios.ratio(1) < ratios.ratio(0));
+    assert!((ratios.ratio(0) - 1.5 / 11.0).abs() < 1e-12);
+}
+
+#[test]
+fn a_class_of_which_nothing_is_known_stands_in_the_middle() {
+    assert_eq!(MissRatios::new(1).ratio(0), 0.5);
+}
+
+#[test]
+fn a_miss_is_forgotten_with_time() {
+    let mut ratios = MissRatios::new(1);
+    ratios.request(0, 0);
+    ratios.miss(0, 0);
+    let fresh = ratios.ratio(0);
+    ratios.request(0, 300 * SECOND);
+    assert!(fresh > 0.7 && ratios.ratio(0) < 0.26, "{fresh} {}", ratios.ratio(0));
+}
+
+#[test]
+fn the_first_sample_is_taken_whole_and_others_by_their_weight() {
+    let smoothing = Smoothing { initial: 0.05, gain: 0.25 };
+    let mut time = smoothing.start();
+    assert_eq!(time.seconds(), 0.05);
+    time.sample(&smoothing, 0.25);
+    assert_eq!(time.seconds(), 0.25);
+    time.sample(&smoothing, 0.5);
+    assert_eq!(time.seconds(), 0.3125);
+}
+
+#[test]
+fn a_lower_bound_only_raises() {
+    let smoothing = Smoothing { initial: 0.0, gain: 0.5 };
+    let mut time = smoothing.start();
+    time.sample(&smoothing, 1.0);
+    time.sample_at_least(&smoothing, 0.5);
+    assert_eq!(time.seconds(), 1.0);
+    time.sample_at_least(&smoothing, 2.0);
+    assert_eq!(time.seconds(), 1.5);
+}
+
+#[test]
+fn three_quarters_of_the_slots_and_half_while_most_calls_fail_or_are_slow() {
+    let mut calls = RecentCalls::default();
+    assert_eq!((calls.cap(100), calls.cap(1)), (75, 1));
+    (0..3).for_each(|_| calls.record(false, 0.1, 0.1));
+    assert!(!calls.is_ailing(), "three calls tell too little");
+    calls.record(true, 0.3, 0.1);
+    assert_eq!((calls.is_ailing(), calls.cap(100)), (true, 50));
+    (0..6).for_each(|_| calls.record(true, 0.2, 0.1));
+    assert_eq!((calls.is_ailing(), calls.cap(100)), (false, 75));
+}
+
+#[test]
+fn only_the_last_twelve_calls_tell() {
+    let mut calls = RecentCalls::default();
+    (0..100).for_each(|_| calls.record(false, 0.1, 0.1));
+    (0..6).for_each(|_| calls.record(true, 0.1, 0.1));
+    assert!(!calls.is_ailing());
+}
