Let the courier decide on the charts, miss ratios, smoothed times and caps of fair-edf

Cause: the courier held its own copy of what crate fair-edf now offers to courier and router. Ruled out: a new form of what one process hands to the next: field names and order stay as they were.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,6 +5,7 @@
 use crate::interface::*;
 pub use crate::state::Brain;
 use crate::state::*;
+use fair_edf::Smoothing;
 use rand::Rng;
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
@@ -12,19 +13,16 @@
 // Times are in s, and stand here only where the settings tell none. Deadlines, windows, graces, limits and
 // costs come from these alone; what acts on load is a share of them, or of what was measured there.
 
-/// Latency before the first answer, s, shares of the slots (the design's), calls that tell what ails.
+/// Latency before the first answer, s, of a destination and of an endpoint; weight of each further one.
 const FIRST_LATENCY: f64 = 0.05;
-const DEST_CAP: f64 = 0.75;
-const AILING_CAP: f64 = 0.5;
-const RECENT: usize = 12;
-/// EWMA weights: of a latency, of a failure, and of a failure where there is no fresh success.
 const LATENCY_GAIN: f64 = 0.15;
+const DEST_LATENCY: Smoothing = Smoothing { initial: FIRST_LATENCY, gain: LATENCY_GAIN };
+const ENDPOINT_LATENCY: Smoothing = Smoothing { initial: 0.0, gain: LATENCY_GAIN };
+/// EWMA weights: of a failure, and of a failure where there is no fresh success.
 const FAILURE_GAIN: f64 = 0.25;
 const STALE_GAIN: f64 = 0.6;
 /// Where a message is set back to, by the part of the time from its aim to its end that is left there.
 const SETBACKS: [f64; 3] = [0.5, 0.25, 0.0];
-/// Miss ratios forget with this time, s: long against a trouble, short against a day.
-const RATIO_SPAN: f64 = 30.0;
 /// A message is answered this many ticks before its time is up.
 const MARGIN_TICKS: Ns = 5;
 /// Failure ratio (each failure moves it) above which a breaker opens.
@@ -139,7 +137,7 @@
 
     /// When a message is answered at the latest: held ones while the usual latency is still left.
     fn closing(&self, m: &Message) -> Ns {
-        let need = if m.flight.is_none() { sec(self.dests[&m.dest].latency) } else { 0 };
+        let need = if m.flight.is_none() { sec(self.dests[&m.dest].latency.seconds()) } else { 0 };
         m.end - need.max(ns(self.set.tick) * MARGIN_TICKS)
     }
 
@@ -220,7 +218,7 @@
     }
 
     fn dest(&mut self, id: DestinationId) -> &mut Destination {
-        let fresh = || Destination { latency: FIRST_LATENCY, ..Destination::default() };
+        let fresh = || Destination { latency: DEST_LATENCY.start(), ..Destination::default() };
         self.dests.entry(id).or_insert_with(fresh)
     }
 
@@ -238,7 +236,7 @@
         }
         let past = Message::with_past(&t.past, self.now);
         let message = Message { class, group, dest, key, aim, end, due: aim, ..past };
-        self.tally(group, 0.0, 1.0);
+        self.miss_ratios.request(group, self.now);
         self.found += usize::from(message.found);
         self.messages.insert(id, message);
         self.touched.insert(dest);
@@ -247,9 +245,9 @@
         self.hold(id, out);
         while self.live as f64 > ROOM_SHARE * self.set.max_held as f64 {
             // The destination that holds most gives way: a paused one must not close the door to others.
-            let longest = self.dests.iter().max_by_key(|(_, d)| d.chart.held.len()).map(|(id, _)| *id);
-            let Some(longest) = longest.filter(|d| !self.dests[d].chart.held.is_empty()) else { break };
-            let all: Vec<_> = self.dests[&longest].chart.held.iter().map(|h| h.1).collect();
+            let longest = self.dests.iter().max_by_key(|(_, d)| d.chart.len()).map(|(id, _)| *id);
+            let Some(longest) = longest.filter(|d| !self.dests[d].chart.is_empty()) else { break };
+            let all: Vec<_> = self.dests[&longest].chart.iter().map(|held| held.1).collect();
             self.answer(self.victim(&all), out);
         }
     }
@@ -317,15 +315,13 @@
         let d = self.dests.get_mut(&e.dest).expect("known");
         if !matches!(outcome, Outcome::Full { .. }) {
             let well = matches!(outcome, Outcome::Delivered | Outcome::Cancelled);
-            d.recent.push_back(!well || took > 2.0 * d.latency);
-            d.recent.drain(..d.recent.len().saturating_sub(RECENT));
+            d.recent.record(well, took, d.latency.seconds());
         }
         let pool = self.pools.get_mut(&pool_id).expect("each endpoint has a pool");
         match outcome {
             Outcome::Delivered => {
-                for (latency, first) in [(&mut e.latency, 0.0), (&mut d.latency, FIRST_LATENCY)] {
-                    *latency += if *latency == first { 1.0 } else { LATENCY_GAIN } * (took - *latency);
-                }
+                e.latency.sample(&ENDPOINT_LATENCY, took);
+                d.latency.sample(&DEST_LATENCY, took);
                 pool.accepted(now, self.set.couriers);
                 self.worked(id);
                 self.space(id);
@@ -356,7 +352,7 @@
             _ => {
                 // A call takes at least as long as it was out: else a slow one never meets its time-out.
                 let least = if outcome == Outcome::TimedOut { took } else { 0.0 };
-                e.latency += LATENCY_GAIN * (least - e.latency).max(0.0);
+                e.latency.sample_at_least(&ENDPOINT_LATENCY, least);
                 self.failed(id, call);
             }
         }
@@ -392,11 +388,11 @@
         let paces: BTreeSet<_> = ready.collect();
         let pace = paces.iter().map(|p| self.pools[p].limit.and(self.pools[p].rate)).sum::<Option<f64>>();
         // One that no refusal has taught is a guess: nothing that a restart found gives way by it.
-        let found = |held: &(Ns, MessageId)| self.messages[&held.1].found;
+        let found = |held: (Ns, MessageId)| self.messages[&held.1].found;
         let guess = self.found > 0 && paces.iter().any(|p| self.pools[p].cut_at == 0);
-        let pace = pace.filter(|r| *r > 0.0 && !(guess && d.chart.held.iter().any(found)));
+        let pace = pace.filter(|r| *r > 0.0 && !(guess && d.chart.iter().any(found)));
         let paced = pace.map_or(0.0, |r| 1.0 / r);
-        sec((d.latency / self.cap(d) as f64).max(paced)).max(1)
+        sec((d.latency.seconds() / self.cap(d) as f64).max(paced)).max(1)
     }
 
     /// How far its pace has run ahead: calls saved up go at once, and debts come first. On the chart a call
@@ -404,26 +400,23 @@
     fn credit(&self, id: DestinationId) -> Ns {
         let pool = self.pools.get(&(id, None)).filter(|pool| pool.limit.is_some());
         let Some((pool, rate)) = pool.and_then(|pool| Some((pool, pool.rate?))) else { return 0 };
-        let idle = (1.0 / rate - self.dests[&id].latency).max(0.0);
+        let idle = (1.0 / rate - self.dests[&id].latency.seconds()).max(0.0);
         sec((pool.filled_up(self.now) - 1.0) / rate + idle)
     }
 
     /// Calls that this courier may have out at a destination.
     fn cap(&self, d: &Destination) -> usize {
-        let bad = d.recent.iter().filter(|b| **b).count();
-        let ailing = d.recent.len() >= RECENT / 3 && bad * 2 > d.recent.len();
-        let share = if ailing { AILING_CAP } else { DEST_CAP };
-        ((self.set.slots as f64 * share) as usize).max(1)
+        d.recent.cap(self.set.slots)
     }
 
     fn hold(&mut self, id: MessageId, out: &mut Vec<Action>) {
         let dest = self.messages[&id].dest;
-        let soonest = self.now + sec(self.dests[&dest].latency);
+        let soonest = self.now + sec(self.dests[&dest].latency.seconds());
         while self.messages[&id].due < soonest && self.set_back(id) {}
         let (due, sigma) = (self.messages[&id].due, self.sigma(dest));
         let chart = &mut self.dest(dest).chart;
         chart.resize(sigma);
-        chart.add(due, id);
+        chart.insert(due, id);
         self.ease(dest, out);
     }
 
@@ -444,7 +437,7 @@
         (m.late, m.due) = (true, next);
         let chart = &mut self.dest(dest).chart;
         if chart.remove(due, id) {
-            chart.add(next, id);
+            chart.insert(next, id);
         }
         self.miss(id);
         true
@@ -467,9 +460,8 @@
     fn victim(&self, candidates: &[MessageId]) -> MessageId {
         let score = |id: &MessageId| {
             let m = &self.messages[id];
-            let t = &self.tallies[m.group];
             let weight = if self.set.tenants > 0 { 1.0 } else { self.set.classes[m.class].worth };
-            (t.misses + 0.5) / (t.total + 1.0) * weight
+            self.miss_ratios.ratio(m.group) * weight
         };
         let by = |a: &&MessageId, b: &&MessageId| {
             let (x, y) = (&self.messages[*a], &self.messages[*b]);
@@ -484,17 +476,11 @@
         *candidates.iter().min_by(by).expect("a segment holds a message")
     }
 
-    fn tally(&mut self, group: usize, misses: f64, total: f64) {
-        let t = &mut self.tallies[group];
-        let keep = (-secs(self.now - t.at) / RATIO_SPAN).exp();
-        *t = Tally { misses: t.misses * keep + misses, total: t.total * keep + total, at: self.now };
-    }
-
     fn miss(&mut self, id: MessageId) {
         let m = self.messages.get_mut(&id).expect("known");
         if !std::mem::replace(&mut m.missed, true) {
             let group = m.group;
-            self.tally(group, 1.0, 0.0);
+            self.miss_ratios.miss(group, self.now);
         }
     }
 
@@ -515,8 +501,7 @@
 
     /// Sends what may go now, by earliest deadline over the destinations with news.
     fn release(&mut self, touched: &BTreeSet<DestinationId>, out: &mut Vec<Action>) {
-        let held: BTreeSet<_> =
-            touched.iter().flat_map(|d| self.dests[d].chart.held.iter().copied()).collect();
+        let held: BTreeSet<_> = touched.iter().flat_map(|d| self.dests[d].chart.iter()).collect();
         let mut joined = Joined::new();
         for (_, id) in held {
             let m = &self.messages[&id];
@@ -556,7 +541,7 @@
 
     /// How long an attempt that may be repeated is waited for, s.
     fn patience(&self, e: &Endpoint) -> f64 {
-        (TIMEOUT_LATENCIES * e.latency).max(TIMEOUT_LEAST)
+        (TIMEOUT_LATENCIES * e.latency.seconds()).max(TIMEOUT_LEAST)
     }
 
     /// Rule: ordered messages go one at a time by key, which rests after one that may still run.
@@ -658,7 +643,8 @@
             let aim = self.set.classes[m.class].aim.as_secs_f64().max(FIRST_LATENCY);
             let again = if m.last == Some(*id) && m.attempts > 0 { COST_LATENCY } else { 0.0 };
             let load = 1.0 + e.calls.len() as f64 / 4.0;
-            let slow = COST_LATENCY / aim * e.latency + short * e.latency.max(FIRST_LATENCY);
+            let latency = e.latency.seconds();
+            let slow = COST_LATENCY / aim * latency + short * latency.max(FIRST_LATENCY);
             let cost = fee + cold + again + slow * load + COST_LEAN * e.lean + COST_DOUBT * self.doubt(e);
             if best.is_none_or(|(c, _)| cost < c) {
                 best = Some((cost, *id));
@@ -753,7 +739,7 @@
         let span = self.set.keepalive.as_secs_f64();
         let tight = secs(self.now) < self.tight[e.kind] + TIGHT_SPANS * span;
         let rare = self.pools[&self.pool_id(id)].flow * span < REUSE_LEAST;
-        if tight && rare && e.calls.is_empty() && self.dests[&e.dest].chart.held.is_empty() {
+        if tight && rare && e.calls.is_empty() && self.dests[&e.dest].chart.is_empty() {
             self.endpoints.get_mut(&id).expect("known").idle.clear();
             out.push(Action::Close { endpoint: id });
         }
@@ -829,11 +815,11 @@
     fn check_health(&mut self, dest: DestinationId) {
         let now = self.now;
         let d = &self.dests[&dest];
-        let (held, usual) = (!d.chart.held.is_empty(), d.latency);
+        let (held, usual) = (!d.chart.is_empty(), d.latency.seconds());
         for id in d.endpoints.iter().copied().collect::<Vec<_>>() {
             let pool_waits = self.pools[&self.pool_id(id)].wait_until;
             let e = self.endpoints.get_mut(&id).expect("known");
-            let hang = sec((HANG_LATENCIES * e.latency.max(usual)).max(HANG_LEAST));
+            let hang = sec((HANG_LATENCIES * e.latency.seconds().max(usual)).max(HANG_LEAST));
             e.warm_from = e.warm_from.filter(|t| now - t <= ns(self.set.cold_span));
             // Silence: a call much older than usual and no answer since it left. One slow call can trip it,
             // which costs a trial. A courier that stalled hears all its news first: that is no silence.
@@ -873,7 +859,7 @@
 
     /// When a refused client may come again: what is held there has had time to go, and a wait is over.
     fn come_again(&self, dest: DestinationId) -> Option<Duration> {
-        let queue = self.sigma(dest) * self.dests[&dest].chart.held.len() as Ns;
+        let queue = self.sigma(dest) * self.dests[&dest].chart.len() as Ns;
         let wait = span((self.opens(dest) - self.now).max(queue).max(sec(FULL_PAUSE)));
         self.set.retry_after.map(|most| wait.min(most))
     }
@@ -961,13 +947,3 @@
         self.rate = Some(cut.max(floor));
     }
 }
-
-impl Chart {
-    /// If the first segment starts before `now`: its messages up to the first that cannot be met.
-    pub(crate) fn overdue(&mut self, now: Ns) -> Option<Vec<MessageId>> {
-        self.start().filter(|start| *start < now)?;
-        let unmet = |(n, h): (usize, &(Ns, _))| now + self.sigma * (n as Ns + 1) > h.0;
-        let n = self.held.iter().enumerate().position(unmet)?;
-        Some(self.held.iter().take(n + 1).map(|h| h.1).collect())
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,3 @@
 pub mod store;
 pub mod wire;
 mod zones;
-
-#[cfg(test)]
-mod chart_test;
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,14 +2,14 @@
 //! set and read in [`crate::brain`].
 
 use crate::interface::*;
+pub(crate) use fair_edf::Ns;
+use fair_edf::cap::RecentCalls;
+use fair_edf::{Chart, MissRatios, Smoothed};
 use rand::{SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-/// Nanoseconds since the first call.
-pub(crate) type Ns = i64;
-
 pub(crate) fn ns(d: Duration) -> Ns {
     d.as_nanos().min(1 << 61) as Ns
 }
@@ -117,7 +117,7 @@
     pub(crate) left_out: bool,
     /// Since when the list has it no more.
     pub(crate) gone: Option<Ns>,
-    pub(crate) latency: f64,
+    pub(crate) latency: Smoothed,
     /// Calls out: when sent and messages without an outcome.
     pub(crate) calls: BTreeMap<u64, (Ns, usize)>,
     /// When idle connections were last used.
@@ -179,32 +179,14 @@
 #[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Destination {
     pub(crate) endpoints: BTreeSet<EndpointId>,
-    pub(crate) chart: Chart,
+    pub(crate) chart: Chart<MessageId>,
     /// Messages not yet forgotten; when to look here next, as on the agenda.
     pub(crate) members: BTreeSet<MessageId>,
     pub(crate) next: Ns,
     pub(crate) booked: Ns,
     pub(crate) calls: usize,
-    pub(crate) latency: f64,
-    pub(crate) recent: VecDeque<bool>,
-}
-
-#[derive(Clone, Copy, Default, Serialize, Deserialize)]
-pub(crate) struct Tally {
-    pub(crate) misses: f64,
-    pub(crate) total: f64,
-    pub(crate) at: Ns,
-}
-
-/// The occupancy chart of one destination: what is held, by deadline, and the busy segments that
-/// these make when each starts as late as it can.
-#[derive(Default, Serialize, Deserialize)]
-pub(crate) struct Chart {
-    pub(crate) held: BTreeSet<(Ns, MessageId)>,
-    pub(crate) segments: Vec<(Ns, Ns)>,
-    pub(crate) sigma: Ns,
-    /// The segments no longer fit what is held and are made anew when next asked for.
-    pub(crate) stale: bool,
+    pub(crate) latency: Smoothed,
+    pub(crate) recent: RecentCalls,
 }
 
 /// Far away.
@@ -229,7 +211,8 @@
     /// Messages of ordered classes by key, in order of arrival; and when a key has rested.
     pub(crate) turns: BTreeMap<String, VecDeque<MessageId>>,
     pub(crate) rests: BTreeMap<String, (MessageId, Ns)>,
-    pub(crate) tallies: Vec<Tally>,
+    #[serde(rename = "tallies")]
+    pub(crate) miss_ratios: MissRatios,
     pub(crate) calls_out: usize,
     pub(crate) next_call: u64,
     pub(crate) wake: Option<(u64, Ns)>,
@@ -301,7 +284,7 @@
             pools: BTreeMap::new(),
             turns: BTreeMap::new(),
             rests: BTreeMap::new(),
-            tallies: vec![Tally::default(); groups],
+            miss_ratios: MissRatios::new(groups),
             calls_out: 0,
             next_call: 0,
             wake: None,
@@ -430,51 +413,3 @@
         Ok(())
     }
 }
-
-impl Chart {
-    pub(crate) fn add(&mut self, due: Ns, id: MessageId) {
-        self.held.insert((due, id));
-        if !self.stale {
-            self.place(due);
-        }
-    }
-
-    /// Gives `due` its interval: between segments [due - sigma, due], merged with the segment
-    /// before where they touch; inside a segment, its left end moves by sigma. Merges cascade.
-    fn place(&mut self, due: Ns) {
-        let sigma = self.sigma;
-        let mut at = self.segments.partition_point(|s| s.1 < due);
-        match self.segments.get_mut(at) {
-            Some(s) if s.0 <= due => s.0 -= sigma,
-            _ => self.segments.insert(at, (due - sigma, due)),
-        }
-        while at > 0 && self.segments[at - 1].1 >= self.segments[at].0 {
-            let (left, right) = self.segments.remove(at);
-            at -= 1;
-            let before = &mut self.segments[at];
-            *before = (before.0 - (before.1 - left), right);
-        }
-    }
-
-    /// Takes a message off; those left of it shift right into its slot.
-    pub(crate) fn remove(&mut self, due: Ns, id: MessageId) -> bool {
-        let held = self.held.remove(&(due, id));
-        self.stale |= held;
-        held
-    }
-
-    pub(crate) fn resize(&mut self, sigma: Ns) {
-        self.stale |= std::mem::replace(&mut self.sigma, sigma) != sigma;
-    }
-
-    /// Where the first segment starts; segments that no longer fit are made anew once, here.
-    pub(crate) fn start(&mut self) -> Option<Ns> {
-        if std::mem::take(&mut self.stale) {
-            self.segments.clear();
-            let held = std::mem::take(&mut self.held);
-            held.iter().for_each(|(due, _)| self.place(*due));
-            self.held = held;
-        }
-        self.segments.first().map(|s| s.0)
-    }
-}
