--- a/crates/controller/src/agent/mod.rs
+++ b/crates/controller/src/agent/mod.rs
@@ -13,6 +13,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
@@ -54,12 +55,14 @@
     settings_read: Duration,
 }
 
-/// Runs an agent until the process is stopped. Must run inside a `LocalSet`.
+/// Runs an agent until SIGTERM. Must run inside a `LocalSet`.
 pub async fn run_agent(settings: Settings) -> std::io::Result<()> {
     let listener = link::listen(loopback_address(&settings))?;
     let (downstream, mut from_readers) = mpsc::unbounded_channel();
     tokio::task::spawn_local(accept(listener, downstream));
     let (news, mut from_sources) = mpsc::unbounded_channel();
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
     let mut agent = Agent::new(settings, news);
     agent.review();
     let mut review = tokio::time::interval(REVIEW_PERIOD);
@@ -69,6 +72,8 @@
             Some(news) = from_sources.recv() => agent.heard(news),
             Some(event) = from_readers.recv() => agent.downstream(event),
             _ = review.tick() => agent.review(),
+            _ = reload.recv() => agent.read_settings(agent.now()),
+            _ = terminate.recv() => return Ok(()),
         }
     }
 }
--- a/crates/lanegate/src/commands/process.rs
+++ b/crates/lanegate/src/commands/process.rs
@@ -4,15 +4,9 @@
 use crate::command_line::Process;
 use lanegate_model::settings::{ProcessRole, Settings};
 use std::error::Error;
-use thiserror::Error;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
-/// Stands in until the process is part of the program.
-#[derive(Debug, Error)]
-#[error("not built yet")]
-pub struct NotBuiltYet;
-
 /// Reads the settings and runs `serve` with them until it ends.
 pub fn run<F, E>(
     process: &Process,
--- a/crates/lanegate/src/commands/router.rs
+++ b/crates/lanegate/src/commands/router.rs
@@ -1,15 +1,21 @@
 //! The router process.
 
 use super::CommandError;
-use super::process::{self, NotBuiltYet};
+use super::process;
 use crate::command_line::Process;
 use lanegate_model::settings::{ProcessRole, Settings};
+use lanegate_router::RouterError;
+use tokio::sync::mpsc;
 
 /// Serves until SIGTERM.
 pub fn run(process: &Process) -> Result<(), CommandError> {
     process::run(process, ProcessRole::Router, serve)
 }
 
-async fn serve(_settings: Settings) -> Result<(), NotBuiltYet> {
-    Err(NotBuiltYet)
+/// Routes what clients send, by what the agent beside this process tells.
+async fn serve(settings: Settings) -> Result<(), RouterError> {
+    let (events, feed) = mpsc::unbounded_channel();
+    let (demand, reports) = mpsc::unbounded_channel();
+    tokio::task::spawn_local(lanegate_controller::feed_client(settings.clone(), events, reports));
+    lanegate_router::run(settings, feed, demand).await
 }
