Serve and call the control interface over hyper; show where async-h1 does not fit

Cause: the control interface (configuration, registrations, status, readiness, orders) needs HTTP on one thread that tells cut bodies from whole ones and says of an unanswered call whether it may have run. Ruled out: async-h1 2.3.4, which starts threads for its header timeout and for Expect: 100-continue, loses requests that arrive together and never ends a chunked body whose last line end is split (11 tests in a package of its own, docs/findings/async-h1.md); the header timeout of hyper, which counts idle time. Change: crate lanegate-control-http with serve, serve_connection, call and ClientConnection; one timer a connection, no task for the client, no thread.

--- /dev/null
+++ b/crates/control-http/async-h1-findings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Holds nothing: the tests of this package show how `async-h1` behaves.
--- /dev/null
+++ b/crates/control-http/src/server.rs
@@ -0,0 +1,89 @@
+//! The server: takes connections and stops in good order.
+
+use crate::connection::serve_connection;
+use crate::limits::ServerLimits;
+use crate::message::{ControlRequest, ControlResponse};
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+/// Pause after a failed `accept`, which fails again at once while descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Serves the control interface until `stop` is done; open requests then have a time to end.
+///
+/// Has to run inside a `LocalSet`: connections are tasks of this thread.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    handler: H,
+    stop: impl Future<Output = ()>,
+) where
+    H: Fn(ControlRequest) -> F + 'static,
+    F: Future<Output = ControlResponse> + 'static,
+{
+    let server = Server { limits: Rc::new(limits), handler: Rc::new(handler) };
+    let (stopping, stopped) = watch::channel(false);
+    let mut connections = JoinSet::new();
+    let mut stop = pin!(stop);
+    loop {
+        let room = connections.len() < server.limits.max_connections;
+        tokio::select! {
+            () = &mut stop => break,
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept(), if room => server.begin(accepted, &mut connections, &stopped).await,
+        }
+    }
+    drop(listener);
+    stopping.send_replace(true);
+    let all = async { while connections.join_next().await.is_some() {} };
+    let _ = timeout(server.limits.shutdown_timeout, all).await;
+}
+
+struct Server<H> {
+    limits: Rc<ServerLimits>,
+    handler: Rc<H>,
+}
+
+impl<H, F> Server<H>
+where
+    H: Fn(ControlRequest) -> F + 'static,
+    F: Future<Output = ControlResponse> + 'static,
+{
+    async fn begin(
+        &self,
+        accepted: io::Result<(TcpStream, SocketAddr)>,
+        connections: &mut JoinSet<()>,
+        stopped: &watch::Receiver<bool>,
+    ) {
+        match accepted {
+            Ok((stream, remote)) => self.spawn(stream, remote, connections, stopped.clone()),
+            Err(error) => {
+                log::warn!("no new connection: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+
+    fn spawn(
+        &self,
+        stream: TcpStream,
+        remote: SocketAddr,
+        connections: &mut JoinSet<()>,
+        mut stopped: watch::Receiver<bool>,
+    ) {
+        let _ = stream.set_nodelay(true).inspect_err(|error| log::debug!("no TCP_NODELAY: {error}"));
+        let (limits, handler) = (self.limits.clone(), self.handler.clone());
+        connections.spawn_local(async move {
+            let stop = async { drop(stopped.wait_for(|stopped| *stopped).await) };
+            serve_connection(stream, remote, &limits, handler, stop).await;
+        });
+    }
+}
