--- /dev/null
+++ b/crates/placement/src/adapters.rs
@@ -0,0 +1,148 @@
+//! On which of the endpoints that hold its model an adapter should be, and what gives way to it.
+
+use crate::catalog::Catalog;
+use crate::endpoint::Endpoint;
+use crate::interface::Item;
+use crate::models::rendezvous;
+use crate::need::{Fleet, Target};
+use crate::rate::{DemandTable, Rates};
+use crate::view::Endpoints;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// An adapter that wants a copy on one more of the endpoints that hold its model.
+#[derive(Debug, Clone)]
+pub struct AdapterWish {
+    pub item: Item,
+    pub rank: AdapterRank,
+    weight: f64,
+}
+
+/// How much a copy is wanted; the first is wanted most.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum AdapterRank {
+    /// In demand, and on no endpoint.
+    First,
+    /// Its copies are too few for its demand.
+    Further,
+    /// It was asked for before and is on no endpoint; it comes back where a place is free.
+    Restore,
+}
+
+/// A chosen endpoint, and the adapter that first has to go there.
+#[derive(Debug, Clone)]
+pub struct AdapterSite {
+    pub endpoint: Arc<str>,
+    pub victim: Option<Item>,
+}
+
+/// What one round of placing adapters looks at.
+pub struct AdapterView<'a> {
+    pub now: Duration,
+    pub fleet: Fleet,
+    pub demand: &'a DemandTable,
+    pub endpoints: &'a Endpoints,
+    pub catalog: &'a Catalog,
+    pub seed: u64,
+}
+
+impl AdapterView<'_> {
+    /// The adapters that want a copy, the most wanted first.
+    pub fn wishes(&self) -> Vec<AdapterWish> {
+        let mut wishes = Vec::new();
+        for (model, rates) in &self.demand.models {
+            for (adapter, rates) in &rates.adapters {
+                let item = Item::adapter(model.clone(), adapter.clone());
+                wishes.extend(self.wish(item, rates));
+            }
+        }
+        wishes.sort_by(|a, b| a.rank.cmp(&b.rank).then(b.weight.total_cmp(&a.weight)));
+        wishes
+    }
+
+    fn wish(&self, item: Item, rates: &Rates) -> Option<AdapterWish> {
+        let copies = self.copies(&item);
+        let rank = match copies {
+            0 if rates.in_demand(self.now) => AdapterRank::First,
+            0 => AdapterRank::Restore,
+            _ if copies < self.target(&item, rates).order => AdapterRank::Further,
+            _ => return None,
+        };
+        let weight = rates.slow(self.now) / copies.max(1) as f64;
+        Some(AdapterWish { item, rank, weight })
+    }
+
+    fn copies(&self, item: &Item) -> usize {
+        self.endpoints.values().filter(|endpoint| endpoint.ready && endpoint.keeps(item)).count()
+    }
+
+    fn target(&self, item: &Item, rates: &Rates) -> Target {
+        let model = Item::model(item.model.clone());
+        let ready = self.endpoints.values().filter(|endpoint| endpoint.ready);
+        let holders = ready.filter(|endpoint| endpoint.shows(&model)).count();
+        self.fleet.target(rates, holders, self.now)
+    }
+
+    /// The best endpoint for another copy: a free place before an eviction, then the stable rank.
+    pub fn site(&self, wish: &AdapterWish) -> Option<AdapterSite> {
+        let sites = self.endpoints.values().filter_map(|endpoint| self.rate_site(wish, endpoint));
+        let best = sites.min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
+        best.map(|(_, _, site)| site)
+    }
+
+    fn rate_site(&self, wish: &AdapterWish, endpoint: &Endpoint) -> Option<(f64, u64, AdapterSite)> {
+        let model = Item::model(wish.item.model.clone());
+        let making_room = endpoint.intended(self.now).is_some() && wish.rank != AdapterRank::First;
+        if !endpoint.free(self.now) || making_room {
+            return None;
+        }
+        if !endpoint.shows(&model) || endpoint.counts(&wish.item) {
+            return None;
+        }
+        let (cost, victim) = self.make_room(wish, endpoint)?;
+        let adapter = wish.item.adapter.as_deref().unwrap_or_default();
+        let stable = rendezvous(self.seed, &wish.item.model, adapter, &endpoint.id);
+        Some((cost, stable, AdapterSite { endpoint: endpoint.id.clone(), victim }))
+    }
+
+    fn make_room(&self, wish: &AdapterWish, endpoint: &Endpoint) -> Option<(f64, Option<Item>)> {
+        let size = self.catalog.size_mb(&wish.item);
+        let places = self.catalog.max_adapters.checked_sub(endpoint.adapters());
+        let free_mb = endpoint.free_mb(self.catalog);
+        if places.is_some_and(|places| places > 0) && free_mb >= size {
+            return Some((0.0, None));
+        }
+        if places.is_none() || wish.rank == AdapterRank::Restore {
+            return None;
+        }
+        let adapters = endpoint.items().filter(|item| !item.is_model() && endpoint.shows(item));
+        let fitting = adapters.filter(|item| free_mb + self.catalog.size_mb(item) >= size);
+        let costs = fitting.filter_map(|item| Some((self.cost_of(wish, &item)?, item)));
+        let (cost, victim) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        Some((cost + EVICTION_COST, Some(victim)))
+    }
+
+    /// What it costs to take this copy away; nothing if it may not be taken for this wish.
+    fn cost_of(&self, wish: &AdapterWish, victim: &Item) -> Option<f64> {
+        let rates = self.demand.models.get(&victim.model);
+        let rates = rates.and_then(|model| model.adapters.get(victim.adapter.as_ref()?));
+        let copies = self.copies(victim);
+        let Some(rates) = rates else {
+            return (copies >= 2 || self.demand.watched(self.now)).then_some(0.0);
+        };
+        let each = rates.slow(self.now) / copies.max(1) as f64;
+        if rates.in_demand(self.now) {
+            let surplus = copies > self.target(victim, rates).keep.max(1);
+            let spare = copies >= 2 && wish.rank == AdapterRank::First;
+            return (surplus || spare).then_some(if surplus { 0.0 } else { each });
+        }
+        let pays = wish.rank == AdapterRank::First || copies >= 2 || each * REPLACE_RATIO < wish.weight;
+        pays.then_some(each)
+    }
+}
+
+/// What an eviction costs before a load, beside what is lost by it.
+const EVICTION_COST: f64 = 0.01;
+
+/// A further copy replaces a last one only if it serves this many times as many requests.
+const REPLACE_RATIO: f64 = 5.0;
--- /dev/null
+++ b/crates/placement/src/catalog.rs
@@ -0,0 +1,97 @@
+//! What the configuration says of the models of a service and of the room of its endpoints.
+
+use crate::interface::Item;
+use lanegate_model::configuration::Runtime;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Size and load time of a model.
+#[derive(Debug, Clone)]
+pub struct ModelSpec {
+    pub name: Arc<str>,
+    pub weights_mb: f64,
+    pub load_time: Duration,
+    pub adapter_mb: f64,
+    adapters: u32,
+}
+
+/// The models that may be placed, and the limits of each endpoint.
+#[derive(Debug, Default)]
+pub struct Catalog {
+    models: BTreeMap<Arc<str>, ModelSpec>,
+    largest_model_mb: f64,
+    largest_adapter_mb: f64,
+    mean_load_time: Duration,
+    pub room_mb: f64,
+    pub max_adapters: usize,
+    pub loads_per_s: f64,
+}
+
+impl Catalog {
+    /// Reads the runtime of a service.
+    pub fn new(runtime: &Runtime) -> Catalog {
+        let models: BTreeMap<Arc<str>, ModelSpec> = runtime
+            .models
+            .iter()
+            .map(|model| {
+                let name: Arc<str> = Arc::from(model.name.as_str());
+                let spec = ModelSpec {
+                    name: name.clone(),
+                    weights_mb: model.weights_mb,
+                    load_time: Duration::from_secs_f64(model.load_time_s.max(0.0)),
+                    adapter_mb: model.adapter_size_mb,
+                    adapters: model.adapters,
+                };
+                (name, spec)
+            })
+            .collect();
+        let largest = |of: fn(&ModelSpec) -> f64| models.values().map(of).fold(0.0, f64::max);
+        let total: Duration = models.values().map(|spec| spec.load_time).sum();
+        Catalog {
+            largest_model_mb: largest(|spec| spec.weights_mb),
+            largest_adapter_mb: largest(|spec| spec.adapter_mb),
+            mean_load_time: total / (models.len().max(1) as u32),
+            models,
+            room_mb: runtime.weights_mb,
+            max_adapters: runtime.max_adapters as usize,
+            loads_per_s: runtime.loads_per_s,
+        }
+    }
+
+    /// The model of that name, if the configuration has it.
+    pub fn get(&self, name: &str) -> Option<&ModelSpec> {
+        self.models.get(name)
+    }
+
+    /// Whether an adapter is one that may be loaded for the model: `a1`, `a2` and so on.
+    pub fn has_adapter(&self, model: &str, adapter: &str) -> bool {
+        let Some(spec) = self.models.get(model) else { return false };
+        let number = adapter.strip_prefix('a').and_then(|digits| digits.parse::<u32>().ok());
+        number.is_some_and(|number| (1..=spec.adapters).contains(&number))
+    }
+
+    /// The shared form of a name.
+    pub fn intern(&self, name: &str) -> Arc<str> {
+        self.models.get(name).map_or_else(|| Arc::from(name), |spec| spec.name.clone())
+    }
+
+    /// Room that an item takes, MB; what the configuration no longer has counts as the largest there is.
+    pub fn size_mb(&self, item: &Item) -> f64 {
+        let spec = self.models.get(&item.model);
+        match item.adapter {
+            None => spec.map_or(self.largest_model_mb, |spec| spec.weights_mb),
+            Some(_) => spec.map_or(self.largest_adapter_mb, |spec| spec.adapter_mb),
+        }
+    }
+
+    /// Time that a load of the model takes at full speed.
+    pub fn load_time(&self, model: &str) -> Duration {
+        self.models.get(model).map_or(self.mean_load_time, |spec| spec.load_time)
+    }
+
+    /// Loads at once that sustain the permitted rate: the rate times the time of a load.
+    pub fn sustained_loads(&self) -> f64 {
+        self.loads_per_s * self.mean_load_time.as_secs_f64()
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placement: which endpoint holds which model and adapter. Pure: no input or output.
+//! Decides which endpoint of a service holds which model and adapter.
+//!
+//! Nothing here does I/O: time and seed are passed in, and what is to be done comes out as [`Action`]s.
+//! One [`Placer`] stands for one service with a runtime and is run by the holder of that service's lease.
+
+mod adapters;
+mod answers;
+mod catalog;
+mod endpoint;
+mod interface;
+mod models;
+mod need;
+mod placer;
+mod planning;
+mod rate;
+mod settings;
+mod store;
+mod underway;
+mod view;
+
+pub use interface::{Action, EndpointReport, Item, Operation, Order, OrderAnswer, OrderId, PendingLoad};
+pub use placer::Placer;
+pub use settings::{PlacerSettings, Start};
--- /dev/null
+++ b/crates/placement/src/models.rs
@@ -0,0 +1,217 @@
+//! Where a model that wants another copy should be loaded, and what gives way to it.
+
+use crate::catalog::Catalog;
+use crate::endpoint::Endpoint;
+use crate::interface::Item;
+use crate::view::{Endpoints, Standing, View};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What the loss of a model's last copy costs with each request that comes for it: a load and lateness.
+const MISS_COST: f64 = 1.4;
+
+/// What the loss of a further copy costs with each request that it served.
+const SPARE_COST: f64 = 0.3;
+
+/// What the loss of a copy that is not needed costs, and with each request that it served.
+const SURPLUS_COST: f64 = 0.02;
+
+/// What an eviction costs before a load: an order and some time.
+const EVICTION_COST: f64 = 0.15;
+
+/// What a load from the weight store costs beyond one from the endpoint's own disk.
+const STORE_COST: f64 = 0.2;
+
+/// What it costs to put all copies into one zone.
+const ZONE_COST: f64 = 0.3;
+
+/// What it costs to load onto an endpoint that carries an even share of the work.
+const LOAD_COST: f64 = 0.1;
+
+/// A further copy replaces a last one only if it serves this many times as many requests.
+const REPLACE_RATIO: f64 = 20.0;
+
+/// A chosen endpoint, and what it first has to evict.
+#[derive(Debug, Clone)]
+pub struct Site {
+    pub endpoint: Arc<str>,
+    pub victim: Option<Arc<str>>,
+}
+
+/// A model that wants a copy.
+#[derive(Debug, Clone)]
+pub struct Wish {
+    pub model: Arc<str>,
+    pub rank: Rank,
+    standing: Standing,
+}
+
+/// How much a copy is wanted; the first is wanted most.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// Requests find no endpoint.
+    Unplaced,
+    /// No endpoint holds it, and it is in demand.
+    First,
+    /// Its copies are too few for its demand.
+    Further,
+    /// It has lost its last copy and may be asked for again.
+    Restore,
+}
+
+impl Rank {
+    /// Whether requests wait for the load.
+    pub fn urgent(self) -> bool {
+        self <= Rank::First
+    }
+}
+
+/// The models that want a copy, the most wanted first.
+pub fn wishes(view: &View) -> Vec<Wish> {
+    let mut wishes: Vec<Wish> =
+        view.models.iter().filter_map(|(model, standing)| wish(model, standing)).collect();
+    wishes.sort_by(|a, b| a.rank.cmp(&b.rank).then(b.weight().total_cmp(&a.weight())));
+    wishes
+}
+
+/// What a model wants as it stands, if anything.
+pub fn wish(model: &Arc<str>, standing: &Standing) -> Option<Wish> {
+    let rank = match standing.copies {
+        0 if standing.urgent => Rank::Unplaced,
+        0 if standing.in_demand => Rank::First,
+        0 if standing.slow > 0.0 => Rank::Restore,
+        copies if copies > 0 && copies < standing.target.order => Rank::Further,
+        _ => return None,
+    };
+    Some(Wish { model: model.clone(), rank, standing: standing.clone() })
+}
+
+impl Wish {
+    /// A wish for a copy whose place is chosen already.
+    pub fn chosen(model: Arc<str>, standing: Standing) -> Wish {
+        let rank = match (standing.urgent, standing.copies) {
+            (true, 0..=1) => Rank::Unplaced,
+            (false, 0..=1) => Rank::First,
+            _ => Rank::Further,
+        };
+        Wish { model, rank, standing }
+    }
+
+    /// Rate that each copy has to carry.
+    fn weight(&self) -> f64 {
+        self.standing.low.max(self.standing.slow) / self.standing.copies.max(1) as f64
+    }
+
+    /// The best endpoint for another copy.
+    pub fn site(&self, view: &View, endpoints: &Endpoints, catalog: &Catalog, seed: u64) -> Option<Site> {
+        let sites = endpoints.values().filter_map(|endpoint| self.rate_site(view, endpoint, catalog, seed));
+        sites.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, site)| site)
+    }
+
+    fn rate_site(
+        &self,
+        view: &View,
+        endpoint: &Endpoint,
+        catalog: &Catalog,
+        seed: u64,
+    ) -> Option<(f64, Site)> {
+        let item = Item::model(self.model.clone());
+        if !endpoint.free(view.now) || endpoint.intended(view.now).is_some() || endpoint.counts(&item) {
+            return None;
+        }
+        let missing = catalog.size_mb(&item) - endpoint.free_mb(catalog);
+        let victims = self.victims(view, endpoint, catalog, missing)?;
+        let lost: f64 = victims.iter().map(|victim| victim.cost).sum();
+        let evictions = victims.len() as f64 * EVICTION_COST;
+        let store = if endpoint.on_disk.contains(&self.model) { 0.0 } else { STORE_COST };
+        let near = self.standing.zones.get(&endpoint.zone).copied().unwrap_or(0);
+        let zone = ZONE_COST * near as f64 / self.standing.copies.max(1) as f64;
+        let load = LOAD_COST * view.load(endpoint);
+        let cost = lost + evictions + store + zone + load + tie(seed, &self.model, &endpoint.id);
+        let victim = victims.into_iter().next().map(|victim| victim.model);
+        Some((cost, Site { endpoint: endpoint.id.clone(), victim }))
+    }
+
+    /// What has to go from an endpoint for `missing` MB of room; nothing if that can't be had.
+    pub fn victims(
+        &self,
+        view: &View,
+        endpoint: &Endpoint,
+        catalog: &Catalog,
+        missing: f64,
+    ) -> Option<Vec<Victim>> {
+        if missing <= 0.0 {
+            return Some(Vec::new());
+        }
+        let models = endpoint.held.iter().map(|held| Item::model(held.model.clone()));
+        let models = models.filter(|item| endpoint.shows(item));
+        let mut candidates: Vec<Victim> =
+            models.filter_map(|item| self.victim(view, endpoint, catalog, item.model)).collect();
+        candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        let mut freed = 0.0;
+        let mut victims = Vec::new();
+        for victim in candidates {
+            if freed >= missing {
+                break;
+            }
+            freed += victim.freed_mb;
+            victims.push(victim);
+        }
+        (freed >= missing).then_some(victims)
+    }
+
+    fn victim(&self, view: &View, endpoint: &Endpoint, catalog: &Catalog, model: Arc<str>) -> Option<Victim> {
+        let standing = view.standing(&model);
+        let cost = self.cost_of(view, &standing)?;
+        let items = endpoint.items().filter(|item| item.model == model);
+        let freed_mb = items.map(|item| catalog.size_mb(&item)).sum();
+        Some(Victim { model, cost, freed_mb })
+    }
+
+    /// What it costs to take a copy from a model; nothing if it may not be taken for this wish.
+    fn cost_of(&self, view: &View, other: &Standing) -> Option<f64> {
+        if other.copies > other.target.keep.max(1) {
+            return Some(SURPLUS_COST * (1.0 + other.slow / other.copies as f64));
+        }
+        if other.in_demand {
+            let spare = other.copies >= 2 && self.rank.urgent();
+            return spare.then(|| SPARE_COST * other.low.max(other.slow) / other.copies as f64);
+        }
+        if !view.watched {
+            return None;
+        }
+        let pays = match self.rank {
+            Rank::Unplaced | Rank::First => true,
+            Rank::Further => other.slow * REPLACE_RATIO < self.weight(),
+            Rank::Restore => false,
+        };
+        pays.then_some(MISS_COST * other.slow)
+    }
+}
+
+/// A copy that may be given up.
+#[derive(Debug)]
+pub struct Victim {
+    pub model: Arc<str>,
+    cost: f64,
+    freed_mb: f64,
+}
+
+/// A small share of a cost that spreads equal choices, the same in every round.
+fn tie(seed: u64, model: &str, endpoint: &str) -> f64 {
+    const SHARE: f64 = 0.01;
+    rendezvous(seed, model, "", endpoint) as f64 / u64::MAX as f64 * SHARE
+}
+
+/// Rank of an endpoint for an item: stable as endpoints come and go.
+pub fn rendezvous(seed: u64, model: &str, adapter: &str, endpoint: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (seed, model, adapter, endpoint).hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Time that a load should take, with some allowance for requests that run there.
+pub fn load_lasts(catalog: &Catalog, model: &str) -> Duration {
+    catalog.load_time(model).mul_f64(1.2) + Duration::from_millis(100)
+}
--- /dev/null
+++ b/crates/placement/src/placer.rs
@@ -0,0 +1,215 @@
+//! The placer: takes in what is known and gives out orders.
+
+use crate::catalog::Catalog;
+use crate::endpoint::{Endpoint, Verification};
+use crate::interface::{Action, Item, Operation, OrderId, PendingLoad};
+use crate::rate::DemandTable;
+use crate::settings::{PlacerSettings, Start};
+use crate::store::StoreBudget;
+use crate::view::Endpoints;
+use lanegate_model::configuration::Runtime;
+use lanegate_model::demand::DemandReport;
+use lanegate_model::instance::Instance;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Shortest time between two rounds of planning that nothing urgent calls for.
+const PLAN_PAUSE: Duration = Duration::from_millis(400);
+
+/// After a takeover, endpoints first heard of within this are asked for their count of orders before
+/// they are given one: orders of the predecessor may be under way there.
+const TAKEOVER_SPAN: Duration = Duration::from_secs(3);
+
+/// How long a question may go unanswered before it is asked again.
+const QUESTION_PATIENCE: Duration = Duration::from_secs(1);
+
+/// How long an order may be without any word of its fate before it counts as lost.
+const ANSWER_PATIENCE: Duration = Duration::from_secs(10);
+
+/// Places the models and adapters of one service.
+#[derive(Debug)]
+pub struct Placer {
+    pub(crate) backend: Arc<str>,
+    pub(crate) seed: u64,
+    pub(crate) began: Duration,
+    pub(crate) start: Start,
+    pub(crate) catalog: Catalog,
+    pub(crate) demand: DemandTable,
+    pub(crate) endpoints: Endpoints,
+    pub(crate) orders: BTreeMap<OrderId, Arc<str>>,
+    pub(crate) store: StoreBudget,
+    pub(crate) actions: VecDeque<Action>,
+    pub(crate) last_order: u64,
+    pub(crate) fenced: bool,
+    pub(crate) planned: Option<Duration>,
+    pub(crate) plan_at: Option<Duration>,
+    /// Whether something waits for the weight store to permit another load.
+    pub(crate) blocked: bool,
+    now: Duration,
+}
+
+impl Placer {
+    /// A placer for the service `backend` that knows nothing yet.
+    pub fn new(now: Duration, backend: &str, seed: u64, settings: &PlacerSettings) -> Placer {
+        let assumed_until = match settings.start {
+            Start::First => now,
+            Start::Takeover => now + settings.ceiling_window,
+        };
+        Placer {
+            backend: Arc::from(backend),
+            seed,
+            began: now,
+            start: settings.start,
+            catalog: Catalog::default(),
+            demand: DemandTable::default(),
+            endpoints: Endpoints::new(),
+            orders: BTreeMap::new(),
+            store: StoreBudget::new(settings.ceiling_window, settings.ceiling_overshoot, assumed_until),
+            actions: VecDeque::new(),
+            last_order: 0,
+            fenced: false,
+            planned: None,
+            plan_at: None,
+            blocked: false,
+            now,
+        }
+    }
+
+    /// The runtime of the service, as the newest configuration has it.
+    pub fn configure(&mut self, now: Duration, runtime: &Runtime) {
+        self.now = now;
+        self.catalog = Catalog::new(runtime);
+        self.store.permit(runtime.loads_per_s, self.catalog.sustained_loads());
+        self.plan(now);
+    }
+
+    /// The newest registration of an endpoint of the service.
+    pub fn instance(&mut self, now: Duration, instance: &Instance) {
+        self.now = now;
+        if *instance.backend != *self.backend {
+            return;
+        }
+        let verification = self.first_verification(now);
+        if !self.endpoints.contains_key(instance.id.as_str()) {
+            let endpoint = Endpoint::new(instance, verification);
+            self.endpoints.insert(endpoint.id.clone(), endpoint);
+        }
+        let Some(endpoint) = self.endpoints.get_mut(instance.id.as_str()) else { return };
+        let before = endpoint.registered;
+        if endpoint.registration(now, instance, &self.catalog) {
+            let id = endpoint.id.clone();
+            self.settle_shown(now, &id, before);
+            self.plan(now);
+        }
+    }
+
+    fn first_verification(&self, now: Duration) -> Verification {
+        let inherited = self.start == Start::Takeover && now < self.began + TAKEOVER_SPAN;
+        if inherited { Verification::Wanted { not_before: now } } else { Verification::Settled }
+    }
+
+    /// An endpoint is gone.
+    pub fn removed(&mut self, now: Duration, id: &str) {
+        self.now = now;
+        let Some(endpoint) = self.endpoints.remove(id) else { return };
+        if let Some(order) = endpoint.order {
+            self.orders.remove(&order.id);
+            self.store.ended(order.id, now);
+        }
+        self.plan(now);
+    }
+
+    /// What a router saw of the demand since its last report.
+    pub fn demand(&mut self, now: Duration, _router: &str, report: &DemandReport) {
+        self.now = now;
+        let catalog = &self.catalog;
+        let name = |model: &str, adapter: Option<&str>| {
+            let spec = catalog.get(model)?;
+            let known = adapter.is_none_or(|adapter| catalog.has_adapter(model, adapter));
+            known.then(|| spec.name.clone())
+        };
+        let unplaced = self.demand.add(now, report, &self.backend, name);
+        let due = self.planned.is_none_or(|planned| now >= planned + PLAN_PAUSE);
+        if unplaced || due {
+            self.plan(now);
+        } else if self.plan_at.is_none() {
+            self.plan_at = self.planned.map(|planned| planned + PLAN_PAUSE);
+        }
+    }
+
+    /// The time of `next_wake` has come.
+    pub fn wake(&mut self, now: Duration) {
+        self.now = now;
+        let ids: Vec<Arc<str>> = self.endpoints.keys().cloned().collect();
+        for id in ids {
+            self.wake_endpoint(now, &id);
+        }
+        self.plan(now);
+    }
+
+    fn wake_endpoint(&mut self, now: Duration, id: &Arc<str>) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        if let Verification::Asked { at } = endpoint.verification
+            && now >= at + QUESTION_PATIENCE
+        {
+            endpoint.verification = Verification::Wanted { not_before: now };
+        }
+        let Some(order) = endpoint.order.as_mut() else { return };
+        if order.over_by_time(now) {
+            self.close_order(id, now);
+            return;
+        }
+        if order.unanswered() && now >= order.sent + ANSWER_PATIENCE {
+            order.lost(now);
+        }
+        if order.ask_at.is_some_and(|ask_at| now >= ask_at) {
+            order.asking(now);
+            let address = endpoint.address;
+            self.actions.push_back(Action::AskReport { instance: id.clone(), address });
+        }
+    }
+
+    pub(crate) fn set_now(&mut self, now: Duration) {
+        self.now = now;
+    }
+
+    /// The next thing to do, if any; to be called until there is none after every input.
+    pub fn next_action(&mut self) -> Option<Action> {
+        self.actions.pop_front()
+    }
+
+    /// When `wake` is to be called next, unless other input comes before.
+    pub fn next_wake(&self) -> Option<Duration> {
+        let endpoints = self.endpoints.values().filter_map(|endpoint| self.endpoint_wake(endpoint));
+        let store = self.blocked.then(|| self.store.next_free(self.now)).flatten();
+        endpoints.chain(store).chain(self.plan_at).filter(|at| *at > self.now).min()
+    }
+
+    fn endpoint_wake(&self, endpoint: &Endpoint) -> Option<Duration> {
+        let order = endpoint.order.as_ref().and_then(|order| {
+            if order.unanswered() { Some(order.sent + ANSWER_PATIENCE) } else { order.next_wake() }
+        });
+        let refused = Some(endpoint.not_before);
+        let verification = match endpoint.verification {
+            Verification::Settled => None,
+            Verification::Wanted { not_before } => endpoint.intent.is_some().then_some(not_before),
+            Verification::Asked { at } => Some(at + QUESTION_PATIENCE),
+        };
+        [order, refused, verification].into_iter().flatten().filter(|at| *at > self.now).min()
+    }
+
+    /// Whether an endpoint has seen a higher fencing token: this placer gives no orders any more.
+    pub fn fenced(&self) -> bool {
+        self.fenced
+    }
+
+    /// Loads that were ordered and that no registration shows yet.
+    pub fn pending_loads(&self) -> impl Iterator<Item = PendingLoad> + '_ {
+        self.endpoints.values().filter_map(|endpoint| {
+            let order = endpoint.order.as_ref().filter(|order| order.operation == Operation::Load)?;
+            let item: Item = order.item.clone();
+            Some(PendingLoad { instance: endpoint.id.clone(), item, expected: order.expected })
+        })
+    }
+}
--- /dev/null
+++ b/crates/placement/src/planning.rs
@@ -0,0 +1,220 @@
+//! One round of planning: from demand and what the endpoints hold to orders.
+
+use crate::adapters::{AdapterSite, AdapterView, AdapterWish};
+use crate::endpoint::Verification;
+use crate::interface::{Action, Item, Operation, Order, OrderId};
+use crate::models::{Rank, Site, Wish, load_lasts, wish, wishes};
+use crate::placer::Placer;
+use crate::underway::Underway;
+use crate::view::View;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Loads of a window that are left for models that no endpoint holds.
+const RESERVED_LOADS: usize = 3;
+
+/// Share of a window's loads up to which models are loaded that may be asked for again.
+const RESTORE_SHARE: f64 = 0.5;
+
+/// How long an adapter's load should take.
+const ADAPTER_LOAD: Duration = Duration::from_millis(100);
+
+impl Placer {
+    /// Looks at everything and gives what orders are worth giving.
+    pub(crate) fn plan(&mut self, now: Duration) {
+        self.planned = Some(now);
+        self.plan_at = None;
+        self.blocked = false;
+        if self.fenced {
+            return;
+        }
+        self.demand.forget(now);
+        let mut view = View::new(now, &self.demand, &self.endpoints, &self.catalog);
+        self.follow_intents(&mut view);
+        self.place_models(&mut view);
+        self.place_adapters(&view);
+    }
+
+    /// Goes on where room is being made: loads once there is room, evicts more while there is not.
+    fn follow_intents(&mut self, view: &mut View) {
+        let now = view.now;
+        let intents: Vec<(Arc<str>, Arc<str>)> = self
+            .endpoints
+            .values()
+            .filter(|endpoint| endpoint.free(now))
+            .filter_map(|endpoint| Some((endpoint.id.clone(), endpoint.intended(now)?.clone())))
+            .collect();
+        for (id, model) in intents {
+            self.follow_intent(view, &id, model);
+        }
+    }
+
+    fn follow_intent(&mut self, view: &mut View, id: &Arc<str>, model: Arc<str>) {
+        let standing = view.standing(&model);
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        let surplus = standing.copies > standing.target.keep.max(1);
+        if surplus || standing.slow <= 0.0 || self.catalog.get(&model).is_none() {
+            endpoint.intent = None;
+            view.remove_copy(&model, &endpoint.zone);
+            return;
+        }
+        let wish = Wish::chosen(model, standing);
+        let missing =
+            self.catalog.size_mb(&Item::model(wish.model.clone())) - endpoint.free_mb(&self.catalog);
+        match wish.victims(view, endpoint, &self.catalog, missing) {
+            None => {
+                endpoint.intent = None;
+                let zone = endpoint.zone.clone();
+                view.remove_copy(&wish.model, &zone);
+            }
+            Some(victims) => {
+                let victim = victims.into_iter().next().map(|victim| victim.model);
+                let site = Site { endpoint: id.clone(), victim };
+                self.carry_out(view, &wish, &site);
+            }
+        }
+    }
+
+    fn place_models(&mut self, view: &mut View) {
+        for wanted in wishes(view) {
+            let standing = view.standing(&wanted.model);
+            let missing = standing.target.order.max(1).saturating_sub(standing.copies);
+            for _ in 0..missing {
+                if !self.place_model(view, &wanted.model) {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn place_model(&mut self, view: &mut View, model: &Arc<str>) -> bool {
+        let standing = view.standing(model);
+        let Some(wish) = wish(model, &standing) else { return false };
+        let Some(site) = wish.site(view, &self.endpoints, &self.catalog, self.seed) else { return false };
+        let Some(endpoint) = self.endpoints.get(&site.endpoint) else { return false };
+        let zone = endpoint.zone.clone();
+        let counted = !endpoint.on_disk.contains(model);
+        let later = site.victim.is_some() || endpoint.verification != Verification::Settled;
+        if counted && !self.permitted(view.now, wish.rank) {
+            self.blocked = true;
+            return false;
+        }
+        if later && let Some(endpoint) = self.endpoints.get_mut(&site.endpoint) {
+            endpoint.intend(model.clone(), view.now);
+        }
+        view.add_copy(model, &zone);
+        self.carry_out(view, &wish, &site);
+        true
+    }
+
+    /// Whether the weight store may be asked for a load that is wanted this much.
+    fn permitted(&mut self, now: Duration, rank: Rank) -> bool {
+        match rank {
+            Rank::Unplaced | Rank::First => self.store.available(now, 0) > 0,
+            Rank::Further => self.store.available(now, RESERVED_LOADS) > 0,
+            Rank::Restore => self.store.used(now) < RESTORE_SHARE && self.store.available(now, 0) > 0,
+        }
+    }
+
+    /// Gives the order that comes next for a copy at a site.
+    fn carry_out(&mut self, view: &mut View, wish: &Wish, site: &Site) {
+        if !self.verified(view.now, &site.endpoint) {
+            return;
+        }
+        let Some(endpoint) = self.endpoints.get(&site.endpoint) else { return };
+        let urgent = wish.rank.urgent();
+        if let Some(victim) = &site.victim {
+            let zone = endpoint.zone.clone();
+            view.remove_copy(victim, &zone);
+            self.give(view.now, &site.endpoint, Operation::Evict, Item::model(victim.clone()), urgent);
+            return;
+        }
+        let counted = !endpoint.on_disk.contains(&wish.model);
+        if counted && !self.permitted(view.now, wish.rank) {
+            self.blocked = true;
+            return;
+        }
+        self.give(view.now, &site.endpoint, Operation::Load, Item::model(wish.model.clone()), urgent);
+    }
+
+    fn place_adapters(&mut self, view: &View) {
+        let wishes = self.adapter_view(view).wishes();
+        for wish in wishes {
+            if let Some(site) = self.adapter_view(view).site(&wish) {
+                self.place_adapter(view.now, &wish, &site);
+            }
+        }
+    }
+
+    fn adapter_view(&self, view: &View) -> AdapterView<'_> {
+        AdapterView {
+            now: view.now,
+            fleet: view.fleet,
+            demand: &self.demand,
+            endpoints: &self.endpoints,
+            catalog: &self.catalog,
+            seed: self.seed,
+        }
+    }
+
+    fn place_adapter(&mut self, now: Duration, wish: &AdapterWish, site: &AdapterSite) {
+        if !self.verified(now, &site.endpoint) {
+            return;
+        }
+        let urgent = wish.rank == crate::adapters::AdapterRank::First;
+        match &site.victim {
+            Some(victim) => self.give(now, &site.endpoint, Operation::Evict, victim.clone(), urgent),
+            None => self.give(now, &site.endpoint, Operation::Load, wish.item.clone(), urgent),
+        }
+    }
+
+    /// Whether an endpoint may be given an order; otherwise it is asked for its count of orders.
+    fn verified(&mut self, now: Duration, id: &Arc<str>) -> bool {
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return false };
+        match endpoint.verification {
+            Verification::Settled => true,
+            Verification::Wanted { not_before } if now >= not_before => {
+                endpoint.verification = Verification::Asked { at: now };
+                let address = endpoint.address;
+                self.actions.push_back(Action::AskReport { instance: id.clone(), address });
+                false
+            }
+            Verification::Wanted { .. } | Verification::Asked { .. } => false,
+        }
+    }
+
+    /// Gives an order to an endpoint that is free.
+    fn give(&mut self, now: Duration, id: &Arc<str>, operation: Operation, item: Item, urgent: bool) {
+        let lasts = match (operation, item.is_model()) {
+            (Operation::Load, true) => load_lasts(&self.catalog, &item.model),
+            _ => ADAPTER_LOAD,
+        };
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        self.last_order += 1;
+        let order_id = OrderId(self.last_order);
+        let mut order = Underway::new(order_id, operation, item.clone(), now, lasts);
+        order.urgent = urgent;
+        match operation {
+            Operation::Load => {
+                order.counted = item.is_model() && !endpoint.on_disk.contains(&item.model);
+                endpoint.expect(item.clone(), order.expected);
+            }
+            Operation::Evict => endpoint.leaving.push(item.clone()),
+        }
+        if order.counted {
+            self.store.ordered(order_id);
+        }
+        endpoint.order = Some(order);
+        let order = Order {
+            id: order_id,
+            instance: id.clone(),
+            address: endpoint.address,
+            operation,
+            model: item.model,
+            adapter: item.adapter,
+            if_revision: endpoint.revision,
+        };
+        self.orders.insert(order_id, id.clone());
+        self.actions.push_back(Action::Order(order));
+    }
+}
--- /dev/null
+++ b/crates/placement/src/settings.rs
@@ -0,0 +1,34 @@
+//! What a placer is told once, when it is made.
+
+use lanegate_model::settings::Bounds;
+use std::time::Duration;
+
+/// Whether somebody may have placed models just before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Start {
+    /// Nobody has given orders within the last ceiling window.
+    First,
+    /// A predecessor may have used up the ceiling, and orders of it may be under way.
+    Takeover,
+}
+
+/// Figures of the rules in force, and how this placer begins.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlacerSettings {
+    /// Length of the sliding window in which loads from the weight store are counted.
+    pub ceiling_window: Duration,
+    /// How far beyond the permitted rate the loads of a window may lie.
+    pub ceiling_overshoot: f64,
+    pub start: Start,
+}
+
+impl PlacerSettings {
+    /// Takes the figures from the settings file's bounds.
+    pub fn new(bounds: &Bounds, start: Start) -> PlacerSettings {
+        PlacerSettings {
+            ceiling_window: Duration::from_secs_f64(bounds.ceiling_window_s.max(0.0)),
+            ceiling_overshoot: bounds.ceiling_overshoot,
+            start,
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/underway.rs
@@ -0,0 +1,112 @@
+//! An order that an endpoint was given and that is not known to be over.
+
+use crate::interface::{Item, Operation, OrderId};
+use std::time::Duration;
+
+/// How long an adapter's load is taken to last, ms; it arrives in some ms.
+const ADAPTER_PAUSE: Duration = Duration::from_millis(150);
+
+/// How long after an urgent eviction its end is asked for; reports lag by some hundred ms.
+const EVICT_QUESTION: Duration = Duration::from_millis(350);
+
+/// How long an eviction may take before its end is asked for; longer than a heartbeat.
+const EVICT_PATIENCE: Duration = Duration::from_millis(2_600);
+
+/// Beyond a load's usual time, how long its end may go untold; longer than a heartbeat.
+const LOAD_PATIENCE: Duration = Duration::from_millis(2_600);
+
+/// How long an order without an answer may still reach its endpoint.
+pub const IN_FLIGHT: Duration = Duration::from_millis(1_500);
+
+/// Longest pause between two questions about the same order.
+const LONGEST_PAUSE: Duration = Duration::from_secs(8);
+
+/// How far an order has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// No answer yet.
+    Sent,
+    /// The endpoint said that it is being done.
+    Taken,
+    /// There will be no answer: it may have been taken.
+    Lost,
+}
+
+/// An order under way at one endpoint.
+#[derive(Debug, Clone)]
+pub struct Underway {
+    pub id: OrderId,
+    pub operation: Operation,
+    pub item: Item,
+    pub sent: Duration,
+    pub stage: Stage,
+    /// Whether the load is counted by the weight store.
+    pub counted: bool,
+    /// Whether requests wait for what the order makes possible.
+    pub urgent: bool,
+    /// When its effect should show, once it is taken.
+    pub expected: Duration,
+    /// When the endpoint is asked about it.
+    pub ask_at: Option<Duration>,
+    asked: u32,
+}
+
+impl Underway {
+    /// An order that goes out now and should take `lasts`.
+    pub fn new(id: OrderId, operation: Operation, item: Item, now: Duration, lasts: Duration) -> Underway {
+        Underway {
+            id,
+            operation,
+            item,
+            sent: now,
+            stage: Stage::Sent,
+            counted: false,
+            urgent: false,
+            expected: now + lasts,
+            ask_at: None,
+            asked: 0,
+        }
+    }
+
+    /// The endpoint took the order.
+    pub fn taken(&mut self, now: Duration) {
+        self.stage = Stage::Taken;
+        self.ask_at = Some(match self.operation {
+            Operation::Evict if self.urgent => now + EVICT_QUESTION,
+            Operation::Evict => now + EVICT_PATIENCE,
+            Operation::Load => now + (self.expected - self.sent) * 2 + LOAD_PATIENCE,
+        });
+    }
+
+    /// The order got no answer.
+    pub fn lost(&mut self, now: Duration) {
+        self.stage = Stage::Lost;
+        self.ask_at = Some(now.max(self.sent + IN_FLIGHT));
+    }
+
+    /// The endpoint is being asked now: when to ask again if nothing comes of it.
+    pub fn asking(&mut self, now: Duration) {
+        self.asked += 1;
+        let pause = Duration::from_millis(500) * 2u32.pow(self.asked.min(5));
+        self.ask_at = Some(now + pause.min(LONGEST_PAUSE));
+    }
+
+    /// Whether no answer has come yet.
+    pub fn unanswered(&self) -> bool {
+        self.stage == Stage::Sent
+    }
+
+    /// Whether the order may be taken to be over without a word: adapters arrive in some ms.
+    pub fn over_by_time(&self, now: Duration) -> bool {
+        self.stage == Stage::Taken
+            && self.operation == Operation::Load
+            && !self.item.is_model()
+            && now >= self.sent + ADAPTER_PAUSE
+    }
+
+    /// When something is next to be done about it.
+    pub fn next_wake(&self) -> Option<Duration> {
+        let quick = self.stage == Stage::Taken && self.operation == Operation::Load && !self.item.is_model();
+        if quick { Some(self.sent + ADAPTER_PAUSE) } else { self.ask_at }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/view.rs
@@ -0,0 +1,128 @@
+//! What one round of planning looks at: for each model its demand, its copies and its target.
+
+use crate::catalog::Catalog;
+use crate::endpoint::Endpoint;
+use crate::interface::Item;
+use crate::need::{Fleet, Target};
+use crate::rate::DemandTable;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The endpoints of a service by their ids.
+pub type Endpoints = BTreeMap<Arc<str>, Endpoint>;
+
+/// How a model stands.
+#[derive(Debug, Default, Clone)]
+pub struct Standing {
+    pub target: Target,
+    /// Endpoints that hold it, load it, or make room for it.
+    pub copies: usize,
+    /// Of `copies`, those in each zone.
+    pub zones: BTreeMap<Arc<str>, usize>,
+    /// Requests a second over a longer time.
+    pub slow: f64,
+    /// Requests a second that are certain of late.
+    pub low: f64,
+    /// Work, tokens a second.
+    pub work: f64,
+    pub in_demand: bool,
+    pub urgent: bool,
+}
+
+impl Standing {
+    /// Work that one copy carries, tokens a second.
+    pub fn work_per_copy(&self) -> f64 {
+        self.work / self.copies.max(1) as f64
+    }
+}
+
+/// One round's look at the service.
+#[derive(Debug)]
+pub struct View {
+    pub now: Duration,
+    pub fleet: Fleet,
+    /// Whether demand is known well enough to tell what is not wanted.
+    pub watched: bool,
+    pub models: BTreeMap<Arc<str>, Standing>,
+}
+
+impl View {
+    /// Looks at the service as it stands now.
+    pub fn new(now: Duration, demand: &DemandTable, endpoints: &Endpoints, catalog: &Catalog) -> View {
+        let ready = endpoints.values().filter(|endpoint| endpoint.ready).count();
+        let work = demand.models.values().map(|rates| rates.total.fast(now) * rates.total.mean_work()).sum();
+        let fleet = Fleet { endpoints: ready, work };
+        let mut view = View { now, fleet, watched: demand.watched(now), models: BTreeMap::new() };
+        view.take_demand(demand, catalog);
+        for endpoint in endpoints.values().filter(|endpoint| endpoint.ready) {
+            view.take_copies(endpoint);
+        }
+        view
+    }
+
+    fn take_demand(&mut self, demand: &DemandTable, catalog: &Catalog) {
+        for (model, rates) in &demand.models {
+            let total = &rates.total;
+            let mut target = self.fleet.target(total, self.fleet.endpoints, self.now);
+            let adapters = rates.adapters.values().filter(|rates| rates.in_demand(self.now)).count();
+            let places = adapters.div_ceil(catalog.max_adapters.max(1)).min(self.fleet.endpoints);
+            target.order = target.order.max(places);
+            target.keep = target.keep.max(places);
+            let standing = Standing {
+                target,
+                slow: total.slow(self.now),
+                low: total.estimate(self.now).low,
+                work: total.fast(self.now) * total.mean_work(),
+                in_demand: total.in_demand(self.now),
+                urgent: total.urgent(self.now),
+                ..Standing::default()
+            };
+            self.models.insert(model.clone(), standing);
+        }
+    }
+
+    fn take_copies(&mut self, endpoint: &Endpoint) {
+        let mut models: BTreeSet<Arc<str>> = endpoint
+            .items()
+            .filter(|item| item.is_model() && endpoint.keeps(item))
+            .map(|item| item.model)
+            .collect();
+        models.extend(endpoint.intended(self.now).cloned());
+        for model in models {
+            self.add_copy(&model, &endpoint.zone);
+        }
+    }
+
+    /// Counts a copy that was just ordered or is being made room for.
+    pub fn add_copy(&mut self, model: &Arc<str>, zone: &Arc<str>) {
+        let standing = self.models.entry(model.clone()).or_default();
+        standing.copies += 1;
+        *standing.zones.entry(zone.clone()).or_default() += 1;
+    }
+
+    /// No longer counts a copy that was just ordered away.
+    pub fn remove_copy(&mut self, model: &Arc<str>, zone: &Arc<str>) {
+        let Some(standing) = self.models.get_mut(model) else { return };
+        standing.copies = standing.copies.saturating_sub(1);
+        if let Some(copies) = standing.zones.get_mut(zone) {
+            *copies = copies.saturating_sub(1);
+        }
+    }
+
+    /// How the model stands; one that nobody asked for has no demand.
+    pub fn standing(&self, model: &str) -> Standing {
+        self.models.get(model).cloned().unwrap_or_default()
+    }
+
+    /// Work that an endpoint carries, as a multiple of an even share.
+    pub fn load(&self, endpoint: &Endpoint) -> f64 {
+        if self.fleet.work <= 0.0 {
+            return 0.0;
+        }
+        let items = endpoint.items().filter(Item::is_model);
+        let work: f64 =
+            items.filter_map(|item| self.models.get(&item.model)).map(Standing::work_per_copy).sum();
+        work * self.fleet.endpoints as f64 / self.fleet.work
+    }
+}
--- /dev/null
+++ b/crates/placement/tests/support/fleet.rs
@@ -0,0 +1,150 @@
+//! Endpoints that hold models and obey orders.
+
+use lanegate_model::configuration::Runtime;
+use lanegate_model::instance::{HeldModel, Instance, InstanceState};
+use lanegate_placement::{EndpointReport, Operation, Order};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// What an order does to an endpoint, and when it is over.
+pub struct Work {
+    pub operation: Operation,
+    pub model: String,
+    pub adapter: Option<String>,
+    pub until_ms: u64,
+}
+
+pub struct Endpoint {
+    pub name: String,
+    pub incarnation: u32,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub ready: bool,
+    pub remaining_ms: Option<f64>,
+    pub models: BTreeMap<String, BTreeSet<String>>,
+    pub disk: BTreeSet<String>,
+    pub work: Option<Work>,
+    pub orders_taken: u64,
+    pub beats: u64,
+    pub next_beat_ms: u64,
+    pub up: bool,
+}
+
+impl Endpoint {
+    pub fn id(&self) -> String {
+        format!("{}-{}", self.name, self.incarnation)
+    }
+
+    pub fn holds(&self, model: &str, adapter: Option<&str>) -> bool {
+        let adapters = self.models.get(model);
+        adapters.is_some_and(|adapters| adapter.is_none_or(|adapter| adapters.contains(adapter)))
+    }
+
+    /// Whether the item is here or on its way and is not being taken away.
+    pub fn will_hold(&self, model: &str, adapter: Option<&str>) -> bool {
+        let work = self.work.as_ref().filter(|work| work.model == model);
+        match work {
+            Some(work) if work.operation == Operation::Load => {
+                work.adapter.as_deref() == adapter || self.holds(model, adapter)
+            }
+            Some(work) if work.adapter.is_none() || work.adapter.as_deref() == adapter => false,
+            _ => self.holds(model, adapter),
+        }
+    }
+
+    fn held(&self) -> Vec<HeldModel> {
+        let held = |(name, adapters): (&String, &BTreeSet<String>)| HeldModel {
+            name: name.clone(),
+            version: 1,
+            adapters: adapters.iter().cloned().collect(),
+        };
+        self.models.iter().map(held).collect()
+    }
+
+    pub fn instance(&self, backend: &str) -> Instance {
+        Instance {
+            id: self.id(),
+            backend: backend.into(),
+            address: self.address,
+            zone: self.zone.clone(),
+            version: "v1".into(),
+            capacity: 64,
+            state: if self.ready { InstanceState::Ready } else { InstanceState::Draining },
+            cold_left_ms: 0.0,
+            phase: None,
+            models: self.held(),
+            sequence: self.beats,
+            remaining_ms: self.remaining_ms,
+        }
+    }
+
+    pub fn report(&self) -> EndpointReport {
+        EndpointReport {
+            phase: None,
+            models: self.held(),
+            busy: self.work.is_some(),
+            sequence: self.orders_taken,
+            queued: 0,
+            active: 0,
+            kv_used: 0.0,
+            kv_capacity: 0.0,
+            handles: 0,
+        }
+    }
+
+    /// Room taken by what is held, MB.
+    pub fn used_mb(&self, runtime: &Runtime) -> f64 {
+        let sizes = self.models.iter().map(|(model, adapters)| {
+            size(runtime, model, false) + adapters.len() as f64 * size(runtime, model, true)
+        });
+        sizes.sum()
+    }
+
+    pub fn adapters(&self) -> usize {
+        self.models.values().map(BTreeSet::len).sum()
+    }
+
+    /// Ends work whose time has come.
+    pub fn advance(&mut self, now_ms: u64) {
+        let Some(work) = self.work.take_if(|work| work.until_ms <= now_ms) else { return };
+        match (work.operation, work.adapter) {
+            (Operation::Load, None) => {
+                self.disk.insert(work.model.clone());
+                self.models.entry(work.model).or_default();
+            }
+            (Operation::Load, Some(adapter)) => {
+                if let Some(adapters) = self.models.get_mut(&work.model) {
+                    adapters.insert(adapter);
+                }
+            }
+            (Operation::Evict, None) => {
+                self.models.remove(&work.model);
+            }
+            (Operation::Evict, Some(adapter)) => {
+                if let Some(adapters) = self.models.get_mut(&work.model) {
+                    adapters.remove(&adapter);
+                }
+            }
+        }
+    }
+
+    /// The status with which an order is refused or found done, if it is not to be carried out.
+    pub fn status_without_work(&self, order: &Order) -> Option<u16> {
+        if self.id() != *order.instance {
+            return Some(421);
+        }
+        if self.work.is_some() || order.if_revision.is_some_and(|revision| revision != self.orders_taken) {
+            return Some(409);
+        }
+        if order.adapter.is_some() && !self.models.contains_key(&*order.model) {
+            return Some(400);
+        }
+        let holds = self.holds(&order.model, order.adapter.as_deref());
+        (holds == (order.operation == Operation::Load)).then_some(200)
+    }
+}
+
+pub fn size(runtime: &Runtime, model: &str, adapter: bool) -> f64 {
+    let spec = runtime.models.iter().find(|spec| spec.name == model);
+    spec.map_or(0.0, |spec| if adapter { spec.adapter_size_mb } else { spec.weights_mb })
+}
--- /dev/null
+++ b/crates/placement/tests/support/simulation.rs
@@ -0,0 +1,400 @@
+//! Simulated time: messages under way, heartbeats, reports of demand, and a placer among them.
+
+use super::check::{Checks, OVERSHOOT, WINDOW_MS};
+use super::fleet::{Endpoint, Work};
+use super::random::Random;
+use lanegate_model::configuration::{Model, Runtime};
+use lanegate_model::demand::{DemandReport, ModelDemand};
+use lanegate_model::instance::Instance;
+use lanegate_placement::{
+    Action, EndpointReport, Operation, Order, OrderAnswer, OrderId, Placer, PlacerSettings, Start,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub const BACKEND: &str = "models";
+const BEAT_MS: u64 = 1_200;
+const DEMAND_MS: u64 = 1_000;
+const REPORT_LAG_MS: u64 = 300;
+const SILENCE_MS: u64 = 3_000;
+const ANSWER_TIMEOUT_MS: u64 = 1_000;
+
+enum Message {
+    Order(Order),
+    Answer(OrderId, String, OrderAnswer),
+    Instance(Box<Instance>),
+    Removed(String),
+    Report(String, EndpointReport),
+    Question(SocketAddr, String),
+}
+
+/// Requests a second for one item.
+#[derive(Clone)]
+pub struct Asked {
+    pub model: String,
+    pub adapter: Option<String>,
+    pub rate: f64,
+}
+
+pub struct Simulation {
+    pub now_ms: u64,
+    pub runtime: Runtime,
+    pub placer: Placer,
+    pub endpoints: Vec<Endpoint>,
+    pub demand: Vec<Asked>,
+    pub checks: Checks,
+    pub orders: Vec<(u64, Order)>,
+    pub conflicts: u64,
+    pub questions: u64,
+    pub unplaced: Vec<(u64, String, u32)>,
+    pub requests: u64,
+    pub loss: f64,
+    pub routers: usize,
+    pub random: Random,
+    pub generation: u32,
+    messages: BTreeMap<(u64, u64), (u32, Message)>,
+    sent: u64,
+    histories: BTreeMap<(u64, String), EndpointReport>,
+}
+
+pub fn runtime(models: usize, size_mb: f64, load_s: f64, adapters: u32, adapter_mb: f64) -> Runtime {
+    let model = |number: usize| Model {
+        name: format!("m{number}"),
+        weights_mb: size_mb,
+        load_time_s: load_s,
+        adapters,
+        adapter_size_mb: adapter_mb,
+    };
+    Runtime {
+        capacity: 64,
+        kv_cache_tokens: 233_000.0,
+        stride: None,
+        models: (1..=models).map(model).collect(),
+        weights_mb: 220_000.0,
+        max_adapters: 8,
+        loads_per_s: 2.8,
+    }
+}
+
+fn settings(start: Start) -> PlacerSettings {
+    PlacerSettings { ceiling_window: Duration::from_millis(WINDOW_MS), ceiling_overshoot: OVERSHOOT, start }
+}
+
+impl Simulation {
+    pub fn new(runtime: Runtime, endpoints: usize, zones: usize, seed: u64) -> Simulation {
+        let mut placer = Placer::new(Duration::ZERO, BACKEND, seed, &settings(Start::First));
+        placer.configure(Duration::ZERO, &runtime);
+        let mut random = Random::new(seed);
+        let endpoints = (0..endpoints).map(|number| endpoint(number, zones, &mut random)).collect();
+        Simulation {
+            now_ms: 0,
+            runtime,
+            placer,
+            endpoints,
+            demand: Vec::new(),
+            checks: Checks::default(),
+            orders: Vec::new(),
+            conflicts: 0,
+            questions: 0,
+            unplaced: Vec::new(),
+            requests: 0,
+            loss: 0.0,
+            routers: 3,
+            random,
+            generation: 0,
+            messages: BTreeMap::new(),
+            sent: 0,
+            histories: BTreeMap::new(),
+        }
+    }
+
+    pub fn now(&self) -> Duration {
+        Duration::from_millis(self.now_ms)
+    }
+
+    pub fn run_until(&mut self, until_ms: u64) {
+        while self.now_ms < until_ms {
+            self.now_ms += 10;
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        let now_ms = self.now_ms;
+        for endpoint in &mut self.endpoints {
+            endpoint.advance(now_ms);
+        }
+        self.beats();
+        self.deliver();
+        if now_ms.is_multiple_of(100) {
+            self.remember();
+        }
+        for router in 0..self.routers {
+            if now_ms % DEMAND_MS == router as u64 * DEMAND_MS / self.routers as u64 / 10 * 10 {
+                self.report_demand(router);
+            }
+        }
+        if self.placer.next_wake().is_some_and(|at| at <= self.now()) {
+            self.placer.wake(self.now());
+        }
+        self.drain();
+        self.checks.loading(&self.endpoints);
+    }
+
+    fn send(&mut self, delay_ms: u64, message: Message) {
+        self.sent += 1;
+        self.messages.insert((self.now_ms + delay_ms, self.sent), (self.generation, message));
+    }
+
+    fn delay(&mut self) -> u64 {
+        10 + self.random.below(3) * 10
+    }
+
+    fn drain(&mut self) {
+        while let Some(action) = self.placer.next_action() {
+            match action {
+                Action::Order(order) => self.order_leaves(order),
+                Action::AskReport { instance, address } => {
+                    self.questions += 1;
+                    let delay = self.delay();
+                    self.send(delay, Message::Question(address, instance.to_string()));
+                }
+            }
+        }
+    }
+
+    fn order_leaves(&mut self, order: Order) {
+        self.checks.leaving(self.now_ms, &order, &self.endpoints);
+        self.orders.push((self.now_ms, order.clone()));
+        if self.random.unit() < self.loss {
+            let answer = Message::Answer(order.id, order.instance.to_string(), OrderAnswer::Unknown);
+            self.send(ANSWER_TIMEOUT_MS, answer);
+            return;
+        }
+        let delay = self.delay();
+        self.send(delay, Message::Order(order));
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.messages.first_entry() {
+            if entry.key().0 > self.now_ms {
+                break;
+            }
+            let (generation, message) = entry.remove();
+            self.arrive(generation, message);
+        }
+    }
+
+    fn arrive(&mut self, generation: u32, message: Message) {
+        let now = self.now();
+        let current = generation == self.generation;
+        match message {
+            Message::Order(order) => self.order_arrives(order),
+            Message::Answer(id, instance, answer) if current => {
+                self.checks.settled(&instance, id.0);
+                self.placer.order_answered(now, id, answer);
+            }
+            Message::Instance(instance) => self.placer.instance(now, &instance),
+            Message::Removed(id) => {
+                self.checks.open.remove(&id);
+                self.placer.removed(now, &id);
+            }
+            Message::Report(id, report) if current => self.placer.report(now, &id, &report),
+            Message::Question(address, id) => self.question_arrives(address, &id),
+            Message::Answer(..) | Message::Report(..) => {}
+        }
+        self.drain();
+    }
+
+    fn order_arrives(&mut self, order: Order) {
+        let now_ms = self.now_ms;
+        let found =
+            self.endpoints.iter().position(|endpoint| endpoint.up && endpoint.address == order.address);
+        let Some(index) = found else {
+            let answer = Message::Answer(order.id, order.instance.to_string(), OrderAnswer::Unknown);
+            self.send(ANSWER_TIMEOUT_MS, answer);
+            return;
+        };
+        let status = self.endpoints[index].status_without_work(&order).unwrap_or(202);
+        if status == 202 {
+            self.checks.carried_out(now_ms, &order, &self.endpoints[index], &self.runtime);
+            self.take(index, &order);
+        }
+        self.conflicts += u64::from(status == 409);
+        let lost = self.random.unit() < self.loss;
+        let answer = if lost { OrderAnswer::Unknown } else { OrderAnswer::from_status(status) };
+        let delay = if lost { ANSWER_TIMEOUT_MS } else { self.delay() };
+        self.send(delay, Message::Answer(order.id, order.instance.to_string(), answer));
+    }
+
+    fn take(&mut self, index: usize, order: &Order) {
+        let chance = self.random.unit();
+        let endpoint = &mut self.endpoints[index];
+        let spec = self.runtime.models.iter().find(|model| *model.name == *order.model);
+        let load_ms = spec.map_or(1_000.0, |model| model.load_time_s * 1_000.0);
+        let disk = if endpoint.disk.contains(&*order.model) { 0.4 } else { 1.0 };
+        let lasts = match (order.operation, order.adapter.is_some()) {
+            (Operation::Load, false) => load_ms * disk * (1.0 + 0.5 * chance),
+            (Operation::Load, true) => 20.0 + 60.0 * chance,
+            (Operation::Evict, _) => 10.0 + 400.0 * chance,
+        };
+        endpoint.orders_taken += 1;
+        endpoint.work = Some(Work {
+            operation: order.operation,
+            model: order.model.to_string(),
+            adapter: order.adapter.as_ref().map(|adapter| adapter.to_string()),
+            until_ms: self.now_ms + lasts as u64,
+        });
+    }
+
+    fn question_arrives(&mut self, address: SocketAddr, id: &str) {
+        let lost = self.random.unit() < self.loss;
+        let there = self.endpoints.iter().any(|e| e.up && e.address == address && e.id() == id);
+        let as_of = self.now_ms.saturating_sub(REPORT_LAG_MS) / 100 * 100;
+        let report = self.histories.get(&(as_of, id.to_string())).cloned();
+        if let Some(report) = report.filter(|_| there && !lost) {
+            let delay = self.delay();
+            self.send(delay, Message::Report(id.to_string(), report));
+        }
+    }
+
+    fn remember(&mut self) {
+        let now_ms = self.now_ms;
+        self.histories.retain(|(at, _), _| *at + 2_000 > now_ms);
+        for endpoint in self.endpoints.iter().filter(|endpoint| endpoint.up) {
+            self.histories.insert((now_ms, endpoint.id()), endpoint.report());
+        }
+    }
+
+    fn beats(&mut self) {
+        for index in 0..self.endpoints.len() {
+            let endpoint = &mut self.endpoints[index];
+            if !endpoint.up || self.now_ms < endpoint.next_beat_ms {
+                continue;
+            }
+            endpoint.next_beat_ms = self.now_ms + BEAT_MS;
+            endpoint.beats += 1;
+            let instance = endpoint.instance(BACKEND);
+            let delay = 10 + self.random.below(10) * 10;
+            if self.random.unit() >= self.loss {
+                self.send(delay, Message::Instance(Box::new(instance)));
+            }
+        }
+    }
+
+    fn report_demand(&mut self, router: usize) {
+        let mut models = Vec::new();
+        for asked in self.demand.clone() {
+            let requests = self.random.poisson(asked.rate / self.routers as f64);
+            if requests == 0 {
+                continue;
+            }
+            let placed = self.copies(&asked.model, asked.adapter.as_deref()) > 0;
+            let unplaced = if placed { 0 } else { requests };
+            self.requests += u64::from(requests);
+            self.checks.asked(self.now_ms, &asked.model);
+            if unplaced > 0 {
+                let name = format!("{}/{}", asked.model, asked.adapter.as_deref().unwrap_or(""));
+                self.unplaced.push((self.now_ms, name, unplaced));
+            }
+            models.push(ModelDemand {
+                backend: BACKEND.into(),
+                model: asked.model,
+                adapter: asked.adapter,
+                requests,
+                tokens: u64::from(requests) * 3_000,
+                unplaced,
+            });
+        }
+        let report = DemandReport { period_ms: DEMAND_MS as u32, models };
+        self.placer.demand(self.now(), &format!("router-{router}"), &report);
+        self.drain();
+    }
+
+    /// Endpoints that hold an item and take requests.
+    pub fn copies(&self, model: &str, adapter: Option<&str>) -> usize {
+        let ready = self.endpoints.iter().filter(|endpoint| endpoint.up && endpoint.ready);
+        ready.filter(|endpoint| endpoint.holds(model, adapter)).count()
+    }
+
+    pub fn zones(&self, model: &str) -> usize {
+        let ready = self.endpoints.iter().filter(|endpoint| endpoint.up && endpoint.ready);
+        let zones: BTreeSet<&str> =
+            ready.filter(|endpoint| endpoint.holds(model, None)).map(|endpoint| &*endpoint.zone).collect();
+        zones.len()
+    }
+
+    pub fn place(&mut self, name: &str, models: &[&str]) {
+        if let Some(endpoint) = self.endpoints.iter_mut().find(|endpoint| endpoint.name == name) {
+            for model in models {
+                endpoint.models.entry((*model).into()).or_default();
+                endpoint.disk.insert((*model).into());
+            }
+        }
+    }
+
+    pub fn crash(&mut self, name: &str) {
+        let Some(endpoint) = self.endpoints.iter_mut().find(|endpoint| endpoint.name == name) else { return };
+        endpoint.up = false;
+        endpoint.work = None;
+        let id = endpoint.id();
+        self.send(SILENCE_MS, Message::Removed(id));
+    }
+
+    pub fn restart(&mut self, name: &str) {
+        let Some(endpoint) = self.endpoints.iter_mut().find(|endpoint| endpoint.name == name) else { return };
+        endpoint.up = true;
+        endpoint.ready = true;
+        endpoint.remaining_ms = None;
+        endpoint.incarnation += 1;
+        endpoint.models.clear();
+        endpoint.orders_taken = 0;
+        endpoint.beats = 0;
+        endpoint.next_beat_ms = self.now_ms;
+    }
+
+    pub fn drain_endpoint(&mut self, name: &str, remaining_ms: Option<f64>) {
+        let Some(endpoint) = self.endpoints.iter_mut().find(|endpoint| endpoint.name == name) else { return };
+        endpoint.ready = false;
+        endpoint.remaining_ms = remaining_ms;
+        endpoint.next_beat_ms = self.now_ms;
+    }
+
+    /// Another holder of the lease begins with nothing but the newest registrations.
+    pub fn take_over(&mut self) {
+        self.generation += 1;
+        self.checks.open.clear();
+        let now = self.now();
+        let seed = self.random.next();
+        self.placer = Placer::new(now, BACKEND, seed, &settings(Start::Takeover));
+        self.placer.configure(now, &self.runtime);
+        let registrations: Vec<Instance> = self
+            .endpoints
+            .iter()
+            .filter(|endpoint| endpoint.up && endpoint.beats > 0)
+            .map(|endpoint| endpoint.instance(BACKEND))
+            .collect();
+        for instance in registrations {
+            self.placer.instance(now, &instance);
+        }
+    }
+}
+
+fn endpoint(number: usize, zones: usize, random: &mut Random) -> Endpoint {
+    Endpoint {
+        name: format!("e{}", number + 1),
+        incarnation: 1,
+        address: SocketAddr::from(([10, 0, 0, 1], 9_000 + number as u16)),
+        zone: format!("z{}", number % zones + 1),
+        ready: true,
+        remaining_ms: None,
+        models: BTreeMap::new(),
+        disk: BTreeSet::new(),
+        work: None,
+        orders_taken: 0,
+        beats: 0,
+        next_beat_ms: random.below(120) * 10,
+        up: true,
+    }
+}
