--- a/crates/controller/src/agent/mod.rs
+++ b/crates/controller/src/agent/mod.rs
@@ -57,12 +57,12 @@
 
 /// Runs an agent until SIGTERM. Must run inside a `LocalSet`.
 pub async fn run_agent(settings: Settings) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
     let listener = link::listen(loopback_address(&settings))?;
     let (downstream, mut from_readers) = mpsc::unbounded_channel();
     tokio::task::spawn_local(accept(listener, downstream));
     let (news, mut from_sources) = mpsc::unbounded_channel();
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut reload = signal(SignalKind::hangup())?;
     let mut agent = Agent::new(settings, news);
     agent.review();
     let mut review = tokio::time::interval(REVIEW_PERIOD);
--- a/crates/lanegate/src/command_line.rs
+++ b/crates/lanegate/src/command_line.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long, positional};
+use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long, positional, pure};
 use log::LevelFilter;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -18,20 +18,13 @@
 /// One command.
 #[derive(Debug, Clone)]
 pub enum Command {
-    Router(Process),
-    Agent(Process),
-    Controller(Process),
+    Router,
+    Agent,
+    Controller,
     Check { files: Vec<PathBuf> },
     Status { address: SocketAddr },
 }
 
-/// How a process that serves is started.
-#[derive(Debug, Clone)]
-pub struct Process {
-    /// The settings file, where it is not named by the environment.
-    pub settings: Option<PathBuf>,
-}
-
 /// A command line, read.
 pub enum Parsed {
     Arguments(Arguments),
@@ -57,6 +50,7 @@
     construct!(Arguments { log_level, command })
         .to_options()
         .descr("A router and placer for many models")
+        .footer("LANEGATE_NODE_FILE names the settings file of router, agent and controller.")
         .version(env!("CARGO_PKG_VERSION"))
         .max_width(HELP_WIDTH)
 }
@@ -77,23 +71,15 @@
 }
 
 fn command() -> impl Parser<Command> {
-    let router = process().map(Command::Router).to_options().descr("Serve clients").command("router");
-    let agent = process().map(Command::Agent).to_options().descr("Keep a router fed").command("agent");
-    let controller = process().map(Command::Controller).to_options();
+    let router = pure(Command::Router).to_options().descr("Serve clients").command("router");
+    let agent = pure(Command::Agent).to_options().descr("Keep a router fed").command("agent");
+    let controller = pure(Command::Controller).to_options();
     let controller = controller.descr("Keep configuration and registrations").command("controller");
     let check = check().to_options().descr("Check settings and configuration files").command("check");
     let status = status().to_options().descr("Ask a controller how it is").command("status");
     construct!([router, agent, controller, check, status])
 }
 
-fn process() -> impl Parser<Process> {
-    let settings = long("settings")
-        .help("Settings file; without it, LANEGATE_NODE_FILE names it")
-        .argument::<PathBuf>("FILE")
-        .optional();
-    construct!(Process { settings })
-}
-
 fn check() -> impl Parser<Command> {
     let files = positional::<PathBuf>("FILE")
         .help("A settings file (YAML) or a configuration (JSON)")
--- a/crates/lanegate/src/commands/agent.rs
+++ b/crates/lanegate/src/commands/agent.rs
@@ -2,10 +2,9 @@
 
 use super::CommandError;
 use super::process;
-use crate::command_line::Process;
 use lanegate_model::settings::ProcessRole;
 
 /// Serves until SIGTERM.
-pub fn run(process: &Process) -> Result<(), CommandError> {
-    process::run(process, ProcessRole::Agent, lanegate_controller::run_agent)
+pub fn run() -> Result<(), CommandError> {
+    process::run(ProcessRole::Agent, lanegate_controller::run_agent)
 }
--- a/crates/lanegate/src/commands/mod.rs
+++ b/crates/lanegate/src/commands/mod.rs
@@ -49,9 +49,9 @@
 /// Does what `command` asks for.
 pub fn run(command: Command) -> Result<(), CommandError> {
     match command {
-        Command::Router(process) => router::run(&process),
-        Command::Agent(process) => agent::run(&process),
-        Command::Controller(process) => controller::run(&process),
+        Command::Router => router::run(),
+        Command::Agent => agent::run(),
+        Command::Controller => controller::run(),
         Command::Check { files } => check::run(&files),
         Command::Status { address } => status::run(address),
     }
--- a/crates/lanegate/src/commands/router.rs
+++ b/crates/lanegate/src/commands/router.rs
@@ -2,14 +2,13 @@
 
 use super::CommandError;
 use super::process;
-use crate::command_line::Process;
 use lanegate_model::settings::{ProcessRole, Settings};
 use lanegate_router::RouterError;
 use tokio::sync::mpsc;
 
 /// Serves until SIGTERM.
-pub fn run(process: &Process) -> Result<(), CommandError> {
-    process::run(process, ProcessRole::Router, serve)
+pub fn run() -> Result<(), CommandError> {
+    process::run(ProcessRole::Router, serve)
 }
 
 /// Routes what clients send, by what the agent beside this process tells.
--- a/crates/lanegate/tests/command_line.rs
+++ b/crates/lanegate/tests/command_line.rs
@@ -55,7 +55,7 @@
 #[test]
 fn what_a_role_needs_is_named() {
     let path = file("no_listeners.yaml", SETTINGS);
-    let output = run(&["router", "--settings", path.to_str().unwrap()]);
+    let output = lanegate(&["router"]).env("LANEGATE_NODE_FILE", &path).output().unwrap();
     assert_eq!(code(&output), 3);
     assert!(err(&output).contains("ListenersMap.Frontend"));
     assert!(err(&output).contains("ListenersMap.Readiness"));
