Split the decision module and its state by concern; say what the methods do in their names

Ruled out: renaming fields of the state, which is what one process hands to the next. Change: src/brain/{mod,hold,choice,calls,health,pace}.rs and src/state/{mod,time,message,endpoint,destination, tables}.rs; short names of methods made whole (`ease`: `make_feasible`, `gap`: `warm_up_gap`); `policy` names the files.

--- /dev/null
+++ b/src/brain/health.rs
@@ -0,0 +1,143 @@
+//! Health of endpoints: breakers, silence, and slow start after an outage.
+
+use crate::interface::*;
+use crate::state::*;
+use rand::Rng;
+use std::collections::BTreeSet;
+
+/// EWMA weights: of a failure, and of a failure where there is no fresh success.
+const FAILURE_GAIN: f64 = 0.25;
+const STALE_GAIN: f64 = 0.6;
+/// A failure ratio halves in this time, s.
+pub(super) const DOUBT_HALVES: f64 = 4.0;
+/// Failure ratio (each failure moves it) above which a breaker opens.
+const TRIP_RATIO: f64 = 0.5;
+/// Pause of an open breaker: first, s, and growth with the time for which it has ailed; least, s; part of a
+/// pause between the trials of one destination. A trial is a real message: the first pause outlasts a
+/// hiccup, the growth spares a long outage most of them, and a known rate ends a pause sooner.
+const OPEN_FIRST: f64 = 1.5;
+const OPEN_LEAST: f64 = 0.5;
+const OPEN_GROWTH: f64 = 6.0;
+const TRIAL_APART: f64 = 0.5;
+/// Length, s, of an outage that ends cold. In a shorter one nobody has stopped calling.
+const CONFIRMED: f64 = 1.0;
+/// A call this many latencies old with no answer since is taken as hung; and the least, s, which one slow
+/// call among fast ones does not reach.
+const HANG_LATENCIES: f64 = 6.0;
+const HANG_LEAST: f64 = 0.8;
+
+impl Brain {
+    pub(super) fn doubt(&self, e: &Endpoint) -> f64 {
+        e.doubt * 0.5f64.powf(secs(self.now - e.doubt_at) / DOUBT_HALVES)
+    }
+
+    pub(super) fn record_success(&mut self, id: EndpointId) {
+        let (now, doubt) = (self.now, self.doubt(&self.endpoints[&id]));
+        let e = self.endpoints.get_mut(&id).expect("known");
+        (e.doubt, e.doubt_at) = (doubt * (1.0 - FAILURE_GAIN), now);
+        e.last_ok = now;
+        // Slow start follows failures, not mere silence: a lost reply must not cost a well endpoint its rate.
+        if e.breaker != Breaker::Closed {
+            e.breaker = Breaker::Closed;
+            if e.cold && secs(now - e.ailing_from) > CONFIRMED {
+                // It was down: that is why there were no connections, not that they are few.
+                self.tight[e.kind] = f64::MIN;
+                (e.warm_from, e.free_at) = (Some(now), now);
+                self.space_calls(id);
+            }
+        }
+    }
+
+    pub(super) fn record_failure(&mut self, id: EndpointId, call: u64) {
+        let (now, doubt) = (self.now, self.doubt(&self.endpoints[&id]));
+        let e = self.endpoints.get_mut(&id).expect("known");
+        let gain = if secs(now - e.last_ok) < 4.0 { FAILURE_GAIN } else { STALE_GAIN };
+        (e.doubt, e.doubt_at) = (doubt + gain * (1.0 - doubt), now);
+        match e.breaker {
+            Breaker::Closed if e.doubt > TRIP_RATIO => self.open_breaker(id, true),
+            Breaker::HalfOpen if e.trial == Some(call) => self.open_breaker(id, true),
+            _ => {}
+        }
+    }
+
+    /// Opens a breaker. The next trial comes after a multiple of the time for which it has ailed, as ever
+    /// more couriers have something to try there, but no later than the known rate has room for all.
+    fn open_breaker(&mut self, id: EndpointId, cold: bool) {
+        let (now, jitter, rate) = (self.now, self.jitter(), self.own_share(id).max(1e-3));
+        let e = self.endpoints.get_mut(&id).expect("known");
+        let closed = e.breaker == Breaker::Closed;
+        if closed && e.warm_from.is_none() {
+            e.ailing_from = now;
+        }
+        let pause = (OPEN_FIRST + OPEN_GROWTH * secs(now - e.ailing_from)).min(1.0 / rate).max(OPEN_LEAST);
+        e.cold = cold || (e.cold && !closed);
+        e.warm_from = e.warm_from.filter(|_| !e.cold);
+        let (turn_at, apart) = (now + sec(pause * jitter), sec(TRIAL_APART * pause));
+        e.breaker = Breaker::Open;
+        // Outages mostly take a destination whole: one trial speaks for all its open endpoints. They take
+        // turns, what failed last comes last: else it alone is tried, and others that are back stay shut.
+        let others = self.dests[&e.dest].endpoints.iter().map(|o| (*o, &self.endpoints[o]));
+        let shut = others.filter(|(o, e)| *o != id && e.ready && e.breaker == Breaker::Open);
+        let turns: BTreeSet<_> = shut.map(|(o, e)| (e.turn_at, o)).collect();
+        for (n, (at, other)) in turns.into_iter().chain([(turn_at, id)]).enumerate() {
+            self.endpoints.get_mut(&other).expect("known").turn_at = at.max(turn_at + apart * n as Ns);
+        }
+    }
+
+    /// Finds hung calls and moves open breakers on, at the endpoints of one destination.
+    pub(super) fn check_health(&mut self, dest: DestinationId) {
+        let now = self.now;
+        let d = &self.dests[&dest];
+        let (held, usual) = (!d.chart.is_empty(), d.latency.seconds());
+        for id in d.endpoints.iter().copied().collect::<Vec<_>>() {
+            let pool_waits = self.pools[&self.pool_id(id)].wait_until;
+            let e = self.endpoints.get_mut(&id).expect("known");
+            let hang = sec((HANG_LATENCIES * e.latency.seconds().max(usual)).max(HANG_LEAST));
+            e.warm_from = e.warm_from.filter(|t| now - t <= ns(self.set.cold_span));
+            // Silence: a call much older than usual and no answer since it left. One slow call can trip it,
+            // which costs a trial. A courier that stalled hears all its news first: that is no silence.
+            let hung = |c: &(Ns, usize)| c.0 != Ns::MIN && now - c.0 > hang && e.last_ok < c.0;
+            let waits = e.calls.values().filter(|c| c.0 != Ns::MIN && !hung(c)).map(|c| c.0 + hang + 1).min();
+            let trial_lost = |t| e.calls.get(&t).is_none_or(hung);
+            match e.breaker {
+                Breaker::Closed if e.calls.values().any(hung) => {
+                    self.open_breaker(id, false);
+                    self.zone_heard(id, Outcome::TimedOut);
+                }
+                Breaker::Open if held && e.turn_at.max(pool_waits) <= now => {
+                    (e.breaker, e.trial) = (Breaker::HalfOpen, None);
+                }
+                Breaker::HalfOpen if e.trial.is_some_and(trial_lost) => self.open_breaker(id, true),
+                _ => {}
+            }
+            let e = &self.endpoints[&id];
+            let turn = (e.breaker == Breaker::Open && held).then_some(e.turn_at.max(pool_waits));
+            self.look_again(dest, waits.unwrap_or(NEVER).min(turn.unwrap_or(NEVER)));
+        }
+    }
+
+    /// Time, s, in which this courier's part of the fail-back budget allows so many calls, as it grows.
+    pub(super) fn warm_up_gap(&self, id: EndpointId, calls: f64) -> f64 {
+        let (from, cold) = (self.endpoints[&id].warm_from.unwrap_or(self.now), self.set.cold_from);
+        let span = self.set.cold_span.as_secs_f64().max(1e-3);
+        let present = cold + (1.0 - cold) * (secs(self.now - from) / span).clamp(0.0, 1.0);
+        let budget = calls / (self.set.fall_multiple * self.own_share(id)).max(1e-3);
+        // Present grows by this a second; what it lets through until then is the budget.
+        let growth = ((1.0 - cold) / span).max(1e-9);
+        ((present * present + 2.0 * growth * budget).sqrt() - present) / growth
+    }
+
+    /// Rule: an endpoint back from an outage is not pushed over. Each keeps its part of the budget, or,
+    /// where that is less than a call, goes once at random while it warms, rather late than early.
+    pub(crate) fn space_calls(&mut self, id: EndpointId) {
+        let u = self.rng.random::<f64>();
+        let gap = self.warm_up_gap(id, 0.5 + u);
+        let (now, cold) = (self.now, ns(self.set.cold_span));
+        let e = self.endpoints.get_mut(&id).expect("known");
+        e.warm_from = e.warm_from.filter(|t| now - t <= cold);
+        if let Some(from) = e.warm_from {
+            let left = secs(from + cold - now);
+            e.free_at = e.free_at.max(now + sec((left * u.sqrt()).min(gap)));
+        }
+    }
+}
--- /dev/null
+++ b/src/brain/hold.rs
@@ -0,0 +1,194 @@
+//! Messages that are held: their places on the chart, who gives way there, and what is answered unsent.
+
+use super::pace::FULL_PAUSE;
+use crate::interface::*;
+use crate::state::*;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Where a message is set back to, by the part of the time from its aim to its end that is left there.
+const SETBACKS: [f64; 3] = [0.5, 0.25, 0.0];
+/// A message is answered this many ticks before its time is up.
+const MARGIN_TICKS: Ns = 5;
+/// Attempts spread over the time left; before these, backoff after a second failure, as its share.
+const LAST_ATTEMPTS: u32 = 2;
+const RETRY_SHARE: f64 = 0.06;
+
+impl Brain {
+    /// When a message is answered at the latest: held ones while the usual latency is still left.
+    pub(super) fn answer_by(&self, m: &Message) -> Ns {
+        let need = if m.flight.is_none() { sec(self.dests[&m.dest].latency.seconds()) } else { 0 };
+        m.end - need.max(ns(self.set.tick) * MARGIN_TICKS)
+    }
+
+    /// Sigma: the smoothed latency over the calls that may run at once, and no less than paces under a known
+    /// limit allow: else a chart believes in rates it has not. Hurts where a pace is far below the limit.
+    fn sigma(&self, id: DestinationId) -> Ns {
+        let d = &self.dests[&id];
+        let ready = d.endpoints.iter().filter(|e| self.endpoints[e].ready).map(|e| self.pool_id(*e));
+        let paces: BTreeSet<_> = ready.collect();
+        let pace = paces.iter().map(|p| self.pools[p].limit.and(self.pools[p].rate)).sum::<Option<f64>>();
+        // One that no refusal has taught is a guess: nothing that a restart found gives way by it.
+        let found = |held: (Ns, MessageId)| self.messages[&held.1].found;
+        let guess = self.found > 0 && paces.iter().any(|p| self.pools[p].cut_at == 0);
+        let pace = pace.filter(|r| *r > 0.0 && !(guess && d.chart.iter().any(found)));
+        let paced = pace.map_or(0.0, |r| 1.0 / r);
+        sec((d.latency.seconds() / self.call_cap(d) as f64).max(paced)).max(1)
+    }
+
+    /// How far its pace has run ahead: calls saved up go at once, and debts come first. On the chart a call
+    /// ends a whole step of the pace after it left; in truth it takes the latency alone.
+    pub(super) fn pace_credit(&self, id: DestinationId) -> Ns {
+        let pool = self.pools.get(&(id, None)).filter(|pool| pool.limit.is_some());
+        let Some((pool, rate)) = pool.and_then(|pool| Some((pool, pool.rate?))) else { return 0 };
+        let idle = (1.0 / rate - self.dests[&id].latency.seconds()).max(0.0);
+        sec((pool.filled_up(self.now) - 1.0) / rate + idle)
+    }
+
+    /// Calls that this courier may have out at a destination.
+    pub(super) fn call_cap(&self, d: &Destination) -> usize {
+        d.recent.cap(self.set.slots)
+    }
+
+    pub(super) fn hold(&mut self, id: MessageId, out: &mut Vec<Action>) {
+        let dest = self.messages[&id].dest;
+        let soonest = self.now + sec(self.dests[&dest].latency.seconds());
+        while self.messages[&id].due < soonest && self.postpone(id) {}
+        let (due, sigma) = (self.messages[&id].due, self.sigma(dest));
+        let chart = &mut self.destination(dest).chart;
+        chart.resize(sigma);
+        chart.insert(due, id);
+        self.make_feasible(dest, out);
+    }
+
+    /// Where a message stands that cannot meet its due: by steps from its aim to its end, as long as it is
+    /// worth something there; and what it loses by that. With no later place it loses all.
+    fn later_due(&self, m: &Message) -> (Option<Ns>, f64) {
+        let steps = SETBACKS.map(|part| m.end - ((m.end - m.aim) as f64 * part) as Ns);
+        let next = steps.into_iter().find(|at| *at > m.due && self.set.worth(m, *at) > 0.0);
+        (next, self.set.worth(m, m.due) - next.map_or(0.0, |at| self.set.worth(m, at)))
+    }
+
+    /// Gives up its due for a later one, if there is one.
+    fn postpone(&mut self, id: MessageId) -> bool {
+        let m = &self.messages[&id];
+        let (dest, due) = (m.dest, m.due);
+        let Some(next) = self.later_due(m).0 else { return false };
+        let m = self.messages.get_mut(&id).expect("held");
+        (m.late, m.due) = (true, next);
+        let chart = &mut self.destination(dest).chart;
+        if chart.remove(due, id) {
+            chart.insert(next, id);
+        }
+        self.miss(id);
+        true
+    }
+
+    /// While the first busy segment starts before now, one of its messages gives way. Departure: it is only
+    /// set back while late worth remains, and refused after that.
+    fn make_feasible(&mut self, dest: DestinationId, out: &mut Vec<Action>) {
+        let from = self.now - self.pace_credit(dest);
+        while let Some(first) = self.destination(dest).chart.overdue(from) {
+            let victim = self.victim(&first);
+            if !self.postpone(victim) {
+                self.give_up(victim, out);
+            }
+        }
+    }
+
+    /// The message to give way: of the group that has missed least, weighted by worth, one that no restart
+    /// has found untried, the one that loses least by it; of these the one with most time left.
+    pub(super) fn victim(&self, candidates: &[MessageId]) -> MessageId {
+        let score = |id: &MessageId| {
+            let m = &self.messages[id];
+            let weight = if self.set.tenants > 0 { 1.0 } else { self.set.classes[m.class].worth };
+            self.miss_ratios.ratio(m.group) * weight
+        };
+        let by = |a: &&MessageId, b: &&MessageId| {
+            let (x, y) = (&self.messages[*a], &self.messages[*b]);
+            let loss = self.later_due(x).1.total_cmp(&self.later_due(y).1);
+            score(a)
+                .total_cmp(&score(b))
+                .then(x.found.cmp(&y.found))
+                .then(loss)
+                .then(y.due.cmp(&x.due))
+                .then(b.cmp(a))
+        };
+        *candidates.iter().min_by(by).expect("a segment holds a message")
+    }
+
+    pub(super) fn miss(&mut self, id: MessageId) {
+        let m = self.messages.get_mut(&id).expect("known");
+        if !std::mem::replace(&mut m.missed, true) {
+            let group = m.group;
+            self.miss_ratios.miss(group, self.now);
+        }
+    }
+
+    /// Late refusal, and the end of messages whose time is nearly up; then the chart.
+    pub(super) fn end_hopeless(&mut self, dest: DestinationId, out: &mut Vec<Action>) {
+        // What would be too late once the destination opens is answered now: waiting cannot help it.
+        let opens = self.now.max(self.open_from(dest));
+        let start = |m: &Message| if m.flight.is_none() { opens } else { self.now };
+        let over =
+            |m: &Message| self.answer_by(m) <= start(m) || m.flight.is_none() && !self.may_try(m, opens);
+        let open = self.dests[&dest].members.iter().filter(|id| !self.messages[id].over);
+        for id in open.filter(|id| over(&self.messages[id])).copied().collect::<Vec<_>>() {
+            self.give_up(id, out);
+        }
+        let sigma = self.sigma(dest);
+        self.destination(dest).chart.resize(sigma);
+        self.make_feasible(dest, out);
+    }
+
+    /// Spreads attempts over the time left: an outage or a rush may outlast quick retries.
+    pub(super) fn back_off(&mut self, id: MessageId, full: bool) {
+        let (u, m) = (self.jitter(), self.messages.get_mut(&id).expect("known"));
+        let left = self.set.attempt_cap.saturating_sub(m.attempts);
+        let share = match (left, full) {
+            (left, _) if left <= LAST_ATTEMPTS => 1.0 / f64::from(left + 1),
+            (_, false) if m.attempts > 1 => RETRY_SHARE * 3f64.powi(m.attempts as i32 - 2),
+            _ => return,
+        };
+        m.not_before = self.now + sec(secs(m.end - self.now) * u * share);
+    }
+
+    /// Ends a message undelivered: refused if that is known to be harmless, else given up as failed.
+    pub(super) fn give_up(&mut self, id: MessageId, out: &mut Vec<Action>) {
+        self.miss(id);
+        let m = &self.messages[&id];
+        let harmless = match self.set.classes[m.class].effect {
+            Effect::Repeatable => true,
+            Effect::Keyed { scope: KeyScope::All, .. } => m.flight.is_none(),
+            _ => m.flight.is_none() && m.ran.is_none(),
+        };
+        let refuse = Action::Refuse { message: id, wait: self.retry_after(m.dest) };
+        out.push(if harmless { refuse } else { Action::Fail { message: id } });
+        self.close(id);
+    }
+
+    /// When a refused client may come again: what is held there has had time to go, and a wait is over.
+    pub(super) fn retry_after(&self, dest: DestinationId) -> Option<Duration> {
+        let queue = self.sigma(dest) * self.dests[&dest].chart.len() as Ns;
+        let wait = span((self.open_from(dest) - self.now).max(queue).max(sec(FULL_PAUSE)));
+        self.set.retry_after.map(|most| wait.min(most))
+    }
+
+    pub(super) fn close(&mut self, id: MessageId) {
+        let Some(m) = self.messages.get_mut(&id) else { return };
+        self.live -= usize::from(!std::mem::replace(&mut m.over, true));
+        self.found -= usize::from(std::mem::take(&mut m.found));
+        let (dest, due, out) = (m.dest, m.due, m.flight.is_some());
+        self.destination(dest).chart.remove(due, id);
+        self.touched.insert(dest);
+        if !out && let Some(m) = self.messages.remove(&id) {
+            self.destination(dest).members.remove(&id);
+            if let Some(line) = m.key.and_then(|key| self.turns.get_mut(&key)) {
+                line.retain(|other| *other != id);
+                self.touched.extend(line.front().map(|next| self.messages[next].dest));
+            }
+            self.turns.retain(|_, line| !line.is_empty());
+            self.rests.retain(|_, (_, until)| *until > self.now);
+        }
+    }
+}
--- /dev/null
+++ b/src/brain/mod.rs
@@ -0,0 +1,167 @@
+//! The decision module: what one courier does with each message. Pure: time comes with each call, chance
+//! from the seed. Each destination has a Fair-EDF occupancy chart of the messages held for it; they leave
+//! by earliest deadline; when a chart is infeasible the fewest give way, of the tenant or class least missed.
+//!
+//! Times are in s, and stand here only where the settings tell none. Deadlines, windows, graces, limits and
+//! costs come from these alone; what acts on load is a share of them, or of what was measured there.
+
+mod calls;
+mod choice;
+mod health;
+mod hold;
+mod pace;
+
+use crate::interface::*;
+pub use crate::state::Brain;
+use crate::state::*;
+pub(crate) use calls::DEST_LATENCY;
+
+/// Held messages past this share of the room: the longest chart sheds.
+const ROOM_SHARE: f64 = 0.9;
+
+impl Brain {
+    /// Starts a courier's module without any state; `seed` feeds its jitter.
+    pub fn new(set: Settings, seed: u64) -> Result<Self, String> {
+        set.check()?;
+        Ok(Brain { ask_pause: LIST_RETRY, ..Brain::blank(set, seed) })
+    }
+
+    /// Takes the news of one moment and appends what is to be done.
+    pub fn handle(&mut self, now: Time, events: &[Event], out: &mut Vec<Action>) {
+        let origin = *self.origin.get_or_insert(now);
+        self.now = ns(now.saturating_sub(origin)).max(self.now);
+        for event in events {
+            self.apply(event, out);
+        }
+        while let Some((at, dest)) = self.agenda.first().copied().filter(|(at, _)| *at <= self.now) {
+            self.agenda.remove(&(at, dest));
+            self.touched.insert(dest);
+        }
+        if self.calls_out < self.set.slots {
+            self.touched.append(&mut self.pressed);
+        }
+        let touched = std::mem::take(&mut self.touched);
+        for dest in &touched {
+            self.destination(*dest).next = NEVER;
+            self.end_hopeless(*dest, out);
+            self.check_health(*dest);
+        }
+        self.judge_zones(out);
+        self.release(&touched, out);
+        for dest in &touched {
+            self.schedule(*dest);
+        }
+        if self.ask_at.is_some_and(|t| t <= self.now) {
+            // Asked again only if no answer comes; an answer clears this.
+            self.ask_at = Some(self.now + sec(self.ask_pause * 4.0 * self.jitter()));
+            out.push(Action::Subscribe { active: true });
+        }
+        let next =
+            self.agenda.first().map_or(NEVER, |a| a.0).min(self.stuck_at).min(self.ask_at.unwrap_or(NEVER));
+        if next < self.wake.map_or(NEVER, |w| w.1) {
+            self.next_token += 1;
+            self.wake = Some((self.next_token, next));
+            out.push(Action::Wake { token: self.next_token, after: span((next - self.now).max(1)) });
+        }
+    }
+
+    /// Puts the destination on the agenda for the next moment at which anything there can change.
+    fn schedule(&mut self, dest: DestinationId) {
+        let d = &self.dests[&dest];
+        let open = d.members.iter().map(|id| &self.messages[id]).filter(|m| !m.over);
+        let backed_off = |m: &Message| m.flight.is_none() && m.not_before > self.now;
+        let times =
+            open.map(|m| if backed_off(m) { m.not_before.min(self.answer_by(m)) } else { self.answer_by(m) });
+        let next = times.min().unwrap_or(NEVER).min(d.next);
+        let (soonest, credit) = (self.now + ns(self.set.tick), self.pace_credit(dest));
+        let d = self.destination(dest);
+        let next = next.min(d.chart.start().map_or(NEVER, |start| start + credit + 1)).max(soonest);
+        let was = std::mem::replace(&mut d.booked, next);
+        self.agenda.remove(&(was, dest));
+        self.agenda.extend((next < NEVER).then_some((next, dest)));
+    }
+
+    fn look_again(&mut self, dest: DestinationId, at: Ns) {
+        self.destination(dest).next = self.dests[&dest].next.min(at);
+    }
+
+    fn has_room(&self, d: &Destination) -> bool {
+        self.calls_out < self.set.slots && d.calls < self.call_cap(d)
+    }
+
+    fn apply(&mut self, event: &Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Listed { whole, entries } => self.update_list(*whole, entries, out),
+            Event::ListFailed => {
+                let again = self.now + sec(self.ask_pause * self.jitter());
+                self.ask_at = self.set.must_subscribe.then_some(again);
+                self.ask_pause = (self.ask_pause * 2.0).min(LIST_RETRY * 8.0);
+            }
+            Event::Taken(taken) => self.take_on(taken, out),
+            Event::Answering { .. } | Event::Told { .. } => {}
+            Event::Ended(ended) => self.attempt_ended(ended, out),
+            Event::Withdrawn { message } => self.close(*message),
+            Event::Maintenance { endpoint, out } => self.maintain(*endpoint, *out),
+            Event::Woken { token } => self.wake = self.wake.filter(|w| w.0 != *token),
+            Event::Probed { endpoint, outcome, report, .. } => self.note_report(*endpoint, *outcome, report),
+        }
+    }
+
+    fn take_on(&mut self, t: &Taken, out: &mut Vec<Action>) {
+        let (id, dest) = (t.message, t.destination);
+        let class = t.class.min(self.set.classes.len() - 1);
+        let c = &self.set.classes[class];
+        let end = self.now + ns(t.time_left);
+        let stretch = t.work.map_or(0.0, |w| c.aim_stretch * w.as_secs_f64());
+        let aim = (end - ns(c.deadline) + ns(c.aim) + sec(stretch)).min(end);
+        let group = if self.set.tenants > 0 { t.tenant.min(self.set.tenants - 1) } else { class };
+        let key = t.key.clone().filter(|_| c.ordered);
+        if let Some(key) = &key {
+            self.turns.entry(key.clone()).or_default().push_back(id);
+        }
+        let past = Message::with_past(&t.past, self.now);
+        let message = Message { class, group, dest, key, aim, end, due: aim, ..past };
+        self.miss_ratios.request(group, self.now);
+        self.found += usize::from(message.found);
+        self.messages.insert(id, message);
+        self.touched.insert(dest);
+        self.destination(dest).members.insert(id);
+        self.live += 1;
+        self.hold(id, out);
+        while self.live as f64 > ROOM_SHARE * self.set.max_held as f64 {
+            // The destination that holds most gives way: a paused one must not close the door to others.
+            let longest = self.dests.iter().max_by_key(|(_, d)| d.chart.len()).map(|(id, _)| *id);
+            let Some(longest) = longest.filter(|d| !self.dests[d].chart.is_empty()) else { break };
+            let all: Vec<_> = self.dests[&longest].chart.iter().map(|held| held.1).collect();
+            self.give_up(self.victim(&all), out);
+        }
+    }
+
+    fn attempt_ended(&mut self, ended: &Ended, out: &mut Vec<Action>) {
+        let (id, endpoint, outcome) = (ended.message, ended.endpoint, ended.outcome);
+        self.note_report(endpoint, outcome, &ended.report);
+        let Some(m) = self.messages.get_mut(&id) else { return };
+        let Some(flight) = m.flight.take() else { return };
+        let running = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
+        if m.ran.is_none() && (running || outcome == Outcome::Error) {
+            m.ran = Some((endpoint, self.endpoints[&endpoint].zone, flight.sent));
+        }
+        if let Some(key) = m.key.as_ref().filter(|_| running) {
+            self.rests.insert(key.clone(), (id, self.now + ns(self.set.order_pause)));
+        }
+        let late = self.now > m.aim;
+        self.touched.insert(m.dest);
+        self.call_ended(flight, ended, out);
+        if outcome != Outcome::Moot {
+            self.back_off(id, matches!(outcome, Outcome::Full { .. } | Outcome::ConnectFailed));
+        }
+        let m = &self.messages[&id];
+        if outcome != Outcome::Delivered && !ended.over && !m.over {
+            return if self.may_try(m, self.now) { self.hold(id, out) } else { self.give_up(id, out) };
+        }
+        if late && !m.over {
+            self.miss(id);
+        }
+        self.close(id);
+    }
+}
--- /dev/null
+++ b/src/state/message.rs
@@ -0,0 +1,64 @@
+//! A message and the call that carries it.
+
+use super::time::*;
+use crate::interface::*;
+use serde::{Deserialize, Serialize};
+
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Flight {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) call: u64,
+    pub(crate) cancelled: bool,
+    pub(crate) sent: Ns,
+    /// It had to open a connection.
+    pub(crate) opens: bool,
+}
+
+#[derive(Default, Serialize, Deserialize)]
+pub(crate) struct Message {
+    pub(crate) class: usize,
+    pub(crate) group: usize,
+    pub(crate) dest: DestinationId,
+    pub(crate) key: Option<String>,
+    pub(crate) aim: Ns,
+    pub(crate) end: Ns,
+    /// Deadline on the chart: the aim, or the end once set back.
+    pub(crate) due: Ns,
+    pub(crate) late: bool,
+    pub(crate) missed: bool,
+    pub(crate) attempts: u32,
+    pub(crate) flight: Option<Flight>,
+    /// First attempt that may have run: its endpoint, zone and send time.
+    pub(crate) ran: Option<(EndpointId, usize, Ns)>,
+    pub(crate) last: Option<EndpointId>,
+    /// Not sent again before this: its own backoff.
+    pub(crate) not_before: Ns,
+    /// A restart found it, surely not run, and it has not been tried since: its time was spent on the restart, so
+    /// that newer ones would always lose more by giving way.
+    #[serde(default)]
+    pub(crate) found: bool,
+    /// The final answer is out; kept until its attempt has an outcome.
+    pub(crate) over: bool,
+}
+
+impl Message {
+    /// What is known of a message at the start: for a resumed one its attempts, and the one that may have run.
+    pub(crate) fn with_past(past: &Past, now: Ns) -> Self {
+        let ran = past.ran.map(|r| (r.endpoint, r.zone, now - ns(r.ago)));
+        let found = past.found && ran.is_none();
+        Message { attempts: past.attempts, ran, found, ..Message::default() }
+    }
+}
+
+impl Settings {
+    /// What a message is worth if it is delivered at this time.
+    pub(crate) fn worth(&self, m: &Message, at: Ns) -> f64 {
+        let c = &self.classes[m.class];
+        let after = secs(at - m.aim).max(0.0);
+        let share = match self.worth_loss {
+            WorthLoss::Line => 1.0 - (1.0 - c.late_share) * after / secs(m.end - m.aim).max(1e-9),
+            WorthLoss::Halves => 0.5f64.powf((after / c.aim.as_secs_f64().max(1e-9)).ceil()),
+        };
+        if at > m.end { 0.0 } else { c.worth * share.max(c.late_share) }
+    }
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,151 @@
+//! What the decision module remembers, as plain data. Nothing here decides anything: each figure is
+//! set and read in [`crate::brain`].
+
+mod destination;
+mod endpoint;
+mod message;
+mod tables;
+mod time;
+
+pub(crate) use destination::*;
+pub(crate) use endpoint::*;
+pub(crate) use message::*;
+pub(crate) use tables::LIST_RETRY;
+pub(crate) use time::*;
+
+use crate::interface::*;
+use fair_edf::MissRatios;
+use rand::{SeedableRng, rngs::SmallRng};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// The decisions of one courier.
+#[derive(Serialize, Deserialize)]
+pub struct Brain {
+    pub(crate) set: Settings,
+    #[serde(skip, default = "unseeded")]
+    pub(crate) rng: SmallRng,
+    pub(crate) origin: Option<Time>,
+    pub(crate) now: Ns,
+    pub(crate) messages: BTreeMap<MessageId, Message>,
+    pub(crate) live: usize,
+    /// How many of them a restart has found untried.
+    #[serde(default)]
+    pub(crate) found: usize,
+    pub(crate) dests: BTreeMap<DestinationId, Destination>,
+    pub(crate) endpoints: BTreeMap<EndpointId, Endpoint>,
+    pub(crate) pools: BTreeMap<PoolId, Pool>,
+    /// Messages of ordered classes by key, in order of arrival; and when a key has rested.
+    pub(crate) turns: BTreeMap<String, VecDeque<MessageId>>,
+    pub(crate) rests: BTreeMap<String, (MessageId, Ns)>,
+    #[serde(rename = "tallies")]
+    pub(crate) miss_ratios: MissRatios,
+    pub(crate) calls_out: usize,
+    pub(crate) next_call: u64,
+    pub(crate) wake: Option<(u64, Ns)>,
+    pub(crate) next_token: u64,
+    /// Destinations with news, those to look at later, and those that wait for a slot.
+    pub(crate) touched: BTreeSet<DestinationId>,
+    pub(crate) agenda: BTreeSet<(Ns, DestinationId)>,
+    /// When an endpoint of each kind last had no connection left, s.
+    pub(crate) tight: Vec<f64>,
+    pub(crate) pressed: BTreeSet<DestinationId>,
+    pub(crate) stuck_at: Ns,
+    /// When to ask for the list again.
+    pub(crate) ask_at: Option<Ns>,
+    pub(crate) ask_pause: f64,
+    /// By number; those of which something was heard that may change what is thought of them.
+    #[serde(default)]
+    pub(crate) zones: BTreeMap<usize, Zone>,
+    #[serde(default)]
+    pub(crate) zones_with_news: BTreeSet<usize>,
+}
+
+fn unseeded() -> SmallRng {
+    SmallRng::seed_from_u64(0)
+}
+
+impl Brain {
+    /// All that it remembers, for the process that goes on in its place.
+    pub fn pack(&self) -> Result<Vec<u8>, String> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(self, &mut bytes).map_err(|e| e.to_string())?;
+        Ok(bytes)
+    }
+
+    /// Goes on with what another process remembered, on the same clock. Connections are not carried over,
+    /// and the settings are its own.
+    pub fn unpack(bytes: &[u8], set: Settings, seed: u64) -> Result<Self, String> {
+        set.check()?;
+        let old: Brain = ciborium::from_reader(bytes).map_err(|e| e.to_string())?;
+        // Its tables are made for these: with others it starts anew.
+        let frame = |set: &Settings| {
+            let routes: Vec<_> = set.kinds.iter().map(|k| k.separate_routes).collect();
+            (set.classes.len(), set.tenants, routes)
+        };
+        if frame(&set) != frame(&old.set) {
+            return Err("it was made for other classes, tenants or kinds".to_owned());
+        }
+        let Brain { set, rng, .. } = Brain::blank(set, seed);
+        let mut brain = Brain { set, rng, wake: None, ..old };
+        brain.endpoints.values_mut().for_each(|e| e.idle.clear());
+        Ok(brain)
+    }
+
+    /// The messages that it is to end yet, or whose call is out.
+    pub fn knows(&self, message: MessageId) -> bool {
+        self.messages.contains_key(&message)
+    }
+
+    pub(crate) fn blank(set: Settings, seed: u64) -> Self {
+        let groups = if set.tenants > 0 { set.tenants } else { set.classes.len() };
+        Brain {
+            rng: SmallRng::seed_from_u64(seed),
+            origin: None,
+            now: 0,
+            messages: BTreeMap::new(),
+            live: 0,
+            found: 0,
+            dests: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            turns: BTreeMap::new(),
+            rests: BTreeMap::new(),
+            miss_ratios: MissRatios::new(groups),
+            calls_out: 0,
+            next_call: 0,
+            wake: None,
+            next_token: 0,
+            touched: BTreeSet::new(),
+            agenda: BTreeSet::new(),
+            tight: vec![f64::MIN; set.kinds.len()],
+            pressed: BTreeSet::new(),
+            stuck_at: NEVER,
+            ask_at: set.must_subscribe.then_some(0),
+            ask_pause: 0.0,
+            zones: BTreeMap::new(),
+            zones_with_news: BTreeSet::new(),
+            set,
+        }
+    }
+}
+
+impl Settings {
+    /// Names the first figure that cannot be worked with.
+    pub(crate) fn check(&self) -> Result<(), String> {
+        let classes = self.classes.iter().flat_map(|c| [c.worth, c.late_share, c.aim_stretch]);
+        let figures = [self.cold_from, self.fall_multiple, self.handshake_cost].into_iter();
+        let positive = |x: f64| x >= 0.0;
+        for (good, what) in [
+            (self.slots > 0, "no slots"),
+            (!self.classes.is_empty() && !self.kinds.is_empty(), "no classes or no kinds"),
+            (self.max_held > 0 && self.attempt_cap > 0, "no room for messages or attempts"),
+            (figures.chain(classes).chain(self.zone_fees.clone()).all(positive), "a figure is negative"),
+        ] {
+            if !good {
+                return Err(format!("settings: {what}"));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/state/tables.rs
@@ -0,0 +1,88 @@
+//! The rows of endpoints, pools and destinations: made and changed as the list and operators tell, and dropped.
+
+use super::*;
+use crate::brain::DEST_LATENCY;
+use rand::Rng;
+
+/// Retry of a failed list call, s, before it doubles.
+pub(crate) const LIST_RETRY: f64 = 1.0;
+
+impl Brain {
+    pub(crate) fn update_list(&mut self, whole: bool, entries: &[Entry], out: &mut Vec<Action>) {
+        // The cached list of the start comes before anything was asked for; later news are answers.
+        if self.now > 0 {
+            (self.ask_at, self.ask_pause) = (None, LIST_RETRY);
+        }
+        if whole {
+            self.endpoints.values_mut().for_each(|e| e.delisted(self.now));
+        }
+        for entry in entries {
+            let kind = entry.kind.min(self.set.kinds.len() - 1);
+            let (dest, zone, lean) = (entry.destination, entry.zone, self.rng.random());
+            let fresh = || Endpoint { dest, zone, kind, lean, ..Endpoint::default() };
+            let e = self.endpoints.entry(entry.endpoint).or_insert_with(fresh);
+            e.update_standing(entry.standing, self.now);
+            self.destination(entry.destination).endpoints.insert(entry.endpoint);
+            let id = self.pool_id(entry.endpoint);
+            let pool = self.pools.entry(id).or_insert_with(|| Pool { tokens: 1.0, ..Pool::default() });
+            if self.set.weights != WeightKind::None && pool.limit.is_none() && entry.weight > 0.0 {
+                pool.limit = Some(entry.weight);
+            }
+        }
+        self.forget(out);
+        self.touched.extend(self.dests.iter().filter(|(_, d)| !d.members.is_empty()).map(|(id, _)| *id));
+    }
+
+    pub(crate) fn destination(&mut self, id: DestinationId) -> &mut Destination {
+        let fresh = || Destination { latency: DEST_LATENCY.start(), ..Destination::default() };
+        self.dests.entry(id).or_insert_with(fresh)
+    }
+
+    pub(crate) fn pool_id(&self, id: EndpointId) -> PoolId {
+        let e = &self.endpoints[&id];
+        (e.dest, self.set.kinds[e.kind].separate_routes.then_some(id))
+    }
+
+    pub(crate) fn jitter(&mut self) -> f64 {
+        0.5 + self.rng.random::<f64>()
+    }
+
+    /// What operators do with an endpoint, whatever the list says. One that nobody knows is told of again
+    /// with the list that names it.
+    pub(crate) fn maintain(&mut self, id: EndpointId, out: bool) {
+        let Some(e) = self.endpoints.get_mut(&id) else { return };
+        let dest = e.dest;
+        if e.maintain(out, self.now) {
+            self.space_calls(id);
+        }
+        self.touched.insert(dest);
+    }
+
+    /// Drops the rows of endpoints that are long gone and that no call, wait or message names: where
+    /// endpoints are replaced all day, the tables would grow and each choice walk ever more of them.
+    pub(crate) fn forget(&mut self, out: &mut Vec<Action>) {
+        let (now, span) = (self.now, ns(self.set.cold_span));
+        let old = |e: &Endpoint| e.gone.is_some_and(|t| now - t > span) && e.calls.is_empty();
+        let mut gone: BTreeSet<_> =
+            self.endpoints.iter().filter(|(_, e)| old(e)).map(|(id, _)| *id).collect();
+        if gone.is_empty() {
+            return;
+        }
+        for m in self.messages.values() {
+            let named = [m.last, m.ran.map(|r| r.0), m.flight.as_ref().map(|f| f.endpoint)];
+            gone.retain(|id| !named.contains(&Some(*id)));
+        }
+        for id in gone {
+            let (dest, route) = self.pool_id(id);
+            if self.pools.get(&(dest, route)).is_some_and(|p| p.wait_until > now) {
+                continue;
+            }
+            if route.is_some() {
+                self.pools.remove(&(dest, route));
+            }
+            self.endpoints.remove(&id);
+            self.dests.get_mut(&dest).map(|d| d.endpoints.remove(&id));
+            out.push(Action::Forget { endpoint: id });
+        }
+    }
+}
--- /dev/null
+++ b/src/state/time.rs
@@ -0,0 +1,23 @@
+//! Time inside the decision module: whole nanoseconds since its first call.
+
+pub(crate) use fair_edf::Ns;
+use std::time::Duration;
+
+/// Far away.
+pub(crate) const NEVER: Ns = Ns::MAX;
+
+pub(crate) fn ns(d: Duration) -> Ns {
+    d.as_nanos().min(1 << 61) as Ns
+}
+
+pub(crate) fn sec(s: f64) -> Ns {
+    (s * 1e9).min(2f64.powi(61)) as Ns
+}
+
+pub(crate) fn secs(n: Ns) -> f64 {
+    n as f64 / 1e9
+}
+
+pub(crate) fn span(n: Ns) -> Duration {
+    Duration::from_nanos(n.max(0) as u64)
+}
