Answer what has begun before closing, leave clients that stall, tell unsent from broken

Cause: an idle close or the end of the process cut a request whose first bytes had come; a client that takes no bytes held its endpoint for good; a connection reset before the first byte counted as one that may have run.

--- a/crates/router/src/activity.rs
+++ b/crates/router/src/activity.rs
@@ -40,6 +40,8 @@
     since: Cell<Instant>,
     /// When the first byte of the present request arrived.
     request_began: Cell<Instant>,
+    /// When the present answer has to be over.
+    answer_by: Cell<Instant>,
     order: Cell<Order>,
     waker: RefCell<Option<Waker>>,
 }
@@ -51,6 +53,7 @@
             phase: Cell::new(Phase::Idle),
             since: Cell::new(now),
             request_began: Cell::new(now),
+            answer_by: Cell::new(now),
             order: Cell::new(Order::Continue),
             waker: RefCell::new(None),
         })
@@ -89,6 +92,16 @@
         began
     }
 
+    /// Notes when the present answer has to be over.
+    pub fn expect_answer_by(&self, deadline: Instant) {
+        self.answer_by.set(deadline);
+    }
+
+    /// When the present answer has to be over.
+    pub fn answer_by(&self) -> Instant {
+        self.answer_by.get()
+    }
+
     /// Notes that a phase begins.
     pub fn enter(&self, phase: Phase, now: Instant) {
         self.phase.set(phase);
--- a/crates/router/src/carry.rs
+++ b/crates/router/src/carry.rs
@@ -159,14 +159,14 @@
     destination: &Destination,
     mut answer: EndpointAnswer,
 ) -> Result<Response<RouterBody>, AttemptEnd> {
-    let body = read_whole(&mut answer.body).await.map_err(|_| AttemptEnd::Broken)?;
+    let first = answer.body.next().await.transpose().map_err(|_| AttemptEnd::Broken)?.unwrap_or_default();
+    ticket.progress(destination.attempt, Progress::FirstByte);
+    let body = read_rest(first, &mut answer.body).await.map_err(|_| AttemptEnd::Broken)?;
     Ok(finished(ticket, destination, answer, body))
 }
 
-async fn read_whole(body: &mut EndpointBody) -> hyper::Result<Bytes> {
-    let Some(first) = body.next().await.transpose()? else {
-        return Ok(Bytes::new());
-    };
+/// The whole body, of which the first bytes are there.
+async fn read_rest(first: Bytes, body: &mut EndpointBody) -> hyper::Result<Bytes> {
     let mut gathered = BytesMut::new();
     while let Some(more) = body.next().await.transpose()? {
         if gathered.is_empty() {
--- a/crates/router/src/connection.rs
+++ b/crates/router/src/connection.rs
@@ -9,7 +9,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::{Future, poll_fn};
 use std::io;
 use std::mem::MaybeUninit;
@@ -51,7 +51,7 @@
     sender: SendRequest<Full<Bytes>>,
     driver: Pin<Box<Connection<TokioIo<EndpointStream>, Full<Bytes>>>>,
     driver_ended: bool,
-    stream: Rc<RefCell<TcpStream>>,
+    wire: Rc<Wire>,
     lease: Lease,
     /// When the connection may no longer be used again.
     usable_until: Instant,
@@ -62,15 +62,15 @@
     pub async fn open(address: SocketAddr, lease: Lease) -> io::Result<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         configure(&stream)?;
-        let stream = Rc::new(RefCell::new(stream));
-        let io = TokioIo::new(EndpointStream(stream.clone()));
+        let wire = Rc::new(Wire { stream: RefCell::new(stream), written: Cell::new(0) });
+        let io = TokioIo::new(EndpointStream(wire.clone()));
         let (sender, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
         let driver = Box::pin(connection);
         Ok(EndpointConnection {
             sender,
             driver,
             driver_ended: false,
-            stream,
+            wire,
             lease,
             usable_until: Instant::now(),
         })
@@ -96,6 +96,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ExchangeError> {
+        let written_before = self.wire.written.get();
         let mut answer = pin!(self.sender.try_send_request(request));
         let driver = &mut self.driver;
         let driver_ended = &mut self.driver_ended;
@@ -105,6 +106,7 @@
         });
         result.await.map_err(|mut failed| match failed.take_message() {
             Some(_) => ExchangeError::NotSent,
+            None if self.wire.written.get() == written_before => ExchangeError::NotSent,
             None => match failed.into_error() {
                 error if error.is_parse() => ExchangeError::Garbled(error),
                 error => ExchangeError::Broken(error),
@@ -140,7 +142,7 @@
 
     /// Asks the kernel whether the peer is silent; its news may not have reached the runtime yet.
     pub fn is_silent(&self) -> bool {
-        let stream = self.stream.borrow();
+        let stream = self.wire.stream.borrow();
         let mut byte = [MaybeUninit::uninit()];
         SockRef::from(&*stream).peek(&mut byte).is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
@@ -164,9 +166,25 @@
     socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE))
 }
 
-/// The stream of a connection, shared with what asks the kernel about it.
+/// What a connection shares with the library that speaks on it.
 #[derive(Debug)]
-struct EndpointStream(Rc<RefCell<TcpStream>>);
+struct Wire {
+    stream: RefCell<TcpStream>,
+    /// Bytes that the kernel took.
+    written: Cell<u64>,
+}
+
+impl Wire {
+    fn note_written(&self, result: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(written)) = result {
+            self.written.set(self.written.get().wrapping_add(*written as u64));
+        }
+    }
+}
+
+/// The stream of a connection, as the library sees it.
+#[derive(Debug)]
+struct EndpointStream(Rc<Wire>);
 
 impl AsyncRead for EndpointStream {
     fn poll_read(
@@ -174,13 +192,15 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, buffer)
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buffer)
     }
 }
 
 impl AsyncWrite for EndpointStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, bytes)
+        let result = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, bytes);
+        self.0.note_written(&result);
+        result
     }
 
     fn poll_write_vectored(
@@ -188,18 +208,20 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_write_vectored(cx, slices)
+        let result = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, slices);
+        self.0.note_written(&result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.borrow().is_write_vectored()
+        self.0.stream.borrow().is_write_vectored()
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
--- a/crates/router/src/frontend.rs
+++ b/crates/router/src/frontend.rs
@@ -63,6 +63,7 @@
         Ok(prepared) => prepared,
         Err(answer) => return answer.into(),
     };
+    activity.expect_answer_by(state.instant_of(request.deadline));
     let ticket = Ticket::open(state.clone(), request);
     carry(Rc::new(ticket), Rc::new(outbound)).await
 }
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -135,15 +135,18 @@
     let mut connection = pin!(builder(&state).serve_connection(io, service));
     let mut finishing = false;
     poll_fn(|cx| {
-        match activity.order(cx) {
-            Order::Abort => return Poll::Ready(()),
-            Order::Finish if !finishing => {
-                finishing = true;
-                connection.as_mut().graceful_shutdown();
-            }
-            Order::Continue | Order::Finish => {}
+        let order = activity.order(cx);
+        if order == Order::Abort {
+            return Poll::Ready(());
+        }
+        let mut polled = connection.as_mut().poll(cx);
+        // A request that has come, or has begun to, is read and answered before the connection is closed.
+        if order == Order::Finish && !finishing && polled.is_pending() && activity.phase() != Phase::Head {
+            finishing = true;
+            connection.as_mut().graceful_shutdown();
+            polled = connection.as_mut().poll(cx);
         }
-        connection.as_mut().poll(cx).map(|result| {
+        polled.map(|result| {
             if let Err(error) = result {
                 log::debug!("a client's connection ended: {error}");
             }
--- a/crates/router/src/maintenance.rs
+++ b/crates/router/src/maintenance.rs
@@ -13,6 +13,10 @@
 
 /// Pause between two ticks: limits are met within a second, for one wake-up a second.
 const TICK: Duration = Duration::from_secs(1);
+/// Time after a request's deadline at which a client that does not take its answer is left.
+const STALLED_ANSWER: Duration = Duration::from_secs(2);
+/// Idle times after which a client that has not even taken its last answer is left.
+const STALLED_IDLE_TIMES: f64 = 2.0;
 /// Ticks between two lines of counts in the log.
 const TICKS_PER_LOG: u32 = 60;
 
@@ -47,9 +51,13 @@
     let spent = now.saturating_duration_since(activity.since());
     let over = |milliseconds: f64| spent.as_secs_f64() * 1_000.0 > milliseconds;
     match activity.phase() {
+        Phase::Idle if over(limits.idle_timeout_ms * STALLED_IDLE_TIMES) => activity.ask(Order::Abort),
         Phase::Idle if over(limits.idle_timeout_ms) => activity.ask(Order::Finish),
         Phase::Head if over(limits.header_timeout_ms) => activity.ask(Order::Abort),
         Phase::Body if over(limits.idle_timeout_ms) => activity.ask(Order::Abort),
+        Phase::Answering if now > activity.answer_by().max(activity.since()) + STALLED_ANSWER => {
+            activity.ask(Order::Abort);
+        }
         Phase::Idle | Phase::Head | Phase::Body | Phase::Answering => {}
     }
 }
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -27,6 +27,11 @@
         Routing { table: RouteTable::new(configuration) }
     }
 
+    /// Version of the configuration.
+    pub fn version(&self) -> u64 {
+        self.table.configuration().version
+    }
+
     /// What clients may send and how long they may take.
     pub fn limits(&self) -> &Limits {
         &self.table.configuration().limits
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -91,6 +91,9 @@
 
     /// Takes one piece of news in.
     pub fn apply(&self, event: FeedEvent) {
+        if self.is_outdated(&event) {
+            return;
+        }
         self.pool.apply(&event);
         match &event {
             FeedEvent::Configuration(configuration) => {
@@ -103,6 +106,16 @@
         self.decide(|dispatcher, now| dispatcher.apply(now, &event));
     }
 
+    /// Whether the news is a configuration older than the one in force, which never comes back.
+    fn is_outdated(&self, event: &FeedEvent) -> bool {
+        match (event, &*self.routing.borrow()) {
+            (FeedEvent::Configuration(configuration), Some(routing)) => {
+                configuration.version < routing.version()
+            }
+            _ => false,
+        }
+    }
+
     /// The configuration in force, if there is one yet.
     pub fn routing(&self) -> Option<Rc<Routing>> {
         self.routing.borrow().clone()
--- a/crates/router/src/verify.rs
+++ b/crates/router/src/verify.rs
@@ -27,10 +27,10 @@
         let wrong_instance = status == StatusCode::MISDIRECTED_REQUEST && is_other_instance(expected, answer);
         return Err(AttemptEnd::NotExecuted { status: status.as_u16(), load, wrong_instance });
     }
-    if headers.contains_key(CONTENT_ENCODING) {
+    if headers.contains_key(CONTENT_ENCODING) || !has_marked_end(answer) {
         return Err(AttemptEnd::Garbled);
     }
-    if status.is_success() && (!headers.contains_key(&SERVER_SIGNATURE) || !has_marked_end(answer)) {
+    if status.is_success() && !headers.contains_key(&SERVER_SIGNATURE) {
         return Err(AttemptEnd::Garbled);
     }
     if promises_not_to_have_run(status) {
@@ -48,7 +48,9 @@
 
 /// Whether the end of the body can be told from a connection that broke.
 fn has_marked_end(answer: &Response<Incoming>) -> bool {
-    answer.body().size_hint().exact().is_some() || answer.headers().contains_key(TRANSFER_ENCODING)
+    let mut encodings = answer.headers().get_all(TRANSFER_ENCODING).iter();
+    let last = encodings.next_back().and_then(|value| value.to_str().ok()).unwrap_or_default();
+    answer.body().size_hint().exact().is_some() || last.to_ascii_lowercase().trim_end().ends_with("chunked")
 }
 
 /// Whether clients take the status for a promise that the request never runs. An endpoint that did not say
--- /dev/null
+++ b/crates/router/tests/connections.rs
@@ -0,0 +1,153 @@
+//! Connections to endpoints and to clients, at their edges.
+
+mod common;
+
+use bytes::Bytes;
+use common::{CONFIGURATION, Endpoint, Router, pass_time, play};
+use http_body_util::Full;
+use hyper::Request;
+use lanegate_model::feed::FeedEvent;
+use lanegate_router::connection::{EndpointConnection, ExchangeError};
+use lanegate_router::pool::{Pool, Standing, share};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+
+async fn open(pool: &Pool, endpoint: &Endpoint) -> EndpointConnection {
+    let lease = pool.lease(&Arc::from(endpoint.id.as_str()), endpoint.address).unwrap();
+    EndpointConnection::open(endpoint.address, lease).await.unwrap()
+}
+
+#[test]
+fn a_request_on_a_connection_that_was_reset_before_was_not_sent() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let pool = Pool::default();
+        pool.apply(&endpoint.registration("plain"));
+        let mut connection = open(&pool, &endpoint).await;
+        let upstream = endpoint.accept().await;
+        upstream.stream.set_zero_linger().unwrap();
+        drop(upstream);
+        let request = Request::get("/a").body(Full::<Bytes>::default()).unwrap();
+        assert!(matches!(connection.exchange(request).await, Err(ExchangeError::NotSent)));
+    });
+}
+
+#[test]
+fn an_endpoint_has_no_more_connections_than_this_routers_share() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let pool = Pool::default();
+        pool.apply(&FeedEvent::Configuration(Arc::new(serde_json::from_str(CONFIGURATION).unwrap())));
+        pool.apply(&FeedEvent::Routers { live: 9 });
+        pool.apply(&endpoint.registration("plain"));
+        let id: Arc<str> = Arc::from("i-1");
+        let mut leases: Vec<_> =
+            (0..share(50, 9)).map(|_| pool.lease(&id, endpoint.address).unwrap()).collect();
+        assert!(pool.lease(&id, endpoint.address).is_none());
+        leases.pop();
+        assert!(pool.lease(&id, endpoint.address).is_some());
+    });
+}
+
+#[test]
+fn shares_of_all_routers_leave_room_and_nobody_is_left_without() {
+    for bound in [1, 6, 96, 370] {
+        for routers in 1..20 {
+            let own = share(bound, routers);
+            assert!(own >= 1);
+            assert!(own == 1 || own * routers < bound, "{own} of {bound} for {routers}");
+        }
+    }
+    assert_eq!(share(100, 0), share(100, 1));
+}
+
+#[test]
+fn an_endpoint_that_leaves_takes_no_more_requests() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let pool = Pool::default();
+        assert_eq!(pool.standing("i-1"), Standing::Closed);
+        pool.apply(&endpoint.registration("plain"));
+        assert_eq!(pool.standing("i-1"), Standing::Serving);
+        pool.apply(&endpoint.registration_as("plain", "draining"));
+        assert_eq!(pool.standing("i-1"), Standing::Closed);
+        pool.apply(&endpoint.registration("plain"));
+        pool.apply(&FeedEvent::Removed { id: "i-1".into() });
+        assert_eq!(pool.standing("i-1"), Standing::Closed);
+        assert!(pool.lease(&Arc::from("i-1"), endpoint.address).is_none());
+    });
+}
+
+#[test]
+fn idle_connections_to_an_endpoint_that_leaves_are_closed() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client.get("/once/a", "1").await;
+        let (mut upstream, request) = endpoint.request().await;
+        upstream.answer(&request, "first").await;
+        assert_eq!(client.answer().await.text(), "first");
+        router.tell(endpoint.registration_as("plain", "draining"));
+        upstream.closed().await;
+    });
+}
+
+#[test]
+fn an_older_configuration_does_not_come_back() {
+    play(async {
+        let router = Router::serving(&[]).await;
+        router
+            .configure(&CONFIGURATION.replace("\"Version\": 1", "\"Version\": 7").replace("/once/", "/now/"));
+        router.configure(&CONFIGURATION.replace("\"Version\": 1", "\"Version\": 6"));
+        tokio::task::yield_now().await;
+        let mut client = router.client().await;
+        client.get("/once/a", "1").await;
+        assert_eq!(client.answer().await.status, 404);
+    });
+}
+
+#[test]
+fn a_request_that_has_begun_is_answered_though_its_connection_is_to_be_closed() {
+    play(async {
+        let mut router = Router::serving(&[]).await;
+        let mut client = router.client().await;
+        client.write("GET /none/ HTTP/1.1\r\nHost: a.exa").await;
+        for _ in 0..20 {
+            tokio::task::yield_now().await;
+        }
+        router.terminate();
+        tokio::task::yield_now().await;
+        pass_time(Duration::from_millis(2_600)).await;
+        for _ in 0..20 {
+            tokio::task::yield_now().await;
+        }
+        client.write("mple\r\n\r\n").await;
+        let rest = client.rest().await;
+        assert!(rest.starts_with("HTTP/1.1 404 "), "{rest}");
+        router.ended().await;
+    });
+}
+
+#[test]
+fn a_client_that_does_not_take_its_answer_is_left() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client.get("/stream/a", "1").await;
+        let (mut upstream, request) = endpoint.request().await;
+        upstream.begin_events(&request).await;
+        let chunk = format!("10000\r\n{}\r\n", "x".repeat(0x1_0000));
+        // Writes until nobody takes anything on the way any more, and then until the router leaves.
+        let flood = async move { while upstream.stream.write_all(chunk.as_bytes()).await.is_ok() {} };
+        let leaving = async {
+            for _ in 0..1_000 {
+                tokio::task::yield_now().await;
+            }
+            pass_time(Duration::from_millis(23_500)).await;
+        };
+        tokio::join!(flood, leaving);
+    });
+}
