Place models from the controller that holds a service's lease

Change: leases for the shards of services with engines, a placer for each such service under the epoch that the shard's register gave, orders over HTTP with Expect-Instance, demand from routers to the holder.

--- a/crates/controller/src/controller/calls.rs
+++ b/crates/controller/src/controller/calls.rs
@@ -45,6 +45,7 @@
             self.readers.append(message);
             self.peers.broadcast(message);
         }
+        self.tell_placers(id);
         if let Some(token) = changes.flush {
             self.peers.broadcast(&Message::Flush(Token { token }));
         }
--- a/crates/controller/src/controller/endpoints.rs
+++ b/crates/controller/src/controller/endpoints.rs
@@ -209,8 +209,13 @@
         })
     }
 
+    /// The registration of a live incarnation.
+    pub fn registration(&self, id: &str) -> Option<&Registered> {
+        self.registry.get(id)?.registration.as_ref()
+    }
+
     /// Live registrations.
-    pub fn live(&self) -> impl Iterator<Item = (&String, &Registered)> {
+    pub fn live(&self) -> impl Iterator<Item = (&String, &Registered)> + Clone {
         self.registry.entries().filter_map(|(id, entry)| Some((id, entry.registration.as_ref()?)))
     }
 
--- a/crates/controller/src/controller/event.rs
+++ b/crates/controller/src/controller/event.rs
@@ -3,6 +3,7 @@
 use crate::link::Outbox;
 use crate::message::{Hello, Message};
 use bytes::Bytes;
+use lanegate_placement::{EndpointReport, OrderAnswer, OrderId};
 use std::net::SocketAddr;
 use tokio::sync::oneshot;
 
@@ -79,6 +80,10 @@
         agent: u64,
     },
     Call(Call),
+    /// An order was answered, or not.
+    OrderAnswered { service: String, order: OrderId, answer: OrderAnswer },
+    /// An endpoint reported on itself.
+    Reported { service: String, instance: String, report: EndpointReport },
     /// A record of a shard is on disk, or could not be written.
     Written {
         shard: u8,
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -9,7 +9,10 @@
 mod links;
 mod members;
 mod operator;
+mod orders;
 mod peers;
+mod placement;
+mod placing;
 mod readers;
 mod setup;
 mod shards;
@@ -22,15 +25,19 @@
 use endpoints::Endpoints;
 use lanegate_coordination::lease::LeaseNode;
 use lanegate_coordination::membership::Membership;
+use lanegate_model::configuration::Configuration;
 use lanegate_model::settings::Settings;
 use members::Members;
 use operator::Operator;
 use peers::Peers;
+use placement::Placements;
 use readers::Readers;
 use shards::Shards;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::sync::mpsc;
 
 /// One controller. All of its state belongs to one task; nothing in it waits.
 struct Controller {
@@ -49,6 +56,12 @@
     membership: Membership,
     members: Members,
     leases: LeaseNode,
+    placements: Placements,
+    /// The newest configuration, read.
+    configuration: Option<Arc<Configuration>>,
+    /// Whether this is the first start of the whole system.
+    first_start: bool,
+    events: mpsc::UnboundedSender<event::Event>,
     /// The newest decided configuration, as readers get it.
     decided: Option<Decided>,
     /// Reads and changes of members under way, by the number of their request.
--- /dev/null
+++ b/crates/controller/src/controller/placement.rs
@@ -0,0 +1,163 @@
+//! Placement at a controller: a placer for each service whose lease this controller holds, and the orders
+//! that it gives.
+
+use super::event::Event;
+use super::shards::shard_of;
+use crate::registration::Registered;
+use lanegate_model::configuration::Configuration;
+use lanegate_model::demand::DemandReport;
+use lanegate_model::settings::Bounds;
+use lanegate_placement::{Action, EndpointReport, OrderAnswer, OrderId, Placer, PlacerSettings, Start};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The placers of the services whose shards this controller acts for.
+#[derive(Debug, Default)]
+pub struct Placements {
+    placers: BTreeMap<String, Placer>,
+    /// Epochs of the shards that this controller acts for.
+    epochs: BTreeMap<u8, u64>,
+}
+
+/// An action of the placer of `service`.
+#[derive(Debug)]
+pub struct ServiceAction {
+    pub service: String,
+    pub shard: u8,
+    pub action: Action,
+}
+
+impl Placements {
+    /// Shards of the services of `configuration` whose endpoints are engines.
+    pub fn wanted_shards(configuration: &Configuration) -> impl Iterator<Item = u8> {
+        let engines = configuration.backends.iter().filter(|backend| backend.runtime.is_some());
+        engines.map(|backend| shard_of(&backend.name))
+    }
+
+    /// This controller acts for `shard` from now on.
+    pub fn began(&mut self, shard: u8, epoch: u64) {
+        self.epochs.insert(shard, epoch);
+    }
+
+    /// This controller acts for `shard` no more.
+    pub fn ended(&mut self, shard: u8) {
+        self.epochs.remove(&shard);
+        self.placers.retain(|service, _| shard_of(service) != shard);
+    }
+
+    /// Makes the placers that are missing, drops those whose service is gone, and tells all of them the
+    /// runtime. New ones hear of `instances`, and start as `start` says.
+    pub fn configure<'a>(
+        &mut self,
+        now: Duration,
+        configuration: &Configuration,
+        bounds: &Bounds,
+        start: Start,
+        instances: impl Iterator<Item = &'a Registered> + Clone,
+    ) {
+        let runtime = |service: &str| {
+            let backend = configuration.backends.iter().find(|backend| backend.name == service)?;
+            backend.runtime.as_ref()
+        };
+        self.placers.retain(|service, _| runtime(service).is_some());
+        for backend in &configuration.backends {
+            let shard = shard_of(&backend.name);
+            let (Some(runtime), Some(epoch)) = (&backend.runtime, self.epochs.get(&shard)) else { continue };
+            if let Some(placer) = self.placers.get_mut(&backend.name) {
+                placer.configure(now, runtime);
+                continue;
+            }
+            let settings = PlacerSettings::new(bounds, start);
+            let mut placer = Placer::new(now, &backend.name, *epoch, &settings);
+            placer.configure(now, runtime);
+            for registered in instances.clone().filter(|r| r.instance.backend == backend.name) {
+                placer.instance(now, &registered.instance);
+            }
+            self.placers.insert(backend.name.clone(), placer);
+        }
+    }
+
+    /// A registration was heard.
+    pub fn heard(&mut self, now: Duration, registered: &Registered) {
+        if let Some(placer) = self.placers.get_mut(&registered.instance.backend) {
+            placer.instance(now, &registered.instance);
+        }
+    }
+
+    /// An incarnation is gone.
+    pub fn removed(&mut self, now: Duration, id: &str) {
+        self.placers.values_mut().for_each(|placer| placer.removed(now, id));
+    }
+
+    /// A router told its demand.
+    pub fn demand(&mut self, now: Duration, router: &str, report: &DemandReport) {
+        self.placers.values_mut().for_each(|placer| placer.demand(now, router, report));
+    }
+
+    /// An order was answered, or not.
+    pub fn answered(&mut self, now: Duration, service: &str, order: OrderId, answer: OrderAnswer) {
+        if let Some(placer) = self.placers.get_mut(service) {
+            placer.order_answered(now, order, answer);
+        }
+    }
+
+    /// An endpoint reported on itself.
+    pub fn reported(&mut self, now: Duration, service: &str, instance: &str, report: &EndpointReport) {
+        if let Some(placer) = self.placers.get_mut(service) {
+            placer.report(now, instance, report);
+        }
+    }
+
+    /// Lets the placers do what is due and takes what they want done.
+    pub fn due(&mut self, now: Duration) -> Vec<ServiceAction> {
+        let mut actions = Vec::new();
+        for (service, placer) in &mut self.placers {
+            if placer.next_wake().is_some_and(|at| at <= now) {
+                placer.wake(now);
+            }
+            let shard = shard_of(service);
+            while let Some(action) = placer.next_action() {
+                actions.push(ServiceAction { service: service.clone(), shard, action });
+            }
+        }
+        actions
+    }
+
+    /// When [`Placements::due`] is to be called next.
+    pub fn next_wake(&self) -> Option<Duration> {
+        self.placers.values().filter_map(Placer::next_wake).min()
+    }
+
+    /// Whether this controller places for any service.
+    pub fn is_active(&self) -> bool {
+        !self.placers.is_empty()
+    }
+}
+
+/// Carries out what a placer wants, on behalf of `owner`, and tells the end of it.
+pub async fn carry_out(
+    action: ServiceAction,
+    owner: String,
+    epoch: u64,
+    events: tokio::sync::mpsc::UnboundedSender<Event>,
+) {
+    let ServiceAction { service, action, .. } = action;
+    let event = match action {
+        Action::Order(order) => {
+            let answer = super::orders::give(&order, &owner, epoch).await;
+            log::info!(
+                "{:?} {} {:?} at {}: {answer:?}",
+                order.operation,
+                order.model,
+                order.adapter,
+                order.instance
+            );
+            Event::OrderAnswered { service, order: order.id, answer }
+        }
+        Action::AskReport { instance, address } => {
+            let Some(report) = super::orders::ask_report(address).await else { return };
+            Event::Reported { service, instance: instance.to_string(), report }
+        }
+    };
+    let _ = events.send(event);
+}
--- /dev/null
+++ b/crates/controller/src/controller/placing.rs
@@ -0,0 +1,128 @@
+//! What a controller does for the services that it places: leases, news for the placers, orders.
+
+use super::orders::ORDER_WIRE_TIME;
+use super::placement::{Placements, ServiceAction, carry_out};
+use super::shards;
+use super::{Asked, Controller};
+use crate::message::{Message, RouterDemand, ShardMessage};
+use lanegate_coordination::lease::Output;
+use lanegate_coordination::register::Input;
+use lanegate_model::demand::DemandReport;
+use lanegate_placement::{Action, OrderAnswer, Start};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Longest wait for an epoch.
+const EPOCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Epoch of the first holder ever.
+const FIRST_EPOCH: u64 = 1;
+
+impl Controller {
+    /// Stands for the leases of the shards that have engines and that this controller owns.
+    pub(super) fn stand_for_leases(&mut self) {
+        let Some(configuration) = self.configuration.clone() else { return };
+        let now = self.now();
+        let wanted: BTreeSet<u8> = Placements::wanted_shards(&configuration).collect();
+        let quorum = self.has_quorum();
+        for shard in shards::all().filter(|shard| *shard != shards::CONFIGURATION) {
+            let stands = quorum && wanted.contains(&shard) && self.owner(shard, &[shard]) == self.this;
+            let outputs = self.leases.set_candidate(now, u32::from(shard), stands);
+            self.lease_outputs(outputs);
+        }
+    }
+
+    /// Does what the leases ask for.
+    pub(super) fn lease_outputs(&mut self, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Send { to, message } => match message.encode() {
+                    Ok(bytes) => {
+                        let message = Message::Lease(ShardMessage { shard: 0, body: bytes.into() });
+                        self.peers.send(to, &message);
+                    }
+                    Err(error) => log::error!("lease message: {error}"),
+                },
+                Output::AcquireEpoch { shard, tenure } => {
+                    let now = self.now();
+                    let request = self.request_number();
+                    self.asked.insert(request, Asked::Epoch(shard, tenure));
+                    let input =
+                        Input::Propose { request, command: Vec::new(), deadline: now + EPOCH_TIMEOUT };
+                    let outputs = self.shards.handle(now, shard as u8, input);
+                    self.follow(shard as u8, outputs);
+                }
+                Output::Began { shard, epoch, .. } => {
+                    log::info!("acts for shard {shard}, epoch {epoch}");
+                    self.placements.began(shard as u8, epoch);
+                    self.configure_placements(epoch);
+                }
+                Output::Ended { shard, .. } => {
+                    log::info!("acts no more for shard {shard}");
+                    self.placements.ended(shard as u8);
+                }
+            }
+        }
+    }
+
+    /// Tells the placers of the configuration; `epoch` is that of a tenure that has just begun, else 0.
+    pub(super) fn configure_placements(&mut self, epoch: u64) {
+        let Some(configuration) = self.configuration.clone() else { return };
+        let first = self.first_start && epoch == FIRST_EPOCH;
+        let start = if first { Start::First } else { Start::Takeover };
+        let now = self.now();
+        let instances = self.endpoints.live().map(|(_, registered)| registered);
+        self.placements.configure(now, &configuration, &self.settings.bounds, start, instances);
+    }
+
+    /// A router told its demand.
+    pub(super) fn demand(&mut self, demand: &RouterDemand) {
+        let now = self.now();
+        let router = demand.router.text();
+        match serde_json::from_slice::<DemandReport>(&demand.report.bytes) {
+            Ok(report) if self.placements.is_active() => self.placements.demand(now, &router, &report),
+            Ok(_) => {}
+            Err(error) => log::warn!("demand of {router}: {error}"),
+        }
+        self.routers.insert(router, now);
+    }
+
+    /// Does what the placers want done.
+    pub(super) fn place(&mut self, now: Duration) {
+        for action in self.placements.due(now) {
+            self.start_action(action);
+        }
+    }
+
+    fn start_action(&mut self, action: ServiceAction) {
+        // The clock is read anew: this process may have stood still since the turn began.
+        let now = self.now();
+        let shard = u32::from(action.shard);
+        let epoch = match &action.action {
+            Action::Order(_) => self.leases.authorize(now, shard, ORDER_WIRE_TIME),
+            Action::AskReport { .. } => self.leases.may_act(now, shard, ORDER_WIRE_TIME),
+        };
+        match (epoch, &action.action) {
+            (Some(epoch), _) => {
+                let owner = self.settings.node_name.clone();
+                tokio::task::spawn_local(carry_out(action, owner, epoch, self.events.clone()));
+            }
+            (None, Action::Order(order)) => {
+                let id = order.id;
+                self.placements.answered(now, &action.service, id, OrderAnswer::Unavailable);
+            }
+            (None, Action::AskReport { .. }) => {}
+        }
+    }
+
+    /// Tells the placers of an endpoint, as the registry has it now.
+    pub(super) fn tell_placers(&mut self, id: &str) {
+        if !self.placements.is_active() {
+            return;
+        }
+        let now = self.now();
+        match self.endpoints.registration(id) {
+            Some(registered) => self.placements.heard(now, registered),
+            None => self.placements.removed(now, id),
+        }
+    }
+}
--- a/crates/controller/src/controller/setup.rs
+++ b/crates/controller/src/controller/setup.rs
@@ -6,6 +6,7 @@
 use super::members::Members;
 use super::operator::Operator;
 use super::peers::Peers;
+use super::placement::Placements;
 use super::readers::Readers;
 use super::shards::{self, ConfigurationMachine, EpochCounter, Shards};
 use super::{Controller, http, links};
@@ -122,7 +123,7 @@
             this: control,
             life,
             started,
-            peers: Peers::new(control, settings.port_range.0, hello, events),
+            peers: Peers::new(control, settings.port_range.0, hello, events.clone()),
             readers: Readers::new(life),
             endpoints: Endpoints::new(heartbeat),
             shards: Shards::new(replicas),
@@ -131,6 +132,10 @@
             membership: Membership::new(MembershipSettings::new(HEARTBEAT_INTERVAL, MONITORS), node, now),
             members: Members::default(),
             leases: LeaseNode::new(lease, node, start, now),
+            placements: Placements::default(),
+            configuration: None,
+            first_start: first,
+            events,
             decided: None,
             asked: BTreeMap::new(),
             next_request: 0,
--- a/crates/controller/src/controller/turn.rs
+++ b/crates/controller/src/controller/turn.rs
@@ -5,12 +5,13 @@
 use super::shards::{self, read_epoch, shard_of};
 use super::{Asked, Controller};
 use crate::message::{Blob, Controllers, Decided, Forwarded, Hello, Message, ShardMessage, Token};
-use lanegate_coordination::lease::{LeaseMessage, Output as LeaseOutput};
+use lanegate_coordination::lease::LeaseMessage;
 use lanegate_coordination::membership::{Heartbeat, Output as MembershipOutput};
 use lanegate_coordination::register::{self, Input, Node, Outcome, Output, Value};
 use lanegate_model::control_state::ControlState;
 use lanegate_model::settings::Settings;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Time between heartbeats of the feed.
@@ -52,6 +53,7 @@
             self.shards.next_wake(),
             self.operator.next_wake(),
             self.endpoints.next_wake(),
+            self.placements.next_wake(),
             Some(self.next_beat),
             Some(self.next_housekeeping),
         ];
@@ -81,6 +83,7 @@
             self.propose(request);
         }
         self.endpoints.give_up(now);
+        self.place(now);
         if self.next_beat <= now {
             self.next_beat = now + BEAT_PERIOD;
             self.beat();
@@ -109,6 +112,7 @@
             self.controllers_changed();
         }
         self.tend_members(now);
+        self.stand_for_leases();
     }
 
     fn expire(&mut self, now: Duration) {
@@ -120,6 +124,9 @@
         for message in removed {
             self.peers.broadcast(&message);
             self.readers.append(&message);
+            if let Message::Removed(removed) = &message {
+                self.tell_placers(&removed.id.text());
+            }
         }
     }
 
@@ -180,11 +187,17 @@
             }
             Event::PeerMessage { peer, message } => self.peer_message(peer, message),
             Event::AgentUp { agent, hello, outbox } => self.agent_up(agent, &hello, outbox),
-            Event::AgentMessage { message: message @ Message::Demand(_) } => {
-                self.peers.broadcast(&message);
-                self.demand(message);
+            Event::AgentMessage { message: Message::Demand(demand) } => {
+                self.demand(&demand);
+                self.peers.broadcast(&Message::Demand(demand));
             }
             Event::AgentMessage { .. } => {}
+            Event::OrderAnswered { service, order, answer } => {
+                self.placements.answered(now, &service, order, answer);
+            }
+            Event::Reported { service, instance, report } => {
+                self.placements.reported(now, &service, &instance, &report);
+            }
             Event::AgentDown { agent } => self.readers.down(agent),
             Event::Call(call) => self.call(call),
             Event::Written { shard, token, durable } => {
@@ -238,13 +251,18 @@
                 for message in self.endpoints.merge(now, &registered) {
                     self.readers.append(&message);
                 }
+                self.tell_placers(&registered.id.text());
             }
             Message::Removed(removed) => {
                 if let Some(message) = self.endpoints.merge_removal(now, &removed) {
                     self.readers.append(&message);
                 }
+                self.tell_placers(&removed.id.text());
+            }
+            Message::HeardList(list) => {
+                self.endpoints.merge_heard(now, &list);
+                list.heard.iter().for_each(|heard| self.tell_placers(&heard.id.text()));
             }
-            Message::HeardList(list) => self.endpoints.merge_heard(now, &list),
             Message::SnapshotEnd { complete: 1 } => self.became_complete(),
             Message::Flush(token) => self.peers.send(peer, &Message::Flushed(token)),
             Message::Flushed(Token { token }) => self.endpoints.flushed(token, peer),
@@ -257,7 +275,7 @@
                 self.propose(request);
             }
             Message::ChangeOutcome(outcome) => self.change_settled(outcome.request, &outcome.body.bytes),
-            message @ Message::Demand(_) => self.demand(message),
+            Message::Demand(demand) => self.demand(&demand),
             _ => {}
         }
     }
@@ -310,8 +328,14 @@
                 }
                 log::info!("configuration {} is in force (revision {})", state.version(), value.revision);
                 let decided = Decided { revision: value.revision, document: document.to_vec().into() };
+                match serde_json::from_slice(document) {
+                    Ok(configuration) => self.configuration = Some(Arc::new(configuration)),
+                    Err(error) => log::error!("configuration {}: {error}", state.version()),
+                }
                 self.decided = Some(decided.clone());
                 self.readers.append(&Message::Decided(decided));
+                self.configure_placements(0);
+                self.stand_for_leases();
             }
             Err(error) => log::error!("the configuration's register cannot be read: {error}"),
         }
@@ -377,39 +401,6 @@
         }
     }
 
-    fn lease_outputs(&mut self, outputs: Vec<LeaseOutput>) {
-        for output in outputs {
-            match output {
-                LeaseOutput::Send { to, message } => match message.encode() {
-                    Ok(bytes) => {
-                        let message = Message::Lease(ShardMessage { shard: 0, body: bytes.into() });
-                        self.peers.send(to, &message);
-                    }
-                    Err(error) => log::error!("lease message: {error}"),
-                },
-                LeaseOutput::AcquireEpoch { shard, tenure } => {
-                    let now = self.now();
-                    let request = self.request_number();
-                    self.asked.insert(request, Asked::Epoch(shard, tenure));
-                    let deadline = now + INTERNAL_TIMEOUT;
-                    let input = Input::Propose { request, command: Vec::new(), deadline };
-                    let outputs = self.shards.handle(now, shard as u8, input);
-                    self.follow(shard as u8, outputs);
-                }
-                LeaseOutput::Began { shard, epoch, .. } => {
-                    log::info!("acts for shard {shard}, epoch {epoch}")
-                }
-                LeaseOutput::Ended { shard, .. } => log::info!("acts no more for shard {shard}"),
-            }
-        }
-    }
-
-    fn demand(&mut self, message: Message) {
-        let Message::Demand(demand) = message else { return };
-        let now = self.now();
-        self.routers.insert(demand.router.text(), now);
-    }
-
     /// Notes that there is a controller at this address.
     fn know(&mut self, peer: SocketAddr) {
         let now = self.now();
--- a/crates/coordination/src/registry.rs
+++ b/crates/coordination/src/registry.rs
@@ -148,7 +148,7 @@
     }
 
     /// All entries, gone ones included, by id.
-    pub fn entries(&self) -> impl Iterator<Item = (&String, &Entry<R>)> {
+    pub fn entries(&self) -> impl Iterator<Item = (&String, &Entry<R>)> + Clone {
         self.entries.iter()
     }
 
