Let connections rest where an endpoint sends extra answers

Cause: an extra answer may come after its connection is in use again; it then stands in the place of the next answer, and that request, which may have run, fails. Ruled out: skipping stale answers by their id (needs a parser of our own before the library's). Change: an endpoint that sent bytes belonging to no request is distrusted for 10 s; meanwhile its connections are used again only after 300 ms of rest, the longest rested first.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -113,6 +113,9 @@
     let result = exchange(state, request, destination, last_event, sent).await;
     if let Err(end) = &result {
         state.counters.failed_attempts.increment();
+        if *end == AttemptEnd::Garbled {
+            state.pool.distrust(&destination.instance);
+        }
         log::debug!("attempt {:?} at {} ended: {end:?}", request.attempt_id, destination.instance);
     }
     result
--- a/crates/router/src/connection.rs
+++ b/crates/router/src/connection.rs
@@ -50,7 +50,7 @@
 pub struct EndpointConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: Pin<Box<Connection<TokioIo<EndpointStream>, Full<Bytes>>>>,
-    driver_ended: bool,
+    progress: Progress,
     wire: Rc<Wire>,
     lease: Lease,
     /// When the connection may no longer be used again.
@@ -69,7 +69,7 @@
         Ok(EndpointConnection {
             sender,
             driver,
-            driver_ended: false,
+            progress: Progress::Open,
             wire,
             lease,
             usable_until: Instant::now(),
@@ -99,9 +99,9 @@
         let written_before = self.wire.written.get();
         let mut answer = pin!(self.sender.try_send_request(request));
         let driver = &mut self.driver;
-        let driver_ended = &mut self.driver_ended;
+        let progress = &mut self.progress;
         let result = poll_fn(|cx| {
-            drive(driver, driver_ended, cx);
+            drive(driver, progress, cx);
             answer.as_mut().poll(cx)
         });
         result.await.map_err(|mut failed| match failed.take_message() {
@@ -121,7 +121,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<hyper::Result<Bytes>>> {
         loop {
-            drive(&mut self.driver, &mut self.driver_ended, cx);
+            drive(&mut self.driver, &mut self.progress, cx);
             match ready!(Pin::new(&mut *body).poll_frame(cx)) {
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) if !data.is_empty() => return Poll::Ready(Some(Ok(data))),
@@ -136,27 +136,59 @@
     /// Whether a request may be sent: the last answer was whole, and since then nothing came that belongs to
     /// no request and the endpoint did not close.
     pub fn is_clean(&mut self) -> bool {
-        drive(&mut self.driver, &mut self.driver_ended, &mut Context::from_waker(Waker::noop()));
-        !self.driver_ended && self.sender.is_ready()
+        drive(&mut self.driver, &mut self.progress, &mut Context::from_waker(Waker::noop()));
+        self.progress == Progress::Open && self.sender.is_ready()
     }
 
-    /// Asks the kernel whether the peer is silent; its news may not have reached the runtime yet.
-    pub fn is_silent(&self) -> bool {
+    /// Whether bytes came that belong to no request, or the connection broke.
+    pub fn is_spoilt(&self) -> bool {
+        self.progress == Progress::Failed
+    }
+
+    /// Asks the kernel what the peer has done; its news may not have reached the runtime yet.
+    pub fn peer(&self) -> Peer {
         let stream = self.wire.stream.borrow();
         let mut byte = [MaybeUninit::uninit()];
-        SockRef::from(&*stream).peek(&mut byte).is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        match SockRef::from(&*stream).peek(&mut byte) {
+            Ok(0) => Peer::Closed,
+            Ok(_) => Peer::Speaking,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Peer::Silent,
+            Err(_) => Peer::Closed,
+        }
     }
 }
 
+/// What the peer of an idle connection has done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Peer {
+    Silent,
+    /// It has sent bytes that belong to no request.
+    Speaking,
+    Closed,
+}
+
+/// How far the library has come with a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    Open,
+    Closed,
+    Failed,
+}
+
 /// Lets the connection do what it can; its errors reach whoever waits for an answer.
 fn drive(
     driver: &mut Pin<Box<Connection<TokioIo<EndpointStream>, Full<Bytes>>>>,
-    ended: &mut bool,
+    progress: &mut Progress,
     cx: &mut Context<'_>,
 ) {
-    if !*ended {
-        *ended = driver.as_mut().poll(cx).is_ready();
+    if *progress != Progress::Open {
+        return;
     }
+    *progress = match driver.as_mut().poll(cx) {
+        Poll::Pending => Progress::Open,
+        Poll::Ready(Ok(())) => Progress::Closed,
+        Poll::Ready(Err(_)) => Progress::Failed,
+    };
 }
 
 fn configure(stream: &TcpStream) -> io::Result<()> {
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -1,6 +1,6 @@
 //! Connections to endpoints: idle ones are used again, and each endpoint has a bound for this router.
 
-use crate::connection::EndpointConnection;
+use crate::connection::{EndpointConnection, Peer};
 use lanegate_model::configuration::Configuration;
 use lanegate_model::feed::FeedEvent;
 use lanegate_model::instance::{Instance, InstanceState};
@@ -19,6 +19,10 @@
 const IDLE_SHARE: f64 = 0.8;
 /// Idle time from which the kernel is asked for news of a connection before it is used again.
 const UNCHECKED_IDLE: Duration = Duration::from_millis(5);
+/// Time for which an endpoint that sent bytes belonging to no request is not trusted to be done after an answer.
+const DISTRUST: Duration = Duration::from_secs(10);
+/// Idle time after which even such an endpoint counts as done with an answer.
+const DISTRUSTED_REST: Duration = Duration::from_millis(300);
 /// Part of an endpoint's connections that routers take; the rest is for health checks and orders.
 const ROUTERS_SHARE: f64 = 0.9;
 /// Connections that one router may open to an endpoint whose service names no bound.
@@ -46,6 +50,8 @@
     address: SocketAddr,
     serving: bool,
     open: Rc<Cell<u32>>,
+    /// Until when its connections rest after an answer.
+    distrusted_until: Option<Instant>,
     /// The one used last comes last.
     idle: Vec<IdleConnection>,
 }
@@ -76,6 +82,41 @@
     }
 }
 
+impl Endpoint {
+    fn is_distrusted(&self, now: Instant) -> bool {
+        self.distrusted_until.is_some_and(|until| now < until)
+    }
+
+    fn distrust(&mut self, now: Instant) {
+        self.distrusted_until = Some(now + DISTRUST);
+    }
+
+    /// The connection that has rested longest, if that is long enough for late bytes to have come.
+    fn take_rested(&mut self, now: Instant) -> Option<EndpointConnection> {
+        let rested = self.idle.first()?;
+        if now.saturating_duration_since(rested.since) < DISTRUSTED_REST {
+            return None;
+        }
+        let candidate = self.idle.remove(0);
+        self.checked(candidate, now)
+    }
+
+    /// The connection, if a request may be sent on it.
+    fn checked(&mut self, mut candidate: IdleConnection, now: Instant) -> Option<EndpointConnection> {
+        let connection = &mut candidate.connection;
+        if !connection.is_fresh(now) {
+            return None;
+        }
+        let clean = connection.is_clean();
+        let unchecked = clean && now.saturating_duration_since(candidate.since) < UNCHECKED_IDLE;
+        let peer = if unchecked { Peer::Silent } else { connection.peer() };
+        if connection.is_spoilt() || peer == Peer::Speaking {
+            self.distrust(now);
+        }
+        (clean && peer == Peer::Silent).then_some(candidate.connection)
+    }
+}
+
 impl Pool {
     /// Takes news of the control plane in.
     pub fn apply(&self, event: &FeedEvent) {
@@ -99,6 +140,7 @@
             address: instance.address,
             serving: true,
             open: Rc::default(),
+            distrusted_until: None,
             idle: Vec::new(),
         });
         endpoint.serving = instance.state == InstanceState::Ready;
@@ -124,18 +166,24 @@
         let now = Instant::now();
         let mut endpoints = self.endpoints.borrow_mut();
         let endpoint = endpoints.get_mut(instance).filter(|endpoint| endpoint.address == address)?;
-        while let Some(mut candidate) = endpoint.idle.pop() {
-            let rested = now.saturating_duration_since(candidate.since);
-            let usable = candidate.connection.is_fresh(now)
-                && candidate.connection.is_clean()
-                && (rested < UNCHECKED_IDLE || candidate.connection.is_silent());
-            if usable {
-                return Some(candidate.connection);
+        if endpoint.is_distrusted(now) {
+            return endpoint.take_rested(now);
+        }
+        while let Some(candidate) = endpoint.idle.pop() {
+            if let Some(connection) = endpoint.checked(candidate, now) {
+                return Some(connection);
             }
         }
         None
     }
 
+    /// Notes that the endpoint sent what is no answer to a request.
+    pub fn distrust(&self, instance: &str) {
+        if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(instance) {
+            endpoint.distrust(Instant::now());
+        }
+    }
+
     /// A place for a new connection, if this router has one left at the endpoint.
     pub fn lease(&self, instance: &Arc<str>, address: SocketAddr) -> Option<Lease> {
         let endpoints = self.endpoints.borrow();
@@ -158,16 +206,18 @@
 
     /// Takes a connection back after a whole answer.
     pub fn give_back(&self, mut connection: EndpointConnection, told_idle: Option<Duration>) {
-        if !connection.is_clean() {
-            return;
-        }
+        let clean = connection.is_clean();
+        let now = Instant::now();
         let mut endpoints = self.endpoints.borrow_mut();
         let Some(endpoint) = endpoints.get_mut(&*connection.lease().instance) else {
             return;
         };
-        if endpoint.serving && endpoint.address == connection.lease().address {
+        if connection.is_spoilt() {
+            endpoint.distrust(now);
+        }
+        if clean && endpoint.serving && endpoint.address == connection.lease().address {
             connection.usable_for(told_idle.map_or(UNTOLD_IDLE, |told| told.mul_f64(IDLE_SHARE)));
-            endpoint.idle.push(IdleConnection { connection, since: Instant::now() });
+            endpoint.idle.push(IdleConnection { connection, since: now });
         }
     }
 
--- a/crates/router/tests/connections.rs
+++ b/crates/router/tests/connections.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use bytes::Bytes;
-use common::{CONFIGURATION, Endpoint, Router, pass_time, play};
+use common::{CONFIGURATION, Endpoint, Router, answer_to, pass_time, play};
 use http_body_util::Full;
 use hyper::Request;
 use lanegate_model::feed::FeedEvent;
@@ -151,3 +151,30 @@
         tokio::join!(flood, leaving);
     });
 }
+
+#[test]
+fn an_endpoint_that_sent_an_extra_answer_gets_time_before_its_connections_are_used_again() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client.get("/once/a", "1").await;
+        let (mut spoilt, request) = endpoint.request().await;
+        spoilt.write(answer_to(&request, "200 OK", "a") + &answer_to(&request, "200 OK", "extra")).await;
+        assert_eq!(client.answer().await.text(), "a");
+        client.get("/once/a", "2").await;
+        let (mut rested, request) = endpoint.request().await;
+        rested.answer(&request, "b").await;
+        assert_eq!(client.answer().await.text(), "b");
+        client.get("/once/a", "3").await;
+        let (mut fresh, request) = endpoint.request().await;
+        fresh.answer(&request, "c").await;
+        assert_eq!(client.answer().await.text(), "c");
+        pass_time(Duration::from_millis(400)).await;
+        client.get("/once/a", "4").await;
+        let request = rested.request().await;
+        assert_eq!(request.header("Attempt-Id"), Some("4"));
+        rested.answer(&request, "d").await;
+        assert_eq!(client.answer().await.text(), "d");
+    });
+}
