Show a small system in an example; read heartbeats with null and fractional fields

Ruled out: child processes, as cargo does not build the program for an example. Change: example small_system (controller, agent, router, two endpoints, operator); lenient fields of registrations; status asks by the control client.

--- /dev/null
+++ b/crates/lanegate/examples/small_system/main.rs
@@ -0,0 +1,77 @@
+//! A whole system on the loopback interface: a controller, an agent, a router, two endpoints and an operator.
+//!
+//! `cargo run -p lanegate --example small_system` starts them, sends requests, moves the route to the other
+//! service and sends more. Every process that would be one by itself is a thread here.
+
+mod client;
+mod endpoint;
+mod operator;
+mod processes;
+
+use processes::Addresses;
+use std::error::Error;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Pause between questions whether something has happened.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for the whole system to come up.
+const START_TIME: Duration = Duration::from_secs(20);
+/// Requests sent each time.
+const REQUESTS: u32 = 4;
+
+type Outcome<T> = Result<T, Box<dyn Error>>;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Outcome<()> {
+    let data = std::env::temp_dir().join(format!("lanegate-small-system-{}", std::process::id()));
+    std::fs::create_dir_all(&data)?;
+    let addresses = Addresses::free()?;
+    processes::start(&addresses, &data)?;
+    let outcome = tokio::task::LocalSet::new().run_until(show(&addresses)).await;
+    std::fs::remove_dir_all(&data)?;
+    outcome
+}
+
+async fn show(addresses: &Addresses) -> Outcome<()> {
+    for (id, service) in [("i-1", "small"), ("i-2", "large")] {
+        endpoint::start(id, service, addresses.control).await?;
+    }
+    println!("operator: {}", timeout(START_TIME, operator::put(addresses.control)).await??);
+    timeout(START_TIME, ready(addresses)).await?;
+    println!("router: ready at {}", addresses.frontend);
+    send(addresses, "small").await?;
+    println!("operator: {}", operator::patch(addresses.control).await?);
+    timeout(START_TIME, answered_by(addresses, "large")).await??;
+    send(addresses, "large").await
+}
+
+async fn ready(addresses: &Addresses) {
+    while !matches!(client::get(addresses.readiness, "/readyz", "ready").await, Ok((200, _))) {
+        sleep(PAUSE).await;
+    }
+}
+
+async fn answered_by(addresses: &Addresses, service: &str) -> Outcome<()> {
+    let mut attempt = 0;
+    while !ask(addresses, &format!("moved-{attempt}")).await?.1.contains(service) {
+        attempt += 1;
+        sleep(PAUSE).await;
+    }
+    Ok(())
+}
+
+async fn send(addresses: &Addresses, service: &str) -> Outcome<()> {
+    for number in 0..REQUESTS {
+        let (status, body) = ask(addresses, &format!("{service}-{number}")).await?;
+        println!("client: {status} {body}");
+        if status != 200 || !body.contains(service) {
+            return Err(format!("expected an answer of {service}").into());
+        }
+    }
+    Ok(())
+}
+
+async fn ask(addresses: &Addresses, attempt: &str) -> Outcome<(u16, String)> {
+    client::get(addresses.frontend, "/chat/hello", attempt).await
+}
--- a/crates/model/src/instance.rs
+++ b/crates/model/src/instance.rs
@@ -1,5 +1,6 @@
 //! Registrations of endpoints: what one incarnation of an endpoint says of itself in a heartbeat.
 
+use crate::lenient;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -13,25 +14,25 @@
     /// The service under which the endpoint registers.
     pub backend: String,
     pub address: SocketAddr,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub zone: String,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub version: String,
     /// Requests that the endpoint works on at the same time.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::whole")]
     pub capacity: u32,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub state: InstanceState,
     /// Time during which the endpoint is still slow after its start, ms.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub cold_left_ms: f64,
     /// What the engine is doing; absent for endpoints without engines.
     #[serde(default)]
     pub phase: Option<String>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub models: Vec<HeldModel>,
     /// Rises with each heartbeat, so that a late one is recognised.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::whole")]
     pub sequence: u64,
     /// Time until the endpoint is gone whatever it runs, ms; only in a short notice.
     #[serde(default)]
@@ -52,8 +53,8 @@
 #[serde(rename_all = "PascalCase")]
 pub struct HeldModel {
     pub name: String,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::whole")]
     pub version: u64,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::null_as_default")]
     pub adapters: Vec<String>,
 }
