Choose endpoints by what engines keep and their load, within one budget and Fair-EDF charts

Cause: the thin form sent to the least loaded endpoint by own count, repeated without a budget and kept no chart. Change: learned times, prompt memory and load per endpoint, passive health with trials, the shared retry budget, charts with victims of the class missed least, holds for models that are being loaded, demand counts.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -5,133 +5,138 @@
 //! attempt under way means that the attempt is given up: its connection is to be closed, and its reports
 //! are ignored.
 
-use crate::endpoints::{EndpointKey, EndpointTable};
-use crate::interface::{AttemptEnd, Decision, FailReason, Progress, Request, RequestId};
+mod ending;
+mod learning;
+mod placing;
+mod timing;
+
+use crate::admission::Admission;
+use crate::agenda::Agenda;
+use crate::choice;
+use crate::demand::DemandCounts;
+use crate::fleet::Fleet;
+use crate::interface::{AttemptEnd, Decision, Progress, Request, RequestId};
+use crate::patience::Patience;
 use crate::settings::DispatchSettings;
-use lanegate_model::configuration::RouteType;
+use crate::tracked::Tracked;
+use crate::units::nanoseconds;
 use lanegate_model::demand::DemandReport;
 use lanegate_model::feed::FeedEvent;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::time::Duration;
 
-/// Pause after which a refused client is asked to come back, while nothing better is known.
-const RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// Decides for one router.
 pub struct Dispatcher {
-    settings: DispatchSettings,
-    endpoints: EndpointTable,
-    in_flight: HashMap<EndpointKey, u32>,
-    requests: BTreeMap<RequestId, Tracked>,
+    fleet: Fleet,
+    requests: HashMap<RequestId, Tracked>,
+    admission: Admission,
+    agenda: Agenda,
+    demand: DemandCounts,
+    patience: Patience,
     decisions: Vec<Decision>,
-    reported: Duration,
-}
-
-/// A request that has no end yet.
-struct Tracked {
-    request: Request,
-    /// Sends so far.
-    attempts: u32,
-    at: Option<EndpointKey>,
-    tried: Vec<EndpointKey>,
-    /// Whether an earlier attempt may have run.
-    may_have_run: bool,
-    resume: bool,
+    /// Whether all that the control plane knows has been told.
+    synchronized: bool,
+    /// When it was last noticed that the process had stood still.
+    stood_still: Duration,
 }
 
 impl Dispatcher {
     /// A dispatcher that knows no endpoints yet.
-    pub fn new(settings: DispatchSettings, _seed: u64) -> Self {
+    pub fn new(settings: DispatchSettings, seed: u64) -> Self {
         Dispatcher {
-            settings,
-            endpoints: EndpointTable::default(),
-            in_flight: HashMap::new(),
-            requests: BTreeMap::new(),
+            fleet: Fleet::new(settings, seed),
+            requests: HashMap::new(),
+            admission: Admission::default(),
+            agenda: Agenda::default(),
+            demand: DemandCounts::default(),
+            patience: Patience::default(),
             decisions: Vec::new(),
-            reported: Duration::ZERO,
+            synchronized: false,
+            stood_still: Duration::ZERO,
         }
     }
 
     /// Takes news of the control plane in.
     pub fn apply(&mut self, now: Duration, event: &FeedEvent) {
+        self.notice_stall(now);
         match event {
             FeedEvent::Instance(instance) => {
-                self.endpoints.register(now, instance);
-                self.release_held(now);
+                if self.fleet.register(now, instance) {
+                    self.reconsider(now, &instance.backend.as_str().into());
+                }
             }
             FeedEvent::Removed { id } => {
-                self.endpoints.remove(id);
+                if let Some((_, endpoint)) = self.fleet.remove(id) {
+                    self.reconsider(now, &endpoint.backend);
+                }
+            }
+            FeedEvent::Configuration(configuration) => {
+                self.fleet.configure(configuration);
+                self.patience.configure(configuration);
             }
-            FeedEvent::Configuration(_) | FeedEvent::Routers { .. } | FeedEvent::Synchronized => {}
+            FeedEvent::Routers { live } => self.fleet.live_routers = Some(*live),
+            FeedEvent::Synchronized => self.synchronized = true,
         }
     }
 
     /// Takes a new request.
     pub fn submit(&mut self, now: Duration, request: Request) {
+        self.notice_stall(now);
         let id = request.id;
-        let tracked =
-            Tracked { request, attempts: 0, at: None, tried: Vec::new(), may_have_run: false, resume: false };
+        let bounds = self.fleet.budget_bounds;
+        self.admission.count_request(&request.route, nanoseconds(now));
+        self.fleet.service_mut(&request.backend).budget.request(now, &bounds);
+        let tracked = Tracked::new(request);
+        if let Some(wanted) = &tracked.request.generation {
+            let placed = choice::is_placed(&self.fleet, &tracked);
+            self.demand.count(&tracked.request.backend, wanted, placed);
+        }
         self.requests.insert(id, tracked);
         self.place(now, id);
     }
 
     /// Takes news of an attempt before its end.
-    pub fn progress(&mut self, _now: Duration, _request: RequestId, _attempt: u32, _progress: Progress) {}
+    pub fn progress(&mut self, now: Duration, request: RequestId, attempt: u32, progress: Progress) {
+        self.notice_stall(now);
+        let Some(flight) = self.flight(request, attempt) else {
+            return;
+        };
+        match progress {
+            Progress::Head { load } => self.head_arrived(now, flight.endpoint, load),
+            Progress::FirstByte => self.first_byte_arrived(now, request),
+        }
+    }
 
     /// Takes the end of an attempt.
     pub fn ended(&mut self, now: Duration, request: RequestId, attempt: u32, end: AttemptEnd) {
-        let Some(tracked) = self.requests.get_mut(&request) else {
+        self.notice_stall(now);
+        let Some(flight) = self.flight(request, attempt) else {
             return;
         };
-        let Some(key) = tracked.at.filter(|_| tracked.attempts == attempt) else {
-            return;
-        };
-        tracked.at = None;
-        if let Some(count) = self.in_flight.get_mut(&key) {
-            *count = count.saturating_sub(1);
-        }
-        match end {
-            AttemptEnd::Answered { .. } | AttemptEnd::Cancelled => {
-                self.requests.remove(&request);
-            }
-            AttemptEnd::NotExecuted { .. } | AttemptEnd::NotSent => self.place(now, request),
-            AttemptEnd::Broken | AttemptEnd::BrokenMidway | AttemptEnd::Garbled => {
-                let repeatable = match tracked.request.route_type {
-                    RouteType::Idempotent => end != AttemptEnd::BrokenMidway,
-                    RouteType::NonIdempotent => false,
-                    RouteType::Streaming => tracked.request.resumable,
-                };
-                tracked.may_have_run = true;
-                tracked.resume |= end == AttemptEnd::BrokenMidway;
-                match repeatable {
-                    true => self.place(now, request),
-                    false => self.fail(request, FailReason::MayHaveRun),
-                }
-            }
-        }
-        self.release_held(now);
+        let backend = self.requests[&request].request.backend.clone();
+        self.settle(now, request, flight, end);
+        self.release(now, &backend, flight.endpoint);
     }
 
     /// The client left: nothing more is decided for the request.
     pub fn cancel(&mut self, now: Duration, request: RequestId) {
+        self.notice_stall(now);
+        let Some(tracked) = self.requests.get(&request) else {
+            return;
+        };
+        let backend = tracked.request.backend.clone();
+        let freed = tracked.flight().map(|flight| flight.endpoint);
         self.forget(request);
-        self.release_held(now);
+        if let Some(freed) = freed {
+            self.release(now, &backend, freed);
+        }
     }
 
     /// The time told by `next_wake` has come.
     pub fn wake(&mut self, now: Duration) {
-        let over: Vec<RequestId> = self
-            .requests
-            .iter()
-            .filter(|(_, tracked)| tracked.request.deadline <= now)
-            .map(|(&id, _)| id)
-            .collect();
-        for id in over {
-            let tracked = &self.requests[&id];
-            match tracked.at.is_none() && !tracked.may_have_run {
-                true => self.refuse(id),
-                false => self.fail(id, FailReason::Deadline),
-            }
+        self.notice_stall(now);
+        for id in self.agenda.due(now) {
+            self.look_at(now, id);
         }
     }
 
@@ -142,89 +147,11 @@
 
     /// When `wake` is to be called, if nothing else happens before.
     pub fn next_wake(&self) -> Option<Duration> {
-        self.requests.values().map(|tracked| tracked.request.deadline).min()
+        self.agenda.next()
     }
 
     /// The demand since the last report.
     pub fn demand_report(&mut self, now: Duration) -> DemandReport {
-        let period = now.saturating_sub(self.reported);
-        self.reported = now;
-        DemandReport { period_ms: period.as_millis() as u32, models: Vec::new() }
-    }
-
-    fn release_held(&mut self, now: Duration) {
-        let held: Vec<RequestId> =
-            self.requests.iter().filter(|(_, tracked)| tracked.at.is_none()).map(|(&id, _)| id).collect();
-        held.into_iter().for_each(|id| self.place(now, id));
-    }
-
-    /// Sends the request to the endpoint with the fewest requests, or keeps holding it.
-    fn place(&mut self, _now: Duration, id: RequestId) {
-        let Some(tracked) = self.requests.get(&id) else {
-            return;
-        };
-        if tracked.attempts >= tracked.request.max_attempts.max(1) {
-            return match tracked.may_have_run {
-                true => self.fail(id, FailReason::Attempts),
-                false => self.refuse(id),
-            };
-        }
-        let chosen = self.candidates(tracked).min_by_key(|(_, load)| *load);
-        let Some((key, _)) = chosen else {
-            return;
-        };
-        self.send(id, key);
-    }
-
-    fn candidates<'a>(
-        &'a self,
-        tracked: &'a Tracked,
-    ) -> impl Iterator<Item = (EndpointKey, (u32, bool))> + 'a {
-        let keys = self.endpoints.of_service(&tracked.request.backend).iter();
-        keys.filter_map(move |&key| {
-            let endpoint = self.endpoints.get(key)?;
-            let generation = tracked.request.generation.as_ref();
-            let holds =
-                generation.is_none_or(|wanted| endpoint.holds(&wanted.model, wanted.adapter.as_deref()));
-            let running = self.in_flight.get(&key).copied().unwrap_or(0);
-            let free = running < endpoint.capacity && !tracked.tried.contains(&key);
-            let distant = *endpoint.zone != *self.settings.zone;
-            (endpoint.takes_requests() && holds && free).then_some((key, (running, distant)))
-        })
-    }
-
-    fn send(&mut self, id: RequestId, key: EndpointKey) {
-        let (Some(tracked), Some(endpoint)) = (self.requests.get_mut(&id), self.endpoints.get(key)) else {
-            return;
-        };
-        tracked.attempts += 1;
-        tracked.at = Some(key);
-        tracked.tried.push(key);
-        *self.in_flight.entry(key).or_default() += 1;
-        self.decisions.push(Decision::Send {
-            request: id,
-            attempt: tracked.attempts,
-            instance: endpoint.id.clone(),
-            address: endpoint.address,
-            engine_priority: tracked.request.priority.min(9),
-            resume: tracked.resume,
-        });
-    }
-
-    fn refuse(&mut self, id: RequestId) {
-        self.forget(id);
-        self.decisions.push(Decision::Refuse { request: id, retry_after: RETRY_AFTER });
-    }
-
-    fn fail(&mut self, id: RequestId, reason: FailReason) {
-        self.forget(id);
-        self.decisions.push(Decision::Fail { request: id, reason });
-    }
-
-    fn forget(&mut self, id: RequestId) {
-        let key = self.requests.remove(&id).and_then(|tracked| tracked.at);
-        if let Some(count) = key.and_then(|key| self.in_flight.get_mut(&key)) {
-            *count = count.saturating_sub(1);
-        }
+        self.demand.take(now)
     }
 }
--- a/crates/dispatch/src/endpoints.rs
+++ b/crates/dispatch/src/endpoints.rs
@@ -1,30 +1,38 @@
 //! The endpoints that are known from the feed, by service.
 
+use crate::rendezvous::stable_hash;
+use crate::units::milliseconds;
 use lanegate_model::instance::{HeldModel, Instance, InstanceState};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Heartbeats after which an endpoint in whose place another answered is believed to live all the same: the
+/// first may have been on its way.
+const SIGNS_OF_LIFE: u64 = 2;
+
 /// Number of an endpoint in the table; never used twice in a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct EndpointKey(pub u64);
 
 /// One incarnation of an endpoint.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Endpoint {
     pub id: Arc<str>,
+    /// Of the id; the same in every router.
+    pub hash: u64,
     pub backend: Arc<str>,
     pub address: SocketAddr,
     pub zone: Arc<str>,
     /// Requests that it works on at the same time.
     pub capacity: u32,
     pub state: InstanceState,
-    /// When it is gone whatever it runs, after a short notice.
-    pub gone_at: Option<Duration>,
     /// When it stops being slow after its start.
     pub warm_at: Duration,
     pub models: Vec<HeldModel>,
+    /// Of the newest registration when another incarnation answered in its place, so that this one is gone.
+    pub replaced_at: Option<u64>,
     /// Of the newest registration taken.
     pub sequence: u64,
 }
@@ -32,7 +40,7 @@
 impl Endpoint {
     /// Whether new requests may be sent to it.
     pub fn takes_requests(&self) -> bool {
-        self.state == InstanceState::Ready
+        self.state == InstanceState::Ready && self.replaced_at.is_none()
     }
 
     /// Whether it holds the model and, where one is asked for, the adapter.
@@ -42,6 +50,36 @@
         };
         adapter.is_none_or(|name| held.adapters.iter().any(|held| held == name))
     }
+
+    /// Takes a newer registration of the same incarnation in; an endpoint that drains never comes back.
+    fn renew(&mut self, now: Duration, instance: &Instance) -> TableChange {
+        let drains = self.state == InstanceState::Draining || instance.state == InstanceState::Draining;
+        let state = if drains { InstanceState::Draining } else { InstanceState::Ready };
+        let was_replaced = self.replaced_at;
+        self.replaced_at = was_replaced.filter(|&at| instance.sequence < at + SIGNS_OF_LIFE);
+        let same = self.state == state && self.models == instance.models && self.replaced_at == was_replaced;
+        self.sequence = instance.sequence;
+        self.state = state;
+        self.address = instance.address;
+        self.capacity = instance.capacity.max(1);
+        self.warm_at = now + milliseconds(instance.cold_left_ms);
+        if same {
+            return TableChange::Unchanged;
+        }
+        self.models.clone_from(&instance.models);
+        TableChange::Changed
+    }
+}
+
+/// What a registration changed of where requests may go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TableChange {
+    /// Nothing.
+    Unchanged,
+    /// The state or the models of a known endpoint.
+    Changed,
+    /// The endpoint was not known.
+    Added,
 }
 
 /// All endpoints, by their key, and the keys of each service in order.
@@ -54,50 +92,38 @@
 }
 
 impl EndpointTable {
-    /// Takes a registration in, unless a newer one of that incarnation is known; tells its key.
-    pub fn register(&mut self, now: Duration, instance: &Instance) -> EndpointKey {
-        if let Some(&key) = self.keys.get(instance.id.as_str()) {
-            self.renew(now, key, instance);
-            return key;
+    /// Takes a registration in, unless as new a one of that incarnation is known.
+    pub fn register(&mut self, now: Duration, instance: &Instance) -> (EndpointKey, TableChange) {
+        if let Some(&key) = self.keys.get(instance.id.as_str())
+            && let Some(known) = self.endpoints.get_mut(&key)
+        {
+            let is_newer = instance.sequence > known.sequence;
+            let change = if is_newer { known.renew(now, instance) } else { TableChange::Unchanged };
+            return (key, change);
         }
+        (self.add(endpoint_of(now, instance)), TableChange::Added)
+    }
+
+    fn add(&mut self, endpoint: Endpoint) -> EndpointKey {
         let key = EndpointKey(self.next);
         self.next += 1;
-        let endpoint = endpoint_of(now, instance);
         self.keys.insert(endpoint.id.clone(), key);
         self.services.entry(endpoint.backend.clone()).or_default().push(key);
         self.endpoints.insert(key, endpoint);
         key
     }
 
-    fn renew(&mut self, now: Duration, key: EndpointKey, instance: &Instance) {
-        let Some(known) = self.endpoints.get_mut(&key) else {
-            return;
-        };
-        if instance.sequence < known.sequence {
-            return;
-        }
-        let left = known.state == InstanceState::Draining;
-        let (id, backend, zone) = (known.id.clone(), known.backend.clone(), known.zone.clone());
-        let gone_at = known.gone_at;
-        *known = Endpoint { id, backend, zone, ..endpoint_of(now, instance) };
-        if left {
-            known.state = InstanceState::Draining;
-            known.gone_at = gone_at.or(known.gone_at);
-        }
-    }
-
-    /// Forgets an endpoint that is gone; tells its key.
-    pub fn remove(&mut self, id: &str) -> Option<EndpointKey> {
+    /// Forgets an endpoint that is gone; hands it over.
+    pub fn remove(&mut self, id: &str) -> Option<(EndpointKey, Endpoint)> {
         let key = self.keys.remove(id)?;
-        if let Some(endpoint) = self.endpoints.remove(&key)
-            && let Some(keys) = self.services.get_mut(&endpoint.backend)
-        {
+        let endpoint = self.endpoints.remove(&key)?;
+        if let Some(keys) = self.services.get_mut(&endpoint.backend) {
             keys.retain(|&other| other != key);
         }
-        Some(key)
+        Some((key, endpoint))
     }
 
-    /// Takes a model out of what an endpoint is known to hold, after it said so itself.
+    /// Takes a model, or one adapter, out of what an endpoint is known to hold, after it said so itself.
     pub fn forget_model(&mut self, key: EndpointKey, model: &str, adapter: Option<&str>) {
         let Some(endpoint) = self.endpoints.get_mut(&key) else {
             return;
@@ -111,6 +137,14 @@
         }
     }
 
+    /// Notes that another incarnation answered in an endpoint's place.
+    pub fn mark_replaced(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(&key) {
+            endpoint.replaced_at = Some(endpoint.sequence);
+        }
+    }
+
+    /// The endpoint of a key, while it is known.
     pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
         self.endpoints.get(&key)
     }
@@ -119,24 +153,27 @@
     pub fn of_service(&self, backend: &str) -> &[EndpointKey] {
         self.services.get(backend).map_or(&[], Vec::as_slice)
     }
+
+    /// The service's endpoints that take requests.
+    pub fn ready<'a>(&'a self, backend: &str) -> impl Iterator<Item = (EndpointKey, &'a Endpoint)> + 'a {
+        let known = self.of_service(backend).iter();
+        let known = known.filter_map(|&key| Some((key, self.endpoints.get(&key)?)));
+        known.filter(|(_, endpoint)| endpoint.takes_requests())
+    }
 }
 
 fn endpoint_of(now: Duration, instance: &Instance) -> Endpoint {
     Endpoint {
         id: instance.id.as_str().into(),
+        hash: stable_hash(&instance.id),
         backend: instance.backend.as_str().into(),
         address: instance.address,
         zone: instance.zone.as_str().into(),
         capacity: instance.capacity.max(1),
         state: instance.state,
-        gone_at: instance.remaining_ms.map(|left| now + milliseconds(left)),
         warm_at: now + milliseconds(instance.cold_left_ms),
         models: instance.models.clone(),
+        replaced_at: None,
         sequence: instance.sequence,
     }
 }
-
-/// A time given in ms; what is no time counts as none.
-pub fn milliseconds(value: f64) -> Duration {
-    Duration::try_from_secs_f64(value / 1_000.0).unwrap_or_default()
-}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,10 +1,29 @@
 //! The decisions of a router, without I/O: which endpoint a request goes to, when it leaves, when it is
 //! tried again and when it is refused. Time and chance are passed in.
+//!
+//! [`dispatcher`] is the state machine. What it decides by: [`endpoints`] from the feed, their [`load`] and
+//! [`health`], what is learned of a [`service`], the [`choice`] among candidates, Fair-EDF [`admission`] and
+//! the retry [`budget`].
 
+pub mod admission;
+mod agenda;
+pub mod budget;
+pub mod choice;
+pub mod demand;
 pub mod dispatcher;
 pub mod endpoints;
+pub mod estimate;
+pub mod fleet;
+pub mod health;
 pub mod interface;
+pub mod load;
+mod patience;
+pub mod prefix;
+pub mod rendezvous;
+pub mod service;
 pub mod settings;
+pub mod tracked;
+mod units;
 
 pub use dispatcher::Dispatcher;
 pub use settings::DispatchSettings;
--- /dev/null
+++ b/crates/dispatch/src/patience.rs
@@ -0,0 +1,40 @@
+//! How long the client of a stream waits for a sign of life.
+
+use crate::tracked::Tracked;
+use lanegate_model::configuration::{Configuration, RouteType};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// A client of a stream waits at least this long for its first event.
+const LEAST: Duration = Duration::from_secs(2);
+/// Or this many times the objective, or the longest pause between events.
+const OBJECTIVES: u32 = 4;
+const PAUSES: u32 = 8;
+
+/// Longest pause between events of each route that names one.
+#[derive(Debug, Default)]
+pub struct Patience {
+    pauses: HashMap<String, Duration>,
+}
+
+impl Patience {
+    /// Takes a configuration in.
+    pub fn configure(&mut self, configuration: &Configuration) {
+        let pauses = configuration.routes.iter().filter_map(|route| {
+            let pause = crate::units::milliseconds(route.gap_aim_ms?);
+            Some((route.name.clone(), pause))
+        });
+        self.pauses = pauses.collect();
+    }
+
+    /// When the client will have given up, if nothing was sent to it until then.
+    pub fn ends(&self, tracked: &Tracked) -> Duration {
+        let request = &tracked.request;
+        if request.route_type != RouteType::Streaming || tracked.resume {
+            return request.deadline;
+        }
+        let pause = self.pauses.get(request.route.as_ref()).copied().unwrap_or_default();
+        let waits = LEAST.max(tracked.aim() * OBJECTIVES).max(pause * PAUSES);
+        request.deadline.min(request.arrived + waits)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/demand.rs
@@ -0,0 +1,27 @@
+//! The demand that is told to the placement.
+
+mod support;
+
+use lanegate_dispatch::{DispatchSettings, Dispatcher};
+use lanegate_model::feed::FeedEvent;
+use support::{engine, generation, ms};
+
+#[test]
+fn a_report_counts_by_model_and_adapter_and_starts_anew() {
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), 1);
+    dispatcher.apply(ms(0), &FeedEvent::Instance(engine("e1", &["m1"])));
+    dispatcher.submit(ms(10), generation(1, 10, "m1", &[(1, 100)]));
+    dispatcher.submit(ms(20), generation(2, 20, "m1", &[(1, 100)]));
+    let mut adapted = generation(3, 30, "m1", &[(1, 100)]);
+    adapted.generation.as_mut().expect("a generation").adapter = Some("a1".into());
+    dispatcher.submit(ms(30), adapted);
+    let report = dispatcher.demand_report(ms(2_000));
+    assert_eq!(report.period_ms, 2_000);
+    let told: Vec<_> = report.models.iter().map(|model| (model.adapter.as_deref(), model.requests)).collect();
+    assert_eq!(told, [(None, 2), (Some("a1"), 1)]);
+    assert_eq!(report.models[0].tokens, 300);
+    assert_eq!((report.models[0].unplaced, report.models[1].unplaced), (0, 1));
+    let next = dispatcher.demand_report(ms(3_000));
+    assert_eq!(next.period_ms, 1_000);
+    assert!(next.models.is_empty());
+}
--- /dev/null
+++ b/crates/dispatch/tests/support/mod.rs
@@ -0,0 +1,87 @@
+//! What the tests of the dispatcher share: short ways to write instances, routes and requests.
+
+#![allow(dead_code)]
+
+pub mod engine;
+pub mod fleet;
+pub mod scenario;
+
+use lanegate_dispatch::interface::{Generation, PromptPart, Request, RequestId};
+use lanegate_model::configuration::RouteType;
+use lanegate_model::instance::{HeldModel, Instance, InstanceState};
+use std::time::Duration;
+
+/// A moment or a span in ms.
+pub fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+/// An endpoint of service `tiles` in zone `a`, without an engine.
+pub fn instance(id: &str) -> Instance {
+    Instance {
+        id: id.to_owned(),
+        backend: "tiles".to_owned(),
+        address: "127.0.0.1:9000".parse().expect("an address"),
+        zone: "a".to_owned(),
+        version: String::new(),
+        capacity: 6,
+        state: InstanceState::Ready,
+        cold_left_ms: 0.0,
+        phase: None,
+        models: Vec::new(),
+        sequence: 1,
+        remaining_ms: None,
+    }
+}
+
+/// An engine of service `llm` that holds the models, each perhaps followed by `/` and its adapters.
+pub fn engine(id: &str, models: &[&str]) -> Instance {
+    let models = models.iter().map(|model| held(model)).collect();
+    Instance { backend: "llm".to_owned(), capacity: 64, models, ..instance(id) }
+}
+
+/// `model` or `model/adapter/adapter`.
+pub fn held(text: &str) -> HeldModel {
+    let mut names = text.split('/');
+    let name = names.next().unwrap_or_default().to_owned();
+    HeldModel { name, version: 1, adapters: names.map(str::to_owned).collect() }
+}
+
+/// A request for `tiles` that may run once, with an objective of 300 ms and 1.5 s in all.
+pub fn request(id: u64, arrived: u64) -> Request {
+    Request {
+        id: RequestId(id),
+        backend: "tiles".into(),
+        route: "fetch".into(),
+        route_type: RouteType::NonIdempotent,
+        resumable: false,
+        max_attempts: 2,
+        priority: 1,
+        arrived: ms(arrived),
+        target: ms(arrived + 300),
+        deadline: ms(arrived + 1_500),
+        body_bytes: 0,
+        generation: None,
+    }
+}
+
+/// A stream of `llm` for a model, with an objective of 800 ms and 5 s in all.
+pub fn generation(id: u64, arrived: u64, model: &str, parts: &[(u64, u32)]) -> Request {
+    let prefix: Vec<PromptPart> = parts.iter().map(|&(id, tokens)| PromptPart { id, tokens }).collect();
+    let wanted = Generation {
+        model: model.into(),
+        adapter: None,
+        prompt_tokens: prefix.iter().map(|part| part.tokens).sum(),
+        output_tokens: 50,
+        prefix,
+    };
+    Request {
+        backend: "llm".into(),
+        route: "draft".into(),
+        route_type: RouteType::Streaming,
+        target: ms(arrived + 800),
+        deadline: ms(arrived + 5_000),
+        generation: Some(wanted),
+        ..request(id, arrived)
+    }
+}
