Split calls, connections and choice into small functions; whole words for locals

Cause: `call_ended`, `send` and `choose` were 44 to 70 lines each, and rows went by single letters. Change: brain/connections.rs and brain/agenda.rs; `begin_call`, `refused_as_full`, `paced_until`, `cost` and others on their own; a message is made by `Message::new`, a call left by `Endpoint::leave_call`, as data in src/state.

--- /dev/null
+++ b/src/brain/agenda.rs
@@ -0,0 +1,32 @@
+//! When each destination is to be looked at again.
+
+use crate::interface::*;
+use crate::state::*;
+
+impl Brain {
+    /// Puts the destination on the agenda for the next moment at which anything there can change.
+    pub(super) fn schedule(&mut self, dest: DestinationId) {
+        let destination = &self.dests[&dest];
+        let open = destination.members.iter().map(|id| &self.messages[id]).filter(|message| !message.over);
+        let backed_off = |message: &Message| message.is_waiting() && message.not_before > self.now;
+        let times = open.map(|message| {
+            if backed_off(message) {
+                message.not_before.min(self.answer_by(message))
+            } else {
+                self.answer_by(message)
+            }
+        });
+        let next = times.min().unwrap_or(NEVER).min(destination.next);
+        let (soonest, credit) = (self.now + ns(self.set.tick), self.pace_credit(dest));
+        let destination = self.destination(dest);
+        let next = next.min(destination.chart.start().map_or(NEVER, |start| start + credit + 1)).max(soonest);
+        let was = std::mem::replace(&mut destination.booked, next);
+        self.agenda.remove(&(was, dest));
+        self.agenda.extend((next < NEVER).then_some((next, dest)));
+    }
+
+    /// Looks at the destination again at this time at the latest.
+    pub(super) fn look_again(&mut self, dest: DestinationId, at: Ns) {
+        self.destination(dest).next = self.dests[&dest].next.min(at);
+    }
+}
--- a/src/brain/choice.rs
+++ b/src/brain/choice.rs
@@ -19,12 +19,13 @@
 impl Brain {
     /// Sends what may go now, by earliest deadline over the destinations with news.
     pub(super) fn release(&mut self, touched: &BTreeSet<DestinationId>, out: &mut Vec<Action>) {
-        let held: BTreeSet<_> = touched.iter().flat_map(|d| self.dests[d].chart.iter()).collect();
+        let held: BTreeSet<_> =
+            touched.iter().flat_map(|destination| self.dests[destination].chart.iter()).collect();
         let mut joined = Joined::new();
         for (_, id) in held {
-            let m = &self.messages[&id];
-            let (dest, rest) = (m.dest, m.key.as_ref().and_then(|key| self.rests.get(key)));
-            if !self.has_turn(id, m) || m.not_before > self.now {
+            let message = &self.messages[&id];
+            let (dest, rest) = (message.dest, message.key.as_ref().and_then(|key| self.rests.get(key)));
+            if !self.has_turn(id, message) || message.not_before > self.now {
                 self.look_again(dest, rest.filter(|r| r.1 > self.now).map_or(NEVER, |r| r.1));
                 continue;
             }
@@ -39,104 +40,116 @@
 
     /// The cheapest endpoint that may take this message now. Each rule on sends is kept here.
     fn choose_endpoint(&mut self, id: MessageId, joined: &Joined) -> Option<EndpointId> {
-        let m = &self.messages[&id];
-        let d = &self.dests[&m.dest];
-        let room = self.has_room(d);
-        let few = self.calls_out + 1 + self.set.slots / SLOTS_FEW >= self.set.slots;
-        let short = if few { COST_SLOT } else { 0.0 };
+        let message = &self.messages[&id];
+        let dest = message.dest;
+        let has_room = self.has_room(&self.dests[&dest]);
         let (mut best, mut starved, mut later) = (None, Vec::new(), NEVER);
-        for id in &d.endpoints {
-            let e = &self.endpoints[id];
+        for id in &self.dests[&dest].endpoints {
+            let endpoint = &self.endpoints[id];
             // Rules: nothing to a draining or gone endpoint; a keyed repeat only where it is dropped.
-            if !e.ready || !self.in_scope(m, *id, e) {
+            if !endpoint.ready || !self.in_scope(message, *id, endpoint) {
                 continue;
             }
-            if let Some(at) = self.kept_off_until(m, e) {
+            if let Some(at) = self.kept_off_until(message, endpoint) {
                 later = later.min(at);
                 continue;
             }
-            let pool_id = self.pool_id(*id);
-            let pool = &self.pools[&pool_id];
             let joins = joined.get(id).is_some_and(|(_, room)| *room > 0);
-            // Rules: waits are kept, and an endpoint back from an outage gets its calls spaced.
-            let mut free =
-                if joins || e.warm_from.is_none() { pool.wait_until } else { pool.wait_until.max(e.free_at) };
-            if !joins && !room {
+            if !joins && !has_room {
                 continue;
             }
-            if !joins {
-                let lack = 1.0 - pool.filled_up(self.now);
-                if let Some(rate) = pool.rate.filter(|_| lack > 0.0 && e.breaker == Breaker::Closed) {
-                    free = free.max(self.now + sec(lack / rate) + 1);
-                    starved.push(pool_id);
-                }
+            let pool_id = self.pool_id(*id);
+            let pool = &self.pools[&pool_id];
+            // Rules: waits are kept, and an endpoint back from an outage gets its calls spaced.
+            let spaced = !joins && endpoint.warm_from.is_some();
+            let mut free = if spaced { pool.wait_until.max(endpoint.free_at) } else { pool.wait_until };
+            if let Some(paced) = self.paced_until(pool, endpoint).filter(|_| !joins) {
+                free = free.max(paced);
+                starved.push(pool_id);
             }
-            let idle = e.idle.iter().any(|t| *t > self.now - ns(self.set.keepalive));
-            if !joins && !idle {
-                free = free.max(e.connect_at);
+            let connects = !joins && !self.has_idle_connection(endpoint);
+            if connects {
+                free = free.max(endpoint.connect_at);
             }
             if free > self.now {
                 later = later.min(free);
                 continue;
             }
-            let separate = self.set.kinds[e.kind].separate_routes;
-            let fee = self.set.zone_fees.get(e.zone).filter(|_| separate).copied().unwrap_or(0.0);
-            let cold = if joins || idle { 0.0 } else { self.set.handshake_cost };
-            let aim = self.set.classes[m.class].aim.as_secs_f64().max(FIRST_LATENCY);
-            let again = if m.last == Some(*id) && m.attempts > 0 { COST_LATENCY } else { 0.0 };
-            let load = 1.0 + e.calls.len() as f64 / 4.0;
-            let latency = e.latency.seconds();
-            let slow = COST_LATENCY / aim * latency + short * latency.max(FIRST_LATENCY);
-            let cost = fee + cold + again + slow * load + COST_LEAN * e.lean + COST_DOUBT * self.doubt(e);
-            if best.is_none_or(|(c, _)| cost < c) {
+            let cost = self.cost(message, *id, endpoint, connects);
+            if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, *id));
             }
         }
-        let dest = m.dest;
-        starved.into_iter().for_each(|p| self.pools.get_mut(&p).expect("known").starved = true);
+        starved.into_iter().for_each(|pool| self.pools.get_mut(&pool).expect("known").starved = true);
         self.look_again(dest, later);
-        best.map(|b| b.1)
+        best.map(|(_, id)| id)
+    }
+
+    /// When the pace lets the next call through, if it holds it back now. Trials are not paced.
+    fn paced_until(&self, pool: &Pool, endpoint: &Endpoint) -> Option<Ns> {
+        let lack = 1.0 - pool.filled_up(self.now);
+        let rate = pool.rate.filter(|_| lack > 0.0 && endpoint.breaker == Breaker::Closed)?;
+        Some(self.now + sec(lack / rate) + 1)
+    }
+
+    fn has_idle_connection(&self, endpoint: &Endpoint) -> bool {
+        endpoint.idle.iter().any(|used| *used > self.now - ns(self.set.keepalive))
+    }
+
+    /// What a message costs at an endpoint, in points of the result.
+    fn cost(&self, message: &Message, id: EndpointId, endpoint: &Endpoint, connects: bool) -> f64 {
+        let separate = self.set.kinds[endpoint.kind].separate_routes;
+        let fee = self.set.zone_fees.get(endpoint.zone).filter(|_| separate).copied().unwrap_or(0.0);
+        let cold = if connects { self.set.handshake_cost } else { 0.0 };
+        let aim = self.set.classes[message.class].aim.as_secs_f64().max(FIRST_LATENCY);
+        let again = if message.last == Some(id) && message.attempts > 0 { COST_LATENCY } else { 0.0 };
+        let load = 1.0 + endpoint.calls.len() as f64 / 4.0;
+        let few = self.calls_out + 1 + self.set.slots / SLOTS_FEW >= self.set.slots;
+        let short = if few { COST_SLOT } else { 0.0 };
+        let latency = endpoint.latency.seconds();
+        let slow = COST_LATENCY / aim * latency + short * latency.max(FIRST_LATENCY);
+        fee + cold + again + slow * load + COST_LEAN * endpoint.lean + COST_DOUBT * self.doubt(endpoint)
     }
 
     /// Rule: ordered messages go one at a time by key, which rests after one that may still run.
-    fn has_turn(&self, id: MessageId, m: &Message) -> bool {
-        let Some(key) = &m.key else { return true };
+    fn has_turn(&self, id: MessageId, message: &Message) -> bool {
+        let Some(key) = &message.key else { return true };
         let rested = self.rests.get(key).is_none_or(|(of, until)| *of == id || *until <= self.now);
         rested && self.turns.get(key).and_then(VecDeque::front) == Some(&id)
     }
 
     /// Rule: what may have run goes again only where that is harmless by its effect class.
-    fn in_scope(&self, m: &Message, id: EndpointId, e: &Endpoint) -> bool {
-        let Some((first, zone, _)) = m.ran else { return true };
-        match self.set.classes[m.class].effect {
+    fn in_scope(&self, message: &Message, id: EndpointId, endpoint: &Endpoint) -> bool {
+        let Some((first, zone, _)) = message.ran else { return true };
+        match self.set.classes[message.class].effect {
             Effect::Repeatable | Effect::Keyed { scope: KeyScope::All, .. } => true,
-            Effect::Keyed { scope: KeyScope::Zone, .. } => e.zone == zone,
+            Effect::Keyed { scope: KeyScope::Zone, .. } => endpoint.zone == zone,
             Effect::Keyed { .. } => id == first,
             Effect::Once => false,
         }
     }
 
-    pub(super) fn may_try(&self, m: &Message, start: Ns) -> bool {
-        let in_window = match (m.ran, self.set.classes[m.class].effect) {
+    pub(super) fn may_try(&self, message: &Message, start: Ns) -> bool {
+        let in_window = match (message.ran, self.set.classes[message.class].effect) {
             (None, _) | (Some(_), Effect::Repeatable) => true,
             (Some(_), Effect::Once) => false,
             (Some((_, _, at)), Effect::Keyed { window, .. }) => start < at + ns(window),
         };
-        in_window && m.attempts < self.set.attempt_cap
+        in_window && message.attempts < self.set.attempt_cap
     }
 
     /// None if the message may go there, else when to ask again. A half-open breaker lets one trial through.
     /// What may run only once keeps off doubtful endpoints until half its time is gone.
-    fn kept_off_until(&self, m: &Message, e: &Endpoint) -> Option<Ns> {
-        let half_gone = m.end - ns(self.set.classes[m.class].deadline) / 2;
-        let doubt = self.doubt(e);
-        let doubtful = self.set.classes[m.class].effect == Effect::Once && doubt >= ONCE_DOUBT;
-        match e.breaker {
+    fn kept_off_until(&self, message: &Message, endpoint: &Endpoint) -> Option<Ns> {
+        let half_gone = message.end - ns(self.set.classes[message.class].deadline) / 2;
+        let doubt = self.doubt(endpoint);
+        let doubtful = self.set.classes[message.class].effect == Effect::Once && doubt >= ONCE_DOUBT;
+        match endpoint.breaker {
             Breaker::Closed | Breaker::HalfOpen if doubtful && half_gone > self.now => {
                 Some(half_gone.min(self.now + sec(DOUBT_HALVES * (doubt / ONCE_DOUBT).log2()) + 1))
             }
             Breaker::Closed => None,
-            Breaker::HalfOpen if e.trial.is_none() => None,
+            Breaker::HalfOpen if endpoint.trial.is_none() => None,
             _ => Some(NEVER),
         }
     }
--- a/src/brain/health.rs
+++ b/src/brain/health.rs
@@ -27,22 +27,22 @@
 const HANG_LEAST: f64 = 0.8;
 
 impl Brain {
-    pub(super) fn doubt(&self, e: &Endpoint) -> f64 {
-        e.doubt * 0.5f64.powf(secs(self.now - e.doubt_at) / DOUBT_HALVES)
+    pub(super) fn doubt(&self, endpoint: &Endpoint) -> f64 {
+        endpoint.doubt * 0.5f64.powf(secs(self.now - endpoint.doubt_at) / DOUBT_HALVES)
     }
 
     pub(super) fn record_success(&mut self, id: EndpointId) {
         let (now, doubt) = (self.now, self.doubt(&self.endpoints[&id]));
-        let e = self.endpoints.get_mut(&id).expect("known");
-        (e.doubt, e.doubt_at) = (doubt * (1.0 - FAILURE_GAIN), now);
-        e.last_ok = now;
+        let endpoint = self.endpoints.get_mut(&id).expect("known");
+        (endpoint.doubt, endpoint.doubt_at) = (doubt * (1.0 - FAILURE_GAIN), now);
+        endpoint.last_ok = now;
         // Slow start follows failures, not mere silence: a lost reply must not cost a well endpoint its rate.
-        if e.breaker != Breaker::Closed {
-            e.breaker = Breaker::Closed;
-            if e.cold && secs(now - e.ailing_from) > CONFIRMED {
+        if endpoint.breaker != Breaker::Closed {
+            endpoint.breaker = Breaker::Closed;
+            if endpoint.cold && secs(now - endpoint.ailing_from) > CONFIRMED {
                 // It was down: that is why there were no connections, not that they are few.
-                self.tight[e.kind] = f64::MIN;
-                (e.warm_from, e.free_at) = (Some(now), now);
+                self.tight[endpoint.kind] = f64::MIN;
+                (endpoint.warm_from, endpoint.free_at) = (Some(now), now);
                 self.space_calls(id);
             }
         }
@@ -50,12 +50,12 @@
 
     pub(super) fn record_failure(&mut self, id: EndpointId, call: u64) {
         let (now, doubt) = (self.now, self.doubt(&self.endpoints[&id]));
-        let e = self.endpoints.get_mut(&id).expect("known");
-        let gain = if secs(now - e.last_ok) < 4.0 { FAILURE_GAIN } else { STALE_GAIN };
-        (e.doubt, e.doubt_at) = (doubt + gain * (1.0 - doubt), now);
-        match e.breaker {
-            Breaker::Closed if e.doubt > TRIP_RATIO => self.open_breaker(id, true),
-            Breaker::HalfOpen if e.trial == Some(call) => self.open_breaker(id, true),
+        let endpoint = self.endpoints.get_mut(&id).expect("known");
+        let gain = if secs(now - endpoint.last_ok) < 4.0 { FAILURE_GAIN } else { STALE_GAIN };
+        (endpoint.doubt, endpoint.doubt_at) = (doubt + gain * (1.0 - doubt), now);
+        match endpoint.breaker {
+            Breaker::Closed if endpoint.doubt > TRIP_RATIO => self.open_breaker(id, true),
+            Breaker::HalfOpen if endpoint.trial == Some(call) => self.open_breaker(id, true),
             _ => {}
         }
     }
@@ -64,21 +64,23 @@
     /// more couriers have something to try there, but no later than the known rate has room for all.
     fn open_breaker(&mut self, id: EndpointId, cold: bool) {
         let (now, jitter, rate) = (self.now, self.jitter(), self.own_share(id).max(1e-3));
-        let e = self.endpoints.get_mut(&id).expect("known");
-        let closed = e.breaker == Breaker::Closed;
-        if closed && e.warm_from.is_none() {
-            e.ailing_from = now;
+        let endpoint = self.endpoints.get_mut(&id).expect("known");
+        let closed = endpoint.breaker == Breaker::Closed;
+        if closed && endpoint.warm_from.is_none() {
+            endpoint.ailing_from = now;
         }
-        let pause = (OPEN_FIRST + OPEN_GROWTH * secs(now - e.ailing_from)).min(1.0 / rate).max(OPEN_LEAST);
-        e.cold = cold || (e.cold && !closed);
-        e.warm_from = e.warm_from.filter(|_| !e.cold);
+        let pause =
+            (OPEN_FIRST + OPEN_GROWTH * secs(now - endpoint.ailing_from)).min(1.0 / rate).max(OPEN_LEAST);
+        endpoint.cold = cold || (endpoint.cold && !closed);
+        endpoint.warm_from = endpoint.warm_from.filter(|_| !endpoint.cold);
         let (turn_at, apart) = (now + sec(pause * jitter), sec(TRIAL_APART * pause));
-        e.breaker = Breaker::Open;
+        endpoint.breaker = Breaker::Open;
         // Outages mostly take a destination whole: one trial speaks for all its open endpoints. They take
         // turns, what failed last comes last: else it alone is tried, and others that are back stay shut.
-        let others = self.dests[&e.dest].endpoints.iter().map(|o| (*o, &self.endpoints[o]));
-        let shut = others.filter(|(o, e)| *o != id && e.ready && e.breaker == Breaker::Open);
-        let turns: BTreeSet<_> = shut.map(|(o, e)| (e.turn_at, o)).collect();
+        let others = self.dests[&endpoint.dest].endpoints.iter().map(|o| (*o, &self.endpoints[o]));
+        let shut =
+            others.filter(|(o, endpoint)| *o != id && endpoint.ready && endpoint.breaker == Breaker::Open);
+        let turns: BTreeSet<_> = shut.map(|(o, endpoint)| (endpoint.turn_at, o)).collect();
         for (n, (at, other)) in turns.into_iter().chain([(turn_at, id)]).enumerate() {
             self.endpoints.get_mut(&other).expect("known").turn_at = at.max(turn_at + apart * n as Ns);
         }
@@ -87,31 +89,33 @@
     /// Finds hung calls and moves open breakers on, at the endpoints of one destination.
     pub(super) fn check_health(&mut self, dest: DestinationId) {
         let now = self.now;
-        let d = &self.dests[&dest];
-        let (held, usual) = (!d.chart.is_empty(), d.latency.seconds());
-        for id in d.endpoints.iter().copied().collect::<Vec<_>>() {
+        let destination = &self.dests[&dest];
+        let (held, usual) = (!destination.chart.is_empty(), destination.latency.seconds());
+        for id in destination.endpoints.iter().copied().collect::<Vec<_>>() {
             let pool_waits = self.pools[&self.pool_id(id)].wait_until;
-            let e = self.endpoints.get_mut(&id).expect("known");
-            let hang = sec((HANG_LATENCIES * e.latency.seconds().max(usual)).max(HANG_LEAST));
-            e.warm_from = e.warm_from.filter(|t| now - t <= ns(self.set.cold_span));
+            let endpoint = self.endpoints.get_mut(&id).expect("known");
+            let hang = sec((HANG_LATENCIES * endpoint.latency.seconds().max(usual)).max(HANG_LEAST));
+            endpoint.warm_from = endpoint.warm_from.filter(|t| now - t <= ns(self.set.cold_span));
             // Silence: a call much older than usual and no answer since it left. One slow call can trip it,
             // which costs a trial. A courier that stalled hears all its news first: that is no silence.
-            let hung = |c: &(Ns, usize)| c.0 != Ns::MIN && now - c.0 > hang && e.last_ok < c.0;
-            let waits = e.calls.values().filter(|c| c.0 != Ns::MIN && !hung(c)).map(|c| c.0 + hang + 1).min();
-            let trial_lost = |t| e.calls.get(&t).is_none_or(hung);
-            match e.breaker {
-                Breaker::Closed if e.calls.values().any(hung) => {
+            let hung = |c: &(Ns, usize)| c.0 != Ns::MIN && now - c.0 > hang && endpoint.last_ok < c.0;
+            let waits =
+                endpoint.calls.values().filter(|c| c.0 != Ns::MIN && !hung(c)).map(|c| c.0 + hang + 1).min();
+            let trial_lost = |t| endpoint.calls.get(&t).is_none_or(hung);
+            match endpoint.breaker {
+                Breaker::Closed if endpoint.calls.values().any(hung) => {
                     self.open_breaker(id, false);
                     self.zone_heard(id, Outcome::TimedOut);
                 }
-                Breaker::Open if held && e.turn_at.max(pool_waits) <= now => {
-                    (e.breaker, e.trial) = (Breaker::HalfOpen, None);
+                Breaker::Open if held && endpoint.turn_at.max(pool_waits) <= now => {
+                    (endpoint.breaker, endpoint.trial) = (Breaker::HalfOpen, None);
                 }
-                Breaker::HalfOpen if e.trial.is_some_and(trial_lost) => self.open_breaker(id, true),
+                Breaker::HalfOpen if endpoint.trial.is_some_and(trial_lost) => self.open_breaker(id, true),
                 _ => {}
             }
-            let e = &self.endpoints[&id];
-            let turn = (e.breaker == Breaker::Open && held).then_some(e.turn_at.max(pool_waits));
+            let endpoint = &self.endpoints[&id];
+            let turn =
+                (endpoint.breaker == Breaker::Open && held).then_some(endpoint.turn_at.max(pool_waits));
             self.look_again(dest, waits.unwrap_or(NEVER).min(turn.unwrap_or(NEVER)));
         }
     }
@@ -130,14 +134,14 @@
     /// Rule: an endpoint back from an outage is not pushed over. Each keeps its part of the budget, or,
     /// where that is less than a call, goes once at random while it warms, rather late than early.
     pub(crate) fn space_calls(&mut self, id: EndpointId) {
-        let u = self.rng.random::<f64>();
-        let gap = self.warm_up_gap(id, 0.5 + u);
+        let random = self.rng.random::<f64>();
+        let gap = self.warm_up_gap(id, 0.5 + random);
         let (now, cold) = (self.now, ns(self.set.cold_span));
-        let e = self.endpoints.get_mut(&id).expect("known");
-        e.warm_from = e.warm_from.filter(|t| now - t <= cold);
-        if let Some(from) = e.warm_from {
+        let endpoint = self.endpoints.get_mut(&id).expect("known");
+        endpoint.warm_from = endpoint.warm_from.filter(|t| now - t <= cold);
+        if let Some(from) = endpoint.warm_from {
             let left = secs(from + cold - now);
-            e.free_at = e.free_at.max(now + sec((left * u.sqrt()).min(gap)));
+            endpoint.free_at = endpoint.free_at.max(now + sec((left * random.sqrt()).min(gap)));
         }
     }
 }
--- a/src/brain/hold.rs
+++ b/src/brain/hold.rs
@@ -16,24 +16,24 @@
 
 impl Brain {
     /// When a message is answered at the latest: held ones while the usual latency is still left.
-    pub(super) fn answer_by(&self, m: &Message) -> Ns {
-        let need = if m.flight.is_none() { sec(self.dests[&m.dest].latency.seconds()) } else { 0 };
-        m.end - need.max(ns(self.set.tick) * MARGIN_TICKS)
+    pub(super) fn answer_by(&self, message: &Message) -> Ns {
+        let need = if message.is_waiting() { sec(self.dests[&message.dest].latency.seconds()) } else { 0 };
+        message.end - need.max(ns(self.set.tick) * MARGIN_TICKS)
     }
 
     /// Sigma: the smoothed latency over the calls that may run at once, and no less than paces under a known
     /// limit allow: else a chart believes in rates it has not. Hurts where a pace is far below the limit.
     fn sigma(&self, id: DestinationId) -> Ns {
-        let d = &self.dests[&id];
-        let ready = d.endpoints.iter().filter(|e| self.endpoints[e].ready).map(|e| self.pool_id(*e));
-        let paces: BTreeSet<_> = ready.collect();
-        let pace = paces.iter().map(|p| self.pools[p].limit.and(self.pools[p].rate)).sum::<Option<f64>>();
+        let destination = &self.dests[&id];
+        let pools: BTreeSet<_> = self.ready_endpoints(id).map(|endpoint| self.pool_id(endpoint)).collect();
+        let pools = || pools.iter().map(|pool| &self.pools[pool]);
+        let pace = pools().map(|pool| pool.limit.and(pool.rate)).sum::<Option<f64>>();
         // One that no refusal has taught is a guess: nothing that a restart found gives way by it.
         let found = |held: (Ns, MessageId)| self.messages[&held.1].found;
-        let guess = self.found > 0 && paces.iter().any(|p| self.pools[p].cut_at == 0);
-        let pace = pace.filter(|r| *r > 0.0 && !(guess && d.chart.iter().any(found)));
+        let guess = self.found > 0 && pools().any(|pool| pool.cut_at == 0);
+        let pace = pace.filter(|r| *r > 0.0 && !(guess && destination.chart.iter().any(found)));
         let paced = pace.map_or(0.0, |r| 1.0 / r);
-        sec((d.latency.seconds() / self.call_cap(d) as f64).max(paced)).max(1)
+        sec((destination.latency.seconds() / self.call_cap(destination) as f64).max(paced)).max(1)
     }
 
     /// How far its pace has run ahead: calls saved up go at once, and debts come first. On the chart a call
@@ -46,8 +46,8 @@
     }
 
     /// Calls that this courier may have out at a destination.
-    pub(super) fn call_cap(&self, d: &Destination) -> usize {
-        d.recent.cap(self.set.slots)
+    pub(super) fn call_cap(&self, destination: &Destination) -> usize {
+        destination.recent.cap(self.set.slots)
     }
 
     pub(super) fn hold(&mut self, id: MessageId, out: &mut Vec<Action>) {
@@ -63,19 +63,19 @@
 
     /// Where a message stands that cannot meet its due: by steps from its aim to its end, as long as it is
     /// worth something there; and what it loses by that. With no later place it loses all.
-    fn later_due(&self, m: &Message) -> (Option<Ns>, f64) {
-        let steps = SETBACKS.map(|part| m.end - ((m.end - m.aim) as f64 * part) as Ns);
-        let next = steps.into_iter().find(|at| *at > m.due && self.set.worth(m, *at) > 0.0);
-        (next, self.set.worth(m, m.due) - next.map_or(0.0, |at| self.set.worth(m, at)))
+    fn later_due(&self, message: &Message) -> (Option<Ns>, f64) {
+        let steps = SETBACKS.map(|part| message.end - ((message.end - message.aim) as f64 * part) as Ns);
+        let next = steps.into_iter().find(|at| *at > message.due && self.set.worth(message, *at) > 0.0);
+        (next, self.set.worth(message, message.due) - next.map_or(0.0, |at| self.set.worth(message, at)))
     }
 
     /// Gives up its due for a later one, if there is one.
     fn postpone(&mut self, id: MessageId) -> bool {
-        let m = &self.messages[&id];
-        let (dest, due) = (m.dest, m.due);
-        let Some(next) = self.later_due(m).0 else { return false };
-        let m = self.messages.get_mut(&id).expect("held");
-        (m.late, m.due) = (true, next);
+        let message = &self.messages[&id];
+        let (dest, due) = (message.dest, message.due);
+        let Some(next) = self.later_due(message).0 else { return false };
+        let message = self.messages.get_mut(&id).expect("held");
+        (message.late, message.due) = (true, next);
         let chart = &mut self.destination(dest).chart;
         if chart.remove(due, id) {
             chart.insert(next, id);
@@ -100,9 +100,9 @@
     /// has found untried, the one that loses least by it; of these the one with most time left.
     pub(super) fn victim(&self, candidates: &[MessageId]) -> MessageId {
         let score = |id: &MessageId| {
-            let m = &self.messages[id];
-            let weight = if self.set.tenants > 0 { 1.0 } else { self.set.classes[m.class].worth };
-            self.miss_ratios.ratio(m.group) * weight
+            let message = &self.messages[id];
+            let weight = if self.set.tenants > 0 { 1.0 } else { self.set.classes[message.class].worth };
+            self.miss_ratios.ratio(message.group) * weight
         };
         let by = |a: &&MessageId, b: &&MessageId| {
             let (x, y) = (&self.messages[*a], &self.messages[*b]);
@@ -118,9 +118,9 @@
     }
 
     pub(super) fn miss(&mut self, id: MessageId) {
-        let m = self.messages.get_mut(&id).expect("known");
-        if !std::mem::replace(&mut m.missed, true) {
-            let group = m.group;
+        let message = self.messages.get_mut(&id).expect("known");
+        if !std::mem::replace(&mut message.missed, true) {
+            let group = message.group;
             self.miss_ratios.miss(group, self.now);
         }
     }
@@ -129,9 +129,10 @@
     pub(super) fn end_hopeless(&mut self, dest: DestinationId, out: &mut Vec<Action>) {
         // What would be too late once the destination opens is answered now: waiting cannot help it.
         let opens = self.now.max(self.open_from(dest));
-        let start = |m: &Message| if m.flight.is_none() { opens } else { self.now };
-        let over =
-            |m: &Message| self.answer_by(m) <= start(m) || m.flight.is_none() && !self.may_try(m, opens);
+        let start = |message: &Message| if message.is_waiting() { opens } else { self.now };
+        let over = |message: &Message| {
+            self.answer_by(message) <= start(message) || message.is_waiting() && !self.may_try(message, opens)
+        };
         let open = self.dests[&dest].members.iter().filter(|id| !self.messages[id].over);
         for id in open.filter(|id| over(&self.messages[id])).copied().collect::<Vec<_>>() {
             self.give_up(id, out);
@@ -143,26 +144,26 @@
 
     /// Spreads attempts over the time left: an outage or a rush may outlast quick retries.
     pub(super) fn back_off(&mut self, id: MessageId, full: bool) {
-        let (u, m) = (self.jitter(), self.messages.get_mut(&id).expect("known"));
-        let left = self.set.attempt_cap.saturating_sub(m.attempts);
+        let (random, message) = (self.jitter(), self.messages.get_mut(&id).expect("known"));
+        let left = self.set.attempt_cap.saturating_sub(message.attempts);
         let share = match (left, full) {
             (left, _) if left <= LAST_ATTEMPTS => 1.0 / f64::from(left + 1),
-            (_, false) if m.attempts > 1 => RETRY_SHARE * 3f64.powi(m.attempts as i32 - 2),
+            (_, false) if message.attempts > 1 => RETRY_SHARE * 3f64.powi(message.attempts as i32 - 2),
             _ => return,
         };
-        m.not_before = self.now + sec(secs(m.end - self.now) * u * share);
+        message.not_before = self.now + sec(secs(message.end - self.now) * random * share);
     }
 
     /// Ends a message undelivered: refused if that is known to be harmless, else given up as failed.
     pub(super) fn give_up(&mut self, id: MessageId, out: &mut Vec<Action>) {
         self.miss(id);
-        let m = &self.messages[&id];
-        let harmless = match self.set.classes[m.class].effect {
+        let message = &self.messages[&id];
+        let harmless = match self.set.classes[message.class].effect {
             Effect::Repeatable => true,
-            Effect::Keyed { scope: KeyScope::All, .. } => m.flight.is_none(),
-            _ => m.flight.is_none() && m.ran.is_none(),
+            Effect::Keyed { scope: KeyScope::All, .. } => message.is_waiting(),
+            _ => message.is_waiting() && message.ran.is_none(),
         };
-        let refuse = Action::Refuse { message: id, wait: self.retry_after(m.dest) };
+        let refuse = Action::Refuse { message: id, wait: self.retry_after(message.dest) };
         out.push(if harmless { refuse } else { Action::Fail { message: id } });
         self.close(id);
     }
@@ -175,15 +176,15 @@
     }
 
     pub(super) fn close(&mut self, id: MessageId) {
-        let Some(m) = self.messages.get_mut(&id) else { return };
-        self.live -= usize::from(!std::mem::replace(&mut m.over, true));
-        self.found -= usize::from(std::mem::take(&mut m.found));
-        let (dest, due, out) = (m.dest, m.due, m.flight.is_some());
+        let Some(message) = self.messages.get_mut(&id) else { return };
+        self.live -= usize::from(!std::mem::replace(&mut message.over, true));
+        self.found -= usize::from(std::mem::take(&mut message.found));
+        let (dest, due, out) = (message.dest, message.due, message.flight.is_some());
         self.destination(dest).chart.remove(due, id);
         self.touched.insert(dest);
-        if !out && let Some(m) = self.messages.remove(&id) {
+        if !out && let Some(message) = self.messages.remove(&id) {
             self.destination(dest).members.remove(&id);
-            if let Some(line) = m.key.and_then(|key| self.turns.get_mut(&key)) {
+            if let Some(line) = message.key.and_then(|key| self.turns.get_mut(&key)) {
                 line.retain(|other| *other != id);
                 self.touched.extend(line.front().map(|next| self.messages[next].dest));
             }
--- a/src/brain/mod.rs
+++ b/src/brain/mod.rs
@@ -5,8 +5,10 @@
 //! Times are in s, and stand here only where the settings tell none. Deadlines, windows, graces, limits and
 //! costs come from these alone; what acts on load is a share of them, or of what was measured there.
 
+mod agenda;
 mod calls;
 mod choice;
+mod connections;
 mod health;
 mod hold;
 mod pace;
@@ -65,28 +67,8 @@
         }
     }
 
-    /// Puts the destination on the agenda for the next moment at which anything there can change.
-    fn schedule(&mut self, dest: DestinationId) {
-        let d = &self.dests[&dest];
-        let open = d.members.iter().map(|id| &self.messages[id]).filter(|m| !m.over);
-        let backed_off = |m: &Message| m.flight.is_none() && m.not_before > self.now;
-        let times =
-            open.map(|m| if backed_off(m) { m.not_before.min(self.answer_by(m)) } else { self.answer_by(m) });
-        let next = times.min().unwrap_or(NEVER).min(d.next);
-        let (soonest, credit) = (self.now + ns(self.set.tick), self.pace_credit(dest));
-        let d = self.destination(dest);
-        let next = next.min(d.chart.start().map_or(NEVER, |start| start + credit + 1)).max(soonest);
-        let was = std::mem::replace(&mut d.booked, next);
-        self.agenda.remove(&(was, dest));
-        self.agenda.extend((next < NEVER).then_some((next, dest)));
-    }
-
-    fn look_again(&mut self, dest: DestinationId, at: Ns) {
-        self.destination(dest).next = self.dests[&dest].next.min(at);
-    }
-
-    fn has_room(&self, d: &Destination) -> bool {
-        self.calls_out < self.set.slots && d.calls < self.call_cap(d)
+    fn has_room(&self, destination: &Destination) -> bool {
+        self.calls_out < self.set.slots && destination.calls < self.call_cap(destination)
     }
 
     fn apply(&mut self, event: &Event, out: &mut Vec<Action>) {
@@ -107,21 +89,13 @@
         }
     }
 
-    fn take_on(&mut self, t: &Taken, out: &mut Vec<Action>) {
-        let (id, dest) = (t.message, t.destination);
-        let class = t.class.min(self.set.classes.len() - 1);
-        let c = &self.set.classes[class];
-        let end = self.now + ns(t.time_left);
-        let stretch = t.work.map_or(0.0, |w| c.aim_stretch * w.as_secs_f64());
-        let aim = (end - ns(c.deadline) + ns(c.aim) + sec(stretch)).min(end);
-        let group = if self.set.tenants > 0 { t.tenant.min(self.set.tenants - 1) } else { class };
-        let key = t.key.clone().filter(|_| c.ordered);
-        if let Some(key) = &key {
+    fn take_on(&mut self, taken: &Taken, out: &mut Vec<Action>) {
+        let (id, dest) = (taken.message, taken.destination);
+        let message = Message::new(taken, &self.set, self.now);
+        if let Some(key) = &message.key {
             self.turns.entry(key.clone()).or_default().push_back(id);
         }
-        let past = Message::with_past(&t.past, self.now);
-        let message = Message { class, group, dest, key, aim, end, due: aim, ..past };
-        self.miss_ratios.request(group, self.now);
+        self.miss_ratios.request(message.group, self.now);
         self.found += usize::from(message.found);
         self.messages.insert(id, message);
         self.touched.insert(dest);
@@ -130,36 +104,38 @@
         self.hold(id, out);
         while self.live as f64 > ROOM_SHARE * self.set.max_held as f64 {
             // The destination that holds most gives way: a paused one must not close the door to others.
-            let longest = self.dests.iter().max_by_key(|(_, d)| d.chart.len()).map(|(id, _)| *id);
-            let Some(longest) = longest.filter(|d| !self.dests[d].chart.is_empty()) else { break };
-            let all: Vec<_> = self.dests[&longest].chart.iter().map(|held| held.1).collect();
-            self.give_up(self.victim(&all), out);
+            let longest = self.dests.values().max_by_key(|destination| destination.chart.len());
+            let Some(chart) = longest.map(|longest| &longest.chart).filter(|chart| !chart.is_empty()) else {
+                break;
+            };
+            let held: Vec<_> = chart.iter().map(|(_, id)| id).collect();
+            self.give_up(self.victim(&held), out);
         }
     }
 
     fn attempt_ended(&mut self, ended: &Ended, out: &mut Vec<Action>) {
         let (id, endpoint, outcome) = (ended.message, ended.endpoint, ended.outcome);
         self.note_report(endpoint, outcome, &ended.report);
-        let Some(m) = self.messages.get_mut(&id) else { return };
-        let Some(flight) = m.flight.take() else { return };
+        let Some(message) = self.messages.get_mut(&id) else { return };
+        let Some(flight) = message.flight.take() else { return };
         let running = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
-        if m.ran.is_none() && (running || outcome == Outcome::Error) {
-            m.ran = Some((endpoint, self.endpoints[&endpoint].zone, flight.sent));
+        if message.ran.is_none() && (running || outcome == Outcome::Error) {
+            message.ran = Some((endpoint, self.endpoints[&endpoint].zone, flight.sent));
         }
-        if let Some(key) = m.key.as_ref().filter(|_| running) {
+        if let Some(key) = message.key.as_ref().filter(|_| running) {
             self.rests.insert(key.clone(), (id, self.now + ns(self.set.order_pause)));
         }
-        let late = self.now > m.aim;
-        self.touched.insert(m.dest);
+        let late = self.now > message.aim;
+        self.touched.insert(message.dest);
         self.call_ended(flight, ended, out);
         if outcome != Outcome::Moot {
             self.back_off(id, matches!(outcome, Outcome::Full { .. } | Outcome::ConnectFailed));
         }
-        let m = &self.messages[&id];
-        if outcome != Outcome::Delivered && !ended.over && !m.over {
-            return if self.may_try(m, self.now) { self.hold(id, out) } else { self.give_up(id, out) };
+        let message = &self.messages[&id];
+        if outcome != Outcome::Delivered && !ended.over && !message.over {
+            return if self.may_try(message, self.now) { self.hold(id, out) } else { self.give_up(id, out) };
         }
-        if late && !m.over {
+        if late && !message.over {
             self.miss(id);
         }
         self.close(id);
--- a/src/brain/pace.rs
+++ b/src/brain/pace.rs
@@ -32,7 +32,7 @@
         let pool = &self.pools[&pool_id];
         let sharing = match pool_id.1 {
             Some(_) => 1,
-            None => self.dests[&pool_id.0].endpoints.iter().filter(|e| self.endpoints[e].ready).count(),
+            None => self.ready_endpoints(pool_id.0).count(),
         };
         let known = pool.even_share(self.set.couriers).unwrap_or(pool.peak);
         known.max(2.0 * (pool.flow - 1.0 / FLOW_SPAN)) / sharing.max(1) as f64
@@ -40,8 +40,8 @@
 
     /// Nothing may go there before this: a wait was told, or is kept after refusals.
     pub(super) fn open_from(&self, dest: DestinationId) -> Ns {
-        let ready = self.dests[&dest].endpoints.iter().filter(|e| self.endpoints[*e].ready);
-        ready.map(|e| self.pools[&self.pool_id(*e)].wait_until).min().unwrap_or(0)
+        let waits = self.ready_endpoints(dest).map(|endpoint| self.pools[&self.pool_id(endpoint)].wait_until);
+        waits.min().unwrap_or(0)
     }
 
     /// Rule: a wait told holds for the whole pool, whoever told it; a shorter one never replaces it.
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -66,6 +66,22 @@
 }
 
 impl Endpoint {
+    /// One more message goes with a call that is out.
+    pub(crate) fn join_call(&mut self, call: u64) {
+        self.calls.get_mut(&call).expect("open call").1 += 1;
+    }
+
+    /// A message of a call has an outcome; the call ends with the last of them. True for the first one.
+    pub(crate) fn leave_call(&mut self, call: u64) -> bool {
+        let Some((sent, messages)) = self.calls.get_mut(&call) else { return false };
+        let first = std::mem::replace(sent, Ns::MIN) != Ns::MIN;
+        *messages -= 1;
+        if *messages == 0 {
+            self.calls.remove(&call);
+        }
+        first
+    }
+
     pub(crate) fn delisted(&mut self, now: Ns) {
         (self.ready, self.listed) = (false, false);
         self.gone.get_or_insert(now);
--- a/src/state/message.rs
+++ b/src/state/message.rs
@@ -43,22 +43,44 @@
 
 impl Message {
     /// What is known of a message at the start: for a resumed one its attempts, and the one that may have run.
-    pub(crate) fn with_past(past: &Past, now: Ns) -> Self {
-        let ran = past.ran.map(|r| (r.endpoint, r.zone, now - ns(r.ago)));
-        let found = past.found && ran.is_none();
-        Message { attempts: past.attempts, ran, found, ..Message::default() }
+    pub(crate) fn new(taken: &Taken, set: &Settings, now: Ns) -> Self {
+        let class = taken.class.min(set.classes.len() - 1);
+        let terms = &set.classes[class];
+        let end = now + ns(taken.time_left);
+        let stretch = taken.work.map_or(0.0, |work| terms.aim_stretch * work.as_secs_f64());
+        let aim = (end - ns(terms.deadline) + ns(terms.aim) + sec(stretch)).min(end);
+        let group = if set.tenants > 0 { taken.tenant.min(set.tenants - 1) } else { class };
+        let ran = taken.past.ran.map(|ran| (ran.endpoint, ran.zone, now - ns(ran.ago)));
+        Message {
+            class,
+            group,
+            dest: taken.destination,
+            key: taken.key.clone().filter(|_| terms.ordered),
+            aim,
+            end,
+            due: aim,
+            attempts: taken.past.attempts,
+            ran,
+            found: taken.past.found && ran.is_none(),
+            ..Message::default()
+        }
+    }
+
+    /// No attempt is out.
+    pub(crate) fn is_waiting(&self) -> bool {
+        self.flight.is_none()
     }
 }
 
 impl Settings {
     /// What a message is worth if it is delivered at this time.
-    pub(crate) fn worth(&self, m: &Message, at: Ns) -> f64 {
-        let c = &self.classes[m.class];
-        let after = secs(at - m.aim).max(0.0);
+    pub(crate) fn worth(&self, message: &Message, at: Ns) -> f64 {
+        let c = &self.classes[message.class];
+        let after = secs(at - message.aim).max(0.0);
         let share = match self.worth_loss {
-            WorthLoss::Line => 1.0 - (1.0 - c.late_share) * after / secs(m.end - m.aim).max(1e-9),
+            WorthLoss::Line => 1.0 - (1.0 - c.late_share) * after / secs(message.end - message.aim).max(1e-9),
             WorthLoss::Halves => 0.5f64.powf((after / c.aim.as_secs_f64().max(1e-9)).ceil()),
         };
-        if at > m.end { 0.0 } else { c.worth * share.max(c.late_share) }
+        if at > message.end { 0.0 } else { c.worth * share.max(c.late_share) }
     }
 }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -88,7 +88,7 @@
         }
         let Brain { set, rng, .. } = Brain::blank(set, seed);
         let mut brain = Brain { set, rng, wake: None, ..old };
-        brain.endpoints.values_mut().for_each(|e| e.idle.clear());
+        brain.endpoints.values_mut().for_each(|endpoint| endpoint.idle.clear());
         Ok(brain)
     }
 
--- a/src/state/tables.rs
+++ b/src/state/tables.rs
@@ -14,14 +14,14 @@
             (self.ask_at, self.ask_pause) = (None, LIST_RETRY);
         }
         if whole {
-            self.endpoints.values_mut().for_each(|e| e.delisted(self.now));
+            self.endpoints.values_mut().for_each(|endpoint| endpoint.delisted(self.now));
         }
         for entry in entries {
             let kind = entry.kind.min(self.set.kinds.len() - 1);
             let (dest, zone, lean) = (entry.destination, entry.zone, self.rng.random());
             let fresh = || Endpoint { dest, zone, kind, lean, ..Endpoint::default() };
-            let e = self.endpoints.entry(entry.endpoint).or_insert_with(fresh);
-            e.update_standing(entry.standing, self.now);
+            let endpoint = self.endpoints.entry(entry.endpoint).or_insert_with(fresh);
+            endpoint.update_standing(entry.standing, self.now);
             self.destination(entry.destination).endpoints.insert(entry.endpoint);
             let id = self.pool_id(entry.endpoint);
             let pool = self.pools.entry(id).or_insert_with(|| Pool { tokens: 1.0, ..Pool::default() });
@@ -30,7 +30,9 @@
             }
         }
         self.forget(out);
-        self.touched.extend(self.dests.iter().filter(|(_, d)| !d.members.is_empty()).map(|(id, _)| *id));
+        self.touched.extend(
+            self.dests.iter().filter(|(_, destination)| !destination.members.is_empty()).map(|(id, _)| *id),
+        );
     }
 
     pub(crate) fn destination(&mut self, id: DestinationId) -> &mut Destination {
@@ -38,9 +40,15 @@
         self.dests.entry(id).or_insert_with(fresh)
     }
 
+    /// The endpoints of a destination that may be sent to.
+    pub(crate) fn ready_endpoints(&self, id: DestinationId) -> impl Iterator<Item = EndpointId> {
+        let endpoints = self.dests[&id].endpoints.iter().copied();
+        endpoints.filter(|endpoint| self.endpoints[endpoint].ready)
+    }
+
     pub(crate) fn pool_id(&self, id: EndpointId) -> PoolId {
-        let e = &self.endpoints[&id];
-        (e.dest, self.set.kinds[e.kind].separate_routes.then_some(id))
+        let endpoint = &self.endpoints[&id];
+        (endpoint.dest, self.set.kinds[endpoint.kind].separate_routes.then_some(id))
     }
 
     pub(crate) fn jitter(&mut self) -> f64 {
@@ -50,9 +58,9 @@
     /// What operators do with an endpoint, whatever the list says. One that nobody knows is told of again
     /// with the list that names it.
     pub(crate) fn maintain(&mut self, id: EndpointId, out: bool) {
-        let Some(e) = self.endpoints.get_mut(&id) else { return };
-        let dest = e.dest;
-        if e.maintain(out, self.now) {
+        let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
+        let dest = endpoint.dest;
+        if endpoint.maintain(out, self.now) {
             self.space_calls(id);
         }
         self.touched.insert(dest);
@@ -62,14 +70,19 @@
     /// endpoints are replaced all day, the tables would grow and each choice walk ever more of them.
     pub(crate) fn forget(&mut self, out: &mut Vec<Action>) {
         let (now, span) = (self.now, ns(self.set.cold_span));
-        let old = |e: &Endpoint| e.gone.is_some_and(|t| now - t > span) && e.calls.is_empty();
+        let old =
+            |endpoint: &Endpoint| endpoint.gone.is_some_and(|t| now - t > span) && endpoint.calls.is_empty();
         let mut gone: BTreeSet<_> =
-            self.endpoints.iter().filter(|(_, e)| old(e)).map(|(id, _)| *id).collect();
+            self.endpoints.iter().filter(|(_, endpoint)| old(endpoint)).map(|(id, _)| *id).collect();
         if gone.is_empty() {
             return;
         }
-        for m in self.messages.values() {
-            let named = [m.last, m.ran.map(|r| r.0), m.flight.as_ref().map(|f| f.endpoint)];
+        for message in self.messages.values() {
+            let named = [
+                message.last,
+                message.ran.map(|r| r.0),
+                message.flight.as_ref().map(|flight| flight.endpoint),
+            ];
             gone.retain(|id| !named.contains(&Some(*id)));
         }
         for id in gone {
@@ -81,7 +94,7 @@
                 self.pools.remove(&(dest, route));
             }
             self.endpoints.remove(&id);
-            self.dests.get_mut(&dest).map(|d| d.endpoints.remove(&id));
+            self.dests.get_mut(&dest).map(|destination| destination.endpoints.remove(&id));
             out.push(Action::Forget { endpoint: id });
         }
     }
