Read valid configurations in one pass; refuse values without their field names

Cause: each item was read twice as text before it was read as a route, and places of mistakes were written for routes without any; a list of values passed for an object. Ruled out: patches that keep the typed items of the base, as the whole text is checked at each change anyway. Change: one typed pass, and the piecewise one only to find all mistakes; places are written for findings only.

--- a/crates/model/src/configuration/mod.rs
+++ b/crates/model/src/configuration/mod.rs
@@ -19,13 +19,13 @@
 #[serde(rename_all = "PascalCase")]
 pub struct Configuration {
     /// Rises with every change, in uneven steps; 0 stands for "none yet".
-    #[serde(deserialize_with = "lenient::whole")]
+    #[serde(deserialize_with = "lenient::whole_given")]
     pub version: u64,
-    #[serde(default, deserialize_with = "lenient::null_as_default")]
+    #[serde(default, deserialize_with = "lenient::objects")]
     pub routes: Vec<Route>,
-    #[serde(default, deserialize_with = "lenient::null_as_default")]
+    #[serde(default, deserialize_with = "lenient::objects")]
     pub backends: Vec<Backend>,
-    #[serde(default, deserialize_with = "lenient::null_as_default")]
+    #[serde(default, deserialize_with = "lenient::object_or_default")]
     pub limits: Limits,
 }
 
@@ -50,7 +50,7 @@
     /// The one service of the route, unless `traffic_split` names several.
     #[serde(default)]
     pub backend: Option<String>,
-    #[serde(default, deserialize_with = "lenient::null_as_default")]
+    #[serde(default, deserialize_with = "lenient::objects")]
     pub traffic_split: Vec<WeightedBackend>,
     /// Most endpoints to which one try of a client may be sent.
     #[serde(default = "one", deserialize_with = "lenient::whole_or_one")]
@@ -108,7 +108,7 @@
     #[serde(default, deserialize_with = "lenient::whole_or_none")]
     pub max_conns: Option<u32>,
     /// Present where the endpoints are model engines.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::object_or_none")]
     pub runtime: Option<Runtime>,
 }
 
@@ -124,7 +124,7 @@
     /// Tokens in one event of a stream.
     #[serde(default, rename = "stride")]
     pub stride: Option<f64>,
-    #[serde(default, deserialize_with = "lenient::null_as_default")]
+    #[serde(default, deserialize_with = "lenient::objects")]
     pub models: Vec<Model>,
     /// Room of an endpoint for weights and adapters together, MB.
     #[serde(default, deserialize_with = "lenient::null_as_default")]
--- a/crates/model/src/configuration/reading.rs
+++ b/crates/model/src/configuration/reading.rs
@@ -1,17 +1,32 @@
 //! From the text of a configuration to its typed view, with the place of every mistake.
 
 use super::members::Members;
-use super::validation::validate_routes;
+use super::validation::{validate, validate_routes};
 use super::{Backend, Configuration, Limits, Route};
 use crate::findings::Findings;
+use crate::lenient::Object;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
 use std::borrow::Cow;
 use std::collections::HashSet;
+use std::fmt::Display;
 
 /// The typed view of a valid configuration.
+///
+/// Nearly all are valid. Only for one that is not, each item is read by itself, so that all mistakes are found.
 pub fn read_configuration(bytes: &[u8]) -> Result<Configuration, Findings> {
+    let text = std::str::from_utf8(bytes).map_err(unreadable)?;
+    match serde_json::from_str(text) {
+        Ok(Object(configuration)) => {
+            validate(&configuration).into_result()?;
+            Ok(configuration)
+        }
+        Err(_) => read_piecewise(bytes),
+    }
+}
+
+fn read_piecewise(bytes: &[u8]) -> Result<Configuration, Findings> {
     let members = read_object(bytes)?;
     let mut findings = Findings::default();
     let version = read_version(&members, &mut findings);
@@ -19,7 +34,7 @@
     let backends = read_items::<Backend>(&raw_backends, "Backends", &mut findings);
     let raw_routes = read_list(&members, "Routes", &mut findings);
     let routes = read_items::<Route>(&raw_routes, "Routes", &mut findings);
-    let limits = read_optional::<Limits>(&members, "Limits", &mut findings);
+    let limits = read_optional::<Object<Limits>>(&members, "Limits", &mut findings);
     let names: Vec<_> = raw_backends.iter().filter_map(|raw| name_of(raw)).collect();
     let known: HashSet<&str> = names.iter().map(|name| name.as_ref()).collect();
     validate_routes(routes.iter().map(|(index, route)| (*index, route)), &known, &mut findings);
@@ -28,14 +43,17 @@
         version: version.unwrap_or_default(),
         routes: without_places(routes),
         backends: without_places(backends),
-        limits: limits.unwrap_or_default(),
+        limits: limits.map(|Object(limits)| limits).unwrap_or_default(),
     })
 }
 
 /// The members of the object that a whole body holds.
 pub fn read_object(bytes: &[u8]) -> Result<Members<'_>, Findings> {
-    serde_json::from_slice(bytes)
-        .map_err(|error| Findings::one("", format!("cannot be read as a JSON object: {error}")))
+    serde_json::from_slice(bytes).map_err(unreadable)
+}
+
+fn unreadable(error: impl Display) -> Findings {
+    Findings::one("", format!("cannot be read as a JSON object: {error}"))
 }
 
 /// The member `Version`, which every change has to hold.
@@ -67,13 +85,10 @@
     list: &str,
     findings: &mut Findings,
 ) -> Vec<(usize, T)> {
-    let mut items = Vec::with_capacity(raw.len());
+    let mut items = Vec::new();
     for (index, item) in raw.iter().enumerate() {
-        match serde_json::from_str(item.get()) {
-            Ok(item) => items.push((index, item)),
-            // Read again, only to learn the place of the mistake.
-            Err(_) => drop(read_borrowed::<T>(item, &format!("{list}[{index}]"), findings)),
-        }
+        let read = read_borrowed(item, &format!("{list}[{index}]"), findings);
+        items.extend(read.map(|Object(item)| (index, item)));
     }
     items
 }
--- a/crates/model/src/configuration/validation.rs
+++ b/crates/model/src/configuration/validation.rs
@@ -1,7 +1,8 @@
 //! What makes a configuration invalid, and what is only odd.
 
-use super::{Configuration, Route};
+use super::{Configuration, Route, WeightedBackend};
 use crate::findings::Findings;
+use std::borrow::Cow;
 use std::collections::{HashMap, HashSet};
 
 /// Everything for which `configuration` has to be refused.
@@ -21,56 +22,62 @@
     backends: &HashSet<&str>,
     findings: &mut Findings,
 ) {
-    let mut places = HashMap::new();
+    let mut places = HashMap::with_capacity(routes.size_hint().0);
     for (index, route) in routes {
-        let place = format!("Routes[{index}]");
-        check_time_out(route, &place, findings);
-        check_backends(route, &place, backends, findings);
-        let key = (route.hostname.to_ascii_lowercase(), route.path_prefix.as_str());
+        if route.timeout_ms <= 0.0 {
+            let message = format!("must be above 0, is {}", route.timeout_ms);
+            findings.add(format!("Routes[{index}].TimeoutMs"), message);
+        }
+        check_backends(route, index, backends, findings);
+        let key = (without_case(&route.hostname), route.path_prefix.as_str());
         if let Some(first) = places.insert(key, index) {
-            let message = format!("same host and prefix as Routes[{first}]: {}", describe(route));
-            findings.add(format!("{place}.PathPrefix"), message);
+            let path = format!("{}{}", route.hostname, route.path_prefix);
+            let message = format!("same host and prefix as Routes[{first}]: {path}");
+            findings.add(format!("Routes[{index}].PathPrefix"), message);
         }
     }
 }
 
-fn describe(route: &Route) -> String {
-    format!("{}{}", route.hostname, route.path_prefix)
-}
-
-fn check_time_out(route: &Route, place: &str, findings: &mut Findings) {
-    if route.timeout_ms <= 0.0 {
-        findings.add(format!("{place}.TimeoutMs"), format!("must be above 0, is {}", route.timeout_ms));
+fn without_case(host: &str) -> Cow<'_, str> {
+    if host.bytes().any(|byte| byte.is_ascii_uppercase()) {
+        return host.to_ascii_lowercase().into();
     }
+    host.into()
 }
 
-fn check_backends(route: &Route, place: &str, backends: &HashSet<&str>, findings: &mut Findings) {
+fn check_backends(route: &Route, index: usize, backends: &HashSet<&str>, findings: &mut Findings) {
     if let Some(backend) = route.named_backend()
         && !backends.contains(backend)
     {
-        findings.add(format!("{place}.Backend"), format!("unknown service \"{backend}\""));
-    }
-    for (index, part) in route.traffic_split.iter().enumerate() {
-        check_part(&part.backend, part.weight, &format!("{place}.TrafficSplit[{index}]"), backends, findings);
+        findings.add(format!("Routes[{index}].Backend"), format!("unknown service \"{backend}\""));
     }
     if route.traffic_split.is_empty() {
         if route.named_backend().is_none() {
-            findings.add(place, "names no service: neither Backend nor TrafficSplit is given");
+            let message = "names no service: neither Backend nor TrafficSplit is given";
+            findings.add(format!("Routes[{index}]"), message);
         }
         return;
     }
+    for (part, weighted) in route.traffic_split.iter().enumerate() {
+        check_part(weighted, || format!("Routes[{index}].TrafficSplit[{part}]"), backends, findings);
+    }
     let sum: f64 = route.traffic_split.iter().map(|part| part.weight).sum();
     if sum <= 0.0 {
-        findings.add(format!("{place}.TrafficSplit"), format!("weights add up to {sum}"));
+        findings.add(format!("Routes[{index}].TrafficSplit"), format!("weights add up to {sum}"));
     }
 }
 
-fn check_part(backend: &str, weight: f64, place: &str, backends: &HashSet<&str>, findings: &mut Findings) {
-    if !backends.contains(backend) {
-        findings.add(format!("{place}.Backend"), format!("unknown service \"{backend}\""));
+fn check_part(
+    part: &WeightedBackend,
+    place: impl Fn() -> String,
+    backends: &HashSet<&str>,
+    findings: &mut Findings,
+) {
+    if !backends.contains(part.backend.as_str()) {
+        findings.add(format!("{}.Backend", place()), format!("unknown service \"{}\"", part.backend));
     }
-    if weight < 0.0 {
-        findings.add(format!("{place}.Weight"), format!("must not be below 0, is {weight}"));
+    if part.weight < 0.0 {
+        findings.add(format!("{}.Weight", place()), format!("must not be below 0, is {}", part.weight));
     }
 }
 
--- a/crates/model/src/lenient.rs
+++ b/crates/model/src/lenient.rs
@@ -1,6 +1,9 @@
 //! Fields that other writers spell in several ways: `null` for "not given", `5.0` for 5.
 
-use serde::de::{Deserialize, Deserializer, Error};
+use serde::de::value::MapAccessDeserializer;
+use serde::de::{Deserialize, Deserializer, Error, MapAccess, Visitor};
+use std::fmt;
+use std::marker::PhantomData;
 
 /// `null` stands for the default.
 pub fn null_as_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
@@ -20,6 +23,15 @@
     Ok(whole_or_none(deserializer)?.unwrap_or_default())
 }
 
+/// As [`whole`], but `null` is refused.
+pub fn whole_given<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: TryFrom<u64>,
+{
+    whole_or_none(deserializer)?.ok_or_else(|| D::Error::custom("null is no whole number"))
+}
+
 /// As [`whole`], but `null` and 0 stand for 1.
 pub fn whole_or_one<'de, D>(deserializer: D) -> Result<u32, D::Error>
 where
@@ -51,3 +63,55 @@
     let exact = fraction.fract() == 0.0 && (0.0..=EXACT).contains(&fraction);
     exact.then_some(fraction as u64)
 }
+
+/// A value that is written as an object; what is derived would take a list of the fields' values as well.
+pub struct Object<T>(pub T);
+
+impl<'de, T: Deserialize<'de>> Deserialize<'de> for Object<T> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_map(ObjectVisitor(PhantomData)).map(Object)
+    }
+}
+
+struct ObjectVisitor<T>(PhantomData<T>);
+
+impl<'de, T: Deserialize<'de>> Visitor<'de> for ObjectVisitor<T> {
+    type Value = T;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        formatter.write_str("an object")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, map: A) -> Result<T, A::Error> {
+        T::deserialize(MapAccessDeserializer::new(map))
+    }
+}
+
+/// An object; `null` stands for "not given".
+pub fn object_or_none<'de, D, T>(deserializer: D) -> Result<Option<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+{
+    let object = Option::<Object<T>>::deserialize(deserializer)?;
+    Ok(object.map(|Object(value)| value))
+}
+
+/// An object; `null` stands for the default.
+pub fn object_or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de> + Default,
+{
+    Ok(object_or_none(deserializer)?.unwrap_or_default())
+}
+
+/// A list of objects; `null` stands for an empty one.
+pub fn objects<'de, D, T>(deserializer: D) -> Result<Vec<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+{
+    let objects: Option<Vec<Object<T>>> = Option::deserialize(deserializer)?;
+    Ok(objects.unwrap_or_default().into_iter().map(|Object(value)| value).collect())
+}
--- a/crates/model/tests/configuration.rs
+++ b/crates/model/tests/configuration.rs
@@ -81,6 +81,22 @@
     assert!(Document::parse(b"{\"Version\":1,\"a\":\"\xff\"}".to_vec()).is_err());
 }
 
+#[test]
+fn values_without_their_names_are_refused() {
+    assert_eq!(places("[1]"), [""]);
+    assert_eq!(places(&with_routes(r#"["r","a","/p/","idempotent",9,0,0,"b"]"#)), ["Routes[0]"]);
+    assert_eq!(places(r#"{"Version":1,"Limits":[1,2]}"#), ["Limits"]);
+    assert_eq!(places(r#"{"Version":1,"Backends":[{"Name":"b","Runtime":[1,2]}]}"#), ["Backends[0].Runtime"]);
+    assert_eq!(places(r#"{"Version":null}"#), ["Version"]);
+}
+
+#[test]
+fn of_members_that_stand_there_twice_the_last_counts() {
+    let document = parse(r#"{"Version":1,"Limits":{"MaxBodyBytes":1},"Version":2,"Limits":null}"#).unwrap();
+    assert_eq!(document.version(), 2);
+    assert_eq!(document.configuration().limits.max_body_bytes, 4 * 1024 * 1024);
+}
+
 #[test]
 fn ill_typed_fields_are_named_with_their_place() {
     let text = WHOLE.replace("\"LoadTimeS\":0.6", "\"LoadTimeS\":\"x\"").replace("5000.5", "true");
