Play registers in simulated time: scenarios, random schedules, deliberate mistakes

Cause: the register's rules (one value per revision, nothing acknowledged lost or done twice, linearizable reads) were argued, not tried under lost disks, cuts, stalls and changes of members.

--- a/crates/coordination/src/register/batch.rs
+++ b/crates/coordination/src/register/batch.rs
@@ -90,14 +90,19 @@
         self.answer(core, outcomes);
     }
 
-    /// Answers those whose time is over; tells whether anyone still waits.
-    pub(super) fn expire(&mut self, core: &mut Core, proposed: bool) -> bool {
-        let unclear = proposed || !self.tries.is_empty();
+    /// Answers those whose time is over; tells whether anyone still waits. What has been proposed stays, as its
+    /// place in the batch tells the answers of the others.
+    pub(super) fn expire(&mut self, core: &mut Core, accepting: bool) -> bool {
         let now = core.now;
+        let tried = !self.tries.is_empty();
         for item in self.items.iter_mut().filter(|item| item.deadline <= now) {
+            let unclear = tried || (accepting && matches!(item.work, Work::Members { .. }));
             let outcome = expired(&item.work, unclear);
             core.done(item.request.take(), outcome);
         }
+        if !tried {
+            self.items.retain(|item| item.deadline > now);
+        }
         !self.items.iter().all(Item::is_void)
     }
 
--- a/crates/coordination/src/simulation.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Simulated network, disks and clocks for scenarios.
--- /dev/null
+++ b/crates/coordination/src/simulation/disk.rs
@@ -0,0 +1,74 @@
+//! The simulated disk of a machine: one write at a time, which takes a while, fails or hangs.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use crate::storage::{SimulatedDirectory, StoreError, VersionedStore};
+
+/// A write on a healthy disk takes up to this long.
+const USUAL_WRITE: Duration = Duration::from_millis(2);
+
+/// Steps of a save, from making the file to removing old ones.
+const SAVE_STEPS: u32 = 6;
+
+/// The record's name in the folder.
+const RECORD_NAME: &str = "register";
+
+/// A write that is not finished.
+pub(super) struct Write {
+    pub(super) token: u64,
+    pub(super) bytes: Vec<u8>,
+}
+
+pub(super) struct Disk {
+    pub(super) directory: SimulatedDirectory,
+    pub(super) longest_write: Duration,
+    pub(super) stalled: bool,
+    store: Option<VersionedStore>,
+    /// At most one is under way.
+    pub(super) write: Option<Write>,
+}
+
+impl Disk {
+    pub(super) fn new() -> Self {
+        Self {
+            directory: SimulatedDirectory::new(),
+            longest_write: USUAL_WRITE,
+            stalled: false,
+            store: None,
+            write: None,
+        }
+    }
+
+    /// What a starting process finds.
+    pub(super) fn open(&mut self) -> Result<Option<Vec<u8>>, StoreError> {
+        let (store, record) = VersionedStore::open(&mut self.directory, RECORD_NAME)?;
+        self.store = Some(store);
+        Ok(record)
+    }
+
+    /// Ends the write under way; tells its token and whether it worked.
+    pub(super) fn finish_write(&mut self) -> Option<(u64, bool)> {
+        let write = self.write.take()?;
+        let store = self.store.as_mut()?;
+        let saved = store.save(&mut self.directory, &write.bytes);
+        Some((write.token, saved.is_ok()))
+    }
+
+    /// The process dies, perhaps within a write.
+    pub(super) fn interrupt(&mut self, random: &mut SmallRng) {
+        self.directory.steps_left = Some(random.random_range(0..=SAVE_STEPS));
+        let _ = self.finish_write();
+        self.directory.steps_left = None;
+        self.store = None;
+    }
+
+    /// The disk is as good as new, apart from what is on it.
+    pub(super) fn mend(&mut self) {
+        self.longest_write = USUAL_WRITE;
+        self.stalled = false;
+        self.directory.refusing = false;
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/simulation/history.rs
@@ -0,0 +1,208 @@
+//! What was asked, answered and learned, and the rules it must keep.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use thiserror::Error;
+
+use super::append::{Command, entries};
+use super::step::Machine;
+use crate::register::{Outcome, Value};
+
+/// A rule was broken.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Violation {
+    /// Two values were decided for one revision.
+    #[error("revision {0} has two values")]
+    TwoValues(u64),
+    /// A value does not build on the one before.
+    #[error("the value of revision {later} does not build on that of {earlier}")]
+    NotBuiltOn {
+        /// The revision before.
+        earlier: u64,
+        /// The revision after.
+        later: u64,
+    },
+    /// A number is in the list twice.
+    #[error("number {0} took effect twice")]
+    Twice(u32),
+    /// A number that was given up before it was proposed is in the list.
+    #[error("number {0} took effect after it had expired")]
+    Expired(u32),
+    /// An acknowledged number is missing.
+    #[error("number {0}, acknowledged at revision {1}, is missing")]
+    Lost(u32, u64),
+    /// An answer is older than one given before the request.
+    #[error("request {request} was answered from revision {answered} after {acknowledged} was acknowledged")]
+    Stale {
+        /// The request.
+        request: u64,
+        /// Its revision.
+        answered: u64,
+        /// The newest revision acknowledged before.
+        acknowledged: u64,
+    },
+    /// A replica learned an older value.
+    #[error("machine {machine} learned revision {to} after {from}")]
+    Regress {
+        /// The machine.
+        machine: Machine,
+        /// Learned before.
+        from: u64,
+        /// Learned after.
+        to: u64,
+    },
+    /// A request was answered twice, or one that was never made.
+    #[error("request {0} was answered once too often")]
+    Answer(u64),
+    /// The record on disk cannot be read.
+    #[error("machine {0} has an unreadable record")]
+    Record(Machine),
+    /// A message cannot be encoded or decoded.
+    #[error("machine {0} sent an unreadable message")]
+    Message(Machine),
+    /// After everything was mended a machine does not serve.
+    #[error("machine {0} does not serve although everything is mended")]
+    Stuck(Machine),
+    /// An expectation of the scenario is not met.
+    #[error("step {step}: expected '{expected}', found '{found}'")]
+    Unmet {
+        /// Number of the step, from one.
+        step: usize,
+        /// The expectation.
+        expected: String,
+        /// What was found.
+        found: String,
+    },
+}
+
+/// A request that was made.
+struct Request {
+    command: Option<Command>,
+    /// The newest revision acknowledged before the request.
+    floor: u64,
+    outcome: Option<Outcome>,
+}
+
+#[derive(Default)]
+pub(super) struct History {
+    requests: Vec<Request>,
+    values: BTreeMap<u64, Value>,
+    /// The newest revision any answer was given from.
+    floor: u64,
+    acknowledged: BTreeMap<u32, u64>,
+    expired: BTreeSet<u32>,
+}
+
+impl History {
+    /// Notes a request and numbers it.
+    pub(super) fn ask(&mut self, command: Option<Command>) -> u64 {
+        self.requests.push(Request { command, floor: self.floor, outcome: None });
+        self.requests.len() as u64 - 1
+    }
+
+    /// The number of the next request.
+    pub(super) fn next_request(&self) -> u64 {
+        self.requests.len() as u64
+    }
+
+    pub(super) fn outcome(&self, request: u64) -> Option<&Outcome> {
+        self.requests.get(usize::try_from(request).ok()?)?.outcome.as_ref()
+    }
+
+    /// The newest revision that anyone has learned.
+    pub(super) fn newest(&self) -> Option<&Value> {
+        self.values.last_key_value().map(|(_, value)| value)
+    }
+
+    pub(super) fn answer(&mut self, request: u64, outcome: Outcome) -> Result<(), Violation> {
+        let index = usize::try_from(request).map_err(|_| Violation::Answer(request))?;
+        let asked = self.requests.get_mut(index).filter(|asked| asked.outcome.is_none());
+        let asked = asked.ok_or(Violation::Answer(request))?;
+        asked.outcome = Some(outcome.clone());
+        let (command, floor) = (asked.command, asked.floor);
+        match outcome {
+            Outcome::Changed { revision, .. } | Outcome::Unchanged { revision, .. } => {
+                if let Some(command) = command {
+                    self.acknowledged.entry(command.entry()).or_insert(revision);
+                }
+                self.fresh(request, floor, revision)?;
+                self.check_acknowledged()
+            }
+            Outcome::Refused { revision, .. } => self.fresh(request, floor, revision),
+            Outcome::Value { revision, state } => {
+                self.check_read(revision, &state)?;
+                self.fresh(request, floor, revision)
+            }
+            Outcome::Expired => {
+                // An ensured number may be there for another request's sake.
+                let own = command.filter(|command| !matches!(command, Command::Ensure(_)));
+                self.expired.extend(own.map(Command::entry));
+                self.check_expired()
+            }
+            Outcome::Timeout => Ok(()),
+        }
+    }
+
+    /// An answer must not be older than any that was given before the request.
+    fn fresh(&mut self, request: u64, floor: u64, revision: u64) -> Result<(), Violation> {
+        if revision < floor {
+            return Err(Violation::Stale { request, answered: revision, acknowledged: floor });
+        }
+        self.floor = self.floor.max(revision);
+        Ok(())
+    }
+
+    fn check_read(&self, revision: u64, state: &[u8]) -> Result<(), Violation> {
+        match self.values.get(&revision) {
+            Some(value) if value.state != state => Err(Violation::TwoValues(revision)),
+            _ => Ok(()),
+        }
+    }
+
+    /// Notes a decided value.
+    pub(super) fn decided(&mut self, value: &Value) -> Result<(), Violation> {
+        let revision = value.revision;
+        if let Some(known) = self.values.get(&revision) {
+            return if known == value { Ok(()) } else { Err(Violation::TwoValues(revision)) };
+        }
+        if let Some((earlier, before)) = self.values.range(..revision).next_back()
+            && !value.state.starts_with(&before.state)
+        {
+            return Err(Violation::NotBuiltOn { earlier: *earlier, later: revision });
+        }
+        if let Some((later, after)) = self.values.range(revision..).next()
+            && !after.state.starts_with(&value.state)
+        {
+            return Err(Violation::NotBuiltOn { earlier: revision, later: *later });
+        }
+        check_twice(&value.state)?;
+        self.values.insert(revision, value.clone());
+        self.check_expired()?;
+        self.check_acknowledged()
+    }
+
+    fn check_expired(&self) -> Result<(), Violation> {
+        let Some(newest) = self.newest().filter(|_| !self.expired.is_empty()) else {
+            return Ok(());
+        };
+        let effective = entries(&newest.state).into_iter().find(|entry| self.expired.contains(entry));
+        effective.map_or(Ok(()), |entry| Err(Violation::Expired(entry)))
+    }
+
+    /// The newest value has every number acknowledged up to its revision.
+    fn check_acknowledged(&self) -> Result<(), Violation> {
+        let Some(newest) = self.newest() else {
+            return Ok(());
+        };
+        let present: BTreeSet<u32> = entries(&newest.state).into_iter().collect();
+        let mut due = self.acknowledged.iter().filter(|(_, revision)| **revision <= newest.revision);
+        let lost = due.find(|(entry, _)| !present.contains(entry));
+        lost.map_or(Ok(()), |(entry, revision)| Err(Violation::Lost(*entry, *revision)))
+    }
+}
+
+fn check_twice(state: &[u8]) -> Result<(), Violation> {
+    let mut seen = BTreeSet::new();
+    let doubled = entries(state).into_iter().find(|entry| !seen.insert(*entry));
+    doubled.map_or(Ok(()), |entry| Err(Violation::Twice(entry)))
+}
--- /dev/null
+++ b/crates/coordination/src/simulation/machine.rs
@@ -0,0 +1,172 @@
+//! A simulated machine: a disk, and a process that comes and goes.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+
+use super::append::Append;
+use super::disk::Disk;
+use super::history::Violation;
+use super::step::Machine as Index;
+use crate::register::{Input, Node, Output, Record, Replica, Settings, Status};
+
+/// Control port of all machines.
+const PORT: u16 = 8146;
+
+/// First address, so that nodes sort in the order of their letters.
+const FIRST_ADDRESS: u32 = 0x0a00_0001;
+
+/// The node of a machine.
+pub(super) fn node_of(index: Index) -> Node {
+    Node { ip: FIRST_ADDRESS + u32::try_from(index).unwrap_or_default(), port: PORT }
+}
+
+/// The machine of a node.
+pub(super) fn index_of(node: Node) -> Index {
+    node.ip.saturating_sub(FIRST_ADDRESS) as Index
+}
+
+/// Something that happens to a machine.
+#[derive(Debug, Clone)]
+pub(super) enum Event {
+    /// A message arrives.
+    Message { from: Index, bytes: Vec<u8> },
+    /// The write under way ends.
+    Written { life: u64, token: u64 },
+    /// A timer of the process fires.
+    Wake { life: u64, at: Duration },
+}
+
+pub(super) struct Machine {
+    pub(super) index: Index,
+    pub(super) disk: Disk,
+    pub(super) replica: Option<Replica>,
+    /// Counts starts of the process.
+    pub(super) life: u64,
+    pub(super) frozen: bool,
+    pub(super) retired: bool,
+    /// Came in while frozen.
+    pub(super) backlog: VecDeque<Event>,
+    /// The timer that is set.
+    pub(super) wake_at: Option<Duration>,
+    /// The newest revision learned in this life.
+    learned: Option<u64>,
+    /// The last request made here.
+    pub(super) last_request: Option<u64>,
+}
+
+impl Machine {
+    pub(super) fn new(index: Index) -> Self {
+        Self {
+            index,
+            disk: Disk::new(),
+            replica: None,
+            life: 0,
+            frozen: false,
+            retired: false,
+            backlog: VecDeque::new(),
+            wake_at: None,
+            learned: None,
+            last_request: None,
+        }
+    }
+
+    /// Starts the process with what the disk holds.
+    pub(super) fn start(&mut self, settings: Settings, now: Duration, nonce: u64) -> Result<(), Violation> {
+        if self.replica.is_some() || self.retired {
+            return Ok(());
+        }
+        let unreadable = |_| Violation::Record(self.index);
+        let bytes = self.disk.open().map_err(unreadable)?;
+        let decode = |bytes: Vec<u8>| Record::decode(&bytes).map_err(|_| Violation::Record(self.index));
+        let stored = bytes.map(decode).transpose()?;
+        self.life += 1;
+        self.wake_at = None;
+        self.learned = None;
+        self.replica = Some(Replica::new(settings, Box::new(Append), stored, now, nonce));
+        Ok(())
+    }
+
+    /// The process dies.
+    pub(super) fn kill(&mut self, random: &mut SmallRng) {
+        if self.replica.take().is_some() {
+            self.disk.interrupt(random);
+        }
+        self.frozen = false;
+        self.backlog.clear();
+    }
+
+    pub(super) fn lose_power(&mut self, random: &mut SmallRng) {
+        self.kill(random);
+        self.disk.directory.lose_power(random);
+    }
+
+    pub(super) fn lose_disk(&mut self, random: &mut SmallRng) {
+        self.kill(random);
+        self.disk.directory.wipe();
+    }
+
+    /// Hands an event to the process; a frozen one gets it later.
+    pub(super) fn take(&mut self, now: Duration, event: Event) -> Result<(), Violation> {
+        if self.frozen {
+            self.backlog.push_back(event);
+            return Ok(());
+        }
+        let Some(input) = self.input(event)? else {
+            return Ok(());
+        };
+        if let Some(replica) = &mut self.replica {
+            replica.handle(now, input);
+        }
+        Ok(())
+    }
+
+    /// What the process sees of an event, if anything.
+    fn input(&mut self, event: Event) -> Result<Option<Input>, Violation> {
+        match event {
+            Event::Message { from, bytes } => {
+                let message = crate::register::Message::decode(&bytes);
+                let message = message.map_err(|_| Violation::Message(from))?;
+                Ok(Some(Input::Message { from: node_of(from), message }))
+            }
+            Event::Written { life, token } => Ok(self.written(life, token)),
+            Event::Wake { life, at } => {
+                let due = life == self.life && self.wake_at == Some(at);
+                self.wake_at.take_if(|_| due);
+                Ok(due.then_some(Input::Tick))
+            }
+        }
+    }
+
+    fn written(&mut self, life: u64, token: u64) -> Option<Input> {
+        let current = self.disk.write.as_ref().is_some_and(|write| write.token == token);
+        if life != self.life || !current || self.disk.stalled {
+            return None;
+        }
+        let (token, saved) = self.disk.finish_write()?;
+        Some(if saved { Input::Persisted { token } } else { Input::PersistFailed { token } })
+    }
+
+    pub(super) fn poll_output(&mut self) -> Option<Output> {
+        self.replica.as_mut()?.poll_output()
+    }
+
+    /// Checks that the process never learns backwards.
+    pub(super) fn learn(&mut self, revision: u64) -> Result<(), Violation> {
+        match self.learned.replace(revision) {
+            Some(from) if from >= revision => {
+                Err(Violation::Regress { machine: self.index, from, to: revision })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    pub(super) fn learned(&self) -> Option<u64> {
+        self.learned
+    }
+
+    pub(super) fn status(&self) -> Option<Status> {
+        self.replica.as_ref().map(Replica::status)
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/simulation/schedule.rs
@@ -0,0 +1,230 @@
+//! Scenarios drawn from a seed, and the shortest part of one that still breaks a rule.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::scenario::Scenario;
+use super::step::{Machine, Machines, Step};
+use super::world::World;
+use crate::register::Fault;
+
+/// Steps of a random scenario.
+const STEPS: usize = 60;
+
+/// First pause, in milliseconds, so that the founders have written their first record.
+const FIRST_WAIT: u64 = 50;
+
+/// Longest pause between steps that are close together, in milliseconds: some messages and writes.
+const LONGEST_HOP: u64 = 12;
+
+/// A pause for a few round trips, in milliseconds.
+const ROUND_TRIPS: u64 = 40;
+
+/// A pause for a message to be sent again, in milliseconds.
+const RETRY: u64 = 300;
+
+/// Share of the changes in a round that one machine takes.
+const FAVOURED: f64 = 0.7;
+
+/// Share of the steps of a round that are played.
+const KEPT: f64 = 0.9;
+
+/// What a random scenario has most of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mix {
+    /// Everything.
+    Any,
+    /// Lost disks while messages are under way.
+    Wipes,
+    /// Processes that die while messages are under way.
+    Restarts,
+    /// Changes of members.
+    Members,
+}
+
+impl Mix {
+    const fn of(seed: u64) -> Self {
+        match seed % 5 {
+            2 => Self::Wipes,
+            3 => Self::Restarts,
+            4 => Self::Members,
+            _ => Self::Any,
+        }
+    }
+}
+
+/// The cast of a random scenario.
+struct Cast {
+    mix: Mix,
+    count: usize,
+    /// Takes most requests where few kinds of steps come close together.
+    favourite: Machine,
+}
+
+/// A scenario drawn from a seed: requests and troubles in any order, then everything is mended.
+#[must_use]
+pub fn random_scenario(seed: u64) -> Scenario {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mix = Mix::of(seed);
+    let founders = if mix != Mix::Any || random.random_bool(0.6) { 3 } else { 5 };
+    let fewest_spares = usize::from(mix == Mix::Members);
+    let spares = random.random_range(fewest_spares..=2);
+    let count = founders + spares;
+    let cast = Cast { mix, count, favourite: random.random_range(0..count) };
+    let mut steps = vec![Step::Wait(FIRST_WAIT)];
+    while steps.len() < STEPS {
+        match mix {
+            Mix::Any => add_steps(&mut steps, &mut random, founders, count),
+            _ => add_round(&mut steps, &mut random, &cast),
+        }
+    }
+    steps.push(Step::Settle);
+    Scenario { founders, spares, seed, steps }
+}
+
+fn add_steps(steps: &mut Vec<Step>, random: &mut SmallRng, founders: usize, count: usize) {
+    let at = random.random_range(0..count);
+    match random.random_range(0..100) {
+        0..45 => add_request(steps, random, at),
+        45..70 => steps.push(Step::Wait(pause(random))),
+        70..86 => add_process_trouble(steps, random, at),
+        86..94 => add_network_trouble(steps, random, at, count),
+        94..98 => add_disk_trouble(steps, random, at),
+        _ => add_change_of_members(steps, random, founders, count),
+    }
+}
+
+/// A round of few kinds of steps close together, so that their orders are tried more thoroughly: what one side
+/// of a parted network does, something that is easily lost on the way, and what the other side then sees.
+fn add_round(steps: &mut Vec<Step>, random: &mut SmallRng, cast: &Cast) {
+    let asked =
+        if random.random_bool(FAVOURED) { cast.favourite } else { random.random_range(0..cast.count) };
+    let any = |random: &mut SmallRng| random.random_range(0..cast.count);
+    let mut round = vec![part(random, cast.count), Step::Append(asked), Step::Wait(hop(random))];
+    add_focus(&mut round, random, cast);
+    round.extend([Step::Wait(hop(random)), part(random, cast.count), Step::Wait(ROUND_TRIPS)]);
+    round.extend([Step::Append(any(random)), part(random, cast.count), Step::Wait(RETRY)]);
+    round.push(Step::Read(any(random)));
+    steps.extend(round.into_iter().filter(|_| random.random_bool(KEPT)));
+}
+
+fn add_focus(steps: &mut Vec<Step>, random: &mut SmallRng, cast: &Cast) {
+    let at = random.random_range(0..cast.count);
+    match cast.mix {
+        Mix::Any => {}
+        Mix::Wipes => steps.extend([Step::Wipe(at), part(random, cast.count), Step::Start(at)]),
+        Mix::Restarts => steps.extend([Step::Kill(at), part(random, cast.count), Step::Start(at)]),
+        Mix::Members => {
+            let (old, new) = (at, random.random_range(0..cast.count));
+            steps.push(Step::Replace { old, new, via: cast.favourite });
+        }
+    }
+}
+
+/// A pause about as long as a message or a write takes.
+fn hop(random: &mut SmallRng) -> u64 {
+    random.random_range(1..=LONGEST_HOP)
+}
+
+/// Any machines are parted from the others.
+fn part(random: &mut SmallRng, count: usize) -> Step {
+    let set = (0..count).filter(|_| random.random_bool(0.5));
+    Step::Part(set.fold(Machines::default(), Machines::with))
+}
+
+fn add_request(steps: &mut Vec<Step>, random: &mut SmallRng, at: Machine) {
+    steps.push(match random.random_range(0..10) {
+        0..5 => Step::Append(at),
+        5 => Step::Ensure(at),
+        6 => Step::AppendIfEven(at),
+        _ => Step::Read(at),
+    });
+}
+
+/// Short pauses are as likely as long ones.
+fn pause(random: &mut SmallRng) -> u64 {
+    let longest = [1, 4, 15, 60, 250, 1_000][random.random_range(0..6)];
+    random.random_range(1..=longest)
+}
+
+fn add_process_trouble(steps: &mut Vec<Step>, random: &mut SmallRng, at: Machine) {
+    match random.random_range(0..12) {
+        0..2 => steps.push(Step::Freeze(at)),
+        2..4 => steps.push(Step::Thaw(at)),
+        4..6 => steps.push(Step::Start(at)),
+        6 => steps.extend([Step::Kill(at), Step::Wait(pause(random)), Step::Start(at)]),
+        7 => steps.extend([Step::Power(at), Step::Wait(pause(random)), Step::Start(at)]),
+        8 => steps.push(Step::Kill(at)),
+        9 => steps.push(Step::Power(at)),
+        10 => steps.extend([Step::Wipe(at), Step::Start(at)]),
+        _ => steps.extend([Step::Wipe(at), Step::Wait(pause(random)), Step::Start(at)]),
+    }
+}
+
+fn add_network_trouble(steps: &mut Vec<Step>, random: &mut SmallRng, at: Machine, count: usize) {
+    let other = random.random_range(0..count);
+    match random.random_range(0..10) {
+        0..3 => steps.push(Step::Heal),
+        3 => steps.push(Step::Cut(at, other)),
+        4 => steps.extend([Step::Cut(at, other), Step::Cut(other, at)]),
+        5 => steps.push(Step::Isolate(at)),
+        6 => steps.push(part(random, count)),
+        7 => steps.push(Step::Loss(random.random_range(0..30))),
+        8 => steps.push(Step::Double(random.random_range(0..30))),
+        _ => steps.push(Step::Delay(pause(random))),
+    }
+}
+
+fn add_disk_trouble(steps: &mut Vec<Step>, random: &mut SmallRng, at: Machine) {
+    steps.push(match random.random_range(0..6) {
+        0 => Step::Stall(at),
+        1 => Step::Full(at),
+        2 => Step::Slow(at, pause(random)),
+        _ => Step::Work(at),
+    });
+}
+
+fn add_change_of_members(steps: &mut Vec<Step>, random: &mut SmallRng, founders: usize, count: usize) {
+    if founders == count {
+        return;
+    }
+    let (old, via) = (random.random_range(0..count), random.random_range(0..count));
+    let new = random.random_range(founders..count);
+    match random.random_range(0..4) {
+        0 => steps.push(Step::Grow { new, via }),
+        1 => steps.extend([Step::Retire(old), Step::Replace { old, new, via }]),
+        2 => steps.push(Step::Replace { old, new, via }),
+        _ => steps.push(Step::Replace { old: new, new: old, via }),
+    }
+}
+
+/// Leaves out steps as long as the rest still breaks a rule.
+#[must_use]
+pub fn shrink(scenario: &Scenario, fault: Option<Fault>) -> Scenario {
+    let mut smallest = scenario.clone();
+    let mut chunk = smallest.steps.len().div_ceil(2);
+    while chunk > 0 {
+        if !drop_steps(&mut smallest, chunk, fault) {
+            chunk /= 2;
+        }
+    }
+    smallest
+}
+
+/// Leaves out each run of `chunk` steps that is not needed; tells whether any was.
+fn drop_steps(scenario: &mut Scenario, chunk: usize, fault: Option<Fault>) -> bool {
+    let mut dropped = false;
+    let mut start = 0;
+    while start < scenario.steps.len() {
+        let mut shorter = scenario.clone();
+        let end = (start + chunk).min(shorter.steps.len());
+        shorter.steps.drain(start..end);
+        if World::play(&shorter, fault).is_err() {
+            *scenario = shorter;
+            dropped = true;
+        } else {
+            start += chunk;
+        }
+    }
+    dropped
+}
--- /dev/null
+++ b/crates/coordination/src/simulation/world.rs
@@ -0,0 +1,464 @@
+//! The simulated world: time, events, machines and the steps of a scenario.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::append::Command;
+use super::history::{History, Violation};
+use super::machine::{Event, Machine, index_of, node_of};
+use super::network::Network;
+use super::scenario::Scenario;
+use super::step::{Expectation, Machine as Index, Machines, Step};
+use crate::register::{Fault, Group, Input, Node, Outcome, Output, Record, Settings, Status};
+
+/// A request is given up after this long.
+const DEADLINE: Duration = Duration::from_secs(4);
+
+/// Time for everything to come right once it is mended: several of the longest retry intervals.
+const SETTLE_TIME: Duration = Duration::from_secs(12);
+
+/// Time given to each of the last requests.
+const FINAL_DEADLINE: Duration = Duration::from_secs(12);
+
+/// Ensured numbers start here, so that they differ from appended ones.
+const FIRST_ENSURED: u32 = 1_000_000;
+
+/// So many numbers take turns in being ensured.
+const ENSURED: u32 = 4;
+
+/// An event and when it happens; of those at one time the first scheduled goes first.
+struct Scheduled {
+    at: Duration,
+    order: u64,
+    machine: Index,
+    event: Event,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// A change of members that was asked for.
+struct MemberChange {
+    request: u64,
+    remove: Vec<Node>,
+    add: Node,
+}
+
+impl MemberChange {
+    fn apply(&self, group: &Group) -> Group {
+        let kept = group.members().iter().copied().filter(|node| !self.remove.contains(node));
+        Group::new(kept.chain([self.add]).collect())
+    }
+}
+
+/// Machines, network and time.
+pub struct World {
+    now: Duration,
+    random: SmallRng,
+    events: BinaryHeap<Reverse<Scheduled>>,
+    order: u64,
+    machines: Vec<Machine>,
+    founders: usize,
+    network: Network,
+    history: History,
+    changes: Vec<MemberChange>,
+    fault: Option<Fault>,
+    next_entry: u32,
+}
+
+impl World {
+    /// Plays a scenario to its end or to the first broken rule; `fault` is a deliberate mistake.
+    ///
+    /// # Errors
+    /// The rule that was broken.
+    pub fn play(scenario: &Scenario, fault: Option<Fault>) -> Result<(), Violation> {
+        let mut world = Self::new(scenario, fault);
+        for index in 0..world.machines.len() {
+            world.start(index, index < scenario.founders)?;
+        }
+        for (index, step) in scenario.steps.iter().enumerate() {
+            world.step(index + 1, *step)?;
+        }
+        Ok(())
+    }
+
+    fn new(scenario: &Scenario, fault: Option<Fault>) -> Self {
+        let count = scenario.founders + scenario.spares;
+        Self {
+            now: Duration::ZERO,
+            random: SmallRng::seed_from_u64(scenario.seed),
+            events: BinaryHeap::new(),
+            order: 0,
+            machines: (0..count).map(Machine::new).collect(),
+            founders: scenario.founders,
+            network: Network::new(),
+            history: History::default(),
+            changes: Vec::new(),
+            fault,
+            next_entry: 0,
+        }
+    }
+
+    fn step(&mut self, number: usize, step: Step) -> Result<(), Violation> {
+        match step {
+            Step::Append(at) => self.append(at, Command::Append),
+            Step::AppendIfEven(at) => self.append(at, Command::AppendIfEven),
+            Step::Ensure(at) => {
+                let entry = FIRST_ENSURED + self.random.random_range(0..ENSURED);
+                self.propose(at, Command::Ensure(entry))
+            }
+            Step::Read(at) => self.ask(at, None, |request, deadline| Input::Read { request, deadline }),
+            Step::Replace { old, new, via } => self.change_members(via, vec![node_of(old)], node_of(new)),
+            Step::Grow { new, via } => self.change_members(via, Vec::new(), node_of(new)),
+            Step::Wait(time) => self.run(Duration::from_millis(time)),
+            Step::Start(at) => self.start(at, false),
+            Step::Thaw(at) => self.thaw(at),
+            Step::Work(at) => self.mend_disk(at),
+            Step::Settle => self.settle(),
+            Step::Expect(at, expected) => self.expect(number, at, expected),
+            _ => {
+                self.trouble(step);
+                Ok(())
+            }
+        }
+    }
+
+    /// Steps that only do harm.
+    fn trouble(&mut self, step: Step) {
+        match step {
+            Step::Kill(at) => self.machines[at].kill(&mut self.random),
+            Step::Power(at) => self.machines[at].lose_power(&mut self.random),
+            Step::Wipe(at) if self.may_lose(at) => self.machines[at].lose_disk(&mut self.random),
+            Step::Retire(at) if self.may_lose(at) => {
+                self.machines[at].lose_disk(&mut self.random);
+                self.machines[at].retired = true;
+            }
+            Step::Freeze(at) => self.machines[at].frozen = self.machines[at].replica.is_some(),
+            Step::Cut(from, to) => self.network.cut(from, to),
+            Step::Isolate(at) => {
+                for other in 0..self.machines.len() {
+                    self.network.cut(at, other);
+                    self.network.cut(other, at);
+                }
+            }
+            Step::Part(set) => self.part(set),
+            Step::Heal => self.network.heal(),
+            Step::Loss(percent) => self.network.loss_percent = percent,
+            Step::Double(percent) => self.network.double_percent = percent,
+            Step::Delay(time) => self.network.longest_delay = Duration::from_millis(time),
+            Step::Slow(at, time) => self.machines[at].disk.longest_write = Duration::from_millis(time),
+            Step::Stall(at) => self.machines[at].disk.stalled = true,
+            Step::Full(at) => self.machines[at].disk.directory.refusing = true,
+            _ => {}
+        }
+    }
+
+    /// Cuts all links between the machines of a set and the others, and no further ones.
+    fn part(&mut self, set: Machines) {
+        self.network.heal();
+        for from in 0..self.machines.len() {
+            for to in (0..self.machines.len()).filter(|to| set.contains(from) != set.contains(*to)) {
+                self.network.cut(from, to);
+            }
+        }
+    }
+
+    /// Whether the others can recover once a machine's disk is lost.
+    fn may_lose(&mut self, lost: Index) -> bool {
+        let groups = self.possible_groups();
+        self.keep_majorities(&groups, Some(lost))
+    }
+
+    /// Whether a majority of every group keeps its record.
+    fn keep_majorities(&mut self, groups: &[Group], lost: Option<Index>) -> bool {
+        let stored: Vec<bool> = (0..self.machines.len())
+            .map(|at| Some(at) != lost && !self.groups_on_disk(at).is_empty())
+            .collect();
+        let kept = |group: &Group| group.members().iter().filter(|node| stored[index_of(**node)]).count();
+        groups.iter().all(|group| kept(group) >= group.majority())
+    }
+
+    /// Groups that any disk knows of, and those that changes under way may lead to in any order.
+    fn possible_groups(&mut self) -> Vec<Group> {
+        let mut groups: Vec<Group> =
+            (0..self.machines.len()).flat_map(|at| self.groups_on_disk(at)).collect();
+        groups.sort_by(|first, second| first.members().cmp(second.members()));
+        groups.dedup();
+        let void = |outcome: &Outcome| matches!(outcome, Outcome::Refused { .. } | Outcome::Expired);
+        let changes =
+            self.changes.iter().filter(|change| !self.history.outcome(change.request).is_some_and(void));
+        let changes: Vec<&MemberChange> = changes.collect();
+        let mut next = 0;
+        while let Some(group) = groups.get(next).cloned() {
+            for changed in changes.iter().map(|change| change.apply(&group)) {
+                if !groups.contains(&changed) {
+                    groups.push(changed);
+                }
+            }
+            next += 1;
+        }
+        groups
+    }
+
+    /// The groups of the record on a machine's disk; none if there is no record.
+    fn groups_on_disk(&mut self, at: Index) -> Vec<Group> {
+        let directory = self.machines[at].disk.directory.clone();
+        let mut copy = super::disk::Disk::new();
+        copy.directory = directory;
+        let record = copy.open().ok().flatten().and_then(|bytes| Record::decode(&bytes).ok());
+        record.map(|record| record.value.groups).unwrap_or_default()
+    }
+
+    fn start(&mut self, at: Index, bootstrap: bool) -> Result<(), Violation> {
+        let seeds = (0..self.founders).map(node_of).collect();
+        let settings = Settings { bootstrap, fault: self.fault, ..Settings::new(node_of(at), seeds) };
+        let nonce = self.random.random();
+        self.machines[at].start(settings, self.now, nonce)?;
+        for other in 0..self.machines.len() {
+            self.input(at, Input::Contact { node: node_of(other) })?;
+        }
+        self.flush(at)
+    }
+
+    fn thaw(&mut self, at: Index) -> Result<(), Violation> {
+        self.machines[at].frozen = false;
+        let backlog = std::mem::take(&mut self.machines[at].backlog);
+        for event in backlog {
+            self.happen(at, event)?;
+        }
+        Ok(())
+    }
+
+    fn mend_disk(&mut self, at: Index) -> Result<(), Violation> {
+        let stalled = self.machines[at].disk.stalled;
+        self.machines[at].disk.mend();
+        let (life, write) = (self.machines[at].life, self.machines[at].disk.write.as_ref());
+        match write.map(|write| write.token).filter(|_| stalled) {
+            Some(token) => self.happen(at, Event::Written { life, token }),
+            None => Ok(()),
+        }
+    }
+
+    fn append(&mut self, at: Index, command: impl Fn(u32) -> Command) -> Result<(), Violation> {
+        self.next_entry += 1;
+        self.propose(at, command(self.next_entry))
+    }
+
+    fn propose(&mut self, at: Index, command: Command) -> Result<(), Violation> {
+        let input = |request, deadline| Input::Propose { request, command: command.encode(), deadline };
+        self.ask(at, Some(command), input)
+    }
+
+    /// Asks for a change of members, unless too many of the new ones could be without a disk.
+    fn change_members(&mut self, via: Index, remove: Vec<Node>, add: Node) -> Result<(), Violation> {
+        let request = self.history.next_request();
+        self.changes.push(MemberChange { request, remove: remove.clone(), add });
+        let groups = self.possible_groups();
+        if !self.keep_majorities(&groups, None) {
+            self.changes.pop();
+            return Ok(());
+        }
+        self.ask(via, None, |request, deadline| Input::ProposeMembers {
+            request,
+            remove,
+            add: vec![add],
+            deadline,
+        })
+    }
+
+    /// Makes a request at a machine, if its process runs.
+    fn ask(
+        &mut self,
+        at: Index,
+        command: Option<Command>,
+        input: impl FnOnce(u64, Duration) -> Input,
+    ) -> Result<(), Violation> {
+        self.ask_until(at, command, self.now + DEADLINE, input)
+    }
+
+    fn ask_until(
+        &mut self,
+        at: Index,
+        command: Option<Command>,
+        deadline: Duration,
+        input: impl FnOnce(u64, Duration) -> Input,
+    ) -> Result<(), Violation> {
+        if self.machines[at].replica.is_none() || self.machines[at].frozen {
+            return Ok(());
+        }
+        let request = self.history.ask(command);
+        self.machines[at].last_request = Some(request);
+        self.input(at, input(request, deadline))
+    }
+
+    fn input(&mut self, at: Index, input: Input) -> Result<(), Violation> {
+        let now = self.now;
+        if let Some(replica) = &mut self.machines[at].replica {
+            replica.handle(now, input);
+        }
+        self.flush(at)
+    }
+
+    fn happen(&mut self, at: Index, event: Event) -> Result<(), Violation> {
+        self.machines[at].take(self.now, event)?;
+        self.flush(at)
+    }
+
+    /// Lets time pass.
+    fn run(&mut self, time: Duration) -> Result<(), Violation> {
+        let end = self.now + time;
+        while self.events.peek().is_some_and(|next| next.0.at <= end) {
+            let Some(Reverse(next)) = self.events.pop() else {
+                break;
+            };
+            self.now = self.now.max(next.at);
+            self.happen(next.machine, next.event)?;
+        }
+        self.now = end;
+        Ok(())
+    }
+
+    fn schedule(&mut self, at: Duration, machine: Index, event: Event) {
+        self.order += 1;
+        self.events.push(Reverse(Scheduled { at, order: self.order, machine, event }));
+    }
+
+    /// Carries out what a process ordered.
+    fn flush(&mut self, at: Index) -> Result<(), Violation> {
+        while let Some(output) = self.machines[at].poll_output() {
+            match output {
+                Output::Send { to, message } => {
+                    let bytes = message.encode().map_err(|_| Violation::Message(at))?;
+                    self.send(at, index_of(to), &bytes);
+                }
+                Output::Persist { token, record } => self.write(at, token, &record)?,
+                Output::Done { request, outcome } => self.history.answer(request, outcome)?,
+                Output::Learned { value } => {
+                    self.machines[at].learn(value.revision)?;
+                    self.history.decided(&value)?;
+                }
+            }
+        }
+        self.set_timer(at);
+        Ok(())
+    }
+
+    fn send(&mut self, from: Index, to: Index, bytes: &[u8]) {
+        for delay in self.network.carry(from, to, &mut self.random) {
+            let event = Event::Message { from, bytes: bytes.to_vec() };
+            self.schedule(self.now + delay, to, event);
+        }
+    }
+
+    fn write(&mut self, at: Index, token: u64, record: &Record) -> Result<(), Violation> {
+        let bytes = record.encode().map_err(|_| Violation::Record(at))?;
+        let machine = &mut self.machines[at];
+        machine.disk.write = Some(super::disk::Write { token, bytes });
+        let time = machine.disk.longest_write.mul_f64(self.random.random::<f64>());
+        let life = machine.life;
+        self.schedule(self.now + time, at, Event::Written { life, token });
+        Ok(())
+    }
+
+    fn set_timer(&mut self, at: Index) {
+        let machine = &mut self.machines[at];
+        let wake = machine.replica.as_ref().and_then(crate::register::Replica::next_wake);
+        let Some(wake) = wake.filter(|wake| machine.wake_at != Some(*wake)) else {
+            return;
+        };
+        machine.wake_at = Some(wake);
+        let event = Event::Wake { life: machine.life, at: wake };
+        self.schedule(wake.max(self.now), at, event);
+    }
+
+    /// Mends and starts everything; then every machine that is left must serve.
+    fn settle(&mut self) -> Result<(), Violation> {
+        self.network.mend();
+        for at in 0..self.machines.len() {
+            self.mend_disk(at)?;
+            self.thaw(at)?;
+            self.start(at, false)?;
+        }
+        self.run(SETTLE_TIME)?;
+        for at in (0..self.machines.len()).filter(|at| !self.machines[*at].retired).collect::<Vec<_>>() {
+            self.serve(at)?;
+        }
+        Ok(())
+    }
+
+    /// A read and a change through one machine must both succeed.
+    fn serve(&mut self, at: Index) -> Result<(), Violation> {
+        let deadline = self.now + FINAL_DEADLINE;
+        self.ask_until(at, None, deadline, |request, deadline| Input::Read { request, deadline })?;
+        let read = self.machines[at].last_request;
+        self.next_entry += 1;
+        let command = Command::Append(self.next_entry);
+        let propose = |request, deadline| Input::Propose { request, command: command.encode(), deadline };
+        self.ask_until(at, Some(command), deadline, propose)?;
+        let changed = self.machines[at].last_request;
+        self.run(FINAL_DEADLINE)?;
+        let read = read.and_then(|request| self.history.outcome(request));
+        let changed = changed.and_then(|request| self.history.outcome(request));
+        match (read, changed) {
+            (Some(Outcome::Value { .. }), Some(Outcome::Changed { .. })) => Ok(()),
+            _ => Err(Violation::Stuck(at)),
+        }
+    }
+
+    fn expect(&self, step: usize, at: Index, expected: Expectation) -> Result<(), Violation> {
+        let found = match expected {
+            Expectation::Member | Expectation::Spare | Expectation::Recovering => self.standing(at),
+            Expectation::Revision(_) => self.machines[at].learned().map(Expectation::Revision),
+            _ => self.answer(at),
+        };
+        if found == Some(expected) {
+            return Ok(());
+        }
+        let found = found.map_or_else(|| "nothing".to_owned(), |found| found.to_string());
+        Err(Violation::Unmet { step, expected: expected.to_string(), found })
+    }
+
+    fn standing(&self, at: Index) -> Option<Expectation> {
+        self.machines[at].status().map(|status| match status {
+            Status::Member => Expectation::Member,
+            Status::Spare => Expectation::Spare,
+            Status::Recovering { .. } => Expectation::Recovering,
+        })
+    }
+
+    fn answer(&self, at: Index) -> Option<Expectation> {
+        let request = self.machines[at].last_request?;
+        let Some(outcome) = self.history.outcome(request) else {
+            return Some(Expectation::Unanswered);
+        };
+        Some(match outcome {
+            Outcome::Changed { .. } => Expectation::Changed,
+            Outcome::Unchanged { .. } => Expectation::Unchanged,
+            Outcome::Refused { .. } => Expectation::Refused,
+            Outcome::Value { .. } => Expectation::Value,
+            Outcome::Expired => Expectation::Expired,
+            Outcome::Timeout => Expectation::Timeout,
+        })
+    }
+}
