Test patches and rows of changes against plain models

Cause: what is read back has to be what was sent, and a change taken once is acknowledged ever after; both were tested by single cases only. Ruled out: comparing texts, as a patch keeps the spelling of what it does not name.

--- /dev/null
+++ b/crates/model/tests/control_state_model.rs
@@ -0,0 +1,81 @@
+//! Rows of changes of two operators, some sent again, against a plain model.
+
+use lanegate_model::control_state::{Command, ControlState, Method, Outcome};
+use proptest::prelude::*;
+
+/// A call of one of two operators.
+#[derive(Debug, Clone)]
+enum Call {
+    /// A new change on top of the version that is current, or of one before it.
+    Change { operator: u8, is_put: bool, behind: u64, step: u64 },
+    /// The same as the call of that number.
+    Again { of: prop::sample::Index },
+}
+
+fn calls() -> impl Strategy<Value = Call> {
+    let change = (0..2_u8, any::<bool>(), 0..2_u64, 0..3_u64)
+        .prop_map(|(operator, is_put, behind, step)| Call::Change { operator, is_put, behind, step });
+    let again = any::<prop::sample::Index>().prop_map(|of| Call::Again { of });
+    prop_oneof![2 => change, 1 => again]
+}
+
+fn command(current: u64, operator: u8, is_put: bool, behind: u64, step: u64) -> Command {
+    let method = if is_put { Method::Put } else { Method::Patch };
+    let body = format!(r#"{{"Version":{},"Limits":{{"MaxBodyBytes":{operator}}}}}"#, current + step);
+    Command { method, if_match: Some(current.saturating_sub(behind)), body: body.into_bytes() }
+}
+
+/// The limit that tells whose change it is.
+fn limit(text: &str) -> &str {
+    text.split("\"MaxBodyBytes\":").nth(1).unwrap().trim_end_matches('}')
+}
+
+proptest! {
+    #[test]
+    fn changes_are_taken_once_in_order_and_acknowledged_ever_after(
+        calls in prop::collection::vec(calls(), 1..30),
+    ) {
+        let mut state = ControlState::default();
+        let mut sent: Vec<Command> = Vec::new();
+        let mut taken: Vec<Command> = Vec::new();
+        for call in calls {
+            let command = match call {
+                Call::Again { of } if !sent.is_empty() => of.get(&sent).clone(),
+                Call::Again { .. } => continue,
+                Call::Change { operator, is_put, behind, step } => {
+                    command(state.version(), operator, is_put, behind, step)
+                }
+            };
+            sent.push(command.clone());
+            let before = state.version();
+            let applied = state.apply(&command);
+            match &applied.outcome {
+                Outcome::Taken { version } => {
+                    prop_assert!(!taken.contains(&command));
+                    prop_assert!(*version > before && command.if_match == Some(before));
+                    taken.push(command);
+                }
+                Outcome::AlreadyTaken { current } => {
+                    let same = |other: &Command| other.method == command.method && other.body == command.body;
+                    prop_assert!(taken.iter().any(same) || state.document() == Some(&*command.body));
+                    prop_assert_eq!(*current, before);
+                }
+                Outcome::Conflict { current } => {
+                    prop_assert!(!taken.contains(&command));
+                    prop_assert!(*current == before && command.if_match != Some(before));
+                }
+                Outcome::Invalid(_) => {
+                    prop_assert!(!taken.contains(&command) && command.if_match == Some(before));
+                }
+            }
+            if let Some(next) = applied.state {
+                state = ControlState::decode(&next.encode()).unwrap();
+                let body = String::from_utf8(taken.last().unwrap().body.clone()).unwrap();
+                prop_assert_eq!(limit(&body), limit(std::str::from_utf8(state.document().unwrap()).unwrap()));
+            }
+        }
+        for command in &taken {
+            prop_assert!(state.apply(command).outcome.is_acknowledged());
+        }
+    }
+}
