Weigh placement's evictions by one cost, and count adapters' copies once a round

Cause: with more models in demand than places, further copies of busy models and first copies of rare ones drove each other out, room made for a further copy stood idle while the weight store's window was full, and counting each adapter's copies anew took time that grows with adapters times endpoints. Ruled out: keeping rare models by their long-time rate alone, which protects the last copy of a model that has just gone out of demand for minutes. Change: a spare copy is worth the requests it takes off the others, a last copy the misses still to be expected after the pause; requests that wait may take room made for others; questions after evictions are left out where a heartbeat is about to tell; two standard deviations of margin for growth. A takeover leaves room for another within the window. Simulated endpoints now also evict slowly at times (up to 3 s).

--- a/crates/placement/src/adapters.rs
+++ b/crates/placement/src/adapters.rs
@@ -6,7 +6,8 @@
 use crate::models::rendezvous;
 use crate::need::{Fleet, Target};
 use crate::rate::{DemandTable, Rates};
-use crate::view::Endpoints;
+use crate::view::{Endpoints, View};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,8 +37,19 @@
     pub victim: Option<Item>,
 }
 
+/// On how many endpoints an adapter is.
+#[derive(Debug, Clone, Copy, Default)]
+struct Copies {
+    /// Holding or loading it.
+    all: usize,
+    /// Showing it, so that requests are served there.
+    serving: usize,
+}
+
 /// What one round of placing adapters looks at.
 pub struct AdapterView<'a> {
+    copies: HashMap<Item, Copies>,
+    holders: HashMap<Arc<str>, usize>,
     pub now: Duration,
     pub fleet: Fleet,
     pub demand: &'a DemandTable,
@@ -46,7 +58,37 @@
     pub seed: u64,
 }
 
-impl AdapterView<'_> {
+impl<'a> AdapterView<'a> {
+    /// Looks at what the endpoints hold.
+    pub fn new(
+        view: &View,
+        demand: &'a DemandTable,
+        endpoints: &'a Endpoints,
+        catalog: &'a Catalog,
+        seed: u64,
+    ) -> Self {
+        let (copies, holders) = (HashMap::new(), HashMap::new());
+        let (now, fleet) = (view.now, view.fleet);
+        let mut this = AdapterView { copies, holders, now, fleet, demand, endpoints, catalog, seed };
+        for endpoint in endpoints.values().filter(|endpoint| endpoint.ready) {
+            this.count(endpoint);
+        }
+        this
+    }
+
+    fn count(&mut self, endpoint: &Endpoint) {
+        for item in endpoint.items() {
+            let shown = endpoint.shows(&item);
+            if item.is_model() {
+                *self.holders.entry(item.model).or_default() += usize::from(shown);
+            } else if endpoint.keeps(&item) {
+                let copies = self.copies.entry(item).or_default();
+                copies.all += 1;
+                copies.serving += usize::from(shown);
+            }
+        }
+    }
+
     /// The adapters that want a copy, the most wanted first.
     pub fn wishes(&self) -> Vec<AdapterWish> {
         let mut wishes = Vec::new();
@@ -61,31 +103,38 @@
     }
 
     fn wish(&self, item: Item, rates: &Rates) -> Option<AdapterWish> {
-        let copies = self.copies(&item);
+        let copies = self.copies(&item).all;
         let rank = match copies {
             0 if rates.in_demand(self.now) => AdapterRank::First,
             0 => AdapterRank::Restore,
             _ if copies < self.target(&item, rates).order => AdapterRank::Further,
             _ => return None,
         };
-        let weight = rates.slow(self.now) / copies.max(1) as f64;
+        let weight = rates.remembered(self.now) / copies.max(1) as f64;
         Some(AdapterWish { item, rank, weight })
     }
 
-    fn copies(&self, item: &Item) -> usize {
-        self.endpoints.values().filter(|endpoint| endpoint.ready && endpoint.keeps(item)).count()
+    fn copies(&self, item: &Item) -> Copies {
+        self.copies.get(item).copied().unwrap_or_default()
+    }
+
+    /// A copy is chosen to go.
+    pub fn evicted(&mut self, victim: Option<&Item>) {
+        let Some(copies) = victim.and_then(|victim| self.copies.get_mut(victim)) else { return };
+        copies.all = copies.all.saturating_sub(1);
+        copies.serving = copies.serving.saturating_sub(1);
     }
 
     fn target(&self, item: &Item, rates: &Rates) -> Target {
-        let model = Item::model(item.model.clone());
-        let ready = self.endpoints.values().filter(|endpoint| endpoint.ready);
-        let holders = ready.filter(|endpoint| endpoint.shows(&model)).count();
+        let holders = self.holders.get(&item.model).copied().unwrap_or(0);
         self.fleet.target(rates, holders, self.now)
     }
 
-    /// The best endpoint for another copy: a free place before an eviction, then the stable rank.
-    pub fn site(&self, wish: &AdapterWish) -> Option<AdapterSite> {
-        let sites = self.endpoints.values().filter_map(|endpoint| self.rate_site(wish, endpoint));
+    /// The best endpoint for another copy, but for those taken in this round: a free place before an
+    /// eviction, then the stable rank.
+    pub fn site(&self, wish: &AdapterWish, taken: &[&Arc<str>]) -> Option<AdapterSite> {
+        let open = self.endpoints.values().filter(|endpoint| !taken.contains(&&endpoint.id));
+        let sites = open.filter_map(|endpoint| self.rate_site(wish, endpoint));
         let best = sites.min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
         best.map(|(_, _, site)| site)
     }
@@ -126,19 +175,17 @@
     fn cost_of(&self, wish: &AdapterWish, victim: &Item) -> Option<f64> {
         let rates = self.demand.models.get(&victim.model);
         let rates = rates.and_then(|model| model.adapters.get(victim.adapter.as_ref()?));
-        let copies = self.copies(victim);
+        let Copies { all, serving } = self.copies(victim);
         let Some(rates) = rates else {
-            return (copies >= 2 || self.demand.watched(self.now)).then_some(0.0);
+            return (serving >= 2 || self.demand.watched(self.now)).then_some(0.0);
         };
-        let each = rates.slow(self.now) / copies.max(1) as f64;
+        let each = rates.remembered(self.now) / all.max(1) as f64;
         if rates.in_demand(self.now) {
-            let ready = self.endpoints.values().filter(|endpoint| endpoint.ready);
-            let serving = ready.filter(|endpoint| endpoint.shows(victim)).count();
-            let surplus = serving >= 2 && copies > self.target(victim, rates).keep.max(1);
+            let surplus = serving >= 2 && all > self.target(victim, rates).keep.max(1);
             let spare = serving >= 2 && wish.rank == AdapterRank::First;
             return (surplus || spare).then_some(if surplus { 0.0 } else { each });
         }
-        let pays = wish.rank == AdapterRank::First || copies >= 2 || each * REPLACE_RATIO < wish.weight;
+        let pays = wish.rank == AdapterRank::First || all >= 2 || each * REPLACE_RATIO < wish.weight;
         pays.then_some(each)
     }
 }
--- a/crates/placement/src/answers.rs
+++ b/crates/placement/src/answers.rs
@@ -123,8 +123,9 @@
         self.refusals = 0;
         self.revision = self.revision.map(|revision| revision + 1);
         self.last_taken = Some(now);
+        let next_beat = self.registered + self.beat;
         if let Some(order) = self.order.as_mut() {
-            order.taken(now);
+            order.taken(now, next_beat);
         }
     }
 
--- a/crates/placement/src/endpoint.rs
+++ b/crates/placement/src/endpoint.rs
@@ -13,6 +13,9 @@
 /// How long something told by a report stands although registrations, which may be older, lack it.
 const REPORT_STANDS: Duration = Duration::from_millis(2_600);
 
+/// Time between registrations until it is measured.
+const USUAL_BEAT: Duration = Duration::from_millis(1_200);
+
 /// How long room is kept for a load that an eviction was made for.
 const INTENT_LASTS: Duration = Duration::from_secs(12);
 
@@ -35,6 +38,8 @@
 #[derive(Debug, Clone)]
 pub struct Intent {
     pub model: Arc<str>,
+    /// Whether requests wait for it.
+    pub urgent: bool,
     pub until: Duration,
 }
 
@@ -57,6 +62,8 @@
     pub zone: Arc<str>,
     pub ready: bool,
     pub registered: Duration,
+    /// Usual time between two registrations.
+    pub beat: Duration,
     pub held: Vec<Held>,
     pub expected: Vec<Expected>,
     pub leaving: Vec<Item>,
@@ -85,6 +92,7 @@
             zone: Arc::from(instance.zone.as_str()),
             ready: false,
             registered: Duration::ZERO,
+            beat: USUAL_BEAT,
             held: Vec::new(),
             expected: Vec::new(),
             leaving: Vec::new(),
@@ -106,6 +114,10 @@
         if self.sequence.is_some_and(|known| instance.sequence <= known) {
             return false;
         }
+        if self.sequence.is_some() {
+            let gap = now.saturating_sub(self.registered).min(USUAL_BEAT * 2);
+            self.beat = (self.beat * 3 + gap) / 4;
+        }
         self.sequence = Some(instance.sequence);
         self.registered = now;
         let ready = instance.state == InstanceState::Ready && instance.remaining_ms.is_none();
@@ -265,8 +277,14 @@
     }
 
     /// Keeps what room is made here for a model.
-    pub fn intend(&mut self, model: Arc<str>, now: Duration) {
-        self.intent = Some(Intent { model, until: now + INTENT_LASTS });
+    pub fn intend(&mut self, model: Arc<str>, urgent: bool, now: Duration) {
+        self.intent = Some(Intent { model, urgent, until: now + INTENT_LASTS });
+    }
+
+    /// Whether a load that requests wait for, or not, may have the room that is being made here.
+    pub fn open_to(&self, urgent: bool, now: Duration) -> bool {
+        let intent = self.intent.as_ref().filter(|intent| now < intent.until);
+        intent.is_none_or(|intent| urgent && !intent.urgent)
     }
 
     /// The model for which room is being made.
--- a/crates/placement/src/models.rs
+++ b/crates/placement/src/models.rs
@@ -11,7 +11,7 @@
 /// What the loss of a model's last copy costs with each request that comes for it: a load and lateness.
 const MISS_COST: f64 = 1.4;
 
-/// What the loss of a further copy costs with each request that it served.
+/// What the loss of a further copy costs with each request that the others have to take on.
 const SPARE_COST: f64 = 0.3;
 
 /// What the loss of a copy that is not needed costs, and with each request that it served.
@@ -29,8 +29,8 @@
 /// What it costs to load onto an endpoint that carries an even share of the work.
 const LOAD_COST: f64 = 0.1;
 
-/// A further copy replaces a last one only if it serves this many times as many requests.
-const REPLACE_RATIO: f64 = 20.0;
+/// A further copy replaces a last one only if it is worth this many times as much.
+const REPLACE_RATIO: f64 = 3.0;
 
 /// Requests a second from which a model that lost its last copy is loaded before it is asked for again.
 const RESTORE_RATE: f64 = 0.008;
@@ -83,7 +83,7 @@
     let rank = match standing.copies {
         0 if standing.urgent => Rank::Unplaced,
         0 if standing.in_demand => Rank::First,
-        0 if standing.slow >= RESTORE_RATE => Rank::Restore,
+        0 if standing.remembered >= RESTORE_RATE => Rank::Restore,
         copies if copies > 0 && copies < standing.target.order => Rank::Further,
         _ => return None,
     };
@@ -104,7 +104,7 @@
 
     /// Rate that each copy has to carry.
     fn weight(&self) -> f64 {
-        self.standing.low.max(self.standing.slow) / self.standing.copies.max(1) as f64
+        self.standing.fast.max(self.standing.remembered) / self.standing.copies.max(1) as f64
     }
 
     /// The best endpoint for another copy.
@@ -121,7 +121,8 @@
         seed: u64,
     ) -> Option<(f64, Site)> {
         let item = Item::model(self.model.clone());
-        if !endpoint.free(view.now) || endpoint.intended(view.now).is_some() || endpoint.counts(&item) {
+        let open = endpoint.free(view.now) && endpoint.open_to(self.rank.urgent(), view.now);
+        if !open || endpoint.counts(&item) {
             return None;
         }
         let missing = catalog.size_mb(&item) - endpoint.free_mb(catalog);
@@ -178,25 +179,20 @@
 
     /// What it costs to take a copy from a model; nothing if it may not be taken for this wish.
     fn cost_of(&self, view: &View, other: &Standing) -> Option<f64> {
-        if other.in_demand && other.serving <= 1 {
+        if !view.watched || (other.in_demand && other.serving <= 1) {
             return None;
         }
         if other.copies > other.target.keep.max(1) {
-            return Some(SURPLUS_COST * (1.0 + other.slow / other.copies as f64));
+            return Some(SURPLUS_COST * (1.0 + other.remembered / other.copies as f64));
         }
         if other.in_demand {
             let spare = other.copies >= 2 && self.rank.urgent();
-            return spare.then(|| SPARE_COST * other.low.max(other.slow) / other.copies as f64);
+            return spare.then(|| SPARE_COST * other.relief(other.copies - 1));
         }
-        if !view.watched {
-            return None;
-        }
-        let pays = match self.rank {
-            Rank::Unplaced | Rank::First => true,
-            Rank::Further => other.slow * REPLACE_RATIO < self.weight(),
-            Rank::Restore => false,
-        };
-        pays.then_some(MISS_COST * other.slow)
+        let cost = MISS_COST * other.remembered;
+        let pays = self.rank.urgent()
+            || cost * REPLACE_RATIO < SPARE_COST * self.standing.relief(self.standing.copies);
+        pays.then_some(cost)
     }
 }
 
--- a/crates/placement/src/need.rs
+++ b/crates/placement/src/need.rs
@@ -10,7 +10,7 @@
 const RESILIENT_RATE: f64 = 1.0;
 
 /// Requests a second that each further copy should serve to be worth its load within a few seconds.
-const PAYING_RATE: f64 = 1.0;
+const PAYING_RATE: f64 = 3.0;
 
 /// How many copies of an item there should be.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -51,7 +51,7 @@
         let by_share = (self.endpoints_for(estimate.low, work) - UP_MARGIN).ceil().max(1.0);
         let paying = 1.0 + (estimate.low / PAYING_RATE).floor();
         let least = if estimate.low >= RESILIENT_RATE { 2.0 } else { 1.0 };
-        by_share.max(least).min(paying) as usize
+        by_share.min(paying).max(least) as usize
     }
 
     fn keep(&self, estimate: Estimate, work: f64) -> usize {
--- a/crates/placement/src/planning.rs
+++ b/crates/placement/src/planning.rs
@@ -1,6 +1,6 @@
 //! One round of planning: from demand and what the endpoints hold to orders.
 
-use crate::adapters::{AdapterSite, AdapterView, AdapterWish};
+use crate::adapters::{AdapterRank, AdapterSite, AdapterView, AdapterWish};
 use crate::endpoint::Verification;
 use crate::interface::{Action, Item, Operation, Order, OrderId};
 use crate::models::{Rank, Site, Wish, load_lasts, wish, wishes};
@@ -56,7 +56,7 @@
         let standing = view.standing(&model);
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
         let surplus = standing.copies > standing.target.keep.max(1);
-        if surplus || standing.slow <= 0.0 || self.catalog.get(&model).is_none() {
+        if surplus || standing.remembered <= 0.0 || self.catalog.get(&model).is_none() {
             endpoint.intent = None;
             view.remove_copy(&model, &endpoint.zone);
             return;
@@ -102,8 +102,13 @@
             self.blocked = true;
             return false;
         }
-        if later && let Some(endpoint) = self.endpoints.get_mut(&site.endpoint) {
-            endpoint.intend(model.clone(), view.now);
+        if let Some(endpoint) = self.endpoints.get_mut(&site.endpoint) {
+            if let Some(intent) = endpoint.intent.take().filter(|intent| view.now < intent.until) {
+                view.remove_copy(&intent.model, &zone);
+            }
+            if later {
+                endpoint.intend(model.clone(), wish.rank.urgent(), view.now);
+            }
         }
         view.add_copy(model, &zone);
         self.carry_out(view, &wish, &site);
@@ -141,22 +146,18 @@
     }
 
     fn place_adapters(&mut self, view: &View) {
-        let wishes = self.adapter_view(view).wishes();
-        for wish in wishes {
-            if let Some(site) = self.adapter_view(view).site(&wish) {
-                self.place_adapter(view.now, &wish, &site);
+        let now = view.now;
+        let mut adapters = AdapterView::new(view, &self.demand, &self.endpoints, &self.catalog, self.seed);
+        let mut given: Vec<(AdapterWish, AdapterSite)> = Vec::new();
+        for wish in adapters.wishes() {
+            let taken: Vec<&Arc<str>> = given.iter().map(|(_, site)| &site.endpoint).collect();
+            if let Some(site) = adapters.site(&wish, &taken) {
+                adapters.evicted(site.victim.as_ref());
+                given.push((wish, site));
             }
         }
-    }
-
-    fn adapter_view(&self, view: &View) -> AdapterView<'_> {
-        AdapterView {
-            now: view.now,
-            fleet: view.fleet,
-            demand: &self.demand,
-            endpoints: &self.endpoints,
-            catalog: &self.catalog,
-            seed: self.seed,
+        for (wish, site) in given {
+            self.place_adapter(now, &wish, &site);
         }
     }
 
@@ -164,7 +165,7 @@
         if !self.verified(now, &site.endpoint) {
             return;
         }
-        let urgent = wish.rank == crate::adapters::AdapterRank::First;
+        let urgent = wish.rank == AdapterRank::First;
         match &site.victim {
             Some(victim) => self.give(now, &site.endpoint, Operation::Evict, victim.clone(), urgent),
             None => self.give(now, &site.endpoint, Operation::Load, wish.item.clone(), urgent),
--- a/crates/placement/src/rate.rs
+++ b/crates/placement/src/rate.rs
@@ -32,6 +32,12 @@
 /// Work of a request besides its tokens, tokens; keeps requests of unknown size from counting as nothing.
 const REQUEST_WORK: f64 = 500.0;
 
+/// So many requests, spread over the pause since the last one, are the most that are still expected.
+const PAUSE_REQUESTS: f64 = 2.0;
+
+/// After this, what was not asked for is taken not to be in demand: two reports of each router.
+const WATCHED: Duration = Duration::from_millis(2_500);
+
 /// An interval in which a rate lies.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Estimate {
@@ -89,6 +95,12 @@
         self.faded(now, self.slow, SLOW_S)
     }
 
+    /// Requests a second that are still to be expected, after the pause since the last one.
+    pub fn remembered(&self, now: Duration) -> f64 {
+        let pause = now.saturating_sub(self.last_request).as_secs_f64();
+        self.slow(now).min(PAUSE_REQUESTS / pause.max(0.1))
+    }
+
     /// Work of the mean request, tokens.
     pub fn mean_work(&self) -> f64 {
         if self.slow > 0.0 { self.slow_work / self.slow } else { REQUEST_WORK }
@@ -126,7 +138,7 @@
 
 fn lower(rate: f64, constant: f64) -> f64 {
     let count = behind(rate, constant);
-    (count - count.sqrt()).max(0.0) / (2.0 * constant)
+    (count - 2.0 * count.sqrt()).max(0.0) / (2.0 * constant)
 }
 
 fn upper(rate: f64, constant: f64) -> f64 {
@@ -184,7 +196,7 @@
 
     /// Whether demand has been watched for so long that what was not asked for is not in demand.
     pub fn watched(&self, now: Duration) -> bool {
-        self.began.is_some_and(|began| now >= began + IN_DEMAND)
+        self.began.is_some_and(|began| now >= began + WATCHED)
     }
 
     /// Forgets what has not been asked for in a long time.
--- a/crates/placement/src/underway.rs
+++ b/crates/placement/src/underway.rs
@@ -51,6 +51,12 @@
     asked: u32,
 }
 
+/// When the end of an urgent eviction is asked for: not where a registration is about to tell it.
+fn question(now: Duration, next_beat: Duration) -> Duration {
+    let soon = now + EVICT_QUESTION * 2;
+    if (now..soon).contains(&next_beat) { next_beat + EVICT_QUESTION } else { now + EVICT_QUESTION }
+}
+
 impl Underway {
     /// An order that goes out now and should take `lasts`.
     pub fn new(id: OrderId, operation: Operation, item: Item, now: Duration, lasts: Duration) -> Underway {
@@ -68,11 +74,11 @@
         }
     }
 
-    /// The endpoint took the order.
-    pub fn taken(&mut self, now: Duration) {
+    /// The endpoint took the order; its next registration should come at `next_beat`.
+    pub fn taken(&mut self, now: Duration, next_beat: Duration) {
         self.stage = Stage::Taken;
         self.ask_at = Some(match self.operation {
-            Operation::Evict if self.urgent => now + EVICT_QUESTION,
+            Operation::Evict if self.urgent => question(now, next_beat),
             Operation::Evict => now + EVICT_PATIENCE,
             Operation::Load => now + (self.expected - self.sent) * 2 + LOAD_PATIENCE,
         });
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -22,10 +22,10 @@
     pub serving: usize,
     /// Of `copies`, those in each zone.
     pub zones: BTreeMap<Arc<str>, usize>,
-    /// Requests a second over a longer time.
-    pub slow: f64,
-    /// Requests a second that are certain of late.
-    pub low: f64,
+    /// Requests a second that are still to be expected.
+    pub remembered: f64,
+    /// Requests a second of late.
+    pub fast: f64,
     /// Work, tokens a second.
     pub work: f64,
     pub in_demand: bool,
@@ -37,6 +37,12 @@
     pub fn work_per_copy(&self) -> f64 {
         self.work / self.copies.max(1) as f64
     }
+
+    /// Requests a second that one more copy than `copies` takes from each of the others.
+    pub fn relief(&self, copies: usize) -> f64 {
+        let copies = copies.max(1) as f64;
+        self.fast / (copies * (copies + 1.0))
+    }
 }
 
 /// One round's look at the service.
@@ -73,8 +79,8 @@
             target.keep = target.keep.max(places);
             let standing = Standing {
                 target,
-                slow: total.slow(self.now),
-                low: total.estimate(self.now).low,
+                remembered: total.remembered(self.now),
+                fast: total.fast(self.now),
                 work: total.fast(self.now) * total.mean_work(),
                 in_demand: total.in_demand(self.now),
                 urgent: total.urgent(self.now),
--- a/crates/placement/tests/scenarios.rs
+++ b/crates/placement/tests/scenarios.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use lanegate_placement::Operation;
 use std::path::Path;
 use support::simulation::{Asked, Simulation, runtime};
 
@@ -46,6 +47,29 @@
         .collect()
 }
 
+/// `zipf MODELS RATE EXPONENT SHIFT`: demand for many models, most of it for a few; the most popular is the
+/// one after `SHIFT`. A quarter of it is for adapters, skewed in the same way.
+fn zipf(line: &Line) -> Vec<Asked> {
+    let (models, rate, exponent) = (line.number(3) as usize, line.number(4), line.number(5));
+    let shift = line.number(6) as usize;
+    let weight = |rank: usize| 1.0 / (rank as f64).powf(exponent);
+    let total: f64 = (1..=models).map(weight).sum();
+    let mut asked = Vec::new();
+    for rank in 1..=models {
+        let model = format!("m{}", (rank - 1 + shift) % models + 1);
+        let rate = rate * weight(rank) / total;
+        asked.push(Asked { model: model.clone(), adapter: None, rate: rate * 0.75 });
+        if rank <= 8 {
+            let adapters: f64 = (1..=8).map(weight).sum();
+            for number in 1..=8 {
+                let rate = rate * 0.25 * weight(number) / adapters;
+                asked.push(Asked { model: model.clone(), adapter: Some(format!("a{number}")), rate });
+            }
+        }
+    }
+    asked
+}
+
 fn split(item: &str) -> (&str, Option<&str>) {
     item.split_once('/').map_or((item, None), |(model, adapter)| (model, Some(adapter)))
 }
@@ -90,6 +114,8 @@
 fn command(simulation: &mut Simulation, line: &Line) {
     match line.word(2) {
         "demand" => simulation.demand = asked(line),
+        "zipf" => simulation.demand = zipf(line),
+        "fill" => simulation.fill(),
         "place" => simulation.place(line.word(3), &line.words[4..]),
         "crash" => simulation.crash(line.word(3)),
         "restart" => simulation.restart(line.word(3)),
@@ -103,8 +129,8 @@
     }
 }
 
-/// `copies ITEM`, `zones MODEL`, `orders SECONDS` and `unplaced SECONDS` (of the last seconds), `unheld`
-/// (items in demand without a copy), `questions`, `conflicts`.
+/// `copies ITEM`, `zones MODEL`, `orders SECONDS`, `loads SECONDS` (of models) and `unplaced SECONDS` (each of
+/// the last seconds), `unheld` (items in demand without a copy), `questions`, `conflicts`.
 fn expect(simulation: &Simulation, line: &Line) {
     let since = |seconds: f64| simulation.now_ms.saturating_sub((seconds * 1_000.0) as u64);
     match line.word(3) {
@@ -129,6 +155,12 @@
                 unheld.filter(|asked| simulation.copies(&asked.model, asked.adapter.as_deref()) == 0);
             line.compare(4, unheld.count() as f64);
         }
+        "loads" => {
+            let from = since(line.number(4));
+            let late = simulation.orders.iter().filter(|(at, order)| *at > from && order.adapter.is_none());
+            let loads = late.filter(|(_, order)| order.operation == Operation::Load);
+            line.compare(5, loads.count() as f64);
+        }
         "questions" => line.compare(4, simulation.questions as f64),
         "conflicts" => line.compare(4, simulation.conflicts as f64),
         other => panic!("{}: {other} can't be measured", line.place),
@@ -160,6 +192,7 @@
     adapters
     crash
     first_request
+    many_models
     notice
     shift
     steady
--- a/crates/placement/tests/support/simulation.rs
+++ b/crates/placement/tests/support/simulation.rs
@@ -1,7 +1,7 @@
 //! Simulated time: messages under way, heartbeats, reports of demand, and a placer among them.
 
 use super::check::{Checks, OVERSHOOT, WINDOW_MS};
-use super::fleet::{Endpoint, Work};
+use super::fleet::{Endpoint, Work, size};
 use super::random::Random;
 use lanegate_model::configuration::{Model, Runtime};
 use lanegate_model::demand::{DemandReport, ModelDemand};
@@ -245,6 +245,8 @@
         let lasts = match (order.operation, order.adapter.is_some()) {
             (Operation::Load, false) => load_ms * disk * (1.0 + 0.5 * chance),
             (Operation::Load, true) => 20.0 + 60.0 * chance,
+            // Now and then long runs have to finish first.
+            (Operation::Evict, _) if chance > 0.9 => 3_000.0 * chance,
             (Operation::Evict, _) => 10.0 + 400.0 * chance,
         };
         endpoint.orders_taken += 1;
@@ -342,6 +344,35 @@
         }
     }
 
+    /// Fills the endpoints as they begin: the models in demand on many, the rest on one each.
+    pub fn fill(&mut self) {
+        let mut models: Vec<Asked> =
+            self.demand.iter().filter(|asked| asked.adapter.is_none()).cloned().collect();
+        models.sort_by(|a, b| b.rate.total_cmp(&a.rate));
+        let total: f64 = models.iter().map(|asked| asked.rate).sum();
+        for copy in 1..=self.endpoints.len() {
+            for asked in &models {
+                let wanted = (asked.rate / total * self.endpoints.len() as f64).ceil();
+                if copy as f64 <= wanted {
+                    self.fill_one(&asked.model);
+                }
+            }
+        }
+    }
+
+    fn fill_one(&mut self, model: &str) {
+        let size = size(&self.runtime, model, false);
+        let room = self.runtime.weights_mb;
+        let runtime = &self.runtime;
+        let fitting = self.endpoints.iter_mut().filter(|endpoint| {
+            !endpoint.models.contains_key(model) && endpoint.used_mb(runtime) + size <= room
+        });
+        if let Some(endpoint) = fitting.min_by_key(|endpoint| endpoint.models.len()) {
+            endpoint.models.insert(model.into(), BTreeSet::new());
+            endpoint.disk.insert(model.into());
+        }
+    }
+
     pub fn crash(&mut self, name: &str) {
         self.checks.trouble_ms = self.now_ms;
         let Some(endpoint) = self.endpoints.iter_mut().find(|endpoint| endpoint.name == name) else { return };
