--- a/crates/coordination/src/storage/simulated.rs
+++ b/crates/coordination/src/storage/simulated.rs
@@ -9,10 +9,25 @@
 /// A change of names that no sync of the folder has covered yet.
 #[derive(Debug, Clone)]
 enum NameChange {
-    Renamed { from: String, to: String },
+    Named { name: String, content: Vec<u8> },
+    Renamed { from: String, to: String, content: Vec<u8> },
     Removed { name: String },
 }
 
+impl NameChange {
+    /// What is left of this change once a new file of that name is durable.
+    fn without(self, replaced: &str) -> Option<Self> {
+        match self {
+            Self::Named { name, .. } | Self::Removed { name } if name == replaced => None,
+            Self::Renamed { from, to, content } if from == replaced => {
+                Some(Self::Named { name: to, content })
+            }
+            Self::Renamed { from, to, .. } if to == replaced => Some(Self::Removed { name: from }),
+            other => Some(other),
+        }
+    }
+}
+
 /// A file's content.
 #[derive(Debug, Clone, Default)]
 struct Content {
@@ -70,10 +85,12 @@
 
     fn make_durable(&mut self, change: NameChange) {
         match change {
-            NameChange::Renamed { from, to } => {
-                if let Some(content) = self.durable.remove(&from) {
-                    self.durable.insert(to, content);
-                }
+            NameChange::Named { name, content } => {
+                self.durable.insert(name, content);
+            }
+            NameChange::Renamed { from, to, content } => {
+                self.durable.remove(&from);
+                self.durable.insert(to, content);
             }
             NameChange::Removed { name } => {
                 self.durable.remove(&name);
@@ -128,6 +145,8 @@
             content.synced = true;
         }
         self.durable.insert(name.to_owned(), bytes.to_vec());
+        let changes = std::mem::take(&mut self.unsynced);
+        self.unsynced = changes.into_iter().filter_map(|change| change.without(name)).collect();
         Ok(())
     }
 
@@ -135,7 +154,8 @@
         self.step()?;
         let content = self.files.remove(from).ok_or(io::ErrorKind::NotFound)?;
         self.files.insert(to.to_owned(), content);
-        self.unsynced.push(NameChange::Renamed { from: from.to_owned(), to: to.to_owned() });
+        let content = self.durable.get(from).cloned().unwrap_or_default();
+        self.unsynced.push(NameChange::Renamed { from: from.to_owned(), to: to.to_owned(), content });
         Ok(())
     }
 
--- a/crates/coordination/src/storage/store.rs
+++ b/crates/coordination/src/storage/store.rs
@@ -59,14 +59,20 @@
 impl VersionedStore {
     /// Opens the record named `prefix`; gives its newest intact version. Files left aside are removed.
     ///
+    /// The process before may have died between renaming a version and syncing the folder, so the folder is
+    /// synced before a version is given out.
+    ///
     /// # Errors
-    /// If the folder or a file cannot be read.
+    /// If the folder or a file cannot be read, or the folder not be synced.
     pub fn open(directory: &mut dyn Directory, prefix: &str) -> Result<(Self, Option<Vec<u8>>), StoreError> {
         let mut store = Self { prefix: prefix.to_owned(), last: 0, complete: Vec::new() };
         for name in directory.list().map_err(disk("list the folder"))? {
             store.take_stock(directory, &name)?;
         }
         store.complete.sort_unstable();
+        if !store.complete.is_empty() {
+            directory.sync_folder().map_err(disk("sync the folder"))?;
+        }
         let newest = store.newest(directory)?;
         Ok((store, newest))
     }
--- /dev/null
+++ b/crates/coordination/tests/register_codec.rs
@@ -0,0 +1,157 @@
+//! The binary form of messages and records: what is written reads back, anything else is refused.
+
+use bytes::Bytes;
+use lanegate_coordination::register::{
+    Ballot, Carried, Change, ChangeId, Floors, Group, Message, Node, Record, Value,
+};
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+fn node() -> impl Strategy<Value = Node> {
+    (any::<u32>(), any::<u16>()).prop_map(|(ip, port)| Node { ip, port })
+}
+
+fn ballot() -> impl Strategy<Value = Ballot> {
+    let parts = (any::<u64>(), node(), any::<u64>(), any::<u32>());
+    parts.prop_map(|(counter, node, nonce, step)| Ballot { counter, node, nonce, step })
+}
+
+fn floors() -> impl Strategy<Value = Floors> {
+    vec((node(), 1..u64::MAX), 0..4).prop_map(|entries| {
+        let mut floors = Floors::default();
+        for (node, incarnation) in entries {
+            floors.raise(node, incarnation);
+        }
+        floors
+    })
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    (any::<u64>(), any::<u64>(), any::<u64>())
+        .prop_map(|(nonce, sequence, revision)| Change { id: ChangeId { nonce, sequence }, revision })
+}
+
+fn value() -> impl Strategy<Value = Value> {
+    let groups = vec(vec(node(), 0..6).prop_map(Group::new), 1..3);
+    let parts = (any::<u64>(), groups, vec(change(), 0..5), vec(any::<u8>(), 0..200));
+    parts.prop_map(|(revision, groups, history, state)| Value {
+        revision,
+        groups,
+        history,
+        state: Bytes::from(state),
+    })
+}
+
+fn carried() -> impl Strategy<Value = Carried> {
+    prop_oneof![Just(Carried::Omitted), value().prop_map(Carried::Full)]
+}
+
+fn phase_one() -> impl Strategy<Value = Message> {
+    let promise = (ballot(), any::<u64>(), floors(), ballot(), carried());
+    prop_oneof![
+        (ballot(), ballot()).prop_map(|(ballot, known)| Message::Prepare { ballot, known }),
+        promise.prop_map(|(ballot, incarnation, floors, accepted, value)| Message::Promise {
+            ballot,
+            incarnation,
+            floors,
+            accepted,
+            value
+        }),
+        (ballot(), ballot()).prop_map(|(ballot, promised)| Message::Refused { ballot, promised }),
+    ]
+}
+
+fn phase_two() -> impl Strategy<Value = Message> {
+    let accepted = (ballot(), any::<u64>(), floors());
+    prop_oneof![
+        (ballot(), value()).prop_map(|(ballot, value)| Message::Accept { ballot, value }),
+        accepted.prop_map(|(ballot, incarnation, floors)| Message::Accepted { ballot, incarnation, floors }),
+        (ballot(), carried()).prop_map(|(ballot, value)| Message::Decided { ballot, value }),
+    ]
+}
+
+fn reading() -> impl Strategy<Value = Message> {
+    let state = (any::<u64>(), any::<u64>(), floors(), ballot(), ballot(), carried());
+    prop_oneof![
+        (any::<u64>(), ballot()).prop_map(|(request, known)| Message::Query { request, known }),
+        state.prop_map(|(request, incarnation, floors, promised, accepted, value)| Message::State {
+            request,
+            incarnation,
+            floors,
+            promised,
+            accepted,
+            value
+        }),
+        (ballot(), any::<bool>()).prop_map(|(decided, known)| Message::Inquire { decided, known }),
+    ]
+}
+
+fn recovering() -> impl Strategy<Value = Message> {
+    let registered = (any::<u64>(), any::<u64>(), any::<u64>(), floors(), ballot(), ballot(), value());
+    prop_oneof![
+        (any::<u64>(), any::<u64>())
+            .prop_map(|(nonce, incarnation)| Message::Register { nonce, incarnation }),
+        registered.prop_map(|(nonce, asked, incarnation, floors, promised, accepted, value)| {
+            Message::Registered { nonce, asked, incarnation, floors, promised, accepted, value }
+        }),
+    ]
+}
+
+fn message() -> impl Strategy<Value = Message> {
+    prop_oneof![phase_one(), phase_two(), reading(), recovering()]
+}
+
+fn record() -> impl Strategy<Value = Record> {
+    let parts = (any::<u64>(), ballot(), ballot(), value(), floors());
+    parts.prop_map(|(incarnation, promised, accepted, value, floors)| Record {
+        incarnation,
+        promised,
+        accepted,
+        value,
+        floors,
+    })
+}
+
+proptest! {
+    #[test]
+    fn messages_read_back(message in message()) {
+        let bytes = message.encode().unwrap();
+        prop_assert_eq!(Message::decode(&bytes).unwrap(), message);
+    }
+
+    #[test]
+    fn records_read_back(record in record()) {
+        let bytes = record.encode().unwrap();
+        prop_assert_eq!(Record::decode(&bytes).unwrap(), record);
+    }
+
+    #[test]
+    fn cut_messages_are_refused(message in message(), cut in 0.0..1.0_f64) {
+        let bytes = message.encode().unwrap();
+        let kept = ((bytes.len() as f64) * cut) as usize;
+        prop_assert!(Message::decode(&bytes[..kept]).is_err());
+    }
+
+    #[test]
+    fn bytes_after_a_message_are_refused(message in message(), extra in vec(any::<u8>(), 1..4)) {
+        let mut bytes = message.encode().unwrap();
+        bytes.extend(extra);
+        prop_assert!(Message::decode(&bytes).is_err());
+    }
+
+    #[test]
+    fn garbage_does_no_harm(bytes in vec(any::<u8>(), 0..300)) {
+        let _ = Message::decode(&bytes);
+        let _ = Record::decode(&bytes);
+    }
+
+    #[test]
+    fn a_changed_byte_does_no_harm(message in message(), at in any::<prop::sample::Index>(), byte in any::<u8>()) {
+        let mut bytes = message.encode().unwrap();
+        let at = at.index(bytes.len());
+        bytes[at] = byte;
+        if let Ok(read) = Message::decode(&bytes) {
+            prop_assert_eq!(read.encode().unwrap(), bytes);
+        }
+    }
+}
--- a/crates/coordination/tests/register_scenarios.rs
+++ b/crates/coordination/tests/register_scenarios.rs
@@ -24,11 +24,12 @@
 
 #[test]
 fn every_scenario_holds() {
-    for (path, scenario) in scenarios() {
-        if let Err(violation) = World::play(&scenario, None) {
-            panic!("{}: {violation}", path.display());
-        }
-    }
+    let played = scenarios().into_iter().filter_map(|(path, scenario)| {
+        let violation = World::play(&scenario, None).err()?;
+        Some(format!("{}: {violation}", path.display()))
+    });
+    let broken: Vec<String> = played.collect();
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
 #[test]
--- /dev/null
+++ b/crates/coordination/tests/storage.rs
@@ -0,0 +1,176 @@
+//! Versioned files on the simulated disk and on a real one.
+
+use std::io;
+
+use lanegate_coordination::storage::{Directory, Folder, SimulatedDirectory, VersionedStore};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn open(directory: &mut dyn Directory) -> (VersionedStore, Option<Vec<u8>>) {
+    VersionedStore::open(directory, "shard-1").expect("an intact folder")
+}
+
+#[test]
+fn an_empty_folder_has_no_record() {
+    assert_eq!(open(&mut SimulatedDirectory::new()).1, None);
+}
+
+#[test]
+fn the_newest_version_is_found_and_two_are_kept() {
+    let mut directory = SimulatedDirectory::new();
+    let (mut store, _) = open(&mut directory);
+    for version in 1..=5_u8 {
+        store.save(&mut directory, &[version]).unwrap();
+    }
+    assert_eq!(open(&mut directory).1, Some(vec![5]));
+    assert_eq!(directory.list().unwrap().len(), 2);
+}
+
+#[test]
+fn a_damaged_version_gives_way_to_the_one_before() {
+    let mut directory = SimulatedDirectory::new();
+    let (mut store, _) = open(&mut directory);
+    store.save(&mut directory, b"first").unwrap();
+    store.save(&mut directory, b"second").unwrap();
+    let newest = directory.list().unwrap().into_iter().max().unwrap();
+    let mut bytes = directory.read(&newest).unwrap();
+    *bytes.last_mut().unwrap() ^= 1;
+    directory.write_new(&newest, &bytes).unwrap();
+    let (mut store, record) = open(&mut directory);
+    assert_eq!(record, Some(b"first".to_vec()));
+    store.save(&mut directory, b"third").unwrap();
+    assert_eq!(open(&mut directory).1, Some(b"third".to_vec()));
+}
+
+#[test]
+fn files_left_aside_and_foreign_files_do_not_count() {
+    let mut directory = SimulatedDirectory::new();
+    directory.write_new("shard-1.0000000000000001.tmp", b"half").unwrap();
+    directory.write_new("shard-1.1", b"not a version").unwrap();
+    directory.write_new("shard-10.0000000000000001", b"another record").unwrap();
+    assert_eq!(open(&mut directory).1, None);
+    let names = directory.list().unwrap();
+    assert_eq!(names, ["shard-1.1", "shard-10.0000000000000001"]);
+}
+
+#[test]
+fn stores_share_a_folder() {
+    let mut directory = SimulatedDirectory::new();
+    for shard in ["shard-1", "shard-10", "shard-2"] {
+        let (mut store, _) = VersionedStore::open(&mut directory, shard).unwrap();
+        store.save(&mut directory, shard.as_bytes()).unwrap();
+    }
+    for shard in ["shard-1", "shard-10", "shard-2"] {
+        let (_, record) = VersionedStore::open(&mut directory, shard).unwrap();
+        assert_eq!(record, Some(shard.as_bytes().to_vec()));
+    }
+}
+
+#[test]
+fn a_full_disk_refuses_and_recovers() {
+    let mut directory = SimulatedDirectory::new();
+    let (mut store, _) = open(&mut directory);
+    store.save(&mut directory, b"before").unwrap();
+    directory.refusing = true;
+    assert!(store.save(&mut directory, b"refused").is_err());
+    assert_eq!(open(&mut directory.clone()).1, Some(b"before".to_vec()));
+    directory.refusing = false;
+    store.save(&mut directory, b"after").unwrap();
+    assert_eq!(open(&mut directory).1, Some(b"after".to_vec()));
+}
+
+#[test]
+fn the_version_before_makes_room_on_a_crowded_disk() {
+    let mut directory = SimulatedDirectory::new();
+    let (mut store, _) = open(&mut directory);
+    store.save(&mut directory, &[1; 100]).unwrap();
+    store.save(&mut directory, &[2; 100]).unwrap();
+    directory.capacity = Some(300);
+    store.save(&mut directory, &[3; 100]).unwrap();
+    assert_eq!(open(&mut directory).1, Some(vec![3; 100]));
+}
+
+#[test]
+fn a_real_folder_keeps_the_newest_version() -> io::Result<()> {
+    let path = std::env::temp_dir().join(format!("lanegate-storage-test-{}", std::process::id()));
+    let mut folder = Folder::open(&path)?;
+    let (mut store, before) = open(&mut folder);
+    for version in 1..=4_u8 {
+        store.save(&mut folder, &[version]).unwrap();
+    }
+    let mut again = Folder::open(&path)?;
+    let record = open(&mut again).1;
+    let files = again.list()?.len();
+    std::fs::remove_dir_all(&path)?;
+    assert_eq!((before, record, files), (None, Some(vec![4]), 2));
+    Ok(())
+}
+
+/// What happens to the folder.
+#[derive(Debug, Clone)]
+enum Event {
+    Save { length: usize },
+    SaveInterrupted { length: usize, steps: u32, power: bool },
+    Refuse(bool),
+    Capacity(Option<usize>),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => (0..200_usize).prop_map(|length| Event::Save { length }),
+        4 => (0..200_usize, 0..8_u32, any::<bool>())
+            .prop_map(|(length, steps, power)| Event::SaveInterrupted { length, steps, power }),
+        1 => any::<bool>().prop_map(Event::Refuse),
+        1 => proptest::option::of(100..800_usize).prop_map(Event::Capacity),
+    ]
+}
+
+/// A record that tells its number.
+fn record(number: u32, length: usize) -> Vec<u8> {
+    [number.to_be_bytes().as_slice(), &vec![number as u8; length]].concat()
+}
+
+fn number(record: Option<Vec<u8>>) -> u32 {
+    record.map_or(0, |record| u32::from_be_bytes(record[..4].try_into().unwrap()))
+}
+
+proptest! {
+    #[test]
+    fn what_was_saved_outlasts_any_end(events in vec(event(), 1..40), seed in any::<u64>()) {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut directory = SimulatedDirectory::new();
+        let (mut store, _) = open(&mut directory);
+        let (mut saved, mut last) = (0, 0);
+        for event in events {
+            last += 1;
+            match event {
+                Event::Save { length } => {
+                    if store.save(&mut directory, &record(last, length)).is_ok() {
+                        saved = last;
+                    }
+                }
+                Event::SaveInterrupted { length, steps, power } => {
+                    directory.steps_left = Some(steps);
+                    if store.save(&mut directory, &record(last, length)).is_ok() {
+                        saved = last;
+                    }
+                    directory.steps_left = None;
+                    if power {
+                        directory.lose_power(&mut random);
+                    }
+                    let (opened, found) = open(&mut directory);
+                    store = opened;
+                    let found = number(found);
+                    prop_assert!((saved..=last).contains(&found), "found {found}, saved {saved}, tried {last}");
+                    saved = found;
+                }
+                Event::Refuse(refusing) => directory.refusing = refusing,
+                Event::Capacity(capacity) => directory.capacity = capacity,
+            }
+        }
+        let found = number(open(&mut directory).1);
+        prop_assert!((saved..=last).contains(&found));
+    }
+}
