Tell routers of loads before the next heartbeat, and the placer of missing models at once

Cause: a loaded adapter or model was known to routers only with the endpoint's next heartbeat (up to 1.2 s), demand for a missing one reached the placer with the next report (up to 1 s), and the lease went back to the first controller in order after every failure, which cost a quiet period twice. Ruled out: asking endpoints often (probes are priced): only an accepted model load is asked about, from its usual end on, four times at most. Change: Holding messages amend registrations until the next heartbeat; evictions are announced before they are ordered; unplaced demand is reported within 20 ms; the holder of a lease goes on while it has its quorum; shorter lease rounds; a predecessor's quiet time counts for the load ceiling.

--- a/crates/controller/src/controller/endpoints.rs
+++ b/crates/controller/src/controller/endpoints.rs
@@ -1,7 +1,7 @@
 //! Registrations of endpoints at a controller: what is taken, told to the others, acknowledged.
 
 use super::event::Answer;
-use crate::message::{Heard, HeardList, Message, Registered as RegisteredMessage, Removed};
+use crate::message::{Heard, HeardList, Holding, Message, Registered as RegisteredMessage, Removed};
 use crate::registration::Registered;
 use crate::view::registered_message;
 use bytes::Bytes;
@@ -125,6 +125,12 @@
         }
     }
 
+    /// A placer, here or elsewhere, knows of a model at an endpoint. True if it is news.
+    pub fn hold(&mut self, holding: &Holding) -> bool {
+        let registration = self.registry.get_mut(&holding.id.text());
+        registration.is_some_and(|registration| registration.hold(holding.clone()))
+    }
+
     /// Another controller removed an incarnation. Tells what readers have to hear.
     pub fn merge_removal(&mut self, now: Duration, removed: &Removed) -> Option<Message> {
         let news = self.registry.remove(now, &removed.id.text(), removed.sequence);
@@ -195,18 +201,18 @@
 
     /// Live incarnations, for readers of the feed.
     pub fn snapshot(&self) -> impl Iterator<Item = Message> {
-        self.registry.entries().filter_map(|(id, entry)| {
-            let registration = entry.registration.as_ref()?;
-            Some(registered_message(id, entry.sequence, registration))
+        self.registry.entries().flat_map(|(id, entry)| {
+            let registration = entry.registration.as_ref();
+            let holdings = registration.into_iter().flat_map(Registered::holdings);
+            let registered = registration.map(|r| registered_message(id, entry.sequence, r));
+            registered.into_iter().chain(holdings.cloned().map(Message::Holding))
         })
     }
 
     /// All incarnations, those that are gone included, for another controller.
     pub fn full_snapshot(&self) -> impl Iterator<Item = Message> {
-        self.registry.entries().map(|(id, entry)| match &entry.registration {
-            Some(registration) => registered_message(id, entry.sequence, registration),
-            None => removed_message(id, entry.sequence),
-        })
+        let gone = self.registry.entries().filter(|(_, entry)| entry.registration.is_none());
+        self.snapshot().chain(gone.map(|(id, entry)| removed_message(id, entry.sequence)))
     }
 
     /// The registration of a live incarnation.
--- a/crates/controller/src/controller/event.rs
+++ b/crates/controller/src/controller/event.rs
@@ -3,7 +3,7 @@
 use crate::link::Outbox;
 use crate::message::{Hello, Message};
 use bytes::Bytes;
-use lanegate_placement::{EndpointReport, OrderAnswer, OrderId};
+use lanegate_placement::{EndpointReport, Order, OrderAnswer};
 use std::net::SocketAddr;
 use tokio::sync::oneshot;
 
@@ -81,9 +81,17 @@
     },
     Call(Call),
     /// An order was answered, or not.
-    OrderAnswered { service: String, order: OrderId, answer: OrderAnswer },
+    OrderAnswered {
+        service: String,
+        order: Order,
+        answer: OrderAnswer,
+    },
     /// An endpoint reported on itself.
-    Reported { service: String, instance: String, report: EndpointReport },
+    Reported {
+        service: String,
+        instance: String,
+        report: EndpointReport,
+    },
     /// A record of a shard is on disk, or could not be written.
     Written {
         shard: u8,
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -5,6 +5,7 @@
 mod disk;
 mod endpoints;
 mod event;
+mod holdings;
 mod http;
 mod links;
 mod members;
@@ -23,6 +24,7 @@
 use crate::message::Decided;
 use disk::Disk;
 use endpoints::Endpoints;
+use holdings::Holdings;
 use lanegate_coordination::lease::LeaseNode;
 use lanegate_coordination::membership::Membership;
 use lanegate_model::configuration::Configuration;
@@ -57,6 +59,7 @@
     members: Members,
     leases: LeaseNode,
     placements: Placements,
+    holdings: Holdings,
     /// The newest configuration, read.
     configuration: Option<Arc<Configuration>>,
     /// Whether this is the first start of the whole system.
--- a/crates/controller/src/controller/orders.rs
+++ b/crates/controller/src/controller/orders.rs
@@ -13,10 +13,10 @@
 use tokio::time::timeout;
 
 /// Longest time in which an order reaches its endpoint, once it may be sent.
-pub const ORDER_WIRE_TIME: Duration = Duration::from_millis(350);
+pub const ORDER_WIRE_TIME: Duration = Duration::from_millis(200);
 /// Longest wait for the connection that carries an order; with the sending it stays within
 /// [`ORDER_WIRE_TIME`].
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Longest wait for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -83,10 +83,7 @@
     serde_json::from_slice(&body).ok()
 }
 
-async fn call(
-    address: SocketAddr,
-    request: Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), CallError> {
+async fn call(address: SocketAddr, request: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes), CallError> {
     let stream = timeout(CONNECT_TIMEOUT, dial(address)).await;
     let stream = stream.map_err(|_| CallError::NotSent)?.map_err(|_| CallError::NotSent)?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
--- a/crates/controller/src/controller/placement.rs
+++ b/crates/controller/src/controller/placement.rs
@@ -39,6 +39,11 @@
         self.epochs.insert(shard, epoch);
     }
 
+    /// Whether this controller acts for `shard`.
+    pub fn acts_for(&self, shard: u8) -> bool {
+        self.epochs.contains_key(&shard)
+    }
+
     /// This controller acts for `shard` no more.
     pub fn ended(&mut self, shard: u8) {
         self.epochs.remove(&shard);
@@ -69,6 +74,9 @@
             }
             let settings = PlacerSettings::new(bounds, start);
             let mut placer = Placer::new(now, &backend.name, *epoch, &settings);
+            if start == Start::Takeover {
+                placer.predecessor_idle(Duration::from_secs_f64(bounds.lease_ms.max(0.0) / 1e3));
+            }
             placer.configure(now, runtime);
             for registered in instances.clone().filter(|r| r.instance.backend == backend.name) {
                 placer.instance(now, &registered.instance);
@@ -152,7 +160,7 @@
                 order.adapter,
                 order.instance
             );
-            Event::OrderAnswered { service, order: order.id, answer }
+            Event::OrderAnswered { service, order, answer }
         }
         Action::AskReport { instance, address } => {
             let Some(report) = super::orders::ask_report(address).await else { return };
--- a/crates/controller/src/controller/placing.rs
+++ b/crates/controller/src/controller/placing.rs
@@ -1,14 +1,15 @@
 //! What a controller does for the services that it places: leases, news for the placers, orders.
 
+use super::holdings::{Step, holding};
 use super::orders::ORDER_WIRE_TIME;
 use super::placement::{Placements, ServiceAction, carry_out};
 use super::shards;
 use super::{Asked, Controller};
-use crate::message::{Message, RouterDemand, ShardMessage};
+use crate::message::{Holding, Message, RouterDemand, ShardMessage};
 use lanegate_coordination::lease::Output;
 use lanegate_coordination::register::Input;
 use lanegate_model::demand::DemandReport;
-use lanegate_placement::{Action, OrderAnswer, Start};
+use lanegate_placement::{Action, Operation, Order, OrderAnswer, Start};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -25,7 +26,10 @@
         let wanted: BTreeSet<u8> = Placements::wanted_shards(&configuration).collect();
         let quorum = self.has_quorum();
         for shard in shards::all().filter(|shard| *shard != shards::CONFIGURATION) {
-            let stands = quorum && wanted.contains(&shard) && self.owner(shard, &[shard]) == self.this;
+            // Who acts goes on while it can: handing over to the first in order costs a quiet period.
+            let acts = self.placements.acts_for(shard);
+            let stands =
+                quorum && wanted.contains(&shard) && (acts || self.owner(shard, &[shard]) == self.this);
             let outputs = self.leases.set_candidate(now, u32::from(shard), stands);
             self.lease_outputs(outputs);
         }
@@ -59,6 +63,7 @@
                 Output::Ended { shard, .. } => {
                     log::info!("acts no more for shard {shard}");
                     self.placements.ended(shard as u8);
+                    self.holdings.clear();
                 }
             }
         }
@@ -91,6 +96,43 @@
         for action in self.placements.due(now) {
             self.start_action(action);
         }
+        for step in self.holdings.due(now) {
+            match step {
+                Step::Publish(holding) => self.publish(holding),
+                Step::Ask { service, instance, address } => {
+                    let shard = shards::shard_of(&service);
+                    let action = Action::AskReport { instance, address };
+                    self.start_action(ServiceAction { service, shard, action });
+                }
+            }
+        }
+    }
+
+    /// An order was answered, or not.
+    pub(super) fn order_answered(&mut self, service: &str, order: &Order, answer: OrderAnswer) {
+        let now = self.now();
+        if answer == OrderAnswer::Accepted {
+            let load_time = self.load_time(service, &order.model);
+            self.holdings.accepted(now, service, order, load_time);
+        }
+        self.placements.answered(now, service, order.id, answer);
+    }
+
+    fn load_time(&self, service: &str, model: &str) -> Duration {
+        let configuration = self.configuration.as_ref();
+        let backends = configuration.into_iter().flat_map(|configuration| &configuration.backends);
+        let runtime = backends.filter(|b| b.name == service).find_map(|backend| backend.runtime.as_ref());
+        let model = runtime.and_then(|runtime| runtime.models.iter().find(|m| m.name == model));
+        model.map_or(Duration::ZERO, |model| Duration::from_secs_f64(model.load_time_s))
+    }
+
+    /// Tells everyone what is known of a model at an endpoint.
+    pub(super) fn publish(&mut self, holding: Holding) {
+        if self.endpoints.hold(&holding) {
+            let message = Message::Holding(holding);
+            self.readers.append(&message);
+            self.peers.broadcast(&message);
+        }
     }
 
     fn start_action(&mut self, action: ServiceAction) {
@@ -103,6 +145,7 @@
         };
         match (epoch, &action.action) {
             (Some(epoch), _) => {
+                self.announce_eviction(&action.action);
                 let owner = self.settings.node_name.clone();
                 tokio::task::spawn_local(carry_out(action, owner, epoch, self.events.clone()));
             }
@@ -114,6 +157,14 @@
         }
     }
 
+    /// Routers stop sending what an endpoint is about to drop before it is told to.
+    fn announce_eviction(&mut self, action: &Action) {
+        let Action::Order(order) = action else { return };
+        if order.operation == Operation::Evict {
+            self.publish(holding(&order.instance, &order.model, order.adapter.as_deref(), false));
+        }
+    }
+
     /// Tells the placers of an endpoint, as the registry has it now.
     pub(super) fn tell_placers(&mut self, id: &str) {
         if !self.placements.is_active() {
--- a/crates/controller/src/controller/setup.rs
+++ b/crates/controller/src/controller/setup.rs
@@ -3,6 +3,7 @@
 use super::disk::Disk;
 use super::endpoints::Endpoints;
 use super::event::Event;
+use super::holdings::Holdings;
 use super::members::Members;
 use super::operator::Operator;
 use super::peers::Peers;
@@ -27,6 +28,8 @@
 
 /// Time between heartbeats of controllers.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+/// How long a round of grants lets the holder of a lease act.
+const LEASE_VALIDITY: Duration = Duration::from_millis(600);
 /// Every controller monitors every other: there are a few of them.
 const MONITORS: usize = 16;
 /// Time that calls under way get at the end of the process.
@@ -108,7 +111,7 @@
         let replicas = start_replicas(&settings, this, records, life)?;
         let disk = Disk::start(directory, stores, events.clone())?;
         let node = NodeId::new(this, life);
-        let lease = LeaseSettings::for_quiet_period(Duration::from_secs_f64(settings.bounds.lease_ms / 1e3));
+        let lease = lease_settings(Duration::from_secs_f64(settings.bounds.lease_ms / 1e3));
         let start = if first { GrantorStart::First } else { GrantorStart::Restarted };
         let hello = Hello {
             role: Role::Controller,
@@ -133,6 +136,7 @@
             members: Members::default(),
             leases: LeaseNode::new(lease, node, start, now),
             placements: Placements::default(),
+            holdings: Holdings::default(),
             configuration: None,
             first_start: first,
             events,
@@ -151,6 +155,16 @@
     }
 }
 
+/// A short validity, as a failover waits for it on top of the quiet period.
+fn lease_settings(quiet_period: Duration) -> LeaseSettings {
+    LeaseSettings {
+        validity: LEASE_VALIDITY,
+        round_interval: LEASE_VALIDITY / 4,
+        margin: LEASE_VALIDITY / 20,
+        ..LeaseSettings::for_quiet_period(quiet_period)
+    }
+}
+
 fn ipv4(address: SocketAddr) -> Result<SocketAddrV4, ControllerError> {
     match address {
         SocketAddr::V4(address) => Ok(address),
--- a/crates/controller/src/controller/turn.rs
+++ b/crates/controller/src/controller/turn.rs
@@ -54,6 +54,7 @@
             self.operator.next_wake(),
             self.endpoints.next_wake(),
             self.placements.next_wake(),
+            self.holdings.next_wake(),
             Some(self.next_beat),
             Some(self.next_housekeeping),
         ];
@@ -192,10 +193,11 @@
                 self.peers.broadcast(&Message::Demand(demand));
             }
             Event::AgentMessage { .. } => {}
-            Event::OrderAnswered { service, order, answer } => {
-                self.placements.answered(now, &service, order, answer);
-            }
+            Event::OrderAnswered { service, order, answer } => self.order_answered(&service, &order, answer),
             Event::Reported { service, instance, report } => {
+                for holding in self.holdings.reported(&instance, &report.models) {
+                    self.publish(holding);
+                }
                 self.placements.reported(now, &service, &instance, &report);
             }
             Event::AgentDown { agent } => self.readers.down(agent),
@@ -259,6 +261,11 @@
                 }
                 self.tell_placers(&removed.id.text());
             }
+            Message::Holding(holding) => {
+                if self.endpoints.hold(&holding) {
+                    self.readers.append(&Message::Holding(holding));
+                }
+            }
             Message::HeardList(list) => {
                 self.endpoints.merge_heard(now, &list);
                 list.heard.iter().for_each(|heard| self.tell_placers(&heard.id.text()));
--- a/crates/controller/src/feed_client.rs
+++ b/crates/controller/src/feed_client.rs
@@ -4,7 +4,6 @@
 use crate::life::draw_life;
 use crate::link::Outbox;
 use crate::message::{Hello, Message, Role, RouterDemand};
-use crate::registration::Registered;
 use crate::subscription::{News, follow};
 use crate::view::View;
 use lanegate_model::configuration::Configuration;
@@ -100,12 +99,8 @@
                     Err(error) => log::error!("configuration of revision {}: {error}", decided.revision),
                 }
             }
-            Message::Registered(message) => {
-                let id = message.id.text();
-                if let Ok(registered) = Registered::parse(&id, message.body.bytes.into()) {
-                    self.send(FeedEvent::Instance(registered.instance));
-                }
-            }
+            Message::Registered(message) => self.pass_on_instance(&message.id.text()),
+            Message::Holding(holding) => self.pass_on_instance(&holding.id.text()),
             Message::Removed(removed) => self.send(FeedEvent::Removed { id: removed.id.text() }),
             Message::SnapshotEnd { .. } if !self.synchronized => {
                 self.synchronized = true;
@@ -115,6 +110,13 @@
         }
     }
 
+    /// Passes on an incarnation as it is known now; one that is gone is passed on as that.
+    fn pass_on_instance(&self, id: &str) {
+        if let Some(registered) = self.view.registration(id) {
+            self.send(FeedEvent::Instance(registered.current_instance()));
+        }
+    }
+
     fn send(&self, event: FeedEvent) {
         let _ = self.events.send(event);
     }
--- a/crates/controller/src/message.rs
+++ b/crates/controller/src/message.rs
@@ -160,6 +160,18 @@
     pub token: u64,
 }
 
+/// What a placer knows of an endpoint's models before the endpoint's next heartbeat tells it.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Holding {
+    pub id: Blob,
+    pub model: Blob,
+    /// Empty for the model itself.
+    pub adapter: Blob,
+    /// 1 if the endpoint holds it from now on, 0 if it is about to drop it.
+    pub present: u8,
+}
+
 /// The demand that a router saw.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
@@ -212,6 +224,8 @@
     /// A controller's heartbeat to another, as the membership writes it.
     #[deku(id = 17)]
     Heartbeat { body: Blob },
+    #[deku(id = 18)]
+    Holding(Holding),
 }
 
 impl Message {
--- a/crates/controller/src/view.rs
+++ b/crates/controller/src/view.rs
@@ -42,6 +42,12 @@
             Message::Decided(decided) => self.decided(decided, news),
             Message::Registered(registered) => self.registered(now, source, registered, news),
             Message::Removed(removed) => self.removed(now, source, removed, news),
+            Message::Holding(holding) => {
+                let registration = self.registry.get_mut(&holding.id.text());
+                if registration.is_some_and(|registration| registration.hold(holding.clone())) {
+                    news.push(Message::Holding(holding));
+                }
+            }
             Message::FeedBeat(beat) => {
                 self.routers = beat.routers;
                 self.registry.forget(now, REMOVAL_MEMORY);
@@ -88,15 +94,20 @@
     pub fn snapshot(&self) -> Vec<Message> {
         let mut messages = vec![Message::SnapshotBegin];
         messages.extend(self.decided.clone().map(Message::Decided));
-        let live = self.registry.entries().filter_map(|(id, entry)| {
-            let registration = entry.registration.as_ref()?;
-            Some(registered_message(id, entry.sequence, registration))
-        });
-        messages.extend(live);
+        for (id, entry) in self.registry.entries() {
+            let Some(registration) = &entry.registration else { continue };
+            messages.push(registered_message(id, entry.sequence, registration));
+            messages.extend(registration.holdings().iter().cloned().map(Message::Holding));
+        }
         messages.push(Message::SnapshotEnd { complete: u8::from(self.is_complete()) });
         messages
     }
 
+    /// The registration of an incarnation.
+    pub fn registration(&self, id: &str) -> Option<&Registered> {
+        self.registry.get(id)?.registration.as_ref()
+    }
+
     fn source(&mut self, source: SocketAddr) -> &mut Source {
         self.sources.entry(source).or_default()
     }
--- a/crates/controller/tests/message.rs
+++ b/crates/controller/tests/message.rs
@@ -26,6 +26,7 @@
         Message::Removed(Removed { id: "i-1".into(), sequence: u64::MAX }),
         Message::FeedBeat(FeedBeat { quorum: 1, source: 4, offset: 5, routers: 9 }),
         Message::Flush(Token { token: 1 }),
+        Message::Holding(Holding { id: "i-1".into(), model: "m".into(), adapter: "a1".into(), present: 1 }),
         Message::Heartbeat { body: vec![7; 20].into() },
     ];
     for message in messages {
--- a/crates/coordination/src/registry.rs
+++ b/crates/coordination/src/registry.rs
@@ -152,6 +152,11 @@
         self.entries.iter()
     }
 
+    /// The registration of a live incarnation, to be amended in place.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut R> {
+        self.entries.get_mut(id)?.registration.as_mut()
+    }
+
     /// The entry of one incarnation.
     pub fn get(&self, id: &str) -> Option<&Entry<R>> {
         self.entries.get(id)
--- a/crates/dispatch/src/demand.rs
+++ b/crates/dispatch/src/demand.rs
@@ -41,6 +41,11 @@
         count.unplaced += u32::from(!placed);
     }
 
+    /// Whether something was asked for that no endpoint can serve now.
+    pub fn has_unplaced(&self) -> bool {
+        self.counts.values().any(|count| count.unplaced > 0)
+    }
+
     /// Hands over the counts and starts anew.
     pub fn take(&mut self, now: Duration) -> DemandReport {
         let period = now.saturating_sub(std::mem::replace(&mut self.since, now));
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -150,6 +150,11 @@
         self.agenda.next()
     }
 
+    /// Whether the next report tells of demand that no endpoint can serve, and should not wait.
+    pub fn has_unplaced_demand(&self) -> bool {
+        self.demand.has_unplaced()
+    }
+
     /// The demand since the last report.
     pub fn demand_report(&mut self, now: Duration) -> DemandReport {
         self.demand.take(now)
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -82,6 +82,12 @@
         }
     }
 
+    /// The predecessor has given no orders for `idle` when this placer begins: that much of the ceiling
+    /// window has passed already.
+    pub fn predecessor_idle(&mut self, idle: Duration) {
+        self.store.assume_until(self.store.assumed_until().saturating_sub(idle));
+    }
+
     /// The runtime of the service, as the newest configuration has it.
     pub fn configure(&mut self, now: Duration, runtime: &Runtime) {
         self.now = now;
--- a/crates/placement/src/store.rs
+++ b/crates/placement/src/store.rs
@@ -58,6 +58,16 @@
         }
     }
 
+    /// Until when the loads of a predecessor are assumed to use the ceiling up.
+    pub fn assumed_until(&self) -> Duration {
+        self.assumed_until
+    }
+
+    /// Sets until when that is assumed.
+    pub fn assume_until(&mut self, until: Duration) {
+        self.assumed_until = until;
+    }
+
     /// Sets the permitted rate and the loads at once that sustain it.
     pub fn permit(&mut self, loads_per_s: f64, sustained: f64) {
         self.loads_per_s = loads_per_s;
--- a/crates/router/src/maintenance.rs
+++ b/crates/router/src/maintenance.rs
@@ -9,10 +9,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, sleep_until};
 
 /// Pause between two ticks: limits are met within a second, for one wake-up a second.
 const TICK: Duration = Duration::from_secs(1);
+/// Shortest pause between two reports of demand that no endpoint can serve; requests wait for these.
+const URGENT_PAUSE: Duration = Duration::from_millis(20);
 /// Time after a request's deadline at which a client that does not take its answer is left.
 const STALLED_ANSWER: Duration = Duration::from_secs(2);
 /// Idle times after which a client that has not even taken its last answer is left.
@@ -26,7 +28,14 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut until_log = TICKS_PER_LOG;
     loop {
-        let now = ticks.tick().await;
+        let now = tokio::select! {
+            now = ticks.tick() => now,
+            () = state.unplaced.notified() => {
+                report(&state, &demand);
+                sleep(URGENT_PAUSE).await;
+                continue;
+            }
+        };
         let limits = state.routing().map(|routing| routing.limits().clone()).unwrap_or_default();
         clients.each(|activity| sweep(activity, &limits, now));
         state.pool.close_stale(now);
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -39,6 +39,8 @@
     armed: Cell<Option<Duration>>,
     /// Wakes the timer task when it has to be earlier.
     pub rearm: Notify,
+    /// Wakes the reports of demand: something is asked for that no endpoint can serve.
+    pub unplaced: Notify,
     pub pool: Pool,
     pub counters: Counters,
 }
@@ -57,6 +59,7 @@
             service: Cell::new(Service::Running),
             armed: Cell::new(None),
             rearm: Notify::new(),
+            unplaced: Notify::new(),
             pool: Pool::default(),
             counters: Counters::default(),
         })
@@ -164,7 +167,11 @@
         let result = act(&mut dispatcher, now);
         let decisions = dispatcher.take_decisions();
         let wake = dispatcher.next_wake();
+        let unplaced = dispatcher.has_unplaced_demand();
         drop(dispatcher);
+        if unplaced {
+            self.unplaced.notify_one();
+        }
         decisions.into_iter().for_each(|decision| self.deliver(decision));
         self.arm(wake);
         result
