Plan placement from rooms and holders counted once a round, at most twenty times a second

Ruled out: planning by a timer alone, which would delay the load of a model that requests wait for. Change: a round counts free room, places, load and copies once and looks only at endpoints that may be given an order; rounds are at least 50 ms apart. Tests for the store's window, for targets and for smoothed rates.

--- a/crates/placement/src/adapters.rs
+++ b/crates/placement/src/adapters.rs
@@ -46,14 +46,29 @@
     serving: usize,
 }
 
+/// The endpoints that show a model.
+#[derive(Default)]
+struct Holders<'a> {
+    all: usize,
+    /// Those that may be given an order now.
+    free: Vec<Holder<'a>>,
+}
+
+/// An endpoint that may be given an order, with the room that it has.
+#[derive(Clone, Copy)]
+struct Holder<'a> {
+    endpoint: &'a Endpoint,
+    free_mb: f64,
+    adapters: usize,
+}
+
 /// What one round of placing adapters looks at.
 pub struct AdapterView<'a> {
     copies: HashMap<Item, Copies>,
-    holders: HashMap<Arc<str>, usize>,
+    holders: HashMap<Arc<str>, Holders<'a>>,
     pub now: Duration,
     pub fleet: Fleet,
     pub demand: &'a DemandTable,
-    pub endpoints: &'a Endpoints,
     pub catalog: &'a Catalog,
     pub seed: u64,
 }
@@ -69,45 +84,55 @@
     ) -> Self {
         let (copies, holders) = (HashMap::new(), HashMap::new());
         let (now, fleet) = (view.now, view.fleet);
-        let mut this = AdapterView { copies, holders, now, fleet, demand, endpoints, catalog, seed };
+        let mut this = AdapterView { copies, holders, now, fleet, demand, catalog, seed };
         for endpoint in endpoints.values().filter(|endpoint| endpoint.ready) {
             this.count(endpoint);
         }
         this
     }
 
-    fn count(&mut self, endpoint: &Endpoint) {
+    fn count(&mut self, endpoint: &'a Endpoint) {
+        let holder = endpoint.free(self.now).then(|| Holder {
+            endpoint,
+            free_mb: endpoint.free_mb(self.catalog),
+            adapters: endpoint.adapters(),
+        });
         for item in endpoint.items() {
             let shown = endpoint.shows(&item);
-            if item.is_model() {
-                *self.holders.entry(item.model).or_default() += usize::from(shown);
-            } else if endpoint.keeps(&item) {
+            if !item.is_model() && endpoint.keeps(&item) {
                 let copies = self.copies.entry(item).or_default();
                 copies.all += 1;
                 copies.serving += usize::from(shown);
+            } else if item.is_model() && shown {
+                let holders = self.holders.entry(item.model).or_default();
+                holders.all += 1;
+                holders.free.extend(holder);
             }
         }
     }
 
-    /// The adapters that want a copy, the most wanted first.
+    /// The adapters that want a copy and may get one, the most wanted first.
     pub fn wishes(&self) -> Vec<AdapterWish> {
         let mut wishes = Vec::new();
         for (model, rates) in &self.demand.models {
+            let Some(holders) = self.holders.get(model).filter(|holders| !holders.free.is_empty()) else {
+                continue;
+            };
             for (adapter, rates) in &rates.adapters {
                 let item = Item::adapter(model.clone(), adapter.clone());
-                wishes.extend(self.wish(item, rates));
+                wishes.extend(self.wish(item, rates, holders.all));
             }
         }
         wishes.sort_by(|a, b| a.rank.cmp(&b.rank).then(b.weight.total_cmp(&a.weight)));
         wishes
     }
 
-    fn wish(&self, item: Item, rates: &Rates) -> Option<AdapterWish> {
+    fn wish(&self, item: Item, rates: &Rates, holders: usize) -> Option<AdapterWish> {
         let copies = self.copies(&item).all;
         let rank = match copies {
             0 if rates.in_demand(self.now) => AdapterRank::First,
             0 => AdapterRank::Restore,
-            _ if copies < self.target(&item, rates).order => AdapterRank::Further,
+            _ if copies < holders && copies < self.target(&item, rates).order => AdapterRank::Further,
             _ => return None,
         };
         let weight = rates.remembered(self.now) / copies.max(1) as f64;
@@ -126,38 +151,36 @@
     }
 
     fn target(&self, item: &Item, rates: &Rates) -> Target {
-        let holders = self.holders.get(&item.model).copied().unwrap_or(0);
+        let holders = self.holders.get(&item.model).map_or(0, |holders| holders.all);
         self.fleet.target(rates, holders, self.now)
     }
 
     /// The best endpoint for another copy, but for those taken in this round: a free place before an
     /// eviction, then the stable rank.
     pub fn site(&self, wish: &AdapterWish, taken: &[&Arc<str>]) -> Option<AdapterSite> {
-        let open = self.endpoints.values().filter(|endpoint| !taken.contains(&&endpoint.id));
-        let sites = open.filter_map(|endpoint| self.rate_site(wish, endpoint));
+        let holders = self.holders.get(&wish.item.model)?;
+        let open = holders.free.iter().filter(|holder| !taken.contains(&&holder.endpoint.id));
+        let sites = open.filter_map(|holder| self.rate_site(wish, *holder));
         let best = sites.min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
         best.map(|(_, _, site)| site)
     }
 
-    fn rate_site(&self, wish: &AdapterWish, endpoint: &Endpoint) -> Option<(f64, u64, AdapterSite)> {
-        let model = Item::model(wish.item.model.clone());
+    fn rate_site(&self, wish: &AdapterWish, holder: Holder) -> Option<(f64, u64, AdapterSite)> {
+        let endpoint = holder.endpoint;
         let making_room = endpoint.intended(self.now).is_some() && wish.rank != AdapterRank::First;
-        if !endpoint.free(self.now) || making_room {
-            return None;
-        }
-        if !endpoint.shows(&model) || endpoint.counts(&wish.item) {
+        if making_room || endpoint.counts(&wish.item) {
             return None;
         }
-        let (cost, victim) = self.make_room(wish, endpoint)?;
+        let (cost, victim) = self.make_room(wish, holder)?;
         let adapter = wish.item.adapter.as_deref().unwrap_or_default();
         let stable = rendezvous(self.seed, &wish.item.model, adapter, &endpoint.id);
         Some((cost, stable, AdapterSite { endpoint: endpoint.id.clone(), victim }))
     }
 
-    fn make_room(&self, wish: &AdapterWish, endpoint: &Endpoint) -> Option<(f64, Option<Item>)> {
+    fn make_room(&self, wish: &AdapterWish, holder: Holder) -> Option<(f64, Option<Item>)> {
+        let Holder { endpoint, free_mb, adapters } = holder;
         let size = self.catalog.size_mb(&wish.item);
-        let places = self.catalog.max_adapters.checked_sub(endpoint.adapters());
-        let free_mb = endpoint.free_mb(self.catalog);
+        let places = self.catalog.max_adapters.checked_sub(adapters);
         if places.is_some_and(|places| places > 0) && free_mb >= size {
             return Some((0.0, None));
         }
--- a/crates/placement/src/answers.rs
+++ b/crates/placement/src/answers.rs
@@ -39,7 +39,7 @@
             OrderAnswer::Unknown => endpoint.lost(now),
             refusal => self.refused(now, &instance, id, refusal),
         }
-        self.plan(now);
+        self.plan_soon(now);
     }
 
     /// An endpoint told of itself.
@@ -52,7 +52,7 @@
         if endpoint.order_is_over(report, now) {
             self.close_order(&id, now);
         }
-        self.plan(now);
+        self.plan_soon(now);
     }
 
     /// Ends the order of an endpoint whose effect a registration shows; `before` is when the endpoint
--- a/crates/placement/src/endpoint.rs
+++ b/crates/placement/src/endpoint.rs
@@ -230,6 +230,18 @@
         contains(&self.held, item)
     }
 
+    /// Whether the model is shown and stays.
+    pub fn holds_model(&self, model: &str) -> bool {
+        self.held.iter().any(|held| *held.model == *model) && self.stays_here(model)
+    }
+
+    /// Whether the model is not on its way out.
+    pub fn stays_here(&self, model: &str) -> bool {
+        let gone = self.gone.iter().map(|gone| &gone.item);
+        let mut leaving = self.leaving.iter().chain(gone).filter(|item| item.is_model());
+        !leaving.any(|item| *item.model == *model)
+    }
+
     /// Whether the item is here, or will be, and stays.
     pub fn keeps(&self, item: &Item) -> bool {
         self.counts(item) && !self.is_leaving(item)
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -10,11 +10,15 @@
 mod interface;
 mod models;
 mod need;
+#[cfg(test)]
+mod need_test;
 mod placer;
 mod planning;
 mod rate;
 mod settings;
 mod store;
+#[cfg(test)]
+mod store_test;
 mod underway;
 mod view;
 
--- a/crates/placement/src/models.rs
+++ b/crates/placement/src/models.rs
@@ -1,9 +1,9 @@
 //! Where a model that wants another copy should be loaded, and what gives way to it.
 
 use crate::catalog::Catalog;
-use crate::endpoint::Endpoint;
+use crate::endpoint::{Endpoint, Held};
 use crate::interface::Item;
-use crate::view::{Endpoints, Standing, View};
+use crate::view::{Endpoints, Room, Standing, View};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
@@ -109,13 +109,15 @@
 
     /// The best endpoint for another copy.
     pub fn site(&self, view: &View, endpoints: &Endpoints, catalog: &Catalog, seed: u64) -> Option<Site> {
-        let sites = endpoints.values().filter_map(|endpoint| self.rate_site(view, endpoint, catalog, seed));
+        let open = view.rooms.iter().filter_map(|room| Some((room, endpoints.get(&room.endpoint)?)));
+        let sites = open.filter_map(|(room, endpoint)| self.rate_site(view, room, endpoint, catalog, seed));
         sites.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, site)| site)
     }
 
     fn rate_site(
         &self,
         view: &View,
+        room: &Room,
         endpoint: &Endpoint,
         catalog: &Catalog,
         seed: u64,
@@ -125,14 +127,14 @@
         if !open || endpoint.counts(&item) {
             return None;
         }
-        let missing = catalog.size_mb(&item) - endpoint.free_mb(catalog);
+        let missing = catalog.size_mb(&item) - room.free_mb;
         let victims = self.victims(view, endpoint, catalog, missing)?;
         let lost: f64 = victims.iter().map(|victim| victim.cost).sum();
         let evictions = victims.len() as f64 * EVICTION_COST;
         let store = if endpoint.on_disk.contains(&self.model) { 0.0 } else { STORE_COST };
         let near = self.standing.zones.get(&endpoint.zone).copied().unwrap_or(0);
         let zone = ZONE_COST * near as f64 / self.standing.copies.max(1) as f64;
-        let load = LOAD_COST * view.load(endpoint);
+        let load = LOAD_COST * room.load;
         let cost = lost + evictions + store + zone + load + tie(seed, &self.model, &endpoint.id);
         let victim = victims.into_iter().next().map(|victim| victim.model);
         Some((cost, Site { endpoint: endpoint.id.clone(), victim }))
@@ -152,10 +154,8 @@
         if self.rank == Rank::Restore {
             return None;
         }
-        let models = endpoint.held.iter().map(|held| Item::model(held.model.clone()));
-        let models = models.filter(|item| endpoint.shows(item));
-        let mut candidates: Vec<Victim> =
-            models.filter_map(|item| self.victim(view, endpoint, catalog, item.model)).collect();
+        let held = endpoint.held.iter().filter(|held| endpoint.stays_here(&held.model));
+        let mut candidates: Vec<Victim> = held.filter_map(|held| self.victim(view, held, catalog)).collect();
         candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
         let mut freed = 0.0;
         let mut victims = Vec::new();
@@ -169,12 +169,15 @@
         (freed >= missing).then_some(victims)
     }
 
-    fn victim(&self, view: &View, endpoint: &Endpoint, catalog: &Catalog, model: Arc<str>) -> Option<Victim> {
-        let standing = view.standing(&model);
-        let cost = self.cost_of(view, &standing)?;
-        let items = endpoint.items().filter(|item| item.model == model);
-        let freed_mb = items.map(|item| catalog.size_mb(&item)).sum();
-        Some(Victim { model, cost, freed_mb })
+    fn victim(&self, view: &View, held: &Held, catalog: &Catalog) -> Option<Victim> {
+        let cost = match view.models.get(&held.model) {
+            Some(standing) => self.cost_of(view, standing)?,
+            None => self.cost_of(view, &Standing::default())?,
+        };
+        let adapters = held.adapters.iter().map(|adapter| Item::adapter(held.model.clone(), adapter.clone()));
+        let adapters_mb: f64 = adapters.map(|item| catalog.size_mb(&item)).sum();
+        let freed_mb = catalog.size_mb(&Item::model(held.model.clone())) + adapters_mb;
+        Some(Victim { model: held.model.clone(), cost, freed_mb })
     }
 
     /// What it costs to take a copy from a model; nothing if it may not be taken for this wish.
--- /dev/null
+++ b/crates/placement/src/need_test.rs
@@ -0,0 +1,109 @@
+use crate::need::Fleet;
+use crate::rate::{DemandTable, Rates};
+use lanegate_model::demand::{DemandReport, ModelDemand};
+use std::sync::Arc;
+use std::time::Duration;
+
+const BACKEND: &str = "models";
+
+fn demand(model: &str, requests: u32) -> ModelDemand {
+    ModelDemand {
+        backend: BACKEND.into(),
+        model: model.into(),
+        adapter: None,
+        requests,
+        tokens: u64::from(requests) * 1_500,
+        unplaced: 0,
+    }
+}
+
+/// A table after `seconds` reports, one a second.
+fn table(seconds: u64, models: &[(&str, u32)]) -> DemandTable {
+    let mut table = DemandTable::default();
+    for second in 0..=seconds {
+        add(&mut table, second, models);
+    }
+    table
+}
+
+fn add(table: &mut DemandTable, second: u64, models: &[(&str, u32)]) {
+    let models = models.iter().map(|(model, requests)| demand(model, *requests)).collect();
+    let report = DemandReport { period_ms: 1_000, models };
+    table.add(Duration::from_secs(second), &report, BACKEND, |name, _| Some(Arc::from(name)));
+}
+
+fn rates<'a>(table: &'a DemandTable, model: &str) -> &'a Rates {
+    &table.models[model].total
+}
+
+fn fleet(table: &DemandTable, now: Duration) -> Fleet {
+    let work = table.models.values().map(|rates| rates.total.fast(now) * rates.total.mean_work()).sum();
+    Fleet { endpoints: 12, work }
+}
+
+#[test]
+fn a_model_with_most_of_the_demand_is_on_most_endpoints() {
+    let table = table(30, &[("busy", 70), ("other", 15), ("third", 15)]);
+    let now = Duration::from_secs(30);
+    let target = fleet(&table, now).target(rates(&table, "busy"), 12, now);
+    assert!(target.order >= 7, "{target:?}");
+    assert!(fleet(&table, now).target(rates(&table, "other"), 12, now).order >= 2);
+}
+
+#[test]
+fn a_model_that_is_asked_for_wants_a_copy_and_one_that_is_not_wants_none() {
+    let mut table = table(30, &[("busy", 30)]);
+    add(&mut table, 31, &[("busy", 30), ("rare", 1)]);
+    let now = Duration::from_secs(31);
+    let target = fleet(&table, now).target(rates(&table, "rare"), 12, now);
+    assert_eq!(target.order, 1);
+    let now = Duration::from_secs(60);
+    let target = fleet(&table, now).target(rates(&table, "rare"), 12, now);
+    assert_eq!((target.order, target.keep), (0, 0));
+}
+
+#[test]
+fn nothing_is_given_up_for_chance() {
+    let table = table(60, &[("busy", 20), ("other", 2)]);
+    let now = Duration::from_secs(60);
+    for model in ["busy", "other"] {
+        let target = fleet(&table, now).target(rates(&table, model), 12, now);
+        assert!(target.keep >= target.order, "{target:?}");
+    }
+}
+
+#[test]
+fn a_rising_rate_is_followed_within_seconds_and_a_fallen_one_is_let_go() {
+    let mut table = table(60, &[("old", 20), ("new", 1)]);
+    for second in 61..64 {
+        add(&mut table, second, &[("new", 20)]);
+    }
+    let now = Duration::from_secs(63);
+    let risen = fleet(&table, now).target(rates(&table, "new"), 12, now);
+    assert!(risen.order >= 3, "{risen:?}");
+    for second in 64..76 {
+        add(&mut table, second, &[("new", 20)]);
+    }
+    let now = Duration::from_secs(75);
+    let fallen = fleet(&table, now).target(rates(&table, "old"), 12, now);
+    assert_eq!((fallen.order, fallen.keep), (0, 0));
+}
+
+#[test]
+fn what_is_expected_of_an_item_shrinks_with_its_pause() {
+    let table = table(60, &[("old", 20)]);
+    let old = rates(&table, "old");
+    let at = |second| old.remembered(Duration::from_secs(second));
+    assert!(at(60) > 10.0);
+    assert!(at(64) <= 0.5);
+    assert!(at(120) < 0.04);
+}
+
+#[test]
+fn what_nobody_asks_for_has_no_entry() {
+    let mut table = table(5, &[("busy", 20)]);
+    add(&mut table, 6, &[("idle", 0)]);
+    assert_eq!(table.models.len(), 1);
+    table.forget(Duration::from_secs(400));
+    assert!(table.models.is_empty());
+}
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -17,6 +17,9 @@
 /// Shortest time between two rounds of planning that nothing urgent calls for.
 const PLAN_PAUSE: Duration = Duration::from_millis(400);
 
+/// Shortest time between two rounds of planning.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(50);
+
 /// After a takeover, endpoints first heard of within this are asked for their count of orders before
 /// they are given one: orders of the predecessor may be under way there.
 const TAKEOVER_SPAN: Duration = Duration::from_secs(3);
@@ -93,7 +96,7 @@
         self.now = now;
         self.catalog = Catalog::new(runtime);
         self.store.permit(runtime.loads_per_s, self.catalog.sustained_loads());
-        self.plan(now);
+        self.plan_soon(now);
     }
 
     /// The newest registration of an endpoint of the service.
@@ -116,7 +119,7 @@
         if endpoint.registration(now, instance, &self.catalog) {
             let id = endpoint.id.clone();
             self.settle_shown(now, &id, before);
-            self.plan(now);
+            self.plan_soon(now);
         }
     }
 
@@ -140,7 +143,7 @@
     pub fn removed(&mut self, now: Duration, id: &str) {
         self.now = now;
         if self.forget_endpoint(now, id) {
-            self.plan(now);
+            self.plan_soon(now);
         }
     }
 
@@ -163,11 +166,20 @@
             known.then(|| spec.name.clone())
         };
         let unplaced = self.demand.add(now, report, &self.backend, name);
-        let due = self.planned.is_none_or(|planned| now >= planned + PLAN_PAUSE);
-        if unplaced || due {
+        self.plan_after(now, if unplaced { SHORTEST_PAUSE } else { PLAN_PAUSE });
+    }
+
+    /// Plans soon: at once if the last round is not too near.
+    pub(crate) fn plan_soon(&mut self, now: Duration) {
+        self.plan_after(now, SHORTEST_PAUSE);
+    }
+
+    fn plan_after(&mut self, now: Duration, pause: Duration) {
+        let due = self.planned.map_or(now, |planned| planned + pause);
+        if now >= due {
             self.plan(now);
-        } else if self.plan_at.is_none() {
-            self.plan_at = self.planned.map(|planned| planned + PLAN_PAUSE);
+        } else {
+            self.plan_at = Some(self.plan_at.map_or(due, |plan_at| plan_at.min(due)));
         }
     }
 
@@ -178,7 +190,7 @@
         for id in ids {
             self.wake_endpoint(now, &id);
         }
-        self.plan(now);
+        self.plan_soon(now);
     }
 
     fn wake_endpoint(&mut self, now: Duration, id: &Arc<str>) {
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -2,10 +2,9 @@
 
 use crate::catalog::Catalog;
 use crate::endpoint::Endpoint;
-use crate::interface::Item;
 use crate::need::{Fleet, Target};
 use crate::rate::DemandTable;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -53,6 +52,17 @@
     /// Whether demand is known well enough to tell what is not wanted.
     pub watched: bool,
     pub models: BTreeMap<Arc<str>, Standing>,
+    /// Endpoints that may be given an order, as they are at the start of the round.
+    pub rooms: Vec<Room>,
+}
+
+/// The room of an endpoint that may be given an order; it has changed once it was given one.
+#[derive(Debug)]
+pub struct Room {
+    pub endpoint: Arc<str>,
+    pub free_mb: f64,
+    /// Work that it carries, as a multiple of an even share.
+    pub load: f64,
 }
 
 impl View {
@@ -61,14 +71,21 @@
         let ready = endpoints.values().filter(|endpoint| endpoint.ready).count();
         let work = demand.models.values().map(|rates| rates.total.fast(now) * rates.total.mean_work()).sum();
         let fleet = Fleet { endpoints: ready, work };
-        let mut view = View { now, fleet, watched: demand.watched(now), models: BTreeMap::new() };
+        let mut view =
+            View { now, fleet, watched: demand.watched(now), models: BTreeMap::new(), rooms: Vec::new() };
         view.take_demand(demand, catalog);
         for endpoint in endpoints.values().filter(|endpoint| endpoint.ready) {
             view.take_copies(endpoint);
         }
+        let free = endpoints.values().filter(|endpoint| endpoint.free(now));
+        view.rooms = free.map(|endpoint| view.room(endpoint, catalog)).collect();
         view
     }
 
+    fn room(&self, endpoint: &Endpoint, catalog: &Catalog) -> Room {
+        Room { endpoint: endpoint.id.clone(), free_mb: endpoint.free_mb(catalog), load: self.load(endpoint) }
+    }
+
     fn take_demand(&mut self, demand: &DemandTable, catalog: &Catalog) {
         for (model, rates) in &demand.models {
             let total = &rates.total;
@@ -91,16 +108,16 @@
     }
 
     fn take_copies(&mut self, endpoint: &Endpoint) {
-        let mut models: BTreeSet<Arc<str>> = endpoint
-            .items()
-            .filter(|item| item.is_model() && endpoint.keeps(item))
-            .map(|item| item.model)
-            .collect();
-        models.extend(endpoint.intended(self.now).cloned());
+        let held = endpoint.held.iter().map(|held| &held.model);
+        let expected = endpoint.expected.iter().map(|expected| &expected.item);
+        let expected = expected.filter(|item| item.is_model()).map(|item| &item.model);
+        let mut models: Vec<&Arc<str>> =
+            held.chain(expected).filter(|model| endpoint.stays_here(model)).collect();
+        models.extend(endpoint.intended(self.now).filter(|intended| !models.contains(intended)));
         for model in models {
-            self.add_copy(&model, &endpoint.zone);
-            if endpoint.shows(&Item::model(model.clone()))
-                && let Some(standing) = self.models.get_mut(&model)
+            self.add_copy(model, &endpoint.zone);
+            if endpoint.holds_model(model)
+                && let Some(standing) = self.models.get_mut(model)
             {
                 standing.serving += 1;
             }
@@ -136,14 +153,12 @@
         self.models.get(model).cloned().unwrap_or_default()
     }
 
-    /// Work that an endpoint carries, as a multiple of an even share.
-    pub fn load(&self, endpoint: &Endpoint) -> f64 {
+    fn load(&self, endpoint: &Endpoint) -> f64 {
         if self.fleet.work <= 0.0 {
             return 0.0;
         }
-        let items = endpoint.items().filter(Item::is_model);
-        let work: f64 =
-            items.filter_map(|item| self.models.get(&item.model)).map(Standing::work_per_copy).sum();
+        let held = endpoint.held.iter().filter_map(|held| self.models.get(&held.model));
+        let work: f64 = held.map(Standing::work_per_copy).sum();
         work * self.fleet.endpoints as f64 / self.fleet.work
     }
 }
