--- a/crates/dispatch/src/dispatcher/placing.rs
+++ b/crates/dispatch/src/dispatcher/placing.rs
@@ -6,7 +6,8 @@
 use crate::endpoints::EndpointKey;
 use crate::interface::{Decision, FailReason, RequestId};
 use crate::tracked::{Flight, Hold, Phase};
-use crate::units::nanoseconds;
+use crate::units::{nanoseconds, seconds};
+use crate::urgency::engine_priority;
 use fair_edf::Ns;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,9 +18,6 @@
 /// Of these, so many that still find no place end the look: one place takes one request.
 const RELEASE_STAYED: usize = 4;
 
-/// An engine takes ranks up to this one.
-const LEAST_URGENT: u8 = 9;
-
 /// Part of the objective within which a refusal is cheap, so that others still can be met: later ones only
 /// add to the client's loss.
 pub(super) const REFUSAL_PART: u32 = 4;
@@ -301,6 +299,9 @@
         if tracked.is_repeat() {
             self.fleet.service_mut(&tracked.request.backend).budget.repeat(now, &bounds);
         }
+        let per_token_s = self.fleet.service(&tracked.request.backend).first_byte.per_token_s();
+        let reading = seconds(per_token_s * candidate.footprint.unread_tokens as f64);
+        let left = tracked.request.target.saturating_sub(tracked.request.arrived);
         let newly_reached = !tracked.reached.contains(&candidate.key);
         if newly_reached {
             tracked.reached.push(candidate.key);
@@ -326,7 +327,7 @@
             attempt: tracked.attempts,
             instance,
             address,
-            engine_priority: tracked.request.priority.min(LEAST_URGENT),
+            engine_priority: engine_priority(tracked.request.priority, reading, left),
             resume: tracked.resume,
         });
         self.fleet.enter(now, candidate.key, candidate.footprint);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod settings;
 pub mod tracked;
 mod units;
+pub mod urgency;
 
 pub use dispatcher::Dispatcher;
 pub use settings::DispatchSettings;
