--- a/crates/coordination/src/register/acceptor.rs
+++ b/crates/coordination/src/register/acceptor.rs
@@ -13,6 +13,7 @@
 use super::value::{Carried, Value};
 
 /// An answer that waits for a version of the record to be durable.
+#[derive(Clone, Hash)]
 struct Reply {
     version: u64,
     to: Node,
@@ -20,11 +21,13 @@
 }
 
 /// A record handed out to be written.
+#[derive(Clone, Hash)]
 struct Write {
     version: u64,
     record: Record,
 }
 
+#[derive(Clone, Hash)]
 pub(super) struct Acceptor {
     current: Record,
     version: u64,
--- a/crates/coordination/src/register/batch.rs
+++ b/crates/coordination/src/register/batch.rs
@@ -8,7 +8,7 @@
 use super::value::{ChangeId, Group, Value};
 
 /// What an item asks for.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Hash)]
 pub(super) enum Work {
     /// Apply a command.
     Command(Vec<u8>),
@@ -21,7 +21,7 @@
 }
 
 /// A request, or an own task of the replica.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Hash)]
 pub(super) struct Item {
     /// Whom to answer; none once answered, or for an own task.
     pub(super) request: Option<u64>,
@@ -43,7 +43,7 @@
 }
 
 /// A value that was proposed for a batch, and the answers if it takes effect.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Hash)]
 pub(super) struct Try {
     pub(super) id: ChangeId,
     pub(super) base_revision: u64,
@@ -51,7 +51,7 @@
 }
 
 /// Items that are proposed together, until all are answered.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Hash)]
 pub(super) struct Batch {
     pub(super) items: Vec<Item>,
     pub(super) tries: Vec<Try>,
--- a/crates/coordination/src/register/core.rs
+++ b/crates/coordination/src/register/core.rs
@@ -1,6 +1,8 @@
 //! What all parts of a replica share: settings, time, chance, outgoing messages, the newest decided value.
 
 use std::collections::VecDeque;
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -20,15 +22,16 @@
 const MAX_BACKOFF_DOUBLINGS: u32 = 5;
 
 /// A value and the ballot it was accepted at.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Hash)]
 pub(super) struct Proposal {
     pub(super) ballot: Ballot,
     pub(super) value: Value,
 }
 
+#[derive(Clone)]
 pub(super) struct Core {
     pub(super) settings: Settings,
-    pub(super) machine: Box<dyn StateMachine>,
+    pub(super) machine: Arc<dyn StateMachine>,
     pub(super) nonce: u64,
     pub(super) now: Duration,
     pub(super) decided: Option<Proposal>,
@@ -37,8 +40,15 @@
     random: SmallRng,
 }
 
+/// Settings, the state machine and chance to come tell no two states of one replica apart.
+impl Hash for Core {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        (self.nonce, self.now, &self.decided, &self.outputs, &self.local).hash(hasher);
+    }
+}
+
 impl Core {
-    pub(super) fn new(settings: Settings, machine: Box<dyn StateMachine>, nonce: u64, now: Duration) -> Self {
+    pub(super) fn new(settings: Settings, machine: Arc<dyn StateMachine>, nonce: u64, now: Duration) -> Self {
         let random = SmallRng::seed_from_u64(settings.seed ^ nonce);
         Self {
             settings,
--- a/crates/coordination/src/register/event.rs
+++ b/crates/coordination/src/register/event.rs
@@ -32,7 +32,7 @@
 }
 
 /// Applies commands to the opaque state. Must depend on nothing but its arguments.
-pub trait StateMachine: Send {
+pub trait StateMachine: Send + Sync {
     /// The effect of `command` on the state `current`.
     fn apply(&self, current: &[u8], command: &[u8]) -> Applied;
 }
@@ -94,7 +94,7 @@
 }
 
 /// An order of a replica to its driver.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Output {
     /// Send a message; it may be lost, doubled or overtaken.
     Send {
@@ -125,7 +125,7 @@
 }
 
 /// The answer to a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Outcome {
     /// The change is decided and durable.
     Changed {
--- a/crates/coordination/src/register/message.rs
+++ b/crates/coordination/src/register/message.rs
@@ -8,7 +8,7 @@
 use super::value::{Carried, Value};
 
 /// A message between replicas of one register. The transport tells who sent it.
-#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
 #[deku(id_type = "u8", endian = "big")]
 pub enum Message {
     /// Phase one: asks for a promise. The sender holds the value accepted at `known`.
--- a/crates/coordination/src/register/mod.rs
+++ b/crates/coordination/src/register/mod.rs
@@ -89,6 +89,7 @@
 mod codec;
 mod core;
 mod event;
+mod members;
 mod message;
 mod node;
 mod proposer;
@@ -97,6 +98,7 @@
 mod record;
 mod recovery;
 mod replica;
+mod round;
 mod settings;
 mod value;
 
--- a/crates/coordination/src/register/node.rs
+++ b/crates/coordination/src/register/node.rs
@@ -47,7 +47,7 @@
 /// The lowest incarnation of a node whose votes still count.
 ///
 /// A node whose disk was lost registers a higher incarnation before it votes again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
 pub struct Floor {
     /// The node.
@@ -58,7 +58,7 @@
 
 /// Floors known to one replica, at most one for each node; a node not listed has floor zero.
 #[deku_derive(DekuRead, DekuWrite)]
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
 pub struct Floors {
     #[deku(temp, temp_value = "entries.len() as u16")]
--- a/crates/coordination/src/register/proposer.rs
+++ b/crates/coordination/src/register/proposer.rs
@@ -4,53 +4,20 @@
 use std::time::Duration;
 
 use super::ballot::Ballot;
-use super::batch::{Batch, Item, MemberStep, Try, Work, change_members, expired};
+use super::batch::{Batch, Item, Try, Work, expired};
 use super::core::{Core, Proposal, earlier};
 use super::event::Outcome;
-use super::message::Message;
 use super::node::{Floors, Node};
-use super::quorum::{Votes, members, union};
+use super::quorum::{Votes, members};
+use super::round::{Phase, Round, Then, announce};
 use super::settings::Fault;
-use super::value::{Carried, ChangeId, Group, Value};
+use super::value::{Carried, ChangeId, Value};
 
-/// What follows once a proposed value is decided.
-enum Then {
-    /// The batch is looked at again, on the value just decided.
-    Again,
-    /// As `Again`, and the change of members has got its joint value.
-    Joined,
-    /// The batch is answered.
-    Answer(Vec<Outcome>),
-}
-
-enum Phase {
-    /// Waiting for promises.
-    Prepare { known: Proposal },
-    /// Waiting for a value to be accepted by a majority of every group.
-    Accept { value: Value, groups: Vec<Group>, then: Then },
-}
-
-struct Round {
-    ballot: Ballot,
-    phase: Phase,
-    votes: Votes<()>,
-    /// The value to build on: the newest accepted one found.
-    base: Proposal,
-    /// The base is known to be decided.
-    base_decided: bool,
-    /// A value was decided in this round: the base is fresh.
-    confirmed: bool,
-    /// Whom the message of this phase was sent to.
-    asked: Vec<Node>,
-    resend_at: Duration,
-    interval: Duration,
-}
-
-#[derive(Default)]
+#[derive(Clone, Default, Hash)]
 pub(super) struct Proposer {
     queue: VecDeque<Item>,
-    batch: Option<Batch>,
-    round: Option<Round>,
+    pub(super) batch: Option<Batch>,
+    pub(super) round: Option<Round>,
     /// The last decision was made under this ballot, and no higher one was seen.
     owned: Option<Ballot>,
     /// The highest ballot counter seen.
@@ -342,66 +309,8 @@
         self.finish(core, &round);
     }
 
-    fn propose_members(
-        &mut self,
-        core: &mut Core,
-        mut round: Round,
-        batch: Batch,
-        remove: &[Node],
-        add: &[Node],
-        joined: bool,
-    ) {
-        if !round.confirmed {
-            return self.settle(core, round, batch);
-        }
-        if round.base.value.is_joint() {
-            self.batch = Some(batch);
-            return self.drop_old_group(core, round);
-        }
-        let revision = round.base.value.revision;
-        if joined {
-            batch.answer(core, vec![Outcome::Changed { revision, answer: Vec::new() }]);
-            return self.finish(core, &round);
-        }
-        match change_members(&round.base.value, remove, add) {
-            MemberStep::Done(outcome) => {
-                batch.answer(core, vec![outcome]);
-                self.finish(core, &round);
-            }
-            MemberStep::Join(groups) => {
-                self.batch = Some(batch);
-                let id = self.next_id(core);
-                let base = &round.base.value;
-                let value = base.changed(id, 1, groups, base.state.clone());
-                round.accept(core, value, Then::Joined);
-                self.round = Some(round);
-            }
-        }
-    }
-
-    fn propose_completion(&mut self, core: &mut Core, round: Round, batch: Batch) {
-        if !round.base.value.is_joint() {
-            return self.finish(core, &round);
-        }
-        if !round.base_decided {
-            return self.settle(core, round, batch);
-        }
-        self.batch = Some(batch);
-        self.drop_old_group(core, round);
-    }
-
-    /// The second half of a change of members; the joint value must be decided.
-    fn drop_old_group(&mut self, core: &mut Core, mut round: Round) {
-        let id = self.next_id(core);
-        let base = &round.base.value;
-        let newest = base.groups.last().cloned().into_iter().collect();
-        let value = base.changed(id, 1, newest, base.state.clone());
-        round.accept(core, value, Then::Again);
-        self.round = Some(round);
-    }
-
     /// Gets the base itself decided under the own ballot.
-    fn settle(&mut self, core: &mut Core, mut round: Round, batch: Batch) {
+    pub(super) fn settle(&mut self, core: &mut Core, mut round: Round, batch: Batch) {
         self.batch = Some(batch);
         let value = round.base.value.clone();
         round.accept(core, value, Then::Again);
@@ -438,16 +347,8 @@
         self.propose(core);
     }
 
-    fn mark_joined(&mut self) {
-        for item in self.batch.iter_mut().flat_map(|batch| batch.items.iter_mut()) {
-            if let Work::Members { joined, .. } = &mut item.work {
-                *joined = true;
-            }
-        }
-    }
-
     /// The batch is answered. The ballot stays in use if the last value under it was decided.
-    fn finish(&mut self, core: &mut Core, round: &Round) {
+    pub(super) fn finish(&mut self, core: &mut Core, round: &Round) {
         self.round = None;
         self.owned = round.base_decided.then_some(round.base.ballot).filter(|b| b.same_owner(round.ballot));
         if round.base.value.is_joint() && round.base_decided {
@@ -457,63 +358,8 @@
         self.start(core, base);
     }
 
-    fn next_id(&mut self, core: &Core) -> ChangeId {
+    pub(super) fn next_id(&mut self, core: &Core) -> ChangeId {
         self.sequence += 1;
         ChangeId { nonce: core.nonce, sequence: self.sequence }
     }
 }
-
-impl Round {
-    /// Groups that must promise: those the round started from and those of the newest value found.
-    fn required(&self, core: &Core, start: &[Group]) -> Vec<Group> {
-        let newest = &self.base.value.groups;
-        if core.settings.has(Fault::NewGroupOnly) { last(newest) } else { union(start, newest) }
-    }
-
-    fn message(&self) -> Message {
-        match &self.phase {
-            Phase::Prepare { known } => Message::Prepare { ballot: self.ballot, known: known.ballot },
-            Phase::Accept { value, .. } => Message::Accept { ballot: self.ballot, value: value.clone() },
-        }
-    }
-
-    /// Sends the message of this phase to those that have not got it.
-    fn ask(&mut self, core: &mut Core, nodes: &[Node]) {
-        for node in nodes {
-            if !self.asked.contains(node) {
-                self.asked.push(*node);
-                core.send(*node, self.message());
-            }
-        }
-    }
-
-    /// Goes on to phase two with a value, under the next step of the ballot.
-    fn accept(&mut self, core: &mut Core, value: Value, then: Then) {
-        let groups = if core.settings.has(Fault::NewGroupOnly) {
-            last(&value.groups)
-        } else {
-            union(&self.base.value.groups, &value.groups)
-        };
-        let all = members(&union(&self.base.value.groups, &value.groups));
-        self.ballot = self.ballot.next_step();
-        self.phase = Phase::Accept { value, groups, then };
-        self.votes = Votes::new(&core.settings);
-        self.asked = Vec::new();
-        self.interval = core.settings.retry_interval;
-        self.resend_at = core.now + self.interval;
-        self.ask(core, &all);
-    }
-}
-
-fn last(groups: &[Group]) -> Vec<Group> {
-    groups.last().cloned().into_iter().collect()
-}
-
-/// Tells the members of a decision, and the value to those that may not have it.
-fn announce(core: &mut Core, ballot: Ballot, value: &Value, nodes: &[Node], votes: &Votes<()>) {
-    let own = core.node();
-    for node in nodes.iter().copied().filter(|node| *node != own) {
-        let carried = if votes.counts(node) { Carried::Omitted } else { Carried::Full(value.clone()) };
-        core.send(node, Message::Decided { ballot, value: carried });
-    }
-}
--- a/crates/coordination/src/register/quorum.rs
+++ b/crates/coordination/src/register/quorum.rs
@@ -7,7 +7,7 @@
 use super::value::Group;
 
 /// The vote of one replica.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Hash)]
 struct Ballot<T> {
     incarnation: u64,
     floors: Floors,
@@ -15,7 +15,7 @@
 }
 
 /// The votes of one round.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Hash)]
 pub(super) struct Votes<T> {
     entries: BTreeMap<Node, Ballot<T>>,
     ignore_incarnations: bool,
--- a/crates/coordination/src/register/reader.rs
+++ b/crates/coordination/src/register/reader.rs
@@ -14,11 +14,13 @@
 use super::value::{Carried, Group};
 
 /// What a replica told of itself.
+#[derive(Clone, Hash)]
 struct Told {
     promised: Ballot,
     accepted: Ballot,
 }
 
+#[derive(Clone, Hash)]
 struct Query {
     request: u64,
     items: Vec<Item>,
@@ -30,7 +32,7 @@
     interval: Duration,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default, Hash)]
 pub(super) struct Reader {
     waiting: Vec<Item>,
     query: Option<Query>,
--- a/crates/coordination/src/register/record.rs
+++ b/crates/coordination/src/register/record.rs
@@ -8,7 +8,7 @@
 use super::value::Value;
 
 /// The durable state of a replica. One that is still recovering has none.
-#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct Record {
     /// Which of the node's lives with a disk this is; zero for a founder.
--- a/crates/coordination/src/register/recovery.rs
+++ b/crates/coordination/src/register/recovery.rs
@@ -12,6 +12,7 @@
 use super::value::{Group, Value};
 
 /// What a replica answered.
+#[derive(Clone, Hash)]
 pub(super) struct Testimony {
     pub(super) incarnation: u64,
     pub(super) floors: Floors,
@@ -20,6 +21,7 @@
     pub(super) value: Value,
 }
 
+#[derive(Clone, Hash)]
 pub(super) struct Recovery {
     /// The incarnation being registered; zero while it is still being asked for.
     incarnation: u64,
--- a/crates/coordination/src/register/replica.rs
+++ b/crates/coordination/src/register/replica.rs
@@ -19,7 +19,8 @@
 /// A change of members that its proposer leaves unfinished is ended by others after so many retry intervals.
 const COMPLETION_RETRIES: u32 = 5;
 
-/// A replica of one register.
+/// A replica of one register. Equal hashes of clones tell equal states, as model checkers need.
+#[derive(Clone, Hash)]
 pub struct Replica {
     core: Core,
     acceptor: Option<Acceptor>,
@@ -46,7 +47,7 @@
     ) -> Self {
         let contacts = settings.seeds.clone();
         let mut replica = Self {
-            core: Core::new(settings, machine, nonce, now),
+            core: Core::new(settings, machine.into(), nonce, now),
             acceptor: None,
             recovery: None,
             proposer: Proposer::default(),
--- /dev/null
+++ b/crates/coordination/src/register/round.rs
@@ -0,0 +1,103 @@
+//! One round of a proposer: a prepare phase, then a value, or several under further steps of the ballot.
+
+use std::time::Duration;
+
+use super::ballot::Ballot;
+use super::core::{Core, Proposal};
+use super::event::Outcome;
+use super::message::Message;
+use super::node::Node;
+use super::quorum::{Votes, members, union};
+use super::settings::Fault;
+use super::value::{Carried, Group, Value};
+
+/// What follows once a proposed value is decided.
+#[derive(Clone, Hash)]
+pub(super) enum Then {
+    /// The batch is looked at again, on the value just decided.
+    Again,
+    /// As `Again`, and the change of members has got its joint value.
+    Joined,
+    /// The batch is answered.
+    Answer(Vec<Outcome>),
+}
+
+#[derive(Clone, Hash)]
+pub(super) enum Phase {
+    /// Waiting for promises.
+    Prepare { known: Proposal },
+    /// Waiting for a value to be accepted by a majority of every group.
+    Accept { value: Value, groups: Vec<Group>, then: Then },
+}
+
+#[derive(Clone, Hash)]
+pub(super) struct Round {
+    pub(super) ballot: Ballot,
+    pub(super) phase: Phase,
+    pub(super) votes: Votes<()>,
+    /// The value to build on: the newest accepted one found.
+    pub(super) base: Proposal,
+    /// The base is known to be decided.
+    pub(super) base_decided: bool,
+    /// A value was decided in this round: the base is fresh.
+    pub(super) confirmed: bool,
+    /// Whom the message of this phase was sent to.
+    pub(super) asked: Vec<Node>,
+    pub(super) resend_at: Duration,
+    pub(super) interval: Duration,
+}
+
+impl Round {
+    /// Groups that must promise: those the round started from and those of the newest value found.
+    pub(super) fn required(&self, core: &Core, start: &[Group]) -> Vec<Group> {
+        let newest = &self.base.value.groups;
+        if core.settings.has(Fault::NewGroupOnly) { last(newest) } else { union(start, newest) }
+    }
+
+    pub(super) fn message(&self) -> Message {
+        match &self.phase {
+            Phase::Prepare { known } => Message::Prepare { ballot: self.ballot, known: known.ballot },
+            Phase::Accept { value, .. } => Message::Accept { ballot: self.ballot, value: value.clone() },
+        }
+    }
+
+    /// Sends the message of this phase to those that have not got it.
+    pub(super) fn ask(&mut self, core: &mut Core, nodes: &[Node]) {
+        for node in nodes {
+            if !self.asked.contains(node) {
+                self.asked.push(*node);
+                core.send(*node, self.message());
+            }
+        }
+    }
+
+    /// Goes on to phase two with a value, under the next step of the ballot.
+    pub(super) fn accept(&mut self, core: &mut Core, value: Value, then: Then) {
+        let groups = if core.settings.has(Fault::NewGroupOnly) {
+            last(&value.groups)
+        } else {
+            union(&self.base.value.groups, &value.groups)
+        };
+        let all = members(&union(&self.base.value.groups, &value.groups));
+        self.ballot = self.ballot.next_step();
+        self.phase = Phase::Accept { value, groups, then };
+        self.votes = Votes::new(&core.settings);
+        self.asked = Vec::new();
+        self.interval = core.settings.retry_interval;
+        self.resend_at = core.now + self.interval;
+        self.ask(core, &all);
+    }
+}
+
+fn last(groups: &[Group]) -> Vec<Group> {
+    groups.last().cloned().into_iter().collect()
+}
+
+/// Tells the members of a decision, and the value to those that may not have it.
+pub(super) fn announce(core: &mut Core, ballot: Ballot, value: &Value, nodes: &[Node], votes: &Votes<()>) {
+    let own = core.node();
+    for node in nodes.iter().copied().filter(|node| *node != own) {
+        let carried = if votes.counts(node) { Carried::Omitted } else { Carried::Full(value.clone()) };
+        core.send(node, Message::Decided { ballot, value: carried });
+    }
+}
--- a/crates/coordination/src/register/value.rs
+++ b/crates/coordination/src/register/value.rs
@@ -150,7 +150,7 @@
 }
 
 /// A value on its way, or the word that the receiver has it already.
-#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
 #[deku(id_type = "u8", endian = "endian", ctx = "endian: deku::ctx::Endian")]
 pub enum Carried {
     /// The receiver has the value of the ballot named beside this field.
--- a/crates/coordination/src/simulation/mod.rs
+++ b/crates/coordination/src/simulation/mod.rs
@@ -12,6 +12,8 @@
 mod scenario;
 mod schedule;
 mod step;
+mod tolerance;
+mod verdict;
 mod world;
 
 pub use append::{Append, Command};
--- /dev/null
+++ b/crates/coordination/src/simulation/tolerance.rs
@@ -0,0 +1,69 @@
+//! Which losses the groups still bear: a scenario does not go beyond, as too few would be left to recover from.
+
+use super::disk::Disk;
+use super::machine::index_of;
+use super::step::Machine as Index;
+use super::world::World;
+use crate::register::{Group, Node, Outcome, Record};
+
+/// A change of members that was asked for.
+pub(super) struct MemberChange {
+    pub(super) request: u64,
+    pub(super) remove: Vec<Node>,
+    pub(super) add: Node,
+}
+
+impl MemberChange {
+    fn apply(&self, group: &Group) -> Group {
+        let kept = group.members().iter().copied().filter(|node| !self.remove.contains(node));
+        Group::new(kept.chain([self.add]).collect())
+    }
+}
+
+impl World {
+    /// Whether the others can recover once a machine's disk is lost.
+    pub(super) fn may_lose(&mut self, lost: Index) -> bool {
+        let groups = self.possible_groups();
+        self.keep_majorities(&groups, Some(lost))
+    }
+
+    /// Whether a majority of every group keeps its record.
+    pub(super) fn keep_majorities(&mut self, groups: &[Group], lost: Option<Index>) -> bool {
+        let stored: Vec<bool> = (0..self.machines.len())
+            .map(|at| Some(at) != lost && !self.groups_on_disk(at).is_empty())
+            .collect();
+        let kept = |group: &Group| group.members().iter().filter(|node| stored[index_of(**node)]).count();
+        groups.iter().all(|group| kept(group) >= group.majority())
+    }
+
+    /// Groups that any disk knows of, and those that changes under way may lead to in any order.
+    pub(super) fn possible_groups(&mut self) -> Vec<Group> {
+        let mut groups: Vec<Group> =
+            (0..self.machines.len()).flat_map(|at| self.groups_on_disk(at)).collect();
+        groups.sort_by(|first, second| first.members().cmp(second.members()));
+        groups.dedup();
+        let void = |outcome: &Outcome| matches!(outcome, Outcome::Refused { .. } | Outcome::Expired);
+        let changes =
+            self.changes.iter().filter(|change| !self.history.outcome(change.request).is_some_and(void));
+        let changes: Vec<&MemberChange> = changes.collect();
+        let mut next = 0;
+        while let Some(group) = groups.get(next).cloned() {
+            for changed in changes.iter().map(|change| change.apply(&group)) {
+                if !groups.contains(&changed) {
+                    groups.push(changed);
+                }
+            }
+            next += 1;
+        }
+        groups
+    }
+
+    /// The groups of the record on a machine's disk; none if there is no record.
+    pub(super) fn groups_on_disk(&mut self, at: Index) -> Vec<Group> {
+        let directory = self.machines[at].disk.directory.clone();
+        let mut copy = Disk::new();
+        copy.directory = directory;
+        let record = copy.open().ok().flatten().and_then(|bytes| Record::decode(&bytes).ok());
+        record.map(|record| record.value.groups).unwrap_or_default()
+    }
+}
--- a/crates/coordination/src/simulation/world.rs
+++ b/crates/coordination/src/simulation/world.rs
@@ -12,18 +12,13 @@
 use super::machine::{Event, Machine, index_of, node_of};
 use super::network::Network;
 use super::scenario::Scenario;
-use super::step::{Expectation, Machine as Index, Machines, Step};
-use crate::register::{Fault, Group, Input, Node, Outcome, Output, Record, Settings, Status};
+use super::step::{Machine as Index, Machines, Step};
+use super::tolerance::MemberChange;
+use crate::register::{Fault, Input, Node, Output, Record, Settings};
 
 /// A request is given up after this long.
 const DEADLINE: Duration = Duration::from_secs(4);
 
-/// Time for everything to come right once it is mended: several of the longest retry intervals.
-const SETTLE_TIME: Duration = Duration::from_secs(12);
-
-/// Time given to each of the last requests.
-const FINAL_DEADLINE: Duration = Duration::from_secs(12);
-
 /// Ensured numbers start here, so that they differ from appended ones.
 const FIRST_ENSURED: u32 = 1_000_000;
 
@@ -58,33 +53,19 @@
     }
 }
 
-/// A change of members that was asked for.
-struct MemberChange {
-    request: u64,
-    remove: Vec<Node>,
-    add: Node,
-}
-
-impl MemberChange {
-    fn apply(&self, group: &Group) -> Group {
-        let kept = group.members().iter().copied().filter(|node| !self.remove.contains(node));
-        Group::new(kept.chain([self.add]).collect())
-    }
-}
-
 /// Machines, network and time.
 pub struct World {
-    now: Duration,
+    pub(super) now: Duration,
     random: SmallRng,
     events: BinaryHeap<Reverse<Scheduled>>,
     order: u64,
-    machines: Vec<Machine>,
+    pub(super) machines: Vec<Machine>,
     founders: usize,
-    network: Network,
-    history: History,
-    changes: Vec<MemberChange>,
+    pub(super) network: Network,
+    pub(super) history: History,
+    pub(super) changes: Vec<MemberChange>,
     fault: Option<Fault>,
-    next_entry: u32,
+    pub(super) next_entry: u32,
 }
 
 impl World {
@@ -184,53 +165,7 @@
         }
     }
 
-    /// Whether the others can recover once a machine's disk is lost.
-    fn may_lose(&mut self, lost: Index) -> bool {
-        let groups = self.possible_groups();
-        self.keep_majorities(&groups, Some(lost))
-    }
-
-    /// Whether a majority of every group keeps its record.
-    fn keep_majorities(&mut self, groups: &[Group], lost: Option<Index>) -> bool {
-        let stored: Vec<bool> = (0..self.machines.len())
-            .map(|at| Some(at) != lost && !self.groups_on_disk(at).is_empty())
-            .collect();
-        let kept = |group: &Group| group.members().iter().filter(|node| stored[index_of(**node)]).count();
-        groups.iter().all(|group| kept(group) >= group.majority())
-    }
-
-    /// Groups that any disk knows of, and those that changes under way may lead to in any order.
-    fn possible_groups(&mut self) -> Vec<Group> {
-        let mut groups: Vec<Group> =
-            (0..self.machines.len()).flat_map(|at| self.groups_on_disk(at)).collect();
-        groups.sort_by(|first, second| first.members().cmp(second.members()));
-        groups.dedup();
-        let void = |outcome: &Outcome| matches!(outcome, Outcome::Refused { .. } | Outcome::Expired);
-        let changes =
-            self.changes.iter().filter(|change| !self.history.outcome(change.request).is_some_and(void));
-        let changes: Vec<&MemberChange> = changes.collect();
-        let mut next = 0;
-        while let Some(group) = groups.get(next).cloned() {
-            for changed in changes.iter().map(|change| change.apply(&group)) {
-                if !groups.contains(&changed) {
-                    groups.push(changed);
-                }
-            }
-            next += 1;
-        }
-        groups
-    }
-
-    /// The groups of the record on a machine's disk; none if there is no record.
-    fn groups_on_disk(&mut self, at: Index) -> Vec<Group> {
-        let directory = self.machines[at].disk.directory.clone();
-        let mut copy = super::disk::Disk::new();
-        copy.directory = directory;
-        let record = copy.open().ok().flatten().and_then(|bytes| Record::decode(&bytes).ok());
-        record.map(|record| record.value.groups).unwrap_or_default()
-    }
-
-    fn start(&mut self, at: Index, bootstrap: bool) -> Result<(), Violation> {
+    pub(super) fn start(&mut self, at: Index, bootstrap: bool) -> Result<(), Violation> {
         let seeds = (0..self.founders).map(node_of).collect();
         let settings = Settings { bootstrap, fault: self.fault, ..Settings::new(node_of(at), seeds) };
         let nonce = self.random.random();
@@ -241,7 +176,7 @@
         self.flush(at)
     }
 
-    fn thaw(&mut self, at: Index) -> Result<(), Violation> {
+    pub(super) fn thaw(&mut self, at: Index) -> Result<(), Violation> {
         self.machines[at].frozen = false;
         let backlog = std::mem::take(&mut self.machines[at].backlog);
         for event in backlog {
@@ -250,7 +185,7 @@
         Ok(())
     }
 
-    fn mend_disk(&mut self, at: Index) -> Result<(), Violation> {
+    pub(super) fn mend_disk(&mut self, at: Index) -> Result<(), Violation> {
         let stalled = self.machines[at].disk.stalled;
         self.machines[at].disk.mend();
         let (life, write) = (self.machines[at].life, self.machines[at].disk.write.as_ref());
@@ -297,7 +232,7 @@
         self.ask_until(at, command, self.now + DEADLINE, input)
     }
 
-    fn ask_until(
+    pub(super) fn ask_until(
         &mut self,
         at: Index,
         command: Option<Command>,
@@ -326,7 +261,7 @@
     }
 
     /// Lets time pass.
-    fn run(&mut self, time: Duration) -> Result<(), Violation> {
+    pub(super) fn run(&mut self, time: Duration) -> Result<(), Violation> {
         let end = self.now + time;
         while self.events.peek().is_some_and(|next| next.0.at <= end) {
             let Some(Reverse(next)) = self.events.pop() else {
@@ -391,74 +326,4 @@
         let event = Event::Wake { life: machine.life, at: wake };
         self.schedule(wake.max(self.now), at, event);
     }
-
-    /// Mends and starts everything; then every machine that is left must serve.
-    fn settle(&mut self) -> Result<(), Violation> {
-        self.network.mend();
-        for at in 0..self.machines.len() {
-            self.mend_disk(at)?;
-            self.thaw(at)?;
-            self.start(at, false)?;
-        }
-        self.run(SETTLE_TIME)?;
-        for at in (0..self.machines.len()).filter(|at| !self.machines[*at].retired).collect::<Vec<_>>() {
-            self.serve(at)?;
-        }
-        Ok(())
-    }
-
-    /// A read and a change through one machine must both succeed.
-    fn serve(&mut self, at: Index) -> Result<(), Violation> {
-        let deadline = self.now + FINAL_DEADLINE;
-        self.ask_until(at, None, deadline, |request, deadline| Input::Read { request, deadline })?;
-        let read = self.machines[at].last_request;
-        self.next_entry += 1;
-        let command = Command::Append(self.next_entry);
-        let propose = |request, deadline| Input::Propose { request, command: command.encode(), deadline };
-        self.ask_until(at, Some(command), deadline, propose)?;
-        let changed = self.machines[at].last_request;
-        self.run(FINAL_DEADLINE)?;
-        let read = read.and_then(|request| self.history.outcome(request));
-        let changed = changed.and_then(|request| self.history.outcome(request));
-        match (read, changed) {
-            (Some(Outcome::Value { .. }), Some(Outcome::Changed { .. })) => Ok(()),
-            _ => Err(Violation::Stuck(at)),
-        }
-    }
-
-    fn expect(&self, step: usize, at: Index, expected: Expectation) -> Result<(), Violation> {
-        let found = match expected {
-            Expectation::Member | Expectation::Spare | Expectation::Recovering => self.standing(at),
-            Expectation::Revision(_) => self.machines[at].learned().map(Expectation::Revision),
-            _ => self.answer(at),
-        };
-        if found == Some(expected) {
-            return Ok(());
-        }
-        let found = found.map_or_else(|| "nothing".to_owned(), |found| found.to_string());
-        Err(Violation::Unmet { step, expected: expected.to_string(), found })
-    }
-
-    fn standing(&self, at: Index) -> Option<Expectation> {
-        self.machines[at].status().map(|status| match status {
-            Status::Member => Expectation::Member,
-            Status::Spare => Expectation::Spare,
-            Status::Recovering { .. } => Expectation::Recovering,
-        })
-    }
-
-    fn answer(&self, at: Index) -> Option<Expectation> {
-        let request = self.machines[at].last_request?;
-        let Some(outcome) = self.history.outcome(request) else {
-            return Some(Expectation::Unanswered);
-        };
-        Some(match outcome {
-            Outcome::Changed { .. } => Expectation::Changed,
-            Outcome::Unchanged { .. } => Expectation::Unchanged,
-            Outcome::Refused { .. } => Expectation::Refused,
-            Outcome::Value { .. } => Expectation::Value,
-            Outcome::Expired => Expectation::Expired,
-            Outcome::Timeout => Expectation::Timeout,
-        })
-    }
 }
