Take a change of an endpoint that word of a later heartbeat overtook

Cause: word of an unchanged heartbeat raised the sequence by which registrations are ordered, though it brings no registration. Where an endpoint turned from one controller to another, the word of the second could overtake the change told by the first; the change then counted as stale and was lost until the next one. Ruled out: sending every heartbeat whole (costs each controller a registration an endpoint a second). Change: an entry keeps the registration's sequence and the newest heartbeat's apart; removals are measured by the latter.

--- a/crates/coordination/src/registry.rs
+++ b/crates/coordination/src/registry.rs
@@ -26,8 +26,12 @@
 pub struct Entry<R> {
     /// The registration; `None` once the incarnation is gone.
     pub registration: Option<R>,
-    /// Sequence of the newest heartbeat; [`FINAL_SEQUENCE`] once it has ended for good.
+    /// Sequence of the registration; once the incarnation is gone, that as of which it is, which is
+    /// [`FINAL_SEQUENCE`] if it has ended for good.
     pub sequence: u64,
+    /// Sequence of the newest heartbeat that any replica is known to have heard. It may be ahead of the
+    /// registration's: word of an unchanged heartbeat may overtake the change before it.
+    pub latest: u64,
     /// When any replica is known to have heard it last.
     pub heard: Duration,
 }
@@ -67,6 +71,7 @@
         let changed = known.registration.as_ref().is_none_or(|old| old.differs(&registration));
         known.registration = Some(registration);
         known.sequence = sequence;
+        known.latest = known.latest.max(sequence);
         known.heard = now;
         if changed { Taken::Changed { replaced: Vec::new() } } else { Taken::Refreshed }
     }
@@ -80,7 +85,7 @@
         for id in &replaced {
             self.remove(now, id, FINAL_SEQUENCE);
         }
-        let entry = Entry { registration: Some(registration), sequence, heard: now };
+        let entry = Entry { registration: Some(registration), sequence, latest: sequence, heard: now };
         self.entries.insert(id.to_owned(), entry);
         Taken::Changed { replaced }
     }
@@ -88,20 +93,20 @@
     /// Notes that some replica heard heartbeat `sequence` and that nothing else had changed.
     pub fn touch(&mut self, now: Duration, id: &str, sequence: u64) {
         let Some(known) = self.entries.get_mut(id) else { return };
-        if known.registration.is_some() && sequence >= known.sequence {
-            known.sequence = sequence;
+        if known.registration.is_some() && sequence >= known.latest {
+            known.latest = sequence;
             known.heard = now;
         }
     }
 
     /// Removes an incarnation as of `sequence`. Tells whether that was news.
     pub fn remove(&mut self, now: Duration, id: &str, sequence: u64) -> bool {
-        let gone = || Entry { registration: None, sequence, heard: now };
+        let gone = || Entry { registration: None, sequence, latest: sequence, heard: now };
         let Some(known) = self.entries.get_mut(id) else {
             self.entries.insert(id.to_owned(), gone());
             return false;
         };
-        if sequence < known.sequence || (known.registration.is_none() && sequence == known.sequence) {
+        if sequence < known.latest || (known.registration.is_none() && sequence == known.latest) {
             return false;
         }
         let was_there = known.registration.is_some();
@@ -122,7 +127,7 @@
             registration.is_some_and(|r| now.saturating_sub(entry.heard) > silence && owns(r.service()))
         };
         let silent = self.entries.iter().filter(|(_, entry)| lost(entry));
-        let silent: Vec<(String, u64)> = silent.map(|(id, entry)| (id.clone(), entry.sequence)).collect();
+        let silent: Vec<(String, u64)> = silent.map(|(id, entry)| (id.clone(), entry.latest)).collect();
         for (id, sequence) in &silent {
             self.remove(now, id, *sequence);
         }
--- a/crates/coordination/tests/registry.rs
+++ b/crates/coordination/tests/registry.rs
@@ -106,3 +106,16 @@
         prop_assert_eq!(newest(&forward), newest(&other));
     }
 }
+
+#[test]
+fn a_change_that_word_of_a_later_heartbeat_overtook_is_taken() {
+    let mut registry = Registry::default();
+    let draining = Endpoint { draining: true, ..at(80) };
+    registry.take(ms(0), "i-1", 5, at(80));
+    registry.touch(ms(1), "i-1", 7);
+    assert_eq!(registry.take(ms(2), "i-1", 6, draining.clone()), Taken::Changed { replaced: vec![] });
+    assert_eq!(registry.get("i-1").unwrap().registration, Some(draining));
+    assert!(!registry.remove(ms(3), "i-1", 6), "a later heartbeat was heard");
+    assert!(registry.remove(ms(3), "i-1", 7));
+    assert_eq!(registry.take(ms(4), "i-1", 7, at(80)), Taken::Stale);
+}
