Refuse lengths that no frame has before room is set aside for them

Cause: a list's or blob's length was believed as read. The property test on any bytes ended its process once, out of memory, on a list of some 4 billion heartbeats; damaged bytes from a peer would end a controller. Ruled out: reading until the end of the frame (fields after a blob need its length). Change: blobs are at most a frame long and lists at most 100,000 heartbeats, checked as the length is read; a test names both cases. Before: out of memory with such bytes; after: refused. Times not measured.

--- a/crates/controller/src/message.rs
+++ b/crates/controller/src/message.rs
@@ -6,11 +6,15 @@
 /// Largest frame that is read; a configuration with its history is far below.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
-/// Bytes of any length.
+/// Most heartbeats in one message. Room for a list is set aside by the length that stands before it, so
+/// damaged bytes must not name any length.
+pub const MAX_HEARD: u32 = 100_000;
+
+/// Bytes, as many as a frame holds.
 #[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
 pub struct Blob {
-    #[deku(update = "self.bytes.len()")]
+    #[deku(update = "self.bytes.len()", assert = "*length as usize <= MAX_FRAME_BYTES")]
     length: u32,
     #[deku(count = "length")]
     pub bytes: Vec<u8>,
@@ -102,7 +106,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
 pub struct HeardList {
-    #[deku(update = "self.heard.len()")]
+    #[deku(update = "self.heard.len()", assert = "*length <= MAX_HEARD")]
     length: u32,
     #[deku(count = "length")]
     pub heard: Vec<Heard>,
--- a/crates/controller/tests/message.rs
+++ b/crates/controller/tests/message.rs
@@ -45,6 +45,15 @@
     assert!(matches!(Message::decode(&body), Err(MessageError::Trailing(1))));
 }
 
+#[test]
+fn a_length_that_no_frame_has_is_refused_before_room_is_set_aside() {
+    let huge = u32::MAX.to_le_bytes();
+    let list = [&[7][..], &huge].concat();
+    assert!(matches!(Message::decode(&list), Err(MessageError::Unreadable(_))));
+    let document = [&[4][..], &[0; 8], &huge].concat();
+    assert!(matches!(Message::decode(&document), Err(MessageError::Unreadable(_))));
+}
+
 proptest! {
     #[test]
     fn any_bytes_are_read_or_refused(body in prop::collection::vec(any::<u8>(), 0..200)) {
