Ask an endpoint at most four times about one load

Cause: a load that never shows was asked about every 300 ms for as long as the lease was held; the bound was checked only after the next question had been put off, so that it never held. Ruled out: leaving it to the end of the tenure, as each question costs a connection to the endpoint. Change: the bound is checked before asking; the last question still has its time for an answer. Load not measured.

--- a/crates/controller/src/controller/holdings.rs
+++ b/crates/controller/src/controller/holdings.rs
@@ -14,7 +14,7 @@
 const REPORT_LAG: Duration = Duration::from_millis(230);
 /// Pause before an endpoint that still loads is asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(300);
-/// Questions about one load; a heartbeat tells the rest.
+/// Questions about one load, the last of which gets [`ASK_AGAIN`] for its answer; a heartbeat tells the rest.
 const MAX_QUESTIONS: u32 = 4;
 
 /// A load that an endpoint has accepted and does not show yet.
@@ -64,18 +64,18 @@
 
     /// What is due now.
     pub fn due(&mut self, now: Duration) -> Vec<Step> {
+        self.awaited.retain(|awaited| awaited.questions < MAX_QUESTIONS || awaited.at > now);
         let mut steps = Vec::new();
         for awaited in self.awaited.iter_mut().filter(|awaited| awaited.at <= now) {
             if awaited.adapter.is_some() {
                 steps.push(Step::Publish(awaited.holding()));
-                awaited.questions = MAX_QUESTIONS;
             } else {
                 steps.push(awaited.ask());
                 awaited.questions += 1;
                 awaited.at = now + ASK_AGAIN;
             }
         }
-        self.awaited.retain(|awaited| awaited.questions < MAX_QUESTIONS || awaited.at > now);
+        self.awaited.retain(|awaited| awaited.at > now);
         steps
     }
 
