Do not acknowledge alone while the group is unknown; test views, sources, members, calls, readers

Cause: a controller with a new or emptied disk knows no group, and half of nothing plus one is one: it would have acknowledged a draining endpoint before anybody else knew of it. Ruled out: refusing endpoints until the group is known, as heartbeats of ready ones need no majority. Change: an unknown group counts as one that carries the fault tolerance.

--- a/crates/controller/src/controller/members.rs
+++ b/crates/controller/src/controller/members.rs
@@ -16,6 +16,12 @@
     pub add: SocketAddr,
 }
 
+/// Members that make a majority of a group of `members`. While the group is not known (a new or emptied disk)
+/// it counts as one that carries the loss of `machines`.
+pub fn majority(members: usize, machines: usize) -> usize {
+    if members == 0 { machines + 1 } else { members / 2 + 1 }
+}
+
 /// Watches members and spares.
 #[derive(Debug, Default)]
 pub struct Members {
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -4,17 +4,27 @@
 mod calls;
 mod disk;
 mod endpoints;
+#[cfg(test)]
+mod endpoints_test;
 mod event;
 mod holdings;
+#[cfg(test)]
+mod holdings_test;
 mod http;
 mod links;
 mod members;
+#[cfg(test)]
+mod members_test;
 mod operator;
+#[cfg(test)]
+mod operator_test;
 mod orders;
 mod peers;
 mod placement;
 mod placing;
 mod readers;
+#[cfg(test)]
+mod readers_test;
 mod setup;
 mod shards;
 mod turn;
@@ -111,7 +121,8 @@
 
     /// Members that make a majority of the group of the configuration's shard.
     fn majority(&self) -> usize {
-        self.group(shards::CONFIGURATION).len() / 2 + 1
+        let machines = self.settings.fault_tolerance.machines as usize;
+        members::majority(self.group(shards::CONFIGURATION).len(), machines)
     }
 
     /// Whether this controller reaches more than half of the group (itself counted, if it is a member).
--- /dev/null
+++ b/crates/controller/tests/common/mod.rs
@@ -0,0 +1,45 @@
+//! Messages as controllers send them.
+
+use lanegate_controller::message::{Holding, Message, Registered, Removed};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// The control plane's machine `number`.
+pub fn controller(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7_000))
+}
+
+/// The body of a heartbeat of an endpoint on `port` that holds `models`.
+pub fn body(port: u16, sequence: u64, state: &str, models: &[&str]) -> String {
+    let models: Vec<_> = models.iter().map(|name| serde_json::json!({ "Name": name })).collect();
+    serde_json::json!({
+        "Backend": "tiles",
+        "Address": format!("10.1.0.1:{port}"),
+        "State": state,
+        "Sequence": sequence,
+        "Models": models,
+    })
+    .to_string()
+}
+
+pub fn registered(id: &str, port: u16, sequence: u64, models: &[&str]) -> Message {
+    let body = body(port, sequence, "ready", models);
+    Message::Registered(Registered { id: id.into(), sequence, body: body.as_str().into() })
+}
+
+pub fn removed(id: &str, sequence: u64) -> Message {
+    Message::Removed(Removed { id: id.into(), sequence })
+}
+
+pub fn holding(id: &str, model: &str, present: bool) -> Message {
+    Message::Holding(Holding {
+        id: id.into(),
+        model: model.into(),
+        adapter: "".into(),
+        present: u8::from(present),
+    })
+}
--- /dev/null
+++ b/crates/controller/tests/sources.rs
@@ -0,0 +1,107 @@
+//! The choice of sources: two that reach their quorum, whatever fails.
+
+#[allow(dead_code)]
+mod common;
+
+use common::{controller, ms};
+use lanegate_controller::agent::sources::{Plan, Sources};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+const AGENT: &str = "edge-1";
+
+fn known(count: u8) -> BTreeSet<SocketAddr> {
+    (1..=count).map(controller).collect()
+}
+
+/// An agent that follows two of `count` sources, both trusted.
+fn settled(count: u8) -> (Sources, SocketAddr, SocketAddr) {
+    let mut sources = Sources::default();
+    let plan = sources.plan(ms(0), AGENT, &known(count));
+    let [first, second] = plan.start[..] else { panic!("two are begun: {plan:?}") };
+    sources.heard(first, true);
+    sources.heard(second, true);
+    (sources, first, second)
+}
+
+#[test]
+fn two_sources_are_followed_and_no_more() {
+    let (mut sources, first, second) = settled(5);
+    assert_ne!(first, second);
+    assert_eq!(sources.plan(ms(1), AGENT, &known(5)), Plan::default());
+}
+
+#[test]
+fn agents_spread_over_the_sources() {
+    let first = |agent: &str| Sources::default().plan(ms(0), agent, &known(5)).start[0];
+    let firsts: BTreeSet<SocketAddr> = (0..40).map(|agent| first(&format!("edge-{agent}"))).collect();
+    assert_eq!(firsts.len(), 5);
+}
+
+#[test]
+fn a_source_that_is_cut_off_is_replaced_and_kept_until_two_others_are_trusted() {
+    let (mut sources, first, second) = settled(4);
+    sources.heard(first, false);
+    let plan = sources.plan(ms(1), AGENT, &known(4));
+    assert_eq!((plan.start.len(), plan.stop.len()), (1, 0), "{plan:?}");
+    let third = plan.start[0];
+    assert_eq!(sources.plan(ms(2), AGENT, &known(4)), Plan::default(), "the new one has not spoken yet");
+    sources.heard(third, true);
+    let plan = sources.plan(ms(3), AGENT, &known(4));
+    assert_eq!(plan, Plan { start: vec![], stop: vec![first] });
+    assert_eq!(sources.preferred(), Some(second.min(third)));
+}
+
+#[test]
+fn a_source_that_is_trusted_again_before_it_was_replaced_stays() {
+    let (mut sources, first, _) = settled(2);
+    sources.heard(first, false);
+    assert_eq!(sources.plan(ms(1), AGENT, &known(2)), Plan::default(), "there is no third");
+    sources.heard(first, true);
+    assert_eq!(sources.plan(ms(2), AGENT, &known(2)), Plan::default());
+}
+
+#[test]
+fn with_every_source_cut_off_all_are_tried_and_none_is_dropped() {
+    let (mut sources, first, second) = settled(3);
+    sources.heard(first, false);
+    sources.heard(second, false);
+    assert!(sources.none_trusted());
+    let plan = sources.plan(ms(1), AGENT, &known(3));
+    assert_eq!((plan.start.len(), plan.stop.len()), (1, 0));
+    sources.heard(plan.start[0], false);
+    assert_eq!(sources.plan(ms(2), AGENT, &known(3)), Plan::default());
+    assert!(sources.preferred().is_some(), "one that is cut off is better than none");
+}
+
+#[test]
+fn a_source_that_fails_is_replaced_at_once_and_dialled_again_after_a_pause() {
+    let (mut sources, first, _) = settled(3);
+    sources.ended(ms(1_000), first);
+    let plan = sources.plan(ms(1_000), AGENT, &known(3));
+    assert_eq!(plan.start.len(), 1);
+    assert_ne!(plan.start[0], first);
+
+    let (mut sources, first, _) = settled(2);
+    sources.ended(ms(1_000), first);
+    assert_eq!(sources.plan(ms(1_000), AGENT, &known(2)), Plan::default());
+    assert_eq!(sources.plan(ms(1_399), AGENT, &known(2)), Plan::default());
+    assert_eq!(sources.plan(ms(1_400), AGENT, &known(2)).start, vec![first]);
+}
+
+#[test]
+fn own_messages_go_to_a_trusted_source() {
+    let (mut sources, first, second) = settled(2);
+    sources.heard(first.min(second), false);
+    assert_eq!(sources.preferred(), Some(first.max(second)));
+    assert!(!sources.none_trusted());
+}
+
+#[test]
+fn a_word_of_a_source_that_is_not_followed_any_more_changes_nothing() {
+    let (mut sources, first, second) = settled(2);
+    sources.ended(ms(0), first);
+    sources.heard(first, true);
+    sources.heard(second, false);
+    assert!(sources.none_trusted());
+}
--- /dev/null
+++ b/crates/controller/tests/view.rs
@@ -0,0 +1,194 @@
+//! The merged view of several sources: nothing goes back, nothing is lost, nothing that is gone stays.
+
+mod common;
+
+use common::{controller, holding, ms, registered, removed};
+use lanegate_controller::message::{Controllers, Decided, FeedBeat, Message};
+use lanegate_controller::view::View;
+use std::net::SocketAddr;
+
+fn decided(revision: u64, document: &str) -> Message {
+    Message::Decided(Decided { revision, document: document.into() })
+}
+
+fn end(complete: bool) -> Message {
+    Message::SnapshotEnd { complete: u8::from(complete) }
+}
+
+/// Hands `messages` of `source` to the view at `time` and gives what is news.
+fn tell_at(view: &mut View, time: u64, source: SocketAddr, messages: &[Message]) -> Vec<Message> {
+    let mut news = Vec::new();
+    messages.iter().for_each(|message| view.receive(ms(time), source, message.clone(), &mut news));
+    news
+}
+
+fn tell(view: &mut View, source: SocketAddr, messages: &[Message]) -> Vec<Message> {
+    tell_at(view, 0, source, messages)
+}
+
+fn models(view: &View, id: &str) -> Vec<String> {
+    let registered = view.registration(id).expect("it is listed");
+    registered.current_instance().models.into_iter().map(|held| held.name).collect()
+}
+
+#[test]
+fn a_source_that_lags_cannot_take_the_configuration_back() {
+    let mut view = View::default();
+    tell(&mut view, controller(1), &[decided(4, "new")]);
+    assert_eq!(tell(&mut view, controller(2), &[decided(3, "old")]), vec![]);
+    assert_eq!(tell(&mut view, controller(2), &[decided(4, "new")]), vec![]);
+    assert_eq!(view.configuration().unwrap().document.text(), "new");
+}
+
+#[test]
+fn a_snapshot_of_a_source_that_lags_cannot_take_the_configuration_back() {
+    let mut view = View::default();
+    tell(&mut view, controller(1), &[Message::SnapshotBegin, decided(4, "new"), end(true)]);
+    view.lost(controller(1));
+    tell(&mut view, controller(2), &[Message::SnapshotBegin, decided(3, "old"), end(true)]);
+    assert_eq!(view.configuration().unwrap().revision, 4);
+}
+
+#[test]
+fn a_source_that_lags_cannot_take_a_registration_back() {
+    let mut view = View::default();
+    let newer = registered("i-1", 80, 6, &["b"]);
+    assert_eq!(tell(&mut view, controller(1), &[newer.clone()]), vec![newer]);
+    assert_eq!(tell(&mut view, controller(2), &[registered("i-1", 80, 5, &["a"])]), vec![]);
+    assert_eq!(models(&view, "i-1"), ["b"]);
+}
+
+#[test]
+fn what_two_sources_tell_is_news_once() {
+    let mut view = View::default();
+    let message = registered("i-1", 80, 1, &[]);
+    assert_eq!(tell(&mut view, controller(1), &[message.clone()]).len(), 1);
+    assert_eq!(tell(&mut view, controller(2), &[message]), vec![]);
+    assert_eq!(tell(&mut view, controller(1), &[removed("i-1", 1)]).len(), 1);
+    assert_eq!(tell(&mut view, controller(2), &[removed("i-1", 1)]), vec![]);
+}
+
+#[test]
+fn a_late_registration_does_not_undo_a_removal() {
+    let mut view = View::default();
+    tell(&mut view, controller(1), &[registered("i-1", 80, 5, &[]), removed("i-1", 6)]);
+    assert_eq!(tell(&mut view, controller(2), &[registered("i-1", 80, 6, &[])]), vec![]);
+    assert!(view.registration("i-1").is_none());
+}
+
+#[test]
+fn a_removal_that_is_older_than_the_registration_changes_nothing() {
+    let mut view = View::default();
+    tell(&mut view, controller(1), &[registered("i-1", 80, 6, &[])]);
+    assert_eq!(tell(&mut view, controller(2), &[removed("i-1", 5)]), vec![]);
+    assert!(view.registration("i-1").is_some());
+}
+
+#[test]
+fn a_new_incarnation_at_an_address_ends_the_one_before() {
+    let mut view = View::default();
+    tell(&mut view, controller(1), &[registered("i-1", 80, 9, &[])]);
+    let news = tell(&mut view, controller(1), &[registered("i-2", 80, 1, &[])]);
+    assert_eq!(news, vec![registered("i-2", 80, 1, &[]), removed("i-1", u64::MAX)]);
+}
+
+#[test]
+fn what_has_vanished_goes_with_the_end_of_a_complete_snapshot_only() {
+    let mut view = View::default();
+    let both = [registered("i-1", 80, 3, &[]), registered("i-2", 81, 4, &[])];
+    tell(&mut view, controller(1), &both);
+    tell(&mut view, controller(1), &[end(true)]);
+    view.lost(controller(1));
+    assert!(view.registration("i-2").is_some(), "a lost source takes nothing along");
+
+    let begun = [Message::SnapshotBegin, registered("i-1", 80, 3, &[])];
+    assert_eq!(tell(&mut view, controller(2), &begun), vec![]);
+    assert_eq!(tell(&mut view, controller(2), &[end(false)]), vec![]);
+    assert!(view.registration("i-2").is_some(), "the source has not heard from everyone itself");
+
+    let news = tell(&mut view, controller(2), &[end(true)]);
+    assert_eq!(news, vec![removed("i-2", 4), end(true)]);
+    assert!(view.registration("i-2").is_none());
+}
+
+#[test]
+fn what_another_complete_source_lists_stays() {
+    let mut view = View::default();
+    tell(&mut view, controller(1), &[Message::SnapshotBegin, registered("i-1", 80, 3, &[]), end(true)]);
+    assert_eq!(tell(&mut view, controller(2), &[Message::SnapshotBegin, end(true)]), vec![]);
+    assert!(view.registration("i-1").is_some());
+}
+
+#[test]
+fn what_vanished_by_mistake_comes_back_with_the_same_sequence() {
+    let mut view = View::default();
+    let message = registered("i-1", 80, 3, &[]);
+    tell(&mut view, controller(1), &[message.clone()]);
+    tell(&mut view, controller(2), &[Message::SnapshotBegin, end(true)]);
+    assert!(view.registration("i-1").is_none());
+    assert_eq!(tell(&mut view, controller(2), &[message.clone()]), vec![message]);
+}
+
+#[test]
+fn a_holding_amends_a_registration_until_the_next_heartbeat() {
+    let mut view = View::default();
+    tell(&mut view, controller(1), &[registered("i-1", 80, 1, &["a"])]);
+    let loaded = holding("i-1", "b", true);
+    assert_eq!(tell(&mut view, controller(1), &[loaded.clone()]), vec![loaded.clone()]);
+    assert_eq!(models(&view, "i-1"), ["a", "b"]);
+    assert_eq!(tell(&mut view, controller(2), &[loaded]), vec![], "it is known already");
+
+    tell(&mut view, controller(1), &[holding("i-1", "a", false)]);
+    assert_eq!(models(&view, "i-1"), ["b"]);
+
+    let heartbeat = registered("i-1", 80, 2, &["a"]);
+    assert_eq!(tell(&mut view, controller(1), &[heartbeat.clone()]), vec![heartbeat]);
+    assert_eq!(models(&view, "i-1"), ["a"], "the endpoint itself knows best");
+}
+
+#[test]
+fn a_heartbeat_that_confirms_a_holding_is_no_news() {
+    let mut view = View::default();
+    tell(&mut view, controller(1), &[registered("i-1", 80, 1, &[]), holding("i-1", "b", true)]);
+    assert_eq!(tell(&mut view, controller(1), &[registered("i-1", 80, 2, &["b"])]), vec![]);
+    assert_eq!(models(&view, "i-1"), ["b"]);
+}
+
+#[test]
+fn a_holding_of_an_unknown_incarnation_is_dropped() {
+    let mut view = View::default();
+    assert_eq!(tell(&mut view, controller(1), &[holding("i-9", "b", true)]), vec![]);
+}
+
+#[test]
+fn a_reader_that_begins_gets_the_whole_view() {
+    let mut view = View::default();
+    let known = [decided(2, "{}"), registered("i-1", 80, 1, &["a"]), holding("i-1", "b", true)];
+    tell(&mut view, controller(1), &known);
+    tell(&mut view, controller(1), &[registered("i-2", 81, 1, &[]), removed("i-2", 2), end(true)]);
+    let [configuration, registration, amendment] = known;
+    let expected = vec![Message::SnapshotBegin, configuration, registration, amendment, end(true)];
+    assert_eq!(view.snapshot(), expected);
+}
+
+#[test]
+fn a_source_says_who_else_is_there_and_how_many_routers() {
+    let mut view = View::default();
+    let addresses = "10.0.0.1:7000 10.0.0.2:7000 nonsense".into();
+    tell(&mut view, controller(1), &[Message::Controllers(Controllers { addresses })]);
+    assert!(view.controllers().iter().eq(&[controller(1), controller(2)]));
+    let beat = FeedBeat { quorum: 1, source: 5, offset: 9, routers: 3 };
+    tell(&mut view, controller(1), &[Message::FeedBeat(beat)]);
+    assert_eq!(view.routers(), 3);
+}
+
+#[test]
+fn a_removal_is_forgotten_after_a_minute() {
+    let mut view = View::default();
+    let beat = Message::FeedBeat(FeedBeat { quorum: 1, source: 5, offset: 9, routers: 0 });
+    tell(&mut view, controller(1), &[registered("i-1", 80, 1, &[]), removed("i-1", 5)]);
+    tell_at(&mut view, 59_000, controller(1), std::slice::from_ref(&beat));
+    assert_eq!(tell_at(&mut view, 59_001, controller(1), &[registered("i-1", 80, 2, &[])]), vec![]);
+    tell_at(&mut view, 61_000, controller(1), &[beat]);
+    assert_eq!(tell_at(&mut view, 61_001, controller(1), &[registered("i-1", 80, 2, &[])]).len(), 1);
+}
