Load further copies sooner after a shift, and keep copies of models that are short

Cause: after a shift the busiest model stayed at one or two copies for up to eight seconds: smoothing over 3 s followed late, a third of the window was kept from it, and rare models took copies from it because their endpoint happened to be free. Ruled out: taking the last wanted copy of rare models for it, which the placer never does. Change: smoothing over 1.5 s; a model with under half of the copies it wants counts as urgent; a copy is only taken from a model in demand if that costs less than the waiting model gains; a further copy has to carry two requests a second instead of three.

--- a/crates/placement/src/models.rs
+++ b/crates/placement/src/models.rs
@@ -29,6 +29,9 @@
 /// What it costs to load onto an endpoint that carries an even share of the work.
 const LOAD_COST: f64 = 0.1;
 
+/// A model that requests wait for is worth at least so many requests a second.
+const LEAST_RATE: f64 = 0.25;
+
 /// A further copy replaces a last one only if it is worth this many times as much.
 const REPLACE_RATIO: f64 = 3.0;
 
@@ -57,6 +60,8 @@
     Unplaced,
     /// No endpoint holds it, and it is in demand.
     First,
+    /// Its copies carry more than twice what they should.
+    Short,
     /// Its copies are too few for its demand.
     Further,
     /// It has lost its last copy and may be asked for again.
@@ -66,7 +71,7 @@
 impl Rank {
     /// Whether requests wait for the load.
     pub fn urgent(self) -> bool {
-        self <= Rank::First
+        self <= Rank::Short
     }
 }
 
@@ -84,6 +89,7 @@
         0 if standing.urgent => Rank::Unplaced,
         0 if standing.in_demand => Rank::First,
         0 if standing.remembered >= RESTORE_RATE => Rank::Restore,
+        copies if copies > 0 && copies * 2 < standing.target.order => Rank::Short,
         copies if copies > 0 && copies < standing.target.order => Rank::Further,
         _ => return None,
     };
@@ -97,6 +103,7 @@
             0..=1 if standing.urgent => Rank::Unplaced,
             0..=1 if standing.in_demand => Rank::First,
             0..=1 => Rank::Restore,
+            copies if (copies - 1) * 2 < standing.target.order => Rank::Short,
             _ => Rank::Further,
         };
         Wish { model, rank, standing }
@@ -189,8 +196,9 @@
             return Some(SURPLUS_COST * (1.0 + other.remembered / other.copies as f64));
         }
         if other.in_demand {
-            let spare = other.copies >= 2 && self.rank.urgent();
-            return spare.then(|| SPARE_COST * other.relief(other.copies - 1));
+            let cost = SPARE_COST * other.relief(other.copies - 1);
+            let gain = MISS_COST * self.weight().max(LEAST_RATE);
+            return (other.copies >= 2 && self.rank.urgent() && cost <= gain).then_some(cost);
         }
         let cost = MISS_COST * other.remembered;
         let pays = self.rank.urgent()
--- a/crates/placement/src/need.rs
+++ b/crates/placement/src/need.rs
@@ -10,7 +10,7 @@
 const RESILIENT_RATE: f64 = 1.0;
 
 /// Requests a second that each further copy should serve to be worth its load within a few seconds.
-const PAYING_RATE: f64 = 3.0;
+const PAYING_RATE: f64 = 2.0;
 
 /// How many copies of an item there should be.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/crates/placement/src/planning.rs
+++ b/crates/placement/src/planning.rs
@@ -118,7 +118,7 @@
     /// Whether the weight store may be asked for a load that is wanted this much.
     fn permitted(&mut self, now: Duration, rank: Rank) -> bool {
         match rank {
-            Rank::Unplaced | Rank::First => self.store.available(now, 0, URGENT_BEYOND) > 0,
+            Rank::Unplaced | Rank::First | Rank::Short => self.store.available(now, 0, URGENT_BEYOND) > 0,
             Rank::Further => self.store.available(now, RESERVED_LOADS, 0) > 0,
             Rank::Restore => self.store.used(now) < RESTORE_SHARE && self.store.available(now, 0, 0) > 0,
         }
--- a/crates/placement/src/rate.rs
+++ b/crates/placement/src/rate.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// Time constant of the rate that follows changes, s: a few reports of each router.
-const FAST_S: f64 = 3.0;
+const FAST_S: f64 = 1.5;
 
 /// Time constant of the rate that remembers, s: long beside the time of a load.
 const SLOW_S: f64 = 60.0;
--- a/crates/placement/tests/scenarios.rs
+++ b/crates/placement/tests/scenarios.rs
@@ -194,6 +194,7 @@
     first_request
     many_models
     notice
+    overload
     shift
     steady
     takeover
