--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -25,6 +25,9 @@
 /// Part of the usual service time that a full batch adds to an answer.
 const BATCH_COST: f64 = 0.1;
 
+/// Cost of the time for which the streams of an engine stand still, as a part of that time for each stream.
+const STALL_COST: f64 = 0.08;
+
 /// Part of an engine's memory that running requests may fill: the rest is for the growth of their outputs.
 const MEMORY_SHARE: f64 = 0.9;
 
@@ -130,6 +133,7 @@
             has_room: closed_until <= self.now && self.has_room(endpoint, load, standing),
             cost_s: expected_s
                 + self.batch_s(endpoint, load)
+                + self.stall_s(load, unread)
                 + self.distance_s(endpoint)
                 + faults * FAULT_COST_S,
             expected,
@@ -186,6 +190,17 @@
         weight * filled * self.service.served.seconds()
     }
 
+    /// What the streams that run there lose while the prompt is read between their tokens.
+    fn stall_s(&self, load: &EndpointLoad, unread: u64) -> f64 {
+        match self.service.engine {
+            Some(_) => {
+                let reading_s = self.service.first_byte.per_token_s() * unread as f64;
+                STALL_COST * load.occupancy(self.now) * reading_s
+            }
+            None => 0.0,
+        }
+    }
+
     fn distance_s(&self, endpoint: &Endpoint) -> f64 {
         let settings = &self.fleet.settings;
         if *endpoint.zone == *settings.zone {
