Ask a replica again as soon as a connection to it comes up

Cause: after a start the first messages go out before any connection is up, and were sent again only by the retry timer (200 ms, then doubling), also by a replica that recovers from a lost disk. Ruled out: a shorter retry interval, which costs wake-ups while a machine is gone. Change: the contact input makes recovery, round and query send what that node has not answered; the simulated machines give it when a process starts.

--- a/crates/coordination/src/register/event.rs
+++ b/crates/coordination/src/register/event.rs
@@ -86,7 +86,8 @@
         /// When to give up.
         deadline: Duration,
     },
-    /// A node that may know the group can be reached.
+    /// A node that may know the group can be reached, for the first time or again (a connection to it came
+    /// up): what it has not answered is sent to it at once.
     Contact {
         /// The node.
         node: Node,
--- a/crates/coordination/src/register/proposer.rs
+++ b/crates/coordination/src/register/proposer.rs
@@ -67,6 +67,13 @@
         earlier(earlier(deadline, resend), resume).filter(|at| *at != Duration::MAX)
     }
 
+    /// A replica can be reached again: what it has not answered is sent again.
+    pub(super) fn reach(&self, core: &mut Core, node: Node) {
+        if let Some(round) = self.round.as_ref().filter(|round| round.awaits(node)) {
+            core.send(node, round.message());
+        }
+    }
+
     /// Gives up what is late, sends again what was not answered.
     pub(super) fn on_tick(&mut self, core: &mut Core) {
         self.expire(core);
@@ -78,8 +85,7 @@
         }
         round.interval = core.longer(round.interval);
         round.resend_at = core.now + round.interval;
-        let silent: Vec<Node> =
-            round.asked.iter().copied().filter(|node| !round.votes.counts(*node)).collect();
+        let silent: Vec<Node> = round.asked.iter().copied().filter(|node| round.awaits(*node)).collect();
         for node in silent {
             core.send(node, round.message());
         }
--- a/crates/coordination/src/register/reader.rs
+++ b/crates/coordination/src/register/reader.rs
@@ -109,6 +109,13 @@
         }
     }
 
+    /// A replica can be reached again: it is asked again unless it has answered.
+    pub(super) fn reach(&self, core: &mut Core, node: Node) {
+        if let Some(query) = self.query.as_ref().filter(|query| query.awaits(node)) {
+            core.send(node, query.message());
+        }
+    }
+
     /// Gives up what is late, asks the silent again, repairs what stays undecided.
     pub(super) fn on_tick(&mut self, core: &mut Core, proposer: &mut Proposer) {
         self.expire(core);
@@ -123,8 +130,7 @@
         }
         query.interval = core.longer(query.interval);
         query.resend_at = core.now + query.interval;
-        let silent: Vec<Node> =
-            query.asked.iter().copied().filter(|node| !query.votes.counts(*node)).collect();
+        let silent: Vec<Node> = query.asked.iter().copied().filter(|node| query.awaits(*node)).collect();
         for node in silent {
             core.send(node, query.message());
         }
@@ -198,6 +204,10 @@
         Message::Query { request: self.request, known: self.start.ballot }
     }
 
+    fn awaits(&self, node: Node) -> bool {
+        self.asked.contains(&node) && !self.votes.counts(node)
+    }
+
     fn groups(&self) -> Vec<Group> {
         union(&self.start.value.groups, &self.newest.value.groups)
     }
--- a/crates/coordination/src/register/recovery.rs
+++ b/crates/coordination/src/register/recovery.rs
@@ -46,8 +46,18 @@
         recovery
     }
 
+    /// A replica can be reached: it is asked unless it has answered.
+    pub(super) fn reach(&mut self, core: &mut Core, node: Node) {
+        if !self.contacts.contains(&node) {
+            self.contacts.push(node);
+        }
+        if !self.answers.contains_key(&node) {
+            self.ask(core, node);
+        }
+    }
+
     /// Asks a replica that was not asked before.
-    pub(super) fn contact(&mut self, core: &mut Core, node: Node) {
+    fn contact(&mut self, core: &mut Core, node: Node) {
         if node != core.node() && !self.contacts.contains(&node) {
             self.contacts.push(node);
             self.ask(core, node);
--- a/crates/coordination/src/register/replica.rs
+++ b/crates/coordination/src/register/replica.rs
@@ -199,9 +199,11 @@
             self.contacts.push(node);
         }
         match &mut self.recovery {
-            Some(recovery) => recovery.contact(&mut self.core, node),
+            Some(recovery) => recovery.reach(&mut self.core, node),
             None => self.core.send(node, self.core.inquiry()),
         }
+        self.reader.reach(&mut self.core, node);
+        self.proposer.reach(&mut self.core, node);
     }
 
     /// Starts what can be started, writes what must be written, and hands over messages to itself.
--- a/crates/coordination/src/register/round.rs
+++ b/crates/coordination/src/register/round.rs
@@ -54,6 +54,11 @@
         if core.settings.has(Fault::NewGroupOnly) { last(newest) } else { union(start, newest) }
     }
 
+    /// Whether a replica was asked and has not given a vote that counts.
+    pub(super) fn awaits(&self, node: Node) -> bool {
+        self.asked.contains(&node) && !self.votes.counts(node)
+    }
+
     pub(super) fn message(&self) -> Message {
         match &self.phase {
             Phase::Prepare { known } => Message::Prepare { ballot: self.ballot, known: known.ballot },
--- a/crates/coordination/src/simulation/world.rs
+++ b/crates/coordination/src/simulation/world.rs
@@ -172,6 +172,9 @@
         self.machines[at].start(settings, self.now, nonce)?;
         for other in 0..self.machines.len() {
             self.input(at, Input::Contact { node: node_of(other) })?;
+            if !self.machines[other].frozen {
+                self.input(other, Input::Contact { node: node_of(at) })?;
+            }
         }
         self.flush(at)
     }
