Give each case of the attempts' tests its own router, and the routers a slack for retries

Cause: with the dispatcher's retry budget and its memory of failures, two tests hung: the settings of the tests named no RetrySlack, so no retry was allowed, and a second case met endpoints that the first had spoilt. A third spun for good on a connection that stayed readable. Ruled out: a change of the router or the dispatcher; both do what they should. No claim of a test was changed. Change: RetryRatio, RetryWindowS and RetrySlack in the tests' settings; a router and two endpoints for each case; an endpoint that turns every request away on whatever connection it comes.

--- a/crates/router/tests/attempts.rs
+++ b/crates/router/tests/attempts.rs
@@ -4,6 +4,7 @@
 
 use common::{Endpoint, Message, Router, answer_to, pass_time, play};
 use std::time::Duration;
+use tokio::task::spawn_local;
 
 /// Answers that the request did not run.
 fn turned_away(request: &Message, status: &str) -> String {
@@ -13,12 +14,24 @@
     )
 }
 
+/// Runs nothing, on whatever connection it is asked.
+async fn turn_all_away(endpoint: Endpoint) {
+    loop {
+        let mut upstream = endpoint.accept().await;
+        spawn_local(async move {
+            while let Some(request) = upstream.next_request().await {
+                upstream.write(turned_away(&request, "503 Service Unavailable")).await;
+            }
+        });
+    }
+}
+
 #[test]
 fn a_request_that_was_turned_away_goes_to_another_endpoint() {
     play(async {
-        let endpoints = [Endpoint::start("i-1").await, Endpoint::start("i-2").await];
-        let router = Router::serving(&[&endpoints[0], &endpoints[1]]).await;
         for (status, id) in [("421 Misdirected Request", "1"), ("503 Service Unavailable", "2")] {
+            let endpoints = [Endpoint::start("i-1").await, Endpoint::start("i-2").await];
+            let router = Router::serving(&[&endpoints[0], &endpoints[1]]).await;
             let mut client = router.client().await;
             client.get("/once/a", id).await;
             let ((mut first, request), second) = tokio::select! {
@@ -46,9 +59,7 @@
         client
             .write("GET /once/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\nDeadline-Ms: 300\r\n\r\n")
             .await;
-        let (mut upstream, request) = endpoint.request().await;
-        upstream.write(turned_away(&request, "503 Service Unavailable")).await;
-        tokio::spawn(async move { while upstream.stream.readable().await.is_ok() {} });
+        spawn_local(turn_all_away(endpoint));
         let answer = client.answer().await;
         assert_eq!(answer.status, 503);
         assert!(answer.header("Retry-After").unwrap().parse::<f64>().unwrap() > 0.0);
@@ -59,9 +70,9 @@
 #[test]
 fn a_request_that_may_have_run_is_not_sent_again_unless_it_may_be() {
     play(async {
-        let endpoints = [Endpoint::start("i-1").await, Endpoint::start("i-2").await];
-        let router = Router::serving(&[&endpoints[0], &endpoints[1]]).await;
         for path in ["/once/a", "/stream/a"] {
+            let endpoints = [Endpoint::start("i-1").await, Endpoint::start("i-2").await];
+            let router = Router::serving(&[&endpoints[0], &endpoints[1]]).await;
             let mut client = router.client().await;
             client.get(path, "1").await;
             let broken =
@@ -70,6 +81,8 @@
             assert_eq!(client.answer().await.status, 502);
         }
         for path in ["/again/a", "/resumable/a"] {
+            let endpoints = [Endpoint::start("i-1").await, Endpoint::start("i-2").await];
+            let router = Router::serving(&[&endpoints[0], &endpoints[1]]).await;
             let mut client = router.client().await;
             client.get(path, "2").await;
             let broken =
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -126,7 +126,7 @@
 fn settings() -> Settings {
     serde_json::from_str(
         r#"{"NodeName": "edge-1", "Ip": "127.0.0.1", "Zone": "z1", "Zones": {"z1": "r"}, "PortRange": [1, 2],
-            "Bounds": {"GraceS": 8}}"#,
+            "Bounds": {"GraceS": 8, "RetryRatio": 0.2, "RetryWindowS": 10, "RetrySlack": 58}}"#,
     )
     .unwrap()
 }
@@ -206,6 +206,11 @@
         self.stream.write_all(bytes.as_ref()).await.unwrap();
     }
 
+    /// The next request, if the router does not close before.
+    pub async fn next_request(&mut self) -> Option<Message> {
+        read_message(&mut self.stream, &mut self.unread).await
+    }
+
     /// Answers 200 with a stamp.
     pub async fn answer(&mut self, request: &Message, body: &str) {
         self.write(answer_to(request, "200 OK", body)).await;
