--- a/crates/controller/tests/view.rs
+++ b/crates/controller/tests/view.rs
@@ -5,6 +5,7 @@
 use common::{controller, holding, ms, registered, removed};
 use lanegate_controller::message::{Controllers, Decided, FeedBeat, Message};
 use lanegate_controller::view::View;
+use proptest::prelude::*;
 use std::net::SocketAddr;
 
 fn decided(revision: u64, document: &str) -> Message {
@@ -192,3 +193,63 @@
     tell_at(&mut view, 61_000, controller(1), &[beat]);
     assert_eq!(tell_at(&mut view, 61_001, controller(1), &[registered("i-1", 80, 2, &[])]).len(), 1);
 }
+
+/// One step in the history of an endpoint, its sequence being its place in the row.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Holds(u8),
+    Removed,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![3 => (0_u8..4).prop_map(Step::Holds), 1 => Just(Step::Removed)]
+}
+
+fn step_message(sequence: u64, step: Step) -> Message {
+    match step {
+        Step::Holds(model) => registered("i-1", 80, sequence, &[&format!("model-{model}")]),
+        Step::Removed => removed("i-1", sequence),
+    }
+}
+
+fn sequence_of(news: &Message) -> Option<u64> {
+    match news {
+        Message::Registered(registered) => Some(registered.sequence),
+        Message::Removed(removed) => Some(removed.sequence),
+        _ => None,
+    }
+}
+
+proptest! {
+    /// Two sources tell the same history, each in order and each leaving out any steps but the last.
+    #[test]
+    fn however_two_sources_lag_the_view_never_goes_back_and_ends_with_the_newest(
+        steps in prop::collection::vec((step(), any::<bool>(), any::<bool>()), 1..20),
+        turns in prop::collection::vec(any::<bool>(), 40),
+    ) {
+        let last = steps.len() as u64;
+        let told = |source: bool| {
+            let all = steps.iter().zip(1..).filter(move |((_, first, second), sequence)| {
+                *sequence == last || if source { *first } else { *second }
+            });
+            all.map(|((step, ..), sequence)| step_message(sequence, *step)).collect::<Vec<_>>()
+        };
+        let (mut first, mut second) = (told(true).into_iter(), told(false).into_iter());
+        let (mut view, mut news) = (View::default(), Vec::new());
+        for turn in turns {
+            let (source, messages) =
+                if turn { (controller(1), &mut first) } else { (controller(2), &mut second) };
+            if let Some(message) = messages.next() {
+                view.receive(ms(0), source, message, &mut news);
+            }
+        }
+        first.for_each(|message| view.receive(ms(0), controller(1), message, &mut news));
+        second.for_each(|message| view.receive(ms(0), controller(2), message, &mut news));
+
+        prop_assert!(news.iter().filter_map(sequence_of).is_sorted(), "{:?}", news);
+        match steps[steps.len() - 1].0 {
+            Step::Holds(model) => prop_assert_eq!(models(&view, "i-1"), [format!("model-{model}")]),
+            Step::Removed => prop_assert!(view.registration("i-1").is_none()),
+        }
+    }
+}
