Hand single messages to the view without copies, as clippy asks

Cause: the tests of the view landed with six findings of clippy (a copy made only to be borrowed). Ruled out: allowing the lint. Nothing measured.

--- a/crates/controller/tests/view.rs
+++ b/crates/controller/tests/view.rs
@@ -54,7 +54,7 @@
 fn a_source_that_lags_cannot_take_a_registration_back() {
     let mut view = View::default();
     let newer = registered("i-1", 80, 6, &["b"]);
-    assert_eq!(tell(&mut view, controller(1), &[newer.clone()]), vec![newer]);
+    assert_eq!(tell(&mut view, controller(1), std::slice::from_ref(&newer)), vec![newer]);
     assert_eq!(tell(&mut view, controller(2), &[registered("i-1", 80, 5, &["a"])]), vec![]);
     assert_eq!(models(&view, "i-1"), ["b"]);
 }
@@ -63,7 +63,7 @@
 fn what_two_sources_tell_is_news_once() {
     let mut view = View::default();
     let message = registered("i-1", 80, 1, &[]);
-    assert_eq!(tell(&mut view, controller(1), &[message.clone()]).len(), 1);
+    assert_eq!(tell(&mut view, controller(1), std::slice::from_ref(&message)).len(), 1);
     assert_eq!(tell(&mut view, controller(2), &[message]), vec![]);
     assert_eq!(tell(&mut view, controller(1), &[removed("i-1", 1)]).len(), 1);
     assert_eq!(tell(&mut view, controller(2), &[removed("i-1", 1)]), vec![]);
@@ -124,10 +124,10 @@
 fn what_vanished_by_mistake_comes_back_with_the_same_sequence() {
     let mut view = View::default();
     let message = registered("i-1", 80, 3, &[]);
-    tell(&mut view, controller(1), &[message.clone()]);
+    tell(&mut view, controller(1), std::slice::from_ref(&message));
     tell(&mut view, controller(2), &[Message::SnapshotBegin, end(true)]);
     assert!(view.registration("i-1").is_none());
-    assert_eq!(tell(&mut view, controller(2), &[message.clone()]), vec![message]);
+    assert_eq!(tell(&mut view, controller(2), std::slice::from_ref(&message)), vec![message]);
 }
 
 #[test]
@@ -135,7 +135,7 @@
     let mut view = View::default();
     tell(&mut view, controller(1), &[registered("i-1", 80, 1, &["a"])]);
     let loaded = holding("i-1", "b", true);
-    assert_eq!(tell(&mut view, controller(1), &[loaded.clone()]), vec![loaded.clone()]);
+    assert_eq!(tell(&mut view, controller(1), std::slice::from_ref(&loaded)), vec![loaded.clone()]);
     assert_eq!(models(&view, "i-1"), ["a", "b"]);
     assert_eq!(tell(&mut view, controller(2), &[loaded]), vec![], "it is known already");
 
@@ -143,7 +143,7 @@
     assert_eq!(models(&view, "i-1"), ["b"]);
 
     let heartbeat = registered("i-1", 80, 2, &["a"]);
-    assert_eq!(tell(&mut view, controller(1), &[heartbeat.clone()]), vec![heartbeat]);
+    assert_eq!(tell(&mut view, controller(1), std::slice::from_ref(&heartbeat)), vec![heartbeat]);
     assert_eq!(models(&view, "i-1"), ["a"], "the endpoint itself knows best");
 }
 
