Let a takeover of placement go on with the demand of the last seconds

Ruled out: the ceiling on loads (used to a third there), the lease (taken 3.0 s after the restart, as it must). Change: every controller keeps the reports of the last 20 s, a started one gets them from its peers with their ages, and a new placer recalls them before it is told of endpoints. Tests for both.

--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -2,6 +2,9 @@
 //! endpoints, and feeds agents.
 
 mod calls;
+mod demand;
+#[cfg(test)]
+mod demand_test;
 mod disk;
 mod endpoints;
 #[cfg(test)]
@@ -32,6 +35,7 @@
 pub use setup::{ControllerError, run_controller};
 
 use crate::message::Decided;
+use demand::RecentDemand;
 use disk::Disk;
 use endpoints::Endpoints;
 use holdings::Holdings;
@@ -70,6 +74,7 @@
     leases: LeaseNode,
     placements: Placements,
     holdings: Holdings,
+    recent_demand: RecentDemand,
     /// The newest configuration, read.
     configuration: Option<Arc<Configuration>>,
     /// Whether this is the first start of the whole system.
--- a/crates/controller/src/controller/placement.rs
+++ b/crates/controller/src/controller/placement.rs
@@ -1,6 +1,7 @@
 //! Placement at a controller: a placer for each service whose lease this controller holds, and the orders
 //! that it gives.
 
+use super::demand::RecentDemand;
 use super::event::Event;
 use super::shards::shard_of;
 use crate::registration::Registered;
@@ -51,7 +52,7 @@
     }
 
     /// Makes the placers that are missing, drops those whose service is gone, and tells all of them the
-    /// runtime. New ones hear of `instances`, and start as `start` says.
+    /// runtime. New ones hear of `instances` and of the `demand` so far, and start as `start` says.
     pub fn configure<'a>(
         &mut self,
         now: Duration,
@@ -59,6 +60,7 @@
         bounds: &Bounds,
         start: Start,
         instances: impl Iterator<Item = &'a Registered> + Clone,
+        demand: &RecentDemand,
     ) {
         let runtime = |service: &str| {
             let backend = configuration.backends.iter().find(|backend| backend.name == service)?;
@@ -78,6 +80,9 @@
                 placer.predecessor_idle(Duration::from_secs_f64(bounds.lease_ms.max(0.0) / 1e3));
             }
             placer.configure(now, runtime);
+            for (at, report) in demand.reports() {
+                placer.recall(at, &report);
+            }
             for registered in instances.clone().filter(|r| r.instance.backend == backend.name) {
                 placer.instance(now, &registered.instance);
             }
--- a/crates/controller/src/controller/placing.rs
+++ b/crates/controller/src/controller/placing.rs
@@ -76,13 +76,18 @@
         let start = if first { Start::First } else { Start::Takeover };
         let now = self.now();
         let instances = self.endpoints.live().map(|(_, registered)| registered);
-        self.placements.configure(now, &configuration, &self.settings.bounds, start, instances);
+        let demand = &self.recent_demand;
+        self.placements.configure(now, &configuration, &self.settings.bounds, start, instances, demand);
     }
 
     /// A router told its demand.
     pub(super) fn demand(&mut self, demand: &RouterDemand) {
         let now = self.now();
         let router = demand.router.text();
+        self.recent_demand.keep(now, demand);
+        if demand.age_ms > 0 {
+            return;
+        }
         match serde_json::from_slice::<DemandReport>(&demand.report.bytes) {
             Ok(report) if self.placements.is_active() => self.placements.demand(now, &router, &report),
             Ok(_) => {}
--- a/crates/controller/src/controller/setup.rs
+++ b/crates/controller/src/controller/setup.rs
@@ -1,5 +1,6 @@
 //! Starting a controller and ending it.
 
+use super::demand::RecentDemand;
 use super::disk::Disk;
 use super::endpoints::Endpoints;
 use super::event::Event;
@@ -137,6 +138,7 @@
             leases: LeaseNode::new(lease, node, start, now),
             placements: Placements::default(),
             holdings: Holdings::default(),
+            recent_demand: RecentDemand::default(),
             configuration: None,
             first_start: first,
             events,
--- a/crates/controller/src/controller/turn.rs
+++ b/crates/controller/src/controller/turn.rs
@@ -218,6 +218,9 @@
             outbox.message(&message);
         }
         outbox.message(&Message::SnapshotEnd { complete: u8::from(self.complete) });
+        for message in self.recent_demand.messages(self.now()) {
+            outbox.message(&message);
+        }
     }
 
     fn agent_up(&mut self, agent: u64, hello: &Hello, outbox: crate::link::Outbox) {
--- a/crates/controller/src/feed_client.rs
+++ b/crates/controller/src/feed_client.rs
@@ -126,7 +126,7 @@
         match serde_json::to_vec(report) {
             Ok(report) => {
                 let router = self.settings.node_name.as_str().into();
-                outbox.message(&Message::Demand(RouterDemand { router, report: report.into() }));
+                outbox.message(&Message::Demand(RouterDemand { router, report: report.into(), age_ms: 0 }));
             }
             Err(error) => log::error!("demand report: {error}"),
         }
--- a/crates/controller/src/message.rs
+++ b/crates/controller/src/message.rs
@@ -184,6 +184,8 @@
     pub router: Blob,
     /// A `DemandReport` as JSON.
     pub report: Blob,
+    /// Time since the router told it, ms.
+    pub age_ms: u32,
 }
 
 /// Every message.
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -160,15 +160,19 @@
     pub fn demand(&mut self, now: Duration, _router: &str, report: &DemandReport) {
         self.now = now;
         let catalog = &self.catalog;
-        let name = |model: &str, adapter: Option<&str>| {
-            let spec = catalog.get(model)?;
-            let known = adapter.is_none_or(|adapter| catalog.has_adapter(model, adapter));
-            known.then(|| spec.name.clone())
-        };
+        let name = |model: &str, adapter: Option<&str>| known_name(catalog, model, adapter);
         let unplaced = self.demand.add(now, report, &self.backend, name);
         self.plan_after(now, if unplaced { SHORTEST_PAUSE } else { PLAN_PAUSE });
     }
 
+    /// What a router asked for at `at`, before this placer began: told in order, after the runtime and before
+    /// any other demand, so that a takeover goes on with what its predecessor knew.
+    pub fn recall(&mut self, at: Duration, report: &DemandReport) {
+        let catalog = &self.catalog;
+        let name = |model: &str, adapter: Option<&str>| known_name(catalog, model, adapter);
+        self.demand.add(at, report, &self.backend, name);
+    }
+
     /// Plans soon: at once if the last round is not too near.
     pub(crate) fn plan_soon(&mut self, now: Duration) {
         self.plan_after(now, SHORTEST_PAUSE);
@@ -258,3 +262,10 @@
         })
     }
 }
+
+/// The shared form of a model's name, if the catalog has the model and the adapter.
+fn known_name(catalog: &Catalog, model: &str, adapter: Option<&str>) -> Option<Arc<str>> {
+    let spec = catalog.get(model)?;
+    let known = adapter.is_none_or(|adapter| catalog.has_adapter(model, adapter));
+    known.then(|| spec.name.clone())
+}
