--- a/crates/controller/src/agent/mod.rs
+++ b/crates/controller/src/agent/mod.rs
@@ -24,9 +24,10 @@
 /// A controller that says nothing for so long is given up; its heartbeat is several times as fast.
 const SOURCE_SILENCE: Duration = Duration::from_millis(1_800);
 
-/// Address on which an agent feeds its router.
+/// Address on which an agent feeds its router: the last port of the range, as the first is where controllers
+/// have their links. Agents with different last ports can share a machine.
 pub fn loopback_address(settings: &Settings) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::LOCALHOST, settings.port_range.0))
+    SocketAddr::from((Ipv4Addr::LOCALHOST, settings.port_range.1))
 }
 
 /// Address of the links of the controller whose control interface is at `control`.
