--- a/crates/controller/src/controller/readers.rs
+++ b/crates/controller/src/controller/readers.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use lanegate_coordination::feed::{Journal, Position, Start};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// Changes kept for readers that come back: some minutes of an uneasy day.
 const JOURNAL_CHANGES: usize = 2_048;
@@ -14,12 +15,14 @@
 pub struct Readers {
     journal: Journal<Bytes>,
     outboxes: BTreeMap<u64, Outbox>,
+    /// The last snapshot, as frames, and where in the journal it stands: readers that come together share it.
+    snapshot: Option<(Position, Arc<[Bytes]>)>,
 }
 
 impl Readers {
     /// A feed whose source is this `life` of the process.
     pub fn new(life: u64) -> Self {
-        Readers { journal: Journal::new(life, JOURNAL_CHANGES), outboxes: BTreeMap::new() }
+        Readers { journal: Journal::new(life, JOURNAL_CHANGES), outboxes: BTreeMap::new(), snapshot: None }
     }
 
     /// Appends a change and sends it to all readers.
@@ -51,8 +54,8 @@
                 }
             }
             Start::Snapshot => {
-                for message in snapshot() {
-                    outbox.message(&message);
+                for frame in self.snapshot_frames(snapshot).iter() {
+                    outbox.send(frame.clone());
                 }
             }
         }
@@ -60,6 +63,17 @@
         self.outboxes.insert(reader, outbox);
     }
 
+    /// The frames of a snapshot as of now. Encoded anew only after a change.
+    fn snapshot_frames(&mut self, snapshot: impl FnOnce() -> Vec<Message>) -> Arc<[Bytes]> {
+        let end = self.journal.end();
+        if let Some((_, frames)) = self.snapshot.as_ref().filter(|(position, _)| *position == end) {
+            return frames.clone();
+        }
+        let frames: Arc<[Bytes]> = snapshot().iter().map(Message::frame).collect();
+        self.snapshot = Some((end, frames.clone()));
+        frames
+    }
+
     /// A reader has gone.
     pub fn down(&mut self, reader: u64) {
         self.outboxes.remove(&reader);
--- a/crates/controller/src/controller/readers_test.rs
+++ b/crates/controller/src/controller/readers_test.rs
@@ -90,3 +90,37 @@
     readers.append(&change(0));
     assert_eq!(readers.count(), 0);
 }
+
+/// Starts a reader that is sent `snapshot`; tells whether that was made for it, and what it is sent.
+fn joined_with(readers: &mut Readers, snapshot: Vec<Message>) -> (bool, Vec<Message>) {
+    let (outbox, mut frames) = Outbox::new();
+    let mut made = false;
+    let make = || {
+        made = true;
+        snapshot
+    };
+    readers.up(1, &hello(0, 0), outbox, make, (true, 2));
+    (made, received(&mut frames))
+}
+
+#[test]
+fn readers_that_come_between_two_changes_share_a_snapshot() {
+    let mut readers = readers_with(3);
+    let (made, first) = joined_with(&mut readers, snapshot());
+    assert!(made);
+    readers.beat(true, 2);
+    let (made, second) = joined_with(&mut readers, vec![]);
+    assert!(!made, "a heartbeat is no change");
+    assert_eq!(first, second);
+}
+
+#[test]
+fn after_a_change_a_snapshot_is_made_anew() {
+    let mut readers = readers_with(3);
+    joined_with(&mut readers, snapshot());
+    readers.append(&change(3));
+    let changed = vec![Message::SnapshotBegin, change(3), Message::SnapshotEnd { complete: 1 }];
+    let (made, sent) = joined_with(&mut readers, changed.clone());
+    assert!(made);
+    assert_eq!(sent, [changed, vec![beat(4)]].concat());
+}
--- a/crates/controller/src/link.rs
+++ b/crates/controller/src/link.rs
@@ -19,6 +19,9 @@
 pub const REDIAL_PAUSE: Duration = Duration::from_millis(150);
 /// Messages that may wait for a slow reader; one more ends the link, and the next one begins anew.
 const OUTBOX_MESSAGES: usize = 8_192;
+/// Most bytes of small frames that are written together; every link keeps room for so many, and a controller
+/// has hundreds of links.
+const BATCH_BYTES: usize = 32 * 1024;
 /// Connections that may wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 512;
 
@@ -93,21 +96,26 @@
     }
 }
 
-/// Writes queued frames until the link fails or the outbox is dropped. Frames that wait together leave
-/// together.
+/// Writes queued frames until the link fails or the outbox is dropped. Small frames that wait together leave
+/// together; a large one is written as it is, as all links share it.
 pub async fn write_frames(
     mut half: OwnedWriteHalf,
     mut frames: mpsc::Receiver<Bytes>,
 ) -> std::io::Result<()> {
     let mut batch = Vec::new();
     while let Some(frame) = frames.recv().await {
-        if frames.is_empty() {
-            half.write_all(&frame).await?;
-            continue;
-        }
-        batch.extend_from_slice(&frame);
-        while let Ok(frame) = frames.try_recv() {
-            batch.extend_from_slice(&frame);
+        let mut next = Some(frame);
+        while let Some(frame) = next {
+            if batch.len() + frame.len() > BATCH_BYTES {
+                half.write_all(&batch).await?;
+                batch.clear();
+            }
+            if frame.len() > BATCH_BYTES {
+                half.write_all(&frame).await?;
+            } else {
+                batch.extend_from_slice(&frame);
+            }
+            next = frames.try_recv().ok();
         }
         half.write_all(&batch).await?;
         batch.clear();
