Never tell routers a count of live routers that is too low

Routers divide the retry slack by the number of live routers; a controller that had just come back, or was cut off, told 0 to 3 of nine, and each router then took up to half of the slack for itself.

--- a/crates/controller/src/controller/calls.rs
+++ b/crates/controller/src/controller/calls.rs
@@ -108,7 +108,7 @@
             "LiveControllers": live,
             "Instances": self.endpoints.live().count(),
             "Readers": self.readers.count(),
-            "Routers": self.routers.len(),
+            "Routers": self.routers.count(self.now()),
             "Shards": shards,
         });
         Answer::new(200, status.to_string())
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -28,6 +28,9 @@
 mod readers;
 #[cfg(test)]
 mod readers_test;
+mod routers;
+#[cfg(test)]
+mod routers_test;
 mod setup;
 mod shards;
 mod turn;
@@ -48,6 +51,7 @@
 use peers::Peers;
 use placement::Placements;
 use readers::Readers;
+use routers::LiveRouters;
 use shards::Shards;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -87,8 +91,7 @@
     next_request: u64,
     /// Whether everyone that registers with the system has been heard, here or by a peer.
     complete: bool,
-    /// Routers that told their demand, and when last.
-    routers: BTreeMap<String, Duration>,
+    routers: LiveRouters,
     next_housekeeping: Duration,
     next_beat: Duration,
     last_turn: Duration,
--- a/crates/controller/src/controller/placing.rs
+++ b/crates/controller/src/controller/placing.rs
@@ -85,6 +85,7 @@
         let now = self.now();
         let router = demand.router.text();
         self.recent_demand.keep(now, demand);
+        self.routers.heard(now, router.clone());
         if demand.age_ms > 0 {
             return;
         }
@@ -93,7 +94,6 @@
             Ok(_) => {}
             Err(error) => log::warn!("demand of {router}: {error}"),
         }
-        self.routers.insert(router, now);
     }
 
     /// Does what the placers want done.
--- a/crates/controller/src/controller/setup.rs
+++ b/crates/controller/src/controller/setup.rs
@@ -10,6 +10,7 @@
 use super::peers::Peers;
 use super::placement::Placements;
 use super::readers::Readers;
+use super::routers::LiveRouters;
 use super::shards::{self, ConfigurationMachine, EpochCounter, Shards};
 use super::{Controller, http, links};
 use crate::life::draw_life;
@@ -146,7 +147,7 @@
             asked: BTreeMap::new(),
             next_request: 0,
             complete: first,
-            routers: BTreeMap::new(),
+            routers: LiveRouters::default(),
             next_housekeeping: now,
             next_beat: now,
             last_turn: now,
--- a/crates/controller/src/controller/turn.rs
+++ b/crates/controller/src/controller/turn.rs
@@ -23,8 +23,6 @@
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(1_200);
 /// Heartbeats of endpoints after which a controller that started alone has heard them all.
 const HEARTBEATS_TO_COMPLETE: f64 = 2.2;
-/// A router that has told nothing for so long is gone.
-const ROUTER_SILENCE: Duration = Duration::from_secs(5);
 /// Longest wait for a change of members or an epoch.
 const INTERNAL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -97,7 +95,7 @@
     }
 
     fn beat(&mut self) {
-        let (quorum, routers) = (self.has_quorum(), self.routers.len() as u32);
+        let (quorum, routers) = (self.has_quorum(), self.routers.count(self.now()));
         self.readers.beat(quorum, routers);
     }
 
@@ -105,7 +103,7 @@
         if let Some(heard) = self.endpoints.take_heard() {
             self.peers.broadcast(&heard);
         }
-        self.routers.retain(|_, told| now < *told + ROUTER_SILENCE);
+        self.routers.forget(now);
         if !self.complete && now.as_secs_f64() * 1e3 > self.settings.heartbeat_ms * HEARTBEATS_TO_COMPLETE {
             self.became_complete();
         }
@@ -224,7 +222,7 @@
     }
 
     fn agent_up(&mut self, agent: u64, hello: &Hello, outbox: crate::link::Outbox) {
-        let beat = (self.has_quorum(), self.routers.len() as u32);
+        let beat = (self.has_quorum(), self.routers.count(self.now()));
         let controllers = self.controllers_message();
         let (decided, endpoints, complete) = (&self.decided, &self.endpoints, self.complete);
         let snapshot = || {
--- a/crates/controller/src/view.rs
+++ b/crates/controller/src/view.rs
@@ -4,7 +4,7 @@
 //! another can never take the view back. What has vanished while a source was away shows at the end of that
 //! source's next snapshot.
 
-use crate::message::{Decided, Message, Registered as RegisteredMessage, Removed};
+use crate::message::{Decided, FeedBeat, Message, Registered as RegisteredMessage, Removed};
 use crate::registration::Registered;
 use lanegate_coordination::registry::{Registry, Taken};
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,6 +21,8 @@
     listed: BTreeSet<String>,
     /// Whether its last snapshot is whole, and it had itself heard from everyone.
     complete: bool,
+    /// Live routers by its count; 0 while it does not know.
+    routers: u32,
 }
 
 /// The merged view.
@@ -49,7 +51,7 @@
                 }
             }
             Message::FeedBeat(beat) => {
-                self.routers = beat.routers;
+                self.count_routers(source, beat);
                 self.registry.forget(now, REMOVAL_MEMORY);
             }
             Message::Controllers(controllers) => {
@@ -108,6 +110,15 @@
         self.registry.get(id)?.registration.as_ref()
     }
 
+    /// The highest count of those who can know it; the last one stays while nobody does.
+    fn count_routers(&mut self, source: SocketAddr, beat: FeedBeat) {
+        self.source(source).routers = if beat.quorum == 1 { beat.routers } else { 0 };
+        let highest = self.sources.values().map(|source| source.routers).max().unwrap_or(0);
+        if highest > 0 {
+            self.routers = highest;
+        }
+    }
+
     fn source(&mut self, source: SocketAddr) -> &mut Source {
         self.sources.entry(source).or_default()
     }
--- a/crates/controller/tests/view.rs
+++ b/crates/controller/tests/view.rs
@@ -253,3 +253,24 @@
         }
     }
 }
+
+fn beat(quorum: u8, routers: u32) -> Message {
+    Message::FeedBeat(FeedBeat { quorum, source: 1, offset: 0, routers })
+}
+
+#[test]
+fn a_source_that_does_not_know_the_routers_takes_no_count_back() {
+    let mut view = View::default();
+    let (one, other): (std::net::SocketAddr, std::net::SocketAddr) =
+        ("10.0.0.1:7000".parse().unwrap(), "10.0.0.2:7000".parse().unwrap());
+    let now = std::time::Duration::ZERO;
+    view.receive(now, one, beat(1, 9), &mut Vec::new());
+    view.receive(now, other, beat(1, 0), &mut Vec::new());
+    assert_eq!(view.routers(), 9, "a controller that has just started knows none");
+    view.receive(now, other, beat(0, 2), &mut Vec::new());
+    assert_eq!(view.routers(), 9, "a controller that is cut off hears few");
+    view.receive(now, one, beat(1, 0), &mut Vec::new());
+    assert_eq!(view.routers(), 9, "nobody knows it now");
+    view.receive(now, other, beat(1, 3), &mut Vec::new());
+    assert_eq!(view.routers(), 3);
+}
