Number queries so that answers to an earlier process do not count

Ruled out: recovery and incarnations; the votes were right, their query was not. Change: numbers start from the nonce of the process; an answer that leaves out a value the reader does not hold is not counted.

--- a/crates/coordination/src/register/message.rs
+++ b/crates/coordination/src/register/message.rs
@@ -70,7 +70,7 @@
     /// Quorum read: asks for the state of a replica.
     #[deku(id = 7)]
     Query {
-        /// Number of the read.
+        /// Number of the read, unique over restarts of the reader.
         request: u64,
         /// Values up to here need not be sent.
         known: Ballot,
--- a/crates/coordination/src/register/reader.rs
+++ b/crates/coordination/src/register/reader.rs
@@ -13,6 +13,10 @@
 use super::settings::Fault;
 use super::value::{Carried, Group};
 
+/// Spreads the nonces of successive processes, so that the numbers of their queries lie far apart: an answer to
+/// a query of an earlier process must not count, as it may be older than what was acknowledged since.
+const NONCE_SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// What a replica told of itself.
 #[derive(Clone, Hash)]
 struct Told {
@@ -36,7 +40,8 @@
 pub(super) struct Reader {
     waiting: Vec<Item>,
     query: Option<Query>,
-    request: u64,
+    /// Queries of this process so far.
+    started: u64,
 }
 
 impl Reader {
@@ -65,9 +70,9 @@
         let Some(known) = known else {
             return;
         };
-        self.request += 1;
+        self.started += 1;
         let mut query = Query {
-            request: self.request,
+            request: core.nonce.wrapping_mul(NONCE_SPREAD).wrapping_add(self.started),
             items: std::mem::take(&mut self.waiting),
             start: known.clone(),
             newest: known,
@@ -93,8 +98,12 @@
             return;
         };
         let (promised, accepted, value) = state;
-        if let Some(value) = value.into_value().filter(|_| accepted > query.newest.ballot) {
-            query.newest = Proposal { ballot: accepted, value };
+        match value.into_value() {
+            Some(value) if accepted > query.newest.ballot => {
+                query.newest = Proposal { ballot: accepted, value };
+            }
+            None if accepted > query.newest.ballot => return,
+            _ => {}
         }
         query.votes.insert(from, voter.0, voter.1, Told { promised, accepted });
         let groups = query.groups();
