--- a/crates/controller/src/controller/placing.rs
+++ b/crates/controller/src/controller/placing.rs
@@ -86,12 +86,11 @@
         let router = demand.router.text();
         self.recent_demand.keep(now, demand);
         self.routers.heard(now, router.clone());
-        if demand.age_ms > 0 {
+        if demand.age_ms > 0 || !self.placements.is_active() {
             return;
         }
         match serde_json::from_slice::<DemandReport>(&demand.report.bytes) {
-            Ok(report) if self.placements.is_active() => self.placements.demand(now, &router, &report),
-            Ok(_) => {}
+            Ok(report) => self.placements.demand(now, &router, &report),
             Err(error) => log::warn!("demand of {router}: {error}"),
         }
     }
