Ask a replica again as soon as the link to its controller is up

Cause: after a reconnect, recovery and open rounds waited for the retry timer (200 ms, doubling to 1.6 s), as replicas were told of a contact only when an address was first seen. Change: a link that comes up tells every shard's replica.

--- a/crates/controller/src/controller/turn.rs
+++ b/crates/controller/src/controller/turn.rs
@@ -178,6 +178,7 @@
             Event::PeerUp { peer, outbox } => {
                 self.greet(&outbox);
                 self.peers.up(peer, outbox);
+                self.contact(peer);
             }
             Event::PeerDown { peer } => self.peers.down(peer),
             Event::PeerHello { hello } => {
@@ -425,11 +426,16 @@
             return;
         }
         self.controllers_changed();
-        if let SocketAddr::V4(address) = peer {
-            for shard in shards::all() {
-                let outputs = self.shards.handle(now, shard, Input::Contact { node: address.into() });
-                self.follow(shard, outputs);
-            }
+        self.contact(peer);
+    }
+
+    /// Lets the replicas ask a controller again what it has not answered.
+    fn contact(&mut self, peer: SocketAddr) {
+        let now = self.now();
+        let SocketAddr::V4(address) = peer else { return };
+        for shard in shards::all() {
+            let outputs = self.shards.handle(now, shard, Input::Contact { node: address.into() });
+            self.follow(shard, outputs);
         }
     }
 
