Give a controller its outside through one trait, and split its turn by kind of event

A controller read the machine's clock, dialled its peers, wrote its disk and called endpoints by itself, so that its turn could be tried on a whole system only. Clock, links, disk, calls to endpoints and the settings file are now behind the trait Environment; Process is the one that a process uses. turn.rs (493 lines) is split into turn, housekeeping, feed, peer_links, peer_messages, membership, registers and ending. No change of behaviour.

--- /dev/null
+++ b/crates/controller/src/controller/environment.rs
@@ -0,0 +1,31 @@
+//! What a controller needs from the outside: a clock, links, a disk, calls to endpoints, its settings file.
+//!
+//! Everything else comes in as an [`Event`](super::event::Event). A process gives a controller the real
+//! world; a simulation gives it one that runs on simulated time.
+
+use super::placement::ServiceAction;
+use lanegate_coordination::register::Record;
+use lanegate_model::settings::{Settings, SettingsError};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The outside of one controller. Nothing here waits; what takes time ends with an event.
+pub trait Environment {
+    /// Time since the process started; stands still for nobody.
+    fn now(&self) -> Duration;
+
+    /// Keeps a link to the controller `peer` (its control address) until [`Environment::close_link`].
+    fn open_link(&mut self, peer: SocketAddr);
+
+    /// Ends the link to `peer`.
+    fn close_link(&mut self, peer: SocketAddr);
+
+    /// Writes a record of `shard`; the end of it comes as an event with `token`.
+    fn persist(&mut self, shard: u8, token: u64, record: Record);
+
+    /// Calls an endpoint on behalf of `owner`, whose tenure has the epoch `epoch`.
+    fn carry_out(&mut self, action: ServiceAction, owner: &str, epoch: u64);
+
+    /// Reads the settings file again.
+    fn read_settings(&mut self) -> Result<Settings, SettingsError>;
+}
--- /dev/null
+++ b/crates/controller/src/controller/feed.rs
@@ -0,0 +1,30 @@
+//! The feed to agents: a new reader, and the heartbeat that tells them of the quorum.
+
+use super::Controller;
+use crate::link::Outbox;
+use crate::message::{Hello, Message};
+use std::time::Duration;
+
+/// Time between heartbeats of the feed.
+pub(super) const BEAT_PERIOD: Duration = Duration::from_millis(500);
+
+impl Controller {
+    pub(super) fn beat(&mut self) {
+        let (quorum, routers) = (self.has_quorum(), self.routers.count(self.now()));
+        self.readers.beat(quorum, routers);
+    }
+
+    pub(super) fn agent_up(&mut self, agent: u64, hello: &Hello, outbox: Outbox) {
+        let beat = (self.has_quorum(), self.routers.count(self.now()));
+        let controllers = self.controllers_message();
+        let (decided, endpoints, complete) = (&self.decided, &self.endpoints, self.complete);
+        let snapshot = || {
+            let mut messages = vec![Message::SnapshotBegin, controllers];
+            messages.extend(decided.clone().map(Message::Decided));
+            messages.extend(endpoints.snapshot());
+            messages.push(Message::SnapshotEnd { complete: u8::from(complete) });
+            messages
+        };
+        self.readers.up(agent, hello, outbox, snapshot, beat);
+    }
+}
--- /dev/null
+++ b/crates/controller/src/controller/housekeeping.rs
@@ -0,0 +1,51 @@
+//! What no event tells: silent endpoints and routers, peers that nobody names any more, a controller that
+//! has heard everyone.
+
+use super::shards::{self, shard_of};
+use super::Controller;
+use crate::message::Message;
+use std::time::Duration;
+
+/// Time between looks at what no event tells: silent endpoints, members, settings.
+pub(super) const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(400);
+/// Heartbeats of endpoints after which a controller that started alone has heard them all.
+const HEARTBEATS_TO_COMPLETE: f64 = 2.2;
+
+impl Controller {
+    pub(super) fn keep_house(&mut self, now: Duration) {
+        if let Some(heard) = self.endpoints.take_heard() {
+            self.peers.broadcast(&heard);
+        }
+        self.routers.forget(now);
+        if !self.complete && now.as_secs_f64() * 1e3 > self.settings.heartbeat_ms * HEARTBEATS_TO_COMPLETE {
+            self.became_complete();
+        }
+        self.expire(now);
+        self.forget_peers(now);
+        self.tend_members(now);
+        self.stand_for_leases();
+    }
+
+    fn expire(&mut self, now: Duration) {
+        if !self.has_quorum() || !self.complete {
+            return;
+        }
+        let owns: Vec<bool> = shards::all().map(|shard| self.owner(shard, &[shard]) == self.this).collect();
+        let removed = self.endpoints.expire(now, |service| owns[usize::from(shard_of(service))]);
+        for message in removed {
+            self.peers.broadcast(&message);
+            self.readers.append(&message);
+            if let Message::Removed(removed) = &message {
+                self.tell_placers(&removed.id.text());
+            }
+        }
+    }
+
+    /// Everyone that registers has been heard: readers may drop what they did not hear of.
+    pub(super) fn became_complete(&mut self) {
+        if !self.complete {
+            self.complete = true;
+            self.readers.append(&Message::SnapshotEnd { complete: 1 });
+        }
+    }
+}
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -6,28 +6,37 @@
 #[cfg(test)]
 mod demand_test;
 mod disk;
+mod ending;
 mod endpoints;
 #[cfg(test)]
 mod endpoints_test;
+mod environment;
 mod event;
+mod feed;
 mod holdings;
 #[cfg(test)]
 mod holdings_test;
+mod housekeeping;
 mod http;
 mod links;
 mod members;
 #[cfg(test)]
 mod members_test;
+mod membership;
 mod operator;
 #[cfg(test)]
 mod operator_test;
 mod orders;
+mod peer_links;
+mod peer_messages;
 mod peers;
 mod placement;
 mod placing;
+mod process;
 mod readers;
 #[cfg(test)]
 mod readers_test;
+mod registers;
 mod routers;
 #[cfg(test)]
 mod routers_test;
@@ -39,8 +48,8 @@
 
 use crate::message::Decided;
 use demand::RecentDemand;
-use disk::Disk;
 use endpoints::Endpoints;
+use environment::Environment;
 use holdings::Holdings;
 use lanegate_coordination::lease::LeaseNode;
 use lanegate_coordination::membership::Membership;
@@ -56,22 +65,21 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
-use tokio::sync::mpsc;
+use std::time::Duration;
 
-/// One controller. All of its state belongs to one task; nothing in it waits.
+/// One controller. All of its state belongs to one task; nothing in it waits, and its clock, links and disk
+/// are those of its [`Environment`].
 struct Controller {
     settings: Settings,
     /// Control address, which names this controller to its peers.
     this: SocketAddr,
     /// Drawn at each start of the process.
     life: u64,
-    started: Instant,
+    environment: Box<dyn Environment>,
     peers: Peers,
     readers: Readers,
     endpoints: Endpoints,
     shards: Shards,
-    disk: Disk,
     operator: Operator,
     membership: Membership,
     members: Members,
@@ -83,7 +91,6 @@
     configuration: Option<Arc<Configuration>>,
     /// Whether this is the first start of the whole system.
     first_start: bool,
-    events: mpsc::UnboundedSender<event::Event>,
     /// The newest decided configuration, as readers get it.
     decided: Option<Decided>,
     /// Reads and changes of members under way, by the number of their request.
@@ -112,7 +119,7 @@
 
 impl Controller {
     fn now(&self) -> Duration {
-        self.started.elapsed()
+        self.environment.now()
     }
 
     fn request_number(&mut self) -> u64 {
--- /dev/null
+++ b/crates/controller/src/controller/peer_links.rs
@@ -0,0 +1,80 @@
+//! The links to other controllers: who is known, and what each is told when its link comes up.
+
+use super::{Controller, shards};
+use crate::link::Outbox;
+use crate::message::{Controllers, Message};
+use lanegate_coordination::register::Input;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+impl Controller {
+    /// Tells a peer whose link has come up all that this controller knows.
+    pub(super) fn greet(&self, outbox: &Outbox) {
+        outbox.message(&self.controllers_message());
+        for message in self.endpoints.full_snapshot() {
+            outbox.message(&message);
+        }
+        outbox.message(&Message::SnapshotEnd { complete: u8::from(self.complete) });
+        for message in self.recent_demand.messages(self.now()) {
+            outbox.message(&message);
+        }
+    }
+
+    /// Notes that there is a controller at this address.
+    pub(super) fn know(&mut self, peer: SocketAddr) {
+        let now = self.now();
+        if !self.peers.name(now, peer) {
+            return;
+        }
+        self.environment.open_link(peer);
+        self.controllers_changed();
+        self.contact(peer);
+    }
+
+    /// Lets the replicas ask a controller again what it has not answered.
+    pub(super) fn contact(&mut self, peer: SocketAddr) {
+        let now = self.now();
+        let SocketAddr::V4(address) = peer else { return };
+        for shard in shards::all() {
+            let outputs = self.shards.handle(now, shard, Input::Contact { node: address.into() });
+            self.follow(shard, outputs);
+        }
+    }
+
+    /// Forgets peers that are gone for good.
+    pub(super) fn forget_peers(&mut self, now: Duration) {
+        let gone = self.peers.forget(now);
+        if gone.is_empty() {
+            return;
+        }
+        for peer in gone {
+            self.environment.close_link(peer);
+        }
+        self.controllers_changed();
+    }
+
+    fn controllers_changed(&mut self) {
+        let now = self.now();
+        self.membership.set_nodes(now, &self.peers.addresses());
+        let message = self.controllers_message();
+        self.peers.broadcast(&message);
+        self.readers.append(&message);
+    }
+
+    pub(super) fn controllers_message(&self) -> Message {
+        let addresses: Vec<String> = self.peers.addresses().iter().map(ToString::to_string).collect();
+        Message::Controllers(Controllers { addresses: addresses.join(" ").as_str().into() })
+    }
+
+    /// The settings file may name other seeds.
+    pub(super) fn read_settings(&mut self) {
+        match self.environment.read_settings() {
+            Ok(settings) => {
+                self.settings.seeds = settings.seeds;
+                let seeds = self.settings.seeds.clone();
+                seeds.into_iter().for_each(|seed| self.know(seed));
+            }
+            Err(findings) => log::warn!("settings not read again: {findings}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/controller/peer_messages.rs
@@ -0,0 +1,85 @@
+//! Messages of other controllers.
+
+use super::Controller;
+use super::endpoints::Merged;
+use crate::message::{Holding, Message, ShardMessage, Token};
+use lanegate_coordination::lease::LeaseMessage;
+use lanegate_coordination::membership::Heartbeat;
+use lanegate_coordination::register::{self, Input};
+use std::net::SocketAddr;
+
+impl Controller {
+    pub(super) fn peer_message(&mut self, peer: SocketAddr, message: Message) {
+        let now = self.now();
+        match message {
+            Message::Heartbeat { body } => {
+                if let Ok(heartbeat) = Heartbeat::decode(&body.bytes) {
+                    let outputs = self.membership.on_heartbeat(now, &heartbeat);
+                    self.membership_outputs(outputs);
+                }
+            }
+            Message::Register(message) => self.register_message(peer, &message),
+            Message::Lease(message) => {
+                if let Ok(message) = LeaseMessage::decode(&message.body.bytes) {
+                    let outputs = self.leases.on_message(now, peer, &message);
+                    self.lease_outputs(outputs);
+                }
+            }
+            Message::Registered(registered) => {
+                for message in self.endpoints.merge(now, &registered) {
+                    self.readers.append(&message);
+                }
+                self.tell_placers(&registered.id.text());
+            }
+            Message::Removed(removed) => {
+                match self.endpoints.merge_removal(now, &removed) {
+                    Merged::Removed => self.readers.append(&Message::Removed(removed.clone())),
+                    Merged::Contradicted(registered) => {
+                        self.readers.append(&registered);
+                        self.peers.broadcast(&registered);
+                    }
+                    Merged::Known => {}
+                }
+                self.tell_placers(&removed.id.text());
+            }
+            Message::Holding(holding) => self.held_elsewhere(holding),
+            Message::HeardList(list) => {
+                self.endpoints.merge_heard(now, &list);
+                list.heard.iter().for_each(|heard| self.tell_placers(&heard.id.text()));
+            }
+            Message::SnapshotEnd { complete: 1 } => self.became_complete(),
+            Message::Flush(token) => self.peers.send(peer, &Message::Flushed(token)),
+            Message::Flushed(Token { token }) => self.endpoints.flushed(token, peer),
+            Message::Controllers(controllers) => {
+                let text = controllers.addresses.text();
+                text.split_whitespace().filter_map(|a| a.parse().ok()).for_each(|peer| self.know(peer));
+            }
+            Message::Change(change) => {
+                let request = self.operator.begin_for(now, peer, change.request, change.body.bytes);
+                self.propose(request);
+            }
+            Message::ChangeOutcome(outcome) => self.change_settled(outcome.request, &outcome.body.bytes),
+            Message::Demand(demand) => self.demand(&demand),
+            _ => {}
+        }
+    }
+
+    /// Another controller's placer knows of a model at an endpoint.
+    fn held_elsewhere(&mut self, holding: Holding) {
+        if self.endpoints.hold(&holding) {
+            self.readers.append(&Message::Holding(holding));
+        }
+    }
+
+    fn register_message(&mut self, peer: SocketAddr, message: &ShardMessage) {
+        let SocketAddr::V4(from) = peer else { return };
+        match register::Message::decode(&message.body.bytes) {
+            Ok(decoded) => {
+                let input = Input::Message { from: from.into(), message: decoded };
+                let outputs = self.shards.handle(self.now(), message.shard, input);
+                self.follow(message.shard, outputs);
+            }
+            Err(error) => log::warn!("message of {peer} for shard {}: {error}", message.shard),
+        }
+    }
+}
--- a/crates/controller/src/controller/peers.rs
+++ b/crates/controller/src/controller/peers.rs
@@ -1,49 +1,35 @@
-//! The other controllers that this one knows, and its links to them.
+//! The other controllers that this one knows, and what is sent to them.
 
-use super::event::Event;
-use super::links::keep_link;
 use crate::link::Outbox;
-use crate::message::{Hello, Message};
+use crate::message::Message;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::mpsc;
-use tokio::task::AbortHandle;
 
 /// How long a peer that nobody names any more is still dialled.
 const UNNAMED_PATIENCE: Duration = Duration::from_secs(15);
 
 #[derive(Debug)]
 struct Peer {
-    link: AbortHandle,
     outbox: Option<Outbox>,
     /// When the settings, the replica group or the peer itself named it last.
     named: Duration,
 }
 
-impl Drop for Peer {
-    fn drop(&mut self) {
-        self.link.abort();
-    }
-}
-
 /// The other controllers.
 #[derive(Debug)]
 pub struct Peers {
     this: SocketAddr,
-    link_port: u16,
-    hello: Hello,
-    events: mpsc::UnboundedSender<Event>,
     peers: BTreeMap<SocketAddr, Peer>,
 }
 
 impl Peers {
-    /// Knows nobody yet. `this` is the control address of this process; links are at `link_port`.
-    pub fn new(this: SocketAddr, link_port: u16, hello: Hello, events: mpsc::UnboundedSender<Event>) -> Self {
-        Peers { this, link_port, hello, events, peers: BTreeMap::new() }
+    /// Knows nobody yet. `this` is the control address of this process.
+    pub fn new(this: SocketAddr) -> Self {
+        Peers { this, peers: BTreeMap::new() }
     }
 
-    /// Notes that `peer` is a controller. True if it was not known.
+    /// Notes that `peer` is a controller. True if it was not known; it needs a link then.
     pub fn name(&mut self, now: Duration, peer: SocketAddr) -> bool {
         if peer == self.this {
             return false;
@@ -52,17 +38,19 @@
             known.named = now;
             return false;
         }
-        let address = SocketAddr::new(peer.ip(), self.link_port);
-        let link = keep_link(peer, address, self.hello.clone(), self.events.clone());
-        self.peers.insert(peer, Peer { link, outbox: None, named: now });
+        self.peers.insert(peer, Peer { outbox: None, named: now });
         true
     }
 
-    /// Forgets peers whose link is down and that nobody has named for long. True if any was.
-    pub fn forget(&mut self, now: Duration) -> bool {
-        let before = self.peers.len();
-        self.peers.retain(|_, peer| peer.outbox.is_some() || now < peer.named + UNNAMED_PATIENCE);
-        self.peers.len() != before
+    /// Forgets peers whose link is down and that nobody has named for long, and tells which.
+    pub fn forget(&mut self, now: Duration) -> Vec<SocketAddr> {
+        let is_gone = |peer: &Peer| peer.outbox.is_none() && now >= peer.named + UNNAMED_PATIENCE;
+        let gone: Vec<SocketAddr> =
+            self.peers.iter().filter(|(_, peer)| is_gone(peer)).map(|(address, _)| *address).collect();
+        for peer in &gone {
+            self.peers.remove(peer);
+        }
+        gone
     }
 
     /// The link to `peer` is up.
--- a/crates/controller/src/controller/placing.rs
+++ b/crates/controller/src/controller/placing.rs
@@ -2,7 +2,7 @@
 
 use super::holdings::{Step, holding};
 use super::orders::ORDER_WIRE_TIME;
-use super::placement::{Placements, ServiceAction, carry_out};
+use super::placement::{Placements, ServiceAction};
 use super::shards;
 use super::{Asked, Controller};
 use crate::message::{Holding, Message, RouterDemand, ShardMessage};
@@ -150,8 +150,7 @@
         match (epoch, &action.action) {
             (Some(epoch), _) => {
                 self.announce_eviction(&action.action);
-                let owner = self.settings.node_name.clone();
-                tokio::task::spawn_local(carry_out(action, owner, epoch, self.events.clone()));
+                self.environment.carry_out(action, &self.settings.node_name, epoch);
             }
             (None, Action::Order(order)) => {
                 let id = order.id;
--- /dev/null
+++ b/crates/controller/src/controller/process.rs
@@ -0,0 +1,66 @@
+//! The outside of a controller that runs as a process of its own: sockets, a disk, the machine's clock.
+
+use super::disk::Disk;
+use super::environment::Environment;
+use super::event::Event;
+use super::links::keep_link;
+use super::placement::{ServiceAction, carry_out};
+use crate::message::Hello;
+use lanegate_coordination::register::Record;
+use lanegate_model::settings::{Settings, SettingsError};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+/// A process. Must be used inside a `LocalSet`.
+#[derive(Debug)]
+pub struct Process {
+    /// When the process started.
+    pub started: Instant,
+    /// Port at which controllers take links.
+    pub link_port: u16,
+    /// What links begin with.
+    pub hello: Hello,
+    pub disk: Disk,
+    pub events: mpsc::UnboundedSender<Event>,
+    /// Links under way.
+    pub links: BTreeMap<SocketAddr, AbortHandle>,
+}
+
+impl Environment for Process {
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn open_link(&mut self, peer: SocketAddr) {
+        let address = SocketAddr::new(peer.ip(), self.link_port);
+        let link = keep_link(peer, address, self.hello.clone(), self.events.clone());
+        self.links.insert(peer, link);
+    }
+
+    fn close_link(&mut self, peer: SocketAddr) {
+        if let Some(link) = self.links.remove(&peer) {
+            link.abort();
+        }
+    }
+
+    fn persist(&mut self, shard: u8, token: u64, record: Record) {
+        self.disk.write(shard, token, record);
+    }
+
+    fn carry_out(&mut self, action: ServiceAction, owner: &str, epoch: u64) {
+        tokio::task::spawn_local(carry_out(action, owner.to_owned(), epoch, self.events.clone()));
+    }
+
+    fn read_settings(&mut self) -> Result<Settings, SettingsError> {
+        Settings::from_environment()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.links.values().for_each(AbortHandle::abort);
+    }
+}
--- /dev/null
+++ b/crates/controller/src/controller/registers.rs
@@ -0,0 +1,119 @@
+//! The registers: what their replicas ask for, what was decided, and answers to requests.
+
+use super::event::Answer;
+use super::operator::Settled;
+use super::shards::{self, read_epoch};
+use super::{Asked, Controller};
+use crate::message::{Blob, Decided, Forwarded, Message, ShardMessage};
+use lanegate_coordination::register::{Input, Outcome, Output, Value};
+use lanegate_model::control_state::ControlState;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+impl Controller {
+    /// Does what a replica asks for.
+    pub(super) fn follow(&mut self, shard: u8, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Send { to, message } => match message.encode() {
+                    Ok(bytes) => {
+                        let message = Message::Register(ShardMessage { shard, body: bytes.into() });
+                        self.peers.send(SocketAddr::V4(to.into()), &message);
+                    }
+                    Err(error) => log::error!("message of shard {shard}: {error}"),
+                },
+                Output::Persist { token, record } => self.environment.persist(shard, token, record),
+                Output::Done { request, outcome } => self.done(request, outcome),
+                Output::Learned { value } => self.learned(shard, &value),
+            }
+        }
+    }
+
+    /// A newer decided value of a shard is known.
+    pub(super) fn learned(&mut self, shard: u8, value: &Value) {
+        let now = self.now();
+        let members: Vec<SocketAddr> =
+            value.newest_group().iter().map(|node| SocketAddr::V4((*node).into())).collect();
+        members.iter().for_each(|member| self.know(*member));
+        if shard != shards::CONFIGURATION {
+            self.leases.set_group(now, u32::from(shard), value.revision, &members);
+            return;
+        }
+        match ControlState::decode(&value.state) {
+            Ok(state) => {
+                let Some(document) = state.document() else { return };
+                if self.decided.as_ref().is_some_and(|known| known.document.bytes == document) {
+                    return;
+                }
+                log::info!("configuration {} is in force (revision {})", state.version(), value.revision);
+                let decided = Decided { revision: value.revision, document: document.to_vec().into() };
+                match serde_json::from_slice(document) {
+                    Ok(configuration) => self.configuration = Some(Arc::new(configuration)),
+                    Err(error) => log::error!("configuration {}: {error}", state.version()),
+                }
+                self.decided = Some(decided.clone());
+                self.readers.append(&Message::Decided(decided));
+                self.configure_placements(0);
+                self.stand_for_leases();
+            }
+            Err(error) => log::error!("the configuration's register cannot be read: {error}"),
+        }
+    }
+
+    fn done(&mut self, request: u64, outcome: Outcome) {
+        match self.asked.remove(&request) {
+            Some(Asked::Read(reply)) => {
+                let _ = reply.send(read_answer(&outcome));
+            }
+            Some(Asked::Change(change)) => match outcome {
+                Outcome::Changed { answer, .. }
+                | Outcome::Unchanged { answer, .. }
+                | Outcome::Refused { answer, .. } => self.change_settled(change, &answer),
+                _ => {}
+            },
+            Some(Asked::Epoch(shard, tenure)) => {
+                if let Outcome::Changed { answer, .. } = outcome {
+                    let outputs = self.leases.epoch_acquired(self.now(), shard, tenure, read_epoch(&answer));
+                    self.lease_outputs(outputs);
+                }
+            }
+            Some(Asked::Members) | None => {}
+        }
+    }
+
+    /// The outcome of a change is known: `answer` is an encoded outcome of the control state.
+    pub(super) fn change_settled(&mut self, change: u64, answer: &[u8]) {
+        match self.operator.settle(change, || super::calls::change_answer(answer)) {
+            Settled::Return { peer, request } => {
+                let body = Blob::from(answer.to_vec());
+                self.peers.send(peer, &Message::ChangeOutcome(Forwarded { request, body }));
+            }
+            Settled::Answered | Settled::Unknown => {}
+        }
+    }
+
+    /// Proposes a change of the operator at this controller's own replica.
+    pub(super) fn propose(&mut self, change: u64) {
+        let Some(command) = self.operator.command(change).map(<[u8]>::to_vec) else { return };
+        let now = self.now();
+        let request = self.request_number();
+        self.asked.insert(request, Asked::Change(change));
+        let deadline = now + super::operator::ANSWER_TIMEOUT;
+        let outputs =
+            self.shards.handle(now, shards::CONFIGURATION, Input::Propose { request, command, deadline });
+        self.follow(shards::CONFIGURATION, outputs);
+    }
+}
+
+fn read_answer(outcome: &Outcome) -> Answer {
+    let Outcome::Value { state, .. } = outcome else {
+        return Answer::error(503, "no majority of the controllers can be reached");
+    };
+    match ControlState::decode(state) {
+        Ok(state) => match state.document() {
+            Some(document) => Answer::new(200, document.to_vec()),
+            None => Answer::error(404, "no configuration has been taken yet"),
+        },
+        Err(error) => Answer::error(500, &error.to_string()),
+    }
+}
--- a/crates/controller/src/controller/setup.rs
+++ b/crates/controller/src/controller/setup.rs
@@ -3,12 +3,14 @@
 use super::demand::RecentDemand;
 use super::disk::Disk;
 use super::endpoints::Endpoints;
+use super::environment::Environment;
 use super::event::Event;
 use super::holdings::Holdings;
 use super::members::Members;
 use super::operator::Operator;
 use super::peers::Peers;
 use super::placement::Placements;
+use super::process::Process;
 use super::readers::Readers;
 use super::routers::LiveRouters;
 use super::shards::{self, ConfigurationMachine, EpochCounter, Shards};
@@ -64,7 +66,8 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let (events, mut queue) = mpsc::unbounded_channel();
-    let mut controller = Controller::new(settings, control, events.clone())?;
+    let started = Instant::now();
+    let mut controller = start_process(settings, control, started, events.clone())?;
     tokio::task::spawn_local(http::serve(calls, events.clone()));
     tokio::task::spawn_local(links::accept(peer_links, events));
     loop {
@@ -79,7 +82,7 @@
                     controller.take(event);
                 }
             }
-            () = tokio::time::sleep_until(wake.into()) => {}
+            () = tokio::time::sleep_until((started + wake).into()) => {}
         }
         controller.turn();
     }
@@ -95,44 +98,61 @@
     Ok(())
 }
 
+fn start_process(
+    settings: Settings,
+    control: SocketAddr,
+    started: Instant,
+    events: mpsc::UnboundedSender<Event>,
+) -> Result<Controller, ControllerError> {
+    let life = draw_life();
+    let folder = settings.data_dir.clone().ok_or(ControllerError::Missing("DataDir"))?;
+    let mut directory =
+        Folder::open(&folder).map_err(|error| ControllerError::Folder { folder: folder.clone(), error })?;
+    let (stores, records) = open_stores(&folder, &mut directory)?;
+    let disk = Disk::start(directory, stores, events.clone())?;
+    let hello = hello(&settings, control, life);
+    let link_port = settings.port_range.0;
+    let environment = Process { started, link_port, hello, disk, events, links: BTreeMap::new() };
+    Controller::new(settings, control, life, records, Box::new(environment))
+}
+
+/// What the links that a controller opens begin with.
+fn hello(settings: &Settings, control: SocketAddr, life: u64) -> Hello {
+    Hello {
+        role: Role::Controller,
+        name: settings.node_name.as_str().into(),
+        control_address: control.to_string().as_str().into(),
+        life,
+        source: 0,
+        offset: 0,
+    }
+}
+
 impl Controller {
+    /// Starts a controller with what its disk holds. `life` tells this start of the process from all others.
     fn new(
         settings: Settings,
         control: SocketAddr,
-        events: mpsc::UnboundedSender<Event>,
+        life: u64,
+        records: Records,
+        environment: Box<dyn Environment>,
     ) -> Result<Self, ControllerError> {
-        let started = Instant::now();
-        let life = draw_life();
-        let now = Duration::ZERO;
+        let now = environment.now();
         let this = ipv4(control)?;
-        let folder = settings.data_dir.clone().ok_or(ControllerError::Missing("DataDir"))?;
-        let mut directory = Folder::open(&folder)
-            .map_err(|error| ControllerError::Folder { folder: folder.clone(), error })?;
-        let (stores, records) = open_stores(&folder, &mut directory)?;
         let first = settings.bootstrap && records.is_empty();
         let replicas = start_replicas(&settings, this, records, life)?;
-        let disk = Disk::start(directory, stores, events.clone())?;
         let node = NodeId::new(this, life);
         let lease = lease_settings(Duration::from_secs_f64(settings.bounds.lease_ms / 1e3));
         let start = if first { GrantorStart::First } else { GrantorStart::Restarted };
-        let hello = Hello {
-            role: Role::Controller,
-            name: settings.node_name.as_str().into(),
-            control_address: control.to_string().as_str().into(),
-            life,
-            source: 0,
-            offset: 0,
-        };
         let heartbeat = Duration::from_secs_f64(settings.heartbeat_ms / 1e3);
         let mut controller = Controller {
             this: control,
             life,
-            started,
-            peers: Peers::new(control, settings.port_range.0, hello, events.clone()),
+            environment,
+            peers: Peers::new(control),
             readers: Readers::new(life),
             endpoints: Endpoints::new(heartbeat),
             shards: Shards::new(replicas),
-            disk,
             operator: Operator::default(),
             membership: Membership::new(MembershipSettings::new(HEARTBEAT_INTERVAL, MONITORS), node, now),
             members: Members::default(),
@@ -142,7 +162,6 @@
             recent_demand: RecentDemand::default(),
             configuration: None,
             first_start: first,
-            events,
             decided: None,
             asked: BTreeMap::new(),
             next_request: 0,
