--- /dev/null
+++ b/crates/controller/src/controller/contact.rs
@@ -0,0 +1,156 @@
+//! Contact of a controller with the majority of a group: answers, and how old they are.
+//!
+//! A failure detector tells who has fallen silent. That is too late and too little to vouch for anything: a
+//! peer that is heard may not hear, and a process that was frozen hears what was said before. So contact rests
+//! on answers alone. Every heartbeat of this life is noted with the time before it left; a peer that receives
+//! it sends it back; and the peer counts for [`CONTACT_VALIDITY`] from that noted time. What a majority
+//! answered at most so long ago, it answered at a time that lies in that span, however long the answer was on
+//! its way or waited in a buffer: the same argument as for the validity of a lease.
+//!
+//! No clock is read here; times are readings of one monotonic clock that goes on while the process is frozen.
+
+use lanegate_coordination::membership::Heartbeat;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long an answer counts, from before its question was sent.
+///
+/// Five heartbeats: four may be late or lost with their answers before contact ends. Short enough for agents
+/// to have left a source that is cut off well within the time after which machines have to follow the
+/// configuration again; the sum is in `docs/control/contact.md`.
+pub const CONTACT_VALIDITY: Duration = Duration::from_millis(1_000);
+/// Heartbeats that are remembered: more than are sent within [`CONTACT_VALIDITY`].
+const REMEMBERED_HEARTBEATS: usize = 32;
+
+/// Deliberate mistakes: each must be found by a test.
+#[doc(hidden)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ContactFault {
+    /// The age of an answer counts from its receipt.
+    AgeFromReceipt,
+    /// A majority is one less.
+    SmallMajority,
+    /// A peer that is heard counts as one that answers.
+    HeardCounts,
+    /// Contact is judged by the time of the last message, not by the present one.
+    StaleClock,
+    /// While the members change, a majority of the new group is enough.
+    NewGroupOnly,
+    /// Echoes of an earlier life of this process count.
+    AnyLife,
+}
+
+/// A heartbeat of this process.
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    sequence: u64,
+    /// Reading of the clock before it left.
+    at: Duration,
+}
+
+/// What peers have answered.
+#[derive(Debug)]
+pub struct Contact {
+    this: SocketAddr,
+    life: u64,
+    /// The latest heartbeats, oldest first.
+    sent: VecDeque<Sent>,
+    /// For each peer, when the newest heartbeat that it has answered was sent.
+    answered: BTreeMap<SocketAddr, Duration>,
+    last_call: Duration,
+    fault: Option<ContactFault>,
+}
+
+impl Contact {
+    /// Nobody has answered this `life` of the process at `this` yet.
+    pub fn new(this: SocketAddr, life: u64) -> Self {
+        Contact {
+            this,
+            life,
+            sent: VecDeque::new(),
+            answered: BTreeMap::new(),
+            last_call: Duration::ZERO,
+            fault: None,
+        }
+    }
+
+    /// The same with a deliberate mistake.
+    #[cfg(test)]
+    pub fn with_fault(this: SocketAddr, life: u64, fault: Option<ContactFault>) -> Self {
+        Contact { fault, ..Contact::new(this, life) }
+    }
+
+    /// Notes a heartbeat of this process; `now` was read before it leaves.
+    pub fn sent(&mut self, now: Duration, heartbeat: &Heartbeat) {
+        self.last_call = now;
+        if self.sent.back().is_some_and(|last| last.sequence >= heartbeat.sequence) {
+            return;
+        }
+        if self.sent.len() == REMEMBERED_HEARTBEATS {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(Sent { sequence: heartbeat.sequence, at: now });
+    }
+
+    /// A heartbeat of `peer` has come. It says nothing of contact, as the peer may not hear this process.
+    pub fn heard(&mut self, now: Duration, peer: SocketAddr) {
+        self.last_call = now;
+        if self.has(ContactFault::HeardCounts) {
+            self.answered.insert(peer, now);
+        }
+    }
+
+    /// `peer` has sent back `heartbeat`, one of this process. One that is not remembered is too old to count.
+    pub fn echoed(&mut self, now: Duration, peer: SocketAddr, heartbeat: &Heartbeat) {
+        self.last_call = now;
+        let own = heartbeat.sender.address() == self.this && heartbeat.sender.incarnation == self.life;
+        if !own && !self.has(ContactFault::AnyLife) {
+            return;
+        }
+        let Some(sent) = self.sent.iter().find(|sent| sent.sequence == heartbeat.sequence) else { return };
+        let at = if self.has(ContactFault::AgeFromReceipt) { now } else { sent.at };
+        let newest = self.answered.entry(peer).or_insert(at);
+        *newest = at.max(*newest);
+    }
+
+    /// Whether a majority of every one of `groups` (two while the members change) has answered within
+    /// [`CONTACT_VALIDITY`]. `now` has to be read for this question: the process may have stood still.
+    pub fn reaches(&self, now: Duration, groups: &[Vec<SocketAddr>]) -> bool {
+        let now = if self.has(ContactFault::StaleClock) { self.last_call } else { now };
+        self.holds_until(groups).is_some_and(|end| now < end)
+    }
+
+    /// When contact with `groups` ends if nobody answers any more; `None` if there was none.
+    pub fn holds_until(&self, groups: &[Vec<SocketAddr>]) -> Option<Duration> {
+        let counted = if self.has(ContactFault::NewGroupOnly) {
+            &groups[groups.len().saturating_sub(1)..]
+        } else {
+            groups
+        };
+        let ends: Option<Vec<Duration>> = counted.iter().map(|group| self.group_holds_until(group)).collect();
+        ends?.into_iter().min()
+    }
+
+    /// The time up to which a majority of one group counts: that of its weakest necessary member.
+    fn group_holds_until(&self, group: &[SocketAddr]) -> Option<Duration> {
+        let majority = group.len() / 2 + 1 - usize::from(self.has(ContactFault::SmallMajority));
+        let mut ends: Vec<Duration> = group.iter().filter_map(|member| self.counts_until(*member)).collect();
+        if group.is_empty() || ends.len() < majority.max(1) {
+            return None;
+        }
+        ends.sort_unstable();
+        Some(ends[ends.len() - majority.max(1)])
+    }
+
+    fn counts_until(&self, member: SocketAddr) -> Option<Duration> {
+        if member == self.this {
+            return Some(Duration::MAX);
+        }
+        self.answered.get(&member).map(|sent| *sent + CONTACT_VALIDITY)
+    }
+
+    fn has(&self, fault: ContactFault) -> bool {
+        self.fault == Some(fault)
+    }
+}
--- /dev/null
+++ b/crates/controller/src/controller/contact_test.rs
@@ -0,0 +1,444 @@
+//! Contact: a majority's answers no older than stated, whatever links and processes do.
+
+use super::contact::{CONTACT_VALIDITY, Contact, ContactFault};
+use lanegate_coordination::membership::{Heartbeat, NodeId};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::Duration;
+
+/// Time between heartbeats, and between the steps of the simulation.
+const HEARTBEAT: Duration = Duration::from_millis(200);
+const STEP: Duration = Duration::from_millis(10);
+/// Usual time of a message on its way.
+const DELAY: Duration = Duration::from_millis(20);
+/// The longest time from a link's return to contact: a heartbeat, two ways, and steps.
+const REGAIN: Duration = Duration::from_millis(300);
+
+fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+fn ipv4(index: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, index as u8 + 1), 7000)
+}
+
+fn address(index: usize) -> SocketAddr {
+    ipv4(index).into()
+}
+
+fn group(indices: &[usize]) -> Vec<SocketAddr> {
+    indices.iter().map(|index| address(*index)).collect()
+}
+
+fn heartbeat(index: usize, life: u64, sequence: u64) -> Heartbeat {
+    Heartbeat { sender: NodeId::new(ipv4(index), life), sequence }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Word {
+    Heartbeat(Heartbeat),
+    Echo(Heartbeat),
+}
+
+/// Messages wait where a link is cut or the receiver frozen, as they do in the buffers of connections.
+struct Parcel {
+    from: usize,
+    to: usize,
+    arrives: Duration,
+    word: Word,
+}
+
+struct Node {
+    contact: Contact,
+    next_heartbeat: Duration,
+    sequence: u64,
+    frozen: bool,
+}
+
+struct World {
+    now: Duration,
+    nodes: Vec<Node>,
+    parcels: Vec<Parcel>,
+    /// Directed links that carry nothing, from and to.
+    cut: Vec<(usize, usize)>,
+    /// Links on which messages take longer.
+    slow: BTreeMap<(usize, usize), Duration>,
+    /// When both ways between two nodes were last open with both running, ordered pair.
+    last_open: BTreeMap<(usize, usize), Duration>,
+    groups: Vec<Vec<SocketAddr>>,
+}
+
+impl World {
+    fn new(size: usize, groups: Vec<Vec<SocketAddr>>, fault: Option<ContactFault>) -> Self {
+        let node = |index| Node {
+            contact: Contact::with_fault(address(index), 1, fault),
+            next_heartbeat: ms(7 * index as u64),
+            sequence: 0,
+            frozen: false,
+        };
+        World {
+            now: Duration::ZERO,
+            nodes: (0..size).map(node).collect(),
+            parcels: Vec::new(),
+            cut: Vec::new(),
+            slow: BTreeMap::new(),
+            last_open: BTreeMap::new(),
+            groups,
+        }
+    }
+
+    fn all(size: usize, fault: Option<ContactFault>) -> Self {
+        let everyone: Vec<usize> = (0..size).collect();
+        World::new(size, vec![group(&everyone)], fault)
+    }
+
+    fn has_contact(&self, index: usize) -> bool {
+        self.nodes[index].contact.reaches(self.now, &self.groups)
+    }
+
+    fn cut_one_way(&mut self, from: usize, to: usize) {
+        self.cut.push((from, to));
+    }
+
+    fn cut_off(&mut self, index: usize) {
+        for other in (0..self.nodes.len()).filter(|other| *other != index) {
+            self.cut.extend([(index, other), (other, index)]);
+        }
+    }
+
+    fn run_for(&mut self, span: Duration) -> Result<(), String> {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+            self.check()?;
+        }
+        Ok(())
+    }
+
+    /// Runs until node `index` has just sent a heartbeat.
+    fn run_to_heartbeat(&mut self, index: usize) -> Result<(), String> {
+        let before = self.nodes[index].sequence;
+        while self.nodes[index].sequence == before {
+            self.run_for(STEP)?;
+        }
+        Ok(())
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.note_open_links();
+        for index in 0..self.nodes.len() {
+            if !self.nodes[index].frozen {
+                self.beat(index);
+            }
+        }
+        self.deliver();
+    }
+
+    fn note_open_links(&mut self) {
+        let size = self.nodes.len();
+        for (from, to) in (0..size).flat_map(|from| (0..size).map(move |to| (from, to))) {
+            let open = !self.cut.contains(&(from, to)) && !self.cut.contains(&(to, from));
+            if open && !self.nodes[from].frozen && !self.nodes[to].frozen {
+                self.last_open.insert((from, to), self.now);
+            }
+        }
+    }
+
+    fn beat(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        if self.now < node.next_heartbeat {
+            return;
+        }
+        node.next_heartbeat = self.now + HEARTBEAT;
+        node.sequence += 1;
+        let heartbeat = heartbeat(index, 1, node.sequence);
+        node.contact.sent(self.now, &heartbeat);
+        for to in (0..self.nodes.len()).filter(|to| *to != index) {
+            self.send(index, to, Word::Heartbeat(heartbeat));
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, word: Word) {
+        let delay = self.slow.get(&(from, to)).copied().unwrap_or(DELAY);
+        self.parcels.push(Parcel { from, to, arrives: self.now + delay, word });
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let ready = |world: &World, parcel: &Parcel| {
+            parcel.arrives <= now
+                && !world.cut.contains(&(parcel.from, parcel.to))
+                && !world.nodes[parcel.to].frozen
+        };
+        let (due, waiting): (Vec<Parcel>, Vec<Parcel>) =
+            std::mem::take(&mut self.parcels).into_iter().partition(|parcel| ready(self, parcel));
+        self.parcels = waiting;
+        for parcel in due {
+            let contact = &mut self.nodes[parcel.to].contact;
+            match parcel.word {
+                Word::Heartbeat(heartbeat) => {
+                    contact.heard(now, address(parcel.from));
+                    self.send(parcel.to, parcel.from, Word::Echo(heartbeat));
+                }
+                Word::Echo(heartbeat) => contact.echoed(now, address(parcel.from), &heartbeat),
+            }
+        }
+    }
+
+    /// Nobody claims contact whose links to every majority of a group were shut for longer than the validity.
+    fn check(&self) -> Result<(), String> {
+        for index in (0..self.nodes.len()).filter(|index| self.has_contact(*index)) {
+            for group in &self.groups {
+                let open = group.iter().filter(|member| self.was_open(index, **member)).count();
+                if open <= group.len() / 2 {
+                    return Err(format!("{:?}: {index} claims contact with {group:?}", self.now));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn was_open(&self, index: usize, member: SocketAddr) -> bool {
+        let other = (0..self.nodes.len()).find(|other| address(*other) == member).expect("a node");
+        let oldest = self.now.saturating_sub(CONTACT_VALIDITY);
+        other == index || self.last_open.get(&(index, other)).is_some_and(|last| *last >= oldest)
+    }
+}
+
+fn calm_gives_everyone_contact(fault: Option<ContactFault>) -> Result<(), String> {
+    let mut world = World::all(3, fault);
+    world.run_for(REGAIN)?;
+    for _ in 0..500 {
+        world.run_for(STEP)?;
+        for index in 0..3 {
+            if !world.has_contact(index) {
+                return Err(format!("{:?}: {index} has no contact in calm", world.now));
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Cut off for twenty seconds on both ways: contact ends within the validity, the others keep theirs, and the
+/// heal gives it back within a heartbeat and a round trip.
+fn cut_off_for_twenty_seconds(fault: Option<ContactFault>) -> Result<(), String> {
+    let mut world = World::all(3, fault);
+    world.run_for(ms(2_000))?;
+    world.cut_off(0);
+    world.run_for(CONTACT_VALIDITY)?;
+    if world.has_contact(0) || !world.has_contact(1) || !world.has_contact(2) {
+        return Err("the cut-off one alone loses contact, within the validity".to_owned());
+    }
+    world.run_for(ms(19_000))?;
+    world.cut.clear();
+    world.run_for(REGAIN)?;
+    if !world.has_contact(0) {
+        return Err("contact is back after the heal".to_owned());
+    }
+    Ok(())
+}
+
+/// Nothing leaves node 0 any more, but it hears everyone.
+fn nothing_leaves(fault: Option<ContactFault>) -> Result<(), String> {
+    let mut world = World::all(3, fault);
+    world.run_for(ms(2_000))?;
+    world.cut_one_way(0, 1);
+    world.cut_one_way(0, 2);
+    world.run_for(ms(20_000))?;
+    if world.has_contact(0) {
+        return Err("questions that are not heard are not answered".to_owned());
+    }
+    Ok(())
+}
+
+/// Nothing reaches node 0 any more, but everyone hears it.
+fn nothing_arrives(fault: Option<ContactFault>) -> Result<(), String> {
+    let mut world = World::all(3, fault);
+    world.run_for(ms(2_000))?;
+    world.cut_one_way(1, 0);
+    world.cut_one_way(2, 0);
+    world.run_for(ms(20_000))
+}
+
+/// Answers lie in a buffer during a freeze and are read at the thaw.
+fn frozen_for_twenty_seconds(fault: Option<ContactFault>) -> Result<(), String> {
+    let mut world = World::all(3, fault);
+    world.run_for(ms(2_000))?;
+    world.run_to_heartbeat(0)?;
+    world.nodes[0].frozen = true;
+    world.run_for(ms(20_000))?;
+    world.cut_off(0);
+    world.nodes[0].frozen = false;
+    if world.has_contact(0) {
+        return Err("contact outlasts a freeze".to_owned());
+    }
+    // What waited in its own buffers is read now, although nobody can be reached.
+    let buffered: Vec<Parcel> =
+        std::mem::take(&mut world.parcels).into_iter().filter(|parcel| parcel.to == 0).collect();
+    for parcel in buffered {
+        if let Word::Echo(heartbeat) = parcel.word {
+            world.nodes[0].contact.echoed(world.now, address(parcel.from), &heartbeat);
+        }
+    }
+    if world.has_contact(0) {
+        return Err("an answer of before the freeze counts".to_owned());
+    }
+    Ok(())
+}
+
+/// Answers take two seconds: each is too old when it comes.
+fn late_answers(fault: Option<ContactFault>) -> Result<(), String> {
+    let mut world = World::all(3, fault);
+    world.slow.insert((1, 0), ms(2_000));
+    world.slow.insert((2, 0), ms(2_000));
+    world.run_for(ms(10_000))?;
+    if world.has_contact(0) {
+        return Err("answers older than the validity count".to_owned());
+    }
+    Ok(())
+}
+
+/// One of four others is reached: two of five are no majority.
+fn two_of_five(fault: Option<ContactFault>) -> Result<(), String> {
+    let mut world = World::all(5, fault);
+    world.run_for(ms(2_000))?;
+    for (left, right) in [0, 1].into_iter().flat_map(|left| [2, 3, 4].map(|right| (left, right))) {
+        world.cut.extend([(left, right), (right, left)]);
+    }
+    world.run_for(ms(20_000))?;
+    let sides = [0, 1, 2, 3, 4].map(|index| world.has_contact(index));
+    if sides != [false, false, true, true, true] {
+        return Err(format!("the side of three has contact alone: {sides:?}"));
+    }
+    Ok(())
+}
+
+/// While the group changes from 0, 1, 2 to 0, 3, 4, node 0 is cut off from the old members.
+fn members_change_during_a_cut(fault: Option<ContactFault>) -> Result<(), String> {
+    let mut world = World::new(5, vec![group(&[0, 1, 2]), group(&[0, 3, 4])], fault);
+    world.run_for(ms(2_000))?;
+    for old in [1, 2] {
+        world.cut.extend([(0, old), (old, 0)]);
+    }
+    world.run_for(ms(5_000))?;
+    if world.has_contact(0) {
+        return Err("a majority of the new group alone counts".to_owned());
+    }
+    Ok(())
+}
+
+/// A late echo of the life before, with a sequence that this life has used too.
+fn echo_of_an_earlier_life(fault: Option<ContactFault>) -> Result<(), String> {
+    let mut contact = Contact::with_fault(address(0), 2, fault);
+    contact.sent(ms(100), &heartbeat(0, 2, 1));
+    contact.echoed(ms(110), address(1), &heartbeat(0, 1, 1));
+    contact.echoed(ms(110), address(1), &heartbeat(2, 2, 1));
+    if contact.reaches(ms(120), &[group(&[0, 1, 2])]) {
+        return Err("an echo of another life counts".to_owned());
+    }
+    Ok(())
+}
+
+type Scenario = fn(Option<ContactFault>) -> Result<(), String>;
+
+const SCENARIOS: [(&str, Scenario); 9] = [
+    ("calm", calm_gives_everyone_contact),
+    ("cut off for twenty seconds", cut_off_for_twenty_seconds),
+    ("nothing leaves", nothing_leaves),
+    ("nothing arrives", nothing_arrives),
+    ("frozen for twenty seconds", frozen_for_twenty_seconds),
+    ("late answers", late_answers),
+    ("two of five", two_of_five),
+    ("members change during a cut", members_change_during_a_cut),
+    ("echo of an earlier life", echo_of_an_earlier_life),
+];
+
+#[test]
+fn contact_holds_what_it_promises_in_every_scenario() {
+    for (name, scenario) in SCENARIOS {
+        assert_eq!(scenario(None), Ok(()), "{name}");
+    }
+}
+
+/// The scenarios that find a mistake.
+fn found_by(fault: ContactFault) -> Vec<&'static str> {
+    let failing = SCENARIOS.iter().filter(|(_, scenario)| scenario(Some(fault)).is_err());
+    failing.map(|(name, _)| *name).collect()
+}
+
+#[test]
+fn an_age_from_the_receipt_is_found() {
+    let found = found_by(ContactFault::AgeFromReceipt);
+    assert!(found.contains(&"late answers") && found.contains(&"frozen for twenty seconds"), "{found:?}");
+}
+
+#[test]
+fn a_majority_one_too_small_is_found() {
+    assert!(found_by(ContactFault::SmallMajority).contains(&"two of five"));
+}
+
+#[test]
+fn a_peer_that_is_only_heard_is_found() {
+    assert!(found_by(ContactFault::HeardCounts).contains(&"nothing leaves"));
+}
+
+#[test]
+fn contact_that_outlasts_a_freeze_is_found() {
+    assert!(found_by(ContactFault::StaleClock).contains(&"frozen for twenty seconds"));
+}
+
+#[test]
+fn a_majority_of_the_new_group_alone_is_found() {
+    assert!(found_by(ContactFault::NewGroupOnly).contains(&"members change during a cut"));
+}
+
+#[test]
+fn echoes_of_an_earlier_life_are_found() {
+    assert!(found_by(ContactFault::AnyLife).contains(&"echo of an earlier life"));
+}
+
+#[test]
+fn a_group_that_is_not_known_gives_no_contact() {
+    let contact = Contact::new(address(0), 1);
+    assert!(!contact.reaches(ms(0), &[]));
+    assert!(!contact.reaches(ms(0), &[Vec::new()]));
+}
+
+#[test]
+fn the_only_member_is_always_in_contact() {
+    let contact = Contact::new(address(0), 1);
+    assert!(contact.reaches(ms(1_000_000), &[group(&[0])]));
+}
+
+#[test]
+fn one_that_is_no_member_needs_a_majority_of_others() {
+    let groups = [group(&[1, 2, 3])];
+    let mut contact = Contact::new(address(0), 1);
+    contact.sent(ms(0), &heartbeat(0, 1, 1));
+    contact.echoed(ms(10), address(1), &heartbeat(0, 1, 1));
+    assert!(!contact.reaches(ms(10), &groups));
+    contact.echoed(ms(10), address(2), &heartbeat(0, 1, 1));
+    assert!(contact.reaches(ms(10), &groups));
+}
+
+#[test]
+fn contact_ends_a_validity_after_the_question_that_the_majority_answered_last() {
+    let groups = [group(&[0, 1, 2])];
+    let mut contact = Contact::new(address(0), 1);
+    contact.sent(ms(500), &heartbeat(0, 1, 1));
+    contact.sent(ms(700), &heartbeat(0, 1, 2));
+    contact.echoed(ms(720), address(1), &heartbeat(0, 1, 2));
+    contact.echoed(ms(900), address(1), &heartbeat(0, 1, 1));
+    let end = ms(700) + CONTACT_VALIDITY;
+    assert_eq!(contact.holds_until(&groups), Some(end), "a late echo takes nothing back");
+    assert!(contact.reaches(end - ms(1), &groups));
+    assert!(!contact.reaches(end, &groups));
+}
+
+#[test]
+fn an_echo_of_a_heartbeat_that_is_not_remembered_counts_for_nothing() {
+    let mut contact = Contact::new(address(0), 1);
+    contact.echoed(ms(0), address(1), &heartbeat(0, 1, 9));
+    assert!(!contact.reaches(ms(0), &[group(&[0, 1, 2])]));
+}
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -2,6 +2,9 @@
 //! endpoints, and feeds agents.
 
 mod calls;
+mod contact;
+#[cfg(test)]
+mod contact_test;
 mod demand;
 #[cfg(test)]
 mod demand_test;
