Give an agent and a router's feed client their outside from without

The agent read the machine's clock and dialled controllers by itself. Its clock, links and settings file are now behind a trait as those of a controller are, and the feed client gets the time with each event, so that both can be run on simulated time. No change of behaviour.

--- /dev/null
+++ b/crates/controller/src/agent/process.rs
@@ -0,0 +1,97 @@
+//! An agent that runs as a process of its own: sockets, signals, the machine's clock.
+
+use super::{Agent, Downstream, Environment, REVIEW_PERIOD, SOURCE_SILENCE, loopback_address};
+use crate::life::draw_life;
+use crate::link::{self, Outbox, Reader};
+use crate::message::Hello;
+use crate::subscription::{News, follow};
+use lanegate_model::settings::{Settings, SettingsError};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+/// The outside of an agent that is a process. Must be used inside a `LocalSet`.
+struct Process {
+    started: Instant,
+    news: mpsc::UnboundedSender<News>,
+    /// Links under way.
+    links: BTreeMap<SocketAddr, AbortHandle>,
+}
+
+impl Environment for Process {
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn follow(&mut self, source: SocketAddr, hello: Hello) {
+        let task = follow(source, hello, Some(SOURCE_SILENCE), self.news.clone());
+        let handle = tokio::task::spawn_local(task).abort_handle();
+        self.links.insert(source, handle);
+    }
+
+    fn unfollow(&mut self, source: SocketAddr) {
+        if let Some(link) = self.links.remove(&source) {
+            link.abort();
+        }
+    }
+
+    fn read_settings(&mut self) -> Result<Settings, SettingsError> {
+        Settings::from_environment()
+    }
+}
+
+/// Runs an agent until SIGTERM. Must run inside a `LocalSet`.
+pub async fn run_agent(settings: Settings) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let listener = link::listen(loopback_address(&settings))?;
+    let (downstream, mut from_readers) = mpsc::unbounded_channel();
+    tokio::task::spawn_local(accept(listener, downstream));
+    let (news, mut from_sources) = mpsc::unbounded_channel();
+    let process = Process { started: Instant::now(), news, links: BTreeMap::new() };
+    let mut agent = Agent::new(settings, draw_life(), Box::new(process));
+    agent.review();
+    let mut review = tokio::time::interval(REVIEW_PERIOD);
+    review.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            Some(news) = from_sources.recv() => agent.heard(news),
+            Some(event) = from_readers.recv() => agent.downstream(event),
+            _ = review.tick() => agent.review(),
+            _ = reload.recv() => agent.read_settings(),
+            _ = terminate.recv() => return Ok(()),
+        }
+    }
+}
+
+async fn accept(listener: tokio::net::TcpListener, owner: mpsc::UnboundedSender<Downstream>) {
+    let mut reader = 0;
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(link::REDIAL_PAUSE).await;
+            continue;
+        };
+        reader += 1;
+        tokio::task::spawn_local(serve(stream, reader, owner.clone()));
+    }
+}
+
+async fn serve(stream: TcpStream, reader: u64, owner: mpsc::UnboundedSender<Downstream>) {
+    if let Err(error) = link::set_options(&stream) {
+        log::debug!("options of a reader's link: {error}");
+    }
+    let (read, write) = stream.into_split();
+    let (outbox, frames) = Outbox::new();
+    let writer = tokio::task::spawn_local(link::write_frames(write, frames));
+    let _ = owner.send(Downstream::Up { reader, outbox });
+    let mut messages = Reader::new(read);
+    while let Ok(message) = messages.next().await {
+        let _ = owner.send(Downstream::Message { message });
+    }
+    writer.abort();
+    let _ = owner.send(Downstream::Down { reader });
+}
--- a/crates/controller/src/feed_client.rs
+++ b/crates/controller/src/feed_client.rs
@@ -24,14 +24,16 @@
     mut demand: mpsc::UnboundedReceiver<DemandReport>,
 ) {
     let (owner, mut news) = mpsc::unbounded_channel();
-    let mut client = Client::new(settings, events);
-    client.follow(owner.clone());
+    let (started, agent) = (Instant::now(), loopback_address(&settings));
+    let mut client = Client::new(settings, draw_life(), events);
+    let dial = |client: &Client| tokio::task::spawn_local(follow(agent, client.hello(), None, owner.clone()));
+    dial(&client);
     loop {
         tokio::select! {
             Some(news) = news.recv() => {
-                if client.heard(news) {
+                if client.heard(started.elapsed(), news) {
                     tokio::time::sleep(REDIAL_PAUSE).await;
-                    client.follow(owner.clone());
+                    dial(&client);
                 }
             }
             Some(report) = demand.recv() => client.send_demand(&report),
@@ -40,9 +42,9 @@
     }
 }
 
-struct Client {
+/// What a router knows by its agent, and what it is told of it. Nothing in it waits or reads a clock.
+pub(crate) struct Client {
     settings: Settings,
-    started: Instant,
     life: u64,
     view: View,
     outbox: Option<Outbox>,
@@ -51,32 +53,31 @@
 }
 
 impl Client {
-    fn new(settings: Settings, events: mpsc::UnboundedSender<FeedEvent>) -> Self {
-        let life = draw_life();
-        let view = View::default();
-        Client { settings, started: Instant::now(), life, view, outbox: None, events, synchronized: false }
+    /// A router that knows nothing yet. `life` tells this start of the process from all others.
+    pub(crate) fn new(settings: Settings, life: u64, events: mpsc::UnboundedSender<FeedEvent>) -> Self {
+        Client { settings, life, view: View::default(), outbox: None, events, synchronized: false }
     }
 
-    fn follow(&self, owner: mpsc::UnboundedSender<News>) {
-        let hello = Hello {
+    /// What its link to the agent begins with.
+    pub(crate) fn hello(&self) -> Hello {
+        Hello {
             role: Role::Router,
             name: self.settings.node_name.as_str().into(),
             control_address: "".into(),
             life: self.life,
             source: 0,
             offset: 0,
-        };
-        tokio::task::spawn_local(follow(loopback_address(&self.settings), hello, None, owner));
+        }
     }
 
     /// Takes news of the link. True if it is down.
-    fn heard(&mut self, news: News) -> bool {
+    pub(crate) fn heard(&mut self, now: Duration, news: News) -> bool {
         match news {
             News::Up { outbox, .. } => self.outbox = Some(outbox),
             News::Message { source, message } => {
                 let routers = self.view.routers();
                 let mut changes = Vec::new();
-                self.view.receive(self.started.elapsed(), source, message, &mut changes);
+                self.view.receive(now, source, message, &mut changes);
                 changes.into_iter().for_each(|message| self.pass_on(message));
                 if routers != self.view.routers() {
                     self.send(FeedEvent::Routers { live: self.view.routers() });
@@ -121,7 +122,8 @@
         let _ = self.events.send(event);
     }
 
-    fn send_demand(&self, report: &DemandReport) {
+    /// Tells the agent what the router was asked for.
+    pub(crate) fn send_demand(&self, report: &DemandReport) {
         let Some(outbox) = &self.outbox else { return };
         match serde_json::to_vec(report) {
             Ok(report) => {
