Vouch for a configuration only in contact with a majority, and after a read begun in it

Contact was the absence of suspicion, and of the group of shard 0 only. A peer that is heard may not hear; a thawed process had contact until its timeouts ran out; another shard's group was never looked at. Contact is now a majority's answer to a heartbeat (HeartbeatEcho), aged from before the heartbeat left, for each shard's groups, both while the members change. The feed's flag also needs a quorum read that began in that contact: after a heal the known configuration may be old while everyone answers. Expiry, candidacy for leases and changes of members ask for contact with their own shard's group; expiry gives a fresh silence when contact begins.

--- a/crates/controller/src/controller/calls.rs
+++ b/crates/controller/src/controller/calls.rs
@@ -94,6 +94,7 @@
                     "Revision": replica.decided().map(|value| value.revision),
                     "Members": members,
                     "Owner": self.owner(shard, &[shard]).to_string(),
+                    "Contact": self.has_contact(shard),
                 })
             })
             .collect();
@@ -103,7 +104,8 @@
             "Name": self.settings.node_name,
             "Life": self.life,
             "UptimeS": self.now().as_secs(),
-            "Quorum": self.has_quorum(),
+            "Quorum": self.has_contact(shards::CONFIGURATION),
+            "Current": self.is_current(),
             "Complete": self.complete,
             "LiveControllers": live,
             "Instances": self.endpoints.live().count(),
--- a/crates/controller/src/controller/feed.rs
+++ b/crates/controller/src/controller/feed.rs
@@ -10,12 +10,12 @@
 
 impl Controller {
     pub(super) fn beat(&mut self) {
-        let (quorum, routers) = (self.has_quorum(), self.routers.count(self.now()));
+        let (quorum, routers) = (self.is_current(), self.routers.count(self.now()));
         self.readers.beat(quorum, routers);
     }
 
     pub(super) fn agent_up(&mut self, agent: u64, hello: &Hello, outbox: Outbox) {
-        let beat = (self.has_quorum(), self.routers.count(self.now()));
+        let beat = (self.is_current(), self.routers.count(self.now()));
         let controllers = self.controllers_message();
         let (decided, endpoints, complete) = (&self.decided, &self.endpoints, self.complete);
         let snapshot = || {
--- a/crates/controller/src/controller/housekeeping.rs
+++ b/crates/controller/src/controller/housekeeping.rs
@@ -1,8 +1,8 @@
 //! What no event tells: silent endpoints and routers, peers that nobody names any more, a controller that
 //! has heard everyone.
 
-use super::shards::{self, shard_of};
 use super::Controller;
+use super::shards::{self, shard_of};
 use crate::message::Message;
 use std::time::Duration;
 
@@ -27,10 +27,11 @@
     }
 
     fn expire(&mut self, now: Duration) {
-        if !self.has_quorum() || !self.complete {
+        if !self.complete {
             return;
         }
-        let owns: Vec<bool> = shards::all().map(|shard| self.owner(shard, &[shard]) == self.this).collect();
+        let acts = |shard| self.has_contact(shard) && self.owner(shard, &[shard]) == self.this;
+        let owns: Vec<bool> = shards::all().map(acts).collect();
         let removed = self.endpoints.expire(now, |service| owns[usize::from(shard_of(service))]);
         for message in removed {
             self.peers.broadcast(&message);
--- a/crates/controller/src/controller/membership.rs
+++ b/crates/controller/src/controller/membership.rs
@@ -14,13 +14,17 @@
     pub(super) fn membership_outputs(&mut self, outputs: Vec<Output>) {
         for output in outputs {
             match output {
-                Output::Send { to, heartbeat } => match heartbeat.encode() {
-                    Ok(bytes) => self.peers.send(to, &Message::Heartbeat { body: bytes.into() }),
-                    Err(error) => log::error!("heartbeat: {error}"),
-                },
+                Output::Send { to, heartbeat } => {
+                    // Read before the heartbeat leaves: the age of its answer counts from here.
+                    let now = self.now();
+                    self.contact.sent(now, &heartbeat);
+                    match heartbeat.encode() {
+                        Ok(bytes) => self.peers.send(to, &Message::Heartbeat { body: bytes.into() }),
+                        Err(error) => log::error!("heartbeat: {error}"),
+                    }
+                }
                 Output::StateChanged { peer, state } => {
                     log::info!("controller {peer} is {state:?}");
-                    self.beat();
                 }
                 Output::Restarted { .. } => {}
             }
@@ -33,12 +37,14 @@
         let size = 2 * self.settings.fault_tolerance.machines as usize + 1;
         let group = self.group(shards::CONFIGURATION);
         self.members.observe(now, &group, &live);
-        if self.asked.values().any(|asked| matches!(asked, Asked::Members)) || !self.has_quorum() {
+        if self.asked.values().any(|asked| matches!(asked, Asked::Members))
+            || !self.has_contact(shards::CONFIGURATION)
+        {
             return;
         }
         for shard in shards::all() {
             let group = self.group(shard);
-            if self.owner(shard, &[shard]) != self.this {
+            if self.owner(shard, &[shard]) != self.this || !self.has_contact(shard) {
                 continue;
             }
             let Some(change) = self.members.plan(now, &group, &live, size) else { continue };
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -45,11 +45,15 @@
 mod routers_test;
 mod setup;
 mod shards;
+mod trust;
+#[cfg(test)]
+mod trust_test;
 mod turn;
 
 pub use setup::{ControllerError, run_controller};
 
 use crate::message::Decided;
+use contact::Contact;
 use demand::RecentDemand;
 use endpoints::Endpoints;
 use environment::Environment;
@@ -69,6 +73,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use trust::Trust;
 
 /// One controller. All of its state belongs to one task; nothing in it waits, and its clock, links and disk
 /// are those of its [`Environment`].
@@ -85,6 +90,8 @@
     shards: Shards,
     operator: Operator,
     membership: Membership,
+    contact: Contact,
+    trust: Trust,
     members: Members,
     leases: LeaseNode,
     placements: Placements,
@@ -112,6 +119,8 @@
 enum Asked {
     /// The operator reads the configuration.
     Read(tokio::sync::oneshot::Sender<event::Answer>),
+    /// A read that tells whether what is known of the configuration is current.
+    Barrier,
     /// A change of the group.
     Members,
     /// A change of the operator, by its number there.
@@ -143,13 +152,6 @@
         members::majority(self.group(shards::CONFIGURATION).len(), machines)
     }
 
-    /// Whether this controller reaches more than half of the group (itself counted, if it is a member).
-    fn has_quorum(&self) -> bool {
-        let group = self.group(shards::CONFIGURATION);
-        let live = group.iter().filter(|member| self.membership.is_live(**member)).count();
-        !group.is_empty() && live > group.len() / 2
-    }
-
     /// The controller that acts for a key first: the first live member of the group in the key's order.
     fn owner(&self, shard: u8, key: &[u8]) -> SocketAddr {
         let group = self.group(shard);
--- a/crates/controller/src/controller/peer_messages.rs
+++ b/crates/controller/src/controller/peer_messages.rs
@@ -14,10 +14,17 @@
         match message {
             Message::Heartbeat { body } => {
                 if let Ok(heartbeat) = Heartbeat::decode(&body.bytes) {
+                    self.peers.send(peer, &Message::HeartbeatEcho { body });
+                    self.contact.heard(now, peer);
                     let outputs = self.membership.on_heartbeat(now, &heartbeat);
                     self.membership_outputs(outputs);
                 }
             }
+            Message::HeartbeatEcho { body } => {
+                if let Ok(heartbeat) = Heartbeat::decode(&body.bytes) {
+                    self.contact.echoed(now, peer, &heartbeat);
+                }
+            }
             Message::Register(message) => self.register_message(peer, &message),
             Message::Lease(message) => {
                 if let Ok(message) = LeaseMessage::decode(&message.body.bytes) {
--- a/crates/controller/src/controller/placing.rs
+++ b/crates/controller/src/controller/placing.rs
@@ -24,12 +24,11 @@
         let Some(configuration) = self.configuration.clone() else { return };
         let now = self.now();
         let wanted: BTreeSet<u8> = Placements::wanted_shards(&configuration).collect();
-        let quorum = self.has_quorum();
         for shard in shards::all().filter(|shard| *shard != shards::CONFIGURATION) {
             // Who acts goes on while it can: handing over to the first in order costs a quiet period.
             let acts = self.placements.acts_for(shard);
-            let stands =
-                quorum && wanted.contains(&shard) && (acts || self.owner(shard, &[shard]) == self.this);
+            let stands = wanted.contains(&shard) && (acts || self.owner(shard, &[shard]) == self.this);
+            let stands = stands && self.has_contact(shard);
             let outputs = self.leases.set_candidate(now, u32::from(shard), stands);
             self.lease_outputs(outputs);
         }
--- a/crates/controller/src/controller/registers.rs
+++ b/crates/controller/src/controller/registers.rs
@@ -77,6 +77,7 @@
                     self.lease_outputs(outputs);
                 }
             }
+            Some(Asked::Barrier) => self.barrier_read(request, &outcome),
             Some(Asked::Members) | None => {}
         }
     }
--- a/crates/controller/src/controller/setup.rs
+++ b/crates/controller/src/controller/setup.rs
@@ -1,5 +1,6 @@
 //! Starting a controller and ending it.
 
+use super::contact::Contact;
 use super::demand::RecentDemand;
 use super::disk::Disk;
 use super::endpoints::Endpoints;
@@ -14,6 +15,7 @@
 use super::readers::Readers;
 use super::routers::LiveRouters;
 use super::shards::{self, ConfigurationMachine, EpochCounter, Shards};
+use super::trust::Trust;
 use super::{Controller, http, links};
 use crate::life::draw_life;
 use crate::link;
@@ -155,6 +157,8 @@
             shards: Shards::new(replicas),
             operator: Operator::default(),
             membership: Membership::new(MembershipSettings::new(HEARTBEAT_INTERVAL, MONITORS), node, now),
+            contact: Contact::new(control, life),
+            trust: Trust::default(),
             members: Members::default(),
             leases: LeaseNode::new(lease, node, start, now),
             placements: Placements::default(),
--- /dev/null
+++ b/crates/controller/src/controller/trust.rs
@@ -0,0 +1,140 @@
+//! Whether this controller vouches for what it knows.
+//!
+//! Contact with a majority says that nothing keeps news away; it does not say that all of it has come. So a
+//! controller whose contact with the group of the configuration begins, at its start, after a cut or a freeze,
+//! first reads the register: a read that was begun in contact misses nothing that was acknowledged before it.
+//! Only from its answer on, and for as long as contact lasts unbroken, does the feed call this controller
+//! current.
+
+use super::operator::ANSWER_TIMEOUT;
+use super::{Asked, Controller, shards};
+use lanegate_coordination::register::{Input, Outcome};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What is known of the configuration, compared with what a majority knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Knowledge {
+    /// Out of contact, or in contact again without having read.
+    #[default]
+    Unknown,
+    /// The register is read, under this request, begun in contact.
+    Reading(u64),
+    /// It has been read, and contact has lasted since before that.
+    Current,
+}
+
+/// What became of contact since it was last looked at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Watched {
+    /// Contact with the group of some shard has begun.
+    pub begun: bool,
+    /// The register of the configuration is to be read.
+    pub read: bool,
+    /// Readers of the feed have been told something else.
+    pub tell: bool,
+}
+
+/// Contact with the groups as it was last looked at, and whether the configuration known here is current.
+#[derive(Debug, Default)]
+pub struct Trust {
+    in_contact: BTreeSet<u8>,
+    knowledge: Knowledge,
+    /// What readers of the feed were told last.
+    told: bool,
+}
+
+impl Trust {
+    /// Compares contact with what it was; `reached` are the shards whose groups are in contact now.
+    pub fn watch(&mut self, reached: BTreeSet<u8>) -> Watched {
+        let begun = !reached.is_subset(&self.in_contact);
+        self.in_contact = reached;
+        if !self.in_contact.contains(&shards::CONFIGURATION) {
+            self.knowledge = Knowledge::Unknown;
+        }
+        let reached = self.in_contact.contains(&shards::CONFIGURATION);
+        let tell = self.told != self.is_current();
+        self.told = self.is_current();
+        Watched { begun, read: reached && self.knowledge == Knowledge::Unknown, tell }
+    }
+
+    /// The register is being read under `request`.
+    pub fn reading(&mut self, request: u64) {
+        self.knowledge = Knowledge::Reading(request);
+    }
+
+    /// The read `request` has ended, with the value or without. One that contact did not outlast is void.
+    pub fn read(&mut self, request: u64, known: bool) {
+        if self.knowledge == Knowledge::Reading(request) {
+            self.knowledge = if known { Knowledge::Current } else { Knowledge::Unknown };
+        }
+    }
+
+    /// Whether the configuration was read in the contact that lasts.
+    pub fn is_current(&self) -> bool {
+        self.knowledge == Knowledge::Current
+    }
+
+    /// Whether contact with the group of the configuration held when it was last looked at.
+    pub fn is_in_contact(&self) -> bool {
+        self.in_contact.contains(&shards::CONFIGURATION)
+    }
+}
+
+impl Controller {
+    /// The groups of a shard whose majorities count: two while the members change, none while not known.
+    fn groups(&self, shard: u8) -> Vec<Vec<SocketAddr>> {
+        let Some(value) = self.shards.get(shard).decided() else { return Vec::new() };
+        let addresses = |node: &lanegate_coordination::register::Node| SocketAddr::V4((*node).into());
+        value.groups.iter().map(|group| group.members().iter().map(addresses).collect()).collect()
+    }
+
+    /// Whether a majority of the shard's group has answered a moment ago. The clock is read anew.
+    pub(super) fn has_contact(&self, shard: u8) -> bool {
+        self.contact.reaches(self.now(), &self.groups(shard))
+    }
+
+    /// Whether this controller vouches for the configuration that it knows.
+    pub(super) fn is_current(&self) -> bool {
+        self.trust.is_current() && self.has_contact(shards::CONFIGURATION)
+    }
+
+    /// When contact ends, if nobody answers any more.
+    pub(super) fn contact_wake(&self) -> Option<Duration> {
+        let watched = self.trust.is_in_contact();
+        watched.then(|| self.contact.holds_until(&self.groups(shards::CONFIGURATION))).flatten()
+    }
+
+    /// Notices the beginning and the end of contact.
+    pub(super) fn watch_contact(&mut self) {
+        let reached: BTreeSet<u8> = shards::all().filter(|shard| self.has_contact(*shard)).collect();
+        let watched = self.trust.watch(reached);
+        if watched.begun {
+            // Heartbeats that others took meanwhile are still on their way here.
+            self.endpoints.excuse(self.now());
+        }
+        if watched.read {
+            self.read_barrier();
+        }
+        if watched.tell {
+            self.beat();
+        }
+    }
+
+    fn read_barrier(&mut self) {
+        let now = self.now();
+        let request = self.request_number();
+        self.asked.insert(request, Asked::Barrier);
+        self.trust.reading(request);
+        let deadline = now + ANSWER_TIMEOUT;
+        let outputs = self.shards.handle(now, shards::CONFIGURATION, Input::Read { request, deadline });
+        self.follow(shards::CONFIGURATION, outputs);
+    }
+
+    /// The read that [`Trust`] waits for has ended; what it found has been learned already.
+    pub(super) fn barrier_read(&mut self, request: u64, outcome: &Outcome) {
+        self.trust.read(request, matches!(outcome, Outcome::Value { .. }));
+        self.watch_contact();
+    }
+}
--- a/crates/controller/src/controller/turn.rs
+++ b/crates/controller/src/controller/turn.rs
@@ -41,6 +41,7 @@
             self.endpoints.next_wake(),
             self.placements.next_wake(),
             self.holdings.next_wake(),
+            self.contact_wake(),
             Some(self.next_beat),
             Some(self.next_housekeeping),
         ];
@@ -68,6 +69,7 @@
         for request in self.operator.due(now) {
             self.propose(request);
         }
+        self.watch_contact();
         self.endpoints.give_up(now);
         self.place(now);
         if self.next_beat <= now {
--- a/crates/controller/src/message.rs
+++ b/crates/controller/src/message.rs
@@ -232,6 +232,9 @@
     Heartbeat { body: Blob },
     #[deku(id = 18)]
     Holding(Holding),
+    /// A heartbeat of the receiver, sent back by a controller that it reached.
+    #[deku(id = 19)]
+    HeartbeatEcho { body: Blob },
 }
 
 impl Message {
