Acknowledge no heartbeat out of contact, and begin no agent on a cut-off controller's word

A controller cut off from the majority took an endpoint's heartbeat and said 200, so the endpoint called nobody else and the owner on the other side took it off the list. It takes it still, and answers 503. An agent looks at its sources as soon as one of them says something else of itself, and not up to 500 ms later.

--- a/crates/controller/src/agent/mod.rs
+++ b/crates/controller/src/agent/mod.rs
@@ -3,6 +3,7 @@
 mod environment;
 mod process;
 pub mod sources;
+pub mod unconfirmed;
 
 pub(crate) use environment::Environment;
 pub use process::run_agent;
@@ -16,6 +17,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
+use unconfirmed::Unconfirmed;
 
 /// How often the choice of sources is looked at when nothing else happens.
 pub(crate) const REVIEW_PERIOD: Duration = Duration::from_millis(500);
@@ -50,6 +52,7 @@
     life: u64,
     view: View,
     sources: Sources,
+    unconfirmed: Unconfirmed,
     outboxes: BTreeMap<SocketAddr, Outbox>,
     readers: BTreeMap<u64, Outbox>,
     routers_told: u32,
@@ -65,6 +68,7 @@
             life,
             view: View::default(),
             sources: Sources::default(),
+            unconfirmed: Unconfirmed::default(),
             outboxes: BTreeMap::new(),
             readers: BTreeMap::new(),
             routers_told: 0,
@@ -87,6 +91,7 @@
                 self.outboxes.remove(&source);
                 self.environment.unfollow(source);
                 self.view.lost(source);
+                self.unconfirmed.lost(source);
                 self.sources.ended(self.now(), source);
                 self.review();
             }
@@ -98,14 +103,42 @@
             Message::FeedBeat(beat) => Some(beat.quorum == 1),
             _ => None,
         };
+        let trusted = self.sources.is_trusted(source);
+        let known = self.view.configuration().is_some();
+        let Some(message) = self.unconfirmed.pass(self.now(), source, message, trusted || known) else {
+            return;
+        };
         let mut news = Vec::new();
         self.view.receive(self.now(), source, message, &mut news);
         for message in news {
             self.tell(&message);
         }
         if let Some(quorum) = beat {
-            self.sources.heard(source, quorum);
+            let changed = self.sources.heard(source, quorum);
             self.tell_routers();
+            if quorum {
+                self.take_held(source);
+            }
+            if changed {
+                self.review();
+            }
+        }
+    }
+
+    /// A source vouches for the configuration that was held back.
+    fn take_held(&mut self, source: SocketAddr) {
+        if let Some(decided) = self.unconfirmed.take(source) {
+            self.message(source, Message::Decided(decided));
+        }
+    }
+
+    /// Goes on with what there is, once no source has vouched for anything for too long.
+    fn give_up_holding(&mut self) {
+        if let Some((source, decided)) = self.unconfirmed.overdue(self.now()) {
+            log::warn!("no controller is in contact with a majority: revision {} is used", decided.revision);
+            let mut news = Vec::new();
+            self.view.receive(self.now(), source, Message::Decided(decided), &mut news);
+            news.iter().for_each(|message| self.tell(message));
         }
     }
 
@@ -154,6 +187,7 @@
     /// Begins and ends links to controllers as needed.
     pub(crate) fn review(&mut self) {
         let now = self.now();
+        self.give_up_holding();
         if self.sources.none_trusted() && now > self.settings_read + SETTINGS_PERIOD {
             self.read_settings();
         }
@@ -166,6 +200,7 @@
         for source in plan.stop {
             self.outboxes.remove(&source);
             self.view.lost(source);
+            self.unconfirmed.lost(source);
             self.environment.unfollow(source);
         }
     }
--- a/crates/controller/src/agent/sources.rs
+++ b/crates/controller/src/agent/sources.rs
@@ -35,11 +35,16 @@
 }
 
 impl Sources {
-    /// Notes what a source says of its quorum.
-    pub fn heard(&mut self, source: SocketAddr, quorum: bool) {
-        if let Some(standing) = self.followed.get_mut(&source) {
-            *standing = if quorum { Standing::Trusted } else { Standing::CutOff };
-        }
+    /// Notes what a source says of its quorum. True if that is new: the choice has to be looked at again.
+    pub fn heard(&mut self, source: SocketAddr, quorum: bool) -> bool {
+        let Some(standing) = self.followed.get_mut(&source) else { return false };
+        let told = if quorum { Standing::Trusted } else { Standing::CutOff };
+        std::mem::replace(standing, told) != told
+    }
+
+    /// Whether a source has said last that it is in touch with a majority and knows what that knows.
+    pub fn is_trusted(&self, source: SocketAddr) -> bool {
+        self.followed.get(&source) == Some(&Standing::Trusted)
     }
 
     /// Notes that a source's link has ended.
--- a/crates/controller/src/controller/calls.rs
+++ b/crates/controller/src/controller/calls.rs
@@ -36,8 +36,9 @@
             return answer(call, Answer::error(404, "no such path"));
         }
         let (now, needed) = (self.now(), self.majority());
+        let in_contact = self.has_contact(shards::CONFIGURATION);
         let changes = match call.method {
-            Method::Put => self.endpoints.put(now, id, call.body, needed, call.reply),
+            Method::Put => self.endpoints.put(now, id, call.body, needed, in_contact, call.reply),
             Method::Delete => self.endpoints.delete(now, id, needed, call.reply),
             _ => return answer(call, Answer::error(405, "no such method here")),
         };
--- a/crates/controller/src/controller/endpoints.rs
+++ b/crates/controller/src/controller/endpoints.rs
@@ -76,13 +76,16 @@
         }
     }
 
-    /// A heartbeat of `id`. `needed` replicas, this one included, have to know of one that is leaving.
+    /// A heartbeat of `id`. `needed` replicas, this one included, have to know of one that is leaving. One
+    /// that is not leaving is taken in any case, but acknowledged only `in_contact` with a majority: whoever
+    /// judges its silence may not hear of it from here, so it has to call another controller as well.
     pub fn put(
         &mut self,
         now: Duration,
         id: &str,
         body: Bytes,
         needed: usize,
+        in_contact: bool,
         reply: oneshot::Sender<Answer>,
     ) -> Changes {
         let registration = match Registered::parse(id, body) {
@@ -108,8 +111,10 @@
         if leaving && !self.confirmed.contains(id) {
             changes.messages.extend(self.current(id));
             changes.flush = self.wait(now, id, needed, reply);
-        } else {
+        } else if in_contact {
             let _ = reply.send(acknowledged());
+        } else {
+            let _ = reply.send(too_few_reached());
         }
         changes
     }
@@ -217,7 +222,7 @@
             .collect();
         for token in late {
             let waiting = self.waiting.remove(&token).expect("it was just there");
-            let _ = waiting.reply.send(Answer::error(503, "too few controllers can be reached"));
+            let _ = waiting.reply.send(too_few_reached());
         }
     }
 
@@ -291,6 +296,10 @@
     Answer::new(200, "{}")
 }
 
+fn too_few_reached() -> Answer {
+    Answer::error(503, "too few controllers can be reached")
+}
+
 fn removed_message(id: &str, sequence: u64) -> Message {
     Message::Removed(Removed { id: id.into(), sequence })
 }
--- a/crates/controller/src/controller/endpoints_test.rs
+++ b/crates/controller/src/controller/endpoints_test.rs
@@ -38,7 +38,7 @@
     state: &str,
 ) -> (Changes, Receiver<Answer>) {
     let (reply, answer) = oneshot::channel();
-    (endpoints.put(now, "i-1", body(sequence, state), needed, reply), answer)
+    (endpoints.put(now, "i-1", body(sequence, state), needed, true, reply), answer)
 }
 
 fn status(answer: &mut Receiver<Answer>) -> Option<u16> {
@@ -67,11 +67,36 @@
     assert_eq!(endpoints.take_heard(), None);
 }
 
+/// Taken and told, so that nothing is lost if the cut ends, but the endpoint has to call another controller.
+#[test]
+fn a_ready_endpoint_is_not_acknowledged_out_of_contact() {
+    let mut endpoints = Endpoints::new(HEARTBEAT);
+    for sequence in [1, 2] {
+        let (reply, mut answer) = oneshot::channel();
+        let changes = endpoints.put(ms(0), "i-1", body(sequence, "ready"), TWO, false, reply);
+        assert_eq!((changes.flush, status(&mut answer)), (None, Some(503)));
+        assert_eq!(changes.messages.len(), usize::from(sequence == 1));
+    }
+    assert!(endpoints.registration("i-1").is_some());
+    assert!(endpoints.take_heard().is_some());
+}
+
+/// The confirmations of a majority say more than contact does.
+#[test]
+fn a_draining_endpoint_is_acknowledged_by_a_majority_whatever_contact_says() {
+    let mut endpoints = Endpoints::new(HEARTBEAT);
+    let (reply, mut answer) = oneshot::channel();
+    let changes = endpoints.put(ms(0), "i-1", body(1, "draining"), TWO, false, reply);
+    assert_eq!(status(&mut answer), None);
+    endpoints.flushed(changes.flush.expect("others are asked"), peer(2));
+    assert_eq!(status(&mut answer), Some(200));
+}
+
 #[test]
 fn what_is_no_registration_is_refused() {
     let mut endpoints = Endpoints::new(HEARTBEAT);
     let (reply, mut answer) = oneshot::channel();
-    let changes = endpoints.put(ms(0), "i-1", Bytes::from_static(b"{"), TWO, reply);
+    let changes = endpoints.put(ms(0), "i-1", Bytes::from_static(b"{"), TWO, true, reply);
     assert!(changes.messages.is_empty());
     assert_eq!(status(&mut answer), Some(400));
 }
