--- /dev/null
+++ b/crates/day-generator/src/catalogue.rs
@@ -0,0 +1,299 @@
+//! Every kind of trouble, with its variants, its fields and their ranges.
+
+/// What a kind strikes; weights are given by category.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Category {
+    /// Kills, freezes, wipes and losses of power of controllers.
+    ControllerLoss,
+    /// Controllers and seeds that are exchanged for others.
+    Replacement,
+    /// Cuts, resets and losses on links of the control plane.
+    Cut,
+    /// Disks of controllers.
+    Disk,
+    /// The time of day.
+    Clock,
+    /// Changes of the configuration, and their acknowledgements.
+    Change,
+    /// Routers.
+    Router,
+    /// Endpoints.
+    Endpoint,
+    /// Clients.
+    Client,
+}
+
+impl Category {
+    /// All categories.
+    pub const ALL: [Self; 9] = [
+        Self::ControllerLoss,
+        Self::Replacement,
+        Self::Cut,
+        Self::Disk,
+        Self::Clock,
+        Self::Change,
+        Self::Router,
+        Self::Endpoint,
+        Self::Client,
+    ];
+}
+
+/// In which list of a day a kind stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    Plan,
+    Faults,
+}
+
+/// On which sites a kind may come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Availability {
+    Always,
+    /// On sites that name this contract.
+    Contract(&'static str),
+    /// On sites that list it among their troubles.
+    Listed,
+}
+
+/// What a kind is narrowed to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// Nothing.
+    Everywhere,
+    /// Machines that count for the quorum.
+    Core,
+    /// Sometimes one service.
+    Service,
+    /// Sometimes one service; callers in one zone where the variant asks for it.
+    ServiceAndCallers,
+    /// A zone or a kind of requests.
+    Traffic,
+    /// Always one zone.
+    Zone,
+}
+
+/// Alternatives for one place in the variant; an empty one leaves it out, a repeated one is likelier.
+pub type Slot = &'static [&'static str];
+
+/// A number that a kind may carry.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Field {
+    pub key: &'static str,
+    pub low: f64,
+    pub high: f64,
+    /// Now and then drawn from here instead.
+    pub rare: Option<(f64, f64)>,
+    pub whole: bool,
+}
+
+impl Field {
+    const fn or_rarely(mut self, low: f64, high: f64) -> Self {
+        self.rare = Some((low, high));
+        self
+    }
+}
+
+const fn number(key: &'static str, low: f64, high: f64) -> Field {
+    Field { key, low, high, rare: None, whole: false }
+}
+
+const fn whole(key: &'static str, low: u32, high: u32) -> Field {
+    Field { key, low: low as f64, high: high as f64, rare: None, whole: true }
+}
+
+/// A kind of trouble.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Kind {
+    pub name: &'static str,
+    pub category: Category,
+    pub part: Part,
+    pub availability: Availability,
+    pub scope: Scope,
+    pub slots: &'static [Slot],
+    /// Whether the variant may say which machine is struck and what meets it.
+    pub chooses_machine: bool,
+    pub fields: &'static [Field],
+}
+
+impl Kind {
+    const fn fault(name: &'static str, category: Category, fields: &'static [Field]) -> Self {
+        Self {
+            name,
+            category,
+            part: Part::Faults,
+            availability: Availability::Always,
+            scope: Scope::Everywhere,
+            slots: &[],
+            chooses_machine: false,
+            fields,
+        }
+    }
+
+    const fn planned(name: &'static str, category: Category, fields: &'static [Field]) -> Self {
+        Self { part: Part::Plan, ..Self::fault(name, category, fields) }
+    }
+
+    const fn with(self, slots: &'static [Slot]) -> Self {
+        Self { slots, ..self }
+    }
+
+    const fn on(self, scope: Scope) -> Self {
+        Self { scope, ..self }
+    }
+
+    const fn choosing(self) -> Self {
+        Self { chooses_machine: true, ..self }
+    }
+
+    const fn only(self, availability: Availability) -> Self {
+        Self { availability, ..self }
+    }
+}
+
+/// Down time of a controller, seconds; now and then it is away for most of a day.
+const AWAY: Field = number("for_s", 0.8, 6.0).or_rarely(10.0, 22.0);
+const BRIEF: Field = number("for_s", 0.8, 4.0);
+const SPELL: Field = number("for_s", 2.0, 7.0);
+const ONE: Field = whole("count", 1, 1);
+const FEW: Field = whole("count", 1, 2);
+const PAUSE: Field = number("gap_s", 0.2, 1.5);
+const SOME_ENDPOINTS: Field = number("share", 0.08, 0.2);
+const SOME_ROUTERS: Field = number("share", 0.1, 0.4);
+const CONFIGURATION_PARTS: Slot = &["route", "weights", "timeout", "tenant", "quota", "idle"];
+const SPREAD: Slot = &["", "", "", "across", "all"];
+const POWER: Slot = &["", "power"];
+const OLDEST: Slot = &["", "oldest"];
+
+use Category::{Change, Client, Clock, ControllerLoss, Cut, Disk, Endpoint, Replacement, Router};
+
+/// All kinds.
+pub const KINDS: &[Kind] = &[
+    Kind::fault("node_kill", ControllerLoss, &[FEW, AWAY]).with(&[POWER]).on(Scope::Core).choosing(),
+    Kind::fault("node_freeze", ControllerLoss, &[FEW, AWAY]).on(Scope::Core).choosing(),
+    Kind::fault("node_slow", ControllerLoss, &[ONE, number("x", 3.0, 10.0), SPELL])
+        .on(Scope::Core)
+        .choosing(),
+    Kind::fault("herd_kill", ControllerLoss, &[BRIEF])
+        .with(&[&["", "power", "power taken", "taken", "taken all"]])
+        .on(Scope::Core),
+    Kind::fault("after_ack_kill", ControllerLoss, &[FEW, AWAY]).with(&[&[
+        "",
+        "kill",
+        "timed",
+        "kill timed",
+        "taken",
+        "taken gone",
+    ]]),
+    Kind::fault("after_ack_wipe", ControllerLoss, &[ONE, AWAY]).with(&[&[
+        "",
+        "timed",
+        "taken",
+        "oldest",
+        "oldest timed",
+    ]]),
+    Kind::fault("replace_core", Replacement, &[ONE, number("x", 0.5, 4.0)])
+        .with(&[&["", "seed", "leader", "turn"], OLDEST]),
+    Kind::planned("replace_core", Replacement, &[ONE, number("x", 0.5, 4.0)]).with(&[
+        &["planned"],
+        OLDEST,
+        &["", "seed", "leader", "turn"],
+    ]),
+    Kind::planned("seed_turnover", Replacement, &[]),
+    Kind::planned(
+        "roll_term",
+        Replacement,
+        &[number("share", 0.3, 1.0), whole("x", 1, 1), number("gap_s", 1.0, 4.0)],
+    )
+    .with(&[&["", "busy"]])
+    .on(Scope::Core),
+    Kind::fault("core_cut", Cut, &[FEW, AWAY])
+        .with(&[
+            &["", "", "all", "near", "oldest", "one_way", "seeds", "both", "lure"],
+            &["", "", "reset", "refuse"],
+        ])
+        .choosing(),
+    Kind::fault("node_cut", Cut, &[SOME_ROUTERS, SPELL]).with(&[&["", "all", "servers"]]),
+    Kind::fault("srv_cut", Cut, &[SOME_ENDPOINTS, number("x", 0.1, 0.5), SPELL])
+        .with(&[&["", "fronts", "one_way", "reset"]])
+        .on(Scope::Service),
+    Kind::fault("reset_conns", Cut, &[number("share", 0.1, 0.6), number("x", 0.2, 1.0)]),
+    Kind::fault("reset_conns", Cut, &[number("share", 0.4, 1.0), number("x", 0.3, 1.0)]).on(Scope::Core),
+    Kind::fault("lossy", Cut, &[number("x", 0.01, 0.04), SPELL]).on(Scope::Zone).only(Availability::Listed),
+    Kind::fault("disk_slow", Disk, &[FEW, number("x", 10.0, 80.0), number("for_s", 2.0, 9.0)]).choosing(),
+    Kind::fault("disk_full", Disk, &[FEW, number("for_s", 2.0, 7.0).or_rarely(10.0, 18.0)]).choosing(),
+    Kind::fault("disk_stall", Disk, &[FEW, number("for_s", 1.0, 5.0).or_rarely(6.0, 12.0)]).choosing(),
+    Kind::fault("clock_step", Clock, &[number("share", 0.2, 0.7), number("x", 500.0, 5000.0), SPELL])
+        .with(&[&["", "back", "ahead"]])
+        .choosing(),
+    Kind::planned("config_change", Change, &[]).with(&[CONFIGURATION_PARTS]),
+    Kind::planned("config_storm", Change, &[number("for_s", 1.5, 8.0), number("gap_s", 0.08, 0.9)])
+        .with(&[CONFIGURATION_PARTS]),
+    Kind::planned("config_race", Change, &[whole("count", 1, 5), PAUSE]),
+    Kind::planned("bad_config", Change, &[whole("count", 1, 4), PAUSE]).with(&[&[
+        "",
+        "cut_short",
+        "unknown_service",
+        "same_place",
+        "no_weight",
+        "no_timeout",
+        "old_version",
+        "same_version",
+        "stale_match",
+        "shared_key",
+    ]]),
+    Kind::planned("big_config", Change, &[whole("count", 200, 1400)]).only(Availability::Listed),
+    Kind::fault("ack_lost", Change, &[number("x", 0.3, 0.9), number("for_s", 3.0, 14.0)]),
+    Kind::planned("hup", Change, &[number("share", 0.3, 1.0), number("gap_s", 0.5, 3.0)]),
+    Kind::fault("node_kill", Router, &[SOME_ROUTERS, BRIEF]).with(&[POWER]),
+    Kind::fault("node_freeze", Router, &[SOME_ROUTERS, BRIEF]),
+    Kind::fault("node_slow", Router, &[SOME_ROUTERS, number("x", 2.0, 6.0), SPELL]),
+    Kind::fault("herd_kill", Router, &[number("share", 0.3, 0.7), number("for_s", 0.8, 2.0)]).with(&[POWER]),
+    Kind::planned(
+        "roll_term",
+        Router,
+        &[number("share", 0.3, 1.0), whole("x", 1, 2), number("gap_s", 0.8, 2.0)],
+    )
+    .with(&[&["", "busy", "remove"]]),
+    Kind::fault("srv_crash", Endpoint, &[SOME_ENDPOINTS, SPELL])
+        .with(&[&["", "dark", "gone"], SPREAD])
+        .on(Scope::Service),
+    Kind::planned(
+        "release",
+        Endpoint,
+        &[number("share", 0.1, 0.4), whole("x", 1, 2), number("gap_s", 0.6, 1.5)],
+    )
+    .on(Scope::Service),
+    Kind::planned("scale_in", Endpoint, &[SOME_ENDPOINTS]).on(Scope::Service),
+    Kind::fault("scale_in", Endpoint, &[SOME_ENDPOINTS, number("x", 1.5, 3.0)])
+        .with(&[&["spot"]])
+        .on(Scope::Service),
+    Kind::planned("scale_out", Endpoint, &[number("share", 0.1, 0.4), number("gap_s", 0.5, 3.0)])
+        .on(Scope::Service),
+    Kind::fault("replace_with_reuse", Endpoint, &[SOME_ENDPOINTS]).with(&[&["", "drain", "dark"]]),
+    Kind::fault("answer_lost", Endpoint, &[number("share", 0.2, 0.6), number("x", 0.02, 0.06), SPELL])
+        .with(&[&["", "reset"]])
+        .on(Scope::Service),
+    Kind::fault("garble", Endpoint, &[number("share", 0.2, 0.6), number("x", 0.01, 0.04), SPELL])
+        .with(&[&["", "extra", "extra late", "unframed", "early"]])
+        .on(Scope::Service),
+    Kind::fault("srv_slow", Endpoint, &[SOME_ENDPOINTS, number("x", 2.0, 6.0), SPELL]).on(Scope::Service),
+    Kind::fault("srv_grey", Endpoint, &[SOME_ENDPOINTS, number("x", 0.2, 0.6), SPELL])
+        .with(&[&["errors", "shed", "busy", "hang", "reset", "mute"], &["", "", "one_zone"]])
+        .on(Scope::ServiceAndCallers),
+    Kind::fault("srv_grey", Endpoint, &[SOME_ENDPOINTS, number("x", 3.0, 10.0), SPELL])
+        .with(&[&["slow"], &["", "", "one_zone"]])
+        .on(Scope::ServiceAndCallers),
+    Kind::fault("srv_lying_health", Endpoint, &[SOME_ENDPOINTS, SPELL])
+        .with(&[&["errors", "hang", "reset", "bad"]])
+        .on(Scope::Service)
+        .only(Availability::Contract("health")),
+    Kind::fault("srv_flap", Endpoint, &[SOME_ENDPOINTS, number("gap_s", 0.8, 2.0), SPELL])
+        .on(Scope::Service)
+        .only(Availability::Contract("health")),
+    Kind::fault("idle_race", Endpoint, &[number("share", 0.3, 0.7), number("x", 150.0, 600.0), SPELL])
+        .on(Scope::Service)
+        .only(Availability::Contract("pool")),
+    Kind::fault("burst", Client, &[number("x", 1.3, 2.4), number("for_s", 2.0, 5.0)]).on(Scope::Traffic),
+    Kind::fault("retry_abuse", Client, &[number("share", 0.1, 0.4), whole("x", 1, 2), SPELL]),
+    Kind::fault("give_up", Client, &[number("share", 0.1, 0.4), SPELL]),
+];
