--- a/crates/controller/src/agent/mod.rs
+++ b/crates/controller/src/agent/mod.rs
@@ -8,8 +8,9 @@
 pub(crate) use environment::Environment;
 pub use process::run_agent;
 
+use crate::configuration_feed::publisher::ConfigurationPublisher;
 use crate::link::Outbox;
-use crate::message::{FeedBeat, Hello, Message, Role};
+use crate::message::{ConfigurationVersion, FeedBeat, Hello, Message, Role};
 use crate::subscription::News;
 use crate::view::View;
 use lanegate_model::settings::Settings;
@@ -25,6 +26,8 @@
 const SETTINGS_PERIOD: Duration = Duration::from_millis(1_000);
 /// A controller that says nothing for so long is given up; its heartbeat is several times as fast.
 pub(crate) const SOURCE_SILENCE: Duration = Duration::from_millis(1_800);
+/// Configurations kept as bases of differences: routers are some tenths of a second behind at most.
+const KEPT_CONFIGURATIONS: usize = 4;
 
 /// Address on which an agent feeds its router: the last port of the range, as the first is where controllers
 /// have their links. Agents with different last ports can share a machine.
@@ -40,7 +43,7 @@
 /// What reaches the agent from routers.
 pub(crate) enum Downstream {
     Up { reader: u64, outbox: Outbox },
-    Message { message: Message },
+    Message { reader: u64, message: Message },
     Down { reader: u64 },
 }
 
@@ -55,7 +58,9 @@
     unconfirmed: Unconfirmed,
     outboxes: BTreeMap<SocketAddr, Outbox>,
     readers: BTreeMap<u64, Outbox>,
-    routers_told: u32,
+    configurations: ConfigurationPublisher,
+    /// What routers were told last of how much this agent may be trusted.
+    beat_told: Option<FeedBeat>,
     settings_read: Duration,
 }
 
@@ -71,7 +76,8 @@
             unconfirmed: Unconfirmed::default(),
             outboxes: BTreeMap::new(),
             readers: BTreeMap::new(),
-            routers_told: 0,
+            configurations: ConfigurationPublisher::keeping(KEPT_CONFIGURATIONS),
+            beat_told: None,
             settings_read: Duration::ZERO,
         }
     }
@@ -90,15 +96,20 @@
             News::Down { source } => {
                 self.outboxes.remove(&source);
                 self.environment.unfollow(source);
-                self.view.lost(source);
+                self.view.lost(self.now(), source);
                 self.unconfirmed.lost(source);
                 self.sources.ended(self.now(), source);
                 self.review();
+                self.tell_beat();
             }
         }
     }
 
     fn message(&mut self, source: SocketAddr, message: Message) {
+        if !self.outboxes.contains_key(&source) {
+            // Left over from a link that was given up.
+            return;
+        }
         let beat = match &message {
             Message::FeedBeat(beat) => Some(beat.quorum == 1),
             _ => None,
@@ -108,14 +119,10 @@
         let Some(message) = self.unconfirmed.pass(self.now(), source, message, trusted || known) else {
             return;
         };
-        let mut news = Vec::new();
-        self.view.receive(self.now(), source, message, &mut news);
-        for message in news {
-            self.tell(&message);
-        }
+        self.receive(source, message);
         if let Some(quorum) = beat {
             let changed = self.sources.heard(source, quorum);
-            self.tell_routers();
+            self.tell_beat();
             if quorum {
                 self.take_held(source);
             }
@@ -136,22 +143,62 @@
     fn give_up_holding(&mut self) {
         if let Some((source, decided)) = self.unconfirmed.overdue(self.now()) {
             log::warn!("no controller is in contact with a majority: revision {} is used", decided.revision);
-            let mut news = Vec::new();
-            self.view.receive(self.now(), source, Message::Decided(decided), &mut news);
-            news.iter().for_each(|message| self.tell(message));
+            self.receive(source, Message::Decided(decided));
         }
     }
 
-    /// Tells how many routers are live, when that has changed.
-    fn tell_routers(&mut self) {
-        if self.routers_told != self.view.routers() {
-            self.routers_told = self.view.routers();
-            self.tell(&self.routers_message());
+    /// Merges a message into the view, and tells routers what is news.
+    fn receive(&mut self, source: SocketAddr, message: Message) {
+        let mut news = Vec::new();
+        self.view.receive(self.now(), source, message, &mut news);
+        news.into_iter().for_each(|message| self.pass_down(message));
+    }
+
+    /// Tells routers what is news here. Of a configuration they hear only that it is there.
+    fn pass_down(&mut self, message: Message) {
+        let message = match message {
+            Message::Decided(decided) => self.configurations.publish(decided),
+            message => Some(message),
+        };
+        if let Some(message) = message {
+            self.tell(&message);
         }
     }
 
-    fn routers_message(&self) -> Message {
-        Message::FeedBeat(FeedBeat { quorum: 1, source: self.life, offset: 0, routers: self.view.routers() })
+    /// When [`Agent::fetch`] is to be called next; `None` while there is nothing to fetch.
+    pub(crate) fn next_fetch(&self) -> Option<Duration> {
+        if self.waits_for_contact() { None } else { self.view.next_wake(self.now()) }
+    }
+
+    /// Fetches a newer configuration, if there is one and it is time.
+    pub(crate) fn fetch(&mut self) {
+        if self.waits_for_contact() {
+            return;
+        }
+        let Some((source, fetch)) = self.view.fetch(self.now(), self.sources.preferred()) else { return };
+        if let Some(outbox) = self.outboxes.get(&source) {
+            outbox.message(&fetch);
+        }
+    }
+
+    /// Whether another configuration would only be held back.
+    fn waits_for_contact(&self) -> bool {
+        self.view.configuration().is_none() && self.sources.none_trusted() && self.unconfirmed.holds_any()
+    }
+
+    /// Tells how many routers are live, and whether any source is in contact with a majority, when that has
+    /// changed.
+    fn tell_beat(&mut self) {
+        let beat = self.beat();
+        if self.beat_told != Some(beat) {
+            self.beat_told = Some(beat);
+            self.tell(&Message::FeedBeat(beat));
+        }
+    }
+
+    fn beat(&self) -> FeedBeat {
+        let quorum = u8::from(!self.sources.none_trusted());
+        FeedBeat { quorum, source: self.life, offset: 0, routers: self.view.routers() }
     }
 
     fn tell(&mut self, message: &Message) {
@@ -166,10 +213,16 @@
                 for message in self.view.snapshot() {
                     outbox.message(&message);
                 }
-                outbox.message(&self.routers_message());
+                if let Some(announcement) = self.configurations.announcement() {
+                    outbox.message(&announcement);
+                }
+                outbox.message(&Message::FeedBeat(self.beat()));
                 self.readers.insert(reader, outbox);
             }
-            Downstream::Message { message: message @ Message::Demand(_) } => self.pass_up(&message),
+            Downstream::Message { message: message @ Message::Demand(_), .. } => self.pass_up(&message),
+            Downstream::Message { reader, message: Message::ConfigurationFetch(base) } => {
+                self.answer(reader, base);
+            }
             Downstream::Message { .. } => {}
             Downstream::Down { reader } => {
                 self.readers.remove(&reader);
@@ -177,6 +230,13 @@
         }
     }
 
+    fn answer(&mut self, reader: u64, base: ConfigurationVersion) {
+        let Some(frame) = self.configurations.answer(base) else { return };
+        if let Some(outbox) = self.readers.get(&reader) {
+            outbox.send(frame);
+        }
+    }
+
     fn pass_up(&self, message: &Message) {
         let outbox = self.sources.preferred().and_then(|source| self.outboxes.get(&source));
         if let Some(outbox) = outbox {
@@ -194,12 +254,12 @@
         let known: BTreeSet<SocketAddr> = self.known_controllers();
         let plan = self.sources.plan(now, &self.settings.node_name, &known);
         for source in plan.start {
-            let hello = self.hello();
+            let hello = self.hello(source);
             self.environment.follow(source, hello);
         }
         for source in plan.stop {
             self.outboxes.remove(&source);
-            self.view.lost(source);
+            self.view.lost(now, source);
             self.unconfirmed.lost(source);
             self.environment.unfollow(source);
         }
@@ -219,14 +279,15 @@
         }
     }
 
-    fn hello(&self) -> Hello {
+    fn hello(&self, source: SocketAddr) -> Hello {
+        let position = self.view.position(source);
         Hello {
             role: Role::Agent,
             name: self.settings.node_name.as_str().into(),
             control_address: "".into(),
             life: self.life,
-            source: 0,
-            offset: 0,
+            source: position.source,
+            offset: position.offset,
         }
     }
 }
--- a/crates/controller/src/agent/process.rs
+++ b/crates/controller/src/agent/process.rs
@@ -13,6 +13,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
+use tokio::time::sleep_until;
 
 /// The outside of an agent that is a process. Must be used inside a `LocalSet`.
 struct Process {
@@ -52,19 +53,23 @@
     let (downstream, mut from_readers) = mpsc::unbounded_channel();
     tokio::task::spawn_local(accept(listener, downstream));
     let (news, mut from_sources) = mpsc::unbounded_channel();
-    let process = Process { started: Instant::now(), news, links: BTreeMap::new() };
+    let started = Instant::now();
+    let process = Process { started, news, links: BTreeMap::new() };
     let mut agent = Agent::new(settings, draw_life(), Box::new(process));
     agent.review();
     let mut review = tokio::time::interval(REVIEW_PERIOD);
     review.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
+        let fetch = agent.next_fetch().map(|at| started + at);
         tokio::select! {
             Some(news) = from_sources.recv() => agent.heard(news),
             Some(event) = from_readers.recv() => agent.downstream(event),
             _ = review.tick() => agent.review(),
             _ = reload.recv() => agent.read_settings(),
             _ = terminate.recv() => return Ok(()),
+            () = sleep_until(fetch.unwrap_or(started).into()), if fetch.is_some() => {}
         }
+        agent.fetch();
     }
 }
 
@@ -90,7 +95,7 @@
     let _ = owner.send(Downstream::Up { reader, outbox });
     let mut messages = Reader::new(read);
     while let Ok(message) = messages.next().await {
-        let _ = owner.send(Downstream::Message { message });
+        let _ = owner.send(Downstream::Message { reader, message });
     }
     writer.abort();
     let _ = owner.send(Downstream::Down { reader });
--- a/crates/controller/src/agent/unconfirmed.rs
+++ b/crates/controller/src/agent/unconfirmed.rs
@@ -52,6 +52,11 @@
         self.held.remove(&source)
     }
 
+    /// Whether a configuration is held back.
+    pub fn holds_any(&self) -> bool {
+        !self.held.is_empty()
+    }
+
     /// A source is not followed any more. Its last word is kept for [`Unconfirmed::overdue`] only if nobody
     /// else has told anything.
     pub fn lost(&mut self, source: SocketAddr) {
--- /dev/null
+++ b/crates/controller/src/configuration_feed/reader.rs
@@ -0,0 +1,208 @@
+//! The side of a configuration's reader: which version it has, which it knows of, and when it asks whom.
+
+use super::difference;
+use crate::message::{ConfigurationDifference, ConfigurationVersion, Decided, Message};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest wait for a difference before another source is asked.
+pub const DIFFERENCE_PATIENCE: Duration = Duration::from_millis(300);
+/// Longest wait for a whole document before another source is asked.
+pub const DOCUMENT_PATIENCE: Duration = Duration::from_millis(900);
+/// A source that owes an answer is not asked again before this.
+pub const ASK_AGAIN: Duration = Duration::from_secs(2);
+
+/// How often a reader fetches.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Pace {
+    /// Least time from one fetch to the next.
+    pub shortest: Duration,
+    /// Most that an answer's size adds up to: a large document delays the next fetch by no more than this.
+    pub longest: Duration,
+    /// Bytes of answers a second that are aimed at, as long as `longest` allows it.
+    pub bytes_per_s: f64,
+}
+
+impl Pace {
+    /// For a reader behind a link of 10 Mbit/s or more, of which configurations get a fifth.
+    pub const LINK: Pace = Pace {
+        shortest: Duration::from_millis(100),
+        longest: Duration::from_millis(800),
+        bytes_per_s: 250_000.0,
+    };
+    /// For a reader on the loopback interface, where what costs is reading the document.
+    pub const LOOPBACK: Pace = Pace { bytes_per_s: f64::INFINITY, ..Pace::LINK };
+
+    /// Least time from a fetch that was answered with `bytes` to the next.
+    pub fn interval(&self, bytes: usize) -> Duration {
+        let seconds = bytes as f64 / self.bytes_per_s;
+        Duration::from_secs_f64(seconds).clamp(self.shortest, self.longest)
+    }
+}
+
+/// A fetch that has no answer yet.
+#[derive(Debug, Clone, Copy)]
+struct Asked {
+    at: Duration,
+    patience: Duration,
+}
+
+/// The newest configuration that a reader has, and what its sources say of newer ones.
+#[derive(Debug)]
+pub struct ConfigurationReader {
+    pace: Pace,
+    held: Option<Decided>,
+    version: Option<ConfigurationVersion>,
+    /// Newest version that anyone is known to have.
+    known: Option<ConfigurationVersion>,
+    /// What each source announced last.
+    announced: BTreeMap<SocketAddr, ConfigurationVersion>,
+    asked: BTreeMap<SocketAddr, Asked>,
+    next_fetch: Duration,
+    /// Whether a difference did not fit: the next answer is to be whole.
+    wants_whole: bool,
+}
+
+impl ConfigurationReader {
+    /// A reader that has nothing.
+    pub fn new(pace: Pace) -> Self {
+        ConfigurationReader {
+            pace,
+            held: None,
+            version: None,
+            known: None,
+            announced: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            next_fetch: Duration::ZERO,
+            wants_whole: false,
+        }
+    }
+
+    /// The newest configuration.
+    pub fn held(&self) -> Option<&Decided> {
+        self.held.as_ref()
+    }
+
+    /// Whether a newer configuration is known to exist than the one held.
+    pub fn is_behind(&self) -> bool {
+        self.known.is_some_and(|known| known.is_news_to(self.version))
+    }
+
+    /// `source` has this version. True if nobody was known to have one as new.
+    pub fn announced(&mut self, source: SocketAddr, version: ConfigurationVersion) -> bool {
+        self.announced.insert(source, version);
+        self.known(version)
+    }
+
+    /// Someone has this version. True if that is news.
+    pub fn known(&mut self, version: ConfigurationVersion) -> bool {
+        if let Some(held) = self.version.as_mut().filter(|held| held.digest == version.digest) {
+            held.revision = held.revision.max(version.revision);
+        }
+        let news = self.known.is_none_or(|known| version.revision > known.revision);
+        if news {
+            self.known = Some(version);
+        }
+        news
+    }
+
+    /// `source` sent a whole configuration. True if it is newer than the one held.
+    pub fn decided(&mut self, now: Duration, source: SocketAddr, decided: &Decided) -> bool {
+        self.answered(now, source, decided.document.bytes.len());
+        self.wants_whole = false;
+        self.take(decided)
+    }
+
+    /// `source` sent a difference. Gives the configuration that it makes, if that is newer than the one held.
+    pub fn difference(
+        &mut self,
+        now: Duration,
+        source: SocketAddr,
+        difference: &ConfigurationDifference,
+    ) -> Option<Decided> {
+        self.answered(now, source, difference.parts.size());
+        if !difference.version.is_news_to(self.version) {
+            return None;
+        }
+        let base = self.held.as_ref().zip(self.version);
+        let base = base.filter(|(_, version)| version.digest == difference.base);
+        let applied = base.map(|(held, _)| {
+            difference::apply(&held.document.bytes, &difference.parts.parts, difference.version.digest)
+        });
+        match applied {
+            Some(Ok(document)) => {
+                let decided = Decided { revision: difference.version.revision, document: document.into() };
+                self.take(&decided).then_some(decided)
+            }
+            // Another source's answer came first, and the next fetch names it.
+            None => None,
+            Some(Err(error)) => {
+                log::warn!("configuration of revision {}: {error}", difference.version.revision);
+                self.wants_whole = true;
+                None
+            }
+        }
+    }
+
+    fn take(&mut self, decided: &Decided) -> bool {
+        if self.version.is_some_and(|held| held.revision >= decided.revision) {
+            return false;
+        }
+        let version = ConfigurationVersion::of(decided.revision, &decided.document.bytes);
+        self.known(version);
+        self.version = Some(version);
+        self.held = Some(decided.clone());
+        true
+    }
+
+    fn answered(&mut self, now: Duration, source: SocketAddr, bytes: usize) {
+        let asked_at = self.asked.remove(&source).map_or(now, |asked| asked.at);
+        self.next_fetch = self.next_fetch.max(asked_at + self.pace.interval(bytes));
+    }
+
+    /// A source's link has ended.
+    pub fn lost(&mut self, source: SocketAddr) {
+        self.announced.remove(&source);
+        self.asked.remove(&source);
+    }
+
+    /// Whom to ask now, and what; `preferred` among those that have the newest. Never more than one, and none
+    /// while an answer can still be waited for.
+    pub fn fetch(&mut self, now: Duration, preferred: Option<SocketAddr>) -> Option<(SocketAddr, Message)> {
+        if self.next_wake(now)? > now {
+            return None;
+        }
+        let candidates = self.candidates(now);
+        let newest = candidates.iter().map(|(_, version)| version.revision).max()?;
+        let have_newest = candidates.iter().filter(|(_, version)| version.revision == newest);
+        let sources: Vec<SocketAddr> = have_newest.map(|(source, _)| *source).collect();
+        let source = preferred.filter(|preferred| sources.contains(preferred)).unwrap_or(sources[0]);
+        let base = self.version.filter(|_| !self.wants_whole);
+        let patience = if base.is_some() { DIFFERENCE_PATIENCE } else { DOCUMENT_PATIENCE };
+        self.asked.insert(source, Asked { at: now, patience });
+        self.next_fetch = now + self.pace.shortest;
+        Some((source, Message::ConfigurationFetch(base.unwrap_or(ConfigurationVersion::NONE))))
+    }
+
+    /// When [`ConfigurationReader::fetch`] is to be called next; `None` while there is nothing to fetch.
+    pub fn next_wake(&self, now: Duration) -> Option<Duration> {
+        let mut newer = self.newer().peekable();
+        newer.peek()?;
+        let free = newer.map(|(source, _)| self.asked.get(&source).map_or(now, |asked| asked.at + ASK_AGAIN));
+        let free = free.min().unwrap_or(now);
+        let waited = self.asked.values().map(|asked| asked.at + asked.patience).max().unwrap_or(now);
+        Some(free.max(waited).max(self.next_fetch).max(now))
+    }
+
+    fn candidates(&self, now: Duration) -> Vec<(SocketAddr, ConfigurationVersion)> {
+        let is_free = |source: &SocketAddr| self.asked.get(source).is_none_or(|a| a.at + ASK_AGAIN <= now);
+        self.newer().filter(|(source, _)| is_free(source)).collect()
+    }
+
+    /// Sources that have a newer configuration than the one held.
+    fn newer(&self) -> impl Iterator<Item = (SocketAddr, ConfigurationVersion)> {
+        let announced = self.announced.iter().map(|(source, version)| (*source, *version));
+        announced.filter(|(_, version)| version.is_news_to(self.version))
+    }
+}
--- a/crates/controller/src/controller/event.rs
+++ b/crates/controller/src/controller/event.rs
@@ -74,6 +74,7 @@
         outbox: Outbox,
     },
     AgentMessage {
+        agent: u64,
         message: Message,
     },
     AgentDown {
--- a/crates/controller/src/controller/feed.rs
+++ b/crates/controller/src/controller/feed.rs
@@ -17,14 +17,24 @@
     pub(super) fn agent_up(&mut self, agent: u64, hello: &Hello, outbox: Outbox) {
         let beat = (self.is_current(), self.routers.count(self.now()));
         let controllers = self.controllers_message();
-        let (decided, endpoints, complete) = (&self.decided, &self.endpoints, self.complete);
+        let (endpoints, complete) = (&self.endpoints, self.complete);
         let snapshot = || {
             let mut messages = vec![Message::SnapshotBegin, controllers];
-            messages.extend(decided.clone().map(Message::Decided));
             messages.extend(endpoints.snapshot());
             messages.push(Message::SnapshotEnd { complete: u8::from(complete) });
             messages
         };
         self.readers.up(agent, hello, outbox, snapshot, beat);
     }
+
+    pub(super) fn agent_message(&mut self, agent: u64, message: Message) {
+        match message {
+            Message::Demand(demand) => {
+                self.demand(&demand);
+                self.peers.broadcast(&Message::Demand(demand));
+            }
+            Message::ConfigurationFetch(base) => self.readers.fetch(agent, base),
+            _ => {}
+        }
+    }
 }
--- a/crates/controller/src/controller/links.rs
+++ b/crates/controller/src/controller/links.rs
@@ -119,7 +119,7 @@
     let result = loop {
         match reader.next().await {
             Ok(message) => {
-                let _ = events.send(Event::AgentMessage { message });
+                let _ = events.send(Event::AgentMessage { agent, message });
             }
             Err(error) => break Err(error),
         }
--- a/crates/controller/src/controller/readers.rs
+++ b/crates/controller/src/controller/readers.rs
@@ -1,7 +1,8 @@
 //! The agents that follow this controller's feed.
 
+use crate::configuration_feed::publisher::ConfigurationPublisher;
 use crate::link::Outbox;
-use crate::message::{FeedBeat, Hello, Message};
+use crate::message::{ConfigurationVersion, Decided, FeedBeat, Hello, Message};
 use bytes::Bytes;
 use lanegate_coordination::feed::{Journal, Position, Start};
 use std::collections::BTreeMap;
@@ -9,11 +10,16 @@
 
 /// Changes kept for readers that come back: some minutes of an uneasy day.
 const JOURNAL_CHANGES: usize = 2_048;
+/// Configurations kept as bases of differences: those of some seconds of a storm of changes.
+const KEPT_CONFIGURATIONS: usize = 32;
+/// Bytes of changes that a reader is sent without asking whether a snapshot were shorter.
+const SHORT_TAIL_BYTES: usize = 64 * 1024;
 
-/// The journal of the feed, and its readers.
+/// The journal of the feed, and its readers. Configurations are not in the journal: readers fetch them.
 #[derive(Debug)]
 pub struct Readers {
     journal: Journal<Bytes>,
+    configurations: ConfigurationPublisher,
     outboxes: BTreeMap<u64, Outbox>,
     /// The last snapshot, as frames, and where in the journal it stands: readers that come together share it.
     snapshot: Option<(Position, Arc<[Bytes]>)>,
@@ -22,7 +28,12 @@
 impl Readers {
     /// A feed whose source is this `life` of the process.
     pub fn new(life: u64) -> Self {
-        Readers { journal: Journal::new(life, JOURNAL_CHANGES), outboxes: BTreeMap::new(), snapshot: None }
+        Readers {
+            journal: Journal::new(life, JOURNAL_CHANGES),
+            configurations: ConfigurationPublisher::keeping(KEPT_CONFIGURATIONS),
+            outboxes: BTreeMap::new(),
+            snapshot: None,
+        }
     }
 
     /// Appends a change and sends it to all readers.
@@ -32,6 +43,21 @@
         self.send_all(frame);
     }
 
+    /// Announces a configuration to all readers.
+    pub fn publish(&mut self, decided: Decided) {
+        if let Some(announcement) = self.configurations.publish(decided) {
+            self.send_all(announcement.frame());
+        }
+    }
+
+    /// A reader that has `base` asks for the newest configuration.
+    pub fn fetch(&mut self, reader: u64, base: ConfigurationVersion) {
+        let Some(frame) = self.configurations.answer(base) else { return };
+        if let Some(outbox) = self.outboxes.get(&reader) {
+            outbox.send(frame);
+        }
+    }
+
     /// Sends what is no change: heartbeats.
     pub fn beat(&mut self, quorum: bool, routers: u32) {
         let frame = self.beat_message(quorum, routers).frame();
@@ -47,22 +73,33 @@
         snapshot: impl FnOnce() -> Vec<Message>,
         beat: (bool, u32),
     ) {
-        match self.journal.start(Position { source: hello.source, offset: hello.offset }) {
-            Start::Tail { from } => {
-                for frame in self.journal.tail(from) {
-                    outbox.send(frame.clone());
-                }
-            }
-            Start::Snapshot => {
-                for frame in self.snapshot_frames(snapshot).iter() {
-                    outbox.send(frame.clone());
-                }
-            }
+        let position = Position { source: hello.source, offset: hello.offset };
+        for frame in self.start(position, snapshot) {
+            outbox.send(frame);
+        }
+        if let Some(announcement) = self.configurations.announcement() {
+            outbox.message(&announcement);
         }
         outbox.message(&self.beat_message(beat.0, beat.1));
         self.outboxes.insert(reader, outbox);
     }
 
+    /// What brings a reader at `position` up to date: the changes since, or a snapshot where that is shorter.
+    fn start(&mut self, position: Position, snapshot: impl FnOnce() -> Vec<Message>) -> Vec<Bytes> {
+        let tail: Option<Vec<Bytes>> = match self.journal.start(position) {
+            Start::Tail { from } => Some(self.journal.tail(from).cloned().collect()),
+            Start::Snapshot => None,
+        };
+        match tail {
+            Some(tail) if bytes(&tail) <= SHORT_TAIL_BYTES => tail,
+            Some(tail) => {
+                let whole = self.snapshot_frames(snapshot);
+                if bytes(&tail) <= bytes(&whole) { tail } else { whole.to_vec() }
+            }
+            None => self.snapshot_frames(snapshot).to_vec(),
+        }
+    }
+
     /// The frames of a snapshot as of now. Encoded anew only after a change.
     fn snapshot_frames(&mut self, snapshot: impl FnOnce() -> Vec<Message>) -> Arc<[Bytes]> {
         let end = self.journal.end();
@@ -93,3 +130,7 @@
         self.outboxes.retain(|_, outbox| outbox.send(frame.clone()));
     }
 }
+
+fn bytes(frames: &[Bytes]) -> usize {
+    frames.iter().map(Bytes::len).sum()
+}
--- a/crates/controller/src/controller/registers.rs
+++ b/crates/controller/src/controller/registers.rs
@@ -52,7 +52,7 @@
                     Err(error) => log::error!("configuration {}: {error}", state.version()),
                 }
                 self.decided = Some(decided.clone());
-                self.readers.append(&Message::Decided(decided));
+                self.readers.publish(decided);
                 self.configure_placements(0);
                 self.stand_for_leases();
             }
--- a/crates/controller/src/controller/turn.rs
+++ b/crates/controller/src/controller/turn.rs
@@ -5,7 +5,6 @@
 use super::feed::BEAT_PERIOD;
 use super::housekeeping::HOUSEKEEPING_PERIOD;
 use super::shards;
-use crate::message::Message;
 use lanegate_coordination::register::{Input, Value};
 use std::time::Duration;
 
@@ -99,11 +98,7 @@
             }
             Event::PeerMessage { peer, message } => self.peer_message(peer, message),
             Event::AgentUp { agent, hello, outbox } => self.agent_up(agent, &hello, outbox),
-            Event::AgentMessage { message: Message::Demand(demand) } => {
-                self.demand(&demand);
-                self.peers.broadcast(&Message::Demand(demand));
-            }
-            Event::AgentMessage { .. } => {}
+            Event::AgentMessage { agent, message } => self.agent_message(agent, message),
             Event::OrderAnswered { service, order, answer } => self.order_answered(&service, &order, answer),
             Event::Reported { service, instance, report } => {
                 for holding in self.holdings.reported(&instance, &report.models) {
--- a/crates/controller/src/feed_client.rs
+++ b/crates/controller/src/feed_client.rs
@@ -1,6 +1,7 @@
 //! The router's side of its agent's feed: messages become events for the router.
 
 use crate::agent::loopback_address;
+use crate::configuration_feed::reader::Pace;
 use crate::life::draw_life;
 use crate::link::Outbox;
 use crate::message::{Hello, Message, Role, RouterDemand};
@@ -13,6 +14,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
+use tokio::time::sleep_until;
 
 /// Pause before the agent is dialled again, which may just be starting.
 const REDIAL_PAUSE: Duration = Duration::from_millis(100);
@@ -29,6 +31,7 @@
     let dial = |client: &Client| tokio::task::spawn_local(follow(agent, client.hello(), None, owner.clone()));
     dial(&client);
     loop {
+        let fetch = client.next_fetch(started.elapsed()).map(|at| started + at);
         tokio::select! {
             Some(news) = news.recv() => {
                 if client.heard(started.elapsed(), news) {
@@ -37,8 +40,10 @@
                 }
             }
             Some(report) = demand.recv() => client.send_demand(&report),
+            () = sleep_until(fetch.unwrap_or(started).into()), if fetch.is_some() => {}
             else => return,
         }
+        client.fetch(started.elapsed());
     }
 }
 
@@ -50,12 +55,15 @@
     outbox: Option<Outbox>,
     events: mpsc::UnboundedSender<FeedEvent>,
     synchronized: bool,
+    /// What the router was told last of being behind.
+    behind: bool,
 }
 
 impl Client {
     /// A router that knows nothing yet. `life` tells this start of the process from all others.
     pub(crate) fn new(settings: Settings, life: u64, events: mpsc::UnboundedSender<FeedEvent>) -> Self {
-        Client { settings, life, view: View::default(), outbox: None, events, synchronized: false }
+        let view = View::new(Pace::LOOPBACK);
+        Client { settings, life, view, outbox: None, events, synchronized: false, behind: false }
     }
 
     /// What its link to the agent begins with.
@@ -70,8 +78,32 @@
         }
     }
 
+    /// When [`Client::fetch`] is to be called next; `None` while there is nothing to fetch.
+    pub(crate) fn next_fetch(&self, now: Duration) -> Option<Duration> {
+        self.outbox.as_ref()?;
+        self.view.next_wake(now)
+    }
+
+    /// Fetches a newer configuration, if there is one and it is time.
+    pub(crate) fn fetch(&mut self, now: Duration) {
+        let Some(outbox) = &self.outbox else { return };
+        if let Some((_, fetch)) = self.view.fetch(now, None) {
+            outbox.message(&fetch);
+        }
+    }
+
     /// Takes news of the link. True if it is down.
     pub(crate) fn heard(&mut self, now: Duration, news: News) -> bool {
+        let is_down = self.take(now, news);
+        let behind = self.view.may_be_behind();
+        if behind != self.behind {
+            self.behind = behind;
+            self.send(FeedEvent::Behind { behind });
+        }
+        is_down
+    }
+
+    fn take(&mut self, now: Duration, news: News) -> bool {
         match news {
             News::Up { outbox, .. } => self.outbox = Some(outbox),
             News::Message { source, message } => {
@@ -85,7 +117,7 @@
             }
             News::Down { source } => {
                 self.outbox = None;
-                self.view.lost(source);
+                self.view.lost(now, source);
                 return true;
             }
         }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,6 +1,7 @@
 //! The control plane process, and the agent that keeps a router fed.
 
 pub mod agent;
+pub mod configuration_feed;
 pub mod controller;
 pub mod feed_client;
 mod life;
--- a/crates/controller/src/message.rs
+++ b/crates/controller/src/message.rs
@@ -10,6 +10,9 @@
 /// damaged bytes must not name any length.
 pub const MAX_HEARD: u32 = 100_000;
 
+/// Most parts of a difference, for the same reason.
+pub const MAX_PARTS: u32 = 1_000_000;
+
 /// Bytes, as many as a frame holds.
 #[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
@@ -128,6 +131,66 @@
     pub document: Blob,
 }
 
+/// Names the bytes of one configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct ConfigurationVersion {
+    /// Revision of the register.
+    pub revision: u64,
+    /// Digest of the document.
+    pub digest: u64,
+}
+
+/// A part of a document that is made of an older one.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(id_type = "u8", endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub enum DifferencePart {
+    /// Bytes of the older document.
+    #[deku(id = 1)]
+    Kept { offset: u32, length: u32 },
+    /// Bytes that the older document does not have here.
+    #[deku(id = 2)]
+    Inserted(Blob),
+}
+
+/// The parts of a document, in their order.
+#[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct DifferenceParts {
+    #[deku(update = "self.parts.len()", assert = "*length <= MAX_PARTS")]
+    length: u32,
+    #[deku(count = "length")]
+    pub parts: Vec<DifferencePart>,
+}
+
+impl From<Vec<DifferencePart>> for DifferenceParts {
+    fn from(parts: Vec<DifferencePart>) -> Self {
+        DifferenceParts { length: parts.len() as u32, parts }
+    }
+}
+
+impl DifferenceParts {
+    /// Bytes of the parts on the wire.
+    pub fn size(&self) -> usize {
+        let size = |part: &DifferencePart| match part {
+            DifferencePart::Kept { .. } => 9,
+            DifferencePart::Inserted(text) => 5 + text.bytes.len(),
+        };
+        4 + self.parts.iter().map(size).sum::<usize>()
+    }
+}
+
+/// A configuration as the difference to an older one.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct ConfigurationDifference {
+    /// Digest of the older document.
+    pub base: u64,
+    /// What the parts make.
+    pub version: ConfigurationVersion,
+    pub parts: DifferenceParts,
+}
+
 /// A feed's heartbeat; says how much the sender may be trusted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
@@ -235,6 +298,17 @@
     /// A heartbeat of the receiver, sent back by a controller that it reached.
     #[deku(id = 19)]
     HeartbeatEcho { body: Blob },
+    /// The newest configuration that the sender has and can be asked for.
+    #[deku(id = 20)]
+    ConfigurationAnnounced(ConfigurationVersion),
+    /// Asks for the newest configuration; names the one that the sender has.
+    #[deku(id = 21)]
+    ConfigurationFetch(ConfigurationVersion),
+    #[deku(id = 22)]
+    ConfigurationDifference(ConfigurationDifference),
+    /// A configuration that the sender has heard of and does not have yet.
+    #[deku(id = 23)]
+    ConfigurationKnown(ConfigurationVersion),
 }
 
 impl Message {
--- a/crates/controller/src/view.rs
+++ b/crates/controller/src/view.rs
@@ -4,8 +4,13 @@
 //! another can never take the view back. What has vanished while a source was away shows at the end of that
 //! source's next snapshot.
 
-use crate::message::{Decided, FeedBeat, Message, Registered as RegisteredMessage, Removed};
+use crate::configuration_feed::reader::{ConfigurationReader, Pace};
+use crate::message::{
+    ConfigurationVersion, Controllers, Decided, FeedBeat, Holding, Message, Registered as RegisteredMessage,
+    Removed,
+};
 use crate::registration::Registered;
+use lanegate_coordination::feed::Position;
 use lanegate_coordination::registry::{Registry, Taken};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -13,10 +18,21 @@
 
 /// How long a removal is remembered, so that a late registration does not undo it.
 const REMOVAL_MEMORY: Duration = Duration::from_secs(60);
+/// How long what a lost source had listed is kept, so that its feed can go on where it stood. Shorter than
+/// removals are remembered, as a replayed registration must not outlive them.
+const LOST_SOURCE_MEMORY: Duration = Duration::from_secs(30);
+/// How long a controller is remembered that no source names any more.
+const CONTROLLER_MEMORY: Duration = Duration::from_secs(30);
 
 /// What one source has told.
 #[derive(Debug, Default)]
 struct Source {
+    /// Where the reader stands in its journal, as of its last heartbeat since the last snapshot began.
+    position: Position,
+    /// Whether it last said that it reaches a majority.
+    quorum: bool,
+    /// Controllers that it names.
+    controllers: BTreeSet<SocketAddr>,
     /// Incarnations that are there by this source.
     listed: BTreeSet<String>,
     /// Whether its last snapshot is whole, and it had itself heard from everyone.
@@ -25,46 +41,153 @@
     routers: u32,
 }
 
+/// A source whose link has ended.
+#[derive(Debug)]
+struct LostSource {
+    since: Duration,
+    source: Source,
+}
+
 /// The merged view.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct View {
-    decided: Option<Decided>,
+    configuration: ConfigurationReader,
     registry: Registry<Registered>,
     sources: BTreeMap<SocketAddr, Source>,
+    lost: BTreeMap<SocketAddr, LostSource>,
     controllers: BTreeSet<SocketAddr>,
+    /// When each controller was named last.
+    named: BTreeMap<SocketAddr, Duration>,
     routers: u32,
 }
 
+impl Default for View {
+    fn default() -> Self {
+        View::new(Pace::LINK)
+    }
+}
+
 impl View {
+    /// An empty view that fetches configurations at this pace.
+    pub fn new(pace: Pace) -> Self {
+        View {
+            configuration: ConfigurationReader::new(pace),
+            registry: Registry::default(),
+            sources: BTreeMap::new(),
+            lost: BTreeMap::new(),
+            controllers: BTreeSet::new(),
+            named: BTreeMap::new(),
+            routers: 0,
+        }
+    }
+
     /// Takes a message of `source`, and appends what is news to `news`.
     pub fn receive(&mut self, now: Duration, source: SocketAddr, message: Message, news: &mut Vec<Message>) {
+        self.found(source, &message);
         match message {
             Message::SnapshotBegin => *self.source(source) = Source::default(),
             Message::SnapshotEnd { complete } => self.snapshot_ended(source, complete == 1, news),
-            Message::Decided(decided) => self.decided(decided, news),
+            Message::Decided(decided) => self.decided(now, source, decided, news),
+            Message::ConfigurationDifference(difference) => {
+                let decided = self.configuration.difference(now, source, &difference);
+                news.extend(decided.map(Message::Decided));
+            }
+            Message::ConfigurationAnnounced(version) => self.announced(source, version, news),
+            Message::ConfigurationKnown(version) => self.known(version, news),
             Message::Registered(registered) => self.registered(now, source, registered, news),
             Message::Removed(removed) => self.removed(now, source, removed, news),
-            Message::Holding(holding) => {
-                let registration = self.registry.get_mut(&holding.id.text());
-                if registration.is_some_and(|registration| registration.hold(holding.clone())) {
-                    news.push(Message::Holding(holding));
-                }
-            }
-            Message::FeedBeat(beat) => {
-                self.count_routers(source, beat);
-                self.registry.forget(now, REMOVAL_MEMORY);
-            }
-            Message::Controllers(controllers) => {
-                let text = controllers.addresses.text();
-                self.controllers = text.split_whitespace().filter_map(|a| a.parse().ok()).collect();
-            }
+            Message::Holding(holding) => self.held(holding, news),
+            Message::FeedBeat(beat) => self.beat(now, source, beat),
+            Message::Controllers(controllers) => self.named(now, source, &controllers),
             _ => {}
         }
     }
 
+    /// A source whose link is up again goes on with what it had listed, unless it begins anew.
+    fn found(&mut self, source: SocketAddr, message: &Message) {
+        if let Some(lost) = self.lost.remove(&source)
+            && *message != Message::SnapshotBegin
+        {
+            self.sources.insert(source, lost.source);
+        }
+    }
+
+    fn decided(&mut self, now: Duration, source: SocketAddr, decided: Decided, news: &mut Vec<Message>) {
+        if self.configuration.decided(now, source, &decided) {
+            news.push(Message::Decided(decided));
+        }
+    }
+
+    fn announced(&mut self, source: SocketAddr, version: ConfigurationVersion, news: &mut Vec<Message>) {
+        if self.configuration.announced(source, version) {
+            news.push(Message::ConfigurationKnown(version));
+        }
+    }
+
+    fn known(&mut self, version: ConfigurationVersion, news: &mut Vec<Message>) {
+        if self.configuration.known(version) {
+            news.push(Message::ConfigurationKnown(version));
+        }
+    }
+
+    fn held(&mut self, holding: Holding, news: &mut Vec<Message>) {
+        let registration = self.registry.get_mut(&holding.id.text());
+        if registration.is_some_and(|registration| registration.hold(holding.clone())) {
+            news.push(Message::Holding(holding));
+        }
+    }
+
+    fn beat(&mut self, now: Duration, source: SocketAddr, beat: FeedBeat) {
+        let entry = self.source(source);
+        entry.position = Position { source: beat.source, offset: beat.offset };
+        entry.quorum = beat.quorum == 1;
+        self.count_routers(source, beat);
+        self.registry.forget(now, REMOVAL_MEMORY);
+        self.lost.retain(|_, lost| now.saturating_sub(lost.since) <= LOST_SOURCE_MEMORY);
+        self.refresh_controllers(now);
+    }
+
+    fn named(&mut self, now: Duration, source: SocketAddr, controllers: &Controllers) {
+        let text = controllers.addresses.text();
+        self.source(source).controllers =
+            text.split_whitespace().filter_map(|address| address.parse().ok()).collect();
+        self.refresh_controllers(now);
+    }
+
+    /// Controllers are known while any source names them, and some time longer.
+    fn refresh_controllers(&mut self, now: Duration) {
+        let named = self.sources.values().flat_map(|source| &source.controllers);
+        self.named.extend(named.map(|controller| (*controller, now)));
+        self.named.retain(|_, at| now.saturating_sub(*at) <= CONTROLLER_MEMORY);
+        self.controllers = self.named.keys().copied().collect();
+    }
+
+    /// The fetch of a configuration that is due, and whom to send it to; `preferred` if it has the newest.
+    pub fn fetch(&mut self, now: Duration, preferred: Option<SocketAddr>) -> Option<(SocketAddr, Message)> {
+        self.configuration.fetch(now, preferred)
+    }
+
+    /// When [`View::fetch`] is to be called next; `None` while there is nothing to fetch.
+    pub fn next_wake(&self, now: Duration) -> Option<Duration> {
+        self.configuration.next_wake(now)
+    }
+
+    /// Whether a newer configuration is known to exist, or nobody is heard who would know of one.
+    pub fn may_be_behind(&self) -> bool {
+        self.configuration.is_behind() || !self.sources.values().any(|source| source.quorum)
+    }
+
+    /// Where a feed of `source` would go on; of no source if it has to begin anew.
+    pub fn position(&self, source: SocketAddr) -> Position {
+        self.lost.get(&source).map(|lost| lost.source.position).unwrap_or_default()
+    }
+
     /// A source's link has ended; what it listed stays until another source says otherwise.
-    pub fn lost(&mut self, source: SocketAddr) {
-        self.sources.remove(&source);
+    pub fn lost(&mut self, now: Duration, source: SocketAddr) {
+        self.configuration.lost(source);
+        if let Some(lost) = self.sources.remove(&source) {
+            self.lost.insert(source, LostSource { since: now, source: lost });
+        }
     }
 
     /// Whether some source has told everything.
@@ -77,7 +200,7 @@
         self.sources.get(&source).is_some_and(|source| source.complete)
     }
 
-    /// Controllers that any source named last.
+    /// Controllers that any source names.
     pub fn controllers(&self) -> &BTreeSet<SocketAddr> {
         &self.controllers
     }
@@ -89,13 +212,13 @@
 
     /// The newest configuration.
     pub fn configuration(&self) -> Option<&Decided> {
-        self.decided.as_ref()
+        self.configuration.held()
     }
 
     /// Everything as messages, for a reader that begins.
     pub fn snapshot(&self) -> Vec<Message> {
         let mut messages = vec![Message::SnapshotBegin];
-        messages.extend(self.decided.clone().map(Message::Decided));
+        messages.extend(self.configuration().cloned().map(Message::Decided));
         for (id, entry) in self.registry.entries() {
             let Some(registration) = &entry.registration else { continue };
             messages.push(registered_message(id, entry.sequence, registration));
@@ -123,14 +246,6 @@
         self.sources.entry(source).or_default()
     }
 
-    fn decided(&mut self, decided: Decided, news: &mut Vec<Message>) {
-        if self.decided.as_ref().is_some_and(|known| known.revision >= decided.revision) {
-            return;
-        }
-        self.decided = Some(decided.clone());
-        news.push(Message::Decided(decided));
-    }
-
     fn registered(
         &mut self,
         now: Duration,
@@ -171,6 +286,8 @@
             live.filter(|(id, _)| !told(id)).map(|(id, entry)| (id.clone(), entry.sequence)).collect();
         for (id, sequence) in vanished {
             self.registry.drop_entry(&id);
+            // A lost source that lists it would not tell it again.
+            self.lost.retain(|_, lost| !lost.source.listed.contains(&id));
             news.push(Message::Removed(Removed { id: id.as_str().into(), sequence }));
         }
         if !was_complete {
--- a/crates/controller/tests/view.rs
+++ b/crates/controller/tests/view.rs
@@ -45,7 +45,7 @@
 fn a_snapshot_of_a_source_that_lags_cannot_take_the_configuration_back() {
     let mut view = View::default();
     tell(&mut view, controller(1), &[Message::SnapshotBegin, decided(4, "new"), end(true)]);
-    view.lost(controller(1));
+    view.lost(ms(0), controller(1));
     tell(&mut view, controller(2), &[Message::SnapshotBegin, decided(3, "old"), end(true)]);
     assert_eq!(view.configuration().unwrap().revision, 4);
 }
@@ -99,7 +99,7 @@
     let both = [registered("i-1", 80, 3, &[]), registered("i-2", 81, 4, &[])];
     tell(&mut view, controller(1), &both);
     tell(&mut view, controller(1), &[end(true)]);
-    view.lost(controller(1));
+    view.lost(ms(0), controller(1));
     assert!(view.registration("i-2").is_some(), "a lost source takes nothing along");
 
     let begun = [Message::SnapshotBegin, registered("i-1", 80, 3, &[])];
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -74,7 +74,7 @@
                 self.fleet.configure(configuration);
                 self.patience.configure(configuration);
             }
-            FeedEvent::Routers { live: 0 } => {}
+            FeedEvent::Routers { live: 0 } | FeedEvent::Behind { .. } => {}
             FeedEvent::Routers { live } => self.fleet.live_routers = Some(*live),
             FeedEvent::Synchronized => self.synchronized = true,
         }
--- a/crates/model/src/feed.rs
+++ b/crates/model/src/feed.rs
@@ -15,6 +15,8 @@
     Removed { id: String },
     /// How many routers are live, this one included.
     Routers { live: u32 },
+    /// Whether a newer configuration is known to exist than any told here, or nobody is heard who would know.
+    Behind { behind: bool },
     /// Everything that was known at the source when the feed began has been told.
     Synchronized,
 }
--- a/crates/router/src/frontend.rs
+++ b/crates/router/src/frontend.rs
@@ -110,6 +110,11 @@
         return Err(OwnAnswer::Failure(StatusCode::BAD_REQUEST));
     };
     let Some(resolved) = routing.resolve(host, head.uri.path(), state.chance()) else {
+        if state.is_behind() {
+            // A newer configuration may have the route.
+            state.counters.refusals.increment();
+            return Err(OwnAnswer::Refusal { retry_after: UNCONFIGURED_RETRY_AFTER });
+        }
         state.counters.unrouted.increment();
         return Err(OwnAnswer::Failure(StatusCode::NOT_FOUND));
     };
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -129,7 +129,7 @@
                 self.endpoints.borrow_mut().remove(id.as_str());
             }
             FeedEvent::Routers { live } => self.routers.set(*live),
-            FeedEvent::Synchronized => {}
+            FeedEvent::Behind { .. } | FeedEvent::Synchronized => {}
         }
     }
 
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -34,6 +34,8 @@
     random: RefCell<SmallRng>,
     routing: RefCell<Option<Rc<Routing>>>,
     synchronized: Cell<bool>,
+    /// Whether a newer configuration may be in force elsewhere.
+    behind: Cell<bool>,
     service: Cell<Service>,
     /// When the timer task will call the dispatcher; never later than the dispatcher asks.
     armed: Cell<Option<Duration>>,
@@ -56,6 +58,7 @@
             random: RefCell::new(SmallRng::seed_from_u64(seed)),
             routing: RefCell::new(None),
             synchronized: Cell::new(false),
+            behind: Cell::new(false),
             service: Cell::new(Service::Running),
             armed: Cell::new(None),
             rearm: Notify::new(),
@@ -103,6 +106,7 @@
                 log::info!("configuration version {} in force", configuration.version);
                 *self.routing.borrow_mut() = Some(Rc::new(Routing::new(configuration.clone())));
             }
+            FeedEvent::Behind { behind } => self.behind.set(*behind),
             FeedEvent::Synchronized => self.synchronized.set(true),
             FeedEvent::Instance(_) | FeedEvent::Removed { .. } | FeedEvent::Routers { .. } => {}
         }
@@ -124,6 +128,11 @@
         self.routing.borrow().clone()
     }
 
+    /// Whether a newer configuration may be in force elsewhere: what is not known here may be known there.
+    pub fn is_behind(&self) -> bool {
+        self.behind.get()
+    }
+
     /// Whether new clients are welcome.
     pub fn is_ready(&self) -> bool {
         self.synchronized.get() && self.routing.borrow().is_some() && !self.is_draining()
