--- a/crates/day-generator/src/draw.rs
+++ b/crates/day-generator/src/draw.rs
@@ -12,8 +12,11 @@
 use rand::{Rng, SeedableRng};
 use toml::{Table, Value};
 
-/// Fewest and most troubles of a day, planned work included.
-const TROUBLES: (usize, usize) = (6, 13);
+/// Fewest troubles of a day, planned work included.
+const FEWEST_TROUBLES: usize = 6;
+
+/// No day has more troubles than this; kinds would run out not far beyond.
+const MOST_TROUBLES: usize = 60;
 
 /// Most troubles of one kind in a day.
 const MOST_OF_A_KIND: usize = 3;
@@ -58,18 +61,35 @@
 /// Distance of the generators of two days of one seed (an odd number near 2^64 / golden ratio).
 const DAY_STRIDE: u64 = 0x9e37_79b9_7f4a_7c15;
 
+/// How days are drawn.
+#[derive(Debug, Clone, Copy)]
+pub struct Draw {
+    /// Same seed, same days.
+    pub seed: u64,
+    /// What is drawn most.
+    pub weights: Weights,
+    /// Most troubles of a day, planned work included; taken as 6 to 60.
+    pub most_troubles: usize,
+}
+
+impl Draw {
+    /// Most troubles of a day where nothing else is asked for.
+    pub const DEFAULT_MOST_TROUBLES: usize = 13;
+}
+
 /// Draws day `number` of a seed. Days of one seed do not depend on each other.
 ///
 /// # Panics
 ///
 /// When the site has no day of its own, which `Site::read` refuses.
-pub fn draw_day(site: &Site, weights: Weights, seed: u64, number: u32) -> Day {
+pub fn draw_day(site: &Site, draw: Draw, number: u32) -> Day {
+    let Draw { seed, weights, .. } = draw;
     let stream = seed.wrapping_add(DAY_STRIDE.wrapping_mul(u64::from(number) + 1));
     let mut random = SmallRng::seed_from_u64(stream);
     let standard = site.days().choose(&mut random).expect("a site has a day");
     let name = format!("drawn-{seed}-{number}");
     let head = draw_head(standard, name, &mut random);
-    let troubles = draw_troubles(site, weights, &mut random);
+    let troubles = draw_troubles(site, draw, &mut random);
     let mut plan: Vec<Table> = standard.demand_shifts().cloned().collect();
     plan.extend(tables(&troubles, Part::Plan));
     Day {
@@ -109,12 +129,13 @@
     closing
 }
 
-fn draw_troubles(site: &Site, weights: Weights, random: &mut SmallRng) -> Vec<(Part, Entry)> {
+fn draw_troubles(site: &Site, draw: Draw, random: &mut SmallRng) -> Vec<(Part, Entry)> {
     let moments = draw_moments(site, random);
-    let wanted = random.random_range(TROUBLES.0..=TROUBLES.1);
+    let wanted =
+        random.random_range(FEWEST_TROUBLES..=draw.most_troubles.clamp(FEWEST_TROUBLES, MOST_TROUBLES));
     let mut troubles: Vec<(Part, Entry)> = Vec::new();
     while troubles.len() < wanted {
-        let kind = draw_kind(site, weights, random);
+        let kind = draw_kind(site, draw.weights, random);
         if troubles.iter().filter(|(_, entry)| entry.kind == kind.name).count() < MOST_OF_A_KIND {
             troubles.push((kind.part, draw_entry(site, kind, &moments, random)));
         }
--- a/crates/day-generator/src/lib.rs
+++ b/crates/day-generator/src/lib.rs
@@ -14,8 +14,8 @@
 mod weights;
 
 pub use day::{Day, Entry};
-pub use draw::draw_day;
+pub use draw::{Draw, draw_day};
 pub use error::Error;
-pub use files::{Order, write_days};
+pub use files::write_days;
 pub use site::Site;
 pub use weights::Weights;
--- a/crates/day-generator/src/main.rs
+++ b/crates/day-generator/src/main.rs
@@ -1,7 +1,7 @@
 //! The command line of the generator.
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
-use day_generator::{Error, Order, Site, Weights, write_days};
+use day_generator::{Draw, Error, Site, Weights, write_days};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -14,6 +14,7 @@
     seed: u64,
     count: u32,
     weights: Weights,
+    most_troubles: usize,
     site: PathBuf,
     folder: PathBuf,
 }
@@ -31,9 +32,14 @@
         .argument::<String>("NAME")
         .parse(|name| name.parse::<Weights>())
         .fallback(Weights::Control);
+    let most_troubles = long("most-troubles")
+        .help("Most troubles of a day, 6 to 60")
+        .argument::<usize>("NUMBER")
+        .fallback(Draw::DEFAULT_MOST_TROUBLES)
+        .display_fallback();
     let site = positional::<PathBuf>("SITE").help("The site file of a deployment");
     let folder = positional::<PathBuf>("FOLDER").help("Where the day files go");
-    construct!(Arguments { seed, count, weights, site, folder })
+    construct!(Arguments { seed, count, weights, most_troubles, site, folder })
         .to_options()
         .descr("Draws days of troubles for a deployment")
         .version(env!("CARGO_PKG_VERSION"))
@@ -52,8 +58,9 @@
 /// Writes the days and prints their paths.
 fn run(arguments: &Arguments) -> Result<(), Error> {
     let site = Site::read(&arguments.site)?;
-    let order = Order { seed: arguments.seed, count: arguments.count, weights: arguments.weights };
-    for path in write_days(&site, order, &arguments.folder)? {
+    let Arguments { seed, weights, most_troubles, .. } = *arguments;
+    let draw = Draw { seed, weights, most_troubles };
+    for path in write_days(&site, draw, arguments.count, &arguments.folder)? {
         println!("{}", path.display());
     }
     Ok(())
--- a/crates/day-generator/tests/draw.rs
+++ b/crates/day-generator/tests/draw.rs
@@ -1,7 +1,7 @@
 //! Drawn days are whole, depend on the seed alone, and hold every kind and variant now and then.
 
 use day_generator::catalogue::{Availability, Category, Field, KINDS, Kind, Part, Scope};
-use day_generator::{Day, Site, Weights, draw_day};
+use day_generator::{Day, Draw, Site, Weights, draw_day};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
@@ -103,9 +103,13 @@
     plan.chain(faults).filter(|(_, entry)| text(entry, "kind") != "model_shift").collect()
 }
 
+fn draw(seed: u64, weights: Weights) -> Draw {
+    Draw { seed, weights, most_troubles: Draw::DEFAULT_MOST_TROUBLES }
+}
+
 /// Days 0 to `count` of one seed, as they stand in their files.
 fn days(site: &Site, weights: Weights, count: u32) -> Vec<Table> {
-    (0..count).map(|number| parsed(&draw_day(site, weights, 7, number))).collect()
+    (0..count).map(|number| parsed(&draw_day(site, draw(7, weights), number))).collect()
 }
 
 fn any_weights() -> impl Strategy<Value = Weights> {
@@ -118,9 +122,9 @@
     #[test]
     fn a_day_depends_on_nothing_but_its_seed_and_number(seed: u64, number in 0u32..1000, weights in any_weights()) {
         let site = site("fjord-pilotage");
-        let day = draw_day(&site, weights, seed, number);
-        prop_assert_eq!(&day, &draw_day(&site, weights, seed, number));
-        prop_assert_ne!(&day, &draw_day(&site, weights, seed, number + 1));
+        let day = draw_day(&site, draw(seed, weights), number);
+        prop_assert_eq!(&day, &draw_day(&site, draw(seed, weights), number));
+        prop_assert_ne!(&day, &draw_day(&site, draw(seed, weights), number + 1));
     }
 
     #[test]
@@ -131,7 +135,7 @@
         name in prop::sample::select(SITES.to_vec()),
     ) {
         let site = site(name);
-        let day = parsed(&draw_day(&site, weights, seed, number));
+        let day = parsed(&draw_day(&site, draw(seed, weights), number));
         for key in KEYS {
             prop_assert!(day.contains_key(key), "no {}", key);
         }
@@ -148,7 +152,7 @@
     #[test]
     fn places_and_traffic_are_those_of_the_site(seed: u64, number in 0u32..1000) {
         let site = site("fjord-pilotage");
-        let day = parsed(&draw_day(&site, Weights::Endpoints, seed, number));
+        let day = parsed(&draw_day(&site, draw(seed, Weights::Endpoints), number));
         for (_, entry) in troubles(&day) {
             for (key, known) in [
                 ("zone", site.zones()),
@@ -212,6 +216,18 @@
     assert_eq!(most, 3);
 }
 
+#[test]
+fn harsher_days_have_more_troubles() {
+    let site = site("atoll-clinic");
+    let harsh = Draw { most_troubles: 25, ..draw(7, Weights::Control) };
+    let counts = (0..200).map(|number| troubles(&parsed(&draw_day(&site, harsh, number))).len());
+    assert_eq!(counts.max(), Some(25));
+    let fewest = Draw { most_troubles: 0, ..harsh };
+    assert_eq!(troubles(&parsed(&draw_day(&site, fewest, 0))).len(), 6);
+    let endless = Draw { most_troubles: usize::MAX, ..harsh };
+    assert!((0..200).all(|number| troubles(&parsed(&draw_day(&site, endless, number))).len() <= 60));
+}
+
 #[test]
 fn several_troubles_come_at_once() {
     let days = days(&site("atoll-clinic"), Weights::Control, 100);
--- a/crates/day-generator/tests/files.rs
+++ b/crates/day-generator/tests/files.rs
@@ -1,6 +1,6 @@
 //! The program, and the files that it writes.
 
-use day_generator::{Error, Order, Site, Weights, write_days};
+use day_generator::{Draw, Error, Site, Weights, write_days};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
@@ -8,6 +8,10 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/sites/atoll-clinic/atoll-clinic.toml")
 }
 
+fn draw(seed: u64, weights: Weights) -> Draw {
+    Draw { seed, weights, most_troubles: Draw::DEFAULT_MOST_TROUBLES }
+}
+
 /// A fresh folder for one test.
 fn folder(name: &str) -> PathBuf {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
@@ -19,8 +23,7 @@
 fn each_day_gets_a_file_of_its_own() {
     let site = Site::read(&site_file()).unwrap();
     let folder = folder("days-of-their-own");
-    let order = Order { seed: 5, count: 3, weights: Weights::Even };
-    let paths = write_days(&site, order, &folder).unwrap();
+    let paths = write_days(&site, draw(5, Weights::Even), 3, &folder).unwrap();
     let names: Vec<_> = paths.iter().map(|path| path.file_name().unwrap().to_str().unwrap()).collect();
     assert_eq!(names, ["atoll-clinic-5-000.toml", "atoll-clinic-5-001.toml", "atoll-clinic-5-002.toml"]);
     assert!(paths.iter().all(|path| path.is_file()));
@@ -30,9 +33,9 @@
 fn a_longer_order_begins_with_the_days_of_a_shorter_one() {
     let site = Site::read(&site_file()).unwrap();
     let (short, long) = (folder("short-order"), folder("long-order"));
-    let order = |count| Order { seed: 9, count, weights: Weights::Control };
-    for path in write_days(&site, order(2), &short).unwrap() {
-        write_days(&site, order(4), &long).unwrap();
+    let draw = draw(9, Weights::Control);
+    for path in write_days(&site, draw, 2, &short).unwrap() {
+        write_days(&site, draw, 4, &long).unwrap();
         let twin = long.join(path.file_name().unwrap());
         assert_eq!(std::fs::read_to_string(path).unwrap(), std::fs::read_to_string(twin).unwrap());
     }
