--- a/crates/controller/src/controller/calls.rs
+++ b/crates/controller/src/controller/calls.rs
@@ -7,6 +7,7 @@
 use lanegate_coordination::register::Input;
 use lanegate_model::control_state::{Command, Method as ChangeMethod, Outcome};
 use lanegate_model::findings::Findings;
+use std::collections::BTreeMap;
 
 /// Where the configuration is read and changed.
 const CONFIGURATION_PATH: &str = "/config";
@@ -18,6 +19,9 @@
 impl Controller {
     /// Answers a call, at once or later.
     pub(super) fn call(&mut self, call: Call) {
+        if self.is_leaving() && call.path != STATUS_PATH {
+            return answer(call, Answer::error(503, "this controller is about to end"));
+        }
         if let Some(id) = call.path.strip_prefix(INSTANCES_PATH) {
             let id = id.to_owned();
             return self.instance_call(&id, call);
@@ -36,11 +40,11 @@
         if id.is_empty() || id.contains('/') {
             return answer(call, Answer::error(404, "no such path"));
         }
-        let (now, needed) = (self.now(), self.majority());
+        let (now, known) = (self.now(), self.known_groups(shards::CONFIGURATION));
         let in_contact = self.has_contact(shards::CONFIGURATION);
         let changes = match call.method {
-            Method::Put => self.endpoints.put(now, id, call.body, needed, in_contact, call.reply),
-            Method::Delete => self.endpoints.delete(now, id, needed, call.reply),
+            Method::Put => self.endpoints.put(now, id, call.body, &known, in_contact, call.reply),
+            Method::Delete => self.endpoints.delete(now, id, &known, call.reply),
             _ => return answer(call, Answer::error(405, "no such method here")),
         };
         for message in &changes.messages {
@@ -90,11 +94,14 @@
             .iter()
             .map(|(shard, replica)| {
                 let members: Vec<String> = self.group(shard).iter().map(ToString::to_string).collect();
+                let states: BTreeMap<String, String> = self.member_states(shard).collect();
                 serde_json::json!({
                     "Shard": shard,
                     "Replica": format!("{:?}", replica.status()),
                     "Revision": replica.decided().map(|value| value.revision),
                     "Members": members,
+                    "MemberStates": states,
+                    "Margin": self.margin(shard),
                     "Owner": self.owner(shard, &[shard]).to_string(),
                     "Contact": self.has_contact(shard),
                 })
@@ -109,6 +116,7 @@
             "Quorum": self.has_contact(shards::CONFIGURATION),
             "Current": self.is_current(),
             "Complete": self.complete,
+            "Leaving": self.is_leaving(),
             "LiveControllers": live,
             "Instances": self.endpoints.live().count(),
             "Readers": self.readers.count(),
--- a/crates/controller/src/controller/ending.rs
+++ b/crates/controller/src/controller/ending.rs
@@ -1,19 +1,78 @@
-//! The end of the process.
+//! The end of the process: what it alone holds is handed over first.
 
+use super::handover::{Handover, Place};
 use super::{Controller, shards};
+use crate::message::{Message, Token};
+use std::time::Duration;
 
 impl Controller {
-    /// The process is about to end.
+    /// The process has been asked to end. It acts for nothing any more, takes no more calls, tells agents to
+    /// turn elsewhere, and tells the other controllers, which give its place to a spare if there is one.
     pub(super) fn leave(&mut self) {
+        if self.is_leaving() {
+            return;
+        }
         let now = self.now();
+        let grace = Duration::from_secs_f64(self.settings.bounds.grace_s);
+        self.handover = Some(Handover::begin(now, grace));
         for shard in shards::all() {
             let outputs = self.leases.set_candidate(now, u32::from(shard), false);
             self.lease_outputs(outputs);
         }
+        self.tell_standing();
+        self.beat();
+    }
+
+    /// Whether the process has been asked to end.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.handover.is_some()
+    }
+
+    /// Whether the process may end.
+    pub(super) fn has_left(&self) -> bool {
+        self.handover.as_ref().is_some_and(Handover::is_done)
+    }
+
+    /// Goes on with the handover, if one is under way.
+    pub(super) fn hand_over(&mut self, now: Duration) {
+        let Some(handover) = &self.handover else { return };
+        if handover.is_replaced(now, self.place_in_groups()) {
+            self.flush_last(now);
+        }
+        let idle = self.is_idle();
+        if let Some(handover) = &mut self.handover {
+            handover.end_if_flushed(now, idle);
+        }
+    }
+
+    /// Where this controller stands in the groups.
+    fn place_in_groups(&self) -> Place {
+        let is_member = shards::all().any(|shard| self.known_groups(shard).contain(self.this));
+        let could_join = |shard| {
+            let group = self.group(shard);
+            self.membership.live().any(|node| !group.contains(&node) && !self.standings.is_leaving(node))
+        };
+        Place { is_member, has_spare: shards::all().any(could_join) }
+    }
+
+    /// Sends what the others do not have yet, and asks them to confirm it.
+    fn flush_last(&mut self, now: Duration) {
+        if let Some(heard) = self.endpoints.take_heard() {
+            self.peers.broadcast(&heard);
+        }
+        let token = self.endpoints.next_token();
+        self.peers.broadcast(&Message::Flush(Token { token }));
+        let live = self.peers.linked().filter(|peer| self.membership.is_live(*peer));
+        if let Some(handover) = &mut self.handover {
+            handover.flush(now, token, live);
+        }
     }
 
-    /// Whether nobody waits for an answer.
-    pub(super) fn is_idle(&self) -> bool {
-        self.asked.is_empty() && self.operator.next_wake().is_none() && self.endpoints.next_wake().is_none()
+    /// Whether nobody waits for an answer, and every lease is given back.
+    fn is_idle(&self) -> bool {
+        self.asked.is_empty()
+            && self.operator.next_wake().is_none()
+            && self.endpoints.next_wake().is_none()
+            && self.leases.next_wake().is_none()
     }
 }
--- a/crates/controller/src/controller/endpoints.rs
+++ b/crates/controller/src/controller/endpoints.rs
@@ -1,6 +1,7 @@
 //! Registrations of endpoints at a controller: what is taken, told to the others, acknowledged.
 
 use super::event::Answer;
+use super::groups::KnownGroups;
 use crate::message::{Heard, HeardList, Holding, Message, Registered as RegisteredMessage, Removed};
 use crate::registration::Registered;
 use crate::view::registered_message;
@@ -20,16 +21,28 @@
 /// this only keeps the list from growing.
 const MISSED_HEARTBEATS: f64 = 3.5;
 
-/// An acknowledgement that waits until a majority of the group has what it promises.
+/// An acknowledgement that waits until a majority of every group in force has what it promises.
 #[derive(Debug)]
 struct Waiting {
     reply: oneshot::Sender<Answer>,
     id: String,
-    confirmed_by: BTreeSet<SocketAddr>,
-    needed: usize,
+    /// Controllers that have it, each with the groups that it knew when it said so.
+    confirmed_by: BTreeMap<SocketAddr, KnownGroups>,
     until: Duration,
 }
 
+impl Waiting {
+    /// Whether it may be acknowledged by the controller `this`, which knows of the groups `known`.
+    ///
+    /// A controller that confirmed may know of a change of members that `this` has not heard of. Whoever holds
+    /// the newer group's majority must have the notice too, so that group counts beside those known here.
+    fn is_confirmed(&self, this: SocketAddr, known: &KnownGroups) -> bool {
+        let counts = |node| node == this || self.confirmed_by.contains_key(&node);
+        let newer = self.confirmed_by.values().filter(|told| told.revision > known.revision);
+        known.have_majority(counts) && newer.into_iter().all(|told| told.have_majority(counts))
+    }
+}
+
 /// What a call changed: messages for the other controllers, those of them that readers hear too.
 #[derive(Debug, Default)]
 pub struct Changes {
@@ -38,6 +51,16 @@
     pub flush: Option<u64>,
 }
 
+/// What became of a registration that another controller told.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Merge {
+    /// What readers have to hear.
+    pub news: Vec<Message>,
+    /// Whether the other controllers have to hear it from here too: an endpoint that leaves may have been
+    /// acknowledged, so whoever reaches this controller must get to know, also if it does not reach the first.
+    pub relay: bool,
+}
+
 /// What became of a removal that another controller told.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Merged {
@@ -53,6 +76,8 @@
 /// The registry, and the acknowledgements under way.
 #[derive(Debug)]
 pub struct Endpoints {
+    /// This controller, which counts among those that know of a notice.
+    this: SocketAddr,
     registry: Registry<Registered>,
     silence: Duration,
     /// Heartbeats since the last report to the other controllers.
@@ -64,27 +89,29 @@
 }
 
 impl Endpoints {
-    /// An empty registry for endpoints that send a heartbeat every `heartbeat`.
-    pub fn new(heartbeat: Duration) -> Self {
+    /// An empty registry for endpoints that send a heartbeat every `heartbeat`, at the controller `this`. Flushes
+    /// are numbered from `life`, drawn anew at each start: an answer to an earlier life confirms nothing.
+    pub fn new(heartbeat: Duration, this: SocketAddr, life: u64) -> Self {
         Endpoints {
+            this,
             registry: Registry::default(),
             silence: heartbeat.mul_f64(MISSED_HEARTBEATS),
             heard: BTreeMap::new(),
             confirmed: BTreeSet::new(),
             waiting: BTreeMap::new(),
-            next_token: 1,
+            next_token: life,
         }
     }
 
-    /// A heartbeat of `id`. `needed` replicas, this one included, have to know of one that is leaving. One
-    /// that is not leaving is taken in any case, but acknowledged only `in_contact` with a majority: whoever
-    /// judges its silence may not hear of it from here, so it has to call another controller as well.
+    /// A heartbeat of `id`. A majority of the groups `known`, and of any newer ones, has to know of one that is
+    /// leaving. One that is not leaving is taken in any case, but acknowledged only `in_contact` with a majority:
+    /// whoever judges its silence may not hear of it from here, so it has to call another controller as well.
     pub fn put(
         &mut self,
         now: Duration,
         id: &str,
         body: Bytes,
-        needed: usize,
+        known: &KnownGroups,
         in_contact: bool,
         reply: oneshot::Sender<Answer>,
     ) -> Changes {
@@ -110,7 +137,7 @@
         }
         if leaving && !self.confirmed.contains(id) {
             changes.messages.extend(self.current(id));
-            changes.flush = self.wait(now, id, needed, reply);
+            changes.flush = self.wait(now, id, known, reply);
         } else if in_contact {
             let _ = reply.send(acknowledged());
         } else {
@@ -124,24 +151,25 @@
         &mut self,
         now: Duration,
         id: &str,
-        needed: usize,
+        known: &KnownGroups,
         reply: oneshot::Sender<Answer>,
     ) -> Changes {
         self.registry.remove(now, id, FINAL_SEQUENCE);
         self.heard.remove(id);
         let messages = vec![removed_message(id, FINAL_SEQUENCE)];
-        Changes { messages, flush: self.wait(now, id, needed, reply) }
+        Changes { messages, flush: self.wait(now, id, known, reply) }
     }
 
-    /// Another controller heard a registration. Tells what readers have to hear.
-    pub fn merge(&mut self, now: Duration, message: &RegisteredMessage) -> Vec<Message> {
+    /// Another controller heard a registration.
+    pub fn merge(&mut self, now: Duration, message: &RegisteredMessage) -> Merge {
         let id = message.id.text();
         let Ok(registration) = Registered::parse(&id, message.body.bytes.clone().into()) else {
-            return Vec::new();
+            return Merge::default();
         };
+        let leaving = registration.instance.state == InstanceState::Draining;
         match self.registry.take(now, &id, message.sequence, registration) {
-            Taken::Changed { replaced } => self.changed(&id, replaced),
-            _ => Vec::new(),
+            Taken::Changed { replaced } => Merge { news: self.changed(&id, replaced), relay: leaving },
+            Taken::Refreshed | Taken::Stale => Merge::default(),
         }
     }
 
@@ -151,6 +179,13 @@
         registration.is_some_and(|registration| registration.hold(holding.clone()))
     }
 
+    /// Whether a removal that another controller told has to be told to the others from here too, for the same
+    /// reason as in [`Merge::relay`]; to be asked before it is merged.
+    pub fn relays_removal(&self, removed: &Removed) -> bool {
+        let known = self.registry.get(&removed.id.text());
+        removed.sequence == FINAL_SEQUENCE && known.is_none_or(|entry| entry.sequence != FINAL_SEQUENCE)
+    }
+
     /// Another controller removed an incarnation.
     pub fn merge_removal(&mut self, now: Duration, removed: &Removed) -> Merged {
         let id = removed.id.text();
@@ -201,17 +236,40 @@
         self.registry.excuse(now);
     }
 
-    /// A peer has everything up to the flush `token`.
-    pub fn flushed(&mut self, token: u64, peer: SocketAddr) {
+    /// A peer that knows of the groups `told` has everything up to the flush `token`.
+    pub fn flushed(&mut self, token: u64, peer: SocketAddr, told: KnownGroups, known: &KnownGroups) {
         let Some(waiting) = self.waiting.get_mut(&token) else { return };
-        waiting.confirmed_by.insert(peer);
-        if waiting.confirmed_by.len() + 1 >= waiting.needed {
+        waiting.confirmed_by.insert(peer, told);
+        self.review(known);
+    }
+
+    /// A peer runs as another process than before: what the earlier one confirmed is lost with its memory.
+    pub fn restarted(&mut self, peer: SocketAddr) {
+        for waiting in self.waiting.values_mut() {
+            waiting.confirmed_by.remove(&peer);
+        }
+    }
+
+    /// Acknowledges what is confirmed, now that confirmations or the groups `known` have changed.
+    pub fn review(&mut self, known: &KnownGroups) {
+        let this = self.this;
+        let is_confirmed = |waiting: &Waiting| waiting.is_confirmed(this, known);
+        let confirmed = self.waiting.iter().filter(|(_, waiting)| is_confirmed(waiting));
+        let confirmed: Vec<u64> = confirmed.map(|(token, _)| *token).collect();
+        for token in confirmed {
             let waiting = self.waiting.remove(&token).expect("it was just there");
             self.confirmed.insert(waiting.id);
             let _ = waiting.reply.send(acknowledged());
         }
     }
 
+    /// A number for a flush that no acknowledgement waits for.
+    pub fn next_token(&mut self) -> u64 {
+        let token = self.next_token;
+        self.next_token = token.wrapping_add(1);
+        token
+    }
+
     /// Gives up acknowledgements for which no majority was reached in time.
     pub fn give_up(&mut self, now: Duration) {
         let late: Vec<u64> = self
@@ -275,20 +333,15 @@
         &mut self,
         now: Duration,
         id: &str,
-        needed: usize,
+        known: &KnownGroups,
         reply: oneshot::Sender<Answer>,
     ) -> Option<u64> {
-        if needed <= 1 {
-            self.confirmed.insert(id.to_owned());
-            let _ = reply.send(acknowledged());
-            return None;
-        }
-        let token = self.next_token;
-        self.next_token += 1;
         let until = now + REPLICATION_TIMEOUT;
-        let waiting = Waiting { reply, id: id.to_owned(), confirmed_by: BTreeSet::new(), needed, until };
+        let waiting = Waiting { reply, id: id.to_owned(), confirmed_by: BTreeMap::new(), until };
+        let token = self.next_token();
         self.waiting.insert(token, waiting);
-        Some(token)
+        self.review(known);
+        self.waiting.contains_key(&token).then_some(token)
     }
 }
 
--- a/crates/controller/src/controller/endpoints_test.rs
+++ b/crates/controller/src/controller/endpoints_test.rs
@@ -1,7 +1,8 @@
 //! Registrations at one controller: what is acknowledged when, and what the others and the readers hear.
 
-use super::endpoints::{Changes, Endpoints, Merged};
+use super::endpoints::{Changes, Endpoints, Merge, Merged};
 use super::event::Answer;
+use super::groups::KnownGroups;
 use crate::message::{Heard, HeardList, Message, Registered, Removed};
 use bytes::Bytes;
 use lanegate_coordination::registry::FINAL_SEQUENCE;
@@ -12,8 +13,12 @@
 const HEARTBEAT: Duration = Duration::from_secs(1);
 /// When a call without a majority is given up.
 const GIVEN_UP: Duration = Duration::from_millis(850);
-/// A majority of three, the controller itself included.
-const TWO: usize = 2;
+/// The controller of the tests.
+const THIS: u8 = 1;
+const LIFE: u64 = 700;
+/// Members of the usual group, the controller of the tests included.
+const THREE: &[u8] = &[1, 2, 3];
+const FIVE: &[u8] = &[1, 2, 3, 4, 5];
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -23,6 +28,26 @@
     SocketAddr::from(([10, 0, 0, number], 7_000))
 }
 
+/// An empty registry of the controller of the tests.
+fn endpoints() -> Endpoints {
+    Endpoints::new(HEARTBEAT, peer(THIS), LIFE)
+}
+
+/// One group in force, as of `revision`.
+fn known_at(revision: u64, groups: &[&[u8]]) -> KnownGroups {
+    let members = |group: &&[u8]| group.iter().map(|number| peer(*number)).collect();
+    KnownGroups { revision, groups: groups.iter().map(members).collect() }
+}
+
+fn known(group: &[u8]) -> KnownGroups {
+    known_at(1, &[group])
+}
+
+/// A peer that knows of the same `group` as the controller of the tests confirms.
+fn confirm(endpoints: &mut Endpoints, token: u64, number: u8, group: &[u8]) {
+    endpoints.flushed(token, peer(number), known(group), &known(group));
+}
+
 fn body(sequence: u64, state: &str) -> Bytes {
     let body = serde_json::json!({
         "Backend": "tiles", "Address": "10.1.0.1:80", "State": state, "Sequence": sequence,
@@ -33,12 +58,12 @@
 fn put(
     endpoints: &mut Endpoints,
     now: Duration,
-    needed: usize,
+    group: &[u8],
     sequence: u64,
     state: &str,
 ) -> (Changes, Receiver<Answer>) {
     let (reply, answer) = oneshot::channel();
-    (endpoints.put(now, "i-1", body(sequence, state), needed, true, reply), answer)
+    (endpoints.put(now, "i-1", body(sequence, state), &known(group), true, reply), answer)
 }
 
 fn status(answer: &mut Receiver<Answer>) -> Option<u16> {
@@ -55,12 +80,12 @@
 
 #[test]
 fn a_ready_endpoint_is_acknowledged_at_once_and_told_when_it_is_news() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
-    let (changes, mut answer) = put(&mut endpoints, ms(0), TWO, 1, "ready");
+    let mut endpoints = endpoints();
+    let (changes, mut answer) = put(&mut endpoints, ms(0), THREE, 1, "ready");
     assert_eq!(changes.messages, vec![Message::Registered(registered(1, "ready"))]);
     assert_eq!((changes.flush, status(&mut answer)), (None, Some(200)));
 
-    let (changes, mut answer) = put(&mut endpoints, ms(1_000), TWO, 2, "ready");
+    let (changes, mut answer) = put(&mut endpoints, ms(1_000), THREE, 2, "ready");
     assert_eq!((changes.messages, status(&mut answer)), (vec![], Some(200)));
     let heard = vec![Heard { id: "i-1".into(), sequence: 2 }];
     assert_eq!(endpoints.take_heard(), Some(Message::HeardList(heard.into())));
@@ -70,10 +95,10 @@
 /// Taken and told, so that nothing is lost if the cut ends, but the endpoint has to call another controller.
 #[test]
 fn a_ready_endpoint_is_not_acknowledged_out_of_contact() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
+    let mut endpoints = endpoints();
     for sequence in [1, 2] {
         let (reply, mut answer) = oneshot::channel();
-        let changes = endpoints.put(ms(0), "i-1", body(sequence, "ready"), TWO, false, reply);
+        let changes = endpoints.put(ms(0), "i-1", body(sequence, "ready"), &known(THREE), false, reply);
         assert_eq!((changes.flush, status(&mut answer)), (None, Some(503)));
         assert_eq!(changes.messages.len(), usize::from(sequence == 1));
     }
@@ -84,59 +109,59 @@
 /// The confirmations of a majority say more than contact does.
 #[test]
 fn a_draining_endpoint_is_acknowledged_by_a_majority_whatever_contact_says() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
+    let mut endpoints = endpoints();
     let (reply, mut answer) = oneshot::channel();
-    let changes = endpoints.put(ms(0), "i-1", body(1, "draining"), TWO, false, reply);
+    let changes = endpoints.put(ms(0), "i-1", body(1, "draining"), &known(THREE), false, reply);
     assert_eq!(status(&mut answer), None);
-    endpoints.flushed(changes.flush.expect("others are asked"), peer(2));
+    confirm(&mut endpoints, changes.flush.expect("others are asked"), 2, THREE);
     assert_eq!(status(&mut answer), Some(200));
 }
 
 #[test]
 fn what_is_no_registration_is_refused() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
+    let mut endpoints = endpoints();
     let (reply, mut answer) = oneshot::channel();
-    let changes = endpoints.put(ms(0), "i-1", Bytes::from_static(b"{"), TWO, true, reply);
+    let changes = endpoints.put(ms(0), "i-1", Bytes::from_static(b"{"), &known(THREE), true, reply);
     assert!(changes.messages.is_empty());
     assert_eq!(status(&mut answer), Some(400));
 }
 
 #[test]
 fn a_draining_endpoint_is_acknowledged_with_a_majority_and_not_before() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
-    put(&mut endpoints, ms(0), 3, 1, "ready");
-    let (changes, mut answer) = put(&mut endpoints, ms(10), 3, 2, "draining");
+    let mut endpoints = endpoints();
+    put(&mut endpoints, ms(0), FIVE, 1, "ready");
+    let (changes, mut answer) = put(&mut endpoints, ms(10), FIVE, 2, "draining");
     let token = changes.flush.expect("the others are asked");
     assert!(changes.messages.contains(&Message::Registered(registered(2, "draining"))));
-    endpoints.flushed(token, peer(2));
-    endpoints.flushed(token, peer(2));
-    endpoints.flushed(token + 1, peer(3));
+    confirm(&mut endpoints, token, 2, FIVE);
+    confirm(&mut endpoints, token, 2, FIVE);
+    confirm(&mut endpoints, token + 1, 3, FIVE);
     assert_eq!(status(&mut answer), None, "one peer that confirms twice is one");
-    endpoints.flushed(token, peer(3));
+    confirm(&mut endpoints, token, 3, FIVE);
     assert_eq!(status(&mut answer), Some(200));
     assert_eq!(endpoints.next_wake(), None);
 }
 
 #[test]
 fn a_draining_endpoint_is_given_up_without_a_majority() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
-    let (changes, mut answer) = put(&mut endpoints, ms(0), TWO, 1, "draining");
+    let mut endpoints = endpoints();
+    let (changes, mut answer) = put(&mut endpoints, ms(0), THREE, 1, "draining");
     assert_eq!(endpoints.next_wake(), Some(GIVEN_UP));
     endpoints.give_up(GIVEN_UP - ms(1));
     assert_eq!(status(&mut answer), None);
     endpoints.give_up(GIVEN_UP);
     assert_eq!(status(&mut answer), Some(503));
-    endpoints.flushed(changes.flush.expect("the others are asked"), peer(2));
+    confirm(&mut endpoints, changes.flush.expect("the others are asked"), 2, THREE);
     assert_eq!(endpoints.next_wake(), None);
 }
 
 #[test]
 fn a_draining_endpoint_that_was_given_up_is_told_and_flushed_again() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
-    put(&mut endpoints, ms(0), TWO, 1, "draining");
+    let mut endpoints = endpoints();
+    put(&mut endpoints, ms(0), THREE, 1, "draining");
     endpoints.give_up(GIVEN_UP);
     for (sequence, time) in [(1, 900), (2, 1_800)] {
-        let (changes, mut answer) = put(&mut endpoints, ms(time), TWO, sequence, "draining");
+        let (changes, mut answer) = put(&mut endpoints, ms(time), THREE, sequence, "draining");
         assert!(changes.messages.contains(&Message::Registered(registered(sequence, "draining"))));
         assert!(changes.flush.is_some(), "sequence {sequence}");
         assert_eq!(status(&mut answer), None);
@@ -146,53 +171,53 @@
 
 #[test]
 fn a_draining_endpoint_of_which_a_majority_knows_is_acknowledged_at_once() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
-    let (changes, _answer) = put(&mut endpoints, ms(0), TWO, 1, "draining");
-    endpoints.flushed(changes.flush.expect("the others are asked"), peer(2));
-    let (changes, mut answer) = put(&mut endpoints, ms(1_000), TWO, 2, "draining");
+    let mut endpoints = endpoints();
+    let (changes, _answer) = put(&mut endpoints, ms(0), THREE, 1, "draining");
+    confirm(&mut endpoints, changes.flush.expect("the others are asked"), 2, THREE);
+    let (changes, mut answer) = put(&mut endpoints, ms(1_000), THREE, 2, "draining");
     assert_eq!((changes.flush, status(&mut answer)), (None, Some(200)));
 }
 
 #[test]
 fn an_endpoint_that_drains_a_second_time_needs_a_majority_again() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
-    let (changes, _answer) = put(&mut endpoints, ms(0), TWO, 1, "draining");
-    endpoints.flushed(changes.flush.expect("the others are asked"), peer(2));
-    put(&mut endpoints, ms(1_000), TWO, 2, "ready");
-    let (changes, mut answer) = put(&mut endpoints, ms(2_000), TWO, 3, "draining");
+    let mut endpoints = endpoints();
+    let (changes, _answer) = put(&mut endpoints, ms(0), THREE, 1, "draining");
+    confirm(&mut endpoints, changes.flush.expect("the others are asked"), 2, THREE);
+    put(&mut endpoints, ms(1_000), THREE, 2, "ready");
+    let (changes, mut answer) = put(&mut endpoints, ms(2_000), THREE, 3, "draining");
     assert!(changes.flush.is_some());
     assert_eq!(status(&mut answer), None);
 }
 
 #[test]
 fn a_controller_that_is_alone_in_its_group_acknowledges_by_itself() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
-    let (changes, mut answer) = put(&mut endpoints, ms(0), 1, 1, "draining");
+    let mut endpoints = endpoints();
+    let (changes, mut answer) = put(&mut endpoints, ms(0), &[THIS], 1, "draining");
     assert_eq!((changes.flush, status(&mut answer)), (None, Some(200)));
 }
 
 #[test]
 fn an_end_is_told_for_good_and_acknowledged_with_a_majority() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
-    put(&mut endpoints, ms(0), TWO, 1, "ready");
+    let mut endpoints = endpoints();
+    put(&mut endpoints, ms(0), THREE, 1, "ready");
     let (reply, mut answer) = oneshot::channel();
-    let changes = endpoints.delete(ms(10), "i-1", TWO, reply);
+    let changes = endpoints.delete(ms(10), "i-1", &known(THREE), reply);
     assert_eq!(changes.messages, vec![Message::Removed(removed(FINAL_SEQUENCE))]);
     assert_eq!(status(&mut answer), None);
-    endpoints.flushed(changes.flush.expect("the others are asked"), peer(3));
+    confirm(&mut endpoints, changes.flush.expect("the others are asked"), 3, THREE);
     assert_eq!(status(&mut answer), Some(200));
 
-    let (changes, _answer) = put(&mut endpoints, ms(20), TWO, 2, "ready");
+    let (changes, _answer) = put(&mut endpoints, ms(20), THREE, 2, "ready");
     assert!(changes.messages.is_empty(), "a heartbeat that was late on its way revives nothing");
     assert!(endpoints.registration("i-1").is_none());
 }
 
 #[test]
 fn an_end_without_a_majority_is_given_up_and_told_again_when_repeated() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
+    let mut endpoints = endpoints();
     for time in [0, 1_000] {
         let (reply, mut answer) = oneshot::channel();
-        let changes = endpoints.delete(ms(time), "i-1", TWO, reply);
+        let changes = endpoints.delete(ms(time), "i-1", &known(THREE), reply);
         assert_eq!(changes.messages, vec![Message::Removed(removed(FINAL_SEQUENCE))]);
         assert!(changes.flush.is_some());
         endpoints.give_up(ms(time) + GIVEN_UP);
@@ -202,16 +227,17 @@
 
 #[test]
 fn what_a_peer_heard_is_told_to_readers_once() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
+    let mut endpoints = endpoints();
     let told = vec![Message::Registered(registered(4, "ready"))];
-    assert_eq!(endpoints.merge(ms(0), &registered(4, "ready")), told);
-    assert_eq!(endpoints.merge(ms(1), &registered(4, "ready")), vec![]);
-    assert_eq!(endpoints.merge(ms(1), &registered(3, "draining")), vec![]);
+    let news = |news| Merge { news, relay: false };
+    assert_eq!(endpoints.merge(ms(0), &registered(4, "ready")), news(told));
+    assert_eq!(endpoints.merge(ms(1), &registered(4, "ready")), news(vec![]));
+    assert_eq!(endpoints.merge(ms(1), &registered(3, "draining")), news(vec![]));
 }
 
 #[test]
 fn an_endpoint_that_a_peer_hears_is_not_expired() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
+    let mut endpoints = endpoints();
     endpoints.merge(ms(0), &registered(1, "ready"));
     endpoints.merge_heard(ms(3_000), &vec![Heard { id: "i-1".into(), sequence: 4 }].into());
     assert_eq!(endpoints.expire(ms(3_600), |_| true), vec![]);
@@ -221,17 +247,17 @@
 
 #[test]
 fn a_change_that_comes_after_word_of_a_later_heartbeat_is_taken() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
+    let mut endpoints = endpoints();
     endpoints.merge(ms(0), &registered(5, "ready"));
     let later: HeardList = vec![Heard { id: "i-1".into(), sequence: 7 }].into();
     endpoints.merge_heard(ms(1), &later);
     let told = vec![Message::Registered(registered(6, "draining"))];
-    assert_eq!(endpoints.merge(ms(2), &registered(6, "draining")), told);
+    assert_eq!(endpoints.merge(ms(2), &registered(6, "draining")).news, told);
 }
 
 #[test]
 fn silence_of_this_process_is_not_held_against_endpoints() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
+    let mut endpoints = endpoints();
     endpoints.merge(ms(0), &registered(1, "ready"));
     endpoints.excuse(ms(9_000));
     assert_eq!(endpoints.expire(ms(9_001), |_| true), vec![]);
@@ -239,7 +265,7 @@
 
 #[test]
 fn a_removal_by_a_peer_is_told_to_readers_once() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
+    let mut endpoints = endpoints();
     endpoints.merge(ms(0), &registered(5, "ready"));
     assert_eq!(endpoints.merge_removal(ms(1), &removed(5)), Merged::Removed);
     assert_eq!(endpoints.merge_removal(ms(2), &removed(5)), Merged::Known);
@@ -247,11 +273,11 @@
 
 #[test]
 fn a_removal_that_crossed_a_heartbeat_is_contradicted() {
-    let (mut owner, mut other) = (Endpoints::new(HEARTBEAT), Endpoints::new(HEARTBEAT));
+    let (mut owner, mut other) = (endpoints(), endpoints());
     owner.merge(ms(0), &registered(5, "ready"));
     other.merge(ms(0), &registered(5, "ready"));
     // The heartbeat changes nothing, so that the owner hears of it only with the next list.
-    let (changes, _answer) = put(&mut other, ms(3_600), TWO, 6, "ready");
+    let (changes, _answer) = put(&mut other, ms(3_600), THREE, 6, "ready");
     assert!(changes.messages.is_empty());
     assert_eq!(owner.expire(ms(3_600), |_| true), vec![Message::Removed(removed(5))]);
 
@@ -259,12 +285,12 @@
         panic!("the endpoint is live");
     };
     assert_eq!(told, Message::Registered(registered(6, "ready")));
-    assert_eq!(owner.merge(ms(3_602), &registered(6, "ready")), vec![told]);
+    assert_eq!(owner.merge(ms(3_602), &registered(6, "ready")).news, vec![told]);
 }
 
 #[test]
 fn a_removal_that_crossed_word_of_a_heartbeat_is_contradicted_too() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
+    let mut endpoints = endpoints();
     endpoints.merge(ms(0), &registered(5, "ready"));
     endpoints.merge_heard(ms(3_600), &vec![Heard { id: "i-1".into(), sequence: 6 }].into());
     let told = Registered { sequence: 6, ..registered(5, "ready") };
@@ -276,7 +302,116 @@
 
 #[test]
 fn an_end_for_good_is_never_contradicted() {
-    let mut endpoints = Endpoints::new(HEARTBEAT);
+    let mut endpoints = endpoints();
     endpoints.merge(ms(0), &registered(5, "ready"));
     assert_eq!(endpoints.merge_removal(ms(1), &removed(FINAL_SEQUENCE)), Merged::Removed);
 }
+
+/// A registry at which an endpoint has said that it leaves, the number of the flush, and the call.
+fn leaving(group: &[u8]) -> (Endpoints, u64, Receiver<Answer>) {
+    let mut endpoints = endpoints();
+    let (changes, answer) = put(&mut endpoints, ms(0), group, 1, "draining");
+    (endpoints, changes.flush.expect("the others are asked"), answer)
+}
+
+#[test]
+fn controllers_that_are_no_members_confirm_nothing() {
+    let (mut endpoints, token, mut answer) = leaving(THREE);
+    for spare in [4, 5, 6] {
+        confirm(&mut endpoints, token, spare, THREE);
+    }
+    assert_eq!(status(&mut answer), None);
+    confirm(&mut endpoints, token, 3, THREE);
+    assert_eq!(status(&mut answer), Some(200));
+}
+
+#[test]
+fn a_controller_that_is_no_member_does_not_count_itself() {
+    let (mut endpoints, token, mut answer) = leaving(&[2, 3, 4]);
+    confirm(&mut endpoints, token, 3, &[2, 3, 4]);
+    assert_eq!(status(&mut answer), None);
+    confirm(&mut endpoints, token, 4, &[2, 3, 4]);
+    assert_eq!(status(&mut answer), Some(200));
+}
+
+#[test]
+fn while_members_change_a_majority_of_both_groups_confirms() {
+    let joint = known_at(2, &[&[1, 2, 3], &[3, 4, 5]]);
+    let (mut endpoints, token, mut answer) = leaving(THREE);
+    endpoints.flushed(token, peer(2), joint.clone(), &joint);
+    assert_eq!(status(&mut answer), None, "of the new group nobody has it");
+    endpoints.flushed(token, peer(4), joint.clone(), &joint);
+    assert_eq!(status(&mut answer), None);
+    endpoints.flushed(token, peer(3), joint.clone(), &joint);
+    assert_eq!(status(&mut answer), Some(200));
+}
+
+#[test]
+fn a_newer_group_that_a_peer_knows_counts_too() {
+    let (old, joint) = (known_at(1, &[&[1, 2, 3]]), known_at(2, &[&[1, 2, 3], &[2, 3, 4]]));
+    let (mut endpoints, token, mut answer) = leaving(THREE);
+    endpoints.flushed(token, peer(2), joint, &old);
+    assert_eq!(status(&mut answer), None, "this one and 2 are no majority of the group to come");
+    endpoints.flushed(token, peer(4), old.clone(), &old);
+    assert_eq!(status(&mut answer), Some(200));
+}
+
+#[test]
+fn an_older_group_that_a_peer_knows_does_not_count() {
+    let (old, new) = (known_at(1, &[&[6, 7, 8]]), known_at(2, &[&[1, 2, 3]]));
+    let (mut endpoints, token, mut answer) = leaving(THREE);
+    endpoints.flushed(token, peer(2), old, &new);
+    assert_eq!(status(&mut answer), Some(200));
+}
+
+#[test]
+fn a_group_that_becomes_known_meanwhile_decides() {
+    let (mut endpoints, token, mut answer) = leaving(&[]);
+    for number in [2, 3] {
+        confirm(&mut endpoints, token, number, &[]);
+    }
+    assert_eq!(status(&mut answer), None, "nobody is a member of a group that is not known");
+    endpoints.review(&known(THREE));
+    assert_eq!(status(&mut answer), Some(200));
+}
+
+#[test]
+fn a_peer_that_restarted_since_it_confirmed_does_not_count() {
+    let (mut endpoints, token, mut answer) = leaving(FIVE);
+    confirm(&mut endpoints, token, 2, FIVE);
+    endpoints.restarted(peer(2));
+    confirm(&mut endpoints, token, 3, FIVE);
+    assert_eq!(status(&mut answer), None);
+    confirm(&mut endpoints, token, 2, FIVE);
+    assert_eq!(status(&mut answer), Some(200));
+}
+
+#[test]
+fn a_confirmation_for_an_earlier_life_of_the_process_confirms_nothing() {
+    let (_, earlier, _answer) = leaving(THREE);
+    let mut restarted = Endpoints::new(HEARTBEAT, peer(THIS), LIFE * 1_000);
+    let (changes, mut answer) = put(&mut restarted, ms(0), THREE, 1, "draining");
+    assert_ne!(changes.flush, Some(earlier));
+    confirm(&mut restarted, earlier, 2, THREE);
+    assert_eq!(status(&mut answer), None);
+}
+
+#[test]
+fn word_of_an_endpoint_that_leaves_is_passed_on_once() {
+    let mut endpoints = endpoints();
+    assert!(!endpoints.merge(ms(0), &registered(1, "ready")).relay);
+    assert!(endpoints.merge(ms(1), &registered(2, "draining")).relay);
+    assert!(!endpoints.merge(ms(2), &registered(2, "draining")).relay);
+    assert!(!endpoints.relays_removal(&removed(2)), "an expiry is acknowledged to nobody");
+    assert!(endpoints.relays_removal(&removed(FINAL_SEQUENCE)));
+    endpoints.merge_removal(ms(3), &removed(FINAL_SEQUENCE));
+    assert!(!endpoints.relays_removal(&removed(FINAL_SEQUENCE)));
+}
+
+#[test]
+fn the_end_of_an_endpoint_never_heard_of_is_passed_on_once() {
+    let mut endpoints = endpoints();
+    assert!(endpoints.relays_removal(&removed(FINAL_SEQUENCE)));
+    endpoints.merge_removal(ms(0), &removed(FINAL_SEQUENCE));
+    assert!(!endpoints.relays_removal(&removed(FINAL_SEQUENCE)));
+}
--- a/crates/controller/src/controller/feed.rs
+++ b/crates/controller/src/controller/feed.rs
@@ -10,12 +10,17 @@
 
 impl Controller {
     pub(super) fn beat(&mut self) {
-        let (quorum, routers) = (self.is_current(), self.routers.count(self.now()));
+        let (quorum, routers) = (self.is_trusted(), self.routers.count(self.now()));
         self.readers.beat(quorum, routers);
     }
 
+    /// Whether agents may rely on this controller: what it knows is current, and it is not about to end.
+    fn is_trusted(&self) -> bool {
+        self.is_current() && !self.is_leaving()
+    }
+
     pub(super) fn agent_up(&mut self, agent: u64, hello: &Hello, outbox: Outbox) {
-        let beat = (self.is_current(), self.routers.count(self.now()));
+        let beat = (self.is_trusted(), self.routers.count(self.now()));
         let controllers = self.controllers_message();
         let (endpoints, complete) = (&self.endpoints, self.complete);
         let snapshot = || {
--- /dev/null
+++ b/crates/controller/src/controller/groups.rs
@@ -0,0 +1,57 @@
+//! The groups of a shard that are in force, as one controller knows them.
+
+use crate::message::{Confirmation, GroupMembers};
+use lanegate_coordination::register::Value;
+use std::net::SocketAddr;
+
+/// Groups in force: one, or two while members change; none while no group is known (new or emptied disk).
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct KnownGroups {
+    /// Revision of the value that names them.
+    pub revision: u64,
+    /// Members of each group.
+    pub groups: Vec<Vec<SocketAddr>>,
+}
+
+impl KnownGroups {
+    /// The groups that a value names.
+    pub fn of(value: Option<&Value>) -> Self {
+        let Some(value) = value else { return KnownGroups::default() };
+        let addresses = |members: &[lanegate_coordination::register::Node]| {
+            members.iter().map(|node| SocketAddr::V4((*node).into())).collect()
+        };
+        let groups = value.groups.iter().map(|group| addresses(group.members())).collect();
+        KnownGroups { revision: value.revision, groups }
+    }
+
+    /// The groups that a peer told with its confirmation; addresses that cannot be read count for nobody.
+    pub fn told(confirmation: &Confirmation) -> Self {
+        let nobody = SocketAddr::from(([0, 0, 0, 0], 0));
+        let read = |text: &str| text.parse().unwrap_or(nobody);
+        let members = |group: &GroupMembers| group.addresses.text().split_whitespace().map(read).collect();
+        let groups = confirmation.groups.iter().map(members).collect();
+        KnownGroups { revision: confirmation.revision, groups }
+    }
+
+    /// Confirms the flush `token` by one who knows of these groups.
+    pub fn confirmation(&self, token: u64) -> Confirmation {
+        let members = |group: &Vec<SocketAddr>| {
+            let addresses: Vec<String> = group.iter().map(ToString::to_string).collect();
+            GroupMembers { addresses: addresses.join(" ").as_str().into() }
+        };
+        Confirmation::new(token, self.revision, self.groups.iter().map(members).collect())
+    }
+
+    /// Whether more than half of every group counts. Never, while no group is known.
+    pub fn have_majority(&self, counts: impl Fn(SocketAddr) -> bool) -> bool {
+        let is_majority = |group: &Vec<SocketAddr>| {
+            group.iter().filter(|member| counts(**member)).count() > group.len() / 2
+        };
+        !self.groups.is_empty() && self.groups.iter().all(is_majority)
+    }
+
+    /// Whether a controller is a member of any group in force.
+    pub fn contain(&self, node: SocketAddr) -> bool {
+        self.groups.iter().any(|group| group.contains(&node))
+    }
+}
--- a/crates/controller/src/controller/housekeeping.rs
+++ b/crates/controller/src/controller/housekeeping.rs
@@ -30,7 +30,7 @@
         if !self.complete {
             return;
         }
-        let acts = |shard| self.has_contact(shard) && self.owner(shard, &[shard]) == self.this;
+        let acts = |shard| self.has_contact(shard) && self.owns(shard);
         let owns: Vec<bool> = shards::all().map(acts).collect();
         let removed = self.endpoints.expire(now, |service| owns[usize::from(shard_of(service))]);
         for message in removed {
--- /dev/null
+++ b/crates/controller/src/controller/margin.rs
@@ -0,0 +1,56 @@
+//! How many further losses the group of a shard can bear, and when to tell the operators.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// What a controller knows of a member of a group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemberState {
+    /// Live, and its replica can vote.
+    Voting,
+    /// Live, but its replica has lost its disk and has not recovered yet.
+    Recovering,
+    /// Live, but it has not said where it stands.
+    Unknown,
+    /// Silent.
+    Suspected,
+}
+
+/// Losses that every one of `groups` (two while members change) can still bear and keep a majority; `None` if
+/// one of them has none now, or no group is known.
+pub fn margin(groups: &[Vec<SocketAddr>], state: impl Fn(SocketAddr) -> MemberState) -> Option<usize> {
+    let spare_votes = |group: &Vec<SocketAddr>| {
+        let voting = group.iter().filter(|member| state(**member) == MemberState::Voting).count();
+        voting.checked_sub(group.len() / 2 + 1)
+    };
+    let margins: Option<Vec<usize>> = groups.iter().map(spare_votes).collect();
+    margins?.into_iter().min()
+}
+
+/// What the log has to say of a shard's margin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MarginNews {
+    /// The next loss takes the majority, or it is gone already.
+    Exhausted,
+    /// A loss can be borne again.
+    Restored,
+}
+
+/// The margins that were told last.
+#[derive(Debug, Default)]
+pub struct Margins {
+    exhausted: BTreeMap<u8, bool>,
+}
+
+impl Margins {
+    /// Takes the margin of a shard. Tells it only when it has come to its end, or is back.
+    pub fn note(&mut self, shard: u8, margin: Option<usize>) -> Option<MarginNews> {
+        let exhausted = margin.is_none_or(|margin| margin == 0);
+        let before = self.exhausted.insert(shard, exhausted).unwrap_or(false);
+        match (before, exhausted) {
+            (false, true) => Some(MarginNews::Exhausted),
+            (true, false) => Some(MarginNews::Restored),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/controller/margin_test.rs
@@ -0,0 +1,52 @@
+//! How many losses a group can bear, and when the operators are told.
+
+use super::margin::{MarginNews, Margins, MemberState, margin};
+use std::net::SocketAddr;
+
+fn node(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7_000))
+}
+
+fn group(numbers: &[u8]) -> Vec<SocketAddr> {
+    numbers.iter().map(|number| node(*number)).collect()
+}
+
+/// The margin of `groups` if `lost` are in the state `state` and all others vote.
+fn with(groups: &[&[u8]], lost: &[u8], state: MemberState) -> Option<usize> {
+    let groups: Vec<Vec<SocketAddr>> = groups.iter().map(|numbers| group(numbers)).collect();
+    margin(&groups, |member| if group(lost).contains(&member) { state } else { MemberState::Voting })
+}
+
+#[test]
+fn each_member_that_does_not_vote_takes_one_from_the_margin() {
+    assert_eq!(with(&[&[1, 2, 3]], &[], MemberState::Suspected), Some(1));
+    assert_eq!(with(&[&[1, 2, 3, 4, 5]], &[], MemberState::Suspected), Some(2));
+    for state in [MemberState::Suspected, MemberState::Recovering, MemberState::Unknown] {
+        assert_eq!(with(&[&[1, 2, 3]], &[2], state), Some(0), "{state:?}");
+        assert_eq!(with(&[&[1, 2, 3]], &[2, 3], state), None, "{state:?}");
+        assert_eq!(with(&[&[1, 2, 3, 4, 5]], &[2, 3], state), Some(0), "{state:?}");
+    }
+}
+
+#[test]
+fn while_members_change_the_weaker_group_counts() {
+    assert_eq!(with(&[&[1, 2, 3], &[2, 3, 4]], &[4], MemberState::Recovering), Some(0));
+    assert_eq!(with(&[&[1, 2, 3], &[2, 3, 4]], &[3, 4], MemberState::Suspected), None);
+}
+
+#[test]
+fn a_group_that_is_not_known_has_no_margin() {
+    assert_eq!(with(&[], &[], MemberState::Voting), None);
+}
+
+#[test]
+fn the_end_of_a_margin_is_told_once_and_so_is_its_return() {
+    let mut margins = Margins::default();
+    assert_eq!(margins.note(0, Some(1)), None);
+    assert_eq!(margins.note(0, Some(0)), Some(MarginNews::Exhausted));
+    assert_eq!(margins.note(0, Some(0)), None);
+    assert_eq!(margins.note(0, None), None);
+    assert_eq!(margins.note(1, None), Some(MarginNews::Exhausted), "each shard by itself");
+    assert_eq!(margins.note(0, Some(1)), Some(MarginNews::Restored));
+    assert_eq!(margins.note(0, Some(2)), None);
+}
--- a/crates/controller/src/controller/members.rs
+++ b/crates/controller/src/controller/members.rs
@@ -1,13 +1,18 @@
-//! Who belongs to the replica group: it grows to what carries the fault tolerance, and a member that is
-//! gone gives its place to a spare.
+//! Who belongs to the replica group of each shard: it grows to what carries the fault tolerance, and a member
+//! that is gone or leaves gives its place to a spare.
+//!
+//! Every shard has a group of its own and is judged by itself: the owner of one may have replaced a member that
+//! the owner of another has not replaced yet.
 
-use std::collections::BTreeMap;
+use super::groups::KnownGroups;
+use super::standing::Standings;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// How long a member has to be silent, after it was first suspected, before a spare takes its place. A
 /// spare has to count within the time that a new machine is given to catch up, which is some seconds.
-const REPLACEMENT_PATIENCE: Duration = Duration::from_millis(1_200);
+pub const REPLACEMENT_PATIENCE: Duration = Duration::from_millis(1_200);
 
 /// One change of the group.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -16,41 +21,95 @@
     pub add: SocketAddr,
 }
 
-/// Members that make a majority of a group of `members`. While the group is not known (a new or emptied disk)
-/// it counts as one that carries the loss of `machines`.
-pub fn majority(members: usize, machines: usize) -> usize {
-    if members == 0 { machines + 1 } else { members / 2 + 1 }
+/// The group of a shard and the controllers around it, as one controller sees them.
+#[derive(Debug, Clone, Copy)]
+pub struct GroupView<'a> {
+    pub shard: u8,
+    /// Members of the newest group known; empty while none is known.
+    pub group: &'a [SocketAddr],
+    /// Controllers that the failure detector has nothing against.
+    pub live: &'a [SocketAddr],
+    /// What controllers said of themselves.
+    pub standings: &'a Standings,
+}
+
+impl GroupView<'_> {
+    /// Controllers that could take the place of a member now.
+    fn spares(&self) -> impl Iterator<Item = SocketAddr> {
+        let outside = self.live.iter().copied().filter(|node| !self.group.contains(node));
+        outside.filter(|node| self.standings.can_join(*node, self.shard))
+    }
+
+    /// The spare that joins next. All owners choose alike, so that the shards keep the same members.
+    fn next_spare(&self) -> Option<SocketAddr> {
+        self.spares().min()
+    }
 }
 
 /// Watches members and spares.
 #[derive(Debug, Default)]
 pub struct Members {
-    silent_since: BTreeMap<SocketAddr, Duration>,
+    /// For each shard, since when each silent member has been silent.
+    silent_since: BTreeMap<u8, BTreeMap<SocketAddr, Duration>>,
+    /// Shards of which a change is under way.
+    changing: BTreeSet<u8>,
+    /// The groups of each shard that were decided last.
+    decided: BTreeMap<u8, Vec<Vec<SocketAddr>>>,
 }
 
 impl Members {
-    /// Notes who is live among all controllers known.
-    pub fn observe(&mut self, now: Duration, group: &[SocketAddr], live: &[SocketAddr]) {
-        self.silent_since.retain(|member, _| group.contains(member) && !live.contains(member));
+    /// Notes who is live among the members of a shard.
+    pub fn observe(&mut self, now: Duration, shard: u8, group: &[SocketAddr], live: &[SocketAddr]) {
+        let silent = self.silent_since.entry(shard).or_default();
+        silent.retain(|member, _| group.contains(member) && !live.contains(member));
         for member in group.iter().filter(|member| !live.contains(member)) {
-            self.silent_since.entry(*member).or_insert(now);
+            silent.entry(*member).or_insert(now);
         }
     }
 
-    /// The next change that the group needs, if any: `size` members are wanted.
-    pub fn plan(
-        &self,
-        now: Duration,
-        group: &[SocketAddr],
-        live: &[SocketAddr],
-        size: usize,
-    ) -> Option<MemberChange> {
-        let add = *live.iter().filter(|node| !group.contains(node)).min()?;
-        if group.len() < size {
+    /// Notes the groups of a shard that a decided value names. True if they differ from those before.
+    pub fn learned(&mut self, shard: u8, groups: &KnownGroups) -> bool {
+        let before = self.decided.insert(shard, groups.groups.clone());
+        before.is_none_or(|before| before != groups.groups)
+    }
+
+    /// This process could not listen for a while: silence up to now says nothing of the others.
+    pub fn excuse(&mut self) {
+        self.silent_since.clear();
+    }
+
+    /// A change of the members of `shard` has been proposed.
+    pub fn begin(&mut self, shard: u8) {
+        self.changing.insert(shard);
+    }
+
+    /// The proposal is answered, whatever the answer.
+    pub fn end(&mut self, shard: u8) {
+        self.changing.remove(&shard);
+    }
+
+    /// The next change that the group of a shard needs, if any: `size` members are wanted.
+    pub fn plan(&self, now: Duration, view: GroupView<'_>, size: usize) -> Option<MemberChange> {
+        if view.group.is_empty() || self.changing.contains(&view.shard) {
+            return None;
+        }
+        let add = view.next_spare()?;
+        if view.group.len() < size {
             return Some(MemberChange { remove: None, add });
         }
-        let gone = self.silent_since.iter().filter(|(_, since)| now >= **since + REPLACEMENT_PATIENCE);
-        let longest = gone.min_by_key(|(_, since)| **since)?;
-        Some(MemberChange { remove: Some(*longest.0), add })
+        let remove = self.gone(now, view).or_else(|| leaving(view))?;
+        Some(MemberChange { remove: Some(remove), add })
     }
+
+    /// The member that has been silent longest, beyond patience.
+    fn gone(&self, now: Duration, view: GroupView<'_>) -> Option<SocketAddr> {
+        let silent = self.silent_since.get(&view.shard)?.iter();
+        let gone = silent.filter(|(_, since)| now >= **since + REPLACEMENT_PATIENCE);
+        gone.min_by_key(|(_, since)| **since).map(|(member, _)| *member)
+    }
+}
+
+/// A member that said that it leaves; it needs no patience.
+fn leaving(view: GroupView<'_>) -> Option<SocketAddr> {
+    view.group.iter().copied().filter(|member| view.standings.is_leaving(*member)).min()
 }
--- a/crates/controller/src/controller/members_test.rs
+++ b/crates/controller/src/controller/members_test.rs
@@ -1,9 +1,16 @@
-//! Growth of the replica group, and the replacement of members that are gone.
+//! Growth of the replica groups, and the replacement of members that are gone or leave.
 
-use super::members::{MemberChange, Members, majority};
+use super::members::{GroupView, MemberChange, Members};
+use super::standing::Standings;
+use crate::message::Standing;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The shard of the tests that are about one shard.
+const SHARD: u8 = 0;
+/// Shards of which tests tell the voting replicas.
+const SHARDS: u8 = 5;
+
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -16,10 +23,33 @@
     SocketAddr::from(([10, 0, 0, number], 7_000))
 }
 
+/// Controllers 1 to 9, all of them able to vote for every shard.
+fn able() -> Standings {
+    let mut standings = Standings::default();
+    for number in 1..=9 {
+        standings.note(node(number), Standing::new(u64::from(number), 0..SHARDS, false));
+    }
+    standings
+}
+
+/// What is planned for `shard` at `time`, without a further look.
+fn planned(
+    members: &Members,
+    time: u64,
+    shard: u8,
+    (group, live): (&[u8], &[u8]),
+    size: usize,
+    standings: &Standings,
+) -> Option<MemberChange> {
+    let (group, live) = (nodes(group), nodes(live));
+    let view = GroupView { shard, group: &group, live: &live, standings };
+    members.plan(ms(time), view, size)
+}
+
 /// What is planned at `time` by one who has just looked.
 fn looked(members: &mut Members, time: u64, group: &[u8], live: &[u8], size: usize) -> Option<MemberChange> {
-    members.observe(ms(time), &nodes(group), &nodes(live));
-    members.plan(ms(time), &nodes(group), &nodes(live), size)
+    members.observe(ms(time), SHARD, &nodes(group), &nodes(live));
+    planned(members, time, SHARD, (group, live), size, &able())
 }
 
 #[test]
@@ -39,6 +69,13 @@
     assert_eq!(looked(&mut members, 0, &[1, 2, 3], &[1, 2, 3], 5), None);
 }
 
+#[test]
+fn a_group_that_is_not_known_is_not_changed() {
+    let mut members = Members::default();
+    assert_eq!(looked(&mut members, 0, &[], &[1, 2, 3], 3), None);
+    assert_eq!(looked(&mut members, 60_000, &[], &[1, 2, 3], 3), None);
+}
+
 #[test]
 fn a_silent_member_is_replaced_only_after_patience() {
     let mut members = Members::default();
@@ -67,6 +104,15 @@
     assert!(looked(&mut members, 2_500, &[1, 2, 3], &[1, 3, 4], 3).is_some());
 }
 
+#[test]
+fn silence_before_a_pause_of_this_process_is_not_held_against_members() {
+    let mut members = Members::default();
+    looked(&mut members, 0, &[1, 2, 3], &[1, 3, 4], 3);
+    members.excuse();
+    assert_eq!(looked(&mut members, 9_000, &[1, 2, 3], &[1, 3, 4], 3), None);
+    assert!(looked(&mut members, 10_200, &[1, 2, 3], &[1, 3, 4], 3).is_some());
+}
+
 #[test]
 fn of_two_silent_members_the_one_silent_longest_goes_first() {
     let mut members = Members::default();
@@ -87,8 +133,94 @@
 }
 
 #[test]
-fn a_controller_that_does_not_know_its_group_is_no_majority_by_itself() {
-    assert_eq!([1, 2, 3, 4, 5].map(|members| majority(members, 1)), [1, 2, 2, 3, 3]);
-    assert_eq!((majority(0, 1), majority(0, 2)), (2, 3));
-    assert_eq!(majority(0, 0), 1, "a system that bears no loss may be of one controller");
+fn a_member_that_one_shard_has_replaced_is_still_silent_for_the_others() {
+    let mut members = Members::default();
+    let standings = able();
+    let live = [1, 3, 4];
+    for time in [0, 1_200, 1_600, 2_000] {
+        // The owner of shard 0 has replaced member 2 by 1,600; the others still have it.
+        let of_first: &[u8] = if time < 1_600 { &[1, 2, 3] } else { &[1, 3, 4] };
+        members.observe(ms(time), 0, &nodes(of_first), &nodes(&live));
+        for shard in 1..SHARDS {
+            members.observe(ms(time), shard, &nodes(&[1, 2, 3]), &nodes(&live));
+        }
+    }
+    let change = Some(MemberChange { remove: Some(node(2)), add: node(4) });
+    for shard in 1..SHARDS {
+        let plan = planned(&members, 2_000, shard, (&[1, 2, 3], &live), 3, &standings);
+        assert_eq!(plan, change, "shard {shard}");
+    }
+    assert_eq!(planned(&members, 2_000, 0, (&[1, 3, 4], &live), 3, &standings), None);
+}
+
+#[test]
+fn a_change_under_way_holds_up_its_own_shard_only() {
+    let mut members = Members::default();
+    let standings = able();
+    let group: (&[u8], &[u8]) = (&[1, 2, 3], &[1, 3, 4]);
+    for shard in [0, 1] {
+        members.observe(ms(0), shard, &nodes(group.0), &nodes(group.1));
+    }
+    members.begin(0);
+    assert_eq!(planned(&members, 1_200, 0, group, 3, &standings), None);
+    assert!(planned(&members, 1_200, 1, group, 3, &standings).is_some());
+    members.end(0);
+    assert!(planned(&members, 1_200, 0, group, 3, &standings).is_some());
+}
+
+#[test]
+fn a_member_that_leaves_is_replaced_at_once_and_only_by_a_spare() {
+    let members = Members::default();
+    let mut standings = able();
+    standings.note(node(2), Standing::new(2, 0..SHARDS, true));
+    assert_eq!(planned(&members, 0, SHARD, (&[1, 2, 3], &[1, 2, 3]), 3, &standings), None);
+    let change = MemberChange { remove: Some(node(2)), add: node(4) };
+    assert_eq!(planned(&members, 0, SHARD, (&[1, 2, 3], &[1, 2, 3, 4]), 3, &standings), Some(change));
+}
+
+#[test]
+fn a_spare_that_leaves_takes_no_place() {
+    let mut members = Members::default();
+    let mut standings = able();
+    members.observe(ms(0), SHARD, &nodes(&[1, 2, 3]), &nodes(&[1, 3, 4, 5]));
+    standings.note(node(4), Standing::new(4, 0..SHARDS, true));
+    let change = MemberChange { remove: Some(node(2)), add: node(5) };
+    let group: (&[u8], &[u8]) = (&[1, 2, 3], &[1, 3, 4, 5]);
+    assert_eq!(planned(&members, 1_200, SHARD, group, 3, &standings), Some(change));
+}
+
+#[test]
+fn a_spare_takes_a_place_only_once_it_can_vote_for_that_shard() {
+    let mut members = Members::default();
+    let mut standings = able();
+    let group: (&[u8], &[u8]) = (&[1, 2, 3], &[1, 3, 4]);
+    for shard in [0, 1] {
+        members.observe(ms(0), shard, &nodes(group.0), &nodes(group.1));
+    }
+    standings.note(node(4), Standing::new(4, [1], false));
+    assert_eq!(planned(&members, 9_000, 0, group, 3, &standings), None, "it recovers there");
+    assert!(planned(&members, 9_000, 1, group, 3, &standings).is_some());
+}
+
+#[test]
+fn a_spare_that_has_not_said_where_it_stands_takes_no_place() {
+    let mut members = Members::default();
+    let group: (&[u8], &[u8]) = (&[1, 2, 3], &[1, 3, 4]);
+    members.observe(ms(0), SHARD, &nodes(group.0), &nodes(group.1));
+    assert_eq!(planned(&members, 9_000, SHARD, group, 3, &Standings::default()), None);
+}
+
+#[test]
+fn two_that_leave_at_once_give_their_places_to_different_spares_and_never_to_one_another() {
+    let members = Members::default();
+    let mut standings = able();
+    for leaving in [2, 3] {
+        standings.note(node(leaving), Standing::new(u64::from(leaving), 0..SHARDS, true));
+    }
+    let live = [1, 2, 3, 4, 5];
+    let change = planned(&members, 0, SHARD, (&[1, 2, 3], &live), 3, &standings);
+    assert_eq!(change, Some(MemberChange { remove: Some(node(2)), add: node(4) }));
+    let change = planned(&members, 1, SHARD, (&[1, 3, 4], &live), 3, &standings);
+    assert_eq!(change, Some(MemberChange { remove: Some(node(3)), add: node(5) }));
+    assert_eq!(planned(&members, 2, SHARD, (&[1, 4, 5], &live), 3, &standings), None);
 }
--- a/crates/controller/src/controller/membership.rs
+++ b/crates/controller/src/controller/membership.rs
@@ -1,14 +1,19 @@
 //! Which controllers are live, and changes of the groups that follow from it.
 
+use super::margin::{MarginNews, MemberState, margin};
+use super::members::{GroupView, MemberChange};
 use super::{Asked, Controller, shards};
-use crate::message::Message;
+use crate::message::{Message, Standing};
 use lanegate_coordination::membership::Output;
 use lanegate_coordination::register::{Input, Node};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Longest wait for a change of members.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after the start of the process in which the others have said where they stand.
+const MARGIN_GRACE: Duration = Duration::from_secs(2);
 
 impl Controller {
     pub(super) fn membership_outputs(&mut self, outputs: Vec<Output>) {
@@ -26,43 +31,111 @@
                 Output::StateChanged { peer, state } => {
                     log::info!("controller {peer} is {state:?}");
                 }
-                Output::Restarted { .. } => {}
+                Output::Restarted { peer, incarnation } => {
+                    self.standings.restarted(peer, incarnation);
+                    self.endpoints.restarted(peer);
+                }
             }
         }
     }
 
-    /// Lets the group grow, or replaces a member that is gone, where this controller owns the shard.
+    /// Lets groups grow, and replaces members that are gone or leave, in the shards that this controller owns.
     pub(super) fn tend_members(&mut self, now: Duration) {
         let live: Vec<SocketAddr> = self.membership.live().collect();
         let size = 2 * self.settings.fault_tolerance.machines as usize + 1;
-        let group = self.group(shards::CONFIGURATION);
-        self.members.observe(now, &group, &live);
-        if self.asked.values().any(|asked| matches!(asked, Asked::Members))
-            || !self.has_contact(shards::CONFIGURATION)
-        {
-            return;
-        }
         for shard in shards::all() {
             let group = self.group(shard);
-            if self.owner(shard, &[shard]) != self.this || !self.has_contact(shard) {
+            self.members.observe(now, shard, &group, &live);
+            if !self.owns(shard) || !self.has_contact(shard) {
                 continue;
             }
-            let Some(change) = self.members.plan(now, &group, &live, size) else { continue };
-            log::info!("shard {shard}: {:?} joins, {:?} leaves", change.add, change.remove);
-            let request = self.request_number();
-            self.asked.insert(request, Asked::Members);
-            let nodes = |address: SocketAddr| match address {
-                SocketAddr::V4(address) => Some(Node::from(address)),
-                SocketAddr::V6(_) => None,
-            };
-            let input = Input::ProposeMembers {
-                request,
-                remove: change.remove.and_then(nodes).into_iter().collect(),
-                add: nodes(change.add).into_iter().collect(),
-                deadline: now + CHANGE_TIMEOUT,
-            };
-            let outputs = self.shards.handle(now, shard, input);
-            self.follow(shard, outputs);
+            let view = GroupView { shard, group: &group, live: &live, standings: &self.standings };
+            if let Some(change) = self.members.plan(now, view, size) {
+                self.change_members(now, shard, &change);
+            }
+        }
+        self.review_margins(now);
+    }
+
+    fn change_members(&mut self, now: Duration, shard: u8, change: &MemberChange) {
+        log::info!("shard {shard}: {:?} joins, {:?} leaves", change.add, change.remove);
+        let request = self.request_number();
+        self.asked.insert(request, Asked::Members(shard));
+        self.members.begin(shard);
+        let node = |address: SocketAddr| match address {
+            SocketAddr::V4(address) => Some(Node::from(address)),
+            SocketAddr::V6(_) => None,
+        };
+        let input = Input::ProposeMembers {
+            request,
+            remove: change.remove.and_then(node).into_iter().collect(),
+            add: node(change.add).into_iter().collect(),
+            deadline: now + CHANGE_TIMEOUT,
+        };
+        let outputs = self.shards.handle(now, shard, input);
+        self.follow(shard, outputs);
+    }
+
+    /// What this controller says of itself.
+    pub(super) fn standing(&self) -> Standing {
+        let voting = self.shards.iter().filter(|(_, replica)| replica.can_vote()).map(|(shard, _)| shard);
+        Standing::new(self.life, voting, self.is_leaving())
+    }
+
+    /// Tells the other controllers where this one stands, if that has changed.
+    pub(super) fn tell_standing(&mut self) {
+        let standing = self.standing();
+        if self.standings.note(self.this, standing) {
+            self.peers.broadcast(&Message::Standing(standing));
+        }
+    }
+
+    /// Another controller says where it stands: a spare that can vote now, or a member that leaves, may be what
+    /// a group waits for.
+    pub(super) fn stands(&mut self, peer: SocketAddr, standing: Standing) {
+        if self.standings.note(peer, standing) {
+            self.tend_members(self.now());
+        }
+    }
+
+    /// What this controller knows of a member.
+    fn member_state(&self, shard: u8, member: SocketAddr) -> MemberState {
+        if !self.membership.is_live(member) {
+            return MemberState::Suspected;
+        }
+        match self.standings.get(member) {
+            Some(standing) if standing.votes(shard) => MemberState::Voting,
+            Some(_) => MemberState::Recovering,
+            None => MemberState::Unknown,
+        }
+    }
+
+    /// The members of all groups of a shard in force, and what is known of each.
+    pub(super) fn member_states(&self, shard: u8) -> impl Iterator<Item = (String, String)> {
+        let members: BTreeSet<SocketAddr> = self.known_groups(shard).groups.into_iter().flatten().collect();
+        let told = move |member| (format!("{member}"), format!("{:?}", self.member_state(shard, member)));
+        members.into_iter().map(told)
+    }
+
+    /// Losses that the groups of a shard can still bear; `None` without a majority.
+    pub(super) fn margin(&self, shard: u8) -> Option<usize> {
+        margin(&self.known_groups(shard).groups, |member| self.member_state(shard, member))
+    }
+
+    /// Tells the operators of shards that cannot bear another loss, and of those that can again.
+    fn review_margins(&mut self, now: Duration) {
+        if now < MARGIN_GRACE || self.settings.fault_tolerance.machines == 0 {
+            return;
+        }
+        for shard in shards::all() {
+            match self.margins.note(shard, self.margin(shard)) {
+                Some(MarginNews::Exhausted) => {
+                    let states: Vec<_> = self.member_states(shard).collect();
+                    log::warn!("shard {shard}: the next loss takes its majority, or it has none: {states:?}");
+                }
+                Some(MarginNews::Restored) => log::info!("shard {shard}: a loss can be borne again"),
+                None => {}
+            }
         }
     }
 }
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -16,12 +16,21 @@
 mod environment;
 mod event;
 mod feed;
+mod groups;
+#[cfg(test)]
+mod groups_test;
+mod handover;
+#[cfg(test)]
+mod handover_test;
 mod holdings;
 #[cfg(test)]
 mod holdings_test;
 mod housekeeping;
 mod http;
 mod links;
+mod margin;
+#[cfg(test)]
+mod margin_test;
 mod members;
 #[cfg(test)]
 mod members_test;
@@ -45,6 +54,9 @@
 mod routers_test;
 mod setup;
 mod shards;
+mod standing;
+#[cfg(test)]
+mod standing_test;
 mod trust;
 #[cfg(test)]
 mod trust_test;
@@ -57,11 +69,14 @@
 use demand::RecentDemand;
 use endpoints::Endpoints;
 use environment::Environment;
+use groups::KnownGroups;
+use handover::Handover;
 use holdings::Holdings;
 use lanegate_coordination::lease::LeaseNode;
 use lanegate_coordination::membership::Membership;
 use lanegate_model::configuration::Configuration;
 use lanegate_model::settings::Settings;
+use margin::Margins;
 use members::Members;
 use operator::Operator;
 use peers::Peers;
@@ -69,6 +84,7 @@
 use readers::Readers;
 use routers::LiveRouters;
 use shards::Shards;
+use standing::Standings;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -93,6 +109,10 @@
     contact: Contact,
     trust: Trust,
     members: Members,
+    standings: Standings,
+    margins: Margins,
+    /// Under way once the process has been asked to end.
+    handover: Option<Handover>,
     leases: LeaseNode,
     placements: Placements,
     holdings: Holdings,
@@ -121,8 +141,8 @@
     Read(tokio::sync::oneshot::Sender<event::Answer>),
     /// A read that tells whether what is known of the configuration is current.
     Barrier,
-    /// A change of the group.
-    Members,
+    /// A change of the group of a shard.
+    Members(u8),
     /// A change of the operator, by its number there.
     Change(u64),
     /// An epoch for a lease.
@@ -146,16 +166,24 @@
         members.into_iter().map(|node| SocketAddr::V4(node.into())).collect()
     }
 
-    /// Members that make a majority of the group of the configuration's shard.
-    fn majority(&self) -> usize {
-        let machines = self.settings.fault_tolerance.machines as usize;
-        members::majority(self.group(shards::CONFIGURATION).len(), machines)
+    /// The groups of a shard in force, as far as this controller knows them, decided or only accepted.
+    fn known_groups(&self, shard: u8) -> KnownGroups {
+        KnownGroups::of(self.shards.get(shard).newest_known())
     }
 
-    /// The controller that acts for a key first: the first live member of the group in the key's order.
+    /// The controller that acts for a key first: the first live member of the group in the key's order. One that
+    /// is about to end acts only if all others are silent.
     fn owner(&self, shard: u8, key: &[u8]) -> SocketAddr {
         let group = self.group(shard);
         let order = lanegate_coordination::membership::rendezvous_order(key, &group);
-        order.into_iter().find(|member| self.membership.is_live(*member)).unwrap_or(self.this)
+        let live: Vec<SocketAddr> =
+            order.into_iter().filter(|member| self.membership.is_live(*member)).collect();
+        let staying = live.iter().find(|member| !self.standings.is_leaving(**member));
+        staying.or(live.first()).copied().unwrap_or(self.this)
+    }
+
+    /// Whether this controller acts for a shard, whose group it has to know for that.
+    fn owns(&self, shard: u8) -> bool {
+        !self.group(shard).is_empty() && self.owner(shard, &[shard]) == self.this
     }
 }
--- a/crates/controller/src/controller/peer_messages.rs
+++ b/crates/controller/src/controller/peer_messages.rs
@@ -1,8 +1,9 @@
 //! Messages of other controllers.
 
-use super::Controller;
 use super::endpoints::Merged;
-use crate::message::{Holding, Message, ShardMessage, Token};
+use super::groups::KnownGroups;
+use super::{Controller, shards};
+use crate::message::{Confirmation, Holding, Message, ShardMessage, Token};
 use lanegate_coordination::lease::LeaseMessage;
 use lanegate_coordination::membership::Heartbeat;
 use lanegate_coordination::register::{self, Input};
@@ -33,12 +34,19 @@
                 }
             }
             Message::Registered(registered) => {
-                for message in self.endpoints.merge(now, &registered) {
-                    self.readers.append(&message);
+                let merge = self.endpoints.merge(now, &registered);
+                for message in &merge.news {
+                    self.readers.append(message);
+                }
+                if merge.relay {
+                    merge.news.iter().for_each(|message| self.peers.broadcast(message));
                 }
                 self.tell_placers(&registered.id.text());
             }
             Message::Removed(removed) => {
+                if self.endpoints.relays_removal(&removed) {
+                    self.peers.broadcast(&Message::Removed(removed.clone()));
+                }
                 match self.endpoints.merge_removal(now, &removed) {
                     Merged::Removed => self.readers.append(&Message::Removed(removed.clone())),
                     Merged::Contradicted(registered) => {
@@ -55,8 +63,12 @@
                 list.heard.iter().for_each(|heard| self.tell_placers(&heard.id.text()));
             }
             Message::SnapshotEnd { complete: 1 } => self.became_complete(),
-            Message::Flush(token) => self.peers.send(peer, &Message::Flushed(token)),
-            Message::Flushed(Token { token }) => self.endpoints.flushed(token, peer),
+            Message::Flush(Token { token }) => {
+                let known = self.known_groups(shards::CONFIGURATION);
+                self.peers.send(peer, &Message::Flushed(known.confirmation(token)));
+            }
+            Message::Flushed(confirmation) => self.flushed(peer, &confirmation),
+            Message::Standing(standing) => self.stands(peer, standing),
             Message::Controllers(controllers) => {
                 let text = controllers.addresses.text();
                 text.split_whitespace().filter_map(|a| a.parse().ok()).for_each(|peer| self.know(peer));
@@ -71,6 +83,16 @@
         }
     }
 
+    /// A peer has all that was sent to it before a flush.
+    fn flushed(&mut self, peer: SocketAddr, confirmation: &Confirmation) {
+        let known = self.known_groups(shards::CONFIGURATION);
+        let told = KnownGroups::told(confirmation);
+        self.endpoints.flushed(confirmation.token, peer, told, &known);
+        if let Some(handover) = &mut self.handover {
+            handover.flushed(confirmation.token, peer);
+        }
+    }
+
     /// Another controller's placer knows of a model at an endpoint.
     fn held_elsewhere(&mut self, holding: Holding) {
         if self.endpoints.hold(&holding) {
--- a/crates/controller/src/controller/peers.rs
+++ b/crates/controller/src/controller/peers.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// The peers with a link.
+    pub fn linked(&self) -> impl Iterator<Item = SocketAddr> {
+        self.peers.iter().filter(|(_, peer)| peer.outbox.is_some()).map(|(address, _)| *address)
+    }
+
     /// Sends to every peer with a link.
     pub fn broadcast(&self, message: &Message) {
         let frame = message.frame();
--- a/crates/controller/src/controller/placing.rs
+++ b/crates/controller/src/controller/placing.rs
@@ -27,8 +27,8 @@
         for shard in shards::all().filter(|shard| *shard != shards::CONFIGURATION) {
             // Who acts goes on while it can: handing over to the first in order costs a quiet period.
             let acts = self.placements.acts_for(shard);
-            let stands = wanted.contains(&shard) && (acts || self.owner(shard, &[shard]) == self.this);
-            let stands = stands && self.has_contact(shard);
+            let stands = wanted.contains(&shard) && (acts || self.owns(shard));
+            let stands = stands && self.has_contact(shard) && !self.is_leaving();
             let outputs = self.leases.set_candidate(now, u32::from(shard), stands);
             self.lease_outputs(outputs);
         }
--- a/crates/controller/src/controller/registers.rs
+++ b/crates/controller/src/controller/registers.rs
@@ -1,6 +1,7 @@
 //! The registers: what their replicas ask for, what was decided, and answers to requests.
 
 use super::event::Answer;
+use super::groups::KnownGroups;
 use super::operator::Settled;
 use super::shards::{self, read_epoch};
 use super::{Asked, Controller};
@@ -35,6 +36,13 @@
         let members: Vec<SocketAddr> =
             value.newest_group().iter().map(|node| SocketAddr::V4((*node).into())).collect();
         members.iter().for_each(|member| self.know(*member));
+        let groups = KnownGroups::of(Some(value));
+        if self.members.learned(shard, &groups) {
+            log::info!("shard {shard}: its groups are {:?} (revision {})", groups.groups, value.revision);
+        }
+        if shard == shards::CONFIGURATION {
+            self.endpoints.review(&self.known_groups(shard));
+        }
         if shard != shards::CONFIGURATION {
             self.leases.set_group(now, u32::from(shard), value.revision, &members);
             return;
@@ -78,7 +86,8 @@
                 }
             }
             Some(Asked::Barrier) => self.barrier_read(request, &outcome),
-            Some(Asked::Members) | None => {}
+            Some(Asked::Members(shard)) => self.members.end(shard),
+            None => {}
         }
     }
 
--- a/crates/controller/src/controller/setup.rs
+++ b/crates/controller/src/controller/setup.rs
@@ -7,6 +7,7 @@
 use super::environment::Environment;
 use super::event::Event;
 use super::holdings::Holdings;
+use super::margin::Margins;
 use super::members::Members;
 use super::operator::Operator;
 use super::peers::Peers;
@@ -15,6 +16,7 @@
 use super::readers::Readers;
 use super::routers::LiveRouters;
 use super::shards::{self, ConfigurationMachine, EpochCounter, Shards};
+use super::standing::Standings;
 use super::trust::Trust;
 use super::{Controller, http, links};
 use crate::life::draw_life;
@@ -38,8 +40,8 @@
 const LEASE_VALIDITY: Duration = Duration::from_millis(600);
 /// Every controller monitors every other: there are a few of them.
 const MONITORS: usize = 16;
-/// Time that calls under way get at the end of the process.
-const END_PATIENCE: Duration = Duration::from_millis(300);
+/// Time at the end of the process for the last answers to get from their tasks to the sockets.
+const LAST_WRITES: Duration = Duration::from_millis(10);
 
 /// Why a controller cannot run.
 #[derive(Debug, thiserror::Error)]
@@ -72,11 +74,11 @@
     let mut controller = start_process(settings, control, started, events.clone())?;
     tokio::task::spawn_local(http::serve(calls, events.clone()));
     tokio::task::spawn_local(links::accept(peer_links, events));
-    loop {
+    while !controller.has_left() {
         let wake = controller.next_wake();
         tokio::select! {
             biased;
-            _ = terminate.recv() => break,
+            _ = terminate.recv() => controller.leave(),
             _ = reload.recv() => controller.read_settings(),
             Some(event) = queue.recv() => {
                 controller.take(event);
@@ -88,15 +90,7 @@
         }
         controller.turn();
     }
-    controller.leave();
-    let end = Instant::now() + END_PATIENCE;
-    while let Ok(Some(event)) = tokio::time::timeout_at(end.into(), queue.recv()).await {
-        controller.take(event);
-        controller.turn();
-        if controller.is_idle() {
-            break;
-        }
-    }
+    tokio::time::sleep(LAST_WRITES).await;
     Ok(())
 }
 
@@ -153,13 +147,16 @@
             environment,
             peers: Peers::new(control),
             readers: Readers::new(life),
-            endpoints: Endpoints::new(heartbeat),
+            endpoints: Endpoints::new(heartbeat, control, life),
             shards: Shards::new(replicas),
             operator: Operator::default(),
             membership: Membership::new(MembershipSettings::new(HEARTBEAT_INTERVAL, MONITORS), node, now),
             contact: Contact::new(control, life),
             trust: Trust::default(),
             members: Members::default(),
+            standings: Standings::default(),
+            margins: Margins::default(),
+            handover: None,
             leases: LeaseNode::new(lease, node, start, now),
             placements: Placements::default(),
             holdings: Holdings::default(),
--- /dev/null
+++ b/crates/controller/src/controller/standing.rs
@@ -0,0 +1,64 @@
+//! What controllers say of themselves: for which shards they can vote, and whether they are about to end.
+
+use crate::message::Standing;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+impl Standing {
+    /// A controller in this `life` whose replicas of `voting` can vote.
+    pub fn new(life: u64, voting: impl IntoIterator<Item = u8>, leaving: bool) -> Self {
+        let voting = voting.into_iter().fold(0, |shards, shard| shards | shard_bit(shard));
+        Standing { life, voting, leaving: u8::from(leaving) }
+    }
+
+    /// Whether its replica of the shard can vote: it has not lost its disk, or has recovered since.
+    pub fn votes(&self, shard: u8) -> bool {
+        self.voting & shard_bit(shard) != 0
+    }
+}
+
+/// Shards beyond those of a word cannot be told; there are five.
+fn shard_bit(shard: u8) -> u32 {
+    1_u32.checked_shl(shard.into()).unwrap_or_default()
+}
+
+/// The newest word of each controller, this one included.
+#[derive(Debug, Default)]
+pub struct Standings {
+    told: BTreeMap<SocketAddr, Standing>,
+}
+
+impl Standings {
+    /// Takes what the controller at `node` says. True if it is news.
+    pub fn note(&mut self, node: SocketAddr, standing: Standing) -> bool {
+        self.told.insert(node, standing) != Some(standing)
+    }
+
+    /// The controller at `node` runs as `life` now: what an earlier life said holds no more.
+    pub fn restarted(&mut self, node: SocketAddr, life: u64) {
+        if self.told.get(&node).is_some_and(|standing| standing.life != life) {
+            self.told.remove(&node);
+        }
+    }
+
+    /// What the controller at `node` said last.
+    pub fn get(&self, node: SocketAddr) -> Option<Standing> {
+        self.told.get(&node).copied()
+    }
+
+    /// Whether the controller can vote for a shard, as far as it has said.
+    pub fn votes(&self, node: SocketAddr, shard: u8) -> bool {
+        self.told.get(&node).is_some_and(|standing| standing.votes(shard))
+    }
+
+    /// Whether the controller is about to end.
+    pub fn is_leaving(&self, node: SocketAddr) -> bool {
+        self.told.get(&node).is_some_and(|standing| standing.leaving == 1)
+    }
+
+    /// Whether the controller may be made a member of the group of a shard: a vote less would be a loss that is
+    /// borne from the start.
+    pub fn can_join(&self, node: SocketAddr, shard: u8) -> bool {
+        self.votes(node, shard) && !self.is_leaving(node)
+    }
+}
--- a/crates/controller/src/controller/turn.rs
+++ b/crates/controller/src/controller/turn.rs
@@ -3,6 +3,7 @@
 use super::Controller;
 use super::event::Event;
 use super::feed::BEAT_PERIOD;
+use super::handover::Handover;
 use super::housekeeping::HOUSEKEEPING_PERIOD;
 use super::shards;
 use lanegate_coordination::register::{Input, Value};
@@ -41,6 +42,7 @@
             self.placements.next_wake(),
             self.holdings.next_wake(),
             self.contact_wake(),
+            self.handover.as_ref().and_then(Handover::next_wake),
             Some(self.next_beat),
             Some(self.next_housekeeping),
         ];
@@ -52,6 +54,7 @@
         let now = self.now();
         if now > self.last_turn + PAUSE_THRESHOLD {
             self.endpoints.excuse(now);
+            self.members.excuse();
         }
         self.last_turn = now;
         if self.membership.next_wake() <= now {
@@ -79,6 +82,8 @@
             self.next_housekeeping = now + HOUSEKEEPING_PERIOD;
             self.keep_house(now);
         }
+        self.tell_standing();
+        self.hand_over(now);
     }
 
     /// Takes one event.
--- a/crates/controller/src/message.rs
+++ b/crates/controller/src/message.rs
@@ -227,6 +227,46 @@
     pub token: u64,
 }
 
+/// One group of members, as control addresses separated by spaces.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct GroupMembers {
+    pub addresses: Blob,
+}
+
+/// The sender has all that was sent before a [`Message::Flush`], and knows of these groups.
+#[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Confirmation {
+    pub token: u64,
+    /// Revision of the newest value of the configuration's shard that the sender has accepted.
+    pub revision: u64,
+    #[deku(update = "self.groups.len()")]
+    count: u8,
+    /// The groups that this value names: one, or two while members change.
+    #[deku(count = "count")]
+    pub groups: Vec<GroupMembers>,
+}
+
+impl Confirmation {
+    /// Confirms the flush `token`.
+    pub fn new(token: u64, revision: u64, groups: Vec<GroupMembers>) -> Self {
+        Confirmation { token, revision, count: groups.len() as u8, groups }
+    }
+}
+
+/// What a controller says of itself to the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct Standing {
+    /// Drawn at each start of the process.
+    pub life: u64,
+    /// A bit for each shard whose replica can vote.
+    pub voting: u32,
+    /// 1 once the process has been asked to end.
+    pub leaving: u8,
+}
+
 /// What a placer knows of an endpoint's models before the endpoint's next heartbeat tells it.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
@@ -287,7 +327,7 @@
     #[deku(id = 14)]
     Flush(Token),
     #[deku(id = 15)]
-    Flushed(Token),
+    Flushed(Confirmation),
     #[deku(id = 16)]
     Demand(RouterDemand),
     /// A controller's heartbeat to another, as the membership writes it.
@@ -309,6 +349,8 @@
     /// A configuration that the sender has heard of and does not have yet.
     #[deku(id = 23)]
     ConfigurationKnown(ConfigurationVersion),
+    #[deku(id = 24)]
+    Standing(Standing),
 }
 
 impl Message {
--- a/crates/controller/tests/message.rs
+++ b/crates/controller/tests/message.rs
@@ -14,6 +14,10 @@
     })
 }
 
+fn group(addresses: &str) -> GroupMembers {
+    GroupMembers { addresses: addresses.into() }
+}
+
 #[test]
 fn messages_come_back_as_they_were_written() {
     let heard = vec![Heard { id: "i-1".into(), sequence: 4 }, Heard { id: "i-2".into(), sequence: 5 }];
@@ -26,6 +30,9 @@
         Message::Removed(Removed { id: "i-1".into(), sequence: u64::MAX }),
         Message::FeedBeat(FeedBeat { quorum: 1, source: 4, offset: 5, routers: 9 }),
         Message::Flush(Token { token: 1 }),
+        Message::Flushed(Confirmation::new(1, 4, vec![])),
+        Message::Flushed(Confirmation::new(1, 4, vec![group("10.0.0.1:1 10.0.0.2:1"), group("10.0.0.3:1")])),
+        Message::Standing(Standing { life: 8, voting: 31, leaving: 1 }),
         Message::Holding(Holding { id: "i-1".into(), model: "m".into(), adapter: "a1".into(), present: 1 }),
         Message::Heartbeat { body: vec![7; 20].into() },
     ];
--- a/crates/coordination/src/register/replica.rs
+++ b/crates/coordination/src/register/replica.rs
@@ -154,6 +154,21 @@
         self.core.decided.as_ref().map(|decided| &decided.value)
     }
 
+    /// Whether this replica votes: its disk was not empty, or it has recovered since.
+    #[must_use]
+    pub fn can_vote(&self) -> bool {
+        self.acceptor.is_some()
+    }
+
+    /// The newest value known: decided, or accepted here and perhaps not decided.
+    #[must_use]
+    pub fn newest_known(&self) -> Option<&Value> {
+        let decided = self.core.decided.as_ref();
+        let record = self.acceptor.as_ref().map(Acceptor::record);
+        let newer = record.filter(|record| decided.is_none_or(|known| known.ballot < record.accepted));
+        newer.map(|record| &record.value).or(decided.map(|decided| &decided.value))
+    }
+
     /// The newest value to start a round from: decided, or accepted here.
     fn known(&self) -> Option<Proposal> {
         let decided = self.core.decided.clone();
