--- a/crates/controller/src/agent/mod.rs
+++ b/crates/controller/src/agent/mod.rs
@@ -41,6 +41,7 @@
 }
 
 /// What reaches the agent from routers.
+#[derive(Debug)]
 pub(crate) enum Downstream {
     Up { reader: u64, outbox: Outbox },
     Message { reader: u64, message: Message },
--- a/crates/controller/src/controller/calls.rs
+++ b/crates/controller/src/controller/calls.rs
@@ -1,8 +1,9 @@
 //! Calls on the control interface.
 
 use super::event::{Answer, Call, Method};
+use super::groups::KnownGroups;
 use super::operator::ANSWER_TIMEOUT;
-use super::{Asked, Controller, shards};
+use super::{Asked, Controller, ControllerFault, shards};
 use crate::message::{Forwarded, Message, Token};
 use lanegate_coordination::register::Input;
 use lanegate_model::control_state::{Command, Method as ChangeMethod, Outcome};
@@ -40,7 +41,9 @@
         if id.is_empty() || id.contains('/') {
             return answer(call, Answer::error(404, "no such path"));
         }
-        let (now, known) = (self.now(), self.known_groups(shards::CONFIGURATION));
+        let alone = self.has_fault(ControllerFault::AcknowledgeDrainAlone);
+        let known = if alone { KnownGroups::only(self.this) } else { self.known_groups(shards::CONFIGURATION) };
+        let now = self.now();
         let in_contact = self.has_contact(shards::CONFIGURATION);
         let changes = match call.method {
             Method::Put => self.endpoints.put(now, id, call.body, &known, in_contact, call.reply),
@@ -58,6 +61,11 @@
     }
 
     fn read_configuration(&mut self, call: Call) {
+        if self.has_fault(ControllerFault::ReadLocally) {
+            let document = self.decided.as_ref().map(|decided| decided.document.bytes.clone());
+            let known = document.map(|document| Answer::new(200, document));
+            return answer(call, known.unwrap_or_else(|| Answer::error(503, "nothing is known yet")));
+        }
         let now = self.now();
         let request = self.request_number();
         self.asked.insert(request, Asked::Read(call.reply));
--- a/crates/controller/src/controller/contact.rs
+++ b/crates/controller/src/controller/contact.rs
@@ -76,7 +76,6 @@
     }
 
     /// The same with a deliberate mistake.
-    #[cfg(test)]
     pub fn with_fault(this: SocketAddr, life: u64, fault: Option<ContactFault>) -> Self {
         Contact { fault, ..Contact::new(this, life) }
     }
--- a/crates/controller/src/controller/ending.rs
+++ b/crates/controller/src/controller/ending.rs
@@ -8,7 +8,7 @@
 impl Controller {
     /// The process has been asked to end. It acts for nothing any more, takes no more calls, tells agents to
     /// turn elsewhere, and tells the other controllers, which give its place to a spare if there is one.
-    pub(super) fn leave(&mut self) {
+    pub(crate) fn leave(&mut self) {
         if self.is_leaving() {
             return;
         }
@@ -29,7 +29,7 @@
     }
 
     /// Whether the process may end.
-    pub(super) fn has_left(&self) -> bool {
+    pub(crate) fn has_left(&self) -> bool {
         self.handover.as_ref().is_some_and(Handover::is_done)
     }
 
--- a/crates/controller/src/controller/feed.rs
+++ b/crates/controller/src/controller/feed.rs
@@ -1,6 +1,6 @@
 //! The feed to agents: a new reader, and the heartbeat that tells them of the quorum.
 
-use super::Controller;
+use super::{Controller, ControllerFault};
 use crate::link::Outbox;
 use crate::message::{Hello, Message};
 use std::time::Duration;
@@ -16,7 +16,8 @@
 
     /// Whether agents may rely on this controller: what it knows is current, and it is not about to end.
     fn is_trusted(&self) -> bool {
-        self.is_current() && !self.is_leaving()
+        let claims = self.has_fault(ControllerFault::AlwaysCurrent);
+        (self.is_current() || claims) && !self.is_leaving()
     }
 
     pub(super) fn agent_up(&mut self, agent: u64, hello: &Hello, outbox: Outbox) {
--- a/crates/controller/src/controller/groups.rs
+++ b/crates/controller/src/controller/groups.rs
@@ -24,6 +24,11 @@
         KnownGroups { revision: value.revision, groups }
     }
 
+    /// A group of one.
+    pub fn only(node: SocketAddr) -> Self {
+        KnownGroups { revision: 0, groups: vec![vec![node]] }
+    }
+
     /// The groups that a peer told with its confirmation; addresses that cannot be read count for nobody.
     pub fn told(confirmation: &Confirmation) -> Self {
         let nobody = SocketAddr::from(([0, 0, 0, 0], 0));
--- /dev/null
+++ b/crates/controller/src/controller/inspect.rs
@@ -0,0 +1,20 @@
+//! What a simulation looks up in a controller.
+
+use super::{Controller, shards};
+use std::net::SocketAddr;
+
+impl Controller {
+    /// Revision and group of each shard, as far as this controller has learned them.
+    pub(crate) fn learned_groups(&self) -> Vec<(u64, Vec<SocketAddr>)> {
+        let known = |shard| {
+            let decided = self.shards.get(shard).decided();
+            (decided.map_or(0, |value| value.revision), self.group(shard))
+        };
+        shards::all().map(known).collect()
+    }
+
+    /// Shards for which this controller acts.
+    pub(crate) fn acting_shards(&self) -> usize {
+        shards::all().filter(|shard| self.placements.acts_for(*shard)).count()
+    }
+}
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -15,6 +15,7 @@
 mod endpoints_test;
 mod environment;
 mod event;
+mod fault;
 mod feed;
 mod groups;
 #[cfg(test)]
@@ -27,6 +28,7 @@
 mod holdings_test;
 mod housekeeping;
 mod http;
+mod inspect;
 mod links;
 mod margin;
 #[cfg(test)]
@@ -62,13 +64,17 @@
 mod trust_test;
 mod turn;
 
+pub(crate) use environment::Environment;
+pub(crate) use event::{Answer, Call, Event, Method};
+pub use fault::ControllerFault;
+pub(crate) use placement::ServiceAction;
 pub use setup::{ControllerError, run_controller};
+pub(crate) use setup::{Records, Start, Stores, open_stores};
 
 use crate::message::Decided;
 use contact::Contact;
 use demand::RecentDemand;
 use endpoints::Endpoints;
-use environment::Environment;
 use groups::KnownGroups;
 use handover::Handover;
 use holdings::Holdings;
@@ -93,7 +99,7 @@
 
 /// One controller. All of its state belongs to one task; nothing in it waits, and its clock, links and disk
 /// are those of its [`Environment`].
-struct Controller {
+pub(crate) struct Controller {
     settings: Settings,
     /// Control address, which names this controller to its peers.
     this: SocketAddr,
@@ -121,6 +127,8 @@
     configuration: Option<Arc<Configuration>>,
     /// Whether this is the first start of the whole system.
     first_start: bool,
+    /// A deliberate mistake, in a simulation only.
+    fault: Option<ControllerFault>,
     /// The newest decided configuration, as readers get it.
     decided: Option<Decided>,
     /// Reads and changes of members under way, by the number of their request.
@@ -154,6 +162,11 @@
         self.environment.now()
     }
 
+    /// Whether a deliberate mistake is made.
+    fn has_fault(&self, fault: ControllerFault) -> bool {
+        self.fault == Some(fault)
+    }
+
     fn request_number(&mut self) -> u64 {
         self.next_request += 1;
         self.next_request
--- a/crates/controller/src/controller/peer_links.rs
+++ b/crates/controller/src/controller/peer_links.rs
@@ -1,6 +1,6 @@
 //! The links to other controllers: who is known, and what each is told when its link comes up.
 
-use super::{Controller, shards};
+use super::{Controller, ControllerFault, shards};
 use crate::link::Outbox;
 use crate::message::{Controllers, Message};
 use lanegate_coordination::register::Input;
@@ -42,8 +42,14 @@
         }
     }
 
-    /// Forgets peers that are gone for good.
+    /// Forgets peers that are gone for good. Seeds and members of any group are dialled for ever: a
+    /// controller that was cut off for long is found again by them, or finds them.
     pub(super) fn forget_peers(&mut self, now: Duration) {
+        let members = shards::all().flat_map(|shard| self.group(shard));
+        let needed: Vec<SocketAddr> = members.chain(self.settings.seeds.iter().copied()).collect();
+        if !self.has_fault(ControllerFault::ForgetMembers) {
+            needed.into_iter().for_each(|peer| self.know(peer));
+        }
         let gone = self.peers.forget(now);
         if gone.is_empty() {
             return;
@@ -68,7 +74,7 @@
     }
 
     /// The settings file may name other seeds.
-    pub(super) fn read_settings(&mut self) {
+    pub(crate) fn read_settings(&mut self) {
         match self.environment.read_settings() {
             Ok(settings) => {
                 self.settings.seeds = settings.seeds;
--- a/crates/controller/src/controller/peer_messages.rs
+++ b/crates/controller/src/controller/peer_messages.rs
@@ -2,7 +2,7 @@
 
 use super::endpoints::Merged;
 use super::groups::KnownGroups;
-use super::{Controller, shards};
+use super::{Controller, ControllerFault, shards};
 use crate::message::{Confirmation, Holding, Message, ShardMessage, Token};
 use lanegate_coordination::lease::LeaseMessage;
 use lanegate_coordination::membership::Heartbeat;
@@ -48,6 +48,7 @@
                     self.peers.broadcast(&Message::Removed(removed.clone()));
                 }
                 match self.endpoints.merge_removal(now, &removed) {
+                    Merged::Removed if self.has_fault(ControllerFault::KeepRemovalsFromAgents) => {}
                     Merged::Removed => self.readers.append(&Message::Removed(removed.clone())),
                     Merged::Contradicted(registered) => {
                         self.readers.append(&registered);
--- a/crates/controller/src/controller/placement.rs
+++ b/crates/controller/src/controller/placement.rs
@@ -40,6 +40,11 @@
         self.epochs.insert(shard, epoch);
     }
 
+    /// The epoch under which this controller acts for `shard`.
+    pub fn epoch(&self, shard: u8) -> Option<u64> {
+        self.epochs.get(&shard).copied()
+    }
+
     /// Whether this controller acts for `shard`.
     pub fn acts_for(&self, shard: u8) -> bool {
         self.epochs.contains_key(&shard)
--- a/crates/controller/src/controller/placing.rs
+++ b/crates/controller/src/controller/placing.rs
@@ -4,7 +4,7 @@
 use super::orders::ORDER_WIRE_TIME;
 use super::placement::{Placements, ServiceAction};
 use super::shards;
-use super::{Asked, Controller};
+use super::{Asked, Controller, ControllerFault};
 use crate::message::{Holding, Message, RouterDemand, ShardMessage};
 use lanegate_coordination::lease::Output;
 use lanegate_coordination::register::Input;
@@ -59,6 +59,7 @@
                     self.placements.began(shard as u8, epoch);
                     self.configure_placements(epoch);
                 }
+                Output::Ended { .. } if self.has_fault(ControllerFault::OrderWithoutLease) => {}
                 Output::Ended { shard, .. } => {
                     log::info!("acts no more for shard {shard}");
                     self.placements.ended(shard as u8);
@@ -146,6 +147,8 @@
             Action::Order(_) => self.leases.authorize(now, shard, ORDER_WIRE_TIME),
             Action::AskReport { .. } => self.leases.may_act(now, shard, ORDER_WIRE_TIME),
         };
+        let goes_on = self.has_fault(ControllerFault::OrderWithoutLease);
+        let epoch = if goes_on { self.placements.epoch(action.shard) } else { epoch };
         match (epoch, &action.action) {
             (Some(epoch), _) => {
                 self.announce_eviction(&action.action);
--- a/crates/controller/src/controller/registers.rs
+++ b/crates/controller/src/controller/registers.rs
@@ -4,10 +4,10 @@
 use super::groups::KnownGroups;
 use super::operator::Settled;
 use super::shards::{self, read_epoch};
-use super::{Asked, Controller};
+use super::{Asked, Controller, ControllerFault};
 use crate::message::{Blob, Decided, Forwarded, Message, ShardMessage};
 use lanegate_coordination::register::{Input, Outcome, Output, Value};
-use lanegate_model::control_state::ControlState;
+use lanegate_model::control_state::{ControlState, Outcome as Taken};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -81,7 +81,9 @@
             },
             Some(Asked::Epoch(shard, tenure)) => {
                 if let Outcome::Changed { answer, .. } = outcome {
-                    let outputs = self.leases.epoch_acquired(self.now(), shard, tenure, read_epoch(&answer));
+                    let keeps = self.has_fault(ControllerFault::KeepEpoch);
+                    let epoch = if keeps { 1 } else { read_epoch(&answer) };
+                    let outputs = self.leases.epoch_acquired(self.now(), shard, tenure, epoch);
                     self.lease_outputs(outputs);
                 }
             }
@@ -112,6 +114,9 @@
         let outputs =
             self.shards.handle(now, shards::CONFIGURATION, Input::Propose { request, command, deadline });
         self.follow(shards::CONFIGURATION, outputs);
+        if self.has_fault(ControllerFault::AcknowledgeProposed) {
+            self.change_settled(change, &Taken::Taken { version: 0 }.encode());
+        }
     }
 }
 
--- a/crates/controller/src/controller/setup.rs
+++ b/crates/controller/src/controller/setup.rs
@@ -6,6 +6,7 @@
 use super::endpoints::Endpoints;
 use super::environment::Environment;
 use super::event::Event;
+use super::fault::ControllerFault;
 use super::holdings::Holdings;
 use super::margin::Margins;
 use super::members::Members;
@@ -25,7 +26,7 @@
 use lanegate_coordination::lease::{GrantorStart, LeaseNode, LeaseSettings};
 use lanegate_coordination::membership::{Membership, MembershipSettings, NodeId};
 use lanegate_coordination::register::{self, Node, Record, Replica, StateMachine};
-use lanegate_coordination::storage::{Folder, StoreError, VersionedStore};
+use lanegate_coordination::storage::{Directory, Folder, StoreError, VersionedStore};
 use lanegate_model::settings::Settings;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, SocketAddrV4};
@@ -94,6 +95,19 @@
     Ok(())
 }
 
+/// What a controller starts with.
+pub(crate) struct Start {
+    pub settings: Settings,
+    /// Control address.
+    pub control: SocketAddr,
+    /// Tells this start of the process from all others.
+    pub life: u64,
+    /// What the disk holds.
+    pub records: Records,
+    /// A deliberate mistake, in a simulation only.
+    pub fault: Option<ControllerFault>,
+}
+
 fn start_process(
     settings: Settings,
     control: SocketAddr,
@@ -109,7 +123,8 @@
     let hello = hello(&settings, control, life);
     let link_port = settings.port_range.0;
     let environment = Process { started, link_port, hello, disk, events, links: BTreeMap::new() };
-    Controller::new(settings, control, life, records, Box::new(environment))
+    let start = Start { settings, control, life, records, fault: None };
+    Controller::new(start, Box::new(environment))
 }
 
 /// What the links that a controller opens begin with.
@@ -125,20 +140,17 @@
 }
 
 impl Controller {
-    /// Starts a controller with what its disk holds. `life` tells this start of the process from all others.
-    fn new(
-        settings: Settings,
-        control: SocketAddr,
-        life: u64,
-        records: Records,
-        environment: Box<dyn Environment>,
-    ) -> Result<Self, ControllerError> {
+    /// Starts a controller.
+    pub(crate) fn new(start: Start, environment: Box<dyn Environment>) -> Result<Self, ControllerError> {
+        let Start { settings, control, life, records, fault } = start;
         let now = environment.now();
         let this = ipv4(control)?;
         let first = settings.bootstrap && records.is_empty();
-        let replicas = start_replicas(&settings, this, records, life)?;
+        let replicas = start_replicas(&settings, this, records, life, fault)?;
         let node = NodeId::new(this, life);
-        let lease = lease_settings(Duration::from_secs_f64(settings.bounds.lease_ms / 1e3));
+        let skips = fault == Some(ControllerFault::SkipQuietPeriod);
+        let quiet_ms = if skips { 1.0 } else { settings.bounds.lease_ms };
+        let lease = lease_settings(Duration::from_secs_f64(quiet_ms / 1e3));
         let start = if first { GrantorStart::First } else { GrantorStart::Restarted };
         let heartbeat = Duration::from_secs_f64(settings.heartbeat_ms / 1e3);
         let mut controller = Controller {
@@ -151,7 +163,7 @@
             shards: Shards::new(replicas),
             operator: Operator::default(),
             membership: Membership::new(MembershipSettings::new(HEARTBEAT_INTERVAL, MONITORS), node, now),
-            contact: Contact::new(control, life),
+            contact: Contact::with_fault(control, life, fault.and_then(ControllerFault::of_contact)),
             trust: Trust::default(),
             members: Members::default(),
             standings: Standings::default(),
@@ -163,6 +175,7 @@
             recent_demand: RecentDemand::default(),
             configuration: None,
             first_start: first,
+            fault,
             decided: None,
             asked: BTreeMap::new(),
             next_request: 0,
@@ -195,10 +208,14 @@
     }
 }
 
-type Stores = BTreeMap<u8, VersionedStore>;
-type Records = BTreeMap<u8, Record>;
+pub(crate) type Stores = BTreeMap<u8, VersionedStore>;
+pub(crate) type Records = BTreeMap<u8, Record>;
 
-fn open_stores(path: &Path, folder: &mut Folder) -> Result<(Stores, Records), ControllerError> {
+/// Opens the store of each shard, and reads the newest record of each.
+pub(crate) fn open_stores(
+    path: &Path,
+    folder: &mut dyn Directory,
+) -> Result<(Stores, Records), ControllerError> {
     let data = |error| ControllerError::Data { folder: path.to_owned(), error };
     let (mut stores, mut records) = (Stores::new(), Records::new());
     for shard in shards::all() {
@@ -220,6 +237,7 @@
     this: SocketAddrV4,
     mut records: Records,
     life: u64,
+    fault: Option<ControllerFault>,
 ) -> Result<BTreeMap<u8, Replica>, ControllerError> {
     let seeds: Vec<SocketAddrV4> = settings.seeds.iter().map(|seed| ipv4(*seed)).collect::<Result<_, _>>()?;
     let seeds: Vec<Node> = seeds.into_iter().map(Node::from).collect();
@@ -231,6 +249,7 @@
         let mut of_shard = register::Settings::new(this.into(), seeds.clone());
         of_shard.bootstrap = settings.bootstrap;
         of_shard.seed = u64::from(shard);
+        of_shard.fault = fault.and_then(ControllerFault::of_register);
         let nonce = life.wrapping_add(u64::from(shard));
         let replica = Replica::new(of_shard, machine, records.remove(&shard), Duration::ZERO, nonce);
         (shard, replica)
--- a/crates/controller/src/controller/turn.rs
+++ b/crates/controller/src/controller/turn.rs
@@ -32,7 +32,7 @@
     }
 
     /// When [`Controller::turn`] is to be called next.
-    pub(super) fn next_wake(&self) -> Duration {
+    pub(crate) fn next_wake(&self) -> Duration {
         let wakes = [
             Some(self.membership.next_wake()),
             self.leases.next_wake(),
@@ -50,7 +50,7 @@
     }
 
     /// Does what is due.
-    pub(super) fn turn(&mut self) {
+    pub(crate) fn turn(&mut self) {
         let now = self.now();
         if now > self.last_turn + PAUSE_THRESHOLD {
             self.endpoints.excuse(now);
@@ -87,7 +87,7 @@
     }
 
     /// Takes one event.
-    pub(super) fn take(&mut self, event: Event) {
+    pub(crate) fn take(&mut self, event: Event) {
         let now = self.now();
         match event {
             Event::PeerUp { peer, outbox } => {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod link;
 pub mod message;
 pub mod registration;
+#[doc(hidden)]
+pub mod simulation;
 pub mod subscription;
 pub mod view;
 
--- /dev/null
+++ b/crates/controller/src/simulation/checks.rs
@@ -0,0 +1,244 @@
+//! Bounds in time: who is in touch, how many machines are lost, and what must hold by then.
+
+use super::place::{Place, controller_at};
+use super::violation::Violation;
+use super::world::{Happening, World};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// `ConfigApplyMs`.
+const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
+/// `DrainMs`.
+const DRAIN: Duration = Duration::from_millis(2_000);
+/// `ContactMs`.
+const CONTACT: Duration = Duration::from_millis(3_000);
+/// `CatchUpS`.
+const CATCH_UP: Duration = Duration::from_secs(4);
+/// `RecoverS`.
+const RECOVER: Duration = Duration::from_secs(12);
+/// `LeaseMs`.
+pub(super) const LEASE: Duration = Duration::from_millis(3_000);
+
+/// Something that must hold at a time.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Check {
+    /// Every router in touch has this version or a newer one.
+    Applied { version: u64 },
+    /// No router in touch takes this life of an endpoint to be ready. Its end was acknowledged `by` a
+    /// controller, `at` that time.
+    Drained { endpoint: usize, start: u64, by: usize, at: Duration },
+    /// Every shard's group is whole, unless there was trouble since this many steps.
+    Whole { steps: u64 },
+}
+
+/// Which controllers are lost, and when each was lost last.
+#[derive(Debug, Default)]
+pub(super) struct Losses {
+    now: BTreeSet<usize>,
+    last: BTreeMap<usize, Duration>,
+}
+
+impl World {
+    pub(super) fn apply_bound(&self) -> Duration {
+        CONFIG_APPLY
+    }
+
+    pub(super) fn drain_bound(&self) -> Duration {
+        DRAIN
+    }
+
+    pub(super) fn check(&mut self, check: Check) -> Result<(), Violation> {
+        match check {
+            Check::Applied { version } => self.check_applied(version),
+            Check::Drained { endpoint, start, by, at } => self.check_drained(endpoint, start, by, at),
+            Check::Whole { steps } if steps == self.troubles.steps => self.check_whole(),
+            Check::Whole { .. } => Ok(()),
+        }
+    }
+
+    fn check_applied(&self, acknowledged: u64) -> Result<(), Violation> {
+        for index in self.routers_in_touch() {
+            let configuration = self.routers[index].known.configuration.as_ref();
+            let version = configuration.map_or(0, |configuration| configuration.version);
+            if version < acknowledged {
+                let router = self.routers[index].place();
+                return Err(Violation::NotApplied { router, version, acknowledged });
+            }
+        }
+        Ok(())
+    }
+
+    fn check_drained(&self, endpoint: usize, start: u64, by: usize, at: Duration) -> Result<(), Violation> {
+        let was_in_touch = self.troubles.machine_at(Place::Controller(by)) + CONTACT <= at;
+        if self.endpoints[endpoint].start != start || !was_in_touch {
+            return Ok(());
+        }
+        for index in self.routers_in_touch() {
+            let (router, endpoint) = (Place::Router(index), Place::Endpoint(endpoint));
+            if self.uses(router, endpoint) {
+                return Err(Violation::DrainUnknown { router, endpoint });
+            }
+        }
+        Ok(())
+    }
+
+    /// A group is to be whole a bound after the last trouble, where enough machines are left for it.
+    pub(super) fn expect_whole_groups(&mut self) {
+        let check = Check::Whole { steps: self.troubles.steps };
+        self.schedule(self.now() + CATCH_UP, Happening::Check(check));
+    }
+
+    fn check_whole(&self) -> Result<(), Violation> {
+        let good = self.good_controllers();
+        let size = 2 * self.tolerance as usize + 1;
+        if good.len() < size || !self.is_core_stable(Duration::ZERO) || !self.disks_are_healthy(&good) {
+            return Ok(());
+        }
+        for (shard, group) in self.newest_groups().iter().enumerate() {
+            let is_good = |place: &Place| matches!(place, Place::Controller(index) if good.contains(index));
+            if group.len() < size || !group.iter().all(is_good) {
+                return Err(Violation::GroupNotWhole { shard: shard as u8, group: format!("{group:?}") });
+            }
+        }
+        Ok(())
+    }
+
+    fn disks_are_healthy(&self, controllers: &BTreeSet<usize>) -> bool {
+        controllers.iter().all(|index| self.controllers[*index].disk.is_healthy())
+    }
+
+    /// Controllers that run and reach more than half of the core both ways, and those whom they reach.
+    pub(super) fn good_controllers(&self) -> BTreeSet<usize> {
+        let core = self.controllers.iter().filter(|machine| !machine.retired).count();
+        let awake: Vec<usize> = self
+            .controllers
+            .iter()
+            .filter(|machine| machine.is_awake() && !machine.is_ending())
+            .map(|machine| machine.index)
+            .collect();
+        let reaches = |from: usize, to: usize| {
+            from == to || self.network.is_open_both_ways(Place::Controller(from), Place::Controller(to))
+        };
+        let reached = |from: usize| awake.iter().filter(|to| reaches(from, **to)).count();
+        awake.iter().copied().filter(|index| 2 * reached(*index) > core).collect()
+    }
+
+    /// Whether the core has been left alone for `span`, works in a majority, and not too much is lost.
+    fn is_core_stable(&self, span: Duration) -> bool {
+        let core = self.controllers.iter().filter(|machine| !machine.retired).count();
+        let good = self.good_controllers();
+        let all_connected = good.iter().all(|one| {
+            good.iter().all(|other| {
+                one == other
+                    || self.network.is_open_both_ways(Place::Controller(*one), Place::Controller(*other))
+            })
+        });
+        let disks = (0..self.controllers.len()).all(|index| !self.controllers[index].disk.is_slow());
+        2 * good.len() > core
+            && all_connected
+            && disks
+            && self.network.is_calm()
+            && self.troubles.core_at() + span <= self.now()
+            && !self.is_beyond_tolerance()
+    }
+
+    /// Routers for which bounds hold now.
+    fn routers_in_touch(&self) -> Vec<usize> {
+        if !self.is_core_stable(CONTACT) {
+            return Vec::new();
+        }
+        let good = self.good_controllers();
+        let in_touch = |index: &usize| {
+            let router = Place::Router(*index);
+            self.routers[*index].is_awake()
+                && self.troubles.machine_at(router) + CONTACT <= self.now()
+                && good.iter().all(|at| self.network.is_open_both_ways(router, Place::Controller(*at)))
+        };
+        (0..self.routers.len()).filter(in_touch).collect()
+    }
+
+    /// Whether more machines are, or were lately, lost at once than may be.
+    fn is_beyond_tolerance(&self) -> bool {
+        let counts = self.troubles.losses.now.len() > self.tolerance as usize;
+        counts || self.troubles.beyond_at.is_some_and(|at| self.now() < at + RECOVER)
+    }
+
+    /// Counts the machines that are lost. A machine stays lost for a time after it is back; one that is gone
+    /// for good counts as long, if there are enough others.
+    pub(super) fn look_for_losses(&mut self) {
+        let now = self.now();
+        let good = self.good_controllers();
+        let enough_left = good.len() >= self.founders;
+        let is_lost = |machine: &super::controller_machine::ControllerMachine| {
+            let is_bad = !good.contains(&machine.index) || machine.disk.is_slow();
+            is_bad && !(machine.retired && enough_left) && machine.has_run
+        };
+        let lost: BTreeSet<usize> =
+            self.controllers.iter().filter(|machine| is_lost(machine)).map(|machine| machine.index).collect();
+        let pair_is_cut = good.iter().any(|one| {
+            good.iter().any(|other| {
+                one != other
+                    && !self.network.is_open_both_ways(Place::Controller(*one), Place::Controller(*other))
+            })
+        });
+        let losses = &mut self.troubles.losses;
+        for index in losses.now.iter().chain(&lost) {
+            losses.last.insert(*index, now);
+        }
+        losses.now = lost;
+        let recent = losses.last.values().filter(|at| now < **at + CATCH_UP).count();
+        if recent + usize::from(pair_is_cut) > self.tolerance as usize {
+            self.troubles.beyond_at = Some(now);
+        }
+    }
+
+    /// The newest group of each shard, as far as any running controller has learned it.
+    pub(super) fn newest_groups(&self) -> Vec<Vec<Place>> {
+        let mut newest: Vec<(u64, Vec<Place>)> = Vec::new();
+        for controller in self.controllers.iter().filter_map(|machine| machine.controller()) {
+            for (shard, (revision, members)) in controller.learned_groups().into_iter().enumerate() {
+                if newest.len() <= shard {
+                    newest.push((0, Vec::new()));
+                }
+                if revision > newest[shard].0 || newest[shard].1.is_empty() {
+                    newest[shard] = (revision, places(&members));
+                }
+            }
+        }
+        newest.into_iter().map(|(_, group)| group).collect()
+    }
+
+    /// The controllers that act for the shards for which anybody does, one for each shard.
+    pub(super) fn holders(&self) -> Vec<Place> {
+        let awake = self.controllers.iter().filter(|machine| machine.is_awake());
+        let mut holders = Vec::new();
+        for machine in awake {
+            let shards = machine.controller().map_or(0, |controller| controller.acting_shards());
+            holders.extend(std::iter::repeat_n(Place::Controller(machine.index), shards));
+        }
+        holders
+    }
+
+    /// Whether the others could go on without the disk of a controller: a majority of every group that any
+    /// disk knows of keeps its record.
+    pub(super) fn may_lose_disk(&self, lost: usize) -> bool {
+        let records: Vec<_> = self.controllers.iter().map(|machine| machine.disk.peek()).collect();
+        let shards: BTreeSet<u8> = records.iter().flat_map(|records| records.keys().copied()).collect();
+        shards.into_iter().all(|shard| {
+            let keeps = |node: &lanegate_coordination::register::Node| {
+                let index = controller_at(SocketAddr::V4((*node).into()));
+                index.is_some_and(|index| {
+                    index != lost && records.get(index).is_some_and(|records| records.contains_key(&shard))
+                })
+            };
+            let of_shard = records.iter().filter_map(|records| records.get(&shard));
+            let mut groups = of_shard.flat_map(|record| &record.value.groups);
+            groups.all(|group| group.members().iter().filter(|node| keeps(node)).count() >= group.majority())
+        })
+    }
+}
+
+fn places(members: &[SocketAddr]) -> Vec<Place> {
+    members.iter().filter_map(|member| controller_at(*member)).map(Place::Controller).collect()
+}
--- /dev/null
+++ b/crates/controller/src/simulation/connection.rs
@@ -0,0 +1,185 @@
+//! One simulated connection: frames in order both ways, as long as it lasts.
+
+use super::place::Place;
+use crate::link::Outbox;
+use bytes::Bytes;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Bytes that are on the way at a time; what is beyond waits in the outbox.
+const WINDOW_BYTES: usize = 256 * 1024;
+
+/// One life of a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Process {
+    pub(super) place: Place,
+    /// Counts all starts of all processes.
+    pub(super) start: u64,
+}
+
+/// What a connection is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Kind {
+    /// A controller speaks to another.
+    Peer,
+    /// An agent follows a controller.
+    Feed,
+    /// A router follows its agent.
+    Loopback,
+}
+
+/// A connection that somebody wants.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Dial {
+    pub(super) kind: Kind,
+    pub(super) dialer: Process,
+    pub(super) listener: Place,
+    /// Address by which the dialer knows the other side.
+    pub(super) address: SocketAddr,
+    /// Tells this wish from earlier ones of the same process for the same address.
+    pub(super) wish: u64,
+}
+
+/// The side of a connection to which something goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum End {
+    Dialer,
+    Listener,
+}
+
+/// One direction.
+#[derive(Debug)]
+pub(super) struct Pipe {
+    frames: mpsc::Receiver<Bytes>,
+    /// Frames with the times from which they can be read, in order.
+    on_the_way: VecDeque<(Duration, Bytes)>,
+    bytes_on_the_way: usize,
+    /// When the link has sent all before.
+    free_at: Duration,
+    /// Whether a look at the first frame is scheduled.
+    pub(super) scheduled: bool,
+}
+
+impl Pipe {
+    fn new(frames: mpsc::Receiver<Bytes>) -> Self {
+        let on_the_way = VecDeque::new();
+        Pipe { frames, on_the_way, bytes_on_the_way: 0, free_at: Duration::ZERO, scheduled: false }
+    }
+
+    /// Takes frames out of the outbox, as many as fit. `transfer` and `delay` tell how long each takes.
+    /// False once the outbox is closed and everything has arrived.
+    pub(super) fn pump(
+        &mut self,
+        now: Duration,
+        transfer: impl Fn(usize) -> Duration,
+        mut delay: impl FnMut() -> Duration,
+    ) -> bool {
+        while self.bytes_on_the_way < WINDOW_BYTES {
+            let frame = match self.frames.try_recv() {
+                Ok(frame) => frame,
+                Err(mpsc::error::TryRecvError::Empty) => return true,
+                Err(mpsc::error::TryRecvError::Disconnected) => return !self.on_the_way.is_empty(),
+            };
+            self.free_at = self.free_at.max(now) + transfer(frame.len());
+            let last = self.on_the_way.back().map_or(Duration::ZERO, |(at, _)| *at);
+            self.bytes_on_the_way += frame.len();
+            self.on_the_way.push_back((last.max(self.free_at + delay()), frame));
+        }
+        true
+    }
+
+    /// When the next frame can be read.
+    pub(super) fn next_at(&self) -> Option<Duration> {
+        self.on_the_way.front().map(|(at, _)| *at)
+    }
+
+    /// The next frame, if it can be read by now.
+    pub(super) fn take(&mut self, now: Duration) -> Option<Bytes> {
+        if self.next_at()? > now {
+            return None;
+        }
+        let (_, frame) = self.on_the_way.pop_front()?;
+        self.bytes_on_the_way -= frame.len();
+        Some(frame)
+    }
+
+    /// Everything on the way is sent again, from `at` on.
+    pub(super) fn postpone(&mut self, at: Duration) {
+        for (ready, _) in &mut self.on_the_way {
+            *ready = at.max(*ready);
+        }
+    }
+
+    /// All that is on the way, with its times.
+    pub(super) fn drain(&mut self) -> Vec<(Duration, Bytes)> {
+        self.bytes_on_the_way = 0;
+        self.on_the_way.drain(..).collect()
+    }
+}
+
+/// A connection that is up.
+#[derive(Debug)]
+pub(super) struct Connection {
+    pub(super) dial: Dial,
+    pub(super) listener: Process,
+    /// What the dialer says.
+    pub(super) forward: Pipe,
+    /// What the listener says.
+    pub(super) backward: Pipe,
+    /// The peer whose first message has been read, where controllers talk.
+    pub(super) peer: Option<SocketAddr>,
+    /// Handed to the listener once it has read the first message.
+    pub(super) listener_outbox: Option<Outbox>,
+    /// Since when a direction has been cut.
+    pub(super) cut_since: Option<Duration>,
+    /// When the dialer last heard anything.
+    pub(super) heard_at: Duration,
+}
+
+impl Connection {
+    /// A connection, and the outbox of the dialer.
+    pub(super) fn new(dial: Dial, listener: Process, now: Duration) -> (Self, Outbox) {
+        let (dialer_outbox, forward) = Outbox::new();
+        let (listener_outbox, backward) = Outbox::new();
+        let connection = Connection {
+            dial,
+            listener,
+            forward: Pipe::new(forward),
+            backward: Pipe::new(backward),
+            peer: None,
+            listener_outbox: Some(listener_outbox),
+            cut_since: None,
+            heard_at: now,
+        };
+        (connection, dialer_outbox)
+    }
+
+    /// The direction to an end.
+    pub(super) fn pipe_to(&mut self, end: End) -> &mut Pipe {
+        match end {
+            End::Dialer => &mut self.backward,
+            End::Listener => &mut self.forward,
+        }
+    }
+
+    /// The two machines, in the direction to an end.
+    pub(super) fn path_to(&self, end: End) -> (Place, Place) {
+        let (dialer, listener) = (self.dial.dialer.place, self.listener.place);
+        match end {
+            End::Dialer => (listener, dialer),
+            End::Listener => (dialer, listener),
+        }
+    }
+
+    /// Whether one of its ends is this process.
+    pub(super) fn involves(&self, process: Process) -> bool {
+        self.dial.dialer == process || self.listener == process
+    }
+
+    /// Whether one of its ends is at this place.
+    pub(super) fn touches(&self, place: Place) -> bool {
+        self.dial.dialer.place == place || self.listener.place == place
+    }
+}
--- /dev/null
+++ b/crates/controller/src/simulation/connections.rs
@@ -0,0 +1,351 @@
+//! Connections that come up, carry frames, and end.
+
+use super::connection::{Connection, Dial, End, Kind, Process};
+use super::place::Place;
+use super::world::{Happening, Notice, World};
+use crate::agent::{Downstream, SOURCE_SILENCE};
+use crate::controller::Event;
+use crate::link::REDIAL_PAUSE;
+use crate::message::Message;
+use crate::subscription::News;
+use bytes::Bytes;
+use rand::Rng;
+use std::time::Duration;
+
+/// A connection that nobody answers is given up after this long.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// A connection in which a direction is cut ends after this long, and up to [`CUT_SPREAD`] later.
+const CUT_TIMEOUT: Duration = Duration::from_millis(1_500);
+const CUT_SPREAD: Duration = Duration::from_millis(1_000);
+/// After a cut, what was lost is sent again within this time.
+const RESEND_SPREAD: Duration = Duration::from_millis(400);
+/// Pause before a router dials its agent again.
+const LOOPBACK_PAUSE: Duration = Duration::from_millis(100);
+/// A frozen process goes on with what it was about to do after so long, if it is thawed.
+const FROZEN_PAUSE: Duration = Duration::from_millis(20);
+/// Bytes of the length before each message.
+const LENGTH_BYTES: usize = 4;
+
+impl World {
+    fn spread(&mut self, longest: Duration) -> Duration {
+        longest.mul_f64(self.random.random::<f64>())
+    }
+
+    pub(super) fn delay(&mut self) -> Duration {
+        self.network.delay(&mut self.random)
+    }
+
+    /// Whether the dialer is still the one who wanted this.
+    fn is_wanted(&self, dial: &Dial) -> bool {
+        self.running(dial.dialer.place) == Some(dial.dialer)
+            && match (dial.kind, dial.dialer.place) {
+                (Kind::Peer, Place::Controller(index)) => self.controllers[index].wants(dial),
+                (Kind::Feed, Place::Router(index)) => self.routers[index].follows(dial),
+                _ => true,
+            }
+    }
+
+    /// A process tries to connect.
+    pub(super) fn dial(&mut self, dial: Dial) {
+        if !self.is_wanted(&dial) {
+            return;
+        }
+        if self.is_frozen(dial.dialer.place) {
+            return self.schedule(self.now() + FROZEN_PAUSE, Happening::Dial(dial));
+        }
+        if !self.network.is_open_both_ways(dial.dialer.place, dial.listener) {
+            return self.dial_failed(dial, CONNECT_TIMEOUT);
+        }
+        let round_trip = self.delay() + self.delay();
+        self.schedule(self.now() + round_trip, Happening::Connect(dial));
+    }
+
+    /// The first packets have gone both ways.
+    pub(super) fn connect(&mut self, dial: Dial) {
+        if !self.is_wanted(&dial) {
+            return;
+        }
+        let listener = self.running(dial.listener);
+        let open = self.network.is_open_both_ways(dial.dialer.place, dial.listener);
+        let (Some(listener), true) = (listener, open && !self.network.is_refusing(dial.listener)) else {
+            return self.dial_failed(dial, Duration::ZERO);
+        };
+        let now = self.now();
+        let (connection, outbox) = Connection::new(dial, listener, now);
+        let number = self.next_connection;
+        self.next_connection += 1;
+        self.connections.insert(number, connection);
+        let notice = match dial.kind {
+            Kind::Peer => {
+                outbox.message(&Message::Hello(self.controller_hello(dial.dialer)));
+                Notice::Controller(Event::PeerUp { peer: dial.address, outbox })
+            }
+            Kind::Feed => {
+                outbox.message(&Message::Hello(self.agent_hello(&dial)));
+                self.schedule(now + SOURCE_SILENCE, Happening::Silence { connection: number });
+                Notice::Source(News::Up { source: dial.address, outbox })
+            }
+            Kind::Loopback => {
+                outbox.message(&Message::Hello(self.router_hello(dial.dialer)));
+                self.accept_router(number, listener);
+                Notice::Agent(News::Up { source: dial.address, outbox })
+            }
+        };
+        self.tell(dial.dialer, notice);
+        self.pump(number);
+    }
+
+    /// An agent takes the connection of its router.
+    fn accept_router(&mut self, number: u64, listener: Process) {
+        let connection = self.connections.get_mut(&number);
+        let outbox = connection.and_then(|connection| connection.listener_outbox.take());
+        if let Some(outbox) = outbox {
+            let notice = Notice::Downstream(Downstream::Up { reader: number, outbox });
+            self.tell(listener, notice);
+        }
+    }
+
+    fn dial_failed(&mut self, dial: Dial, after: Duration) {
+        let at = self.now() + after;
+        match dial.kind {
+            Kind::Peer => self.schedule(at + REDIAL_PAUSE, Happening::Dial(dial)),
+            Kind::Feed => {
+                let notice = Notice::Source(News::Down { source: dial.address });
+                self.notify(at, dial.dialer, notice);
+            }
+            Kind::Loopback => self.schedule(at + LOOPBACK_PAUSE, Happening::Dial(dial)),
+        }
+    }
+
+    /// Takes up what the two ends have queued.
+    pub(super) fn pump(&mut self, number: u64) {
+        let now = self.now();
+        let mut due = Vec::new();
+        let mut is_over = false;
+        {
+            let Some(connection) = self.connections.get_mut(&number) else { return };
+            for end in [End::Dialer, End::Listener] {
+                let pipe = connection.pipe_to(end);
+                let transfer = |bytes| self.network.transfer_time(bytes);
+                let open = pipe.pump(now, transfer, || self.network.delay(&mut self.random));
+                is_over |= !open;
+                if let Some(at) = pipe.next_at().filter(|_| !pipe.scheduled) {
+                    pipe.scheduled = true;
+                    due.push((at, end));
+                }
+            }
+        }
+        for (at, end) in due {
+            self.schedule(at, Happening::Arrive { connection: number, end });
+        }
+        if is_over {
+            self.close(number, None);
+        }
+    }
+
+    /// Takes up what one process has queued.
+    pub(super) fn pump_all(&mut self, process: Process) {
+        let numbers: Vec<u64> = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| connection.involves(process))
+            .map(|(number, _)| *number)
+            .collect();
+        for number in numbers {
+            self.pump(number);
+        }
+    }
+
+    /// Frames whose time has come are read, unless the way is cut.
+    pub(super) fn arrive(&mut self, number: u64, end: End) {
+        let now = self.now();
+        loop {
+            let Some(connection) = self.connections.get_mut(&number) else { return };
+            let (from, to) = connection.path_to(end);
+            let pipe = connection.pipe_to(end);
+            if !self.network.is_open(from, to) {
+                pipe.scheduled = false;
+                return;
+            }
+            let Some(frame) = pipe.take(now) else {
+                let next = pipe.next_at();
+                pipe.scheduled = next.is_some();
+                if let Some(at) = next {
+                    self.schedule(at, Happening::Arrive { connection: number, end });
+                }
+                break;
+            };
+            if end == End::Dialer {
+                connection.heard_at = now;
+            }
+            if let Some((process, notice)) = self.read_frame(number, end, &frame) {
+                self.tell(process, notice);
+            }
+        }
+        self.pump(number);
+    }
+
+    /// What an end of a connection makes of a frame.
+    fn read_frame(&mut self, number: u64, end: End, frame: &Bytes) -> Option<(Process, Notice)> {
+        let message = Message::decode(&frame[LENGTH_BYTES..]).ok()?;
+        let connection = self.connections.get_mut(&number)?;
+        let (dial, listener) = (connection.dial, connection.listener);
+        let source = dial.address;
+        let notice = match (dial.kind, end, message) {
+            (Kind::Feed, End::Dialer, message) => Notice::Source(News::Message { source, message }),
+            (Kind::Loopback, End::Dialer, message) => Notice::Agent(News::Message { source, message }),
+            (Kind::Loopback, End::Listener, message) => Notice::Downstream(Downstream::Message { message }),
+            (Kind::Peer, End::Listener, Message::Hello(hello)) => {
+                connection.peer = hello.control_address.text().parse().ok();
+                Notice::Controller(Event::PeerHello { hello })
+            }
+            (Kind::Peer, End::Listener, message) => {
+                Notice::Controller(Event::PeerMessage { peer: connection.peer?, message })
+            }
+            (Kind::Feed, End::Listener, Message::Hello(hello)) => {
+                let outbox = connection.listener_outbox.take()?;
+                Notice::Controller(Event::AgentUp { agent: number, hello, outbox })
+            }
+            (Kind::Feed, End::Listener, message) => Notice::Controller(Event::AgentMessage { message }),
+            (Kind::Peer, End::Dialer, _) => return None,
+        };
+        let process = if end == End::Dialer { dial.dialer } else { listener };
+        Some((process, notice))
+    }
+
+    /// A connection ends for both sides: what `closer` has sent still arrives, what was sent to it does not.
+    /// With `None` all that is on the way arrives.
+    pub(super) fn close(&mut self, number: u64, closer: Option<Process>) {
+        for end in [End::Dialer, End::Listener] {
+            let Some(connection) = self.connections.get_mut(&number) else { return };
+            let receiver = if end == End::Dialer { connection.dial.dialer } else { connection.listener };
+            if closer == Some(receiver) {
+                continue;
+            }
+            let (from, to) = connection.path_to(end);
+            if !self.network.is_open(from, to) {
+                continue;
+            }
+            for (at, frame) in connection.pipe_to(end).drain() {
+                if let Some((process, notice)) = self.read_frame(number, end, &frame) {
+                    self.notify(at, process, notice);
+                }
+            }
+        }
+        self.end(number);
+    }
+
+    /// A connection ends for both sides, and what is on the way is lost.
+    pub(super) fn end(&mut self, number: u64) {
+        let Some(connection) = self.connections.remove(&number) else { return };
+        let (dial, listener) = (connection.dial, connection.listener);
+        let path_open = self.network.is_open(listener.place, dial.dialer.place);
+        let late = if path_open { Duration::ZERO } else { self.spread(CUT_SPREAD) };
+        let last = self.now() + self.delay() + late;
+        self.end_for_dialer(dial, last);
+        let late = self.delay() + late;
+        let notice = match dial.kind {
+            Kind::Peer => return,
+            Kind::Feed => Notice::Controller(Event::AgentDown { agent: number }),
+            Kind::Loopback => Notice::Downstream(Downstream::Down { reader: number }),
+        };
+        self.notify(self.now() + late, listener, notice);
+    }
+
+    fn end_for_dialer(&mut self, dial: Dial, at: Duration) {
+        if !self.is_wanted(&dial) {
+            return;
+        }
+        match dial.kind {
+            Kind::Peer => {
+                let notice = Notice::Controller(Event::PeerDown { peer: dial.address });
+                self.notify(at, dial.dialer, notice);
+                self.schedule(at + REDIAL_PAUSE, Happening::Dial(dial));
+            }
+            Kind::Feed => {
+                let notice = Notice::Source(News::Down { source: dial.address });
+                self.notify(at, dial.dialer, notice);
+            }
+            Kind::Loopback => {
+                let notice = Notice::Agent(News::Down { source: dial.address });
+                self.notify(at, dial.dialer, notice);
+                self.schedule(at + LOOPBACK_PAUSE, Happening::Dial(dial));
+            }
+        }
+    }
+
+    /// All connections of a process that has ended, or that reset them.
+    pub(super) fn end_connections(&mut self, which: impl Fn(&Connection) -> bool, closer: Option<Process>) {
+        let numbers: Vec<u64> = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| which(connection))
+            .map(|(number, _)| *number)
+            .collect();
+        for number in numbers {
+            match closer {
+                Some(_) => self.close(number, closer),
+                None => self.end(number),
+            }
+        }
+    }
+
+    /// Cuts or heals have changed which ways are open.
+    pub(super) fn paths_changed(&mut self) {
+        let now = self.now();
+        let numbers: Vec<u64> = self.connections.keys().copied().collect();
+        for number in numbers {
+            let resend = now + self.spread(RESEND_SPREAD);
+            let timeout = now + CUT_TIMEOUT + self.spread(CUT_SPREAD);
+            let Some(connection) = self.connections.get_mut(&number) else { continue };
+            let (one, other) = connection.path_to(End::Listener);
+            let open = self.network.is_open_both_ways(one, other);
+            match (open, connection.cut_since) {
+                (false, None) => {
+                    connection.cut_since = Some(now);
+                    self.schedule(timeout, Happening::CutTimeout { connection: number, since: now });
+                }
+                (true, Some(_)) => connection.cut_since = None,
+                _ => {}
+            }
+            self.resend(number, resend);
+        }
+    }
+
+    /// Frames that waited for an open way are sent again.
+    fn resend(&mut self, number: u64, at: Duration) {
+        for end in [End::Dialer, End::Listener] {
+            let Some(connection) = self.connections.get_mut(&number) else { return };
+            let (from, to) = connection.path_to(end);
+            let open = self.network.is_open(from, to);
+            let pipe = connection.pipe_to(end);
+            if open && !pipe.scheduled && pipe.next_at().is_some() {
+                pipe.scheduled = true;
+                pipe.postpone(at);
+                self.schedule(at, Happening::Arrive { connection: number, end });
+            }
+        }
+    }
+
+    /// A connection that has been cut all the time is given up by both sides.
+    pub(super) fn cut_timeout(&mut self, number: u64, since: Duration) {
+        let connection = self.connections.get(&number);
+        if connection.is_some_and(|connection| connection.cut_since == Some(since)) {
+            self.end(number);
+        }
+    }
+
+    /// An agent that has heard nothing for long ends the connection.
+    pub(super) fn look_for_silence(&mut self, number: u64) {
+        let now = self.now();
+        let Some(connection) = self.connections.get(&number) else { return };
+        let (dialer, quiet_at) = (connection.dial.dialer, connection.heard_at + SOURCE_SILENCE);
+        if self.is_frozen(dialer.place) {
+            return self.schedule(now + FROZEN_PAUSE, Happening::Silence { connection: number });
+        }
+        if now < quiet_at {
+            return self.schedule(quiet_at, Happening::Silence { connection: number });
+        }
+        self.close(number, Some(dialer));
+    }
+}
--- /dev/null
+++ b/crates/controller/src/simulation/controller_machine.rs
@@ -0,0 +1,368 @@
+//! A simulated machine with a controller: a disk, and a process that comes and goes.
+
+use super::connection::{Dial, Kind, Process};
+use super::controller_environment::{ControllerEnvironment, Request};
+use super::disk::{Disk, Write};
+use super::engine::OrderCall;
+use super::place::{Place, controller_at};
+use super::settings::{seed_addresses, settings};
+use super::world::{Happening, Notice, World};
+use crate::controller::{Controller, Event, Start};
+use crate::message::{Hello, Role};
+use lanegate_model::settings::Settings;
+use rand::Rng;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A process that was told to end is killed after this long (`GraceS`).
+const GRACE: Duration = Duration::from_secs(8);
+
+/// A process that runs.
+struct Running {
+    process: Process,
+    life: u64,
+    controller: Controller,
+    environment: ControllerEnvironment,
+    /// Links that it wants, with the number of the wish.
+    links: BTreeMap<SocketAddr, u64>,
+    /// The timer that is set.
+    wake_at: Option<Duration>,
+    /// It was told to end.
+    ending: bool,
+}
+
+/// A machine with a controller.
+pub(super) struct ControllerMachine {
+    pub(super) index: usize,
+    pub(super) disk: Disk,
+    running: Option<Running>,
+    pub(super) frozen: bool,
+    /// Gone for good.
+    pub(super) retired: bool,
+    /// Whether it has run before.
+    pub(super) has_run: bool,
+    /// Came in while frozen.
+    backlog: VecDeque<Notice>,
+    /// The settings file.
+    settings: Rc<RefCell<Settings>>,
+    next_wish: u64,
+}
+
+impl ControllerMachine {
+    pub(super) fn new(index: usize, founders: usize, tolerance: u32) -> Self {
+        let seeds: Vec<usize> = (0..founders).collect();
+        let settings = settings(Place::Controller(index), &seeds, tolerance, true);
+        ControllerMachine {
+            index,
+            disk: Disk::new(),
+            running: None,
+            frozen: false,
+            retired: false,
+            has_run: false,
+            backlog: VecDeque::new(),
+            settings: Rc::new(RefCell::new(settings)),
+            next_wish: 0,
+        }
+    }
+
+    pub(super) fn process(&self) -> Option<Process> {
+        self.running.as_ref().map(|running| running.process)
+    }
+
+    /// Runs, and is not frozen.
+    pub(super) fn is_awake(&self) -> bool {
+        self.running.is_some() && !self.frozen
+    }
+
+    /// Was told to end, and has not ended yet.
+    pub(super) fn is_ending(&self) -> bool {
+        self.running.as_ref().is_some_and(|running| running.ending)
+    }
+
+    pub(super) fn controller(&self) -> Option<&Controller> {
+        self.running.as_ref().map(|running| &running.controller)
+    }
+
+    /// Whether a link that was dialled is still wanted.
+    pub(super) fn wants(&self, dial: &Dial) -> bool {
+        let running = self.running.as_ref().filter(|running| running.process == dial.dialer);
+        running.is_some_and(|running| running.links.get(&dial.address) == Some(&dial.wish))
+    }
+
+    /// Exchanges the seeds in the settings file.
+    pub(super) fn set_seeds(&mut self, seeds: &[usize]) {
+        self.settings.borrow_mut().seeds = seed_addresses(seeds);
+    }
+
+    pub(super) fn hello(&self) -> Option<Hello> {
+        let running = self.running.as_ref()?;
+        let place = Place::Controller(self.index);
+        Some(Hello {
+            role: Role::Controller,
+            name: place.node_name().as_str().into(),
+            control_address: place.address().to_string().as_str().into(),
+            life: running.life,
+            source: 0,
+            offset: 0,
+        })
+    }
+}
+
+impl World {
+    pub(super) fn controller_hello(&self, process: Process) -> Hello {
+        let Place::Controller(index) = process.place else { unreachable!("only controllers are peers") };
+        self.controllers[index].hello().expect("only a running controller dials")
+    }
+
+    /// Starts the process of a machine, if it does not run.
+    pub(super) fn start_controller(&mut self, index: usize) {
+        let place = Place::Controller(index);
+        let machine = &self.controllers[index];
+        if machine.running.is_some() || machine.retired {
+            return;
+        }
+        self.network.set_dark(place, false);
+        self.end_connections(|connection| connection.touches(place), None);
+        let process = self.next_process(place);
+        let environment = ControllerEnvironment {
+            clock: self.clock.clone(),
+            started: self.now(),
+            requests: Rc::default(),
+            settings: self.controllers[index].settings.clone(),
+        };
+        let life = self.random.random_range(1..=u64::MAX);
+        let machine = &mut self.controllers[index];
+        let Some(records) = machine.disk.open() else { return };
+        // Only the first start of the whole system founds the group.
+        machine.settings.borrow_mut().bootstrap = self.clock.get().is_zero();
+        let settings = machine.settings.borrow().clone();
+        machine.has_run = true;
+        let start = Start { settings, control: place.address(), life, records, fault: self.fault };
+        let started = Controller::new(start, Box::new(environment.clone()));
+        let controller = started.expect("simulated settings are complete");
+        let links = BTreeMap::new();
+        machine.running =
+            Some(Running { process, life, controller, environment, links, wake_at: None, ending: false });
+        self.after_controller(index);
+        self.paths_changed();
+    }
+
+    /// Tells a controller something.
+    pub(super) fn tell_controller(&mut self, index: usize, process: Process, notice: Notice) {
+        let machine = &mut self.controllers[index];
+        let Some(running) = machine.running.as_mut().filter(|running| running.process == process) else {
+            return;
+        };
+        if machine.frozen {
+            machine.backlog.push_back(notice);
+            return;
+        }
+        match notice {
+            Notice::Controller(event) => running.controller.take(event),
+            Notice::Send(call) => return self.send_order(call),
+            _ => return,
+        }
+        self.turn_controller(index);
+    }
+
+    fn turn_controller(&mut self, index: usize) {
+        let Some(running) = self.controllers[index].running.as_mut() else { return };
+        running.controller.turn();
+        let has_ended = running.controller.has_left();
+        self.after_controller(index);
+        if has_ended {
+            self.end_controller(index);
+        }
+    }
+
+    /// The timer of a controller.
+    pub(super) fn wake(&mut self, process: Process, at: Duration) {
+        let Place::Controller(index) = process.place else { return };
+        let machine = &mut self.controllers[index];
+        let Some(running) = machine.running.as_mut().filter(|running| running.process == process) else {
+            return;
+        };
+        if running.wake_at != Some(at) {
+            return;
+        }
+        running.wake_at = None;
+        if !machine.frozen {
+            self.turn_controller(index);
+        }
+    }
+
+    /// Does what a controller has asked for.
+    pub(super) fn after_controller(&mut self, index: usize) {
+        let Some(process) = self.controllers[index].process() else { return };
+        let requests = match &self.controllers[index].running {
+            Some(running) => std::mem::take(&mut *running.environment.requests.borrow_mut()),
+            None => return,
+        };
+        for request in requests {
+            self.carry_out(index, process, request);
+        }
+        self.start_write(index);
+        self.pump_all(process);
+        self.collect_answers(process);
+        self.set_timer(index);
+    }
+
+    fn carry_out(&mut self, index: usize, process: Process, request: Request) {
+        match request {
+            Request::OpenLink(peer) => self.open_link(index, process, peer),
+            Request::CloseLink(peer) => {
+                if let Some(running) = self.controllers[index].running.as_mut() {
+                    running.links.remove(&peer);
+                }
+                let is_link = |dial: &Dial| dial.dialer == process && dial.address == peer;
+                self.end_connections(|connection| is_link(&connection.dial), Some(process));
+            }
+            Request::Write(write) => self.queue_write(index, write),
+            Request::CarryOut { action, epoch } => {
+                let call = OrderCall { sender: process, action, epoch };
+                let connected = self.delay() + self.delay();
+                self.schedule(self.now() + connected, Happening::SendOrder(call));
+            }
+        }
+    }
+
+    fn open_link(&mut self, index: usize, process: Process, peer: SocketAddr) {
+        let machine = &mut self.controllers[index];
+        let Some(running) = machine.running.as_mut() else { return };
+        machine.next_wish += 1;
+        running.links.insert(peer, machine.next_wish);
+        let Some(listener) = controller_at(peer) else { return };
+        let dial = Dial {
+            kind: Kind::Peer,
+            dialer: process,
+            listener: Place::Controller(listener),
+            address: peer,
+            wish: machine.next_wish,
+        };
+        self.schedule(self.now(), Happening::Dial(dial));
+    }
+
+    fn queue_write(&mut self, index: usize, write: Write) {
+        self.controllers[index].disk.queue(write);
+    }
+
+    /// Lets the disk begin with the next write.
+    pub(super) fn start_write(&mut self, index: usize) {
+        let Some(process) = self.controllers[index].process() else { return };
+        let disk = &mut self.controllers[index].disk;
+        if !disk.is_ready() {
+            return;
+        }
+        disk.busy = true;
+        let time = disk.longest_write.mul_f64(self.random.random::<f64>());
+        self.schedule(self.now() + time, Happening::Written { process });
+    }
+
+    /// The disk of a controller has done the first write.
+    pub(super) fn written(&mut self, process: Process) {
+        let Place::Controller(index) = process.place else { return };
+        if self.controllers[index].process() != Some(process) {
+            return;
+        }
+        let written = self.controllers[index].disk.finish_write();
+        if let Some(written) = written {
+            let (shard, token, durable) = (written.shard, written.token, written.durable);
+            let event = Event::Written { shard, token, durable };
+            self.tell_controller(index, process, Notice::Controller(event));
+        }
+        self.start_write(index);
+    }
+
+    fn set_timer(&mut self, index: usize) {
+        let Some(running) = self.controllers[index].running.as_mut() else { return };
+        let wake = running.environment.started + running.controller.next_wake();
+        if running.wake_at == Some(wake) {
+            return;
+        }
+        running.wake_at = Some(wake);
+        let process = running.process;
+        self.schedule(wake, Happening::Wake { process, at: wake });
+    }
+
+    /// A frozen controller goes on: it takes all that has come in, and then looks at the time.
+    pub(super) fn thaw_controller(&mut self, index: usize) {
+        let machine = &mut self.controllers[index];
+        if !std::mem::take(&mut machine.frozen) {
+            return;
+        }
+        let backlog = std::mem::take(&mut machine.backlog);
+        for notice in backlog {
+            match (notice, &mut self.controllers[index].running) {
+                (Notice::Controller(event), Some(running)) => running.controller.take(event),
+                (Notice::Send(call), _) => self.send_order(call),
+                _ => {}
+            }
+        }
+        self.turn_controller(index);
+    }
+
+    /// The process dies; what it has sent still arrives.
+    pub(super) fn kill_controller(&mut self, index: usize) {
+        let Some(process) = self.controllers[index].process() else { return };
+        self.end_connections(|connection| connection.involves(process), Some(process));
+        self.drop_controller(index);
+        self.controllers[index].disk.interrupt(&mut self.random);
+    }
+
+    /// The machine is without power: nothing that is on the way arrives, and others hear nothing of it.
+    pub(super) fn lose_power(&mut self, index: usize) {
+        self.drop_controller(index);
+        let disk = &mut self.controllers[index].disk;
+        disk.interrupt(&mut self.random);
+        disk.lose_power(&mut self.random);
+        self.network.set_dark(Place::Controller(index), true);
+        self.paths_changed();
+    }
+
+    fn drop_controller(&mut self, index: usize) {
+        let machine = &mut self.controllers[index];
+        let Some(running) = machine.running.take() else { return };
+        machine.frozen = false;
+        machine.backlog.clear();
+        self.drop_answers(running.process);
+    }
+
+    /// The process is told to end.
+    pub(super) fn stop_controller(&mut self, index: usize) {
+        let Some(running) = self.controllers[index].running.as_mut() else { return };
+        running.ending = true;
+        running.controller.leave();
+        let process = running.process;
+        self.schedule(self.now() + GRACE, Happening::GraceOver { process });
+        self.turn_controller(index);
+    }
+
+    /// The time that a process gets to end is over.
+    pub(super) fn grace_over(&mut self, process: Process) {
+        let Place::Controller(index) = process.place else { return };
+        if self.controllers[index].process() == Some(process) {
+            self.end_controller(index);
+        }
+    }
+
+    fn end_controller(&mut self, index: usize) {
+        self.kill_controller(index);
+        self.troubles.core(self.clock.get());
+        self.look_for_losses();
+        self.expect_whole_groups();
+    }
+
+    /// The settings file of a controller names other seeds, and it is told so.
+    pub(super) fn change_seeds(&mut self, index: usize, seeds: &[usize]) {
+        self.controllers[index].set_seeds(seeds);
+        if self.controllers[index].is_awake() {
+            if let Some(running) = self.controllers[index].running.as_mut() {
+                running.controller.read_settings();
+            }
+            self.turn_controller(index);
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/simulation/endpoint.rs
@@ -0,0 +1,200 @@
+//! Simulated endpoints: they register, drain, end and crash as real ones do.
+
+use super::calls::{Content, Patience, Purpose};
+use super::change::SERVICES;
+use super::checks::Check;
+use super::engine::Engine;
+use super::place::Place;
+use super::world::{Happening, World};
+use crate::controller::Method;
+use bytes::Bytes;
+use rand::Rng;
+use serde_json::json;
+use std::time::Duration;
+
+/// Time between heartbeats.
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// An endpoint that ends tries for so long to be acknowledged.
+const LEAVING_PATIENCE: Duration = Duration::from_secs(6);
+
+/// What an endpoint says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum State {
+    Ready,
+    Draining,
+    /// It has ended, and says nothing any more.
+    Gone,
+}
+
+/// An endpoint.
+#[derive(Debug)]
+pub(super) struct EndpointMachine {
+    index: usize,
+    /// Counts its lives.
+    pub(super) start: u64,
+    pub(super) state: State,
+    sequence: u64,
+    pub(super) engine: Engine,
+    /// When its drain, or its end, was first acknowledged.
+    pub(super) acknowledged_at: Option<Duration>,
+}
+
+impl EndpointMachine {
+    pub(super) fn new(index: usize) -> Self {
+        EndpointMachine {
+            index,
+            start: 0,
+            state: State::Gone,
+            sequence: 0,
+            engine: Engine::default(),
+            acknowledged_at: None,
+        }
+    }
+
+    /// Its service.
+    pub(super) fn service(&self) -> usize {
+        self.index % SERVICES.len()
+    }
+
+    /// Id of its present life.
+    pub(super) fn id(&self) -> String {
+        format!("{}-{}", Place::Endpoint(self.index), self.start)
+    }
+
+    fn body(&self) -> Bytes {
+        let state = if self.state == State::Draining { "draining" } else { "ready" };
+        let body = json!({
+            "Backend": SERVICES[self.service()],
+            "Address": Place::Endpoint(self.index).address().to_string(),
+            "Zone": "zone",
+            "Version": "v1",
+            "Capacity": 4,
+            "State": state,
+            "ColdLeftMs": 0,
+            "Phase": "prefill_decode",
+            "Models": self.engine.models(),
+            "Sequence": self.sequence,
+        });
+        body.to_string().into()
+    }
+}
+
+impl World {
+    /// A new life of an endpoint begins.
+    pub(super) fn start_endpoint(&mut self, index: usize) {
+        self.cancel_calls(|purpose| of_endpoint(purpose, index));
+        let machine = &mut self.endpoints[index];
+        machine.start += 1;
+        machine.state = State::Ready;
+        machine.sequence = 0;
+        machine.engine = Engine::default();
+        machine.acknowledged_at = None;
+        let start = machine.start;
+        self.history.endpoint_started(index);
+        let first = HEARTBEAT.mul_f64(self.random.random::<f64>() / 4.0);
+        self.schedule(self.now() + first, Happening::Beat { endpoint: index, start });
+    }
+
+    /// An endpoint crashes without a word.
+    pub(super) fn crash_endpoint(&mut self, index: usize) {
+        self.cancel_calls(|purpose| of_endpoint(purpose, index));
+        self.endpoints[index].state = State::Gone;
+    }
+
+    /// An endpoint sends its heartbeat.
+    pub(super) fn beat(&mut self, index: usize, start: u64) {
+        let machine = &mut self.endpoints[index];
+        if machine.start != start || machine.state == State::Gone {
+            return;
+        }
+        self.schedule(self.now() + HEARTBEAT, Happening::Beat { endpoint: index, start });
+        let purpose = Purpose::Beat { endpoint: index, start };
+        let draining = self.endpoints[index].state == State::Draining;
+        if draining && self.calls.is_under_way(purpose) {
+            return;
+        }
+        self.cancel_calls(|other| other == purpose);
+        self.send_beat(index);
+    }
+
+    fn send_beat(&mut self, index: usize) {
+        let now = self.now();
+        let machine = &mut self.endpoints[index];
+        machine.sequence += 1;
+        machine.engine.finish(now);
+        let path = format!("/instances/{}", machine.id());
+        let content = Content { method: Method::Put, path, if_match: None, body: machine.body() };
+        let purpose = Purpose::Beat { endpoint: index, start: machine.start };
+        let time = if machine.state == State::Draining { LEAVING_PATIENCE } else { HEARTBEAT };
+        self.call_any(purpose, index, content, time);
+    }
+
+    fn call_any(&mut self, purpose: Purpose, index: usize, content: Content, time: Duration) {
+        let first = self.random.random_range(0..self.controllers.len());
+        let patience = Patience { time, tries: usize::MAX };
+        self.begin_call(purpose, Place::Endpoint(index), content, first, patience);
+    }
+
+    /// An endpoint says that it is leaving.
+    pub(super) fn drain_endpoint(&mut self, index: usize) {
+        let Some(machine) = self.endpoints.get_mut(index).filter(|machine| machine.state == State::Ready)
+        else {
+            return;
+        };
+        machine.state = State::Draining;
+        let purpose = Purpose::Beat { endpoint: index, start: machine.start };
+        self.cancel_calls(|other| other == purpose);
+        self.send_beat(index);
+    }
+
+    /// An endpoint says that it has ended.
+    pub(super) fn remove_endpoint(&mut self, index: usize) {
+        let Some(machine) = self.endpoints.get_mut(index).filter(|machine| machine.state != State::Gone)
+        else {
+            return;
+        };
+        machine.state = State::Gone;
+        let start = machine.start;
+        let path = format!("/instances/{}", machine.id());
+        let content = Content { method: Method::Delete, path, if_match: None, body: Bytes::new() };
+        self.cancel_calls(|purpose| of_endpoint(purpose, index));
+        self.call_any(Purpose::Delete { endpoint: index, start }, index, content, LEAVING_PATIENCE);
+    }
+
+    /// A heartbeat was answered. True if the endpoint is content.
+    pub(super) fn beat_answered(&mut self, index: usize, start: u64, target: usize, status: u16) -> bool {
+        let machine = &self.endpoints[index];
+        let is_taken = (200..300).contains(&status);
+        if is_taken && machine.start == start && machine.state == State::Draining {
+            self.leaving_acknowledged(index, target);
+        }
+        is_taken
+    }
+
+    /// The end of an endpoint was answered. True if the endpoint is content.
+    pub(super) fn delete_answered(&mut self, index: usize, start: u64, target: usize, status: u16) -> bool {
+        let is_taken = (200..300).contains(&status);
+        if is_taken && self.endpoints[index].start == start {
+            self.leaving_acknowledged(index, target);
+        }
+        is_taken
+    }
+
+    fn leaving_acknowledged(&mut self, index: usize, target: usize) {
+        let now = self.now();
+        let machine = &mut self.endpoints[index];
+        if machine.acknowledged_at.is_some() {
+            return;
+        }
+        machine.acknowledged_at = Some(now);
+        let check = Check::Drained { endpoint: index, start: machine.start, by: target, at: now };
+        self.schedule(now + self.drain_bound(), Happening::Check(check));
+    }
+}
+
+fn of_endpoint(purpose: Purpose, index: usize) -> bool {
+    match purpose {
+        Purpose::Beat { endpoint, .. } | Purpose::Delete { endpoint, .. } => endpoint == index,
+        Purpose::Change(_) | Purpose::Read(_) => false,
+    }
+}
--- /dev/null
+++ b/crates/controller/src/simulation/engine.rs
@@ -0,0 +1,188 @@
+//! What simulated endpoints do with orders, and how orders reach them.
+
+use super::change::LOAD_TIME_S;
+use super::connection::Process;
+use super::endpoint::State;
+use super::history::Ordered;
+use super::place::{Place, endpoint_at};
+use super::world::{Happening, Notice, World};
+use crate::controller::{Event, ServiceAction};
+use lanegate_placement::{Action, EndpointReport, Operation, Order, OrderAnswer};
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// A controller gives up a connection to an endpoint after this long.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+/// A controller gives up an answer of an endpoint after this long.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Something that a controller wants of an endpoint.
+#[derive(Debug)]
+pub(super) struct OrderCall {
+    pub(super) sender: Process,
+    pub(super) action: ServiceAction,
+    /// Epoch under which it is sent.
+    pub(super) epoch: u64,
+}
+
+impl OrderCall {
+    fn endpoint(&self) -> Option<usize> {
+        let address = match &self.action.action {
+            Action::Order(order) => order.address,
+            Action::AskReport { address, .. } => *address,
+        };
+        endpoint_at(address)
+    }
+
+    /// What the controller hears, if the order was answered so.
+    fn answered(&self, answer: OrderAnswer) -> Option<Event> {
+        let service = self.action.service.clone();
+        match &self.action.action {
+            Action::Order(order) => Some(Event::OrderAnswered { service, order: order.clone(), answer }),
+            Action::AskReport { .. } => None,
+        }
+    }
+}
+
+/// A load under way.
+#[derive(Debug)]
+struct Load {
+    model: String,
+    until: Duration,
+}
+
+/// The models of an endpoint.
+#[derive(Debug, Default)]
+pub(super) struct Engine {
+    held: BTreeSet<String>,
+    loading: Option<Load>,
+    /// Orders taken.
+    sequence: u64,
+}
+
+impl Engine {
+    /// Ends a load whose time has come.
+    pub(super) fn finish(&mut self, now: Duration) {
+        if let Some(load) = self.loading.take_if(|load| load.until <= now) {
+            self.held.insert(load.model);
+        }
+    }
+
+    /// Models as registrations tell them.
+    pub(super) fn models(&self) -> Value {
+        let model = |name: &String| json!({ "Name": name, "Version": 1, "Adapters": [] });
+        self.held.iter().map(model).collect()
+    }
+
+    fn take(&mut self, now: Duration, order: &Order) -> OrderAnswer {
+        self.finish(now);
+        let revision_differs = order.if_revision.is_some_and(|expected| expected != self.sequence);
+        if self.loading.is_some() || revision_differs {
+            return OrderAnswer::Conflict;
+        }
+        let holds = self.held.contains(&*order.model);
+        self.sequence += 1;
+        match order.operation {
+            Operation::Load if holds => OrderAnswer::AlreadyDone,
+            Operation::Load => {
+                let until = now + Duration::from_secs_f64(LOAD_TIME_S);
+                self.loading = Some(Load { model: order.model.to_string(), until });
+                OrderAnswer::Accepted
+            }
+            Operation::Evict if holds => {
+                self.held.remove(&*order.model);
+                OrderAnswer::Accepted
+            }
+            Operation::Evict => OrderAnswer::AlreadyDone,
+        }
+    }
+
+    fn report(&mut self, now: Duration) -> Option<EndpointReport> {
+        self.finish(now);
+        let report = json!({
+            "Phase": "prefill_decode",
+            "Models": self.models(),
+            "Busy": self.loading.is_some(),
+            "Sequence": self.sequence,
+        });
+        serde_json::from_value(report).ok()
+    }
+}
+
+impl World {
+    /// An order, or a question, leaves its controller, once its connection is up.
+    pub(super) fn send_order(&mut self, call: OrderCall) {
+        let sender = call.sender;
+        if self.running(sender.place) != Some(sender) {
+            return;
+        }
+        if self.is_frozen(sender.place) {
+            return self.tell(sender, Notice::Send(call));
+        }
+        let Some(endpoint) = call.endpoint() else { return };
+        let open = self.network.is_open_both_ways(sender.place, Place::Endpoint(endpoint));
+        let gone = self.endpoints[endpoint].state == State::Gone;
+        if !open || gone {
+            let after = if open { Duration::ZERO } else { CONNECT_TIMEOUT };
+            return self.answer_order(&call, OrderAnswer::Unavailable, after);
+        }
+        let arrives = self.now() + self.delay();
+        self.schedule(arrives, Happening::OrderArrives(call));
+    }
+
+    /// An order, or a question, reaches its endpoint.
+    pub(super) fn order_arrives(&mut self, call: OrderCall) {
+        let now = self.now();
+        let Some(index) = call.endpoint() else { return };
+        let place = Place::Endpoint(index);
+        if !self.network.is_open(call.sender.place, place) {
+            return self.answer_order(&call, OrderAnswer::Unknown, ANSWER_TIMEOUT);
+        }
+        let machine = &mut self.endpoints[index];
+        if machine.state == State::Gone {
+            return self.answer_order(&call, OrderAnswer::Unknown, Duration::ZERO);
+        }
+        let event = match &call.action.action {
+            Action::AskReport { instance, .. } => {
+                let service = call.action.service.clone();
+                let instance = instance.to_string();
+                let report = machine.engine.report(now);
+                report.map(|report| Event::Reported { service, instance, report })
+            }
+            Action::Order(order) if *order.instance != machine.id() => {
+                call.answered(OrderAnswer::WrongInstance)
+            }
+            Action::Order(order) => {
+                let answer = machine.engine.take(now, order);
+                self.note_order(index, &call);
+                call.answered(answer)
+            }
+        };
+        let back_open = self.network.is_open(place, call.sender.place);
+        match event {
+            Some(event) if back_open => {
+                let arrives = now + self.delay();
+                self.notify(arrives, call.sender, Notice::Controller(event));
+            }
+            _ => self.answer_order(&call, OrderAnswer::Unknown, ANSWER_TIMEOUT),
+        }
+    }
+
+    fn note_order(&mut self, endpoint: usize, call: &OrderCall) {
+        let (now, sender) = (self.now(), call.sender.place);
+        if self.troubles.was_thawed_lately(sender, now) {
+            return;
+        }
+        let service = self.endpoints[endpoint].service();
+        let order = Ordered { endpoint, service, sender, token: call.epoch, at: now };
+        self.history.ordered(order, super::checks::LEASE);
+    }
+
+    fn answer_order(&mut self, call: &OrderCall, answer: OrderAnswer, after: Duration) {
+        if let Some(event) = call.answered(answer) {
+            let at = self.now() + after;
+            self.notify(at, call.sender, Notice::Controller(event));
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/simulation/history.rs
@@ -0,0 +1,258 @@
+//! What operators, endpoints and routers saw, and what must hold for it at every step.
+
+use super::change::{Change, Form, maker};
+use super::place::Place;
+use super::violation::Violation;
+use lanegate_model::configuration::Configuration;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// What became of a change, as its operator sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ChangeStanding {
+    /// It is being sent.
+    Open,
+    Taken,
+    /// Another version is current.
+    Refused,
+    Invalid,
+    /// Its operator has given up without a clear answer.
+    Unclear,
+}
+
+/// A change and what was heard of it.
+#[derive(Debug)]
+pub(super) struct Sent {
+    pub(super) change: Change,
+    pub(super) standing: ChangeStanding,
+    /// Whether it was acknowledged at any time.
+    pub(super) acknowledged: bool,
+    /// Whether it was refused at any time.
+    refused: bool,
+    /// Whether it was seen in force.
+    seen: bool,
+}
+
+/// What came back for a read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ReadStanding {
+    Open,
+    Served,
+    /// 404.
+    Missing,
+    Unavailable,
+}
+
+/// A read and what was acknowledged before it.
+#[derive(Debug)]
+pub(super) struct Read {
+    floor: u64,
+    pub(super) standing: ReadStanding,
+}
+
+/// An order that an endpoint took.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Ordered {
+    pub(super) endpoint: usize,
+    pub(super) service: usize,
+    pub(super) sender: Place,
+    pub(super) token: u64,
+    pub(super) at: Duration,
+}
+
+/// Everything that was seen.
+#[derive(Debug, Default)]
+pub(super) struct History {
+    pub(super) changes: Vec<Sent>,
+    pub(super) reads: Vec<Read>,
+    /// The newest version that was acknowledged.
+    pub(super) newest_acknowledged: u64,
+    /// The newest version that operators know of.
+    pub(super) newest_known: u64,
+    /// The change that was taken on top of each version.
+    successors: BTreeMap<u64, usize>,
+    /// Newest version that each router has had in its life.
+    router_versions: BTreeMap<usize, u64>,
+    /// The last order for each service.
+    last_orders: BTreeMap<usize, Ordered>,
+    /// Highest token that each endpoint has seen.
+    tokens: BTreeMap<usize, u64>,
+    pub(super) orders: usize,
+    pub(super) seen_at: Duration,
+    /// The first rule that was broken.
+    pub(super) violation: Option<Violation>,
+}
+
+impl History {
+    pub(super) fn broken(&mut self, violation: Violation) {
+        self.violation.get_or_insert(violation);
+    }
+
+    /// A change is about to be sent; tells its number.
+    pub(super) fn change_sent(&mut self, form: Form, base: u64, version: u64) -> usize {
+        let number = self.changes.len() + 1;
+        self.changes.push(Sent {
+            change: Change::new(number, form, base, version),
+            standing: ChangeStanding::Open,
+            acknowledged: false,
+            refused: false,
+            seen: false,
+        });
+        number
+    }
+
+    pub(super) fn change(&self, number: usize) -> Option<&Sent> {
+        self.changes.get(number.checked_sub(1)?)
+    }
+
+    fn change_mut(&mut self, number: usize) -> &mut Sent {
+        &mut self.changes[number - 1]
+    }
+
+    /// A change was acknowledged.
+    pub(super) fn change_taken(&mut self, number: usize) {
+        let sent = self.change_mut(number);
+        sent.standing = ChangeStanding::Taken;
+        sent.acknowledged = true;
+        let (version, invalid, refused) =
+            (sent.change.version, sent.change.form == Form::Invalid, sent.refused);
+        if invalid {
+            self.broken(Violation::InvalidAcknowledged(number));
+        }
+        if refused {
+            self.broken(Violation::RefusedAndTaken(number));
+        }
+        self.newest_acknowledged = self.newest_acknowledged.max(version);
+        self.newest_known = self.newest_known.max(version);
+        self.took_effect(number);
+    }
+
+    /// A change was refused; `invalid` if for what it says, else as another version is current.
+    pub(super) fn change_refused(&mut self, number: usize, invalid: bool) {
+        let sent = self.change_mut(number);
+        sent.standing = if invalid { ChangeStanding::Invalid } else { ChangeStanding::Refused };
+        sent.refused = true;
+        if sent.acknowledged {
+            self.broken(Violation::TakenAndRefused(number));
+        } else if sent.seen {
+            self.broken(Violation::RefusedInForce(number));
+        } else if invalid && sent.change.form != Form::Invalid {
+            self.broken(Violation::ValidCalledInvalid(number));
+        }
+    }
+
+    pub(super) fn change_given_up(&mut self, number: usize) {
+        let sent = self.change_mut(number);
+        if sent.standing == ChangeStanding::Open {
+            sent.standing = ChangeStanding::Unclear;
+        }
+    }
+
+    /// A change is sent again.
+    pub(super) fn change_sent_again(&mut self, number: usize) {
+        self.change_mut(number).standing = ChangeStanding::Open;
+    }
+
+    /// There is evidence that a change took effect.
+    fn took_effect(&mut self, number: usize) {
+        let base = self.change_mut(number).change.base;
+        let successor = *self.successors.entry(base).or_insert(number);
+        if successor != number {
+            self.broken(Violation::TwoOnOneVersion { base, first: successor, second: number });
+        }
+    }
+
+    /// A configuration was seen in force.
+    fn seen(&mut self, configuration: &Configuration) {
+        let number = maker(configuration).filter(|number| self.change(*number).is_some());
+        let Some(number) = number else {
+            return self.broken(Violation::NeverSent(configuration.version));
+        };
+        let sent = self.change_mut(number);
+        sent.seen = true;
+        let (refused, invalid) = (sent.refused, sent.change.form == Form::Invalid);
+        if sent.change.version != configuration.version {
+            return self.broken(Violation::NeverSent(configuration.version));
+        }
+        if refused || invalid {
+            return self.broken(Violation::RefusedInForce(number));
+        }
+        self.newest_known = self.newest_known.max(configuration.version);
+        self.took_effect(number);
+    }
+
+    pub(super) fn router_started(&mut self, router: usize) {
+        self.router_versions.remove(&router);
+    }
+
+    /// A router has a configuration from now on.
+    pub(super) fn router_has(&mut self, router: usize, configuration: &Configuration) {
+        let version = configuration.version;
+        let before = self.router_versions.insert(router, version);
+        if let Some(from) = before.filter(|before| *before > version) {
+            self.broken(Violation::RouterWentBack { router, from, to: version });
+        }
+        self.seen(configuration);
+    }
+
+    /// A read begins; tells its number.
+    pub(super) fn read_begun(&mut self) -> usize {
+        self.reads.push(Read { floor: self.newest_acknowledged, standing: ReadStanding::Open });
+        self.reads.len()
+    }
+
+    /// A configuration came back for a read.
+    pub(super) fn read_served(&mut self, number: usize, body: &[u8]) {
+        let read = &mut self.reads[number - 1];
+        read.standing = ReadStanding::Served;
+        let floor = read.floor;
+        match serde_json::from_slice::<Configuration>(body) {
+            Ok(configuration) if configuration.version < floor => {
+                self.broken(Violation::OldRead { read: number, floor, version: configuration.version });
+            }
+            Ok(configuration) => self.seen(&configuration),
+            Err(_) => self.broken(Violation::NeverSent(0)),
+        }
+    }
+
+    /// A read found no configuration.
+    pub(super) fn read_missing(&mut self, number: usize) {
+        let read = &mut self.reads[number - 1];
+        read.standing = ReadStanding::Missing;
+        let floor = read.floor;
+        if floor > 0 {
+            self.broken(Violation::OldRead { read: number, floor, version: 0 });
+        }
+    }
+
+    pub(super) fn read_given_up(&mut self, number: usize) {
+        self.reads[number - 1].standing = ReadStanding::Unavailable;
+    }
+
+    /// An endpoint has started anew and has forgotten the tokens.
+    pub(super) fn endpoint_started(&mut self, endpoint: usize) {
+        self.tokens.remove(&endpoint);
+    }
+
+    /// An order reached its endpoint. `quiet` is the time that must lie between two senders.
+    pub(super) fn ordered(&mut self, order: Ordered, quiet: Duration) {
+        self.orders += 1;
+        let highest = self.tokens.entry(order.endpoint).or_default();
+        if order.token < *highest {
+            let token = order.token;
+            let highest = *highest;
+            return self.broken(Violation::TokenWentBack { highest, token });
+        }
+        *highest = order.token;
+        let Some(last) = self.last_orders.insert(order.service, order) else { return };
+        if last.sender == order.sender {
+            return;
+        }
+        if last.token == order.token {
+            self.broken(Violation::TokenShared(order.token));
+        } else if order.at < last.at + quiet {
+            let after_ms = (order.at - last.at).as_millis() as u64;
+            self.broken(Violation::TwoPlacers { first: last.sender, second: order.sender, after_ms });
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/simulation/mod.rs
@@ -0,0 +1,41 @@
+//! The whole control side in simulated time: controllers, agents, routers, operators and endpoints, the
+//! network between them and the disks of the controllers, all in one process.
+//!
+//! Controllers, agents and the routers' feed clients are those of the program; links, disks, clocks and
+//! calls are simulated. A [`Scenario`] is a list of steps, written by hand as text or drawn from a seed.
+//! [`World::play`] plays it and checks at every step what operators, endpoints and routers saw. Everything
+//! follows from the seed.
+
+mod agent_environment;
+mod calls;
+mod change;
+mod checks;
+mod connection;
+mod connections;
+mod controller_environment;
+mod controller_machine;
+mod disk;
+mod endpoint;
+mod engine;
+mod expectation;
+mod history;
+mod network;
+mod operator;
+mod place;
+mod router_machine;
+mod scenario;
+mod schedule;
+mod settings;
+mod settle;
+mod step;
+mod trouble;
+mod violation;
+mod world;
+
+pub use expectation::{Expectation, NoExpectation};
+pub use place::Place;
+pub use scenario::{ParseError, Scenario};
+pub use schedule::{random_scenario, shrink};
+pub use step::{NoStep, Scope, Step};
+pub use violation::Violation;
+pub use world::World;
--- /dev/null
+++ b/crates/controller/src/simulation/operator.rs
@@ -0,0 +1,144 @@
+//! Simulated operators: they change the configuration and read it back, as patiently as real ones.
+
+use super::calls::{Content, Patience, Purpose};
+use super::change::Form;
+use super::checks::Check;
+use super::place::Place;
+use super::step::Step;
+use super::world::{Happening, World};
+use crate::controller::{Answer, Method};
+use bytes::Bytes;
+use rand::Rng;
+use std::time::Duration;
+
+/// Where the configuration is read and changed.
+const PATH: &str = "/config";
+/// An operator that goes from controller to controller gives up after this long.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// An operator gives up at this many unclear refusals.
+const MOST_REFUSALS: usize = 3;
+/// Versions go up in uneven steps.
+const LONGEST_VERSION_STEP: u64 = 3;
+
+/// How an operator takes a status.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    Success,
+    Conflict,
+    Invalid,
+    /// Not found.
+    Missing,
+    /// It says nothing for certain.
+    TryElsewhere,
+}
+
+impl Verdict {
+    fn of(status: u16, tries: usize) -> Self {
+        match status {
+            200..=299 => Verdict::Success,
+            409 | 412 => Verdict::Conflict,
+            400 | 413 | 422 => Verdict::Invalid,
+            408 | 429 => Verdict::TryElsewhere,
+            404 => Verdict::Missing,
+            401..=499 if tries >= MOST_REFUSALS => Verdict::Invalid,
+            _ => Verdict::TryElsewhere,
+        }
+    }
+}
+
+impl World {
+    /// A step of operators.
+    pub(super) fn operate(&mut self, step: &Step) {
+        match *step {
+            Step::Put { form, via, only } => {
+                let base = self.history.newest_known;
+                let version = self.next_version(base);
+                self.send_change(form, base, version, via, only);
+            }
+            Step::Rivals { first, second } => {
+                let base = self.history.newest_known;
+                let version = self.next_version(base);
+                self.send_change(Form::Put, base, version, first, false);
+                self.send_change(Form::Put, base, version, second, false);
+            }
+            Step::Again { number, via, only } => {
+                let last = self.history.changes.len();
+                let number = number.unwrap_or(last);
+                if number > 0 && number <= last {
+                    self.history.change_sent_again(number);
+                    self.call_change(number, via, only);
+                }
+            }
+            Step::Read { via, only } => {
+                let number = self.history.read_begun();
+                let content =
+                    Content { method: Method::Get, path: PATH.into(), if_match: None, body: Bytes::new() };
+                self.begin_call(Purpose::Read(number), Place::Operator, content, via, patience(only));
+            }
+            _ => {}
+        }
+    }
+
+    fn next_version(&mut self, base: u64) -> u64 {
+        base + self.random.random_range(1..=LONGEST_VERSION_STEP)
+    }
+
+    fn send_change(&mut self, form: Form, base: u64, version: u64, via: usize, only: bool) {
+        let number = self.history.change_sent(form, base, version);
+        self.call_change(number, via, only);
+    }
+
+    fn call_change(&mut self, number: usize, via: usize, only: bool) {
+        let Some(sent) = self.history.change(number) else { return };
+        let change = &sent.change;
+        let content = Content {
+            method: change.method(),
+            path: PATH.into(),
+            if_match: Some(change.base),
+            body: change.body.clone(),
+        };
+        self.begin_call(Purpose::Change(number), Place::Operator, content, via, patience(only));
+    }
+
+    /// An answer to a change. True if the operator is done with it.
+    pub(super) fn change_answered(&mut self, number: usize, answer: &Answer, tries: usize) -> bool {
+        match Verdict::of(answer.status, tries) {
+            Verdict::Success => {
+                self.history.change_taken(number);
+                let version = self.history.newest_acknowledged;
+                let due = self.now() + self.apply_bound();
+                self.schedule(due, Happening::Check(Check::Applied { version }));
+            }
+            Verdict::Conflict => {
+                if let Some(version) = current_version(answer) {
+                    self.history.newest_known = self.history.newest_known.max(version);
+                }
+                self.history.change_refused(number, false);
+            }
+            Verdict::Invalid => self.history.change_refused(number, true),
+            Verdict::Missing | Verdict::TryElsewhere => return false,
+        }
+        true
+    }
+
+    /// An answer to a read. True if the operator is done with it.
+    pub(super) fn read_answered(&mut self, number: usize, answer: &Answer, tries: usize) -> bool {
+        match Verdict::of(answer.status, tries) {
+            Verdict::Success => self.history.read_served(number, &answer.body),
+            Verdict::Missing => self.history.read_missing(number),
+            _ => return false,
+        }
+        true
+    }
+}
+
+fn patience(only: bool) -> Patience {
+    let tries = if only { 1 } else { usize::MAX };
+    Patience { time: PATIENCE, tries }
+}
+
+/// The version that a controller says is current.
+fn current_version(answer: &Answer) -> Option<u64> {
+    let body: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
+    body.get("Version")?.as_u64()
+}
--- /dev/null
+++ b/crates/controller/src/simulation/place.rs
@@ -0,0 +1,105 @@
+//! Who takes part in a simulation, and their addresses.
+
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::str::FromStr;
+
+/// Control port of all controllers.
+const CONTROL_PORT: u16 = 8146;
+/// Port at which controllers take links.
+pub(super) const LINK_PORT: u16 = 7000;
+/// Port of endpoints.
+const ENDPOINT_PORT: u16 = 9000;
+
+/// A machine, or the operators' one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Place {
+    /// A machine with a controller: `a`, `b`, `c` and so on.
+    Controller(usize),
+    /// A machine with an agent and a router: `r1`, `r2` and so on.
+    Router(usize),
+    /// An endpoint: `e1`, `e2` and so on.
+    Endpoint(usize),
+    /// All operators: `op`.
+    Operator,
+}
+
+impl Place {
+    fn ip(self) -> Ipv4Addr {
+        let last = |index: usize| index as u8 + 1;
+        match self {
+            Place::Controller(index) => Ipv4Addr::new(10, 0, 0, last(index)),
+            Place::Router(index) => Ipv4Addr::new(10, 0, 1, last(index)),
+            Place::Endpoint(index) => Ipv4Addr::new(10, 0, 2, last(index)),
+            Place::Operator => Ipv4Addr::new(10, 0, 3, 1),
+        }
+    }
+
+    /// Where this place is called.
+    pub(super) fn address(self) -> SocketAddr {
+        let port = match self {
+            Place::Endpoint(_) => ENDPOINT_PORT,
+            _ => CONTROL_PORT,
+        };
+        SocketAddr::V4(SocketAddrV4::new(self.ip(), port))
+    }
+
+    /// Name in settings files.
+    pub(super) fn node_name(self) -> String {
+        format!("node-{self}")
+    }
+}
+
+/// The controller at an address, whichever of its ports it is.
+pub(super) fn controller_at(address: SocketAddr) -> Option<usize> {
+    let SocketAddr::V4(address) = address else { return None };
+    match address.ip().octets() {
+        [10, 0, 0, last] if last > 0 => Some(usize::from(last) - 1),
+        _ => None,
+    }
+}
+
+/// The endpoint at an address.
+pub(super) fn endpoint_at(address: SocketAddr) -> Option<usize> {
+    let SocketAddr::V4(address) = address else { return None };
+    match address.ip().octets() {
+        [10, 0, 2, last] if last > 0 => Some(usize::from(last) - 1),
+        _ => None,
+    }
+}
+
+/// A word that names no place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("no such place")]
+pub struct NoPlace;
+
+impl fmt::Display for Place {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Place::Controller(index) => write!(formatter, "{}", (b'a' + *index as u8) as char),
+            Place::Router(index) => write!(formatter, "r{}", index + 1),
+            Place::Endpoint(index) => write!(formatter, "e{}", index + 1),
+            Place::Operator => write!(formatter, "op"),
+        }
+    }
+}
+
+impl FromStr for Place {
+    type Err = NoPlace;
+
+    fn from_str(word: &str) -> Result<Self, NoPlace> {
+        if word == "op" {
+            return Ok(Place::Operator);
+        }
+        if let [letter @ b'a'..=b'z'] = word.as_bytes() {
+            return Ok(Place::Controller(usize::from(letter - b'a')));
+        }
+        let (kind, number) = word.split_at_checked(1).ok_or(NoPlace)?;
+        let index = number.parse::<usize>().ok().and_then(|number| number.checked_sub(1)).ok_or(NoPlace)?;
+        match kind {
+            "r" => Ok(Place::Router(index)),
+            "e" => Ok(Place::Endpoint(index)),
+            _ => Err(NoPlace),
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/simulation/router_machine.rs
@@ -0,0 +1,295 @@
+//! A simulated machine with an agent and a hollow router, which only keeps what it was told.
+
+use super::agent_environment::{AgentEnvironment, Request};
+use super::connection::{Dial, Kind, Process};
+use super::place::{Place, controller_at};
+use super::settings::{seed_addresses, settings};
+use super::world::{Happening, Notice, World};
+use crate::agent::{Agent, REVIEW_PERIOD};
+use crate::feed_client::Client;
+use crate::message::Hello;
+use lanegate_model::configuration::Configuration;
+use lanegate_model::demand::{DemandReport, ModelDemand};
+use lanegate_model::feed::FeedEvent;
+use lanegate_model::instance::Instance;
+use lanegate_model::settings::Settings;
+use rand::Rng;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+/// Where an agent feeds its router.
+const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 7100);
+/// Requests for each model that a router tells of at each review.
+const REQUESTS: u32 = 5;
+
+/// Links that an agent follows, by address.
+struct Follow {
+    wish: u64,
+    hello: Hello,
+}
+
+/// Processes that run.
+struct Running {
+    process: Process,
+    agent: Agent,
+    environment: AgentEnvironment,
+    follows: BTreeMap<SocketAddr, Follow>,
+    client: Client,
+    events: mpsc::UnboundedReceiver<FeedEvent>,
+}
+
+/// What a router knows.
+#[derive(Debug, Default)]
+pub(super) struct Known {
+    pub(super) configuration: Option<Arc<Configuration>>,
+    pub(super) instances: BTreeMap<String, Instance>,
+}
+
+/// A machine with an agent and a router.
+pub(super) struct RouterMachine {
+    index: usize,
+    running: Option<Running>,
+    pub(super) known: Known,
+    pub(super) frozen: bool,
+    backlog: VecDeque<Notice>,
+    settings: Rc<RefCell<Settings>>,
+    next_wish: u64,
+}
+
+impl RouterMachine {
+    pub(super) fn new(index: usize, founders: usize, tolerance: u32) -> Self {
+        let seeds: Vec<usize> = (0..founders).collect();
+        let settings = settings(Place::Router(index), &seeds, tolerance, false);
+        RouterMachine {
+            index,
+            running: None,
+            known: Known::default(),
+            frozen: false,
+            backlog: VecDeque::new(),
+            settings: Rc::new(RefCell::new(settings)),
+            next_wish: 0,
+        }
+    }
+
+    pub(super) fn process(&self) -> Option<Process> {
+        self.running.as_ref().map(|running| running.process)
+    }
+
+    pub(super) fn is_awake(&self) -> bool {
+        self.running.is_some() && !self.frozen
+    }
+
+    /// Whether the agent still wants what was dialled.
+    pub(super) fn follows(&self, dial: &Dial) -> bool {
+        let running = self.running.as_ref().filter(|running| running.process == dial.dialer);
+        let follow = running.and_then(|running| running.follows.get(&dial.address));
+        follow.is_some_and(|follow| follow.wish == dial.wish)
+    }
+
+    pub(super) fn set_seeds(&mut self, seeds: &[usize]) {
+        self.settings.borrow_mut().seeds = seed_addresses(seeds);
+    }
+}
+
+impl World {
+    pub(super) fn agent_hello(&self, dial: &Dial) -> Hello {
+        let Place::Router(index) = dial.dialer.place else { unreachable!("only agents follow feeds") };
+        let running = self.routers[index].running.as_ref().expect("only a running agent dials");
+        running.follows[&dial.address].hello.clone()
+    }
+
+    pub(super) fn router_hello(&self, process: Process) -> Hello {
+        let Place::Router(index) = process.place else { unreachable!("only routers dial agents") };
+        self.routers[index].running.as_ref().expect("only a running router dials").client.hello()
+    }
+
+    /// Starts agent and router of a machine, if they do not run.
+    pub(super) fn start_router(&mut self, index: usize) {
+        if self.routers[index].running.is_some() {
+            return;
+        }
+        let place = Place::Router(index);
+        let process = self.next_process(place);
+        let settings = self.routers[index].settings.clone();
+        let environment = AgentEnvironment {
+            clock: self.clock.clone(),
+            started: self.now(),
+            requests: Rc::default(),
+            settings: settings.clone(),
+        };
+        let life = self.random.random_range(1..=u64::MAX);
+        let own = settings.borrow().clone();
+        let agent = Agent::new(own.clone(), life, Box::new(environment.clone()));
+        let (sender, events) = mpsc::unbounded_channel();
+        let client = Client::new(own, self.random.random_range(1..=u64::MAX), sender);
+        let follows = BTreeMap::new();
+        let machine = &mut self.routers[index];
+        machine.running = Some(Running { process, agent, environment, follows, client, events });
+        machine.known = Known::default();
+        self.history.router_started(index);
+        self.schedule(self.now(), Happening::Review { process });
+        let dial =
+            Dial { kind: Kind::Loopback, dialer: process, listener: place, address: LOOPBACK, wish: 0 };
+        self.schedule(self.now(), Happening::Dial(dial));
+    }
+
+    pub(super) fn kill_router(&mut self, index: usize) {
+        let Some(process) = self.routers[index].process() else { return };
+        self.end_connections(|connection| connection.involves(process), Some(process));
+        let machine = &mut self.routers[index];
+        machine.running = None;
+        machine.frozen = false;
+        machine.backlog.clear();
+        machine.known = Known::default();
+    }
+
+    /// Tells an agent or its router something.
+    pub(super) fn tell_router(&mut self, index: usize, process: Process, notice: Notice) {
+        let machine = &mut self.routers[index];
+        let Some(running) = machine.running.as_mut().filter(|running| running.process == process) else {
+            return;
+        };
+        if machine.frozen {
+            machine.backlog.push_back(notice);
+            return;
+        }
+        let now = self.clock.get().saturating_sub(running.environment.started);
+        match notice {
+            Notice::Source(news) => running.agent.heard(news),
+            Notice::Downstream(event) => running.agent.downstream(event),
+            Notice::Agent(news) => {
+                running.client.heard(now, news);
+            }
+            Notice::Controller(_) | Notice::Send(_) => return,
+        }
+        self.after_router(index);
+    }
+
+    /// The agent looks at its sources, and the router tells its demand.
+    pub(super) fn review(&mut self, process: Process) {
+        let Place::Router(index) = process.place else { return };
+        if self.routers[index].process() != Some(process) {
+            return;
+        }
+        self.schedule(self.now() + REVIEW_PERIOD, Happening::Review { process });
+        if self.routers[index].frozen {
+            return;
+        }
+        let report = self.routers[index].demand();
+        if let Some(running) = self.routers[index].running.as_mut() {
+            running.agent.review();
+            running.client.send_demand(&report);
+        }
+        self.after_router(index);
+    }
+
+    pub(super) fn thaw_router(&mut self, index: usize) {
+        let machine = &mut self.routers[index];
+        if !std::mem::take(&mut machine.frozen) {
+            return;
+        }
+        let Some(process) = machine.process() else { return };
+        let backlog = std::mem::take(&mut machine.backlog);
+        for notice in backlog {
+            self.tell_router(index, process, notice);
+        }
+    }
+
+    fn after_router(&mut self, index: usize) {
+        let Some(process) = self.routers[index].process() else { return };
+        let requests = match &self.routers[index].running {
+            Some(running) => std::mem::take(&mut *running.environment.requests.borrow_mut()),
+            None => return,
+        };
+        for request in requests {
+            match request {
+                Request::Follow { source, hello } => self.follow_source(index, process, source, hello),
+                Request::Unfollow(source) => self.unfollow_source(index, process, source),
+            }
+        }
+        self.take_feed_events(index);
+        self.pump_all(process);
+    }
+
+    fn follow_source(&mut self, index: usize, process: Process, source: SocketAddr, hello: Hello) {
+        let Some(listener) = controller_at(source) else { return };
+        let machine = &mut self.routers[index];
+        machine.next_wish += 1;
+        let wish = machine.next_wish;
+        if let Some(running) = machine.running.as_mut() {
+            running.follows.insert(source, Follow { wish, hello });
+        }
+        let listener = Place::Controller(listener);
+        let dial = Dial { kind: Kind::Feed, dialer: process, listener, address: source, wish };
+        self.schedule(self.now(), Happening::Dial(dial));
+    }
+
+    fn unfollow_source(&mut self, index: usize, process: Process, source: SocketAddr) {
+        if let Some(running) = self.routers[index].running.as_mut() {
+            running.follows.remove(&source);
+        }
+        let is_it = |dial: &Dial| dial.dialer == process && dial.address == source;
+        self.end_connections(|connection| is_it(&connection.dial), Some(process));
+    }
+
+    /// The router takes what its feed client tells it.
+    fn take_feed_events(&mut self, index: usize) {
+        let now = self.now();
+        let machine = &mut self.routers[index];
+        let Some(running) = machine.running.as_mut() else { return };
+        while let Ok(event) = running.events.try_recv() {
+            match event {
+                FeedEvent::Configuration(configuration) => {
+                    self.history.router_has(index, &configuration);
+                    machine.known.configuration = Some(configuration);
+                }
+                FeedEvent::Instance(instance) => {
+                    machine.known.instances.insert(instance.id.clone(), instance);
+                }
+                FeedEvent::Removed { id } => {
+                    machine.known.instances.remove(&id);
+                }
+                FeedEvent::Routers { .. } | FeedEvent::Synchronized => {}
+            }
+        }
+        self.history.seen_at = now;
+    }
+
+    /// The settings file of an agent names other seeds, and it is told so.
+    pub(super) fn change_router_seeds(&mut self, index: usize, seeds: &[usize]) {
+        self.routers[index].set_seeds(seeds);
+        if let Some(running) = self.routers[index].running.as_mut() {
+            running.agent.read_settings();
+        }
+    }
+}
+
+impl RouterMachine {
+    /// Some requests for each model of the configuration.
+    fn demand(&self) -> DemandReport {
+        let configuration = self.known.configuration.iter();
+        let backends = configuration.flat_map(|configuration| &configuration.backends);
+        let mut models = Vec::new();
+        for backend in backends {
+            let named = backend.runtime.iter().flat_map(|runtime| &runtime.models);
+            models.extend(named.map(|model| ModelDemand {
+                backend: backend.name.clone(),
+                model: model.name.clone(),
+                adapter: None,
+                requests: REQUESTS,
+                tokens: u64::from(REQUESTS),
+                unplaced: 0,
+            }));
+        }
+        DemandReport { period_ms: REVIEW_PERIOD.as_millis() as u32, models }
+    }
+
+    /// Name of the machine.
+    pub(super) fn place(&self) -> Place {
+        Place::Router(self.index)
+    }
+}
--- /dev/null
+++ b/crates/controller/src/simulation/scenario.rs
@@ -0,0 +1,85 @@
+//! Scenarios and their text form: a header line, then one step a line.
+
+use super::step::Step;
+use std::fmt;
+use std::str::FromStr;
+
+/// What is played.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Scenario {
+    /// Controllers that found the group.
+    pub founders: usize,
+    /// Further controllers.
+    pub spares: usize,
+    /// Whether these have to be started by steps.
+    pub spares_late: bool,
+    /// Routers, each with an agent.
+    pub routers: usize,
+    /// Endpoints, which belong to two services by turns.
+    pub endpoints: usize,
+    /// Sets delays, losses and all other chance.
+    pub seed: u64,
+    /// The steps.
+    pub steps: Vec<Step>,
+}
+
+/// Why a text is no scenario.
+#[derive(Debug, Clone, thiserror::Error, PartialEq, Eq)]
+pub enum ParseError {
+    /// The first line must give the numbers of all.
+    #[error("line {0}: expected 'founders N spares N [late] routers N endpoints N seed N'")]
+    Header(usize),
+    /// A later line is no step.
+    #[error("line {0}: no such step: {1}")]
+    Step(usize, String),
+}
+
+impl fmt::Display for Scenario {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let late = if self.spares_late { " late" } else { "" };
+        let Scenario { founders, spares, routers, endpoints, seed, .. } = self;
+        writeln!(
+            formatter,
+            "founders {founders} spares {spares}{late} routers {routers} endpoints {endpoints} seed {seed}"
+        )?;
+        self.steps.iter().try_for_each(|step| writeln!(formatter, "{step}"))
+    }
+}
+
+impl FromStr for Scenario {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let lines = text.lines().enumerate().map(|(index, line)| {
+            let code = line.split('#').next().unwrap_or_default();
+            (index + 1, code.trim())
+        });
+        let mut lines = lines.filter(|(_, line)| !line.is_empty());
+        let (number, header) = lines.next().unwrap_or((1, ""));
+        let mut scenario = parse_header(header).ok_or(ParseError::Header(number))?;
+        for (number, line) in lines {
+            let step = line.parse().map_err(|_| ParseError::Step(number, line.to_owned()))?;
+            scenario.steps.push(step);
+        }
+        Ok(scenario)
+    }
+}
+
+fn parse_header(line: &str) -> Option<Scenario> {
+    let spares_late = line.contains(" late ");
+    let words: Vec<&str> = line.split_whitespace().filter(|word| *word != "late").collect();
+    let ["founders", founders, "spares", spares, "routers", routers, "endpoints", endpoints, "seed", seed] =
+        *words.as_slice()
+    else {
+        return None;
+    };
+    Some(Scenario {
+        founders: founders.parse().ok()?,
+        spares: spares.parse().ok()?,
+        spares_late,
+        routers: routers.parse().ok()?,
+        endpoints: endpoints.parse().ok()?,
+        seed: seed.parse().ok()?,
+        steps: Vec::new(),
+    })
+}
--- /dev/null
+++ b/crates/controller/src/simulation/schedule.rs
@@ -0,0 +1,202 @@
+//! Scenarios drawn from a seed, and the shortest part of one that still breaks a rule.
+
+use super::change::Form;
+use super::place::Place;
+use super::scenario::Scenario;
+use super::step::{Scope, Step};
+use super::world::World;
+use crate::controller::ControllerFault;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Steps of a random scenario, apart from the first and the last ones.
+const STEPS: usize = 24;
+/// First pause, in milliseconds, so that the group is founded.
+const FIRST_WAIT: u64 = 600;
+/// Longest pauses, in milliseconds: some messages, a call, an expiry, a takeover.
+const PAUSES: [u64; 6] = [5, 30, 150, 700, 2_000, 5_000];
+
+/// The cast of a random scenario.
+struct Cast {
+    controllers: usize,
+    founders: usize,
+    routers: usize,
+    endpoints: usize,
+}
+
+impl Cast {
+    fn controller(&self, random: &mut SmallRng) -> usize {
+        random.random_range(0..self.controllers)
+    }
+
+    fn router(&self, random: &mut SmallRng) -> Place {
+        Place::Router(random.random_range(0..self.routers))
+    }
+
+    fn any(&self, random: &mut SmallRng) -> Place {
+        match random.random_range(0..10) {
+            0..6 => Place::Controller(self.controller(random)),
+            6..8 => self.router(random),
+            8 => Place::Endpoint(random.random_range(0..self.endpoints)),
+            _ => Place::Operator,
+        }
+    }
+}
+
+/// A scenario drawn from a seed: changes, drains and troubles in any order, then everything is mended.
+#[must_use]
+pub fn random_scenario(seed: u64) -> Scenario {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let founders = if random.random_bool(0.8) { 3 } else { 5 };
+    let spares = random.random_range(0..=2);
+    let spares_late = random.random_bool(0.3);
+    let (routers, endpoints) = (random.random_range(1..=2), 2);
+    let cast = Cast { controllers: founders + spares, founders, routers, endpoints };
+    let mut steps = vec![Step::Wait(FIRST_WAIT), put(&mut random, &cast, Form::Put)];
+    while steps.len() < STEPS {
+        add_steps(&mut steps, &mut random, &cast);
+    }
+    steps.push(Step::Settle);
+    Scenario { founders, spares, spares_late, routers, endpoints, seed, steps }
+}
+
+fn put(random: &mut SmallRng, cast: &Cast, form: Form) -> Step {
+    Step::Put { form, via: cast.controller(random), only: false }
+}
+
+fn add_steps(steps: &mut Vec<Step>, random: &mut SmallRng, cast: &Cast) {
+    match random.random_range(0..100) {
+        0..28 => steps.push(operation(random, cast)),
+        28..56 => steps.push(pause(random)),
+        56..60 => steps.push(endpoint_step(random, cast)),
+        60..78 => add_process_trouble(steps, random, cast),
+        78..92 => add_network_trouble(steps, random, cast),
+        _ => steps.push(disk_trouble(random, cast)),
+    }
+}
+
+fn operation(random: &mut SmallRng, cast: &Cast) -> Step {
+    let via = cast.controller(random);
+    let only = random.random_bool(0.2);
+    match random.random_range(0..14) {
+        0..4 => Step::Put { form: Form::Put, via, only },
+        4..6 => Step::Put { form: Form::Patch, via, only },
+        6 => Step::Put { form: Form::Invalid, via, only: false },
+        7..9 => Step::Rivals { first: via, second: cast.controller(random) },
+        9..11 => Step::Again { number: None, via, only },
+        _ => Step::Read { via, only },
+    }
+}
+
+fn endpoint_step(random: &mut SmallRng, cast: &Cast) -> Step {
+    let index = random.random_range(0..cast.endpoints);
+    match random.random_range(0..6) {
+        0..3 => Step::Drain(index),
+        3 => Step::Remove(index),
+        4 => Step::Crash(index),
+        _ => Step::Start(Place::Endpoint(index)),
+    }
+}
+
+/// Short pauses are as likely as long ones.
+fn pause(random: &mut SmallRng) -> Step {
+    let longest = PAUSES[random.random_range(0..PAUSES.len())];
+    Step::Wait(random.random_range(1..=longest))
+}
+
+fn add_process_trouble(steps: &mut Vec<Step>, random: &mut SmallRng, cast: &Cast) {
+    let index = cast.controller(random);
+    let place = Place::Controller(index);
+    let start = Step::Start(place);
+    match random.random_range(0..15) {
+        0..3 => steps.extend([Step::Freeze(place), pause(random), Step::Thaw(place)]),
+        3 => steps.push(Step::Freeze(place)),
+        4 => steps.extend([Step::Kill(place), start]),
+        5 => steps.extend([Step::Kill(place), pause(random), start]),
+        6 => steps.extend([Step::Power(index), pause(random), start]),
+        7 => steps.push(Step::Power(index)),
+        8 => steps.extend([Step::Wipe(index), start]),
+        9 => steps.extend([Step::Wipe(index), pause(random), start]),
+        10 => steps.extend([Step::Stop(index), pause(random), start]),
+        11 if cast.controllers > cast.founders => steps.push(Step::Retire(index)),
+        12 => {
+            let router = cast.router(random);
+            steps.extend([Step::Kill(router), pause(random), Step::Start(router)]);
+        }
+        13 => {
+            let router = cast.router(random);
+            steps.extend([Step::Freeze(router), pause(random), Step::Thaw(router)]);
+        }
+        _ => steps.push(start),
+    }
+}
+
+fn add_network_trouble(steps: &mut Vec<Step>, random: &mut SmallRng, cast: &Cast) {
+    let (one, other) = (cast.any(random), cast.any(random));
+    match random.random_range(0..14) {
+        0..3 => steps.push(Step::Heal),
+        3 => steps.push(Step::Cut { from: one, to: other }),
+        4 => steps.extend([Step::Cut { from: one, to: other }, Step::Cut { from: other, to: one }]),
+        5 => steps.push(Step::Isolate { place: one, scope: Scope::Peers }),
+        6..8 => steps.extend([Step::Isolate { place: one, scope: Scope::All }, pause(random), Step::Heal]),
+        8 => steps.extend([part(random, cast), pause(random), Step::Heal]),
+        9 => steps.push(part(random, cast)),
+        10 => steps.push(Step::Reset(one)),
+        11 => steps.push(Step::Refuse(Place::Controller(cast.controller(random)))),
+        12 => steps.push(Step::Delay(random.random_range(1..=300))),
+        _ => steps.push(seeds(random, cast)),
+    }
+}
+
+/// Any machines are parted from the others.
+fn part(random: &mut SmallRng, cast: &Cast) -> Step {
+    let controllers = (0..cast.controllers).map(Place::Controller);
+    let routers = (0..cast.routers).map(Place::Router);
+    let set = controllers.chain(routers).chain([Place::Operator]).filter(|_| random.random_bool(0.5));
+    Step::Part(set.collect())
+}
+
+fn seeds(random: &mut SmallRng, cast: &Cast) -> Step {
+    Step::Seeds((0..3).map(|_| cast.controller(random)).collect())
+}
+
+fn disk_trouble(random: &mut SmallRng, cast: &Cast) -> Step {
+    let index = cast.controller(random);
+    match random.random_range(0..6) {
+        0 => Step::Stall(index),
+        1 => Step::Full(index),
+        2 => Step::Slow(index, random.random_range(1..=400)),
+        _ => Step::Work(index),
+    }
+}
+
+/// Leaves out steps as long as the rest still breaks a rule.
+#[must_use]
+pub fn shrink(scenario: &Scenario, fault: Option<ControllerFault>) -> Scenario {
+    let mut smallest = scenario.clone();
+    let mut chunk = smallest.steps.len().div_ceil(2);
+    while chunk > 0 {
+        if !drop_steps(&mut smallest, chunk, fault) {
+            chunk /= 2;
+        }
+    }
+    smallest
+}
+
+/// Leaves out each run of `chunk` steps that is not needed; tells whether any was.
+fn drop_steps(scenario: &mut Scenario, chunk: usize, fault: Option<ControllerFault>) -> bool {
+    let mut dropped = false;
+    let mut start = 0;
+    while start < scenario.steps.len() {
+        let mut shorter = scenario.clone();
+        let end = (start + chunk).min(shorter.steps.len());
+        shorter.steps.drain(start..end);
+        if World::play(&shorter, fault).is_err() {
+            *scenario = shorter;
+            dropped = true;
+        } else {
+            start += chunk;
+        }
+    }
+    dropped
+}
--- /dev/null
+++ b/crates/controller/src/simulation/settings.rs
@@ -0,0 +1,40 @@
+//! Settings files of simulated processes.
+
+use super::place::{LINK_PORT, Place};
+use lanegate_model::settings::{Bounds, Settings};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Last port for links; agents feed their routers there.
+const LAST_PORT: u16 = 7100;
+
+/// Settings of a process at `place`.
+pub(super) fn settings(place: Place, seeds: &[usize], tolerance: u32, bootstrap: bool) -> Settings {
+    let control = matches!(place, Place::Controller(_)).then(|| place.address());
+    Settings {
+        node_name: place.node_name(),
+        role: String::new(),
+        ip: place.address().ip(),
+        zone: "zone".to_owned(),
+        region: String::new(),
+        zones: Default::default(),
+        listeners_map: lanegate_model::settings::Listeners { control_plane: control, ..Default::default() },
+        port_range: (LINK_PORT, LAST_PORT),
+        seeds: seed_addresses(seeds),
+        bootstrap,
+        counts_for_quorum: control.is_some(),
+        limits: Default::default(),
+        data_dir: Some(PathBuf::from("data")),
+        heartbeat_ms: super::endpoint::HEARTBEAT.as_secs_f64() * 1e3,
+        fault_tolerance: lanegate_model::settings::FaultTolerance {
+            machines: tolerance,
+            ..Default::default()
+        },
+        bounds: Bounds::default(),
+    }
+}
+
+/// Control addresses of controllers.
+pub(super) fn seed_addresses(seeds: &[usize]) -> Vec<SocketAddr> {
+    seeds.iter().map(|index| Place::Controller(*index).address()).collect()
+}
--- /dev/null
+++ b/crates/controller/src/simulation/settle.rs
@@ -0,0 +1,128 @@
+//! The end of a scenario: all troubles end, and everything must work again within its bounds.
+
+use super::change::{Form, SERVICES};
+use super::history::{ChangeStanding, ReadStanding};
+use super::place::Place;
+use super::step::Step;
+use super::violation::Violation;
+use super::world::World;
+use std::time::Duration;
+
+/// Time for everything to come right once it is mended (`RecoverS`).
+const SETTLE_TIME: Duration = Duration::from_secs(12);
+/// A change is acknowledged within this time (`AckMs`).
+const ACKNOWLEDGE_TIME: Duration = Duration::from_secs(4);
+/// Routers have it within this time (`ConfigApplyMs`).
+const APPLY_TIME: Duration = Duration::from_secs(2);
+
+impl World {
+    /// Mends and starts everything; then changes are taken, reads are served, routers have the newest
+    /// configuration, groups are whole and every service has a controller that acts for it.
+    pub(super) fn settle(&mut self) -> Result<(), Violation> {
+        self.mend_all();
+        self.run(SETTLE_TIME)?;
+        let number = self.history.changes.len() + 1;
+        let via = self.first_left();
+        self.operate(&Step::Put { form: Form::Put, via, only: false });
+        self.run(ACKNOWLEDGE_TIME)?;
+        let standing = self.history.change(number).map(|sent| sent.standing);
+        if standing == Some(ChangeStanding::Refused) {
+            // Operators did not know of the newest version; now they do.
+            return self.settle_change(number + 1, via);
+        }
+        self.check_settled(number)
+    }
+
+    fn settle_change(&mut self, number: usize, via: usize) -> Result<(), Violation> {
+        self.operate(&Step::Put { form: Form::Put, via, only: false });
+        self.run(ACKNOWLEDGE_TIME)?;
+        self.check_settled(number)
+    }
+
+    fn mend_all(&mut self) {
+        self.network.mend();
+        for index in 0..self.controllers.len() {
+            self.mend_disk(index);
+            self.thaw(Place::Controller(index));
+            self.start(Place::Controller(index));
+        }
+        for index in 0..self.routers.len() {
+            self.thaw(Place::Router(index));
+            self.start(Place::Router(index));
+        }
+        self.paths_changed();
+        self.release_held_calls();
+        let now = self.now();
+        self.troubles.core(now);
+        self.look_for_losses();
+    }
+
+    fn first_left(&self) -> usize {
+        self.controllers.iter().find(|machine| !machine.retired).map_or(0, |machine| machine.index)
+    }
+
+    fn check_settled(&mut self, number: usize) -> Result<(), Violation> {
+        let sent = self.history.change(number);
+        if sent.map(|sent| sent.standing) != Some(ChangeStanding::Taken) {
+            let standing = sent.map(|sent| sent.standing);
+            return Err(Violation::Stuck(format!("change {number} is {standing:?}")));
+        }
+        let version = self.history.newest_acknowledged;
+        self.run(APPLY_TIME)?;
+        self.check_routers(version)?;
+        self.check_reads()?;
+        self.check_groups()?;
+        self.check_holders()
+    }
+
+    fn check_routers(&self, version: u64) -> Result<(), Violation> {
+        for machine in &self.routers {
+            let configuration = machine.known.configuration.as_ref();
+            let found = configuration.map_or(0, |configuration| configuration.version);
+            if found != version {
+                let router = machine.place();
+                return Err(Violation::Stuck(format!("{router} has version {found}, not {version}")));
+            }
+        }
+        Ok(())
+    }
+
+    /// Every controller gives the newest configuration.
+    fn check_reads(&mut self) -> Result<(), Violation> {
+        let left: Vec<usize> =
+            self.controllers.iter().filter(|machine| !machine.retired).map(|machine| machine.index).collect();
+        for via in left {
+            let number = self.history.reads.len();
+            self.operate(&Step::Read { via, only: true });
+            self.run(Duration::from_secs(1))?;
+            let standing = self.history.reads[number].standing;
+            if standing != ReadStanding::Served {
+                let place = Place::Controller(via);
+                return Err(Violation::Stuck(format!("a read at {place} is {standing:?}")));
+            }
+        }
+        Ok(())
+    }
+
+    fn check_groups(&self) -> Result<(), Violation> {
+        let size = 2 * self.tolerance as usize + 1;
+        let left = self.controllers.iter().filter(|machine| !machine.retired).count();
+        for (shard, group) in self.newest_groups().iter().enumerate() {
+            let gone =
+                |place: &Place| matches!(place, Place::Controller(index) if self.controllers[*index].retired);
+            if left >= size && (group.len() < size || group.iter().any(gone)) {
+                return Err(Violation::Stuck(format!("shard {shard} has group {group:?}")));
+            }
+        }
+        Ok(())
+    }
+
+    /// The shard of every service has a controller that acts for it.
+    fn check_holders(&self) -> Result<(), Violation> {
+        let holders = self.holders();
+        if holders.len() == SERVICES.len() {
+            return Ok(());
+        }
+        Err(Violation::Stuck(format!("holders are {holders:?}")))
+    }
+}
--- /dev/null
+++ b/crates/controller/src/simulation/violation.rs
@@ -0,0 +1,42 @@
+//! Rules that a simulation may find broken, as operators, endpoints and routers see them.
+
+use super::place::Place;
+
+/// A broken rule. Changes are counted from 1 in the order in which they were sent.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Violation {
+    #[error("change {0} is not valid and was acknowledged")]
+    InvalidAcknowledged(usize),
+    #[error("change {0} is valid and was called invalid")]
+    ValidCalledInvalid(usize),
+    #[error("change {0} was refused and then acknowledged")]
+    RefusedAndTaken(usize),
+    #[error("change {0} was acknowledged and then refused")]
+    TakenAndRefused(usize),
+    #[error("change {0} was refused and is in force")]
+    RefusedInForce(usize),
+    #[error("changes {first} and {second} were both taken on version {base}")]
+    TwoOnOneVersion { base: u64, first: usize, second: usize },
+    #[error("a configuration with version {0} that nobody sent is in force")]
+    NeverSent(u64),
+    #[error("router {router} went back from version {from} to {to}")]
+    RouterWentBack { router: usize, from: u64, to: u64 },
+    #[error("read {read} gave version {version} after {floor} was acknowledged")]
+    OldRead { read: usize, floor: u64, version: u64 },
+    #[error("{router} has version {version} a bound after {acknowledged} was acknowledged")]
+    NotApplied { router: Place, version: u64, acknowledged: u64 },
+    #[error("{router} sends to {endpoint} a bound after its drain was acknowledged")]
+    DrainUnknown { router: Place, endpoint: Place },
+    #[error("an order with token {token} came after one with {highest}")]
+    TokenWentBack { highest: u64, token: u64 },
+    #[error("two senders use token {0}")]
+    TokenShared(u64),
+    #[error("{second} gives orders {after_ms} ms after {first} did")]
+    TwoPlacers { first: Place, second: Place, after_ms: u64 },
+    #[error("shard {shard} has group {group} a bound after a loss")]
+    GroupNotWhole { shard: u8, group: String },
+    #[error("once all is well, {0}")]
+    Stuck(String),
+    #[error("step {step} expects {expected}, found {found}")]
+    Unmet { step: usize, expected: String, found: String },
+}
