--- a/crates/controller/src/simulation/change.rs
+++ b/crates/controller/src/simulation/change.rs
@@ -38,7 +38,7 @@
     pub(super) fn new(number: usize, form: Form, base: u64, version: u64) -> Self {
         let body = match form {
             Form::Put => whole(number, version),
-            Form::Patch => json!({ "Version": version, "Upsert": { "Routes": [mark(number)] } }),
+            Form::Patch => patch(number, version),
             Form::Invalid => {
                 let mut body = whole(number, version);
                 body["Routes"][0]["Backend"] = json!("unknown-service");
@@ -71,6 +71,11 @@
     json!({ "Version": version, "Routes": [mark(number)], "Backends": backends })
 }
 
+fn patch(number: usize, version: u64) -> Value {
+    let backends: Vec<Value> = SERVICES.iter().map(|service| engines(service)).collect();
+    json!({ "Version": version, "Upsert": { "Routes": [mark(number)], "Backends": backends } })
+}
+
 fn engines(service: &str) -> Value {
     let model = |name: &str| json!({ "Name": name, "WeightsMb": 100, "LoadTimeS": LOAD_TIME_S });
     json!({
--- a/crates/controller/src/simulation/connections.rs
+++ b/crates/controller/src/simulation/connections.rs
@@ -194,7 +194,9 @@
         let notice = match (dial.kind, end, message) {
             (Kind::Feed, End::Dialer, message) => Notice::Source(News::Message { source, message }),
             (Kind::Loopback, End::Dialer, message) => Notice::Agent(News::Message { source, message }),
-            (Kind::Loopback, End::Listener, message) => Notice::Downstream(Downstream::Message { message }),
+            (Kind::Loopback, End::Listener, message) => {
+                Notice::Downstream(Downstream::Message { reader: number, message })
+            }
             (Kind::Peer, End::Listener, Message::Hello(hello)) => {
                 connection.peer = hello.control_address.text().parse().ok();
                 Notice::Controller(Event::PeerHello { hello })
@@ -206,7 +208,9 @@
                 let outbox = connection.listener_outbox.take()?;
                 Notice::Controller(Event::AgentUp { agent: number, hello, outbox })
             }
-            (Kind::Feed, End::Listener, message) => Notice::Controller(Event::AgentMessage { message }),
+            (Kind::Feed, End::Listener, message) => {
+                Notice::Controller(Event::AgentMessage { agent: number, message })
+            }
             (Kind::Peer, End::Dialer, _) => return None,
         };
         let process = if end == End::Dialer { dial.dialer } else { listener };
--- a/crates/controller/src/simulation/router_machine.rs
+++ b/crates/controller/src/simulation/router_machine.rs
@@ -19,6 +19,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc;
 
 /// Where an agent feeds its router.
@@ -40,6 +41,8 @@
     follows: BTreeMap<SocketAddr, Follow>,
     client: Client,
     events: mpsc::UnboundedReceiver<FeedEvent>,
+    /// The timer that is set.
+    fetch_at: Option<Duration>,
 }
 
 /// What a router knows.
@@ -128,7 +131,8 @@
         let client = Client::new(own, self.random.random_range(1..=u64::MAX), sender);
         let follows = BTreeMap::new();
         let machine = &mut self.routers[index];
-        machine.running = Some(Running { process, agent, environment, follows, client, events });
+        machine.running =
+            Some(Running { process, agent, environment, follows, client, events, fetch_at: None });
         machine.known = Known::default();
         self.history.router_started(index);
         self.schedule(self.now(), Happening::Review { process });
@@ -199,6 +203,35 @@
         }
     }
 
+    /// The timer of an agent or its router.
+    pub(super) fn fetch(&mut self, process: Process, at: Duration) {
+        let Place::Router(index) = process.place else { return };
+        let machine = &mut self.routers[index];
+        let Some(running) = machine.running.as_mut().filter(|running| running.process == process) else {
+            return;
+        };
+        if running.fetch_at == Some(at) {
+            running.fetch_at = None;
+            if !machine.frozen {
+                self.after_router(index);
+            }
+        }
+    }
+
+    /// Lets agent and router fetch what is due, and sets the timer for the rest.
+    fn fetch_due(&mut self, index: usize) {
+        let Some(running) = self.routers[index].running.as_mut() else { return };
+        let started = running.environment.started;
+        let now = self.clock.get().saturating_sub(started);
+        running.agent.fetch();
+        running.client.fetch(now);
+        let next = running.agent.next_fetch().into_iter().chain(running.client.next_fetch(now)).min();
+        let Some(at) = next.map(|at| started + at).filter(|at| running.fetch_at != Some(*at)) else { return };
+        running.fetch_at = Some(at);
+        let process = running.process;
+        self.schedule(at, Happening::Fetch { process, at });
+    }
+
     fn after_router(&mut self, index: usize) {
         let Some(process) = self.routers[index].process() else { return };
         let requests = match &self.routers[index].running {
@@ -212,6 +245,7 @@
             }
         }
         self.take_feed_events(index);
+        self.fetch_due(index);
         self.pump_all(process);
     }
 
@@ -253,7 +287,7 @@
                 FeedEvent::Removed { id } => {
                     machine.known.instances.remove(&id);
                 }
-                FeedEvent::Routers { .. } | FeedEvent::Synchronized => {}
+                FeedEvent::Routers { .. } | FeedEvent::Behind { .. } | FeedEvent::Synchronized => {}
             }
         }
         self.history.seen_at = now;
--- a/crates/controller/src/simulation/schedule.rs
+++ b/crates/controller/src/simulation/schedule.rs
@@ -8,6 +8,7 @@
 use crate::controller::ControllerFault;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use std::mem::discriminant;
 
 /// Steps of a random scenario, apart from the first and the last ones.
 const STEPS: usize = 24;
@@ -170,13 +171,18 @@
     }
 }
 
-/// Leaves out steps as long as the rest still breaks a rule.
+/// Leaves out steps as long as the rest still breaks a rule of the same kind.
 #[must_use]
 pub fn shrink(scenario: &Scenario, fault: Option<ControllerFault>) -> Scenario {
     let mut smallest = scenario.clone();
+    let Err(violation) = World::play(scenario, fault) else { return smallest };
+    let is_kept = |shorter: &Scenario| {
+        let played = World::play(shorter, fault);
+        played.is_err_and(|other| discriminant(&other) == discriminant(&violation))
+    };
     let mut chunk = smallest.steps.len().div_ceil(2);
     while chunk > 0 {
-        if !drop_steps(&mut smallest, chunk, fault) {
+        if !drop_steps(&mut smallest, chunk, &is_kept) {
             chunk /= 2;
         }
     }
@@ -184,14 +190,14 @@
 }
 
 /// Leaves out each run of `chunk` steps that is not needed; tells whether any was.
-fn drop_steps(scenario: &mut Scenario, chunk: usize, fault: Option<ControllerFault>) -> bool {
+fn drop_steps(scenario: &mut Scenario, chunk: usize, is_kept: &impl Fn(&Scenario) -> bool) -> bool {
     let mut dropped = false;
     let mut start = 0;
     while start < scenario.steps.len() {
         let mut shorter = scenario.clone();
         let end = (start + chunk).min(shorter.steps.len());
         shorter.steps.drain(start..end);
-        if World::play(&shorter, fault).is_err() {
+        if is_kept(&shorter) {
             *scenario = shorter;
             dropped = true;
         } else {
--- a/crates/controller/src/simulation/world.rs
+++ b/crates/controller/src/simulation/world.rs
@@ -46,6 +46,8 @@
     Wake { process: Process, at: Duration },
     /// An agent looks at its choice of sources, and its router reports demand.
     Review { process: Process },
+    /// The timer of an agent or its router: a newer configuration may be fetched.
+    Fetch { process: Process, at: Duration },
     /// The grace of a process that was told to end is over.
     GraceOver { process: Process },
     /// A call reaches a controller.
@@ -249,6 +251,7 @@
             Happening::Written { process } => self.written(process),
             Happening::Wake { process, at } => self.wake(process, at),
             Happening::Review { process } => self.review(process),
+            Happening::Fetch { process, at } => self.fetch(process, at),
             Happening::GraceOver { process } => self.grace_over(process),
             Happening::CallArrives { attempt } => self.call_arrives(attempt),
             Happening::AnswerArrives { attempt, answer } => self.answer_arrives(attempt, answer),
