--- a/crates/controller/src/controller/calls.rs
+++ b/crates/controller/src/controller/calls.rs
@@ -42,7 +42,8 @@
             return answer(call, Answer::error(404, "no such path"));
         }
         let alone = self.has_fault(ControllerFault::AcknowledgeDrainAlone);
-        let known = if alone { KnownGroups::only(self.this) } else { self.known_groups(shards::CONFIGURATION) };
+        let known =
+            if alone { KnownGroups::only(self.this) } else { self.known_groups(shards::CONFIGURATION) };
         let now = self.now();
         let in_contact = self.has_contact(shards::CONFIGURATION);
         let changes = match call.method {
