Send a member one value at a time, and let it ask once for what it missed

What a slow or frozen member of a register was sent grew with the changes it missed: each change went to it whole as a proposal, and once more with the news of the decision, as it had not voted by then. A frozen process that woke after 1,000 changes found them all in its sockets and in the outbox of its peers, which holds 8,192 messages whatever their size. Also in good times the slower of two voters got every value twice.

A proposer now holds a value back from a member that has not answered the one before, and sends it the newest as soon as it answers, asks, or its link comes up. News of a decision carry no value; a member that does not have it asks, with one question under way however many decisions it hears of. Safety is as before: only fewer messages are sent. A held-back member that turns out to be needed for a majority gets the value with the next retransmission, 200 ms later at most.

Scenarios: a thousand changes while a member is killed, cut off, frozen, wiped or has a full disk; a returning owner; a second loss after a replacement and after a planned leave; a wipe in the middle of a change of members. Every run plays 10,000 schedules in place of 2,000. The deliberate mistake ForgetHistory is new.

--- /dev/null
+++ b/crates/coordination/src/register/catch_up.rs
@@ -0,0 +1,66 @@
+//! Catching up: a replica that hears of a decided value it does not have asks for it, one at a time.
+//!
+//! However many decisions it hears of meanwhile, one question is under way; the answer holds the newest value
+//! of whoever gives it. So what a replica takes in to catch up does not grow with what it missed.
+
+use std::time::Duration;
+
+use super::ballot::Ballot;
+use super::core::Core;
+use super::node::Node;
+use super::settings::Fault;
+
+/// The newest decision that was heard of and whose value is not known here.
+#[derive(Clone, Hash)]
+struct Missing {
+    ballot: Ballot,
+    /// Who told of it.
+    from: Node,
+    ask_again_at: Duration,
+    interval: Duration,
+}
+
+#[derive(Clone, Default, Hash)]
+pub(super) struct CatchUp {
+    missing: Option<Missing>,
+}
+
+impl CatchUp {
+    /// A value is decided that is newer than the decided one known here.
+    pub(super) fn heard(&mut self, core: &mut Core, from: Node, ballot: Ballot) {
+        if core.settings.has(Fault::AskForEach) {
+            return core.send(from, core.inquiry());
+        }
+        match &mut self.missing {
+            Some(missing) if missing.ballot < ballot => (missing.ballot, missing.from) = (ballot, from),
+            Some(_) => {}
+            None => self.ask(core, from, ballot, core.settings.retry_interval),
+        }
+    }
+
+    /// The decided value of `ballot` is known here; `answered` if it may be the answer to a question.
+    pub(super) fn learned(&mut self, core: &mut Core, ballot: Ballot, answered: bool) {
+        self.missing.take_if(|missing| missing.ballot <= ballot);
+        if let Some(missing) = self.missing.take_if(|_| answered) {
+            self.ask(core, missing.from, missing.ballot, core.settings.retry_interval);
+        }
+    }
+
+    pub(super) fn next_wake(&self) -> Option<Duration> {
+        self.missing.as_ref().map(|missing| missing.ask_again_at)
+    }
+
+    /// Asks again if there was no answer.
+    pub(super) fn on_tick(&mut self, core: &mut Core) {
+        let due = |missing: &mut Missing| missing.ask_again_at <= core.now;
+        if let Some(missing) = self.missing.take_if(due) {
+            let interval = core.longer(missing.interval);
+            self.ask(core, missing.from, missing.ballot, interval);
+        }
+    }
+
+    fn ask(&mut self, core: &mut Core, from: Node, ballot: Ballot, interval: Duration) {
+        self.missing = Some(Missing { ballot, from, ask_again_at: core.now + interval, interval });
+        core.send(from, core.inquiry());
+    }
+}
--- a/crates/coordination/src/register/core.rs
+++ b/crates/coordination/src/register/core.rs
@@ -1,6 +1,6 @@
 //! What all parts of a replica share: settings, time, chance, outgoing messages, the newest decided value.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,6 +35,8 @@
     pub(super) nonce: u64,
     pub(super) now: Duration,
     pub(super) decided: Option<Proposal>,
+    /// Replicas that were sent a value to accept and have not answered since.
+    pub(super) unanswered: BTreeSet<Node>,
     pub(super) outputs: VecDeque<Output>,
     pub(super) local: VecDeque<Message>,
     random: SmallRng,
@@ -43,7 +45,7 @@
 /// Settings, the state machine and chance to come tell no two states of one replica apart.
 impl Hash for Core {
     fn hash<H: Hasher>(&self, hasher: &mut H) {
-        (self.nonce, self.now, &self.decided, &self.outputs, &self.local).hash(hasher);
+        (self.nonce, self.now, &self.decided, &self.unanswered, &self.outputs, &self.local).hash(hasher);
     }
 }
 
@@ -56,6 +58,7 @@
             nonce,
             now,
             decided: None,
+            unanswered: BTreeSet::new(),
             outputs: VecDeque::new(),
             local: VecDeque::new(),
             random,
@@ -85,6 +88,11 @@
         }
     }
 
+    /// A value that another replica sent whole.
+    pub(super) fn taken_over(&self, value: Value) -> Value {
+        if self.settings.has(Fault::ForgetHistory) { Value { history: Vec::new(), ..value } } else { value }
+    }
+
     /// Takes note of a decided value.
     pub(super) fn learn(&mut self, ballot: Ballot, value: &Value) {
         let known = self.decided.as_ref();
--- a/crates/coordination/src/register/message.rs
+++ b/crates/coordination/src/register/message.rs
@@ -128,6 +128,11 @@
 }
 
 impl Message {
+    /// Whether the sender has come to what was sent to it last, or asks for what it did not get.
+    pub(super) const fn is_answer(&self) -> bool {
+        matches!(self, Self::Accepted { .. } | Self::Refused { .. } | Self::Inquire { .. })
+    }
+
     /// The binary form.
     ///
     /// # Errors
--- a/crates/coordination/src/register/mod.rs
+++ b/crates/coordination/src/register/mod.rs
@@ -86,6 +86,7 @@
 mod acceptor;
 mod ballot;
 mod batch;
+mod catch_up;
 mod codec;
 mod core;
 mod event;
--- a/crates/coordination/src/register/proposer.rs
+++ b/crates/coordination/src/register/proposer.rs
@@ -68,9 +68,18 @@
     }
 
     /// A replica can be reached again: what it has not answered is sent again.
-    pub(super) fn reach(&self, core: &mut Core, node: Node) {
-        if let Some(round) = self.round.as_ref().filter(|round| round.awaits(node)) {
-            core.send(node, round.message());
+    pub(super) fn reach(&mut self, core: &mut Core, node: Node) {
+        core.unanswered.remove(&node);
+        if let Some(round) = self.round.as_mut().filter(|round| round.awaits(node)) {
+            round.send_again(core, node);
+        }
+    }
+
+    /// A replica has answered whatever was sent to it last.
+    pub(super) fn answered(&mut self, core: &mut Core, node: Node) {
+        core.unanswered.remove(&node);
+        if let Some(round) = &mut self.round {
+            round.release(core, node);
         }
     }
 
@@ -87,7 +96,7 @@
         round.resend_at = core.now + round.interval;
         let silent: Vec<Node> = round.asked.iter().copied().filter(|node| round.awaits(*node)).collect();
         for node in silent {
-            core.send(node, round.message());
+            round.send_again(core, node);
         }
     }
 
@@ -154,6 +163,7 @@
             base_decided: true,
             confirmed: false,
             asked: Vec::new(),
+            held: Vec::new(),
             resend_at: core.now,
             interval: core.settings.retry_interval,
         });
@@ -171,6 +181,7 @@
             base_decided: false,
             confirmed: false,
             asked: Vec::new(),
+            held: Vec::new(),
             resend_at: core.now + core.settings.retry_interval,
             interval: core.settings.retry_interval,
         };
@@ -333,7 +344,7 @@
         };
         let ballot = round.ballot;
         core.learn(ballot, &value);
-        announce(core, ballot, &value, &members(&groups), &round.votes);
+        announce(core, ballot, &members(&groups));
         self.failures = 0;
         round.base = Proposal { ballot, value };
         round.base_decided = true;
--- a/crates/coordination/src/register/recovery.rs
+++ b/crates/coordination/src/register/recovery.rs
@@ -111,7 +111,7 @@
             self.ask_all(core, highest.unwrap_or_default() + 1);
             return None;
         }
-        self.record()
+        self.record(core)
     }
 
     /// Starts the next stage.
@@ -145,7 +145,7 @@
     }
 
     /// The highest promise, the newest accepted value and all floors.
-    fn record(&self) -> Option<Record> {
+    fn record(&self, core: &Core) -> Option<Record> {
         let newest = self.newest()?;
         let mut floors = Floors::default();
         for (node, answer) in &self.answers {
@@ -154,7 +154,7 @@
         }
         let promised = self.answers.values().map(|answer| answer.promised).max()?;
         let promised = promised.max(newest.ballot);
-        let (accepted, value) = (newest.ballot, newest.value);
+        let (accepted, value) = (newest.ballot, core.taken_over(newest.value));
         Some(Record { incarnation: self.incarnation, promised, accepted, value, floors })
     }
 }
--- a/crates/coordination/src/register/replica.rs
+++ b/crates/coordination/src/register/replica.rs
@@ -5,6 +5,7 @@
 use super::acceptor::Acceptor;
 use super::ballot::Ballot;
 use super::batch::{Item, Work};
+use super::catch_up::CatchUp;
 use super::core::{Core, Proposal, earlier};
 use super::event::{Applied, Input, Output, StateMachine, Status};
 use super::message::Message;
@@ -27,6 +28,7 @@
     recovery: Option<Recovery>,
     proposer: Proposer,
     reader: Reader,
+    catch_up: CatchUp,
     contacts: Vec<Node>,
     announce_at: Duration,
     complete_at: Option<Duration>,
@@ -52,6 +54,7 @@
             recovery: None,
             proposer: Proposer::default(),
             reader: Reader::default(),
+            catch_up: CatchUp::default(),
             contacts,
             announce_at: now,
             complete_at: None,
@@ -132,7 +135,7 @@
         let recovery = self.recovery.as_ref().map(Recovery::next_wake);
         let acceptor = self.acceptor.as_ref().and_then(Acceptor::next_wake);
         let work = earlier(self.proposer.next_wake(), self.reader.next_wake());
-        let timers = earlier(Some(self.announce_at), self.complete_at);
+        let timers = earlier(earlier(Some(self.announce_at), self.complete_at), self.catch_up.next_wake());
         earlier(earlier(recovery, acceptor), earlier(work, timers))
     }
 
@@ -244,6 +247,9 @@
     }
 
     fn on_message(&mut self, from: Node, message: Message) {
+        if message.is_answer() {
+            self.proposer.answered(&mut self.core, from);
+        }
         match message {
             Message::Prepare { ballot, known } => {
                 self.proposer.observe(ballot);
@@ -300,11 +306,16 @@
     fn on_decided(&mut self, from: Node, ballot: Ballot, value: Carried) {
         let accepted =
             self.acceptor.as_ref().map(Acceptor::record).filter(|record| record.accepted == ballot);
-        let value = value.into_value().or_else(|| accepted.map(|record| record.value.clone()));
+        let was_sent = matches!(value, Carried::Full(_));
+        let sent = value.into_value().map(|value| self.core.taken_over(value));
+        let value = sent.or_else(|| accepted.map(|record| record.value.clone()));
         match value {
-            Some(value) => self.learn(ballot, &value),
+            Some(value) => {
+                self.learn(ballot, &value);
+                self.catch_up.learned(&mut self.core, ballot, was_sent);
+            }
             None if self.core.decided.as_ref().is_none_or(|known| known.ballot < ballot) => {
-                self.core.send(from, self.core.inquiry());
+                self.catch_up.heard(&mut self.core, from, ballot);
             }
             None => {}
         }
@@ -329,7 +340,7 @@
                 }
             }
             own if known && own.is_none_or(|own| own < decided) => {
-                self.core.send(from, self.core.inquiry());
+                self.catch_up.heard(&mut self.core, from, decided);
             }
             _ => {}
         }
@@ -350,6 +361,7 @@
         if let Some(recovery) = &mut self.recovery {
             recovery.on_tick(&mut self.core);
         }
+        self.catch_up.on_tick(&mut self.core);
         self.reader.on_tick(&mut self.core, &mut self.proposer);
         self.proposer.on_tick(&mut self.core);
         if self.announce_at <= self.core.now {
--- a/crates/coordination/src/register/round.rs
+++ b/crates/coordination/src/register/round.rs
@@ -41,8 +41,10 @@
     pub(super) base_decided: bool,
     /// A value was decided in this round: the base is fresh.
     pub(super) confirmed: bool,
-    /// Whom the message of this phase was sent to.
+    /// Whom the message of this phase is for.
     pub(super) asked: Vec<Node>,
+    /// Those of them that get it once they have answered an earlier one.
+    pub(super) held: Vec<Node>,
     pub(super) resend_at: Duration,
     pub(super) interval: Duration,
 }
@@ -88,9 +90,40 @@
         self.phase = Phase::Accept { value, groups, then };
         self.votes = Votes::new(&core.settings);
         self.asked = Vec::new();
+        self.held = Vec::new();
         self.interval = core.settings.retry_interval;
         self.resend_at = core.now + self.interval;
-        self.ask(core, &all);
+        for node in all {
+            self.asked.push(node);
+            self.send_value(core, node);
+        }
+    }
+
+    /// Sends the value, or holds it back from a replica that has not answered the one before: such a one has
+    /// a queue before it, which is to hold one value and not all that are decided meanwhile.
+    fn send_value(&mut self, core: &mut Core, node: Node) {
+        let waits = node != core.node() && !core.unanswered.insert(node);
+        if waits && !core.settings.has(Fault::SendAhead) {
+            return self.held.push(node);
+        }
+        core.send(node, self.message());
+    }
+
+    /// Sends the message of this phase to one that has not answered it.
+    pub(super) fn send_again(&mut self, core: &mut Core, node: Node) {
+        self.held.retain(|held| *held != node);
+        if matches!(self.phase, Phase::Accept { .. }) {
+            core.unanswered.insert(node);
+        }
+        core.send(node, self.message());
+    }
+
+    /// A replica has answered: what was held back is sent to it.
+    pub(super) fn release(&mut self, core: &mut Core, node: Node) {
+        if let Some(index) = self.held.iter().position(|held| *held == node) {
+            self.held.swap_remove(index);
+            self.send_value(core, node);
+        }
     }
 }
 
@@ -98,11 +131,11 @@
     groups.last().cloned().into_iter().collect()
 }
 
-/// Tells the members of a decision, and the value to those that may not have it.
-pub(super) fn announce(core: &mut Core, ballot: Ballot, value: &Value, nodes: &[Node], votes: &Votes<()>) {
+/// Tells the members of a decision. Each of them was sent the value, or is being sent an earlier one; whoever
+/// does not have it asks for it.
+pub(super) fn announce(core: &mut Core, ballot: Ballot, nodes: &[Node]) {
     let own = core.node();
     for node in nodes.iter().copied().filter(|node| *node != own) {
-        let carried = if votes.counts(node) { Carried::Omitted } else { Carried::Full(value.clone()) };
-        core.send(node, Message::Decided { ballot, value: carried });
+        core.send(node, Message::Decided { ballot, value: Carried::Omitted });
     }
 }
--- a/crates/coordination/src/register/settings.rs
+++ b/crates/coordination/src/register/settings.rs
@@ -59,7 +59,7 @@
     }
 }
 
-/// Deliberate mistakes: each must be found by the random schedules.
+/// Deliberate mistakes: each must be found by the random schedules, or by the tests on catching up.
 #[doc(hidden)]
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
@@ -87,4 +87,10 @@
     SmallMajority,
     /// A preempted command is proposed again without looking whether it took effect.
     ProposeTwice,
+    /// The recent changes of a value that is taken over from others (recovery, catching up) are left out.
+    ForgetHistory,
+    /// A value is also sent to a replica that has not answered the one before.
+    SendAhead,
+    /// A replica asks for the value of every decision it hears of.
+    AskForEach,
 }
--- a/crates/coordination/src/simulation/schedule.rs
+++ b/crates/coordination/src/simulation/schedule.rs
@@ -40,14 +40,17 @@
     Restarts,
     /// Changes of members.
     Members,
+    /// Changes of members, and a loss before or after they have taken effect.
+    SecondLoss,
 }
 
 impl Mix {
     const fn of(seed: u64) -> Self {
-        match seed % 5 {
+        match seed % 6 {
             2 => Self::Wipes,
             3 => Self::Restarts,
             4 => Self::Members,
+            5 => Self::SecondLoss,
             _ => Self::Any,
         }
     }
@@ -67,7 +70,7 @@
     let mut random = SmallRng::seed_from_u64(seed);
     let mix = Mix::of(seed);
     let founders = if mix != Mix::Any || random.random_bool(0.6) { 3 } else { 5 };
-    let fewest_spares = usize::from(mix == Mix::Members);
+    let fewest_spares = usize::from(matches!(mix, Mix::Members | Mix::SecondLoss));
     let spares = random.random_range(fewest_spares..=2);
     let count = founders + spares;
     let cast = Cast { mix, count, favourite: random.random_range(0..count) };
@@ -113,11 +116,25 @@
     match cast.mix {
         Mix::Any => {}
         Mix::Wipes => steps.extend([Step::Wipe(at), part(random, cast.count), Step::Start(at)]),
-        Mix::Restarts => steps.extend([Step::Kill(at), part(random, cast.count), Step::Start(at)]),
+        Mix::Restarts => {
+            // A proposer that starts again proposes again, while what it sent before may still be on its way.
+            let at = if random.random_bool(FAVOURED) { cast.favourite } else { at };
+            steps.extend([Step::Kill(at), part(random, cast.count), Step::Start(at), Step::Append(at)]);
+        }
         Mix::Members => {
             let (old, new) = (at, random.random_range(0..cast.count));
             steps.push(Step::Replace { old, new, via: cast.favourite });
         }
+        Mix::SecondLoss => {
+            let (old, new) = (at, random.random_range(0..cast.count));
+            let lost = random.random_range(0..cast.count);
+            steps.push(match random.random_range(0..3) {
+                0 => Step::Leave { old, via: cast.favourite },
+                _ => Step::Replace { old, new, via: cast.favourite },
+            });
+            steps.extend([Step::Wait(hop(random)), Step::Wipe(lost), Step::Wait(hop(random))]);
+            steps.push(if random.random_bool(0.5) { Step::Start(lost) } else { Step::Retire(lost) });
+        }
     }
 }
 
@@ -185,10 +202,10 @@
 }
 
 fn add_change_of_members(steps: &mut Vec<Step>, random: &mut SmallRng, founders: usize, count: usize) {
-    if founders == count {
-        return;
-    }
     let (old, via) = (random.random_range(0..count), random.random_range(0..count));
+    if founders == count || random.random_range(0..5) == 0 {
+        return steps.push(Step::Leave { old, via });
+    }
     let new = random.random_range(founders..count);
     match random.random_range(0..4) {
         0 => steps.push(Step::Grow { new, via }),
--- a/crates/coordination/src/simulation/step.rs
+++ b/crates/coordination/src/simulation/step.rs
@@ -62,6 +62,15 @@
 pub enum Step {
     /// A new number is appended through a machine.
     Append(Machine),
+    /// So many new numbers are appended through a machine, one every so many milliseconds.
+    Appends {
+        /// Takes the requests.
+        at: Machine,
+        /// How many.
+        count: u32,
+        /// Time after each, in milliseconds.
+        every: u64,
+    },
     /// A number is ensured through a machine: an old one if there is one.
     Ensure(Machine),
     /// A new number is appended if the list is even.
@@ -84,6 +93,13 @@
         /// Takes the request.
         via: Machine,
     },
+    /// A member leaves without a replacement, asked for at a machine.
+    Leave {
+        /// Leaves.
+        old: Machine,
+        /// Takes the request.
+        via: Machine,
+    },
     /// Time passes, in milliseconds.
     Wait(u64),
     /// The process is killed.
@@ -161,6 +177,9 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match *self {
             Self::Append(at) => write!(formatter, "append {}", Name(at)),
+            Self::Appends { at, count, every } => {
+                write!(formatter, "append {} {count} every {every}", Name(at))
+            }
             Self::Ensure(at) => write!(formatter, "ensure {}", Name(at)),
             Self::AppendIfEven(at) => write!(formatter, "append-if-even {}", Name(at)),
             Self::Read(at) => write!(formatter, "read {}", Name(at)),
@@ -168,6 +187,7 @@
                 write!(formatter, "replace {} {} via {}", Name(old), Name(new), Name(via))
             }
             Self::Grow { new, via } => write!(formatter, "grow {} via {}", Name(new), Name(via)),
+            Self::Leave { old, via } => write!(formatter, "leave {} via {}", Name(old), Name(via)),
             Self::Wait(time) => write!(formatter, "wait {time}"),
             Self::Kill(at) => write!(formatter, "kill {}", Name(at)),
             Self::Power(at) => write!(formatter, "power {}", Name(at)),
@@ -236,6 +256,9 @@
         let words: Vec<&str> = line.split_whitespace().collect();
         Ok(match *words.as_slice() {
             ["append", at] => Self::Append(machine(at)?),
+            ["append", at, count, "every", every] => {
+                Self::Appends { at: machine(at)?, count: number(count)?, every: number(every)? }
+            }
             ["ensure", at] => Self::Ensure(machine(at)?),
             ["append-if-even", at] => Self::AppendIfEven(machine(at)?),
             ["read", at] => Self::Read(machine(at)?),
@@ -243,6 +266,7 @@
                 Self::Replace { old: machine(old)?, new: machine(new)?, via: machine(via)? }
             }
             ["grow", new, "via", via] => Self::Grow { new: machine(new)?, via: machine(via)? },
+            ["leave", old, "via", via] => Self::Leave { old: machine(old)?, via: machine(via)? },
             ["wait", time] => Self::Wait(number(time)?),
             ["kill", at] => Self::Kill(machine(at)?),
             ["power", at] => Self::Power(machine(at)?),
--- a/crates/coordination/src/simulation/tolerance.rs
+++ b/crates/coordination/src/simulation/tolerance.rs
@@ -10,13 +10,13 @@
 pub(super) struct MemberChange {
     pub(super) request: u64,
     pub(super) remove: Vec<Node>,
-    pub(super) add: Node,
+    pub(super) add: Option<Node>,
 }
 
 impl MemberChange {
     fn apply(&self, group: &Group) -> Group {
         let kept = group.members().iter().copied().filter(|node| !self.remove.contains(node));
-        Group::new(kept.chain([self.add]).collect())
+        Group::new(kept.chain(self.add).collect())
     }
 }
 
@@ -49,7 +49,8 @@
         let mut next = 0;
         while let Some(group) = groups.get(next).cloned() {
             for changed in changes.iter().map(|change| change.apply(&group)) {
-                if !groups.contains(&changed) {
+                // A change that would leave nobody is refused.
+                if !changed.members().is_empty() && !groups.contains(&changed) {
                     groups.push(changed);
                 }
             }
--- a/crates/coordination/src/simulation/world.rs
+++ b/crates/coordination/src/simulation/world.rs
@@ -104,14 +104,21 @@
     fn step(&mut self, number: usize, step: Step) -> Result<(), Violation> {
         match step {
             Step::Append(at) => self.append(at, Command::Append),
+            Step::Appends { at, count, every } => (0..count).try_for_each(|_| {
+                self.append(at, Command::Append)?;
+                self.run(Duration::from_millis(every))
+            }),
             Step::AppendIfEven(at) => self.append(at, Command::AppendIfEven),
             Step::Ensure(at) => {
                 let entry = FIRST_ENSURED + self.random.random_range(0..ENSURED);
                 self.propose(at, Command::Ensure(entry))
             }
             Step::Read(at) => self.ask(at, None, |request, deadline| Input::Read { request, deadline }),
-            Step::Replace { old, new, via } => self.change_members(via, vec![node_of(old)], node_of(new)),
-            Step::Grow { new, via } => self.change_members(via, Vec::new(), node_of(new)),
+            Step::Replace { old, new, via } => {
+                self.change_members(via, vec![node_of(old)], Some(node_of(new)))
+            }
+            Step::Grow { new, via } => self.change_members(via, Vec::new(), Some(node_of(new))),
+            Step::Leave { old, via } => self.change_members(via, vec![node_of(old)], None),
             Step::Wait(time) => self.run(Duration::from_millis(time)),
             Step::Start(at) => self.start(at, false),
             Step::Thaw(at) => self.thaw(at),
@@ -209,7 +216,7 @@
     }
 
     /// Asks for a change of members, unless too many of the new ones could be without a disk.
-    fn change_members(&mut self, via: Index, remove: Vec<Node>, add: Node) -> Result<(), Violation> {
+    fn change_members(&mut self, via: Index, remove: Vec<Node>, add: Option<Node>) -> Result<(), Violation> {
         let request = self.history.next_request();
         self.changes.push(MemberChange { request, remove: remove.clone(), add });
         let groups = self.possible_groups();
@@ -220,7 +227,7 @@
         self.ask(via, None, |request, deadline| Input::ProposeMembers {
             request,
             remove,
-            add: vec![add],
+            add: add.into_iter().collect(),
             deadline,
         })
     }
--- /dev/null
+++ b/crates/coordination/tests/register_catch_up.rs
@@ -0,0 +1,203 @@
+//! A member that was away while the configuration changed a thousand times: what it takes in afterwards does not
+//! grow with what it missed, and nothing older than the newest is read through it.
+
+mod cluster;
+
+use std::time::Duration;
+
+use cluster::Cluster;
+use cluster::configuration::{Configuration, document, outcome, patch, put, route, version};
+use lanegate_coordination::register::{Fault, Outcome as RegisterOutcome, StateMachine};
+use lanegate_model::control_state::Outcome;
+
+/// The member that is away; another one proposes.
+const AWAY: usize = 2;
+const PROPOSER: usize = 0;
+const MEMBERS: usize = 3;
+const ROUTES: usize = 20;
+/// Changes before the member goes; with these the value has reached its full size.
+const CHANGES_BEFORE: u64 = 1_100;
+/// Longest time from the return of a member until it knows the newest value, while everybody else is well.
+const LONGEST_CATCH_UP: Duration = Duration::from_millis(100);
+/// A replica asks one other for news after at most so long; a change that reaches it is sooner.
+const LONGEST_UNTIL_NEWS: Duration = Duration::from_secs(3);
+/// Values that a member takes in at most when it returns: from each of the two others an answer to its question
+/// when the link comes up, to its own read at the start and to the caller's; and one to what it hears last.
+const MOST_VALUES: f64 = 7.1;
+/// The same for what is sent to it while it stands still: the change that was under way.
+const MOST_VALUES_WHILE_FROZEN: f64 = 1.0;
+/// The largest message without a value, in bytes.
+const SMALL_MESSAGE_BYTES: u64 = 100;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Absence {
+    Killed,
+    Wiped,
+    Frozen,
+    Cut,
+    DiskFull,
+}
+
+impl Absence {
+    fn begin(self, cluster: &mut Cluster) {
+        match self {
+            Self::Killed => cluster.kill(AWAY),
+            Self::Wiped => cluster.wipe(AWAY),
+            Self::Frozen => cluster.freeze(AWAY),
+            Self::Cut => cluster.part(&[AWAY]),
+            Self::DiskFull => cluster.fill_disk(AWAY),
+        }
+    }
+
+    fn end(self, cluster: &mut Cluster) {
+        match self {
+            Self::Killed | Self::Wiped => cluster.start(AWAY),
+            Self::Frozen => cluster.thaw(AWAY),
+            Self::Cut => cluster.heal(),
+            Self::DiskFull => cluster.clear_disk(AWAY),
+        }
+    }
+}
+
+fn machine() -> Box<dyn StateMachine> {
+    Box::new(Configuration)
+}
+
+/// Makes `count` changes on top of version `base`, spread over `time`.
+fn make_changes(cluster: &mut Cluster, base: u64, count: u64, time: Duration) {
+    let pause = time / u32::try_from(count).expect("a small number");
+    let mut requests = Vec::new();
+    for base in base..base + count {
+        let next = base + 1;
+        let change = route(next as usize % ROUTES, next);
+        let body = format!(r#"{{"Version":{next},"Upsert":{{"Routes":[{change}]}}}}"#);
+        requests.push(cluster.propose(PROPOSER, patch(base, body).encode()));
+        cluster.run(pause);
+    }
+    for request in requests {
+        let answer = outcome(cluster.answer(request));
+        assert!(matches!(answer, Some(Outcome::Taken { .. })), "{answer:?}");
+    }
+}
+
+/// A group whose configuration has changed often.
+fn old_cluster(fault: Option<Fault>) -> Cluster {
+    let mut cluster = Cluster::with_fault(MEMBERS, 0, machine, fault);
+    let first = cluster.propose(PROPOSER, put(0, document(1, ROUTES)).encode());
+    assert!(outcome(cluster.answer(first)).is_some());
+    make_changes(&mut cluster, 1, CHANGES_BEFORE, Duration::from_secs(2));
+    cluster.run(Duration::from_secs(1));
+    cluster
+}
+
+/// What it took a member to catch up; bytes in units of the value's size.
+#[derive(Debug)]
+struct CatchUp {
+    /// Sent to it while it was away, without small messages.
+    while_away: f64,
+    /// Sent to it after it had returned.
+    after: f64,
+    time: Duration,
+}
+
+fn come_back(absence: Absence, changes: u64, away: Duration, fault: Option<Fault>) -> CatchUp {
+    let mut cluster = old_cluster(fault);
+    cluster.take_traffic(AWAY);
+    absence.begin(&mut cluster);
+    make_changes(&mut cluster, CHANGES_BEFORE + 1, changes, away);
+    let while_away = cluster.take_traffic(AWAY);
+    absence.end(&mut cluster);
+    let newest = cluster.newest();
+    let read = cluster.read(AWAY);
+    let time = cluster.time_to_catch_up(AWAY, LONGEST_UNTIL_NEWS).expect("it catches up");
+    check_read(cluster.answer(read), newest);
+    cluster.run(Duration::from_millis(500));
+    let after = cluster.take_traffic(AWAY);
+    assert_eq!(version(&cluster.state(AWAY)), CHANGES_BEFORE + 1 + changes);
+    let size = cluster.record(PROPOSER).len() as f64;
+    assert_eq!(cluster.record(AWAY).len() as f64, size, "it has the newest value on disk");
+    let large = while_away.bytes.saturating_sub(while_away.messages * SMALL_MESSAGE_BYTES);
+    CatchUp { while_away: large as f64 / size, after: after.bytes as f64 / size, time }
+}
+
+/// The read tells the newest value.
+fn check_read(answer: Option<RegisterOutcome>, newest: u64) {
+    let Some(RegisterOutcome::Value { revision, .. }) = answer else {
+        panic!("the read was not answered: {answer:?}")
+    };
+    assert_eq!(revision, newest);
+}
+
+fn check(absence: Absence) {
+    for (changes, seconds) in [(1_000, 1), (1_000, 10), (1_000, 60), (10, 10)] {
+        let caught_up = come_back(absence, changes, Duration::from_secs(seconds), None);
+        println!("{absence:?}, {changes} changes in {seconds} s: {caught_up:?}");
+        assert!(caught_up.time <= LONGEST_CATCH_UP, "{caught_up:?}");
+        assert!(caught_up.after <= MOST_VALUES, "{caught_up:?}");
+        // One whose disk is full is not away: it votes no more, but learns every change.
+        if absence != Absence::DiskFull {
+            assert!(caught_up.while_away <= MOST_VALUES_WHILE_FROZEN, "{caught_up:?}");
+        }
+    }
+}
+
+/// What a member takes in grows with what it missed under these deliberate mistakes.
+#[test]
+fn values_sent_ahead_to_a_frozen_member_show() {
+    let caught_up = come_back(Absence::Frozen, 1_000, Duration::from_secs(10), Some(Fault::SendAhead));
+    println!("{caught_up:?}");
+    assert!(caught_up.while_away > 10.0 * MOST_VALUES_WHILE_FROZEN, "{caught_up:?}");
+}
+
+#[test]
+fn a_question_for_each_decision_shows() {
+    let caught_up = come_back(Absence::Frozen, 1_000, Duration::from_secs(10), Some(Fault::AskForEach));
+    println!("{caught_up:?}");
+    assert!(caught_up.after > 10.0 * MOST_VALUES, "{caught_up:?}");
+}
+
+#[test]
+fn a_change_through_a_member_that_has_just_returned_builds_on_the_newest() {
+    for absence in [Absence::Killed, Absence::Wiped, Absence::Frozen, Absence::Cut] {
+        let mut cluster = old_cluster(None);
+        absence.begin(&mut cluster);
+        make_changes(&mut cluster, CHANGES_BEFORE + 1, 1_000, Duration::from_secs(10));
+        absence.end(&mut cluster);
+        let current = CHANGES_BEFORE + 1_001;
+        let stale = put(CHANGES_BEFORE + 1, document(CHANGES_BEFORE + 2, 1));
+        let stale = cluster.propose(AWAY, stale.encode());
+        let fresh = cluster.propose(AWAY, put(current, document(current + 1, 1)).encode());
+        let refused = outcome(cluster.answer(stale));
+        assert!(
+            matches!(refused, Some(Outcome::Conflict { current: known }) if known >= current),
+            "{refused:?}"
+        );
+        let taken = outcome(cluster.answer(fresh));
+        assert_eq!(taken, Some(Outcome::Taken { version: current + 1 }), "{absence:?}");
+    }
+}
+
+#[test]
+fn a_killed_member_catches_up() {
+    check(Absence::Killed);
+}
+
+#[test]
+fn a_wiped_member_catches_up() {
+    check(Absence::Wiped);
+}
+
+#[test]
+fn a_frozen_member_catches_up() {
+    check(Absence::Frozen);
+}
+
+#[test]
+fn a_member_that_was_cut_off_catches_up() {
+    check(Absence::Cut);
+}
+
+#[test]
+fn a_member_whose_disk_was_full_catches_up() {
+    check(Absence::DiskFull);
+}
--- a/crates/coordination/tests/register_faults.rs
+++ b/crates/coordination/tests/register_faults.rs
@@ -39,4 +39,5 @@
     an_accept_below_a_promise: AcceptBelowPromise;
     a_majority_that_is_too_small: SmallMajority;
     a_command_proposed_twice: ProposeTwice;
+    recent_changes_forgotten_by_who_takes_a_value_over: ForgetHistory;
 }
--- a/crates/coordination/tests/register_schedules.rs
+++ b/crates/coordination/tests/register_schedules.rs
@@ -5,10 +5,10 @@
 use lanegate_coordination::simulation::{World, random_scenario, shrink};
 
 /// Schedules that every run of the tests plays.
-const SCHEDULES: Range<u64> = 0..2_000;
+const SCHEDULES: Range<u64> = 0..10_000;
 
 /// Schedules for a longer look.
-const MORE_SCHEDULES: Range<u64> = 2_000..100_000;
+const MORE_SCHEDULES: Range<u64> = 10_000..500_000;
 
 fn play(seeds: Range<u64>) {
     for seed in seeds {
