Number forwarded changes from the life, so that an outcome for an earlier one answers nobody

They were numbered from 1 in each life. An owner that was frozen with a change of an earlier life before it answers that change after its thaw; the controller that asked may have restarted and have a change of its own under the same number, whose operator then got the outcome of the other.

--- a/crates/controller/src/controller/operator.rs
+++ b/crates/controller/src/controller/operator.rs
@@ -50,10 +50,17 @@
 #[derive(Debug, Default)]
 pub struct Operator {
     pending: BTreeMap<u64, Pending>,
-    next: u64,
+    /// Number of the newest change.
+    newest: u64,
 }
 
 impl Operator {
+    /// Nothing is under way. Numbers go on from `life`, drawn at each start of the process: an owner may answer
+    /// a change of an earlier life, and that answer must not be taken for one to a change of this life.
+    pub fn new(life: u64) -> Self {
+        Operator { pending: BTreeMap::new(), newest: life }
+    }
+
     /// Takes a change. It is proposed here at once, unless `owner_live`: then the owner is asked first.
     /// Tells its number, or `None` if too many are under way.
     pub fn begin(
@@ -89,10 +96,10 @@
         command: Vec<u8>,
         propose_at: Option<Duration>,
     ) -> u64 {
-        self.next += 1;
+        self.newest = self.newest.wrapping_add(1);
         let pending = Pending { caller, command, propose_at, until: now + ANSWER_TIMEOUT };
-        self.pending.insert(self.next, pending);
-        self.next
+        self.pending.insert(self.newest, pending);
+        self.newest
     }
 
     /// The command of a change under way.
--- a/crates/controller/src/controller/operator_test.rs
+++ b/crates/controller/src/controller/operator_test.rs
@@ -50,6 +50,20 @@
     assert_eq!(operator.due(START + ANSWER_TIMEOUT), Vec::<u64>::new());
 }
 
+/// The owner was frozen with a change of this controller's earlier life before it, and answers now.
+#[test]
+fn an_outcome_for_an_earlier_life_answers_nobody() {
+    let mut earlier = Operator::new(0x5151_0000_0000);
+    let mut operator = Operator::new(0x7272_0000_0000);
+    let (old_request, _) = begun(&mut earlier, true);
+    let (request, mut answer) = begun(&mut operator, true);
+    assert_ne!(old_request, request);
+    assert!(matches!(operator.settle(old_request, taken), Settled::Unknown));
+    assert!(answer.try_recv().is_err());
+    operator.settle(request, taken);
+    assert_eq!(answer.try_recv(), Ok(taken()));
+}
+
 #[test]
 fn the_first_of_two_outcomes_counts() {
     let mut operator = Operator::default();
--- a/crates/controller/src/controller/setup.rs
+++ b/crates/controller/src/controller/setup.rs
@@ -161,7 +161,7 @@
             readers: Readers::new(life),
             endpoints: Endpoints::new(heartbeat, control, life),
             shards: Shards::new(replicas),
-            operator: Operator::default(),
+            operator: Operator::new(life),
             membership: Membership::new(MembershipSettings::new(HEARTBEAT_INTERVAL, MONITORS), node, now),
             contact: Contact::with_fault(control, life, fault.and_then(ControllerFault::of_contact)),
             trust: Trust::default(),
