Undo the circle of imports among the five files that carry a request

The reading of a decision is now Destination::of beside Destination in attempt, the test for event streams stands in headers, the error of a cut stream beside the stream. The layers are attempt < resume < stream < body < answers < carry, as the module docs say. No change of behaviour.

--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -1,4 +1,4 @@
-//! Answers of the router's own: refusals and failures.
+//! Answers of the router's own: refusals and failures. Above `body`, below `carry` and `frontend`.
 
 use crate::body::RouterBody;
 use bytes::Bytes;
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -1,4 +1,4 @@
-//! One send of a request to one endpoint.
+//! One send of a request to one endpoint. The lowest of the layers that carry a request out.
 
 use crate::connection::{EndpointConnection, ExchangeError};
 use crate::headers::{
@@ -13,7 +13,7 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, Uri};
-use lanegate_dispatch::interface::{AttemptEnd, InstanceLoad};
+use lanegate_dispatch::interface::{AttemptEnd, Decision, InstanceLoad};
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -52,6 +52,18 @@
     pub resume: bool,
 }
 
+impl Destination {
+    /// Where a decision sends a request; `None` for decisions that end it.
+    pub fn of(decision: Decision) -> Option<Self> {
+        match decision {
+            Decision::Send { attempt, instance, address, engine_priority, resume, .. } => {
+                Some(Destination { attempt, instance, address, engine_priority, resume })
+            }
+            Decision::Refuse { .. } | Decision::Fail { .. } => None,
+        }
+    }
+}
+
 /// The answer of an endpoint, checked, its body still on the way.
 pub struct EndpointAnswer {
     pub head: Parts,
--- a/crates/router/src/body.rs
+++ b/crates/router/src/body.rs
@@ -1,17 +1,14 @@
-//! The body of an answer to a client.
+//! The body of an answer to a client: whole, or a stream.
+//!
+//! Above `stream`; `answers` and `carry` make bodies and nothing below here knows of them.
 
 use crate::activity::AnswerGuard;
-use crate::stream::AnswerStream;
+use crate::stream::{AnswerCut, AnswerStream};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-/// The answer ends here though it is not whole; the client's connection is to be broken off.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("the answer ended early")]
-pub struct AnswerCut;
-
 /// Body of an answer: whole, or passed on as it arrives.
 pub struct RouterBody {
     content: Content,
--- a/crates/router/src/carry.rs
+++ b/crates/router/src/carry.rs
@@ -1,12 +1,14 @@
 //! Carries out what the dispatcher decides for one request, up to the head of its answer.
+//!
+//! The top of the layers `attempt` < `resume` < `stream` < `body` < `answers` < `carry`: each knows only those
+//! before it.
 
 use crate::answers::OwnAnswer;
 use crate::attempt::{self, Destination, EndpointAnswer, EndpointBody, Outbound};
 use crate::body::RouterBody;
 use crate::events::EventSplitter;
-use crate::headers::remove_hop_by_hop;
+use crate::headers::{is_event_stream, remove_hop_by_hop};
 use crate::mailbox::Instruction;
-use crate::resume::is_event_stream;
 use crate::stream::{AnswerStream, Opened};
 use crate::ticket::Ticket;
 use bytes::{Bytes, BytesMut};
@@ -28,16 +30,6 @@
 /// When to come back to a process that ends.
 const STOPPED_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// Where a decision sends a request; `None` for decisions that end it.
-pub fn destination(decision: Decision) -> Option<Destination> {
-    match decision {
-        Decision::Send { attempt, instance, address, engine_priority, resume, .. } => {
-            Some(Destination { attempt, instance, address, engine_priority, resume })
-        }
-        Decision::Refuse { .. } | Decision::Fail { .. } => None,
-    }
-}
-
 /// Follows the dispatcher until there is an answer for the client.
 pub async fn carry(ticket: Rc<Ticket>, request: Rc<Outbound>) -> Response<RouterBody> {
     let mut may_have_run = false;
@@ -94,7 +86,7 @@
             counters.failures.increment();
             Err(OwnAnswer::Failure(status_of(reason)))
         }
-        Instruction::Decided(decision @ Decision::Send { .. }) => match destination(decision) {
+        Instruction::Decided(decision @ Decision::Send { .. }) => match Destination::of(decision) {
             Some(destination) if request.repeatable || !may_have_run => Ok(destination),
             _ => {
                 log::error!("{:?} may have run and would have been sent again", request.attempt_id);
--- a/crates/router/src/headers.rs
+++ b/crates/router/src/headers.rs
@@ -1,7 +1,7 @@
 //! Headers that the router reads, and those that concern only one connection.
 
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
     PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use lanegate_dispatch::interface::{Generation, InstanceLoad, PromptPart};
@@ -126,6 +126,13 @@
     Some(Duration::from_secs(seconds))
 }
 
+/// Whether the answer is a series of events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = text(headers, &CONTENT_TYPE).unwrap_or_default();
+    let kind = kind.split(';').next().unwrap_or_default();
+    kind.trim().eq_ignore_ascii_case("text/event-stream")
+}
+
 /// Milliseconds left, as a header; never 0.
 pub fn milliseconds(left: Duration) -> HeaderValue {
     HeaderValue::from(u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1))
--- a/crates/router/src/resume.rs
+++ b/crates/router/src/resume.rs
@@ -1,10 +1,12 @@
 //! Takes a stream that broke off up at another endpoint, inside the same answer.
+//!
+//! Above `attempt`, which sends, and below `stream`, which passes the bytes on.
 
 use crate::attempt::{self, Destination, EndpointAnswer, EndpointBody, Outbound};
-use crate::carry::destination;
+use crate::headers::is_event_stream;
 use crate::mailbox::Instruction;
 use crate::ticket::Ticket;
-use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::header::HeaderValue;
 use lanegate_dispatch::interface::{AttemptEnd, InstanceLoad, Progress};
 use std::cell::Cell;
 use std::future::{Future, poll_fn};
@@ -24,7 +26,7 @@
     let mut instruction = ticket.next().await;
     loop {
         let destination = match instruction {
-            Instruction::Decided(decision) => destination(decision)?,
+            Instruction::Decided(decision) => Destination::of(decision)?,
             Instruction::Stopped => return None,
         };
         instruction = match send(&ticket, &request, &destination, &last_event).await {
@@ -71,10 +73,3 @@
     ticket.progress(destination.attempt, Progress::Head { load: answer.load });
     Sent::Resumed(Resumed { attempt: destination.attempt, load: answer.load, body: answer.body })
 }
-
-/// Whether the answer is a series of events.
-pub fn is_event_stream(headers: &HeaderMap) -> bool {
-    let kind = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok()).unwrap_or_default();
-    let kind = kind.split(';').next().unwrap_or_default();
-    kind.trim().eq_ignore_ascii_case("text/event-stream")
-}
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -1,7 +1,8 @@
 //! An answer that is passed on to the client as it arrives.
+//!
+//! Above `resume`, which finds another run, and below `body`, which hands the bytes to the HTTP library.
 
 use crate::attempt::{EndpointBody, Outbound};
-use crate::body::AnswerCut;
 use crate::events::EventSplitter;
 use crate::mailbox::Instruction;
 use crate::resume::{self, Resumed};
@@ -14,6 +15,11 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
+/// The answer ends here though it is not whole; the client's connection is to be broken off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the answer ended early")]
+pub struct AnswerCut;
+
 /// Passes the bytes of an endpoint on; takes the answer up at another endpoint where the route allows that.
 pub struct AnswerStream {
     ticket: Rc<Ticket>,
