Drop late answers to earlier requests; take answers without a length

Cause: an endpoint may answer a request twice, the second time when the next request is already under way on the connection. The id showed that the answer was not the next one's, but the next request was then failed with 502 and its own answer lost. Answers to earlier requests of a connection are now dropped below the HTTP library (stale.rs), whatever else does not carry the right id is a failure as before.

A hole behind it: a request that an endpoint turned away (503, Not-Executed) could be sent again on the same connection, where a second copy of that refusal carries the right id. It would have been taken as the answer to the second send, and a request that may run once sent a third time while the second ran. A request is never sent again on a connection that carried it, and requests without an id share no connection.

Answers with neither a length nor chunks were failures. They are whole when the connection is closed in order, and not when it is reset; small ones are read whole before any of it is passed on, events are cut at their ends, so that an end inside an event does not look whole. A connection whose endpoint has not read the request to its end carries no other. A router without a configuration says 503 also to a body over the default limit.

--- a/crates/router/src/activity.rs
+++ b/crates/router/src/activity.rs
@@ -43,6 +43,10 @@
     /// When the present answer has to be over.
     answer_by: Cell<Instant>,
     order: Cell<Order>,
+    /// Whether the client tells the end of an answer by the end of the connection.
+    reads_to_end: Cell<bool>,
+    /// Whether the connection is to end by a reset.
+    is_reset: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
 
@@ -55,6 +59,8 @@
             request_began: Cell::new(now),
             answer_by: Cell::new(now),
             order: Cell::new(Order::Continue),
+            reads_to_end: Cell::new(false),
+            is_reset: Cell::new(false),
             waker: RefCell::new(None),
         })
     }
@@ -92,6 +98,16 @@
         began
     }
 
+    /// Notes that the client speaks a version in which an answer without a length ends with its connection.
+    pub fn reads_to_end(&self) {
+        self.reads_to_end.set(true);
+    }
+
+    /// Notes that the connection broke within an answer, which must not look whole.
+    pub fn broke(&self) {
+        self.is_reset.set(self.reads_to_end.get());
+    }
+
     /// Notes when the present answer has to be over.
     pub fn expect_answer_by(&self, deadline: Instant) {
         self.answer_by.set(deadline);
@@ -161,6 +177,17 @@
     }
 }
 
+impl Drop for ClientStream {
+    fn drop(&mut self) {
+        if !self.activity.is_reset.get() {
+            return;
+        }
+        if let Err(error) = self.stream.set_zero_linger() {
+            log::debug!("a connection that broke is closed in order: {error}");
+        }
+    }
+}
+
 impl AsyncRead for ClientStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -4,7 +4,7 @@
 use crate::headers::{
     DEADLINE_MS, EXPECT_INSTANCE, LAST_EVENT_ID, PRIORITY, instance_load, keep_alive, milliseconds,
 };
-use crate::pool::Standing;
+use crate::pool::{ConnectionNumber, Standing};
 use crate::state::RouterState;
 use crate::verify::{self, Expected};
 use bytes::Bytes;
@@ -14,7 +14,7 @@
 use hyper::http::response::Parts;
 use hyper::{Method, Request, Uri};
 use lanegate_dispatch::interface::{AttemptEnd, Decision, InstanceLoad};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -40,6 +40,9 @@
     pub repeatable: bool,
     /// Whether a stream that broke off may be taken up elsewhere.
     pub resumable: bool,
+    /// Connections on which it was sent. It is never sent again on one of these: a second answer to the
+    /// earlier send could not be told from the answer to the later one.
+    pub carried_by: RefCell<Vec<ConnectionNumber>>,
 }
 
 /// Where the dispatcher sends a request.
@@ -78,6 +81,10 @@
     connection: Option<EndpointConnection>,
     incoming: Incoming,
     told_idle: Option<Duration>,
+    /// Whether it has neither a length nor chunks, and so ends with its connection.
+    ends_with_connection: bool,
+    /// Whether the connection may carry other requests afterwards.
+    is_reusable: bool,
 }
 
 impl EndpointBody {
@@ -105,8 +112,13 @@
         self.incoming.size_hint().exact()
     }
 
+    /// Whether the body ends with its connection, so that an end is no proof of completeness inside an event.
+    pub fn ends_with_connection(&self) -> bool {
+        self.ends_with_connection
+    }
+
     fn give_back(&mut self) {
-        if let Some(connection) = self.connection.take() {
+        if let Some(connection) = self.connection.take().filter(|_| self.is_reusable) {
             self.state.pool.give_back(connection, self.told_idle);
         }
     }
@@ -141,7 +153,8 @@
     sent: &Cell<bool>,
 ) -> Result<EndpointAnswer, AttemptEnd> {
     loop {
-        let (mut connection, used_before) = connect(state, destination).await?;
+        let (mut connection, used_before) = connect(state, request, destination).await?;
+        let stale_before = connection.stale_answers();
         let Some(left) = time_left(state, request) else {
             return Err(AttemptEnd::NotSent);
         };
@@ -149,6 +162,7 @@
             return Err(AttemptEnd::NotSent);
         }
         sent.set(true);
+        request.carried_by.borrow_mut().push(connection.lease().number());
         let answer = match connection.exchange(compose(request, destination, &last_event, left)).await {
             Ok(answer) => answer,
             Err(ExchangeError::NotSent) => {
@@ -167,9 +181,18 @@
             engine: request.engine,
         };
         let verdict = verify::check(expected, &answer);
+        let ends_with_connection = verify::ends_with_connection(&answer);
+        state.counters.stale_answers.add(connection.stale_answers() - stale_before);
         let (head, incoming) = answer.into_parts();
         let told_idle = keep_alive(&head.headers);
-        let body = EndpointBody { state: state.clone(), connection: Some(connection), incoming, told_idle };
+        let body = EndpointBody {
+            state: state.clone(),
+            connection: Some(connection),
+            incoming,
+            told_idle,
+            ends_with_connection,
+            is_reusable: request.attempt_id.is_some(),
+        };
         return match verdict {
             Ok(()) => Ok(EndpointAnswer { load: instance_load(&head.headers), head, body }),
             Err(end) => {
@@ -193,11 +216,13 @@
     .await;
 }
 
+/// A connection for the request, and whether it was used before.
 async fn connect(
     state: &Rc<RouterState>,
+    request: &Outbound,
     destination: &Destination,
 ) -> Result<(EndpointConnection, bool), AttemptEnd> {
-    if let Some(connection) = state.pool.take_idle(&destination.instance, destination.address) {
+    if let Some(connection) = idle_connection(state, request, destination) {
         return Ok((connection, true));
     }
     let lease = state.pool.lease(&destination.instance, destination.address).ok_or(AttemptEnd::NotSent)?;
@@ -211,6 +236,18 @@
     }
 }
 
+/// A used connection that may carry the request: not one that carried it before, and none at all where no id
+/// tells its answer from those of others.
+fn idle_connection(
+    state: &RouterState,
+    request: &Outbound,
+    destination: &Destination,
+) -> Option<EndpointConnection> {
+    request.attempt_id.as_ref()?;
+    let carried_by = request.carried_by.borrow();
+    state.pool.take_idle(&destination.instance, destination.address, &carried_by)
+}
+
 fn time_left(state: &RouterState, request: &Outbound) -> Option<Duration> {
     request.deadline.checked_sub(state.now()).filter(|left| !left.is_zero())
 }
--- a/crates/router/src/carry.rs
+++ b/crates/router/src/carry.rs
@@ -139,34 +139,54 @@
     let answer = attempt::send(ticket.state(), request, destination, None, sent).await?;
     ticket.progress(destination.attempt, Progress::Head { load: answer.load });
     let is_stream = answer.head.status.is_success() && is_event_stream(&answer.head.headers);
-    let is_small = answer.body.exact_length().is_some_and(|length| length <= WHOLE_ANSWER_BYTES);
-    match is_stream || !is_small {
+    match is_stream || !is_gathered(&answer.body) {
         true => open_stream(ticket, request, destination, answer, is_stream).await,
-        false => open_whole(ticket, destination, answer).await,
+        false => open_whole(ticket, request, destination, answer).await,
+    }
+}
+
+/// Whether an answer is read whole before any of it is passed on, unless it turns out to be large.
+fn is_gathered(body: &EndpointBody) -> bool {
+    match body.exact_length() {
+        Some(length) => length <= WHOLE_ANSWER_BYTES,
+        None => body.ends_with_connection(),
     }
 }
 
 async fn open_whole(
-    ticket: &Ticket,
+    ticket: &Rc<Ticket>,
+    request: &Rc<Outbound>,
     destination: &Destination,
     mut answer: EndpointAnswer,
 ) -> Result<Response<RouterBody>, AttemptEnd> {
     let first = answer.body.next().await.transpose().map_err(|_| AttemptEnd::Broken)?.unwrap_or_default();
     ticket.progress(destination.attempt, Progress::FirstByte);
-    let body = read_rest(first, &mut answer.body).await.map_err(|_| AttemptEnd::Broken)?;
-    Ok(finished(ticket, destination, answer, body))
+    match read_rest(first, &mut answer.body).await.map_err(|_| AttemptEnd::Broken)? {
+        Gathered::Whole(body) => Ok(finished(ticket, destination, answer, body)),
+        Gathered::Beginning(first) => Ok(passed_on(ticket, request, destination, answer, first, None)),
+    }
+}
+
+/// What was read of a body before any of it is passed on.
+enum Gathered {
+    Whole(Bytes),
+    /// The body is too long to be read whole first.
+    Beginning(Bytes),
 }
 
-/// The whole body, of which the first bytes are there.
-async fn read_rest(first: Bytes, body: &mut EndpointBody) -> hyper::Result<Bytes> {
+/// The body, of which the first bytes are there.
+async fn read_rest(first: Bytes, body: &mut EndpointBody) -> hyper::Result<Gathered> {
     let mut gathered = BytesMut::new();
     while let Some(more) = body.next().await.transpose()? {
         if gathered.is_empty() {
             gathered.extend_from_slice(&first);
         }
         gathered.extend_from_slice(&more);
+        if gathered.len() as u64 > WHOLE_ANSWER_BYTES {
+            return Ok(Gathered::Beginning(gathered.freeze()));
+        }
     }
-    Ok(if gathered.is_empty() { first } else { gathered.freeze() })
+    Ok(Gathered::Whole(if gathered.is_empty() { first } else { gathered.freeze() }))
 }
 
 async fn open_stream(
@@ -176,11 +196,15 @@
     mut answer: EndpointAnswer,
     events: bool,
 ) -> Result<Response<RouterBody>, AttemptEnd> {
-    let mut splitter = (events && request.resumable).then(EventSplitter::default);
+    let is_split = events && (request.resumable || answer.body.ends_with_connection());
+    let mut splitter = is_split.then(EventSplitter::default);
     let mut reported = false;
     let first = loop {
         let Some(data) = answer.body.next().await.transpose().map_err(|_| AttemptEnd::Broken)? else {
             let rest = splitter.as_mut().map(EventSplitter::finish).unwrap_or_default();
+            if answer.body.ends_with_connection() && !rest.is_empty() {
+                return Err(AttemptEnd::Broken);
+            }
             return Ok(finished(ticket, destination, answer, rest));
         };
         if !std::mem::replace(&mut reported, true) {
@@ -194,6 +218,18 @@
             break passed;
         }
     };
+    Ok(passed_on(ticket, request, destination, answer, first, splitter))
+}
+
+/// The answer to the client of which the first bytes are there and the rest is passed on as it comes.
+fn passed_on(
+    ticket: &Rc<Ticket>,
+    request: &Rc<Outbound>,
+    destination: &Destination,
+    answer: EndpointAnswer,
+    first: Bytes,
+    splitter: Option<EventSplitter>,
+) -> Response<RouterBody> {
     let opened = Opened {
         ticket: ticket.clone(),
         request: request.clone(),
@@ -203,7 +239,7 @@
         splitter,
         body: answer.body,
     };
-    Ok(compose(answer.head, RouterBody::stream(AnswerStream::new(opened))))
+    compose(answer.head, RouterBody::stream(AnswerStream::new(opened)))
 }
 
 /// The answer to the client after a whole answer of the endpoint.
--- a/crates/router/src/connection.rs
+++ b/crates/router/src/connection.rs
@@ -1,7 +1,9 @@
 //! One connection to an endpoint. It is driven by whoever uses it, not by a task of its own, so that dropping
 //! it closes it at once and an idle one costs nothing.
 
+use crate::headers::ATTEMPT_ID;
 use crate::pool::Lease;
+use crate::stale::StaleAnswers;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -32,6 +34,9 @@
 /// one second is the shortest that can be set.
 const KEEPALIVE: Duration = Duration::from_secs(1);
 
+/// Bytes that are read at a time while the head of an answer is waited for.
+const HEAD_READ_BYTES: usize = 4 * 1024;
+
 /// Why a request got no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum ExchangeError {
@@ -62,7 +67,7 @@
     pub async fn open(address: SocketAddr, lease: Lease) -> io::Result<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         configure(&stream)?;
-        let wire = Rc::new(Wire { stream: RefCell::new(stream), written: Cell::new(0) });
+        let wire = Rc::new(Wire::new(stream));
         let io = TokioIo::new(EndpointStream(wire.clone()));
         let (sender, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
         let driver = Box::pin(connection);
@@ -97,6 +102,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ExchangeError> {
         let written_before = self.wire.written.get();
+        self.wire.stale.borrow_mut().expect(request.headers().get(&ATTEMPT_ID), request.method());
         let mut answer = pin!(self.sender.try_send_request(request));
         let driver = &mut self.driver;
         let progress = &mut self.progress;
@@ -133,11 +139,16 @@
         }
     }
 
-    /// Whether a request may be sent: the last answer was whole, and since then nothing came that belongs to
-    /// no request and the endpoint did not close.
+    /// Whether a request may be sent: the last request was taken whole and its answer came whole, and since
+    /// then nothing came that belongs to no request and the endpoint did not close.
     pub fn is_clean(&mut self) -> bool {
         drive(&mut self.driver, &mut self.progress, &mut Context::from_waker(Waker::noop()));
-        self.progress == Progress::Open && self.sender.is_ready()
+        self.progress == Progress::Open && self.sender.is_ready() && !self.wire.is_blocked.get()
+    }
+
+    /// Answers to earlier requests that came late and were dropped.
+    pub fn stale_answers(&self) -> u64 {
+        self.wire.stale.borrow().dropped()
     }
 
     /// Whether bytes came that belong to no request, or the connection broke.
@@ -204,16 +215,50 @@
     stream: RefCell<TcpStream>,
     /// Bytes that the kernel took.
     written: Cell<u64>,
+    /// Whether some of a request is not taken yet, as its endpoint reads no further.
+    is_blocked: Cell<bool>,
+    stale: RefCell<StaleAnswers>,
 }
 
 impl Wire {
+    fn new(stream: TcpStream) -> Self {
+        Wire {
+            stream: RefCell::new(stream),
+            written: Cell::new(0),
+            is_blocked: Cell::new(false),
+            stale: RefCell::default(),
+        }
+    }
+
     fn note_written(&self, result: &Poll<io::Result<usize>>) {
+        self.is_blocked.set(result.is_pending());
         if let Poll::Ready(Ok(written)) = result {
             self.written.set(self.written.get().wrapping_add(*written as u64));
         }
     }
 }
 
+impl Wire {
+    /// Reads what is for the library.
+    fn poll_read(&self, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let mut stream = self.stream.borrow_mut();
+        let mut stale = self.stale.borrow_mut();
+        while !stale.is_passing() {
+            if stale.hand_out(buffer) {
+                return Poll::Ready(Ok(()));
+            }
+            let mut space = [MaybeUninit::uninit(); HEAD_READ_BYTES];
+            let mut read = ReadBuf::uninit(&mut space);
+            ready!(Pin::new(&mut *stream).poll_read(cx, &mut read))?;
+            match read.filled() {
+                [] => stale.end(),
+                bytes => stale.take_in(bytes),
+            }
+        }
+        Pin::new(&mut *stream).poll_read(cx, buffer)
+    }
+}
+
 /// The stream of a connection, as the library sees it.
 #[derive(Debug)]
 struct EndpointStream(Rc<Wire>);
@@ -224,7 +269,7 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buffer)
+        self.0.poll_read(cx, buffer)
     }
 }
 
--- a/crates/router/src/counters.rs
+++ b/crates/router/src/counters.rs
@@ -17,6 +17,8 @@
     pub cut: Count,
     pub cancelled: Count,
     pub connections_opened: Count,
+    /// Answers of endpoints to requests that had an answer already.
+    pub stale_answers: Count,
     pub bytes_passed: Count,
 }
 
@@ -46,7 +48,8 @@
     pub fn log(&self) {
         log::info!(
             "accepted={} requests={} successes={} refusals={} failures={} unrouted={} attempts={} \
-             failed_attempts={} resumed={} cut={} cancelled={} connections_opened={} bytes_passed={}",
+             failed_attempts={} resumed={} cut={} cancelled={} connections_opened={} stale_answers={} \
+             bytes_passed={}",
             self.accepted.get(),
             self.requests.get(),
             self.successes.get(),
@@ -59,6 +62,7 @@
             self.cut.get(),
             self.cancelled.get(),
             self.connections_opened.get(),
+            self.stale_answers.get(),
             self.bytes_passed.get(),
         );
     }
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -37,6 +37,11 @@
         self.partial.split().freeze()
     }
 
+    /// Whether an event has begun and not ended.
+    pub fn is_inside_event(&self) -> bool {
+        !self.partial.is_empty()
+    }
+
     /// The id of the last event that was handed out.
     pub fn last_id(&self) -> Option<&Bytes> {
         self.last_id.as_ref()
--- a/crates/router/src/frontend.rs
+++ b/crates/router/src/frontend.rs
@@ -14,9 +14,10 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{Request, Response, StatusCode, Uri};
+use hyper::{Request, Response, StatusCode, Uri, Version};
 use lanegate_dispatch::interface;
 use lanegate_model::configuration::{Limits, RouteType};
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,6 +39,9 @@
 ) -> Result<Response<RouterBody>, Infallible> {
     let began = state.time_of(activity.head_complete(Instant::now()));
     state.counters.requests.increment();
+    if request.version() == Version::HTTP_10 {
+        activity.reads_to_end();
+    }
     let answer = answer(&state, &activity, request, began).await;
     let mut answer = answer.map(|body| body.guarded(AnswerGuard::new(activity)));
     if state.is_draining() {
@@ -56,6 +60,7 @@
     let (head, incoming) = request.into_parts();
     let body = match read_body(incoming, &limits).await {
         Ok(body) => body,
+        Err(_) if state.routing().is_none() => return unconfigured(state).into(),
         Err(status) => return OwnAnswer::Closing(status).into(),
     };
     let _guard = AnswerGuard::new(activity.clone());
@@ -68,6 +73,12 @@
     carry(Rc::new(ticket), Rc::new(outbound)).await
 }
 
+/// What a router says that knows no configuration yet, to whatever it is asked.
+fn unconfigured(state: &RouterState) -> OwnAnswer {
+    state.counters.refusals.increment();
+    OwnAnswer::Refusal { retry_after: UNCONFIGURED_RETRY_AFTER }
+}
+
 /// Reads the whole body; the error is the status to answer with.
 async fn read_body(mut incoming: Incoming, limits: &Limits) -> Result<Bytes, StatusCode> {
     let bound = limits.max_body_bytes;
@@ -103,8 +114,7 @@
     began: Duration,
 ) -> Result<(interface::Request, Outbound), OwnAnswer> {
     let Some(routing) = state.routing() else {
-        state.counters.refusals.increment();
-        return Err(OwnAnswer::Refusal { retry_after: UNCONFIGURED_RETRY_AFTER });
+        return Err(unconfigured(state));
     };
     let Some(host) = host(&head.uri, &head.headers) else {
         return Err(OwnAnswer::Failure(StatusCode::BAD_REQUEST));
@@ -167,6 +177,7 @@
         engine: resolved.engine,
         repeatable: resumable || route.route_type == RouteType::Idempotent,
         resumable,
+        carried_by: RefCell::default(),
     }
 }
 
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -149,6 +149,7 @@
         polled.map(|result| {
             if let Err(error) = result {
                 log::debug!("a client's connection ended: {error}");
+                activity.broke();
             }
         })
     })
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -42,8 +42,13 @@
     endpoints: RefCell<HashMap<Box<str>, Endpoint>>,
     configuration: RefCell<Option<Arc<Configuration>>>,
     routers: Cell<u32>,
+    next_connection: Cell<u64>,
 }
 
+/// Tells the connections of a router from one another; never used twice in a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionNumber(u64);
+
 /// Connections to one endpoint.
 struct Endpoint {
     backend: String,
@@ -61,18 +66,30 @@
     since: Instant,
 }
 
+impl IdleConnection {
+    fn is_none_of(&self, barred: &[ConnectionNumber]) -> bool {
+        !barred.contains(&self.connection.lease().number)
+    }
+}
+
 /// One place among the connections of an endpoint, given back when dropped.
 #[derive(Debug)]
 pub struct Lease {
     instance: Arc<str>,
     address: SocketAddr,
+    number: ConnectionNumber,
     open: Rc<Cell<u32>>,
 }
 
 impl Lease {
-    fn new(instance: Arc<str>, address: SocketAddr, open: Rc<Cell<u32>>) -> Self {
+    fn new(instance: Arc<str>, address: SocketAddr, number: ConnectionNumber, open: Rc<Cell<u32>>) -> Self {
         open.set(open.get() + 1);
-        Lease { instance, address, open }
+        Lease { instance, address, number, open }
+    }
+
+    /// The number of the connection.
+    pub fn number(&self) -> ConnectionNumber {
+        self.number
     }
 }
 
@@ -92,15 +109,26 @@
     }
 
     /// The connection that has rested longest, if that is long enough for late bytes to have come.
-    fn take_rested(&mut self, now: Instant) -> Option<EndpointConnection> {
-        let rested = self.idle.first()?;
-        if now.saturating_duration_since(rested.since) < DISTRUSTED_REST {
+    fn take_rested(&mut self, now: Instant, barred: &[ConnectionNumber]) -> Option<EndpointConnection> {
+        let place = self.idle.iter().position(|idle| idle.is_none_of(barred))?;
+        if now.saturating_duration_since(self.idle[place].since) < DISTRUSTED_REST {
             return None;
         }
-        let candidate = self.idle.remove(0);
+        let candidate = self.idle.remove(place);
         self.checked(candidate, now)
     }
 
+    /// The connection that was used last, if a request may be sent on it.
+    fn take_latest(&mut self, now: Instant, barred: &[ConnectionNumber]) -> Option<EndpointConnection> {
+        while let Some(place) = self.idle.iter().rposition(|idle| idle.is_none_of(barred)) {
+            let candidate = self.idle.remove(place);
+            if let Some(connection) = self.checked(candidate, now) {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
     /// The connection, if a request may be sent on it.
     fn checked(&mut self, mut candidate: IdleConnection, now: Instant) -> Option<EndpointConnection> {
         let connection = &mut candidate.connection;
@@ -161,20 +189,20 @@
         }
     }
 
-    /// An idle connection that can be used again.
-    pub fn take_idle(&self, instance: &str, address: SocketAddr) -> Option<EndpointConnection> {
+    /// An idle connection that can be used again and is none of `barred`.
+    pub fn take_idle(
+        &self,
+        instance: &str,
+        address: SocketAddr,
+        barred: &[ConnectionNumber],
+    ) -> Option<EndpointConnection> {
         let now = Instant::now();
         let mut endpoints = self.endpoints.borrow_mut();
         let endpoint = endpoints.get_mut(instance).filter(|endpoint| endpoint.address == address)?;
         if endpoint.is_distrusted(now) {
-            return endpoint.take_rested(now);
+            return endpoint.take_rested(now, barred);
         }
-        while let Some(candidate) = endpoint.idle.pop() {
-            if let Some(connection) = endpoint.checked(candidate, now) {
-                return Some(connection);
-            }
-        }
-        None
+        endpoint.take_latest(now, barred)
     }
 
     /// Notes that the endpoint sent what is no answer to a request.
@@ -189,7 +217,13 @@
         let endpoints = self.endpoints.borrow();
         let endpoint = endpoints.get(&**instance)?;
         let free = endpoint.open.get() < self.bound(&endpoint.backend);
-        free.then(|| Lease::new(instance.clone(), address, endpoint.open.clone()))
+        free.then(|| Lease::new(instance.clone(), address, self.new_number(), endpoint.open.clone()))
+    }
+
+    fn new_number(&self) -> ConnectionNumber {
+        let number = self.next_connection.get();
+        self.next_connection.set(number + 1);
+        ConnectionNumber(number)
     }
 
     /// Connections that this router may have to one endpoint of the service.
--- /dev/null
+++ b/crates/router/src/stale.rs
@@ -0,0 +1,210 @@
+//! Drops answers to earlier requests that come late on a connection, in the place of the one waited for.
+//!
+//! An endpoint may answer a request a second time while the next request is already under way on the same
+//! connection. `Attempt-Id` tells which request an answer belongs to. What answers an earlier request of this
+//! connection is dropped here, below the HTTP library; whatever else comes is passed on and checked there.
+
+use crate::chunks::ChunkScanner;
+use crate::headers::ATTEMPT_ID;
+use hyper::Method;
+use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use std::collections::VecDeque;
+use std::mem;
+use tokio::io::ReadBuf;
+
+/// Requests of a connection whose late answers are known: an endpoint answers one at a time.
+const REMEMBERED: usize = 8;
+/// Longest head that is read here, bytes; longer ones are left to the library.
+const LONGEST_HEAD: usize = 32 * 1024;
+/// Most header fields of an answer that are read here.
+const MOST_FIELDS: usize = 64;
+
+/// A request that was sent on a connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Carried {
+    attempt_id: HeaderValue,
+    /// Whether its answer has no body, whatever its head says.
+    is_head: bool,
+}
+
+/// What the bytes of a connection are, up to the head of the answer that is waited for.
+#[derive(Debug, Default)]
+pub struct StaleAnswers {
+    current: Option<Carried>,
+    earlier: VecDeque<Carried>,
+    state: State,
+    /// Bytes for the library that were read here.
+    ready: VecDeque<u8>,
+    dropped: u64,
+}
+
+#[derive(Debug, Default)]
+enum State {
+    /// Everything goes to the library.
+    #[default]
+    Passing,
+    /// The beginning of an answer's head.
+    Head(Vec<u8>),
+    /// Inside the body of an answer that is dropped.
+    Dropping(Remainder),
+}
+
+/// What is left of a body.
+#[derive(Debug, Clone, Copy)]
+enum Remainder {
+    Bytes(u64),
+    Chunks(ChunkScanner),
+}
+
+/// What becomes of an answer whose head is known.
+enum Fate {
+    Pass,
+    Drop(Remainder),
+}
+
+impl StaleAnswers {
+    /// A request is about to be sent: the next answer is to be its own.
+    pub fn expect(&mut self, attempt_id: Option<&HeaderValue>, method: &Method) {
+        if let Some(before) = self.current.take() {
+            self.earlier.push_back(before);
+        }
+        if self.earlier.len() > REMEMBERED {
+            self.earlier.pop_front();
+        }
+        self.current =
+            attempt_id.map(|id| Carried { attempt_id: id.clone(), is_head: method == Method::HEAD });
+        if !self.earlier.is_empty() {
+            self.state = State::Head(Vec::new());
+        }
+    }
+
+    /// Whether all that comes may go to the library directly.
+    pub fn is_passing(&self) -> bool {
+        self.ready.is_empty() && matches!(self.state, State::Passing)
+    }
+
+    /// Answers that were dropped so far.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    /// Takes in bytes that came on the connection.
+    pub fn take_in(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            bytes = match mem::take(&mut self.state) {
+                State::Passing => self.pass(bytes),
+                State::Head(head) => self.read_head(head, bytes),
+                State::Dropping(remainder) => self.drop_body(remainder, bytes),
+            };
+        }
+    }
+
+    /// The connection has ended: what is left goes to the library.
+    pub fn end(&mut self) {
+        if let State::Head(head) = mem::take(&mut self.state) {
+            self.ready.extend(head);
+        }
+    }
+
+    /// Hands bytes to the library; tells whether there were any.
+    pub fn hand_out(&mut self, buffer: &mut ReadBuf<'_>) -> bool {
+        let (front, _) = self.ready.as_slices();
+        let length = front.len().min(buffer.remaining());
+        buffer.put_slice(&front[..length]);
+        self.ready.drain(..length);
+        length > 0
+    }
+
+    fn pass<'a>(&mut self, bytes: &[u8]) -> &'a [u8] {
+        self.ready.extend(bytes);
+        &[]
+    }
+
+    /// Reads on in a head; tells what is left of `bytes`.
+    fn read_head<'a>(&mut self, mut head: Vec<u8>, bytes: &'a [u8]) -> &'a [u8] {
+        let known = head.len();
+        head.extend_from_slice(bytes);
+        let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+        let mut answer = httparse::Response::new(&mut fields);
+        let length = match answer.parse(&head) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) if head.len() <= LONGEST_HEAD => {
+                self.state = State::Head(head);
+                return &[];
+            }
+            Ok(httparse::Status::Partial) | Err(_) => return self.pass(&head),
+        };
+        match self.fate(&answer) {
+            Fate::Pass => self.pass(&head),
+            Fate::Drop(remainder) => {
+                self.dropped += 1;
+                self.begin_dropping(remainder);
+                &bytes[length.saturating_sub(known)..]
+            }
+        }
+    }
+
+    fn drop_body<'a>(&mut self, remainder: Remainder, bytes: &'a [u8]) -> &'a [u8] {
+        let (taken, left) = match remainder {
+            Remainder::Bytes(left) => {
+                let taken = left.min(bytes.len() as u64);
+                (taken as usize, Remainder::Bytes(left - taken))
+            }
+            Remainder::Chunks(mut scanner) => match scanner.scan(bytes) {
+                Ok(taken) => (taken, Remainder::Chunks(scanner)),
+                // What follows is no answer either: the library says so.
+                Err(_) => return self.pass(bytes),
+            },
+        };
+        self.begin_dropping(left);
+        &bytes[taken..]
+    }
+
+    fn begin_dropping(&mut self, remainder: Remainder) {
+        self.state = match remainder.is_over() {
+            true => State::Head(Vec::new()),
+            false => State::Dropping(remainder),
+        };
+    }
+
+    fn fate(&self, answer: &httparse::Response<'_, '_>) -> Fate {
+        let mut ids =
+            answer.headers.iter().filter(|field| field.name.eq_ignore_ascii_case(ATTEMPT_ID.as_str()));
+        let Some(id) = ids.next().map(|field| field.value).filter(|_| ids.next().is_none()) else {
+            return Fate::Pass;
+        };
+        if self.current.as_ref().is_some_and(|current| current.attempt_id.as_bytes() == id) {
+            return Fate::Pass;
+        }
+        let carried = self.earlier.iter().find(|carried| carried.attempt_id.as_bytes() == id);
+        let remainder = carried.and_then(|carried| remainder(answer, carried.is_head));
+        remainder.map_or(Fate::Pass, Fate::Drop)
+    }
+}
+
+impl Remainder {
+    fn is_over(&self) -> bool {
+        match self {
+            Remainder::Bytes(left) => *left == 0,
+            Remainder::Chunks(scanner) => scanner.is_over(),
+        }
+    }
+}
+
+/// The body of an answer; `None` where its end cannot be told but by the end of the connection.
+fn remainder(answer: &httparse::Response<'_, '_>, is_head: bool) -> Option<Remainder> {
+    if is_head || matches!(answer.code, Some(100..=199 | 204 | 304)) {
+        return Some(Remainder::Bytes(0));
+    }
+    let values = |name: &str| -> Vec<&str> {
+        let fields = answer.headers.iter().filter(|field| field.name.eq_ignore_ascii_case(name));
+        fields.map(|field| std::str::from_utf8(field.value).unwrap_or_default().trim()).collect()
+    };
+    match (&values(TRANSFER_ENCODING.as_str())[..], &values(CONTENT_LENGTH.as_str())[..]) {
+        ([], [length]) => length.parse().ok().map(Remainder::Bytes),
+        ([encoding], _) if encoding.eq_ignore_ascii_case("chunked") => {
+            Some(Remainder::Chunks(ChunkScanner::default()))
+        }
+        _ => None,
+    }
+}
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -28,7 +28,8 @@
     load: Option<InstanceLoad>,
     /// Bytes that arrived before the head was passed on.
     first: Option<Bytes>,
-    /// Present on streams that may be taken up elsewhere.
+    /// Present on streams that may be taken up elsewhere, and on those whose end alone does not show that they
+    /// are whole.
     splitter: Option<EventSplitter>,
     source: Source,
 }
@@ -78,6 +79,11 @@
                             return Poll::Ready(Some(Ok(passed)));
                         }
                     }
+                    Poll::Ready(None) if body.ends_with_connection() && is_inside_event(&self.splitter) => {
+                        if self.broken_off().is_err() {
+                            return self.cut();
+                        }
+                    }
                     Poll::Ready(None) => {
                         let rest = self.finish();
                         return Poll::Ready((!rest.is_empty()).then_some(Ok(rest)));
@@ -120,7 +126,7 @@
     fn broken_off(&mut self) -> Result<(), AnswerCut> {
         self.source = Source::Ended;
         self.ticket.ended(self.attempt, AttemptEnd::BrokenMidway);
-        let splitter = self.splitter.as_mut().ok_or(AnswerCut)?;
+        let splitter = self.splitter.as_mut().filter(|_| self.request.resumable).ok_or(AnswerCut)?;
         splitter.begin_run();
         let last = splitter.last_id().ok_or(AnswerCut)?;
         let last = HeaderValue::from_bytes(last).map_err(|_| AnswerCut)?;
@@ -143,3 +149,7 @@
         Poll::Ready(Some(Err(AnswerCut)))
     }
 }
+
+fn is_inside_event(splitter: &Option<EventSplitter>) -> bool {
+    splitter.as_ref().is_some_and(EventSplitter::is_inside_event)
+}
--- /dev/null
+++ b/crates/router/tests/clients.rs
@@ -0,0 +1,219 @@
+//! Clients that pipeline, wait for `100 Continue`, leave, or speak an old version.
+
+mod common;
+
+use common::{CONFIGURATION, Endpoint, Router, pass_time, play, settle};
+use lanegate_model::feed::FeedEvent;
+use std::io::ErrorKind;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::timeout;
+
+/// Time in which something that must not happen would have happened.
+const A_WHILE: Duration = Duration::from_millis(60);
+
+#[test]
+fn pipelined_requests_are_answered_in_order_and_sent_one_by_one() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        let request =
+            |id: &str| format!("GET /once/{id} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {id}\r\n\r\n");
+        client.write(request("1") + &request("2") + &request("3")).await;
+        let (mut upstream, first) = endpoint.request().await;
+        assert!(timeout(A_WHILE, endpoint.accept()).await.is_err(), "two requests of a client at once");
+        upstream.answer(&first, "1").await;
+        for id in ["2", "3"] {
+            let request = upstream.request().await;
+            assert_eq!(request.header("Attempt-Id"), Some(id));
+            upstream.answer(&request, id).await;
+        }
+        for id in ["1", "2", "3"] {
+            let answer = client.answer().await;
+            assert_eq!((answer.header("Attempt-Id"), answer.text()), (Some(id), id));
+        }
+    });
+}
+
+#[test]
+fn a_client_that_waits_for_100_continue_is_told_to_go_on() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client
+            .write(
+                "POST /once/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\nExpect: 100-continue\r\n\
+                 Content-Length: 4\r\n\r\n",
+            )
+            .await;
+        client.read_through("HTTP/1.1 100 Continue\r\n\r\n").await;
+        client.write("body").await;
+        let (mut upstream, request) = endpoint.request().await;
+        assert_eq!((request.header("Expect"), request.text()), (None, "body"));
+        upstream.answer(&request, "done").await;
+        assert_eq!(client.answer().await.text(), "done");
+    });
+}
+
+#[test]
+fn a_client_that_closes_its_sending_side_has_left() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client.get("/once/a", "1").await;
+        let (upstream, _) = endpoint.request().await;
+        client.stream.shutdown().await.unwrap();
+        upstream.closed().await;
+        assert_eq!(client.rest().await, "");
+    });
+}
+
+#[test]
+fn nothing_is_sent_for_a_client_that_left_while_its_request_was_held() {
+    play(async {
+        let router = Router::serving(&[]).await;
+        let mut client = router.client().await;
+        client.get("/again/a", "1").await;
+        settle().await;
+        drop(client);
+        settle().await;
+        let endpoint = Endpoint::start("i-1").await;
+        router.tell(endpoint.registration("plain"));
+        assert!(timeout(A_WHILE, endpoint.accept()).await.is_err(), "sent though the client had left");
+    });
+}
+
+#[test]
+fn nothing_is_sent_again_for_a_client_that_left_after_a_break() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client.get("/again/a", "1").await;
+        let (upstream, _) = endpoint.request().await;
+        drop(client);
+        upstream.reset();
+        assert!(timeout(A_WHILE, endpoint.accept()).await.is_err(), "sent though the client had left");
+    });
+}
+
+#[test]
+fn an_answer_that_is_cut_is_reset_for_a_client_that_reads_to_the_end() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        for is_cut in [false, true] {
+            let mut client = router.client().await;
+            client.write("GET /stream/a HTTP/1.0\r\nHost: a.example\r\nAttempt-Id: 1\r\n\r\n").await;
+            let (mut upstream, request) = endpoint.request().await;
+            upstream.begin_events(&request).await;
+            upstream.chunk("id: 1\n\n").await;
+            client.read_through("id: 1\n\n").await;
+            match is_cut {
+                true => upstream.reset(),
+                false => upstream.end_chunks().await,
+            }
+            let end = client.stream.read(&mut [0; 8]).await.map_err(|error| error.kind());
+            assert_eq!(end, if is_cut { Err(ErrorKind::ConnectionReset) } else { Ok(0) });
+        }
+    });
+}
+
+#[test]
+fn what_runs_at_an_endpoint_that_deregisters_runs_to_its_end() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let (mut asking, mut streaming) = (router.client().await, router.client().await);
+        asking.get("/once/a", "1").await;
+        let (mut plain, plain_request) = endpoint.request().await;
+        streaming.get("/stream/a", "2").await;
+        let (mut events, events_request) = endpoint.request().await;
+        events.begin_events(&events_request).await;
+        events.chunk("id: 1\n\n").await;
+        streaming.read_through("id: 1\n\n\r\n").await;
+        router.tell(FeedEvent::Removed { id: "i-1".into() });
+        settle().await;
+        let mut late = router.client().await;
+        late.get("/once/a", "3").await;
+        assert!(timeout(A_WHILE, endpoint.accept()).await.is_err(), "sent to an endpoint that is gone");
+        plain.answer(&plain_request, "whole").await;
+        assert_eq!(asking.answer().await.text(), "whole");
+        events.chunk("id: 2\n\n").await;
+        events.end_chunks().await;
+        assert_eq!(streaming.read_through("0\r\n\r\n").await, "7\r\nid: 2\n\n\r\n0\r\n\r\n");
+    });
+}
+
+#[test]
+fn what_runs_on_a_route_that_is_taken_away_runs_to_its_end() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let (mut asking, mut streaming) = (router.client().await, router.client().await);
+        asking.get("/once/a", "1").await;
+        let (mut plain, plain_request) = endpoint.request().await;
+        streaming.get("/stream/a", "2").await;
+        let (mut events, events_request) = endpoint.request().await;
+        events.begin_events(&events_request).await;
+        events.chunk("id: 1\n\n").await;
+        streaming.read_through("id: 1\n\n\r\n").await;
+        router.configure(
+            &CONFIGURATION
+                .replace("\"Version\": 1", "\"Version\": 2")
+                .replace("/once/", "/none/")
+                .replace("/stream/", "/nowhere/")
+                .replace("\"TimeoutMs\": 20000", "\"TimeoutMs\": 1"),
+        );
+        settle().await;
+        let mut late = router.client().await;
+        late.get("/once/a", "3").await;
+        assert_eq!(late.answer().await.status, 404);
+        plain.answer(&plain_request, "whole").await;
+        assert_eq!(asking.answer().await.text(), "whole");
+        events.end_chunks().await;
+        assert_eq!(streaming.read_through("0\r\n\r\n").await, "0\r\n\r\n");
+    });
+}
+
+#[test]
+fn a_router_that_knows_no_configuration_says_503_to_whatever_it_is_asked() {
+    play(async {
+        let router = Router::start().await;
+        let large =
+            format!("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5000000\r\n\r\n{}", "x".repeat(64));
+        let requests = [
+            "GET /again/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\n\r\n",
+            "DELETE / HTTP/1.1\r\nHost: nobody\r\n\r\n",
+            "GET /x HTTP/1.1\r\n\r\n",
+            "OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n",
+            &large,
+        ];
+        for request in requests {
+            let mut client = router.client().await;
+            client.write(request).await;
+            let answer = client.answer().await;
+            assert_eq!(answer.status, 503, "{}", &request[..20]);
+            assert!(answer.header("Retry-After").is_some());
+        }
+    });
+}
+
+#[test]
+fn a_request_held_beyond_the_end_of_its_connection_leaves_nothing_behind() {
+    play(async {
+        let mut router = Router::serving(&[]).await;
+        let mut client = router.client().await;
+        client.get("/once/a", "1").await;
+        settle().await;
+        drop(client);
+        settle().await;
+        router.terminate();
+        settle().await;
+        pass_time(Duration::from_millis(2_600)).await;
+        router.ended().await;
+    });
+}
--- /dev/null
+++ b/crates/router/tests/deadlines.rs
@@ -0,0 +1,167 @@
+//! How long a request lasts: what endpoints are told, and the end at the route's `TimeoutMs`.
+
+mod common;
+
+use common::{CONFIGURATION, Endpoint, Message, Router, either, play, two_endpoints};
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// The route's time in these tests.
+const TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after the route's in which the final answer has to be there.
+const ANSWERED_WITHIN: Duration = Duration::from_millis(500);
+
+fn told_ms(request: &Message) -> u64 {
+    request.header("Deadline-Ms").unwrap().parse().unwrap()
+}
+
+async fn short_routes(endpoints: &[&Endpoint]) -> Router {
+    let router = Router::serving(endpoints).await;
+    router.configure(
+        &CONFIGURATION
+            .replace("\"Version\": 1", "\"Version\": 2")
+            .replace("\"TimeoutMs\": 20000", "\"TimeoutMs\": 300"),
+    );
+    router
+}
+
+fn assert_in_time(began: Instant) {
+    let took = began.elapsed();
+    assert!(took < TIMEOUT + ANSWERED_WITHIN, "the end came after {took:?}");
+}
+
+#[test]
+fn every_send_tells_what_is_left_of_the_clients_time() {
+    play(async {
+        let endpoints = two_endpoints().await;
+        let router = Router::serving(&[&endpoints[0], &endpoints[1]]).await;
+        let mut client = router.client().await;
+        let began = Instant::now();
+        client
+            .write("GET /again/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\nDeadline-Ms: 4000\r\n\r\n")
+            .await;
+        let (upstream, first) = either(&endpoints).await;
+        assert!(told_ms(&first) <= 4_000);
+        sleep(Duration::from_millis(250)).await;
+        upstream.reset();
+        let (mut upstream, second) = either(&endpoints).await;
+        let elapsed = began.elapsed().as_millis() as u64;
+        assert!(told_ms(&second) <= told_ms(&first) - 250, "{} after {}", told_ms(&second), told_ms(&first));
+        assert!(told_ms(&second) + 400 >= 4_000 - elapsed, "{} after {elapsed} ms", told_ms(&second));
+        upstream.answer(&second, "done").await;
+        assert_eq!(client.answer().await.text(), "done");
+    });
+}
+
+#[test]
+fn a_stream_that_is_taken_up_elsewhere_tells_what_is_left() {
+    play(async {
+        let endpoints = two_endpoints().await;
+        let router = Router::serving(&[&endpoints[0], &endpoints[1]]).await;
+        let mut client = router.client().await;
+        client.get("/resumable/a", "1").await;
+        let (mut upstream, first) = either(&endpoints).await;
+        upstream.begin_events(&first).await;
+        upstream.chunk("id: 1\n\n").await;
+        client.read_through("id: 1\n\n\r\n").await;
+        sleep(Duration::from_millis(150)).await;
+        upstream.reset();
+        let (_upstream, second) = either(&endpoints).await;
+        assert!(told_ms(&second) <= told_ms(&first) - 150);
+    });
+}
+
+#[test]
+fn without_a_deadline_of_the_client_the_routes_time_is_handed_on() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = short_routes(&[&endpoint]).await;
+        for client_tells in ["", "Deadline-Ms: 60000\r\n", "Deadline-Ms: soon\r\n"] {
+            let mut client = router.client().await;
+            client
+                .write(format!(
+                    "GET /once/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\n{client_tells}\r\n"
+                ))
+                .await;
+            let (mut upstream, request) = endpoint.request().await;
+            assert!(told_ms(&request) <= 300);
+            upstream.answer(&request, "").await;
+            client.answer().await;
+        }
+    });
+}
+
+#[test]
+fn a_request_that_no_endpoint_takes_is_answered_at_its_routes_timeout() {
+    play(async {
+        let router = short_routes(&[]).await;
+        let mut client = router.client().await;
+        let began = Instant::now();
+        client.get("/once/a", "1").await;
+        assert_eq!(client.answer().await.status, 503);
+        assert_in_time(began);
+    });
+}
+
+#[test]
+fn a_request_that_an_endpoint_does_not_answer_ends_at_its_routes_timeout() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = short_routes(&[&endpoint]).await;
+        for (path, sent) in [
+            ("/once/a", ""),
+            (
+                "/once/a",
+                "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nServer-Signature: s\r\nContent-Length: 9\r\n\r\nx",
+            ),
+        ] {
+            let mut client = router.client().await;
+            let began = Instant::now();
+            client.get(path, "1").await;
+            let (mut upstream, _) = endpoint.request().await;
+            upstream.write(sent).await;
+            assert_eq!(client.answer().await.status, 504);
+            assert_in_time(began);
+            upstream.closed().await;
+        }
+    });
+}
+
+#[test]
+fn a_stream_that_outlasts_its_routes_timeout_is_cut_there() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = short_routes(&[&endpoint]).await;
+        for path in ["/stream/a", "/resumable/a"] {
+            let mut client = router.client().await;
+            let began = Instant::now();
+            client.get(path, "1").await;
+            let (mut upstream, request) = endpoint.request().await;
+            upstream.begin_events(&request).await;
+            upstream.chunk("id: 1\n\n").await;
+            client.read_through("id: 1\n\n\r\n").await;
+            assert_eq!(client.rest().await, "");
+            assert_in_time(began);
+            upstream.closed().await;
+        }
+    });
+}
+
+#[test]
+fn a_stream_that_waits_to_be_taken_up_ends_at_its_routes_timeout() {
+    play(async {
+        let endpoints = two_endpoints().await;
+        let router = short_routes(&[&endpoints[0], &endpoints[1]]).await;
+        let mut client = router.client().await;
+        let began = Instant::now();
+        client.get("/resumable/a", "1").await;
+        let (mut upstream, request) = either(&endpoints).await;
+        upstream.begin_events(&request).await;
+        upstream.chunk("id: 1\n\n").await;
+        client.read_through("id: 1\n\n\r\n").await;
+        upstream.reset();
+        let (_silent, _) = either(&endpoints).await;
+        assert_eq!(client.rest().await, "");
+        assert_in_time(began);
+    });
+}
