Let readers fetch the newest configuration, and give holdings a sequence

Cause: every version of the configuration went whole, from two sources, to every agent: 53,147 bytes twice each 80 ms are 10.6 Mbit/s on links of 10 Mbit/s. On the grown site the queues grew for as long as the storm lasted, to 143 versions a reader; routers were 0.4 s behind after the first second and 8.5 s at the end, and answered 404 by what had been replaced. Ruled out: slow registers (changes were acknowledged after 30 ms, controllers had them at once) and processor time (agents 0.0018 cores, routers 0.0043).

Controllers are those that any source names, and for 30 s longer.

--- a/crates/controller/src/controller/endpoints.rs
+++ b/crates/controller/src/controller/endpoints.rs
@@ -116,7 +116,7 @@
         reply: oneshot::Sender<Answer>,
     ) -> Changes {
         let registration = match Registered::parse(id, body) {
-            Ok(registration) => registration,
+            Ok(registration) => registration.following(self.registration(id)),
             Err(error) => {
                 let _ = reply.send(Answer::error(400, &format!("registration: {error}")));
                 return Changes::default();
@@ -167,12 +167,21 @@
             return Merge::default();
         };
         let leaving = registration.instance.state == InstanceState::Draining;
+        let registration = registration.following(self.registration(&id));
         match self.registry.take(now, &id, message.sequence, registration) {
             Taken::Changed { replaced } => Merge { news: self.changed(&id, replaced), relay: leaving },
             Taken::Refreshed | Taken::Stale => Merge::default(),
         }
     }
 
+    /// The placer here knows of a model at an endpoint. Gives what everyone has to hear, if it is news.
+    pub fn publish(&mut self, mut holding: Holding) -> Option<Holding> {
+        let entry = self.registry.get(&holding.id.text())?;
+        holding.sequence = entry.latest;
+        holding.order = entry.registration.as_ref()?.next_order();
+        self.hold(&holding).then_some(holding)
+    }
+
     /// A placer, here or elsewhere, knows of a model at an endpoint. True if it is news.
     pub fn hold(&mut self, holding: &Holding) -> bool {
         let registration = self.registry.get_mut(&holding.id.text());
--- a/crates/controller/src/controller/holdings.rs
+++ b/crates/controller/src/controller/holdings.rs
@@ -113,12 +113,15 @@
     }
 }
 
-/// What is known of a model or adapter at an endpoint, as a message.
+/// What is known of a model or adapter at an endpoint, as a message; its sequence and order come with its
+/// publication.
 pub fn holding(instance: &str, model: &str, adapter: Option<&str>, present: bool) -> Holding {
     Holding {
         id: instance.into(),
         model: model.into(),
         adapter: adapter.unwrap_or_default().into(),
         present: u8::from(present),
+        sequence: 0,
+        order: 0,
     }
 }
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -49,6 +49,8 @@
 mod process;
 mod readers;
 #[cfg(test)]
+mod readers_storm_test;
+#[cfg(test)]
 mod readers_test;
 mod registers;
 mod routers;
--- a/crates/controller/src/controller/placing.rs
+++ b/crates/controller/src/controller/placing.rs
@@ -132,7 +132,7 @@
 
     /// Tells everyone what is known of a model at an endpoint.
     pub(super) fn publish(&mut self, holding: Holding) {
-        if self.endpoints.hold(&holding) {
+        if let Some(holding) = self.endpoints.publish(holding) {
             let message = Message::Holding(holding);
             self.readers.append(&message);
             self.peers.broadcast(&message);
--- /dev/null
+++ b/crates/controller/src/controller/readers_storm_test.rs
@@ -0,0 +1,395 @@
+//! Readers of the feed under storms of changes: bytes, lag and the end state of each, in simulated time.
+
+use super::readers::Readers;
+use crate::configuration_feed::reader::Pace;
+use crate::link::Outbox;
+use crate::message::{Decided, Hello, Message, Registered, Removed, Role};
+use crate::view::View;
+use bytes::Bytes;
+use lanegate_coordination::feed::Position;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::mpsc::Receiver;
+
+/// A link of 10 Mbit/s.
+const LINK_BYTES_PER_MS: usize = 1_250;
+/// Twelve changes a second and a half.
+const CHANGE_PERIOD_MS: u64 = 80;
+const BEAT_PERIOD_MS: u64 = 500;
+/// `ConfigApplyMs`, less what is left for the loopback hop and the router.
+const LAG_BOUND_MS: u64 = 1_600;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn source(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number as u8 + 1], 7_000))
+}
+
+/// A configuration of `routes` routes; `how` makes the text of a route.
+fn document(version: u64, routes: u64, how: impl Fn(u64) -> u64) -> Vec<u8> {
+    let route = |number: u64| {
+        let timeout = how(number);
+        format!(
+            r#"{{"Name":"route-{number:04}","Hostname":"host{number:04}.example","PathPrefix":"/path{number}/","RouteType":"streaming","TimeoutMs":{timeout},"TargetMs":800,"Priority":3,"Backend":"assistant-models","MaxAttempts":3,"Sticky":false,"Resumable":true,"gap_aim_ms":500}}"#
+        )
+    };
+    let routes: Vec<String> = (0..routes).map(route).collect();
+    format!(r#"{{"Version":{version},"Routes":[{}]}}"#, routes.join(",")).into_bytes()
+}
+
+/// One route is another one with each version.
+fn one_route_changed(version: u64) -> Vec<u8> {
+    document(version, 1_000, |number| if number == version % 1_000 { 5_000 + version } else { 5_000 })
+}
+
+/// No route is as it was before.
+fn all_routes_changed(version: u64) -> Vec<u8> {
+    document(version, 1_000, |number| 5_000 + version * 7 + number)
+}
+
+/// One source's link to a reader, as seen from the reader.
+struct Link {
+    frames: Receiver<Bytes>,
+    /// The frame that is arriving, and the bytes of it that are still to come.
+    arriving: Option<(Bytes, usize)>,
+}
+
+/// A reader behind a link of its own.
+struct Reader {
+    view: View,
+    links: Vec<Link>,
+    fetches: VecDeque<(Duration, usize, Message)>,
+    bytes: usize,
+    longest_lag: u64,
+}
+
+impl Reader {
+    /// Takes as many bytes as the link lets through in a millisecond.
+    fn receive(&mut self, now: Duration) {
+        let mut room = LINK_BYTES_PER_MS;
+        for (number, link) in self.links.iter_mut().enumerate() {
+            while room > 0 {
+                let next = || link.frames.try_recv().ok().map(|frame| (frame.clone(), frame.len()));
+                let Some((frame, left)) = link.arriving.take().or_else(next) else { break };
+                let taken = left.min(room);
+                room -= taken;
+                self.bytes += taken;
+                if taken < left {
+                    link.arriving = Some((frame, left - taken));
+                } else {
+                    let message = Message::decode(&frame[4..]).expect("a message");
+                    self.view.receive(now, source(number), message, &mut Vec::new());
+                }
+            }
+        }
+        if let Some((from, fetch)) = self.view.fetch(now, Some(source(0))) {
+            let number = (0..self.links.len()).find(|number| source(*number) == from).expect("a source");
+            self.fetches.push_back((now + ms(1), number, fetch));
+        }
+    }
+
+    fn revision(&self) -> u64 {
+        self.view.configuration().map_or(0, |decided| decided.revision)
+    }
+}
+
+/// Two sources, their readers, and what was decided when.
+struct World {
+    sources: Vec<Readers>,
+    readers: Vec<Reader>,
+    decided_at: Vec<u64>,
+    /// Sources that read fetches and answer nothing.
+    mute: Vec<usize>,
+    now: u64,
+}
+
+impl World {
+    fn new(count: usize) -> World {
+        let mut sources = vec![Readers::new(11), Readers::new(12)];
+        let mut reader = |number: usize| {
+            let links = sources.iter_mut().map(|source| {
+                let (outbox, frames) = Outbox::new();
+                source.up(number as u64, &hello(Position::default()), outbox, snapshot, (true, 1));
+                Link { frames, arriving: None }
+            });
+            let links = links.collect();
+            let view = View::new(Pace::LINK);
+            Reader { view, links, fetches: VecDeque::new(), bytes: 0, longest_lag: 0 }
+        };
+        let readers = (0..count).map(&mut reader).collect();
+        World { sources, readers, decided_at: Vec::new(), mute: Vec::new(), now: 0 }
+    }
+
+    /// Plays `length` ms more; in the first `storm` of them a configuration is decided every
+    /// [`CHANGE_PERIOD_MS`].
+    fn play(&mut self, length: u64, storm: u64, document: impl Fn(u64) -> Vec<u8>) {
+        let begun = self.now;
+        for now in begun..begun + length {
+            if now < begun + storm && (now - begun).is_multiple_of(CHANGE_PERIOD_MS) {
+                self.decided_at.push(now);
+                let revision = self.decided_at.len() as u64;
+                let decided = Decided { revision, document: document(revision).into() };
+                self.sources.iter_mut().for_each(|source| source.publish(decided.clone()));
+            }
+            if now.is_multiple_of(BEAT_PERIOD_MS) {
+                self.sources.iter_mut().for_each(|source| source.beat(true, 1));
+            }
+            self.step(now);
+        }
+        self.now += length;
+    }
+
+    /// Lets every reader get its first configuration, which is a whole document; lags count from then on.
+    fn begin(&mut self, document: impl Fn(u64) -> Vec<u8>) {
+        self.play(1_200, 1, document);
+        self.readers.iter_mut().for_each(|reader| reader.longest_lag = 0);
+    }
+
+    fn step(&mut self, now: u64) {
+        for (number, reader) in self.readers.iter_mut().enumerate() {
+            reader.receive(ms(now));
+            while reader.fetches.front().is_some_and(|(at, ..)| *at <= ms(now)) {
+                let Some((_, to, fetch)) = reader.fetches.pop_front() else { break };
+                let Message::ConfigurationFetch(base) = fetch else { panic!("{fetch:?}") };
+                if !self.mute.contains(&to) {
+                    self.sources[to].fetch(number as u64, base);
+                }
+            }
+            let missing = self.decided_at.get(reader.revision() as usize);
+            let lag = missing.map_or(0, |decided_at| now - decided_at);
+            reader.longest_lag = reader.longest_lag.max(lag);
+        }
+    }
+
+    fn most_bytes(&self) -> usize {
+        self.readers.iter().map(|reader| reader.bytes).max().unwrap_or(0)
+    }
+
+    fn longest_lag(&self) -> u64 {
+        self.readers.iter().map(|reader| reader.longest_lag).max().unwrap_or(0)
+    }
+
+    fn assert_all_have(&self, document: &[u8]) {
+        for reader in &self.readers {
+            let held = reader.view.configuration().expect("a configuration");
+            assert!(held.document.bytes == document, "revision {}", held.revision);
+        }
+    }
+}
+
+fn hello(position: Position) -> Hello {
+    Hello {
+        role: Role::Agent,
+        name: "edge-1".into(),
+        control_address: "".into(),
+        life: 1,
+        source: position.source,
+        offset: position.offset,
+    }
+}
+
+fn snapshot() -> Vec<Message> {
+    vec![Message::SnapshotBegin, Message::SnapshotEnd { complete: 1 }]
+}
+
+#[test]
+fn four_hundred_readers_of_a_thousand_routes_keep_up_with_twelve_changes_a_second() {
+    let mut world = World::new(400);
+    world.begin(one_route_changed);
+    world.play(2_400, 2_000, one_route_changed);
+    let changes = world.decided_at.len() as u64;
+    assert_eq!(changes, 26);
+    world.assert_all_have(&one_route_changed(changes));
+    let whole = one_route_changed(changes).len();
+    let (bytes, lag) = (world.most_bytes(), world.longest_lag());
+    println!("document {whole} B, {changes} changes, most bytes a reader {bytes}, longest lag {lag} ms");
+    assert!(bytes < whole + 20_000, "one whole document, then differences: {bytes}");
+    assert!(lag < 250, "{lag} ms");
+}
+
+#[test]
+fn a_reader_gets_no_more_than_its_share_whatever_operators_do() {
+    const LENGTH_MS: u64 = 10_000;
+    let mut world = World::new(4);
+    world.play(LENGTH_MS + 1_500, LENGTH_MS, all_routes_changed);
+    let changes = world.decided_at.len() as u64;
+    world.assert_all_have(&all_routes_changed(changes));
+    let whole = all_routes_changed(changes).len();
+    let interval = Pace::LINK.interval(whole).as_millis() as u64;
+    let answers = 1 + (LENGTH_MS + 1_500).div_ceil(interval) as usize;
+    let small = 2 * (changes as usize * 25 + 40 * 60);
+    let (bytes, lag) = (world.most_bytes(), world.longest_lag());
+    println!("document {whole} B, {changes} changes, most bytes a reader {bytes}, longest lag {lag} ms");
+    assert!(bytes <= answers * (whole + 100) + small, "{bytes} of {}", answers * (whole + 100) + small);
+    assert!(lag < LAG_BOUND_MS, "{lag} ms");
+}
+
+#[test]
+fn a_source_that_does_not_deliver_costs_its_patience_once_a_change() {
+    let mut world = World::new(4);
+    world.begin(one_route_changed);
+    world.mute = vec![0];
+    world.play(3_500, 2_000, one_route_changed);
+    world.assert_all_have(&one_route_changed(world.decided_at.len() as u64));
+    let lag = world.longest_lag();
+    println!("longest lag with a mute source {lag} ms");
+    assert!(lag < LAG_BOUND_MS, "{lag} ms");
+}
+
+/// A registry as its publisher has it, with the feed's journal.
+struct Publisher {
+    readers: Readers,
+    truth: View,
+    offset: u64,
+}
+
+impl Publisher {
+    fn new() -> Publisher {
+        Publisher { readers: Readers::new(11), truth: View::default(), offset: 0 }
+    }
+
+    /// Endpoint `number` changes; every seventh change takes it away, with its sequence.
+    fn change(&mut self, number: u64, sequence: u64) {
+        let id = format!("i-{number}");
+        let body = format!(
+            r#"{{"Backend":"tiles","Address":"10.1.0.{number}:80","State":"ready","Sequence":{sequence},"Models":[{{"Name":"m-{sequence}"}}]}}"#
+        );
+        let message = if sequence.is_multiple_of(7) {
+            Message::Removed(Removed { id: id.as_str().into(), sequence })
+        } else {
+            Message::Registered(Registered { id: id.as_str().into(), sequence, body: body.as_str().into() })
+        };
+        self.truth.receive(ms(0), source(0), message.clone(), &mut Vec::new());
+        self.readers.append(&message);
+        self.offset += 1;
+    }
+
+    /// `count` changes of fifty endpoints in turn.
+    fn storm(&mut self, count: u64) {
+        for _ in 0..count {
+            self.change(self.offset % 50, 1 + self.offset / 50);
+        }
+    }
+
+    fn join(&mut self, position: Position) -> Receiver<Bytes> {
+        let (outbox, frames) = Outbox::new();
+        let truth = &self.truth;
+        let snapshot = || {
+            let mut messages = truth.snapshot();
+            messages.pop();
+            messages.push(Message::SnapshotEnd { complete: 1 });
+            messages
+        };
+        self.readers.up(1, &hello(position), outbox, snapshot, (true, 1));
+        frames
+    }
+}
+
+/// Hands everything that waits to the view. Tells the bytes, and whether a snapshot was among them.
+fn drain(view: &mut View, frames: &mut Receiver<Bytes>) -> (usize, bool) {
+    let (mut bytes, mut anew) = (0, false);
+    while let Ok(frame) = frames.try_recv() {
+        bytes += frame.len();
+        let message = Message::decode(&frame[4..]).expect("a message");
+        anew |= message == Message::SnapshotBegin;
+        view.receive(ms(0), source(0), message, &mut Vec::new());
+    }
+    (bytes, anew)
+}
+
+/// Registrations only, as a reader has them.
+fn registrations(view: &View) -> Vec<Message> {
+    let snapshot = view.snapshot().into_iter();
+    snapshot.filter(|message| matches!(message, Message::Registered(_))).collect()
+}
+
+#[test]
+fn a_reader_that_falls_out_of_the_journal_begins_anew_and_ends_right() {
+    let mut publisher = Publisher::new();
+    let mut view = View::default();
+    let mut frames = publisher.join(Position::default());
+    publisher.storm(500);
+    publisher.readers.beat(true, 1);
+    drain(&mut view, &mut frames);
+    view.lost(ms(0), source(0));
+    publisher.readers.down(1);
+
+    let position = view.position(source(0));
+    assert_eq!(position, Position { source: 11, offset: 500 });
+    publisher.storm(200);
+    let mut frames = publisher.join(position);
+    let (_, anew) = drain(&mut view, &mut frames);
+    assert!(!anew, "the journal has what it lacks");
+    assert_eq!(registrations(&view), registrations(&publisher.truth));
+
+    view.lost(ms(0), source(0));
+    let position = view.position(source(0));
+    publisher.storm(2_049);
+    let mut frames = publisher.join(position);
+    publisher.storm(300);
+    let (_, anew) = drain(&mut view, &mut frames);
+    assert!(anew, "the journal has lost what it lacks");
+    assert_eq!(registrations(&view), registrations(&publisher.truth));
+}
+
+#[test]
+fn a_reader_that_overruns_its_queue_loses_its_link_and_ends_right() {
+    let mut publisher = Publisher::new();
+    let mut view = View::default();
+    let mut frames = publisher.join(Position::default());
+    publisher.readers.beat(true, 1);
+    drain(&mut view, &mut frames);
+    publisher.storm(10_000);
+    assert_eq!(publisher.readers.count(), 0, "nothing is sent to it any more");
+    drain(&mut view, &mut frames);
+    assert!(frames.is_closed(), "its link ends");
+    assert_ne!(registrations(&view), registrations(&publisher.truth));
+
+    view.lost(ms(0), source(0));
+    let mut frames = publisher.join(view.position(source(0)));
+    publisher.storm(77);
+    let (_, anew) = drain(&mut view, &mut frames);
+    assert!(anew);
+    assert_eq!(registrations(&view), registrations(&publisher.truth));
+}
+
+/// Bytes that bring a reader up to date that missed `missed` changes of endpoints and of the configuration each.
+fn catch_up_bytes(missed: u64) -> usize {
+    let mut publisher = Publisher::new();
+    let mut view = View::default();
+    let mut frames = publisher.join(Position::default());
+    publisher.storm(100);
+    let decided = |revision| Decided { revision, document: one_route_changed(revision).into() };
+    publisher.readers.publish(decided(1));
+    publisher.readers.beat(true, 1);
+    drain(&mut view, &mut frames);
+    view.receive(ms(0), source(0), Message::Decided(decided(1)), &mut Vec::new());
+    view.lost(ms(0), source(0));
+    publisher.readers.down(1);
+
+    publisher.storm(missed);
+    // Only the versions that are kept as bases are built: older ones leave no trace.
+    let newest = 1 + missed;
+    (newest.saturating_sub(40).max(2)..=newest).for_each(|n| publisher.readers.publish(decided(n)));
+    let mut frames = publisher.join(view.position(source(0)));
+    let (mut bytes, _) = drain(&mut view, &mut frames);
+    let Some((_, Message::ConfigurationFetch(base))) = view.fetch(ms(1_000), None) else { panic!("a fetch") };
+    publisher.readers.fetch(1, base);
+    bytes += drain(&mut view, &mut frames).0;
+    assert_eq!(registrations(&view), registrations(&publisher.truth));
+    assert!(view.configuration().is_some_and(|held| held.revision == newest));
+    bytes
+}
+
+#[test]
+fn catching_up_does_not_grow_with_the_changes_missed() {
+    let [ten, thousand, five_thousand] = [10, 1_000, 5_000].map(catch_up_bytes);
+    println!("bytes after 10, 1,000, 5,000 changes missed: {ten}, {thousand}, {five_thousand}");
+    let whole = one_route_changed(5_001).len();
+    assert!(ten < 5_000, "differences only: {ten}");
+    assert!(thousand < whole + 64 * 1024, "{thousand}");
+    assert!(five_thousand < whole + 64 * 1024, "{five_thousand}");
+}
--- a/crates/controller/src/message.rs
+++ b/crates/controller/src/message.rs
@@ -277,6 +277,10 @@
     pub adapter: Blob,
     /// 1 if the endpoint holds it from now on, 0 if it is about to drop it.
     pub present: u8,
+    /// Sequence of the endpoint's newest heartbeat that its publisher knew: a later registration counts more.
+    pub sequence: u64,
+    /// Counts what was published of one registration; the higher one counts.
+    pub order: u64,
 }
 
 /// The demand that a router saw.
--- a/crates/controller/src/registration.rs
+++ b/crates/controller/src/registration.rs
@@ -14,6 +14,8 @@
     pub body: Bytes,
     /// What the placer knows beyond it.
     holdings: Vec<Holding>,
+    /// Sequence of the first heartbeat that said what this one says.
+    changed_at: u64,
 }
 
 impl Registered {
@@ -21,12 +23,35 @@
     pub fn parse(id: &str, body: Bytes) -> Result<Self, serde_json::Error> {
         let mut instance: Instance = serde_json::from_slice(&body)?;
         id.clone_into(&mut instance.id);
-        Ok(Registered { instance, body, holdings: Vec::new() })
+        let changed_at = instance.sequence;
+        Ok(Registered { instance, body, holdings: Vec::new(), changed_at })
     }
 
-    /// Takes what a placer knows of the endpoint's models. True if it is news.
+    /// This registration after `previous`: it keeps what was published of this heartbeat or a later one.
+    pub fn following(mut self, previous: Option<&Registered>) -> Self {
+        let Some(previous) = previous else { return self };
+        let sequence = self.instance.sequence;
+        let newer = previous.holdings.iter().filter(|holding| holding.sequence >= sequence);
+        self.holdings = newer.cloned().collect();
+        if !previous.differs(&self) {
+            self.changed_at = previous.changed_at;
+        }
+        self
+    }
+
+    /// The order of what is published next of this registration.
+    pub fn next_order(&self) -> u64 {
+        self.holdings.iter().map(|holding| holding.order + 1).max().unwrap_or(1)
+    }
+
+    /// Takes what a placer knows of the endpoint's models, unless it was published before this registration or
+    /// before what is known of the same model. True if it is news.
     pub fn hold(&mut self, holding: Holding) -> bool {
         let same = |known: &Holding| known.model == holding.model && known.adapter == holding.adapter;
+        let known = self.holdings.iter().find(|known| same(known));
+        if holding.sequence < self.changed_at || known.is_some_and(|known| rank(known) >= rank(&holding)) {
+            return false;
+        }
         let old = self.current_models();
         self.holdings.retain(|known| !same(known));
         self.holdings.push(holding);
@@ -52,6 +77,11 @@
     }
 }
 
+/// What counts of two holdings of one model: the later one; of two published at once, that it is dropped.
+fn rank(holding: &Holding) -> (u64, u64, bool) {
+    (holding.sequence, holding.order, holding.present == 0)
+}
+
 fn apply(models: &mut Vec<HeldModel>, holding: &Holding) {
     let (model, adapter) = (holding.model.text(), holding.adapter.text());
     let held = models.iter_mut().find(|held| held.name == model);
@@ -77,7 +107,7 @@
     fn differs(&self, newer: &Self) -> bool {
         let (old, new) = (&self.instance, &newer.instance);
         old.state != new.state
-            || self.current_models() != new.models
+            || self.current_models() != newer.current_models()
             || old.address != new.address
             || old.backend != new.backend
             || old.zone != new.zone
--- a/crates/controller/src/view.rs
+++ b/crates/controller/src/view.rs
@@ -257,6 +257,7 @@
         self.source(source).listed.insert(id.clone());
         let body = message.body.bytes.clone().into();
         let Ok(registration) = Registered::parse(&id, body) else { return };
+        let registration = registration.following(self.registration(&id));
         let Taken::Changed { replaced } = self.registry.take(now, &id, message.sequence, registration) else {
             return;
         };
--- a/crates/controller/tests/common/mod.rs
+++ b/crates/controller/tests/common/mod.rs
@@ -35,11 +35,19 @@
     Message::Removed(Removed { id: id.into(), sequence })
 }
 
+/// What was published first of the first registration.
 pub fn holding(id: &str, model: &str, present: bool) -> Message {
+    holding_of(id, model, present, 1, 1)
+}
+
+/// What was published in `order` of the registration with `sequence`.
+pub fn holding_of(id: &str, model: &str, present: bool, sequence: u64, order: u64) -> Message {
     Message::Holding(Holding {
         id: id.into(),
         model: model.into(),
         adapter: "".into(),
         present: u8::from(present),
+        sequence,
+        order,
     })
 }
--- a/crates/controller/tests/configuration_feed.rs
+++ b/crates/controller/tests/configuration_feed.rs
@@ -84,6 +84,21 @@
     assert!(parts.len() <= 4 && inserted.sum::<usize>() < 60, "{parts:?}");
 }
 
+#[test]
+fn one_byte_more_less_or_other_gives_another_digest() {
+    let known = document(1, 3, 5_000);
+    let mut seen = std::collections::BTreeSet::from([digest(&known)]);
+    for place in 0..known.len() {
+        let (mut other, mut shorter, mut longer) = (known.clone(), known.clone(), known.clone());
+        other[place] ^= 1;
+        shorter.remove(place);
+        longer.insert(place, 0);
+        assert!(seen.insert(digest(&other)), "byte {place}");
+        assert_ne!(digest(&shorter), digest(&known));
+        assert_ne!(digest(&longer), digest(&known));
+    }
+}
+
 #[test]
 fn routes_added_taken_away_and_moved_take_no_more_than_what_is_new() {
     let route = |n: u64| format!(r#"{{"Name":"r{n}","Hostname":"h{n}.example","Backend":"b{n}"}}"#);
--- a/crates/controller/tests/message.rs
+++ b/crates/controller/tests/message.rs
@@ -33,7 +33,26 @@
         Message::Flushed(Confirmation::new(1, 4, vec![])),
         Message::Flushed(Confirmation::new(1, 4, vec![group("10.0.0.1:1 10.0.0.2:1"), group("10.0.0.3:1")])),
         Message::Standing(Standing { life: 8, voting: 31, leaving: 1 }),
-        Message::Holding(Holding { id: "i-1".into(), model: "m".into(), adapter: "a1".into(), present: 1 }),
+        Message::Holding(Holding {
+            id: "i-1".into(),
+            model: "m".into(),
+            adapter: "a1".into(),
+            present: 1,
+            sequence: 7,
+            order: 2,
+        }),
+        Message::ConfigurationAnnounced(ConfigurationVersion { revision: 4, digest: 9 }),
+        Message::ConfigurationFetch(ConfigurationVersion::NONE),
+        Message::ConfigurationKnown(ConfigurationVersion { revision: 5, digest: u64::MAX }),
+        Message::ConfigurationDifference(ConfigurationDifference {
+            base: 3,
+            version: ConfigurationVersion { revision: 4, digest: 9 },
+            parts: vec![
+                DifferencePart::Kept { offset: 5, length: 6 },
+                DifferencePart::Inserted(vec![1, 2].into()),
+            ]
+            .into(),
+        }),
         Message::Heartbeat { body: vec![7; 20].into() },
     ];
     for message in messages {
@@ -57,6 +76,8 @@
     let huge = u32::MAX.to_le_bytes();
     let list = [&[7][..], &huge].concat();
     assert!(matches!(Message::decode(&list), Err(MessageError::Unreadable(_))));
+    let difference = [&[22][..], &[0; 24], &huge].concat();
+    assert!(matches!(Message::decode(&difference), Err(MessageError::Unreadable(_))));
     let document = [&[4][..], &[0; 8], &huge].concat();
     assert!(matches!(Message::decode(&document), Err(MessageError::Unreadable(_))));
 }
--- a/crates/controller/tests/view.rs
+++ b/crates/controller/tests/view.rs
@@ -2,8 +2,9 @@
 
 mod common;
 
-use common::{controller, holding, ms, registered, removed};
-use lanegate_controller::message::{Controllers, Decided, FeedBeat, Message};
+use common::{controller, holding, holding_of, ms, registered, removed};
+use lanegate_controller::configuration_feed::reader::Pace;
+use lanegate_controller::message::{ConfigurationVersion, Controllers, Decided, FeedBeat, Message};
 use lanegate_controller::view::View;
 use proptest::prelude::*;
 use std::net::SocketAddr;
@@ -274,3 +275,137 @@
     view.receive(now, other, beat(1, 3), &mut Vec::new());
     assert_eq!(view.routers(), 3);
 }
+
+#[test]
+fn a_holding_of_an_older_registration_does_not_lie_over_a_newer_one() {
+    let mut view = View::default();
+    tell(&mut view, controller(1), &[registered("i-1", 80, 6, &["a"])]);
+    assert_eq!(tell(&mut view, controller(2), &[holding_of("i-1", "b", true, 5, 3)]), vec![]);
+    assert_eq!(models(&view, "i-1"), ["a"]);
+    let newer = holding_of("i-1", "b", true, 6, 1);
+    assert_eq!(tell(&mut view, controller(2), std::slice::from_ref(&newer)), vec![newer]);
+}
+
+#[test]
+fn a_holding_that_overtook_its_registration_stays_when_that_comes() {
+    let mut view = View::default();
+    tell(&mut view, controller(1), &[registered("i-1", 80, 5, &["a"]), holding_of("i-1", "b", true, 7, 1)]);
+    tell(&mut view, controller(2), &[registered("i-1", 80, 6, &["a", "c"])]);
+    assert_eq!(models(&view, "i-1"), ["a", "c", "b"]);
+    tell(&mut view, controller(2), &[registered("i-1", 80, 7, &["a"])]);
+    assert_eq!(models(&view, "i-1"), ["a", "b"]);
+    tell(&mut view, controller(2), &[registered("i-1", 80, 8, &["a"])]);
+    assert_eq!(models(&view, "i-1"), ["a"], "the endpoint itself knows best");
+}
+
+#[test]
+fn holdings_of_one_registration_count_in_the_order_of_their_publication() {
+    let mut view = View::default();
+    tell(&mut view, controller(1), &[registered("i-1", 80, 5, &[])]);
+    tell(
+        &mut view,
+        controller(1),
+        &[holding_of("i-1", "b", true, 5, 1), holding_of("i-1", "b", false, 5, 2)],
+    );
+    assert_eq!(tell(&mut view, controller(2), &[holding_of("i-1", "b", true, 5, 1)]), vec![], "it lags");
+    assert!(models(&view, "i-1").is_empty());
+    tell(&mut view, controller(2), &[holding_of("i-1", "b", true, 5, 2)]);
+    assert!(models(&view, "i-1").is_empty(), "of two at once, the drop counts");
+    tell(&mut view, controller(2), &[holding_of("i-1", "b", true, 5, 3)]);
+    assert_eq!(models(&view, "i-1"), ["b"]);
+}
+
+fn beat_at(source: u64, offset: u64) -> Message {
+    Message::FeedBeat(FeedBeat { quorum: 1, source, offset, routers: 1 })
+}
+
+#[test]
+fn a_feed_goes_on_where_its_last_heartbeat_stood() {
+    let mut view = View::default();
+    let one = controller(1);
+    tell(&mut view, one, &[Message::SnapshotBegin, registered("i-1", 80, 3, &[]), end(true), beat_at(9, 40)]);
+    assert_eq!(view.position(one).source, 0, "it has not ended");
+    view.lost(ms(0), one);
+    assert_eq!((view.position(one).source, view.position(one).offset), (9, 40));
+
+    tell(&mut view, one, &[registered("i-2", 81, 1, &[]), beat_at(9, 41)]);
+    tell(&mut view, controller(2), &[Message::SnapshotBegin, end(true)]);
+    assert!(view.registration("i-1").is_some(), "what it had listed is listed still");
+    assert!(view.registration("i-2").is_some());
+}
+
+#[test]
+fn a_feed_that_ended_within_a_snapshot_begins_anew() {
+    let mut view = View::default();
+    let one = controller(1);
+    tell(&mut view, one, &[Message::SnapshotBegin, end(true), beat_at(9, 40)]);
+    view.lost(ms(0), one);
+    tell(&mut view, one, &[Message::SnapshotBegin, registered("i-1", 80, 3, &[])]);
+    view.lost(ms(1), one);
+    assert_eq!(view.position(one).source, 0);
+}
+
+#[test]
+fn a_feed_begins_anew_when_something_that_it_listed_was_dropped_meanwhile() {
+    let mut view = View::default();
+    let one = controller(1);
+    tell(&mut view, one, &[Message::SnapshotBegin, registered("i-1", 80, 3, &[]), end(true), beat_at(9, 40)]);
+    view.lost(ms(0), one);
+    tell(&mut view, controller(2), &[Message::SnapshotBegin, end(true)]);
+    assert!(view.registration("i-1").is_none());
+    assert_eq!(view.position(one).source, 0, "its tail would not tell it again");
+}
+
+#[test]
+fn a_feed_begins_anew_after_half_a_minute() {
+    let mut view = View::default();
+    tell(&mut view, controller(1), &[Message::SnapshotBegin, end(true), beat_at(9, 40)]);
+    view.lost(ms(0), controller(1));
+    tell_at(&mut view, 30_000, controller(2), &[beat_at(8, 1)]);
+    assert_eq!(view.position(controller(1)).source, 9);
+    tell_at(&mut view, 30_001, controller(2), &[beat_at(8, 1)]);
+    assert_eq!(view.position(controller(1)).source, 0);
+}
+
+fn addresses(numbers: &[u8]) -> Message {
+    let addresses: Vec<String> = numbers.iter().map(|number| controller(*number).to_string()).collect();
+    Message::Controllers(Controllers { addresses: addresses.join(" ").as_str().into() })
+}
+
+#[test]
+fn controllers_are_those_that_any_source_names_and_some_time_longer() {
+    let mut view = View::default();
+    let known = |view: &View| view.controllers().iter().copied().collect::<Vec<_>>();
+    tell(&mut view, controller(1), &[addresses(&[1, 2, 3])]);
+    tell(&mut view, controller(2), &[addresses(&[2])]);
+    assert_eq!(known(&view), [1, 2, 3].map(controller), "one that is cut off takes none away");
+    view.lost(ms(0), controller(1));
+    assert_eq!(known(&view), [1, 2, 3].map(controller));
+    tell_at(&mut view, 30_001, controller(2), &[beat_at(8, 1)]);
+    assert_eq!(known(&view), [2].map(controller));
+}
+
+fn version(revision: u64, document: &str) -> ConfigurationVersion {
+    ConfigurationVersion::of(revision, document.as_bytes())
+}
+
+#[test]
+fn a_view_is_behind_while_a_newer_configuration_is_known_or_nobody_would_know() {
+    let mut view = View::new(Pace::LOOPBACK);
+    assert!(view.may_be_behind(), "nobody is heard");
+    tell(&mut view, controller(1), &[decided(4, "a"), beat_at(9, 1)]);
+    assert!(!view.may_be_behind());
+    let known = Message::ConfigurationKnown(version(5, "b"));
+    assert_eq!(tell(&mut view, controller(1), std::slice::from_ref(&known)), vec![known.clone()]);
+    assert!(view.may_be_behind());
+    assert_eq!(view.fetch(ms(500), None), None, "the source does not have it yet");
+    tell(&mut view, controller(1), &[Message::ConfigurationAnnounced(version(5, "b"))]);
+    assert!(view.fetch(ms(500), None).is_some());
+    tell(&mut view, controller(1), &[decided(5, "b")]);
+    assert!(!view.may_be_behind());
+    tell(&mut view, controller(1), &[beat(0, 1)]);
+    assert!(view.may_be_behind(), "the only source has no contact with a majority");
+    tell(&mut view, controller(1), &[beat(1, 1)]);
+    view.lost(ms(600), controller(1));
+    assert!(view.may_be_behind(), "nobody is heard any more");
+}
