--- a/crates/day-generator/src/catalogue.rs
+++ b/crates/day-generator/src/catalogue.rs
@@ -253,7 +253,14 @@
         Router,
         &[number("share", 0.3, 1.0), whole("x", 1, 2), number("gap_s", 0.8, 2.0)],
     )
-    .with(&[&["", "busy", "remove"]]),
+    .with(&[&["", "busy"]]),
+    // Routers that leave do not come back: three such entries must leave some.
+    Kind::planned(
+        "roll_term",
+        Router,
+        &[number("share", 0.1, 0.25), whole("x", 1, 2), number("gap_s", 0.8, 2.0)],
+    )
+    .with(&[&["remove"]]),
     Kind::fault("srv_crash", Endpoint, &[SOME_ENDPOINTS, SPELL])
         .with(&[&["", "dark", "gone"], SPREAD])
         .on(Scope::Service),
--- a/crates/day-generator/tests/draw.rs
+++ b/crates/day-generator/tests/draw.rs
@@ -228,6 +228,17 @@
     assert!((0..200).all(|number| troubles(&parsed(&draw_day(&site, endless, number))).len() <= 60));
 }
 
+#[test]
+fn not_all_routers_leave() {
+    for day in days(&site("fjord-pilotage"), Weights::Even, 2000) {
+        let all = troubles(&day);
+        let leaving =
+            all.iter().filter(|(_, entry)| says(entry, "remove")).map(|(_, entry)| number(entry, "share"));
+        let leaving: f64 = leaving.sum();
+        assert!(leaving <= 0.75, "{leaving} of the routers leave");
+    }
+}
+
 #[test]
 fn several_troubles_come_at_once() {
     let days = days(&site("atoll-clinic"), Weights::Control, 100);
