Decide the end of a change of members that was accepted and left undecided

Cause: whoever ends an unfinished change prepared, found the final value accepted by others, saw that it is not joint any more, and stopped, without having it decided. So nobody learned that the change was over: all went on with both groups until the next proposal, which a service's shard may not see for a long time. Contact with a majority of the old group was asked for meanwhile, whose removed member was gone. Found by a scenario in which the proposer is lost for good between the joint and the final value; nothing was decided in 9 s.

Ruled out: the timer (it fired each 1 to 2 s), the spare (it had recovered), the majorities (all live).

Change: the value found is decided first, whatever its groups. The mistake is kept as Fault::EndUndecided; the scenario proposer-lost-with-the-final-value finds it.

--- a/crates/coordination/src/register/members.rs
+++ b/crates/coordination/src/register/members.rs
@@ -6,6 +6,7 @@
 use super::node::Node;
 use super::proposer::Proposer;
 use super::round::{Round, Then};
+use super::settings::Fault;
 
 impl Proposer {
     pub(super) fn propose_members(
@@ -45,13 +46,19 @@
         }
     }
 
+    /// Ends a change of members that someone has begun. Its end may have been accepted, and yet be decided for
+    /// nobody: then it is decided here, as otherwise all who wait for it would wait for ever.
     pub(super) fn propose_completion(&mut self, core: &mut Core, round: Round, batch: Batch) {
-        if !round.base.value.is_joint() {
+        let joint = round.base.value.is_joint();
+        if !joint && core.settings.has(Fault::EndUndecided) {
             return self.finish(core, &round);
         }
         if !round.base_decided {
             return self.settle(core, round, batch);
         }
+        if !joint {
+            return self.finish(core, &round);
+        }
         self.batch = Some(batch);
         self.drop_old_group(core, round);
     }
--- a/crates/coordination/src/register/settings.rs
+++ b/crates/coordination/src/register/settings.rs
@@ -85,6 +85,8 @@
     AcceptBelowPromise,
     /// A majority is one less.
     SmallMajority,
+    /// The end of a change of members that was accepted, and not decided, is left as it is.
+    EndUndecided,
     /// A preempted command is proposed again without looking whether it took effect.
     ProposeTwice,
     /// The recent changes of a value that is taken over from others (recovery, catching up) are left out.
--- a/crates/coordination/tests/register_scenarios.rs
+++ b/crates/coordination/tests/register_scenarios.rs
@@ -39,6 +39,12 @@
     }
 }
 
+#[test]
+fn the_scenario_on_an_accepted_end_needs_it_decided() {
+    let scenario = named("proposer-lost-with-the-final-value.txt");
+    assert!(World::play(&scenario, Some(Fault::EndUndecided)).is_err());
+}
+
 #[test]
 fn the_scenario_on_incarnations_needs_them() {
     let scenario = named("vote-of-an-earlier-incarnation.txt");
