Try the same number at two controllers, and calls sent again after up to 5,000 changes

Replicas with the operators' configuration in simulated time: two operators with one number at two controllers, on both sides of a cut (healing in the middle too), during a change of members, after a wipe; a lost answer and the same call at every machine, after 1, 500 and 5,000 later changes, after a restart of all, after the loss of one disk after the other and of two of five at once. A state machine that refuses what it may have forgotten is caught (a_refusal_of_what_was_forgotten_shows).

--- /dev/null
+++ b/crates/coordination/tests/same_number.rs
@@ -0,0 +1,290 @@
+//! One number, one change: operators that send at several controllers, answers that are lost, calls that are sent
+//! again much later. A change that was taken is acknowledged again or gets no clear answer, never a refusal.
+
+mod cluster;
+
+use std::time::Duration;
+
+use cluster::configuration::{Configuration, document, outcome, patch, put, version};
+use cluster::{Cluster, MachineMaker};
+use lanegate_coordination::register::{Applied, StateMachine, Status};
+use lanegate_model::control_state::{self, Command, HISTORY_LENGTH, Outcome};
+
+const MEMBERS: usize = 3;
+
+fn machine() -> Box<dyn StateMachine> {
+    Box::new(Configuration)
+}
+
+/// A deliberate mistake: what may have been forgotten is refused.
+struct RefusingTheForgotten;
+
+impl StateMachine for RefusingTheForgotten {
+    fn apply(&self, current: &[u8], command: &[u8]) -> Applied {
+        match control_state::apply(current, command).expect("a state and a command") {
+            (Outcome::Unclear(_), None) => {
+                let current = version(current);
+                Applied::Refused { answer: Outcome::Conflict { current }.encode() }
+            }
+            _ => Configuration.apply(current, command),
+        }
+    }
+}
+
+fn refusing_machine() -> Box<dyn StateMachine> {
+    Box::new(RefusingTheForgotten)
+}
+
+/// Answers that refuse a change for good.
+fn is_refusal(answer: &Option<Outcome>) -> bool {
+    matches!(answer, Some(Outcome::Conflict { .. } | Outcome::Invalid(_)))
+}
+
+fn is_acknowledged(answer: &Option<Outcome>) -> bool {
+    answer.as_ref().is_some_and(Outcome::is_acknowledged)
+}
+
+/// Sends a change and waits for its answer.
+fn send(cluster: &mut Cluster, at: usize, change: &Command) -> Option<Outcome> {
+    let request = cluster.propose(at, change.encode());
+    outcome(cluster.answer(request))
+}
+
+/// A whole configuration with something in it that tells two operators apart.
+fn operators_put(base: u64, version: u64, operator: &str) -> Command {
+    put(base, format!(r#"{{"Version":{version},"Operator":"{operator}"}}"#))
+}
+
+/// A change by names that tells two operators apart.
+fn operators_patch(base: u64, version: u64, operator: &str) -> Command {
+    patch(base, format!(r#"{{"Version":{version},"Upsert":{{"Backends":[{{"Name":"{operator}"}}]}}}}"#))
+}
+
+/// The two kinds of change on one version, by two operators.
+fn rivals(base: u64, version: u64) -> [[Command; 2]; 3] {
+    [
+        [operators_put(base, version, "first"), operators_put(base, version, "second")],
+        [operators_patch(base, version, "first"), operators_patch(base, version, "second")],
+        [operators_put(base, version, "first"), operators_patch(base, version, "second")],
+    ]
+}
+
+/// A group with the first configuration, version 1.
+fn cluster(spares: usize) -> Cluster {
+    cluster_of(machine, spares)
+}
+
+fn cluster_of(machine: MachineMaker, spares: usize) -> Cluster {
+    let mut cluster = Cluster::new(MEMBERS, spares, machine);
+    assert!(is_acknowledged(&send(&mut cluster, 0, &put(0, document(1, 1)))));
+    cluster
+}
+
+/// Makes the version rise to `last`, one change after the other.
+fn change_on(cluster: &mut Cluster, at: usize, last: u64) {
+    let first = version(&cluster.state(at));
+    let later = (first..last).map(|base| operators_patch(base, base + 1, "later").encode());
+    let requests: Vec<u64> = later.collect::<Vec<_>>().into_iter().map(|c| cluster.propose(at, c)).collect();
+    for request in requests {
+        assert!(is_acknowledged(&outcome(cluster.answer(request))));
+    }
+    cluster.run(Duration::from_millis(500));
+}
+
+/// Of two changes on one version one is taken; sent again anywhere, it is acknowledged and the other refused.
+fn check_one_won(cluster: &mut Cluster, rivals: &[Command; 2], answers: [Option<Outcome>; 2]) {
+    let taken: Vec<bool> = answers.iter().map(is_acknowledged).collect();
+    assert!(taken != [true, true], "both were acknowledged: {answers:?}");
+    cluster.run(Duration::from_secs(5));
+    let mut again = Vec::new();
+    for at in 0..MEMBERS {
+        let answers = [0, 1].map(|rival| send(cluster, at, &rivals[rival]));
+        again.push(answers.each_ref().map(is_acknowledged));
+        assert!(is_refusal(&answers[0]) != is_refusal(&answers[1]), "{answers:?}");
+    }
+    assert!(again.windows(2).all(|pair| pair[0] == pair[1]), "all controllers say the same: {again:?}");
+    for rival in 0..2 {
+        assert!(!taken[rival] || again[0][rival], "it was acknowledged, and refused afterwards");
+        assert!(!is_refusal(&answers[rival]) || !again[0][rival], "it was refused, and taken afterwards");
+    }
+}
+
+#[test]
+fn the_same_number_at_two_controllers_is_taken_once() {
+    for rivals in rivals(1, 2) {
+        let mut cluster = cluster(0);
+        let requests = [cluster.propose(0, rivals[0].encode()), cluster.propose(1, rivals[1].encode())];
+        let answers = requests.map(|request| outcome(cluster.answer(request)));
+        check_one_won(&mut cluster, &rivals, answers);
+    }
+}
+
+#[test]
+fn the_same_number_on_both_sides_of_a_cut_is_taken_once() {
+    for rivals in rivals(1, 2) {
+        for minority in 0..MEMBERS {
+            let mut cluster = cluster(0);
+            cluster.part(&[minority]);
+            let other = (minority + 1) % MEMBERS;
+            let requests =
+                [cluster.propose(minority, rivals[0].encode()), cluster.propose(other, rivals[1].encode())];
+            let answers = requests.map(|request| outcome(cluster.answer(request)));
+            assert_eq!(answers[0], None, "the minority knows nothing, and refuses nothing");
+            assert!(is_acknowledged(&answers[1]));
+            cluster.heal();
+            check_one_won(&mut cluster, &rivals, answers);
+        }
+    }
+}
+
+/// The cut heals while the minority's change still waits: it must not be taken on top of the other.
+#[test]
+fn the_same_number_on_both_sides_of_a_cut_that_heals_meanwhile_is_taken_once() {
+    for (rivals, wait) in rivals(1, 2).into_iter().zip([0, 40, 400].map(Duration::from_millis)) {
+        let mut cluster = cluster(0);
+        cluster.part(&[2]);
+        let late = cluster.propose(2, rivals[0].encode());
+        cluster.run(wait);
+        let first = send(&mut cluster, 0, &rivals[1]);
+        cluster.heal();
+        let late = outcome(cluster.answer(late));
+        check_one_won(&mut cluster, &rivals, [late, first]);
+    }
+}
+
+#[test]
+fn the_same_number_during_a_change_of_members_is_taken_once() {
+    for rivals in rivals(1, 2) {
+        for step in 0..12_u32 {
+            let mut cluster = cluster(1);
+            let spare = MEMBERS;
+            let members = cluster.change_members(0, &[2], &[spare]);
+            cluster.run(Duration::from_millis(4) * step);
+            let requests =
+                [cluster.propose(2, rivals[0].encode()), cluster.propose(spare, rivals[1].encode())];
+            let answers = requests.map(|request| outcome(cluster.answer(request)));
+            assert!(cluster.answer(members).is_some());
+            check_one_won(&mut cluster, &rivals, answers);
+        }
+    }
+}
+
+#[test]
+fn the_same_number_after_a_wipe_is_taken_once() {
+    for rivals in rivals(1, 2) {
+        for wiped in 0..MEMBERS {
+            let mut cluster = cluster(0);
+            let first = send(&mut cluster, wiped, &rivals[0]);
+            cluster.wipe(wiped);
+            cluster.start(wiped);
+            let second = send(&mut cluster, wiped, &rivals[1]);
+            check_one_won(&mut cluster, &rivals, [first, second]);
+        }
+    }
+}
+
+/// Whoever proposed a change dies before its answer leaves; the same call goes to every other controller.
+#[test]
+fn a_change_whose_answer_was_lost_is_acknowledged_wherever_it_is_sent_again() {
+    for change in [operators_put(1, 2, "first"), operators_patch(1, 2, "first")] {
+        for moment in 0..10_u32 {
+            let mut cluster = cluster(0);
+            cluster.propose(0, change.encode());
+            cluster.run(Duration::from_millis(3) * moment);
+            cluster.kill(0);
+            for at in [1, 2] {
+                let answer = send(&mut cluster, at, &change);
+                assert!(is_acknowledged(&answer), "{answer:?}");
+            }
+            cluster.start(0);
+            let answer = send(&mut cluster, 0, &change);
+            assert!(is_acknowledged(&answer), "{answer:?}");
+            assert_eq!(version(&cluster.state(1)), 2);
+        }
+    }
+}
+
+/// What the same call gets after so many later changes, at every machine, and after each kind of loss.
+fn check_later(machine: MachineMaker, later: u64, expected: impl Fn(&Option<Outcome>) -> bool) {
+    let changes = [operators_put(1, 2, "first"), operators_patch(2, 3, "first")];
+    let mut cluster = cluster_of(machine, 0);
+    for change in &changes {
+        assert!(is_acknowledged(&send(&mut cluster, 0, change)));
+    }
+    change_on(&mut cluster, 0, 3 + later);
+    let check = |cluster: &mut Cluster, when: &str| {
+        for at in 0..MEMBERS {
+            for change in &changes {
+                let answer = send(cluster, at, change);
+                assert!(expected(&answer), "{when}, at {at}, after {later}: {answer:?}");
+            }
+            let other = send(cluster, at, &operators_put(1, 2, "second"));
+            assert!(!is_acknowledged(&other), "{when}, at {at}: {other:?}");
+        }
+    };
+    check(&mut cluster, "at once");
+    (0..MEMBERS).for_each(|at| cluster.kill(at));
+    (0..MEMBERS).for_each(|at| cluster.start(at));
+    cluster.run(Duration::from_secs(1));
+    check(&mut cluster, "after a restart of all");
+    for lost in 0..MEMBERS {
+        cluster.wipe(lost);
+        cluster.start(lost);
+        cluster.run(Duration::from_secs(1));
+        assert_eq!(cluster.status(lost), Some(Status::Member));
+        check(&mut cluster, "after the loss of one disk more");
+    }
+}
+
+#[test]
+fn a_change_sent_again_after_one_later_change_is_acknowledged() {
+    check_later(machine, 1, is_acknowledged);
+}
+
+#[test]
+fn a_change_sent_again_after_500_later_changes_is_acknowledged() {
+    check_later(machine, 500, is_acknowledged);
+}
+
+#[test]
+fn a_change_sent_again_after_5000_later_changes_gets_no_clear_answer() {
+    check_later(machine, 5_000, |answer| matches!(answer, Some(Outcome::Unclear(_))));
+}
+
+#[test]
+#[should_panic(expected = "Conflict")]
+fn a_refusal_of_what_was_forgotten_shows() {
+    check_later(refusing_machine, HISTORY_LENGTH as u64 + 1, |answer| !is_refusal(answer));
+}
+
+/// With five, two disks are lost at once: every disk but those of a majority.
+#[test]
+fn a_change_outlasts_the_loss_of_every_disk_but_a_majority() {
+    let mut cluster = Cluster::new(5, 0, machine);
+    let change = operators_put(0, 1, "first");
+    assert!(is_acknowledged(&send(&mut cluster, 0, &change)));
+    change_on(&mut cluster, 0, 10);
+    for lost in [[0, 1], [2, 3], [4, 0]] {
+        lost.iter().for_each(|at| cluster.wipe(*at));
+        lost.iter().for_each(|at| cluster.start(*at));
+        cluster.run(Duration::from_secs(2));
+        for at in 0..5 {
+            assert!(is_acknowledged(&send(&mut cluster, at, &change)), "at {at} after the loss of {lost:?}");
+        }
+    }
+}
+
+/// A body that was taken names its configuration whatever it is said to build on; a body by names does not.
+#[test]
+fn what_a_change_builds_on_belongs_to_it_only_where_it_changes_by_names() {
+    let mut cluster = cluster(0);
+    let whole = operators_put(1, 2, "first");
+    let names = operators_patch(2, 3, "first");
+    assert!(is_acknowledged(&send(&mut cluster, 0, &whole)));
+    assert!(is_acknowledged(&send(&mut cluster, 1, &names)));
+    let whole_elsewhere = Command { if_match: Some(3), ..whole };
+    assert_eq!(send(&mut cluster, 2, &whole_elsewhere), Some(Outcome::AlreadyTaken { current: 3 }));
+    let names_elsewhere = Command { if_match: Some(1), ..names.clone() };
+    assert_eq!(send(&mut cluster, 2, &names_elsewhere), Some(Outcome::Conflict { current: 3 }));
+    assert_eq!(send(&mut cluster, 2, &names), Some(Outcome::AlreadyTaken { current: 3 }));
+}
