Ask all others in turn for news; a spare asks four times as often

A replica that no link event tells of a healed cut asked one other drawn by chance every 1 to 3 s, so that there was no bound on when it reached one that knows. Now all others take turns. A replica that is no member of the group hears of no decision and found out the same way, after 1 to 3 s, although agents may follow it; it asks every 250 to 750 ms now.

--- a/crates/coordination/src/register/core.rs
+++ b/crates/coordination/src/register/core.rs
@@ -133,14 +133,6 @@
     pub(super) fn up_to(&mut self, longest: Duration) -> Duration {
         longest.mul_f64(self.random.random::<f64>())
     }
-
-    /// One of the nodes, drawn evenly.
-    pub(super) fn pick(&mut self, nodes: &[Node]) -> Option<Node> {
-        if nodes.is_empty() {
-            return None;
-        }
-        nodes.get(self.random.random_range(0..nodes.len())).copied()
-    }
 }
 
 /// The earlier of two wake times.
--- a/crates/coordination/src/register/replica.rs
+++ b/crates/coordination/src/register/replica.rs
@@ -17,6 +17,9 @@
 use super::settings::{Fault, Settings};
 use super::value::{Carried, Value};
 
+/// A replica that is no member is told of no decision, so it asks for news so many times as often as a member.
+const SPARE_EAGERNESS: u32 = 4;
+
 /// A change of members that its proposer leaves unfinished is ended by others after so many retry intervals.
 const COMPLETION_RETRIES: u32 = 5;
 
@@ -31,6 +34,8 @@
     catch_up: CatchUp,
     contacts: Vec<Node>,
     announce_at: Duration,
+    /// Whom it asked for news last.
+    asked_last: Node,
     complete_at: Option<Duration>,
 }
 
@@ -48,6 +53,7 @@
         nonce: u64,
     ) -> Self {
         let contacts = settings.seeds.clone();
+        let asked_last = settings.node;
         let mut replica = Self {
             core: Core::new(settings, machine.into(), nonce, now),
             acceptor: None,
@@ -57,6 +63,7 @@
             catch_up: CatchUp::default(),
             contacts,
             announce_at: now,
+            asked_last,
             complete_at: None,
         };
         replica.begin(stored);
@@ -373,7 +380,7 @@
         }
     }
 
-    /// Asks one other replica whether it knows a newer decided value.
+    /// Asks one other replica whether it knows a newer decided value; all others take turns.
     fn announce(&mut self) {
         self.schedule_announcement();
         if self.recovery.is_some() {
@@ -382,14 +389,17 @@
         let mut others = self.known().map(|known| known.value.members()).unwrap_or_default();
         others.extend(self.contacts.iter().copied());
         others.retain(|node| *node != self.core.node());
-        if let Some(node) = self.core.pick(&others) {
+        let next = others.iter().filter(|node| **node > self.asked_last).min().or(others.iter().min());
+        if let Some(node) = next.copied() {
+            self.asked_last = node;
             self.core.send(node, self.core.inquiry());
         }
     }
 
     /// Announcements of different replicas are spread by chance.
     fn schedule_announcement(&mut self) {
-        let interval = self.core.settings.announce_interval;
+        let eagerness = if self.status() == Status::Spare { SPARE_EAGERNESS } else { 1 };
+        let interval = self.core.settings.announce_interval / eagerness;
         let half = interval / 2;
         self.announce_at = self.core.now + half + self.core.up_to(interval);
     }
--- a/crates/coordination/tests/cluster/mod.rs
+++ b/crates/coordination/tests/cluster/mod.rs
@@ -159,6 +159,11 @@
         apart.into_iter().for_each(|at| self.connect(at));
     }
 
+    /// All cuts end, and nobody notices.
+    pub fn heal_silently(&mut self) {
+        self.part(&[]);
+    }
+
     fn reach(&self, from: usize, to: usize) -> bool {
         self.members[from].side == self.members[to].side
     }
--- a/crates/coordination/tests/register_catch_up.rs
+++ b/crates/coordination/tests/register_catch_up.rs
@@ -21,6 +21,8 @@
 const LONGEST_CATCH_UP: Duration = Duration::from_millis(100);
 /// A replica asks one other for news after at most so long; a change that reaches it is sooner.
 const LONGEST_UNTIL_NEWS: Duration = Duration::from_secs(3);
+/// The same for a replica that is no member, which no change reaches.
+const LONGEST_UNTIL_NEWS_FOR_SPARES: Duration = Duration::from_millis(800);
 /// Values that a member takes in at most when it returns: from each of the two others an answer to its question
 /// when the link comes up, to its own read at the start and to the caller's; and one to what it hears last.
 const MOST_VALUES: f64 = 7.1;
@@ -201,3 +203,37 @@
 fn a_member_whose_disk_was_full_catches_up() {
     check(Absence::DiskFull);
 }
+
+/// A member that nothing tells of what it missed asks one other after the other.
+#[test]
+fn a_member_that_nobody_tells_asks_all_others_in_turn() {
+    for dead in [None, Some(3)] {
+        let mut cluster = Cluster::new(5, 0, machine);
+        cluster.part(&[AWAY]);
+        let first = cluster.propose(PROPOSER, put(0, document(1, 1)).encode());
+        assert!(outcome(cluster.answer(first)).is_some());
+        cluster.run(Duration::from_secs(1));
+        dead.into_iter().for_each(|at| cluster.kill(at));
+        cluster.heal_silently();
+        let asked = 1 + u32::from(dead.is_some());
+        let longest = LONGEST_UNTIL_NEWS * asked + LONGEST_CATCH_UP;
+        let time = cluster.time_to_catch_up(AWAY, longest);
+        println!("{dead:?} dead: {time:?}");
+        assert!(time.is_some(), "not within {longest:?}");
+    }
+}
+
+#[test]
+fn a_spare_hears_of_changes_well_within_a_second() {
+    let spare = MEMBERS;
+    let mut cluster = Cluster::new(MEMBERS, 1, machine);
+    let mut longest = Duration::ZERO;
+    for base in 0..20 {
+        let change = cluster.propose(PROPOSER, put(base, document(base + 1, 1)).encode());
+        assert!(outcome(cluster.answer(change)).is_some());
+        let time = cluster.time_to_catch_up(spare, LONGEST_UNTIL_NEWS_FOR_SPARES);
+        longest = longest.max(time.expect("it hears of the change"));
+        cluster.run(Duration::from_millis(100 + 37 * base));
+    }
+    println!("{longest:?}");
+}
