Hold the next order back until a report cannot be older than a lost one's arrival

Cause: an order without an answer is given up after a second and may arrive for half a second more; a report may be a second old. A report 1.0 s after the sending that lacked the order was taken for the proof that it was not taken, so a second order could leave while the first was still to arrive; without IfRevision both would be carried out. Now such a report counts from 2.5 s after the sending on (IN_FLIGHT + REPORT_LAG).

The bound itself did not hold: the kernel went on delivering an order whose connection was closed, for as long as a cut lasts. The connection of an order without an answer is now reset. An order that could not leave in 120 ms, as the process stood still, is not sent. 429 and 503 count as not taken only with Not-Executed. Questions for reports name the incarnation that they are for, and the report of another one is none.

--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -41,6 +41,8 @@
 #[cfg(test)]
 mod operator_test;
 mod orders;
+#[cfg(test)]
+mod orders_test;
 mod peer_links;
 mod peer_messages;
 mod peers;
--- a/crates/controller/src/controller/orders.rs
+++ b/crates/controller/src/controller/orders.rs
@@ -1,25 +1,38 @@
 //! Orders to endpoints and questions to them, over HTTP/1.1.
+//!
+//! Each has a connection of its own and is sent once: no answer of another call can take its place, and nothing
+//! is repeated here. An order without an answer may have been taken, or may still be on its way; its connection is
+//! reset, so that the kernel does not deliver it when a link heals long after.
 
 use crate::link::dial;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1;
-use hyper::{Method, Request, StatusCode};
+use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::http::request::Builder;
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use lanegate_placement::{EndpointReport, Operation, Order, OrderAnswer};
 use serde::Serialize;
+use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout};
 
 /// Longest time in which an order reaches its endpoint, once it may be sent.
 pub const ORDER_WIRE_TIME: Duration = Duration::from_millis(200);
 /// Longest wait for the connection that carries an order; with the sending it stays within
 /// [`ORDER_WIRE_TIME`].
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
-/// Longest wait for an answer.
+/// Longest wait for an answer; the connection is reset after it.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
+const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
+const INSTANCE_ID: HeaderName = HeaderName::from_static("instance-id");
+const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
+
 /// The body of an order.
 #[derive(Debug, Serialize)]
 #[serde(rename_all = "PascalCase")]
@@ -35,6 +48,7 @@
 }
 
 /// Why a call has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CallError {
     /// Nothing was sent.
     NotSent,
@@ -42,6 +56,17 @@
     Unanswered,
 }
 
+/// A whole answer of an endpoint.
+#[derive(Debug)]
+struct EndpointResponse {
+    status: StatusCode,
+    /// Whether the endpoint says that it did nothing.
+    is_not_executed: bool,
+    /// Who answered, where the endpoint tells.
+    instance: Option<HeaderValue>,
+    body: Bytes,
+}
+
 /// Gives an order under the epoch `epoch`.
 pub async fn give(order: &Order, owner: &str, epoch: u64) -> OrderAnswer {
     let body = OrderBody {
@@ -53,51 +78,93 @@
         fencing_token: epoch,
     };
     let Ok(body) = serde_json::to_vec(&body) else { return OrderAnswer::Invalid };
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri("/order")
-        .header("Host", order.address.to_string())
+    let request = addressed(Method::POST, "/order", order.address, &order.instance)
         .header("Content-Type", "application/json")
-        .header("Expect-Instance", &*order.instance)
         .body(Full::new(Bytes::from(body)));
     let Ok(request) = request else { return OrderAnswer::Invalid };
     match call(order.address, request).await {
-        Ok((status, _)) => OrderAnswer::from_status(status.as_u16()),
+        Ok(response) => order_answer(&response),
         Err(CallError::NotSent) => OrderAnswer::Unavailable,
         Err(CallError::Unanswered) => OrderAnswer::Unknown,
     }
 }
 
-/// Asks an endpoint for its report on itself.
-pub async fn ask_report(address: SocketAddr) -> Option<EndpointReport> {
-    let request = Request::builder()
-        .method(Method::GET)
-        .uri("/report")
-        .header("Host", address.to_string())
-        .body(Full::new(Bytes::new()))
-        .ok()?;
-    let (status, body) = call(address, request).await.ok()?;
-    if status != StatusCode::OK {
+/// Only an endpoint that says so did not take the order; another 429 or 503 is no proof.
+fn order_answer(response: &EndpointResponse) -> OrderAnswer {
+    match OrderAnswer::from_status(response.status.as_u16()) {
+        OrderAnswer::Unavailable if !response.is_not_executed => OrderAnswer::Unknown,
+        answer => answer,
+    }
+}
+
+/// Asks an endpoint for its report on itself; `None` where another incarnation answers.
+pub async fn ask_report(instance: &str, address: SocketAddr) -> Option<EndpointReport> {
+    let request = addressed(Method::GET, "/report", address, instance).body(Full::new(Bytes::new())).ok()?;
+    let response = call(address, request).await.ok()?;
+    let is_other = response.instance.is_some_and(|id| id.as_bytes() != instance.as_bytes());
+    if response.status != StatusCode::OK || is_other {
         return None;
     }
-    serde_json::from_slice(&body).ok()
+    serde_json::from_slice(&response.body).ok()
+}
+
+/// The head of a call that only this incarnation of an endpoint is to take.
+fn addressed(method: Method, path: &str, address: SocketAddr, instance: &str) -> Builder {
+    let request = Request::builder().method(method).uri(path);
+    request.header("Host", address.to_string()).header(EXPECT_INSTANCE, instance)
 }
 
-async fn call(address: SocketAddr, request: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes), CallError> {
+async fn call(address: SocketAddr, request: Request<Full<Bytes>>) -> Result<EndpointResponse, CallError> {
+    let send_by = Instant::now() + CONNECT_TIMEOUT;
     let stream = timeout(CONNECT_TIMEOUT, dial(address)).await;
     let stream = stream.map_err(|_| CallError::NotSent)?.map_err(|_| CallError::NotSent)?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) = handshake.map_err(|_| CallError::NotSent)?;
-    let connection = tokio::task::spawn_local(connection);
-    let answer = timeout(ANSWER_TIMEOUT, async {
+    let (mut sender, mut connection) = handshake.map_err(|_| CallError::NotSent)?;
+    // The process may have stood still while the connection came up.
+    if Instant::now() > send_by {
+        return Err(CallError::NotSent);
+    }
+    let response = timeout(ANSWER_TIMEOUT, exchange(&mut sender, &mut connection, request)).await;
+    match response {
+        Ok(Ok(response)) => Ok(response),
+        _ => {
+            reset(&connection.into_parts().io.into_inner());
+            Err(CallError::Unanswered)
+        }
+    }
+}
+
+/// Sends the request and reads the whole answer.
+async fn exchange(
+    sender: &mut SendRequest<Full<Bytes>>,
+    connection: &mut Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+) -> hyper::Result<EndpointResponse> {
+    let mut exchange = pin!(async {
         let response = sender.send_request(request).await?;
-        let status = response.status();
-        Ok::<_, hyper::Error>((status, response.into_body().collect().await?.to_bytes()))
+        read(response).await
+    });
+    let mut is_open = true;
+    poll_fn(|cx| {
+        is_open = is_open && connection.poll_without_shutdown(cx).is_pending();
+        exchange.as_mut().poll(cx)
+    })
+    .await
+}
+
+async fn read(response: Response<hyper::body::Incoming>) -> hyper::Result<EndpointResponse> {
+    let (head, body) = response.into_parts();
+    Ok(EndpointResponse {
+        status: head.status,
+        is_not_executed: head.headers.contains_key(NOT_EXECUTED),
+        instance: head.headers.get(INSTANCE_ID).cloned(),
+        body: body.collect().await?.to_bytes(),
     })
-    .await;
-    connection.abort();
-    match answer {
-        Ok(Ok(answer)) => Ok(answer),
-        _ => Err(CallError::Unanswered),
+}
+
+/// Lets the kernel forget what it has not delivered yet.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = stream.set_zero_linger() {
+        log::warn!("an order without an answer may be delivered late: {error}");
     }
 }
--- /dev/null
+++ b/crates/controller/src/controller/orders_test.rs
@@ -0,0 +1,162 @@
+use super::orders::{ask_report, give};
+use lanegate_placement::{Operation, Order, OrderAnswer, OrderId};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::timeout;
+
+/// Time in which something that must not happen would have happened.
+const A_WHILE: Duration = Duration::from_millis(60);
+
+fn play(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(LocalSet::new().run_until(async {
+        timeout(Duration::from_secs(10), test).await.expect("the test hangs");
+    }));
+}
+
+async fn endpoint() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+fn order(address: SocketAddr, if_revision: Option<u64>) -> Order {
+    Order {
+        id: OrderId(1),
+        instance: Arc::from("i-1"),
+        address,
+        operation: Operation::Load,
+        model: Arc::from("m1"),
+        adapter: None,
+        if_revision,
+    }
+}
+
+/// Reads one call: its head, and its body as JSON where it has one.
+async fn read_call(stream: &mut TcpStream) -> (String, serde_json::Value) {
+    let mut read = Vec::new();
+    loop {
+        assert_ne!(stream.read_buf(&mut read).await.unwrap(), 0, "the call ended early");
+        let text = String::from_utf8(read.clone()).unwrap();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+        let length: usize = length.map_or(0, |length| length.parse().unwrap());
+        if body.len() == length {
+            return (head.to_owned(), serde_json::from_str(body).unwrap_or_default());
+        }
+    }
+}
+
+/// Gives an order to an endpoint that answers with `bytes` and closes; tells what came of it.
+async fn answered_with(bytes: &'static str) -> OrderAnswer {
+    let (listener, address) = endpoint().await;
+    spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_call(&mut stream).await;
+        stream.write_all(bytes.as_bytes()).await.unwrap();
+    });
+    give(&order(address, None), "core-1", 7).await
+}
+
+#[test]
+fn an_order_names_its_owner_its_token_and_the_incarnation_that_it_is_for() {
+    play(async {
+        for if_revision in [None, Some(3)] {
+            let (listener, address) = endpoint().await;
+            let given = spawn_local(async move { give(&order(address, if_revision), "core-1", 7).await });
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let (head, body) = read_call(&mut stream).await;
+            assert!(head.starts_with("POST /order HTTP/1.1\r\n"), "{head}");
+            assert!(head.contains("expect-instance: i-1"), "{head}");
+            let mut expected = serde_json::json!({
+                "Operation": "load", "Model": "m1", "Owner": "core-1", "FencingToken": 7,
+            });
+            if let Some(revision) = if_revision {
+                expected["IfRevision"] = revision.into();
+            }
+            assert_eq!(body, expected);
+            stream.write_all(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+            assert_eq!(given.await.unwrap(), OrderAnswer::Accepted);
+        }
+    });
+}
+
+#[test]
+fn only_a_whole_answer_that_says_so_tells_that_an_order_was_not_taken() {
+    play(async {
+        let cases = [
+            ("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n", OrderAnswer::Accepted),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", OrderAnswer::AlreadyDone),
+            ("HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n", OrderAnswer::Conflict),
+            ("HTTP/1.1 412 Precondition Failed\r\nContent-Length: 0\r\n\r\n", OrderAnswer::Fenced),
+            ("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n", OrderAnswer::WrongInstance),
+            ("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n", OrderAnswer::Invalid),
+            ("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", OrderAnswer::Unavailable),
+            ("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", OrderAnswer::Unknown),
+            ("HTTP/1.1 429 Many\r\nContent-Length: 0\r\n\r\n", OrderAnswer::Unknown),
+            ("HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n", OrderAnswer::Unknown),
+            ("HTTP/1.1 409 Conflict\r\nContent-Length: 9\r\n\r\nx", OrderAnswer::Unknown),
+            ("HTTP/1.1 2", OrderAnswer::Unknown),
+            ("", OrderAnswer::Unknown),
+            ("no answer\r\n\r\n", OrderAnswer::Unknown),
+            (
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n\
+                 HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n",
+                OrderAnswer::Accepted,
+            ),
+        ];
+        for (bytes, expected) in cases {
+            assert_eq!(answered_with(bytes).await, expected, "{bytes}");
+        }
+    });
+}
+
+#[test]
+fn an_order_that_reached_nobody_was_not_taken() {
+    play(async {
+        let (listener, address) = endpoint().await;
+        drop(listener);
+        assert_eq!(give(&order(address, None), "core-1", 7).await, OrderAnswer::Unavailable);
+    });
+}
+
+#[test]
+fn an_order_without_an_answer_is_sent_once_and_its_connection_reset() {
+    play(async {
+        let (listener, address) = endpoint().await;
+        let given = spawn_local(async move { give(&order(address, None), "core-1", 7).await });
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_call(&mut stream).await;
+        assert_eq!(given.await.unwrap(), OrderAnswer::Unknown);
+        let end = stream.read(&mut [0; 8]).await.map_err(|error| error.kind());
+        assert_eq!(end, Err(ErrorKind::ConnectionReset));
+        assert!(timeout(A_WHILE, listener.accept()).await.is_err(), "the order was sent again");
+    });
+}
+
+#[test]
+fn a_report_of_another_incarnation_is_none() {
+    play(async {
+        for (answer, expected) in [
+            ("HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"Sequence\":4}", Some(4)),
+            ("HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nContent-Length: 14\r\n\r\n{\"Sequence\":4}", Some(4)),
+            ("HTTP/1.1 200 OK\r\nInstance-Id: i-2\r\nContent-Length: 14\r\n\r\n{\"Sequence\":4}", None),
+            ("HTTP/1.1 421 Misdirected\r\nContent-Length: 14\r\n\r\n{\"Sequence\":4}", None),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n{\"Sequence\":4}", None),
+        ] {
+            let (listener, address) = endpoint().await;
+            let asked = spawn_local(async move { ask_report("i-1", address).await });
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let (head, _) = read_call(&mut stream).await;
+            assert!(head.contains("expect-instance: i-1"), "{head}");
+            stream.write_all(answer.as_bytes()).await.unwrap();
+            drop(stream);
+            assert_eq!(asked.await.unwrap().map(|report| report.sequence), expected, "{answer}");
+        }
+    });
+}
--- a/crates/placement/src/answers.rs
+++ b/crates/placement/src/answers.rs
@@ -3,7 +3,7 @@
 use crate::endpoint::{Endpoint, Verification};
 use crate::interface::{EndpointReport, Item, Operation, OrderAnswer, OrderId};
 use crate::placer::Placer;
-use crate::underway::{Stage, Underway};
+use crate::underway::{IN_FLIGHT, Stage, Underway};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -173,8 +173,12 @@
         if listed == (order.operation == Operation::Load) {
             return true;
         }
-        let settled = order.stage == Stage::Lost || now >= order.expected + REPORT_LAG;
-        if report.busy || !settled || now < order.sent + REPORT_LAG {
+        // A report that lacks it tells something only once it cannot be older than the order's arrival.
+        let settled_at = match order.stage {
+            Stage::Lost => order.sent + IN_FLIGHT + REPORT_LAG,
+            Stage::Sent | Stage::Taken => order.expected.max(order.sent) + REPORT_LAG,
+        };
+        if report.busy || now < settled_at {
             return false;
         }
         // It was not taken, or came to nothing: what it was to bring takes no room.
--- a/crates/placement/src/underway.rs
+++ b/crates/placement/src/underway.rs
@@ -15,7 +15,8 @@
 /// Beyond a load's usual time, how long its end may go untold; longer than a heartbeat.
 const LOAD_PATIENCE: Duration = Duration::from_millis(2_600);
 
-/// How long an order without an answer may still reach its endpoint.
+/// How long an order without an answer may still reach its endpoint: its connection is reset a second after it
+/// was sent, and what is on its way then takes less than the rest.
 pub const IN_FLIGHT: Duration = Duration::from_millis(1_500);
 
 /// Longest pause between two questions about the same order.
--- a/crates/placement/tests/support/simulation.rs
+++ b/crates/placement/tests/support/simulation.rs
@@ -19,9 +19,15 @@
 const REPORT_LAG_MS: u64 = 300;
 const SILENCE_MS: u64 = 3_000;
 const ANSWER_TIMEOUT_MS: u64 = 1_000;
+/// Part of the orders without an answer that arrive all the same.
+const ARRIVE_LATE: f64 = 0.5;
+/// Time after its sending until which such an order may arrive.
+const LATEST_ARRIVAL_MS: u64 = 1_400;
 
 enum Message {
     Order(Order),
+    /// An order whose answer nobody waits for any more when it comes.
+    LateOrder(Order),
     Answer(OrderId, String, OrderAnswer),
     Instance(Box<Instance>),
     Removed(String),
@@ -173,6 +179,10 @@
         if self.random.unit() < self.loss {
             let answer = Message::Answer(order.id, order.instance.to_string(), OrderAnswer::Unknown);
             self.send(ANSWER_TIMEOUT_MS, answer);
+            if self.random.unit() < ARRIVE_LATE {
+                let delay = 500 + self.random.below(LATEST_ARRIVAL_MS - 500);
+                self.send(delay, Message::LateOrder(order));
+            }
             return;
         }
         let delay = self.delay();
@@ -194,6 +204,7 @@
         let current = generation == self.generation;
         match message {
             Message::Order(order) => self.order_arrives(order),
+            Message::LateOrder(order) => self.late_order_arrives(&order),
             Message::Answer(id, instance, answer) if current => {
                 self.checks.settled(&instance, id.0);
                 self.placer.order_answered(now, id, answer);
@@ -236,6 +247,17 @@
         self.send(delay, Message::Answer(order.id, order.instance.to_string(), answer));
     }
 
+    /// An order arrives of which its sender gives up the answer, or has given it up.
+    fn late_order_arrives(&mut self, order: &Order) {
+        let found =
+            self.endpoints.iter().position(|endpoint| endpoint.up && endpoint.address == order.address);
+        let Some(index) = found else { return };
+        if self.endpoints[index].status_without_work(order).is_none() {
+            self.checks.carried_out(self.now_ms, order, &self.endpoints[index], &self.runtime);
+            self.take(index, order);
+        }
+    }
+
     fn take(&mut self, index: usize, order: &Order) {
         let chance = self.random.unit();
         let endpoint = &mut self.endpoints[index];
