Test an agent and its router between two sources, without sockets

A source dialled again from its offset, one source asked, a router behind until it has the newest, few of many versions read, sources out of contact.

--- /dev/null
+++ b/crates/controller/src/agent/agent_test.rs
@@ -0,0 +1,275 @@
+//! An agent between two sources and its router, on simulated time and without sockets.
+
+use super::{Agent, Downstream, Environment};
+use crate::feed_client::Client;
+use crate::link::Outbox;
+use crate::message::{ConfigurationVersion, Decided, FeedBeat, Hello, Message};
+use crate::subscription::News;
+use bytes::Bytes;
+use lanegate_model::feed::FeedEvent;
+use lanegate_model::settings::{Settings, SettingsError};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::{Receiver, UnboundedReceiver, unbounded_channel};
+
+const ROUTER: u64 = 1;
+const SOURCE_LIFE: u64 = 9;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn settings() -> Settings {
+    serde_json::from_str(
+        r#"{"NodeName": "edge-1", "Ip": "127.0.0.1", "Zone": "z1", "Zones": {"z1": "r"}, "PortRange": [1, 2],
+            "Seeds": ["10.0.0.1:7000", "10.0.0.2:7000"],
+            "Bounds": {"GraceS": 8, "RetryRatio": 0.2, "RetryWindowS": 10, "RetrySlack": 58}}"#,
+    )
+    .expect("settings")
+}
+
+/// A clock that the test sets, and the links that the agent asked for.
+#[derive(Clone, Default)]
+struct Outside {
+    now: Rc<Cell<Duration>>,
+    dialled: Rc<RefCell<Vec<(SocketAddr, Hello)>>>,
+}
+
+impl Environment for Outside {
+    fn now(&self) -> Duration {
+        self.now.get()
+    }
+
+    fn follow(&mut self, source: SocketAddr, hello: Hello) {
+        self.dialled.borrow_mut().push((source, hello));
+    }
+
+    fn unfollow(&mut self, _source: SocketAddr) {}
+
+    fn read_settings(&mut self) -> Result<Settings, SettingsError> {
+        Ok(settings())
+    }
+}
+
+struct World {
+    outside: Outside,
+    agent: Agent,
+    /// What the agent sends to each source.
+    sent: Vec<(SocketAddr, Receiver<Bytes>)>,
+    client: Client,
+    to_router: Receiver<Bytes>,
+    from_router: Receiver<Bytes>,
+    events: UnboundedReceiver<FeedEvent>,
+}
+
+fn messages(frames: &mut Receiver<Bytes>) -> Vec<Message> {
+    let frames = std::iter::from_fn(|| frames.try_recv().ok());
+    frames.map(|frame| Message::decode(&frame[4..]).expect("a message")).collect()
+}
+
+impl World {
+    /// An agent that has two sources up, which have said nothing yet, and a router.
+    fn new() -> World {
+        let outside = Outside::default();
+        let mut agent = Agent::new(settings(), 5, Box::new(outside.clone()));
+        agent.review();
+        let (events_end, events) = unbounded_channel();
+        let mut client = Client::new(settings(), 6, events_end);
+        let (outbox, to_router) = Outbox::new();
+        agent.downstream(Downstream::Up { reader: ROUTER, outbox });
+        let (outbox, from_router) = Outbox::new();
+        client.heard(ms(0), News::Up { source: router_link(), outbox });
+        let mut world = World { outside, agent, sent: Vec::new(), client, to_router, from_router, events };
+        let sources: Vec<SocketAddr> =
+            world.outside.dialled.borrow().iter().map(|dialled| dialled.0).collect();
+        sources.into_iter().for_each(|source| world.up(source));
+        world
+    }
+
+    fn up(&mut self, source: SocketAddr) {
+        let (outbox, frames) = Outbox::new();
+        self.agent.heard(News::Up { source, outbox });
+        self.sent.retain(|(known, _)| *known != source);
+        self.sent.push((source, frames));
+    }
+
+    fn source(&self, number: usize) -> SocketAddr {
+        self.sent[number].0
+    }
+
+    fn hears(&mut self, source: SocketAddr, message: Message) {
+        self.agent.heard(News::Message { source, message });
+    }
+
+    /// What the agent has sent to a source since the last call.
+    fn sent_to(&mut self, source: SocketAddr) -> Vec<Message> {
+        let (_, frames) = self.sent.iter_mut().find(|(known, _)| *known == source).expect("a source");
+        messages(frames)
+    }
+
+    /// Lets the time go on, and what waits between agent and router arrive.
+    fn at(&mut self, now: Duration) {
+        self.outside.now.set(now);
+        self.agent.fetch();
+        self.client.fetch(now);
+        for _ in 0..3 {
+            for message in messages(&mut self.from_router) {
+                self.agent.downstream(Downstream::Message { reader: ROUTER, message });
+            }
+            for message in messages(&mut self.to_router) {
+                self.client.heard(now, News::Message { source: router_link(), message });
+            }
+            self.client.fetch(now);
+        }
+    }
+
+    /// Versions of the configurations that the router has read since the last call.
+    fn read(&mut self) -> Vec<u64> {
+        let events = std::iter::from_fn(|| self.events.try_recv().ok());
+        let versions = events.filter_map(|event| match event {
+            FeedEvent::Configuration(configuration) => Some(configuration.version),
+            _ => None,
+        });
+        versions.collect()
+    }
+
+    /// What the router was told of being behind since the last call.
+    fn behind(&mut self) -> Vec<bool> {
+        let events = std::iter::from_fn(|| self.events.try_recv().ok());
+        events
+            .filter_map(|event| if let FeedEvent::Behind { behind } = event { Some(behind) } else { None })
+            .collect()
+    }
+}
+
+fn router_link() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 2))
+}
+
+fn decided(revision: u64) -> Decided {
+    let document = format!(r#"{{"Version":{revision},"Routes":[],"Backends":[]}}"#);
+    Decided { revision, document: document.as_str().into() }
+}
+
+fn announced(revision: u64) -> Message {
+    let decided = decided(revision);
+    Message::ConfigurationAnnounced(ConfigurationVersion::of(revision, &decided.document.bytes))
+}
+
+fn beat(quorum: u8, offset: u64) -> Message {
+    Message::FeedBeat(FeedBeat { quorum, source: SOURCE_LIFE, offset, routers: 1 })
+}
+
+fn fetches(messages: &[Message]) -> usize {
+    messages.iter().filter(|message| matches!(message, Message::ConfigurationFetch(_))).count()
+}
+
+#[test]
+fn a_lost_source_is_dialled_again_from_where_its_feed_stood() {
+    let mut world = World::new();
+    let source = world.source(0);
+    world.hears(source, Message::SnapshotBegin);
+    world.hears(source, Message::SnapshotEnd { complete: 1 });
+    world.hears(source, beat(1, 44));
+    world.agent.heard(News::Down { source });
+    world.outside.now.set(ms(500));
+    world.agent.review();
+    let dialled = world.outside.dialled.borrow();
+    let (again, hello) = dialled.last().expect("it is dialled");
+    assert_eq!((*again, hello.source, hello.offset), (source, SOURCE_LIFE, 44));
+}
+
+#[test]
+fn one_source_is_asked_and_the_router_is_behind_until_it_has_the_newest() {
+    let mut world = World::new();
+    let (one, two) = (world.source(0), world.source(1));
+    for source in [one, two] {
+        world.hears(source, beat(1, 0));
+        world.hears(source, announced(1));
+    }
+    world.at(ms(1));
+    let asked = fetches(&world.sent_to(one)) + fetches(&world.sent_to(two));
+    assert_eq!(asked, 1);
+    assert!(world.behind().last() == Some(&true), "the router knows of it before the agent has it");
+    world.hears(one, Message::Decided(decided(1)));
+    world.at(ms(2));
+    let events: Vec<FeedEvent> = std::iter::from_fn(|| world.events.try_recv().ok()).collect();
+    let place = |wanted: fn(&FeedEvent) -> bool| events.iter().position(wanted).expect("an event");
+    let configuration = place(|event| matches!(event, FeedEvent::Configuration(_)));
+    assert!(configuration < place(|event| matches!(event, FeedEvent::Behind { behind: false })));
+}
+
+#[test]
+fn a_router_reads_a_few_of_many_versions_and_ends_with_the_newest() {
+    let mut world = World::new();
+    let source = world.source(0);
+    world.hears(source, beat(1, 0));
+    world.at(ms(0));
+    let mut read = Vec::new();
+    for now in 0..2_000 {
+        if now % 20 == 0 && now < 1_500 {
+            let revision = 1 + now / 20;
+            world.hears(source, announced(revision));
+            world.hears(source, Message::Decided(decided(revision)));
+        }
+        world.at(ms(now));
+        read.extend(world.read());
+    }
+    assert_eq!(read.last(), Some(&75));
+    assert!(read.len() <= 17, "one each 100 ms: {read:?}");
+    assert!(read.is_sorted());
+}
+
+#[test]
+fn a_router_is_told_when_no_source_is_in_contact_with_a_majority() {
+    let mut world = World::new();
+    let (one, two) = (world.source(0), world.source(1));
+    world.hears(one, beat(1, 0));
+    world.hears(two, beat(1, 0));
+    world.hears(one, Message::Decided(decided(1)));
+    world.at(ms(0));
+    assert_eq!(world.behind().last(), Some(&false));
+    world.hears(one, beat(0, 0));
+    world.at(ms(1));
+    assert!(world.behind().is_empty(), "the other one is");
+    world.hears(two, beat(0, 0));
+    world.at(ms(2));
+    assert_eq!(world.behind(), [true]);
+    world.hears(one, beat(1, 0));
+    world.at(ms(3));
+    assert_eq!(world.behind(), [false]);
+}
+
+#[test]
+fn a_message_of_a_link_that_was_given_up_changes_nothing() {
+    let mut world = World::new();
+    let source = world.source(0);
+    world.hears(source, beat(1, 0));
+    world.agent.heard(News::Down { source });
+    world.hears(source, Message::Decided(decided(3)));
+    world.hears(source, beat(1, 9));
+    world.at(ms(1));
+    assert!(world.read().is_empty());
+    assert_ne!(world.behind().last(), Some(&false));
+}
+
+#[test]
+fn an_agent_without_a_configuration_asks_a_source_out_of_contact_once() {
+    let mut world = World::new();
+    let source = world.source(0);
+    world.hears(source, beat(0, 0));
+    world.hears(source, announced(1));
+    world.at(ms(1));
+    assert_eq!(fetches(&world.sent_to(source)), 1);
+    world.hears(source, Message::Decided(decided(1)));
+    for now in (0..10_000).step_by(100) {
+        world.at(ms(now));
+    }
+    assert_eq!(fetches(&world.sent_to(source)), 0, "what it has is held back");
+    assert!(world.read().is_empty());
+    world.hears(source, beat(1, 0));
+    world.at(ms(10_001));
+    assert_eq!(world.read(), [1]);
+}
--- a/crates/controller/src/agent/mod.rs
+++ b/crates/controller/src/agent/mod.rs
@@ -1,5 +1,7 @@
 //! The agent beside a router: keeps links to the control plane, and feeds the router over loopback.
 
+#[cfg(test)]
+mod agent_test;
 mod environment;
 mod process;
 pub mod sources;
