Model-check a planned leave, a replacement and two lost disks

The model of the register knew two commands, and one lost disk or one restart. Now what the first proposer asks for may be that a member leaves or that the spare takes its place, the spare is able to vote (it was not, so that a majority of the new group alone went unnoticed), several disks may be lost one after the other, and an acknowledged change must be in the value it was acknowledged with. The new searches are bounded in every run; to look further is left to the ignored tests.

--- a/crates/coordination/tests/register_model.rs
+++ b/crates/coordination/tests/register_model.rs
@@ -1,9 +1,11 @@
-//! Every order of messages, a lost disk and a restart, for two changes by two proposers: the replicas
+//! Every order of messages, lost disks and a restart, for two changes by two proposers: the replicas
 //! themselves, driven by a model checker.
 //!
-//! Three founders `a`, `b`, `c`; the proposers are `c` and `d`, who is no member. Messages arrive in any order
-//! or never. Time stands still: what only time would bring about (retransmission, another try after
-//! preemption) is left out, as any message may be on its way for any time.
+//! Three founders `a`, `b`, `c`; the proposers are `c` and `d`, who is no member. What `c` proposes may be a change
+//! of members: `a` leaves, or `d` takes its place. Messages arrive in any order or never, so that a machine that is
+//! lost for good is among what is tried; a lost disk is a step of its own. Time stands still: what only time would
+//! bring about (retransmission, another try after preemption) is left out, as any message may be on its way for
+//! any time.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -20,8 +22,9 @@
 const FOUNDERS: usize = 3;
 const REPLICAS: usize = 4;
 const PROPOSERS: [usize; 2] = [2, 3];
-/// The founder that loses its disk or restarts; it proposes nothing.
-const VICTIM: usize = 0;
+const A: usize = 0;
+const B: usize = 1;
+const D: usize = 3;
 
 struct Append;
 
@@ -47,11 +50,46 @@
     bytes: Vec<u8>,
 }
 
+/// What a founder suffers that proposes nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Trouble {
-    None,
-    Wipe,
-    Restart,
+    Wipe(usize),
+    Restart(usize),
+}
+
+impl Trouble {
+    fn victim(self) -> usize {
+        match self {
+            Trouble::Wipe(victim) | Trouble::Restart(victim) => victim,
+        }
+    }
+}
+
+/// What the first proposer asks for; the second one always asks for a command.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Change {
+    Command,
+    /// `a` leaves.
+    Leave,
+    /// `d` takes the place of `a`.
+    Replace,
+}
+
+impl Change {
+    fn input(self, proposer: usize) -> Input {
+        let (request, deadline) = (proposer as u64, Duration::MAX);
+        let members = |add| Input::ProposeMembers { request, remove: vec![node(A)], add, deadline };
+        match self {
+            Change::Command => Input::Propose { request, command: vec![letter(proposer)], deadline },
+            Change::Leave => members(Vec::new()),
+            Change::Replace => members(vec![node(D)]),
+        }
+    }
+}
+
+/// The command of a proposer.
+fn letter(proposer: usize) -> u8 {
+    b'a' + proposer as u8
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -67,9 +105,13 @@
     disks: Vec<Option<Record>>,
     network: BTreeSet<Envelope>,
     proposed: Vec<usize>,
-    acknowledged: Vec<u64>,
-    troubled: bool,
+    /// Proposers of changes that were acknowledged, and the revisions they were told.
+    acknowledged: BTreeMap<usize, u64>,
+    /// Troubles so far.
+    troubles: usize,
     values: BTreeMap<u64, Vec<u8>>,
+    /// Members of the newest decided value.
+    members: Vec<Node>,
     broken: bool,
 }
 
@@ -84,8 +126,8 @@
         for replica in &self.replicas {
             replica.hash(hasher);
         }
-        (&self.network, &self.proposed, &self.acknowledged, self.troubled).hash(hasher);
-        (&self.values, self.broken).hash(hasher);
+        (&self.network, &self.proposed, &self.acknowledged, self.troubles).hash(hasher);
+        (&self.values, &self.members, self.broken).hash(hasher);
     }
 }
 
@@ -107,6 +149,14 @@
         self.flush(index);
     }
 
+    /// Everything arrives: `d` registers with the founders and is able to vote.
+    fn deliver_all(&mut self) {
+        while let Some(Envelope { from, to, bytes }) = self.network.pop_first() {
+            let message = Message::decode(&bytes).unwrap();
+            self.input(to, Input::Message { from: node(from), message });
+        }
+    }
+
     fn flush(&mut self, index: usize) {
         while let Some(output) = Arc::make_mut(&mut self.replicas[index]).poll_output() {
             match output {
@@ -116,9 +166,8 @@
                     Arc::make_mut(&mut self.replicas[index])
                         .handle(Duration::ZERO, Input::Persisted { token });
                 }
-                Output::Done { outcome: Outcome::Changed { revision, .. }, .. } => {
-                    self.acknowledged.push(revision);
-                    self.acknowledged.sort_unstable();
+                Output::Done { request, outcome: Outcome::Changed { revision, .. } } => {
+                    self.acknowledged.insert(request as usize, revision);
                 }
                 Output::Done { .. } => {}
                 Output::Learned { value } => self.learn(value),
@@ -139,6 +188,9 @@
     /// One value for each revision, each built on the one before.
     fn learn(&mut self, value: Value) {
         let state = value.state.to_vec();
+        if self.values.last_key_value().is_none_or(|(newest, _)| *newest < value.revision) {
+            self.members = value.newest_group().to_vec();
+        }
         let known = self.values.entry(value.revision).or_insert_with(|| state.clone());
         let same = *known == state;
         let built = self
@@ -150,8 +202,11 @@
     }
 }
 
+#[derive(Debug, Clone)]
 struct Register {
-    trouble: Trouble,
+    change: Change,
+    /// One after the other, each at any time.
+    troubles: Vec<Trouble>,
     fault: Option<Fault>,
 }
 
@@ -173,16 +228,17 @@
             disks: vec![None; REPLICAS],
             network: BTreeSet::new(),
             proposed: Vec::new(),
-            acknowledged: Vec::new(),
-            troubled: false,
+            acknowledged: BTreeMap::new(),
+            troubles: 0,
             values: BTreeMap::new(),
+            members: founders(),
             broken: false,
         };
         (0..REPLICAS).for_each(|index| state.flush(index));
         let value = Carried::Full(Value::initial(founders(), bytes::Bytes::new()));
         let message = Message::Decided { ballot: Ballot::ZERO, value };
         state.input(FOUNDERS, Input::Message { from: node(1), message });
-        state.network.clear();
+        state.deliver_all();
         vec![state]
     }
 
@@ -190,7 +246,7 @@
         actions.extend(state.network.iter().cloned().map(Action::Deliver));
         let idle = PROPOSERS.into_iter().filter(|index| !state.proposed.contains(index));
         actions.extend(idle.map(Action::Propose));
-        if self.trouble != Trouble::None && !state.troubled {
+        if state.troubles < self.troubles.len() {
             actions.push(Action::Trouble);
         }
     }
@@ -211,16 +267,19 @@
             Action::Propose(index) => {
                 state.proposed.push(index);
                 state.proposed.sort_unstable();
-                let command = vec![b'a' + index as u8];
-                state.input(index, Input::Propose { request: 0, command, deadline: Duration::MAX });
+                let change = if index == PROPOSERS[0] { self.change } else { Change::Command };
+                state.input(index, change.input(index));
                 Some(state)
             }
             Action::Trouble => {
-                state.troubled = true;
-                let stored = state.disks[VICTIM].take().filter(|_| self.trouble == Trouble::Restart);
-                state.disks[VICTIM].clone_from(&stored);
-                state.replicas[VICTIM] = Arc::new(self.replica(VICTIM, false, stored, 2));
-                state.flush(VICTIM);
+                let trouble = self.troubles[state.troubles];
+                state.troubles += 1;
+                let victim = trouble.victim();
+                let stored = state.disks[victim].take().filter(|_| matches!(trouble, Trouble::Restart(_)));
+                state.disks[victim].clone_from(&stored);
+                let nonce = 1 + state.troubles as u64;
+                state.replicas[victim] = Arc::new(self.replica(victim, false, stored, nonce));
+                state.flush(victim);
                 Some(state)
             }
         }
@@ -229,68 +288,139 @@
     fn properties(&self) -> Vec<Property<Self>> {
         vec![
             Property::always("one value for each revision", |_, state: &State| !state.broken),
-            Property::always("two changes have two revisions", |_, state: &State| {
-                state.acknowledged.windows(2).all(|pair| pair[0] != pair[1])
+            Property::always("an acknowledged change is there", |model: &Register, state: &State| {
+                state.acknowledged.iter().all(|(proposer, revision)| {
+                    let is_command = *proposer != PROPOSERS[0] || model.change == Change::Command;
+                    !is_command
+                        || state.values.get(revision).is_some_and(|v| v.last() == Some(&letter(*proposer)))
+                })
             }),
             Property::sometimes("both changes are acknowledged", |_, state: &State| {
                 state.acknowledged.len() == PROPOSERS.len()
             }),
+            Property::sometimes("the members are as asked for", |model: &Register, state: &State| {
+                let a_is_member = state.members.contains(&node(A));
+                let d_is_member = state.members.contains(&node(D));
+                match model.change {
+                    Change::Command => true,
+                    Change::Leave => !a_is_member && state.members.len() == FOUNDERS - 1,
+                    Change::Replace => !a_is_member && d_is_member && state.members.len() == FOUNDERS,
+                }
+            }),
         ]
     }
 }
 
-fn check(trouble: Trouble) {
-    let started = std::time::Instant::now();
-    let checker = Register { trouble, fault: None }.checker().threads(3).spawn_dfs().join();
-    println!("{trouble:?}: {} states, {:?}", checker.unique_state_count(), started.elapsed());
-    checker.assert_properties();
-}
+/// States that a bounded search comes to, each as often as there are ways to it.
+const BOUND: usize = 100_000;
+/// The same for a longer look.
+const LARGE_BOUND: usize = 30_000_000;
+/// Threads of a search of every state.
+const THREADS: usize = 3;
 
-/// A deliberate mistake must show.
-fn finds(trouble: Trouble, fault: Fault) {
-    let checker = Register { trouble, fault: Some(fault) }
-        .checker()
-        .finish_when(HasDiscoveries::AnyFailures)
-        .spawn_dfs()
-        .join();
-    println!("{trouble:?}, {fault:?}: found within {} states", checker.unique_state_count());
-    let found = checker.discovery("one value for each revision").is_some();
-    assert!(found, "{fault:?} was not found");
+impl Register {
+    fn new(change: Change, troubles: &[Trouble]) -> Self {
+        Register { change, troubles: troubles.to_vec(), fault: None }
+    }
+
+    fn told(&self, states: usize, started: std::time::Instant) {
+        println!("{:?}, {:?}: {states} states, {:?}", self.change, self.troubles, started.elapsed());
+    }
+
+    /// Looks at every state.
+    fn check(self) {
+        let started = std::time::Instant::now();
+        let checker = self.clone().checker().threads(THREADS).spawn_dfs().join();
+        self.told(checker.unique_state_count(), started);
+        checker.assert_properties();
+    }
+
+    /// Looks at every state, or at so many if there are more.
+    fn search(self, threads: usize, bound: usize) {
+        let started = std::time::Instant::now();
+        let checker = self.clone().checker().threads(threads).target_state_count(bound).spawn_dfs().join();
+        self.told(checker.unique_state_count(), started);
+        println!("{} steps at most, all states: {}", checker.max_depth(), checker.state_count() < bound);
+        checker.assert_no_discovery("one value for each revision");
+        checker.assert_no_discovery("an acknowledged change is there");
+    }
+
+    /// A deliberate mistake must show.
+    fn finds(self, fault: Fault) {
+        let model = Register { fault: Some(fault), ..self };
+        let checker = model.clone().checker().finish_when(HasDiscoveries::AnyFailures).spawn_dfs().join();
+        println!("{model:?}: found within {} states", checker.unique_state_count());
+        let found = ["one value for each revision", "an acknowledged change is there"];
+        assert!(found.into_iter().any(|name| checker.discovery(name).is_some()), "{fault:?} was not found");
+    }
 }
 
 #[test]
 fn an_accepted_value_not_taken_over_shows() {
-    finds(Trouble::None, Fault::IgnoreAccepted);
+    Register::new(Change::Command, &[]).finds(Fault::IgnoreAccepted);
 }
 
 #[test]
 fn a_majority_that_is_too_small_shows() {
-    finds(Trouble::None, Fault::SmallMajority);
+    Register::new(Change::Command, &[]).finds(Fault::SmallMajority);
 }
 
 #[test]
 fn a_vote_right_after_a_wipe_shows() {
-    finds(Trouble::Wipe, Fault::VoteAfterWipe);
+    Register::new(Change::Command, &[Trouble::Wipe(A)]).finds(Fault::VoteAfterWipe);
+}
+
+#[test]
+fn a_majority_of_the_new_group_only_shows() {
+    Register::new(Change::Replace, &[]).finds(Fault::NewGroupOnly);
 }
 
 #[test]
 #[ignore = "takes minutes"]
 fn votes_of_an_earlier_incarnation_show() {
-    finds(Trouble::Wipe, Fault::IgnoreIncarnations);
+    Register::new(Change::Command, &[Trouble::Wipe(A)]).finds(Fault::IgnoreIncarnations);
 }
 
 #[test]
 fn every_order_of_two_changes() {
-    check(Trouble::None);
+    Register::new(Change::Command, &[]).check();
 }
 
 #[test]
 fn every_order_of_two_changes_and_a_restart() {
-    check(Trouble::Restart);
+    Register::new(Change::Command, &[Trouble::Restart(A)]).check();
 }
 
 #[test]
 #[ignore = "takes minutes"]
 fn every_order_of_two_changes_and_a_lost_disk() {
-    check(Trouble::Wipe);
+    Register::new(Change::Command, &[Trouble::Wipe(A)]).check();
+}
+
+macro_rules! searches {
+    ($($name:ident, $all:ident: $change:ident, $troubles:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                Register::new(Change::$change, &$troubles).search(1, BOUND);
+            }
+
+            #[test]
+            #[ignore = "takes minutes"]
+            fn $all() {
+                Register::new(Change::$change, &$troubles).search(THREADS, LARGE_BOUND);
+            }
+        )*
+    };
+}
+
+searches! {
+    a_member_leaves, far_a_member_leaves: Leave, [];
+    a_member_leaves_and_another_is_wiped, far_a_member_leaves_and_another_is_wiped: Leave, [Trouble::Wipe(B)];
+    the_leaving_member_is_wiped, far_the_leaving_member_is_wiped: Leave, [Trouble::Wipe(A)];
+    a_member_is_replaced, far_a_member_is_replaced: Replace, [];
+    a_member_is_replaced_and_another_is_wiped, far_a_member_is_replaced_and_another_is_wiped:
+        Replace, [Trouble::Wipe(B)];
+    one_is_wiped_and_then_another, far_one_is_wiped_and_then_another:
+        Command, [Trouble::Wipe(A), Trouble::Wipe(B)];
 }
