--- a/crates/day-generator/src/catalogue.rs
+++ b/crates/day-generator/src/catalogue.rs
@@ -262,8 +262,10 @@
     )
     .with(&[&["remove"]]),
     Kind::fault("srv_crash", Endpoint, &[SOME_ENDPOINTS, SPELL])
-        .with(&[&["", "dark", "gone"], SPREAD])
+        .with(&[&["", "dark"], SPREAD])
         .on(Scope::Service),
+    // Endpoints that are gone for good: never all of a service.
+    Kind::fault("srv_crash", Endpoint, &[SOME_ENDPOINTS]).with(&[&["gone"]]).on(Scope::Service),
     Kind::planned(
         "release",
         Endpoint,
--- a/crates/day-generator/tests/draw.rs
+++ b/crates/day-generator/tests/draw.rs
@@ -239,6 +239,14 @@
     }
 }
 
+#[test]
+fn no_service_is_gone_for_good() {
+    for day in days(&site("fjord-pilotage"), Weights::Even, 2000) {
+        let all = troubles(&day);
+        assert!(!all.iter().any(|(_, entry)| says(entry, "gone all") && text(entry, "kind") == "srv_crash"));
+    }
+}
+
 #[test]
 fn several_troubles_come_at_once() {
     let days = days(&site("atoll-clinic"), Weights::Control, 100);
