Cut the work of a difference: look places up only where something has moved

The places of all pieces of the older document were gathered for every difference. Where one piece stands in the place of another, as in a change of one field, nothing has to be looked up.

--- a/crates/controller/src/configuration_feed/difference.rs
+++ b/crates/controller/src/configuration_feed/difference.rs
@@ -22,24 +22,31 @@
 
 /// The parts that make `newer` of `older`.
 pub fn between(older: &[u8], newer: &[u8]) -> Vec<DifferencePart> {
-    let pieces = pieces(older);
-    let mut places = HashMap::with_capacity(pieces.len());
-    for (place, piece) in pieces.iter().enumerate() {
-        places.entry(&older[piece.clone()]).or_insert(place);
-    }
+    let (old, new) = (pieces(older), pieces(newer));
+    let mut places = None;
     let mut parts = Parts::default();
     let mut expected = 0;
-    for piece in self::pieces(newer) {
-        let text = &newer[piece];
-        let follows = pieces.get(expected).is_some_and(|range| older[range.clone()] == *text);
-        let place = if follows { Some(expected) } else { places.get(text).copied() };
+    for (index, piece) in new.iter().enumerate() {
+        let same = |place: usize, index: usize| {
+            let (old, new) = (old.get(place), new.get(index));
+            old.zip(new).is_some_and(|(old, new)| older[old.clone()] == newer[new.clone()])
+        };
+        let place = if same(expected, index) {
+            Some(expected)
+        } else if same(expected + 1, index + 1) {
+            // One piece stands in the place of another; nothing has moved.
+            None
+        } else {
+            let places = places.get_or_insert_with(|| places_of(older, &old));
+            places.get(&newer[piece.clone()]).copied()
+        };
         match place {
             Some(place) => {
-                parts.keep(pieces[place].clone());
+                parts.keep(old[place].clone());
                 expected = place + 1;
             }
             None => {
-                parts.insert(text);
+                parts.insert(&newer[piece.clone()]);
                 expected += 1;
             }
         }
@@ -47,6 +54,15 @@
     parts.finish()
 }
 
+/// Where each piece stands first.
+fn places_of<'a>(document: &'a [u8], pieces: &[Range<usize>]) -> HashMap<&'a [u8], usize> {
+    let mut places = HashMap::with_capacity(pieces.len());
+    for (place, piece) in pieces.iter().enumerate() {
+        places.entry(&document[piece.clone()]).or_insert(place);
+    }
+    places
+}
+
 /// The document that `parts` make of `older`, if it has the digest `expected`.
 pub fn apply(older: &[u8], parts: &[DifferencePart], expected: u64) -> Result<Vec<u8>, DifferenceError> {
     let mut newer = Vec::with_capacity(older.len());
