--- a/crates/controller/src/controller/calls.rs
+++ b/crates/controller/src/controller/calls.rs
@@ -6,7 +6,7 @@
 use super::{Asked, Controller, ControllerFault, shards};
 use crate::message::{Forwarded, Message, Token};
 use lanegate_coordination::register::Input;
-use lanegate_model::control_state::{Command, Method as ChangeMethod, Outcome};
+use lanegate_model::control_state::{Command, Method as ChangeMethod, Outcome, apply};
 use lanegate_model::findings::Findings;
 use std::collections::BTreeMap;
 
@@ -45,7 +45,8 @@
         let known =
             if alone { KnownGroups::only(self.this) } else { self.known_groups(shards::CONFIGURATION) };
         let now = self.now();
-        let in_contact = self.has_contact(shards::CONFIGURATION);
+        let alone = self.has_fault(ControllerFault::AcknowledgeHeartbeatAlone);
+        let in_contact = alone || self.has_contact(shards::CONFIGURATION);
         let changes = match call.method {
             Method::Put => self.endpoints.put(now, id, call.body, &known, in_contact, call.reply),
             Method::Delete => self.endpoints.delete(now, id, &known, call.reply),
@@ -86,6 +87,10 @@
             None => None,
         };
         let command = Command { method, if_match, body: call.body.to_vec() }.encode();
+        if let Some(refusal) = self.local_refusal(&command) {
+            let _ = call.reply.send(refusal);
+            return;
+        }
         let owner = self.owner(shards::CONFIGURATION, &[shards::CONFIGURATION]);
         let elsewhere = owner != self.this;
         let now = self.now();
@@ -97,6 +102,14 @@
         }
     }
 
+    /// What [`ControllerFault::RefuseLocally`] answers.
+    fn local_refusal(&self, command: &[u8]) -> Option<Answer> {
+        let known = self.shards.get(shards::CONFIGURATION).decided()?;
+        let wrong = self.has_fault(ControllerFault::RefuseLocally);
+        let (outcome, _) = wrong.then(|| apply(&known.state, command).ok())??;
+        (!outcome.is_acknowledged()).then(|| change_answer(&outcome.encode()))
+    }
+
     fn status(&self) -> Answer {
         let shards: Vec<serde_json::Value> = self
             .shards
--- a/crates/controller/src/controller/fault.rs
+++ b/crates/controller/src/controller/fault.rs
@@ -27,6 +27,12 @@
     KeepEpoch,
     /// Members of the group are forgotten once they have been cut off for long.
     ForgetMembers,
+    /// Endpoints are taken off the list without contact with a majority.
+    ExpireWithoutContact,
+    /// Heartbeats of endpoints are acknowledged without contact with a majority.
+    AcknowledgeHeartbeatAlone,
+    /// A change is refused by what this controller knows, without asking a majority.
+    RefuseLocally,
     /// Agents are told that this controller is current whether it has contact or not.
     AlwaysCurrent,
 }
--- a/crates/controller/src/controller/housekeeping.rs
+++ b/crates/controller/src/controller/housekeeping.rs
@@ -1,8 +1,8 @@
 //! What no event tells: silent endpoints and routers, peers that nobody names any more, a controller that
 //! has heard everyone.
 
-use super::Controller;
 use super::shards::{self, shard_of};
+use super::{Controller, ControllerFault};
 use crate::message::Message;
 use std::time::Duration;
 
@@ -30,7 +30,8 @@
         if !self.complete {
             return;
         }
-        let acts = |shard| self.has_contact(shard) && self.owns(shard);
+        let alone = self.has_fault(ControllerFault::ExpireWithoutContact);
+        let acts = |shard| (alone || self.has_contact(shard)) && self.owns(shard);
         let owns: Vec<bool> = shards::all().map(acts).collect();
         let removed = self.endpoints.expire(now, |service| owns[usize::from(shard_of(service))]);
         for message in removed {
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -68,6 +68,7 @@
 mod trust_test;
 mod turn;
 
+pub use contact::ContactFault;
 pub(crate) use environment::Environment;
 pub(crate) use event::{Answer, Call, Event, Method};
 pub use fault::ControllerFault;
--- a/crates/controller/src/simulation/endpoint.rs
+++ b/crates/controller/src/simulation/endpoint.rs
@@ -130,7 +130,8 @@
     }
 
     fn call_any(&mut self, purpose: Purpose, index: usize, content: Content, time: Duration) {
-        let first = self.random.random_range(0..self.controllers.len());
+        let any = self.random.random_range(0..self.controllers.len());
+        let first = self.preferred.unwrap_or(any);
         let patience = Patience { time, tries: usize::MAX };
         self.begin_call(purpose, Place::Endpoint(index), content, first, patience);
     }
--- a/crates/controller/src/simulation/step.rs
+++ b/crates/controller/src/simulation/step.rs
@@ -77,6 +77,8 @@
     Work(usize),
     /// Settings files name these seeds from now on.
     Seeds(Vec<usize>),
+    /// Endpoints call this controller first from now on.
+    Prefer(usize),
     /// All troubles end, and everything must work again within its bounds.
     Settle,
     /// Something must be so now.
@@ -148,6 +150,7 @@
             Step::Full(index) => write!(formatter, "full {}", controller(index)),
             Step::Work(index) => write!(formatter, "work {}", controller(index)),
             Step::Seeds(seeds) => write!(formatter, "seeds {}", names(seeds.iter().map(controller))),
+            Step::Prefer(index) => write!(formatter, "prefer {}", controller(index)),
             Step::Settle => write!(formatter, "settle"),
             Step::Expect(expectation) => write!(formatter, "expect {expectation}"),
         }
@@ -236,6 +239,7 @@
         "delay" => Step::Delay(number(argument)?),
         "rate" => Step::Rate(number(argument)?),
         "drain" => Step::Drain(endpoint(argument)?),
+        "prefer" => Step::Prefer(controller(argument)?),
         "remove" => Step::Remove(endpoint(argument)?),
         "crash" => Step::Crash(endpoint(argument)?),
         "refuse" => Step::Refuse(place(argument)?),
--- a/crates/controller/src/simulation/world.rs
+++ b/crates/controller/src/simulation/world.rs
@@ -130,6 +130,8 @@
     /// Machines that may be lost at once.
     pub(super) tolerance: u32,
     pub(super) fault: Option<ControllerFault>,
+    /// The controller that endpoints call first; any if absent.
+    pub(super) preferred: Option<usize>,
 }
 
 impl World {
@@ -171,6 +173,7 @@
             founders: scenario.founders,
             tolerance,
             fault,
+            preferred: None,
         }
     }
 
@@ -201,6 +204,10 @@
                 self.drain_endpoint(*endpoint);
                 Ok(())
             }
+            Step::Prefer(controller) => {
+                self.preferred = Some(*controller);
+                Ok(())
+            }
             Step::Remove(endpoint) => {
                 self.remove_endpoint(*endpoint);
                 Ok(())
--- /dev/null
+++ b/crates/controller/tests/contact_mutants.rs
@@ -0,0 +1,78 @@
+//! Deliberate mistakes in what a controller does out of contact with a majority: each must be found by the
+//! scenarios that are named for it. Mistakes in the measure of contact itself that no link of the program can
+//! bring about are found by the tests beside `contact.rs`.
+
+use lanegate_controller::controller::{ContactFault, ControllerFault};
+use lanegate_controller::simulation::{Scenario, World};
+use std::fs;
+use std::path::Path;
+
+fn scenario(name: &str) -> Scenario {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios").join(format!("{name}.txt"));
+    let text = fs::read_to_string(&path).unwrap_or_else(|error| panic!("{}: {error}", path.display()));
+    text.parse().expect("a scenario")
+}
+
+/// Every one of the scenarios finds the mistake.
+fn found_by(fault: ControllerFault, scenarios: &[&str]) {
+    for name in scenarios {
+        assert!(World::play(&scenario(name), Some(fault)).is_err(), "{fault:?} is not found by {name}");
+    }
+}
+
+#[test]
+fn contact_with_a_majority_one_too_small_is_found() {
+    let scenarios = [
+        "cut-of-everyone",
+        "cut-heartbeats-go-elsewhere",
+        "cut-of-a-controller-that-hears-nobody",
+        "cut-router-begins-on-the-small-side",
+        "cut-router-begins-behind-a-one-way-cut",
+    ];
+    found_by(ControllerFault::Contact(ContactFault::SmallMajority), &scenarios);
+}
+
+#[test]
+fn expiry_without_contact_is_found() {
+    found_by(ControllerFault::ExpireWithoutContact, &["cut-of-a-controller-that-hears-nobody"]);
+}
+
+#[test]
+fn a_heartbeat_acknowledged_without_contact_is_found() {
+    found_by(ControllerFault::AcknowledgeHeartbeatAlone, &["cut-heartbeats-go-elsewhere"]);
+}
+
+#[test]
+fn a_refusal_from_what_is_known_locally_is_found() {
+    let scenarios = ["cut-off-for-twenty-seconds", "cut-nothing-leaves", "cut-nothing-arrives"];
+    found_by(ControllerFault::RefuseLocally, &scenarios);
+}
+
+#[test]
+fn a_read_of_what_is_known_locally_is_found() {
+    let scenarios =
+        ["cut-off-for-twenty-seconds", "cut-nothing-leaves", "cut-nothing-arrives", "cut-of-everyone"];
+    found_by(ControllerFault::ReadLocally, &scenarios);
+}
+
+#[test]
+fn a_change_confirmed_without_a_majority_is_found() {
+    let scenarios = ["cut-off-for-twenty-seconds", "cut-of-everyone", "change-forwarded-over-a-healing-link"];
+    found_by(ControllerFault::AcknowledgeProposed, &scenarios);
+}
+
+#[test]
+fn a_cut_off_controller_that_calls_itself_current_is_found() {
+    let scenarios = ["cut-router-begins-on-the-small-side", "cut-router-begins-behind-a-one-way-cut"];
+    found_by(ControllerFault::AlwaysCurrent, &scenarios);
+}
+
+#[test]
+fn orders_of_a_placer_that_is_cut_off_are_found() {
+    found_by(ControllerFault::OrderWithoutLease, &["cut-of-the-placer", "cut-of-everyone"]);
+}
+
+#[test]
+fn one_epoch_for_all_tenures_is_found() {
+    found_by(ControllerFault::KeepEpoch, &["cut-of-the-placer", "frozen-source"]);
+}
