Ask again for an epoch that the register did not give in time

A holder of a lease that got no epoch within two seconds kept the lease and never asked again: nobody acted for the shard until the holder lost its contact.

--- a/crates/controller/src/controller/fault.rs
+++ b/crates/controller/src/controller/fault.rs
@@ -25,6 +25,8 @@
     SkipQuietPeriod,
     /// Every tenure acts under the same epoch.
     KeepEpoch,
+    /// An epoch that the register did not give in time is not asked for again.
+    GiveUpEpoch,
     /// Members of the group are forgotten once they have been cut off for long.
     ForgetMembers,
     /// Endpoints are taken off the list without contact with a majority.
--- a/crates/controller/src/controller/registers.rs
+++ b/crates/controller/src/controller/registers.rs
@@ -6,6 +6,7 @@
 use super::shards::{self, read_epoch};
 use super::{Asked, Controller, ControllerFault};
 use crate::message::{Blob, Decided, Forwarded, Message, ShardMessage};
+use lanegate_coordination::lease::Tenure;
 use lanegate_coordination::register::{Input, Outcome, Output, Value};
 use lanegate_model::control_state::{ControlState, Outcome as Taken};
 use std::net::SocketAddr;
@@ -79,20 +80,29 @@
                 | Outcome::Refused { answer, .. } => self.change_settled(change, &answer),
                 _ => {}
             },
-            Some(Asked::Epoch(shard, tenure)) => {
-                if let Outcome::Changed { answer, .. } = outcome {
-                    let keeps = self.has_fault(ControllerFault::KeepEpoch);
-                    let epoch = if keeps { 1 } else { read_epoch(&answer) };
-                    let outputs = self.leases.epoch_acquired(self.now(), shard, tenure, epoch);
-                    self.lease_outputs(outputs);
-                }
-            }
+            Some(Asked::Epoch(shard, tenure)) => self.epoch_settled(shard, tenure, &outcome),
             Some(Asked::Barrier) => self.barrier_read(request, &outcome),
             Some(Asked::Members(shard)) => self.members.end(shard),
             None => {}
         }
     }
 
+    /// The register has answered a request for an epoch, or given it up.
+    fn epoch_settled(&mut self, shard: u32, tenure: Tenure, outcome: &Outcome) {
+        let now = self.now();
+        let outputs = match outcome {
+            Outcome::Changed { .. } if self.has_fault(ControllerFault::KeepEpoch) => {
+                self.leases.epoch_acquired(now, shard, tenure, 1)
+            }
+            Outcome::Changed { answer, .. } => {
+                self.leases.epoch_acquired(now, shard, tenure, read_epoch(answer))
+            }
+            _ if self.has_fault(ControllerFault::GiveUpEpoch) => Vec::new(),
+            _ => self.leases.epoch_missed(now, shard, tenure),
+        };
+        self.lease_outputs(outputs);
+    }
+
     /// The outcome of a change is known: `answer` is an encoded outcome of the control state.
     pub(super) fn change_settled(&mut self, change: u64, answer: &[u8]) {
         match self.operator.settle(change, || super::calls::change_answer(answer)) {
--- a/crates/controller/src/simulation/settle.rs
+++ b/crates/controller/src/simulation/settle.rs
@@ -44,6 +44,9 @@
         for index in 0..self.controllers.len() {
             self.mend_disk(index);
             self.thaw(Place::Controller(index));
+            if self.controllers[index].is_ending() {
+                self.kill_controller(index);
+            }
             self.start(Place::Controller(index));
         }
         for index in 0..self.routers.len() {
--- a/crates/controller/src/simulation/world.rs
+++ b/crates/controller/src/simulation/world.rs
@@ -192,6 +192,7 @@
     }
 
     fn step(&mut self, number: usize, step: &Step) -> Result<(), Violation> {
+        log::info!("{:?}: {step}", self.now());
         match step {
             Step::Wait(time) => self.run(Duration::from_millis(*time)),
             Step::Settle => self.settle(),
--- a/crates/coordination/src/lease/holder.rs
+++ b/crates/coordination/src/lease/holder.rs
@@ -162,6 +162,16 @@
         outputs
     }
 
+    /// The register gave no epoch for `tenure` in time: it is asked again, for as long as the tenure lasts.
+    pub fn epoch_missed(&mut self, now: Duration, tenure: Tenure) -> Vec<Output> {
+        let mut outputs = self.notice_lapse(now);
+        let waits = |holding: &Holding| holding.tenure == tenure && holding.epoch.is_none();
+        if self.holding.as_ref().is_some_and(waits) {
+            outputs.push(Output::AcquireEpoch { tenure });
+        }
+        outputs
+    }
+
     /// The epoch under which an act may be sent now that reaches its endpoint within `wire`; notes the act.
     ///
     /// To be asked right before each act with a clock that was just read: only this notices that the process was
--- a/crates/coordination/src/lease/node.rs
+++ b/crates/coordination/src/lease/node.rs
@@ -92,6 +92,13 @@
         self.deliver(now, shard, outputs)
     }
 
+    /// The register gave no epoch for a tenure in time.
+    pub fn epoch_missed(&mut self, now: Duration, shard: u32, tenure: Tenure) -> Vec<Output> {
+        let Some(holder) = self.holders.get_mut(&shard) else { return Vec::new() };
+        let outputs = holder.epoch_missed(now, tenure);
+        self.deliver(now, shard, outputs)
+    }
+
     /// See [`LeaseHolder::authorize`].
     pub fn authorize(&mut self, now: Duration, shard: u32, wire: Duration) -> Option<u64> {
         self.holders.get_mut(&shard)?.authorize(now, wire)
