--- a/crates/controller/tests/configuration_feed.rs
+++ b/crates/controller/tests/configuration_feed.rs
@@ -167,6 +167,21 @@
     assert_eq!(made.unwrap(), versions[4].document.bytes);
 }
 
+#[test]
+fn an_answer_that_was_made_once_is_not_given_for_a_newer_version() {
+    let versions: Vec<Decided> =
+        (1..=3).map(|number| decided(number, document(number, 50, 5_000 + number))).collect();
+    let mut publisher = publisher_of(&versions[..2]);
+    let base = version(&versions[0]);
+    let first = answer(&mut publisher, base);
+    assert_eq!(answer(&mut publisher, base), first, "all readers that have the base share it");
+    publisher.publish(versions[2].clone());
+    let Some(Message::ConfigurationDifference(second)) = answer(&mut publisher, base) else {
+        panic!("the base is kept")
+    };
+    assert_eq!(second.version, version(&versions[2]));
+}
+
 #[test]
 fn a_reader_of_an_unknown_or_no_configuration_gets_the_whole() {
     let newest = decided(9, document(9, 50, 5_000));
@@ -218,6 +233,7 @@
     }
     assert!(reader.is_behind());
     let due = reader.next_wake(ms(6)).unwrap();
+    assert_eq!(due, Pace::LINK.interval(versions[0].document.bytes.len()), "the first answer was large");
     assert_eq!(reader.fetch(due - ms(1), Some(two)), None, "not before its pace allows it");
     let base = version(&versions[0]);
     assert_eq!(reader.fetch(due, Some(two)), Some((two, Message::ConfigurationFetch(base))));
