Play losses around a replacement with the whole control side; act on silence when it is due

What they found: a spare whose disk answers nothing counted as able to vote once it had assembled its record, and took a member's place. It now counts once its record is on disk, and no longer while its disk refuses writes.

A member that fell silent was looked at up to 400 ms later, and replaced up to 400 ms after its patience had ended. Both now happen when they are due.

--- a/crates/controller/src/controller/ending.rs
+++ b/crates/controller/src/controller/ending.rs
@@ -1,7 +1,7 @@
 //! The end of the process: what it alone holds is handed over first.
 
 use super::handover::{Handover, Place};
-use super::{Controller, shards};
+use super::{Controller, ControllerFault, shards};
 use crate::message::{Message, Token};
 use std::time::Duration;
 
@@ -36,7 +36,10 @@
     /// Goes on with the handover, if one is under way.
     pub(super) fn hand_over(&mut self, now: Duration) {
         let Some(handover) = &self.handover else { return };
-        if handover.is_replaced(now, self.place_in_groups()) {
+        let at_once = self.has_fault(ControllerFault::LeaveWithoutHandover);
+        let mut place = self.place_in_groups();
+        place.has_spare &= !at_once;
+        if handover.is_replaced(now, place) {
             self.flush_last(now);
         }
         let idle = self.is_idle();
--- a/crates/controller/src/controller/endpoints.rs
+++ b/crates/controller/src/controller/endpoints.rs
@@ -21,6 +21,20 @@
 /// this only keeps the list from growing.
 const MISSED_HEARTBEATS: f64 = 3.5;
 
+/// Deliberate mistakes: each must be found by a test.
+#[doc(hidden)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointsFault {
+    /// Confirmations of controllers that are no members count as those of members.
+    CountNonMembers,
+    /// What a peer confirmed counts after its restart.
+    CountRestartedPeers,
+    /// Flushes are numbered alike in every life of the process.
+    RepeatTokens,
+    /// Groups that only a peer knows do not count.
+    OwnGroupsOnly,
+}
+
 /// An acknowledgement that waits until a majority of every group in force has what it promises.
 #[derive(Debug)]
 struct Waiting {
@@ -36,8 +50,15 @@
     ///
     /// A controller that confirmed may know of a change of members that `this` has not heard of. Whoever holds
     /// the newer group's majority must have the notice too, so that group counts beside those known here.
-    fn is_confirmed(&self, this: SocketAddr, known: &KnownGroups) -> bool {
+    fn is_confirmed(&self, this: SocketAddr, known: &KnownGroups, fault: Option<EndpointsFault>) -> bool {
+        if fault == Some(EndpointsFault::CountNonMembers) {
+            let majority = known.groups.iter().map(|group| group.len() / 2 + 1).max();
+            return majority.is_some_and(|majority| self.confirmed_by.len() + 1 >= majority);
+        }
         let counts = |node| node == this || self.confirmed_by.contains_key(&node);
+        if fault == Some(EndpointsFault::OwnGroupsOnly) {
+            return known.have_majority(counts);
+        }
         let newer = self.confirmed_by.values().filter(|told| told.revision > known.revision);
         known.have_majority(counts) && newer.into_iter().all(|told| told.have_majority(counts))
     }
@@ -86,6 +107,7 @@
     confirmed: BTreeSet<String>,
     waiting: BTreeMap<u64, Waiting>,
     next_token: u64,
+    fault: Option<EndpointsFault>,
 }
 
 impl Endpoints {
@@ -100,9 +122,17 @@
             confirmed: BTreeSet::new(),
             waiting: BTreeMap::new(),
             next_token: life,
+            fault: None,
         }
     }
 
+    /// The same with a deliberate mistake, for tests.
+    pub fn with_fault(self, fault: Option<EndpointsFault>) -> Self {
+        let repeats = fault == Some(EndpointsFault::RepeatTokens);
+        let next_token = if repeats { 1 } else { self.next_token };
+        Endpoints { next_token, fault, ..self }
+    }
+
     /// A heartbeat of `id`. A majority of the groups `known`, and of any newer ones, has to know of one that is
     /// leaving. One that is not leaving is taken in any case, but acknowledged only `in_contact` with a majority:
     /// whoever judges its silence may not hear of it from here, so it has to call another controller as well.
@@ -254,6 +284,9 @@
 
     /// A peer runs as another process than before: what the earlier one confirmed is lost with its memory.
     pub fn restarted(&mut self, peer: SocketAddr) {
+        if self.fault == Some(EndpointsFault::CountRestartedPeers) {
+            return;
+        }
         for waiting in self.waiting.values_mut() {
             waiting.confirmed_by.remove(&peer);
         }
@@ -261,8 +294,8 @@
 
     /// Acknowledges what is confirmed, now that confirmations or the groups `known` have changed.
     pub fn review(&mut self, known: &KnownGroups) {
-        let this = self.this;
-        let is_confirmed = |waiting: &Waiting| waiting.is_confirmed(this, known);
+        let (this, fault) = (self.this, self.fault);
+        let is_confirmed = |waiting: &Waiting| waiting.is_confirmed(this, known, fault);
         let confirmed = self.waiting.iter().filter(|(_, waiting)| is_confirmed(waiting));
         let confirmed: Vec<u64> = confirmed.map(|(token, _)| *token).collect();
         for token in confirmed {
--- a/crates/controller/src/controller/endpoints_test.rs
+++ b/crates/controller/src/controller/endpoints_test.rs
@@ -1,6 +1,6 @@
 //! Registrations at one controller: what is acknowledged when, and what the others and the readers hear.
 
-use super::endpoints::{Changes, Endpoints, Merge, Merged};
+use super::endpoints::{Changes, Endpoints, EndpointsFault, Merge, Merged};
 use super::event::Answer;
 use super::groups::KnownGroups;
 use crate::message::{Heard, HeardList, Message, Registered, Removed};
@@ -415,3 +415,49 @@
     endpoints.merge_removal(ms(0), &removed(FINAL_SEQUENCE));
     assert!(!endpoints.relays_removal(&removed(FINAL_SEQUENCE)));
 }
+
+/// A registry that makes a mistake, and what it says to a drain once the peers that `told` names have confirmed.
+fn mistaken(fault: EndpointsFault, told: &[(u8, &KnownGroups)], known: &KnownGroups) -> Option<u16> {
+    let mut endpoints = endpoints().with_fault(Some(fault));
+    let (reply, mut answer) = oneshot::channel();
+    let changes = endpoints.put(ms(0), "i-1", body(1, "draining"), known, true, reply);
+    let token = changes.flush.expect("the others are asked");
+    for (number, told) in told {
+        endpoints.flushed(token, peer(*number), (*told).clone(), known);
+    }
+    status(&mut answer)
+}
+
+#[test]
+fn the_checks_find_confirmations_of_others_than_members() {
+    let known = known(THREE);
+    assert_eq!(mistaken(EndpointsFault::CountNonMembers, &[(6, &known)], &known), Some(200));
+}
+
+#[test]
+fn the_checks_find_a_newer_group_that_does_not_count() {
+    let (old, joint) = (known_at(1, &[&[1, 2, 3]]), known_at(2, &[&[1, 2, 3], &[2, 3, 4]]));
+    assert_eq!(mistaken(EndpointsFault::OwnGroupsOnly, &[(2, &joint)], &old), Some(200));
+}
+
+#[test]
+fn the_checks_find_a_confirmation_that_outlasts_its_process() {
+    let mut endpoints = endpoints().with_fault(Some(EndpointsFault::CountRestartedPeers));
+    let (changes, mut answer) = put(&mut endpoints, ms(0), FIVE, 1, "draining");
+    let token = changes.flush.expect("the others are asked");
+    confirm(&mut endpoints, token, 2, FIVE);
+    endpoints.restarted(peer(2));
+    confirm(&mut endpoints, token, 3, FIVE);
+    assert_eq!(status(&mut answer), Some(200));
+}
+
+#[test]
+fn the_checks_find_flushes_that_are_numbered_alike_in_every_life() {
+    let fault = Some(EndpointsFault::RepeatTokens);
+    let mut earlier = endpoints().with_fault(fault);
+    let (first, _answer) = put(&mut earlier, ms(0), THREE, 1, "draining");
+    let mut restarted = Endpoints::new(HEARTBEAT, peer(THIS), LIFE * 1_000).with_fault(fault);
+    let (_, mut answer) = put(&mut restarted, ms(0), THREE, 1, "draining");
+    confirm(&mut restarted, first.flush.expect("the others are asked"), 2, THREE);
+    assert_eq!(status(&mut answer), Some(200));
+}
--- a/crates/controller/src/controller/fault.rs
+++ b/crates/controller/src/controller/fault.rs
@@ -1,6 +1,8 @@
 //! Deliberate mistakes of a controller, each of which the simulation must find. A process makes none.
 
 use super::contact::ContactFault;
+use super::endpoints::EndpointsFault;
+use super::members::MembersFault;
 use lanegate_coordination::register;
 
 /// A deliberate mistake of a controller.
@@ -11,6 +13,10 @@
     Register(register::Fault),
     /// A mistake in what counts as contact with a majority.
     Contact(ContactFault),
+    /// A mistake in the replacement of members.
+    Members(MembersFault),
+    /// A mistake in what makes an acknowledgement safe.
+    Endpoints(EndpointsFault),
     /// `GET /config` answers from what this controller knows, without asking a majority.
     ReadLocally,
     /// A change is acknowledged once it is proposed.
@@ -35,6 +41,12 @@
     AcknowledgeHeartbeatAlone,
     /// A change is refused by what this controller knows, without asking a majority.
     RefuseLocally,
+    /// A drain that another controller tells of is not passed on to other controllers.
+    KeepDrainsFromPeers,
+    /// A controller that is told to end does not wait until its place is taken.
+    LeaveWithoutHandover,
+    /// What controllers say of their end is ignored: they replace members, and own shards, until they are silent.
+    ForgetLeaving,
     /// Agents are told that this controller is current whether it has contact or not.
     AlwaysCurrent,
 }
@@ -55,4 +67,20 @@
             _ => None,
         }
     }
+
+    /// The mistake in the replacement of members.
+    pub(super) fn of_members(self) -> Option<MembersFault> {
+        match self {
+            ControllerFault::Members(fault) => Some(fault),
+            _ => None,
+        }
+    }
+
+    /// The mistake in what makes an acknowledgement safe.
+    pub(super) fn of_endpoints(self) -> Option<EndpointsFault> {
+        match self {
+            ControllerFault::Endpoints(fault) => Some(fault),
+            _ => None,
+        }
+    }
 }
--- a/crates/controller/src/controller/inspect.rs
+++ b/crates/controller/src/controller/inspect.rs
@@ -13,6 +13,13 @@
         shards::all().map(known).collect()
     }
 
+    /// The least margin of all shards, in losses that can be borne; `None` if one has no majority, or while this
+    /// controller is no member of all groups.
+    pub(crate) fn least_margin(&self) -> Option<usize> {
+        let margins: Option<Vec<usize>> = shards::all().map(|shard| self.margin(shard)).collect();
+        margins?.into_iter().min()
+    }
+
     /// Shards for which this controller acts.
     pub(crate) fn acting_shards(&self) -> usize {
         shards::all().filter(|shard| self.placements.acts_for(*shard)).count()
--- a/crates/controller/src/controller/margin.rs
+++ b/crates/controller/src/controller/margin.rs
@@ -8,8 +8,8 @@
 pub enum MemberState {
     /// Live, and its replica can vote.
     Voting,
-    /// Live, but its replica has lost its disk and has not recovered yet.
-    Recovering,
+    /// Live, but its replica cannot vote: it has lost its disk and not recovered yet, or its disk refuses writes.
+    NotVoting,
     /// Live, but it has not said where it stands.
     Unknown,
     /// Silent.
--- a/crates/controller/src/controller/margin_test.rs
+++ b/crates/controller/src/controller/margin_test.rs
@@ -21,7 +21,7 @@
 fn each_member_that_does_not_vote_takes_one_from_the_margin() {
     assert_eq!(with(&[&[1, 2, 3]], &[], MemberState::Suspected), Some(1));
     assert_eq!(with(&[&[1, 2, 3, 4, 5]], &[], MemberState::Suspected), Some(2));
-    for state in [MemberState::Suspected, MemberState::Recovering, MemberState::Unknown] {
+    for state in [MemberState::Suspected, MemberState::NotVoting, MemberState::Unknown] {
         assert_eq!(with(&[&[1, 2, 3]], &[2], state), Some(0), "{state:?}");
         assert_eq!(with(&[&[1, 2, 3]], &[2, 3], state), None, "{state:?}");
         assert_eq!(with(&[&[1, 2, 3, 4, 5]], &[2, 3], state), Some(0), "{state:?}");
@@ -30,7 +30,7 @@
 
 #[test]
 fn while_members_change_the_weaker_group_counts() {
-    assert_eq!(with(&[&[1, 2, 3], &[2, 3, 4]], &[4], MemberState::Recovering), Some(0));
+    assert_eq!(with(&[&[1, 2, 3], &[2, 3, 4]], &[4], MemberState::NotVoting), Some(0));
     assert_eq!(with(&[&[1, 2, 3], &[2, 3, 4]], &[3, 4], MemberState::Suspected), None);
 }
 
--- a/crates/controller/src/controller/members.rs
+++ b/crates/controller/src/controller/members.rs
@@ -14,6 +14,9 @@
 /// spare has to count within the time that a new machine is given to catch up, which is some seconds.
 pub const REPLACEMENT_PATIENCE: Duration = Duration::from_millis(1_200);
 
+/// The shard whose silence a deliberate mistake holds against all.
+const FIRST_SHARD: u8 = 0;
+
 /// One change of the group.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MemberChange {
@@ -33,17 +36,18 @@
     pub standings: &'a Standings,
 }
 
-impl GroupView<'_> {
-    /// Controllers that could take the place of a member now.
-    fn spares(&self) -> impl Iterator<Item = SocketAddr> {
-        let outside = self.live.iter().copied().filter(|node| !self.group.contains(node));
-        outside.filter(|node| self.standings.can_join(*node, self.shard))
-    }
-
-    /// The spare that joins next. All owners choose alike, so that the shards keep the same members.
-    fn next_spare(&self) -> Option<SocketAddr> {
-        self.spares().min()
-    }
+/// Deliberate mistakes: each must be found by a test.
+#[doc(hidden)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MembersFault {
+    /// Silence is noted against the members of the first shard, and held against those of all shards.
+    SilenceOfOneShard,
+    /// A change of the members of one shard holds up those of all others.
+    OneChangeAtATime,
+    /// A spare takes the place of a member before its replica can vote.
+    JoinBeforeVoting,
+    /// Silence before a pause of this process counts.
+    KeepSilenceInPause,
 }
 
 /// Watches members and spares.
@@ -51,15 +55,27 @@
 pub struct Members {
     /// For each shard, since when each silent member has been silent.
     silent_since: BTreeMap<u8, BTreeMap<SocketAddr, Duration>>,
+    /// When the members were last looked at.
+    looked: Duration,
     /// Shards of which a change is under way.
     changing: BTreeSet<u8>,
     /// The groups of each shard that were decided last.
     decided: BTreeMap<u8, Vec<Vec<SocketAddr>>>,
+    fault: Option<MembersFault>,
 }
 
 impl Members {
+    /// Nobody is known to be silent yet. `fault` is a deliberate mistake, for tests.
+    pub fn new(fault: Option<MembersFault>) -> Self {
+        Members { fault, ..Members::default() }
+    }
+
     /// Notes who is live among the members of a shard.
     pub fn observe(&mut self, now: Duration, shard: u8, group: &[SocketAddr], live: &[SocketAddr]) {
+        self.looked = now;
+        if self.has(MembersFault::SilenceOfOneShard) && shard != FIRST_SHARD {
+            return;
+        }
         let silent = self.silent_since.entry(shard).or_default();
         silent.retain(|member, _| group.contains(member) && !live.contains(member));
         for member in group.iter().filter(|member| !live.contains(member)) {
@@ -75,7 +91,16 @@
 
     /// This process could not listen for a while: silence up to now says nothing of the others.
     pub fn excuse(&mut self) {
-        self.silent_since.clear();
+        if !self.has(MembersFault::KeepSilenceInPause) {
+            self.silent_since.clear();
+        }
+    }
+
+    /// When a member's patience ends next. Patience that ended before the last look needs none: what was due
+    /// has been proposed, or waits for a spare to be told of.
+    pub fn next_wake(&self) -> Option<Duration> {
+        let silent = self.silent_since.values().flat_map(BTreeMap::values);
+        silent.map(|since| *since + REPLACEMENT_PATIENCE).filter(|end| *end > self.looked).min()
     }
 
     /// A change of the members of `shard` has been proposed.
@@ -90,10 +115,10 @@
 
     /// The next change that the group of a shard needs, if any: `size` members are wanted.
     pub fn plan(&self, now: Duration, view: GroupView<'_>, size: usize) -> Option<MemberChange> {
-        if view.group.is_empty() || self.changing.contains(&view.shard) {
+        if view.group.is_empty() || self.is_changing(view.shard) {
             return None;
         }
-        let add = view.next_spare()?;
+        let add = self.next_spare(view)?;
         if view.group.len() < size {
             return Some(MemberChange { remove: None, add });
         }
@@ -101,12 +126,30 @@
         Some(MemberChange { remove: Some(remove), add })
     }
 
+    fn is_changing(&self, shard: u8) -> bool {
+        let one_at_a_time = self.has(MembersFault::OneChangeAtATime);
+        self.changing.contains(&shard) || (one_at_a_time && !self.changing.is_empty())
+    }
+
+    /// The spare that joins next. All owners choose alike, so that the shards keep the same members.
+    fn next_spare(&self, view: GroupView<'_>) -> Option<SocketAddr> {
+        let outside = view.live.iter().copied().filter(|node| !view.group.contains(node));
+        let early = self.has(MembersFault::JoinBeforeVoting);
+        outside.filter(|node| early || view.standings.can_join(*node, view.shard)).min()
+    }
+
     /// The member that has been silent longest, beyond patience.
     fn gone(&self, now: Duration, view: GroupView<'_>) -> Option<SocketAddr> {
-        let silent = self.silent_since.get(&view.shard)?.iter();
+        let one_record = self.has(MembersFault::SilenceOfOneShard);
+        let record = if one_record { FIRST_SHARD } else { view.shard };
+        let silent = self.silent_since.get(&record)?.iter();
         let gone = silent.filter(|(_, since)| now >= **since + REPLACEMENT_PATIENCE);
         gone.min_by_key(|(_, since)| **since).map(|(member, _)| *member)
     }
+
+    fn has(&self, fault: MembersFault) -> bool {
+        self.fault == Some(fault)
+    }
 }
 
 /// A member that said that it leaves; it needs no patience.
--- a/crates/controller/src/controller/membership.rs
+++ b/crates/controller/src/controller/membership.rs
@@ -2,7 +2,7 @@
 
 use super::margin::{MarginNews, MemberState, margin};
 use super::members::{GroupView, MemberChange};
-use super::{Asked, Controller, shards};
+use super::{Asked, Controller, ControllerFault, shards};
 use crate::message::{Message, Standing};
 use lanegate_coordination::membership::Output;
 use lanegate_coordination::register::{Input, Node};
@@ -17,6 +17,7 @@
 
 impl Controller {
     pub(super) fn membership_outputs(&mut self, outputs: Vec<Output>) {
+        let changed = outputs.iter().any(|output| matches!(output, Output::StateChanged { .. }));
         for output in outputs {
             match output {
                 Output::Send { to, heartbeat } => {
@@ -37,6 +38,9 @@
                 }
             }
         }
+        if changed {
+            self.tend_members(self.now());
+        }
     }
 
     /// Lets groups grow, and replaces members that are gone or leave, in the shards that this controller owns.
@@ -92,7 +96,10 @@
 
     /// Another controller says where it stands: a spare that can vote now, or a member that leaves, may be what
     /// a group waits for.
-    pub(super) fn stands(&mut self, peer: SocketAddr, standing: Standing) {
+    pub(super) fn stands(&mut self, peer: SocketAddr, mut standing: Standing) {
+        if self.has_fault(ControllerFault::ForgetLeaving) {
+            standing.leaving = 0;
+        }
         if self.standings.note(peer, standing) {
             self.tend_members(self.now());
         }
@@ -105,7 +112,7 @@
         }
         match self.standings.get(member) {
             Some(standing) if standing.votes(shard) => MemberState::Voting,
-            Some(_) => MemberState::Recovering,
+            Some(_) => MemberState::NotVoting,
             None => MemberState::Unknown,
         }
     }
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -69,9 +69,11 @@
 mod turn;
 
 pub use contact::ContactFault;
+pub use endpoints::EndpointsFault;
 pub(crate) use environment::Environment;
 pub(crate) use event::{Answer, Call, Event, Method};
 pub use fault::ControllerFault;
+pub use members::MembersFault;
 pub(crate) use placement::ServiceAction;
 pub use setup::{ControllerError, run_controller};
 pub(crate) use setup::{Records, Start, Stores, open_stores};
--- a/crates/controller/src/controller/peer_messages.rs
+++ b/crates/controller/src/controller/peer_messages.rs
@@ -38,13 +38,14 @@
                 for message in &merge.news {
                     self.readers.append(message);
                 }
-                if merge.relay {
+                if merge.relay && !self.has_fault(ControllerFault::KeepDrainsFromPeers) {
                     merge.news.iter().for_each(|message| self.peers.broadcast(message));
                 }
                 self.tell_placers(&registered.id.text());
             }
             Message::Removed(removed) => {
-                if self.endpoints.relays_removal(&removed) {
+                let relays = self.endpoints.relays_removal(&removed);
+                if relays && !self.has_fault(ControllerFault::KeepDrainsFromPeers) {
                     self.peers.broadcast(&Message::Removed(removed.clone()));
                 }
                 match self.endpoints.merge_removal(now, &removed) {
--- a/crates/controller/src/controller/turn.rs
+++ b/crates/controller/src/controller/turn.rs
@@ -36,6 +36,7 @@
         let wakes = [
             Some(self.membership.next_wake()),
             self.leases.next_wake(),
+            self.members.next_wake(),
             self.shards.next_wake(),
             self.operator.next_wake(),
             self.endpoints.next_wake(),
@@ -65,6 +66,9 @@
             let outputs = self.leases.on_time(now);
             self.lease_outputs(outputs);
         }
+        if self.members.next_wake().is_some_and(|at| at <= now) {
+            self.tend_members(now);
+        }
         for (shard, outputs) in self.shards.due(now) {
             self.follow(shard, outputs);
         }
--- a/crates/controller/src/simulation/expectation.rs
+++ b/crates/controller/src/simulation/expectation.rs
@@ -31,6 +31,10 @@
     NoMember(Place),
     /// Every shard's group has so many members.
     GroupSize(usize),
+    /// Every member that runs knows that each shard can bear so many losses, or more, in all groups in force.
+    Margin(usize),
+    /// A controller does not run.
+    Down(Place),
     /// So many shards have a controller that acts for them.
     Holders(usize),
     /// A controller acts for some shard.
@@ -59,6 +63,8 @@
             Expectation::Member(place) => write!(formatter, "{place} member"),
             Expectation::NoMember(place) => write!(formatter, "{place} nowhere"),
             Expectation::GroupSize(size) => write!(formatter, "size {size}"),
+            Expectation::Margin(losses) => write!(formatter, "margin {losses}"),
+            Expectation::Down(place) => write!(formatter, "{place} down"),
             Expectation::Holders(count) => write!(formatter, "holders {count}"),
             Expectation::Acts(place) => write!(formatter, "{place} acts"),
             Expectation::Idle(place) => write!(formatter, "{place} idle"),
@@ -82,6 +88,8 @@
                 Expectation::Read { number: number(which)?, standing: standing.to_owned() }
             }
             ["size", size] => Expectation::GroupSize(number(size)?),
+            ["margin", losses] => Expectation::Margin(number(losses)?),
+            [who, "down"] => Expectation::Down(place(who)?),
             ["holders", count] => Expectation::Holders(number(count)?),
             ["orders", count] => Expectation::Orders(number(count)?),
             [router, "has", change] => {
@@ -165,6 +173,12 @@
                 let groups = self.newest_groups();
                 (groups.iter().all(|group| group.len() == *size), format!("{groups:?}"))
             }
+            Expectation::Margin(losses) => {
+                let found = self.margins();
+                let enough = |margin: &Option<usize>| margin.is_some_and(|margin| margin >= *losses);
+                (!found.is_empty() && found.iter().all(|(_, margin)| enough(margin)), format!("{found:?}"))
+            }
+            Expectation::Down(place) => truth(self.is_down(*place)),
             Expectation::Holders(count) => {
                 let found = self.holders().len();
                 (found == *count, found.to_string())
@@ -189,6 +203,22 @@
         known.is_some_and(|instance| instance.state == InstanceState::Ready)
     }
 
+    /// What each controller that runs and is a member knows of the least margin of all shards.
+    fn margins(&self) -> Vec<(Place, Option<usize>)> {
+        let groups = self.newest_groups();
+        let is_member = |place: &Place| groups.iter().any(|group| group.contains(place));
+        let awake = self.controllers.iter().filter(|machine| machine.is_awake() && !machine.is_ending());
+        let told = awake.filter_map(|machine| {
+            let place = Place::Controller(machine.index);
+            Some((place, machine.controller().filter(|_| is_member(&place))?.least_margin()))
+        });
+        told.collect()
+    }
+
+    fn is_down(&self, place: Place) -> bool {
+        matches!(place, Place::Controller(index) if self.controllers[index].controller().is_none())
+    }
+
     fn is_acknowledged(&self, endpoint: Place) -> bool {
         let Place::Endpoint(index) = endpoint else { return false };
         self.endpoints[index].acknowledged_at.is_some()
--- /dev/null
+++ b/crates/controller/tests/repair_faults.rs
@@ -0,0 +1,60 @@
+//! Deliberate mistakes in the replacement of members and in what makes an acknowledgement safe: each is found by
+//! a scenario that holds without it.
+
+use lanegate_controller::controller::{ControllerFault, EndpointsFault, MembersFault};
+use lanegate_controller::simulation::{Scenario, World};
+use std::path::Path;
+
+fn scenario(name: &str) -> Scenario {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios").join(format!("{name}.txt"));
+    let text = std::fs::read_to_string(&path).expect("a scenario");
+    text.parse().unwrap_or_else(|error| panic!("{}: {error}", path.display()))
+}
+
+/// Seeds with which each scenario is played, its own the first.
+const SEEDS: u64 = 8;
+
+/// The scenario must hold with all seeds, and be broken by the mistake with one of them.
+#[track_caller]
+fn found_by(name: &str, fault: ControllerFault) {
+    let scenario = scenario(name);
+    let seeds = scenario.seed..scenario.seed + SEEDS;
+    let scenarios: Vec<Scenario> = seeds.map(|seed| Scenario { seed, ..scenario.clone() }).collect();
+    for scenario in &scenarios {
+        let played = World::play(scenario, None).map_err(|violation| violation.to_string());
+        assert_eq!(played, Ok(()), "{name} with seed {}", scenario.seed);
+    }
+    let found = scenarios.iter().find_map(|scenario| World::play(scenario, Some(fault)).err());
+    println!("{fault:?}: {found:?}");
+    assert!(found.is_some(), "{name} does not find {fault:?}");
+}
+
+macro_rules! found {
+    ($($name:ident: $fault:expr, $scenario:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                found_by($scenario, $fault);
+            }
+        )*
+    };
+}
+
+found! {
+    silence_of_one_shard_held_against_all:
+        ControllerFault::Members(MembersFault::SilenceOfOneShard), "replaced-by-different-owners";
+    a_spare_that_joins_before_it_can_vote:
+        ControllerFault::Members(MembersFault::JoinBeforeVoting), "spare-joins-once-it-votes";
+    silence_before_a_pause_of_the_process:
+        ControllerFault::Members(MembersFault::KeepSilenceInPause), "owner-frozen";
+    one_change_of_members_at_a_time:
+        ControllerFault::Members(MembersFault::OneChangeAtATime), "shards-changed-together";
+    a_member_that_ends_without_handing_over:
+        ControllerFault::LeaveWithoutHandover, "leaving-while-another-is-down";
+    an_end_that_others_ignore:
+        ControllerFault::ForgetLeaving, "leaving-member-hands-over";
+    confirmations_of_controllers_that_are_no_members:
+        ControllerFault::Endpoints(EndpointsFault::CountNonMembers), "drain-at-one-with-spares-only";
+    a_drain_that_is_not_passed_on:
+        ControllerFault::KeepDrainsFromPeers, "drain-passed-on";
+}
--- a/crates/coordination/src/register/acceptor.rs
+++ b/crates/coordination/src/register/acceptor.rs
@@ -61,6 +61,11 @@
         &self.current
     }
 
+    /// Whether a record is on disk, and the disk has not refused the last write.
+    pub(super) fn is_stored(&self) -> bool {
+        self.durable_version > 0 && self.retry_at.is_none()
+    }
+
     /// Starts a write if one is due and none is under way.
     pub(super) fn persist(&mut self, core: &mut Core) {
         let wait = self.retry_at.is_some_and(|at| at > core.now);
--- a/crates/coordination/src/register/replica.rs
+++ b/crates/coordination/src/register/replica.rs
@@ -164,10 +164,11 @@
         self.core.decided.as_ref().map(|decided| &decided.value)
     }
 
-    /// Whether this replica votes: its disk was not empty, or it has recovered since.
+    /// Whether this replica can vote: it has a record on disk, if need be that of its recovery, and the disk has
+    /// not refused the last write.
     #[must_use]
     pub fn can_vote(&self) -> bool {
-        self.acceptor.is_some()
+        self.acceptor.as_ref().is_some_and(Acceptor::is_stored)
     }
 
     /// The newest value known: decided, or accepted here and perhaps not decided.
