--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One send of a request to one endpoint. The lowest of the layers that carry a request out.
 
 use crate::connection::{EndpointConnection, ExchangeError};
+use crate::fault::RouterFault;
 use crate::headers::{
     DEADLINE_MS, EXPECT_INSTANCE, LAST_EVENT_ID, PRIORITY, instance_load, keep_alive, milliseconds,
 };
@@ -93,7 +94,10 @@
         let Some(connection) = &mut self.connection else {
             return Poll::Ready(None);
         };
-        let next = ready!(connection.poll_body(&mut self.incoming, cx));
+        let mut next = ready!(connection.poll_body(&mut self.incoming, cx));
+        if self.state.makes(RouterFault::ResetIsEnd) {
+            next = next.filter(Result::is_ok);
+        }
         match &next {
             Some(Ok(data)) => self.state.counters.bytes_passed.add(data.len() as u64),
             Some(Err(_)) => self.connection = None,
@@ -163,7 +167,15 @@
         }
         sent.set(true);
         request.carried_by.borrow_mut().push(connection.lease().number());
-        let answer = match connection.exchange(compose(request, destination, &last_event, left)).await {
+        if state.makes(RouterFault::PassStaleAnswers) {
+            connection.pass_stale_answers();
+        }
+        let mut message = compose(request, destination, &last_event, left);
+        if state.makes(RouterFault::KeepDeadline) {
+            let told = request.headers.get(DEADLINE_MS).cloned();
+            told.and_then(|told| message.headers_mut().insert(DEADLINE_MS, told));
+        }
+        let answer = match connection.exchange(message).await {
             Ok(answer) => answer,
             Err(ExchangeError::NotSent) => {
                 sent.set(false);
@@ -173,12 +185,16 @@
                 }
             }
             Err(ExchangeError::Garbled(_)) => return Err(AttemptEnd::Garbled),
+            Err(ExchangeError::Broken(_)) if used_before && state.makes(RouterFault::RepeatAfterReset) => {
+                continue;
+            }
             Err(ExchangeError::Broken(_)) => return Err(AttemptEnd::Broken),
         };
         let expected = Expected {
             attempt_id: request.attempt_id.as_ref(),
             instance: &destination.instance,
             engine: request.engine,
+            fault: state.fault(),
         };
         let verdict = verify::check(expected, &answer);
         let ends_with_connection = verify::ends_with_connection(&answer);
@@ -244,7 +260,10 @@
     destination: &Destination,
 ) -> Option<EndpointConnection> {
     request.attempt_id.as_ref()?;
-    let carried_by = request.carried_by.borrow();
+    let carried_by = match state.makes(RouterFault::ReuseCarrier) {
+        true => Vec::new(),
+        false => request.carried_by.borrow().clone(),
+    };
     state.pool.take_idle(&destination.instance, destination.address, &carried_by)
 }
 
--- a/crates/router/src/connection.rs
+++ b/crates/router/src/connection.rs
@@ -146,6 +146,12 @@
         self.progress == Progress::Open && self.sender.is_ready() && !self.wire.is_blocked.get()
     }
 
+    /// Drops no late answers any more, for tests.
+    #[doc(hidden)]
+    pub fn pass_stale_answers(&self) {
+        self.wire.stale.borrow_mut().pass_all();
+    }
+
     /// Answers to earlier requests that came late and were dropped.
     pub fn stale_answers(&self) -> u64 {
         self.wire.stale.borrow().dropped()
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod connection;
 pub mod counters;
 pub mod events;
+#[doc(hidden)]
+pub mod fault;
 pub mod frontend;
 pub mod headers;
 pub mod listener;
@@ -30,4 +32,6 @@
 pub mod ticket;
 pub mod verify;
 
+#[doc(hidden)]
+pub use run::run_with_fault;
 pub use run::{RouterError, run, run_on};
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to endpoints: idle ones are used again, and each endpoint has a bound for this router.
 
 use crate::connection::{EndpointConnection, Peer};
+use crate::fault::RouterFault;
 use lanegate_model::configuration::Configuration;
 use lanegate_model::feed::FeedEvent;
 use lanegate_model::instance::{Instance, InstanceState};
@@ -17,8 +18,6 @@
 const UNTOLD_IDLE: Duration = Duration::from_millis(400);
 /// Part of the told time for which an idle connection is used again; the rest is for the way of the request.
 const IDLE_SHARE: f64 = 0.8;
-/// Idle time from which the kernel is asked for news of a connection before it is used again.
-const UNCHECKED_IDLE: Duration = Duration::from_millis(5);
 /// Time for which an endpoint that sent bytes belonging to no request is not trusted to be done after an answer.
 const DISTRUST: Duration = Duration::from_secs(10);
 /// Idle time after which even such an endpoint counts as done with an answer.
@@ -43,6 +42,7 @@
     configuration: RefCell<Option<Arc<Configuration>>>,
     routers: Cell<u32>,
     next_connection: Cell<u64>,
+    fault: Option<RouterFault>,
 }
 
 /// Tells the connections of a router from one another; never used twice in a process.
@@ -129,6 +129,12 @@
         None
     }
 
+    /// The connection that was used last, whatever has come on it: a deliberate mistake.
+    fn take_unchecked(&mut self, barred: &[ConnectionNumber]) -> Option<EndpointConnection> {
+        let place = self.idle.iter().rposition(|idle| idle.is_none_of(barred))?;
+        Some(self.idle.remove(place).connection)
+    }
+
     /// The connection, if a request may be sent on it.
     fn checked(&mut self, mut candidate: IdleConnection, now: Instant) -> Option<EndpointConnection> {
         let connection = &mut candidate.connection;
@@ -136,8 +142,7 @@
             return None;
         }
         let clean = connection.is_clean();
-        let unchecked = clean && now.saturating_duration_since(candidate.since) < UNCHECKED_IDLE;
-        let peer = if unchecked { Peer::Silent } else { connection.peer() };
+        let peer = connection.peer();
         if connection.is_spoilt() || peer == Peer::Speaking {
             self.distrust(now);
         }
@@ -146,6 +151,11 @@
 }
 
 impl Pool {
+    /// A pool that knows no endpoint yet; `fault` is a deliberate mistake, for tests.
+    pub fn new(fault: Option<RouterFault>) -> Self {
+        Pool { fault, ..Pool::default() }
+    }
+
     /// Takes news of the control plane in.
     pub fn apply(&self, event: &FeedEvent) {
         match event {
@@ -199,6 +209,9 @@
         let now = Instant::now();
         let mut endpoints = self.endpoints.borrow_mut();
         let endpoint = endpoints.get_mut(instance).filter(|endpoint| endpoint.address == address)?;
+        if self.fault == Some(RouterFault::IgnoreUnread) {
+            return endpoint.take_unchecked(barred);
+        }
         if endpoint.is_distrusted(now) {
             return endpoint.take_rested(now, barred);
         }
@@ -240,7 +253,7 @@
 
     /// Takes a connection back after a whole answer.
     pub fn give_back(&self, mut connection: EndpointConnection, told_idle: Option<Duration>) {
-        let clean = connection.is_clean();
+        let clean = connection.is_clean() || self.fault == Some(RouterFault::IgnoreUnread);
         let now = Instant::now();
         let mut endpoints = self.endpoints.borrow_mut();
         let Some(endpoint) = endpoints.get_mut(&*connection.lease().instance) else {
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -1,5 +1,6 @@
 //! Puts the router together and runs it until the process is asked to end.
 
+use crate::fault::RouterFault;
 use crate::listener::{self, Clients};
 use crate::maintenance;
 use crate::readiness;
@@ -73,9 +74,22 @@
     feed: UnboundedReceiver<FeedEvent>,
     demand: UnboundedSender<DemandReport>,
     stop: impl Future<Output = ()>,
+) {
+    run_with_fault(None, sockets, settings, feed, demand, stop).await;
+}
+
+/// The same with a deliberate mistake.
+#[doc(hidden)]
+pub async fn run_with_fault(
+    fault: Option<RouterFault>,
+    sockets: Sockets,
+    settings: Settings,
+    feed: UnboundedReceiver<FeedEvent>,
+    demand: UnboundedSender<DemandReport>,
+    stop: impl Future<Output = ()>,
 ) {
     let seed = SmallRng::from_os_rng().next_u64();
-    let state = RouterState::new(DispatchSettings::from(&settings), seed);
+    let state = RouterState::new(DispatchSettings::from(&settings), seed, fault);
     let clients = Clients::new(most_clients(&settings));
     let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or_default();
     let work = async {
--- a/crates/router/src/stale.rs
+++ b/crates/router/src/stale.rs
@@ -36,6 +36,7 @@
     /// Bytes for the library that were read here.
     ready: VecDeque<u8>,
     dropped: u64,
+    passes_all: bool,
 }
 
 #[derive(Debug, Default)]
@@ -73,11 +74,17 @@
         }
         self.current =
             attempt_id.map(|id| Carried { attempt_id: id.clone(), is_head: method == Method::HEAD });
-        if !self.earlier.is_empty() {
+        if !self.earlier.is_empty() && !self.passes_all {
             self.state = State::Head(Vec::new());
         }
     }
 
+    /// Passes everything on from now on, for tests.
+    #[doc(hidden)]
+    pub fn pass_all(&mut self) {
+        self.passes_all = true;
+    }
+
     /// Whether all that comes may go to the library directly.
     pub fn is_passing(&self) -> bool {
         self.ready.is_empty() && matches!(self.state, State::Passing)
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -1,6 +1,7 @@
 //! What all tasks of the router share: the dispatcher, the configuration in force and the connections.
 
 use crate::counters::Counters;
+use crate::fault::RouterFault;
 use crate::mailbox::Mailbox;
 use crate::pool::Pool;
 use crate::routing::Routing;
@@ -45,11 +46,12 @@
     pub unplaced: Notify,
     pub pool: Pool,
     pub counters: Counters,
+    fault: Option<RouterFault>,
 }
 
 impl RouterState {
-    /// A router that knows nothing yet.
-    pub fn new(settings: DispatchSettings, seed: u64) -> Rc<Self> {
+    /// A router that knows nothing yet; `fault` is a deliberate mistake, for tests.
+    pub fn new(settings: DispatchSettings, seed: u64, fault: Option<RouterFault>) -> Rc<Self> {
         Rc::new(RouterState {
             epoch: Instant::now(),
             dispatcher: RefCell::new(Dispatcher::new(settings, seed)),
@@ -63,11 +65,22 @@
             armed: Cell::new(None),
             rearm: Notify::new(),
             unplaced: Notify::new(),
-            pool: Pool::default(),
+            pool: Pool::new(fault),
             counters: Counters::default(),
+            fault,
         })
     }
 
+    /// The deliberate mistake that the router makes.
+    pub fn fault(&self) -> Option<RouterFault> {
+        self.fault
+    }
+
+    /// Whether this is the deliberate mistake that the router makes.
+    pub fn makes(&self, fault: RouterFault) -> bool {
+        self.fault == Some(fault)
+    }
+
     /// The time of `instant` on the process's steady clock.
     pub fn time_of(&self, instant: Instant) -> Duration {
         instant.saturating_duration_since(self.epoch)
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -4,6 +4,7 @@
 
 use crate::attempt::{EndpointBody, Outbound};
 use crate::events::EventSplitter;
+use crate::fault::RouterFault;
 use crate::mailbox::Instruction;
 use crate::resume::{self, Resumed};
 use crate::ticket::Ticket;
@@ -146,6 +147,9 @@
     fn cut(&mut self) -> Poll<Option<Result<Bytes, AnswerCut>>> {
         self.source = Source::Ended;
         self.ticket.state().counters.cut.increment();
+        if self.ticket.state().makes(RouterFault::EndCut) {
+            return Poll::Ready(None);
+        }
         Poll::Ready(Some(Err(AnswerCut)))
     }
 }
--- a/crates/router/src/verify.rs
+++ b/crates/router/src/verify.rs
@@ -1,5 +1,6 @@
 //! Tells whether bytes that came back are the endpoint's answer to this request, and whether it ran.
 
+use crate::fault::RouterFault;
 use crate::headers::{ATTEMPT_ID, INSTANCE_ID, NOT_EXECUTED, SERVER_SIGNATURE, instance_load};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_ENCODING, HeaderValue, TRANSFER_ENCODING};
@@ -13,12 +14,15 @@
     pub instance: &'a str,
     /// Whether the endpoint is an engine: it also answers 421 for a model that it does not hold.
     pub engine: bool,
+    /// A deliberate mistake, for tests.
+    pub fault: Option<RouterFault>,
 }
 
 /// Checks the head of an answer; an error says what becomes of the attempt.
 pub fn check(expected: Expected<'_>, answer: &Response<Incoming>) -> Result<(), AttemptEnd> {
     let headers = answer.headers();
-    if headers.get(&ATTEMPT_ID) != expected.attempt_id {
+    let is_own = headers.get(&ATTEMPT_ID) == expected.attempt_id;
+    if !is_own && expected.fault != Some(RouterFault::AnyAttemptId) {
         return Err(AttemptEnd::Garbled);
     }
     let status = answer.status();
@@ -34,6 +38,13 @@
         return Err(AttemptEnd::Garbled);
     }
     if promises_not_to_have_run(status) {
+        if expected.fault == Some(RouterFault::TrustStatus) {
+            return Err(AttemptEnd::NotExecuted {
+                status: status.as_u16(),
+                load: None,
+                wrong_instance: false,
+            });
+        }
         return Err(AttemptEnd::Broken);
     }
     Ok(())
--- /dev/null
+++ b/crates/router/tests/byte_streams.rs
@@ -0,0 +1,94 @@
+//! Any bytes on both sides of a router, cut and reset anywhere: no byte of an answer reaches another caller, and
+//! what may run once is sent once. Deliberate mistakes are found by the same plays.
+
+mod common;
+mod exchanges;
+
+use exchanges::script::script;
+use exchanges::violation;
+use lanegate_router::fault::RouterFault;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestCaseError, TestError, TestRunner};
+
+/// Cases of an ordinary run.
+const CASES: u32 = 1_000;
+/// Most cases in which a deliberate mistake has to be found.
+const FAULT_CASES: u32 = 4_000;
+/// Seed of an ordinary run.
+const SEED: u64 = 34;
+
+/// The same cases in every run, unless `PROPTEST_RNG_SEED` and `PROPTEST_CASES` ask for others.
+fn config(cases: u32) -> Config {
+    let given = Config::default();
+    let rng_seed = match given.rng_seed {
+        RngSeed::Random => RngSeed::Fixed(SEED),
+        fixed => fixed,
+    };
+    let cases = if std::env::var_os("PROPTEST_CASES").is_some() { given.cases } else { cases };
+    Config { cases, rng_seed, failure_persistence: None, ..given }
+}
+
+proptest! {
+    #![proptest_config(config(CASES))]
+
+    #[test]
+    fn answers_reach_their_callers_and_nothing_is_sent_twice(script in script()) {
+        let wrong = violation(&script, None);
+        prop_assert!(wrong.is_none(), "{}", wrong.unwrap_or_default());
+    }
+}
+
+/// What the plays find of a mistake.
+fn found(fault: RouterFault) -> String {
+    let config = Config { max_shrink_iters: 0, ..config(FAULT_CASES) };
+    let outcome = TestRunner::new(config).run(&script(), |script| match violation(&script, Some(fault)) {
+        Some(wrong) => Err(TestCaseError::fail(wrong)),
+        None => Ok(()),
+    });
+    match outcome {
+        Err(TestError::Fail(wrong, _)) => wrong.message().to_owned(),
+        other => panic!("{fault:?} was not found: {other:?}"),
+    }
+}
+
+#[test]
+fn an_answer_that_is_not_held_to_its_id_is_found() {
+    let wrong = found(RouterFault::AnyAttemptId);
+    assert!(wrong.contains("was told 200"), "{wrong}");
+}
+
+#[test]
+fn a_request_that_is_sent_again_after_a_reset_is_found() {
+    let wrong = found(RouterFault::RepeatAfterReset);
+    assert!(wrong.contains("ran 2 times"), "{wrong}");
+}
+
+#[test]
+fn a_late_answer_that_is_passed_on_is_found() {
+    let wrong = found(RouterFault::PassStaleAnswers);
+    assert!(wrong.contains("its client told 502"), "{wrong}");
+}
+
+#[test]
+fn a_request_that_is_sent_again_on_its_old_connection_is_found() {
+    let wrong = found(RouterFault::ReuseCarrier);
+    assert!(wrong.contains("ran 2 times"), "{wrong}");
+}
+
+#[test]
+fn a_reset_body_that_counts_as_whole_is_found() {
+    let wrong = found(RouterFault::ResetIsEnd);
+    assert!(wrong.contains("was told 200"), "{wrong}");
+}
+
+#[test]
+fn a_cut_answer_that_looks_whole_is_found() {
+    let wrong = found(RouterFault::EndCut);
+    assert!(wrong.contains("was told 200"), "{wrong}");
+}
+
+#[test]
+fn a_503_that_proves_nothing_and_is_trusted_is_found() {
+    let wrong = found(RouterFault::TrustStatus);
+    assert!(wrong.contains("ran 2 times") || wrong.contains("was refused and ran"), "{wrong}");
+}
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -6,8 +6,9 @@
 use lanegate_model::feed::FeedEvent;
 use lanegate_model::instance::Instance;
 use lanegate_model::settings::Settings;
+use lanegate_router::fault::RouterFault;
 use lanegate_router::run::Sockets;
-use lanegate_router::run_on;
+use lanegate_router::run_with_fault;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -67,6 +68,11 @@
 impl Router {
     /// A router that has heard nothing yet.
     pub async fn start() -> Router {
+        Router::start_with(None).await
+    }
+
+    /// The same with a deliberate mistake.
+    async fn start_with(fault: Option<RouterFault>) -> Router {
         let frontend = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let readiness = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (feed, feed_end) = mpsc::unbounded_channel();
@@ -77,14 +83,19 @@
         let sockets = Sockets { frontend, readiness: Some(readiness) };
         let running = spawn_local(async move {
             let stopped = async { stopped.await.unwrap_or_default() };
-            run_on(sockets, settings(), feed_end, demand_end, stopped).await;
+            run_with_fault(fault, sockets, settings(), feed_end, demand_end, stopped).await;
         });
         Router { address, readiness: readiness_address, feed, demand, stop: Some(stop), running }
     }
 
     /// A router with the configuration, that knows these endpoints of the service `plain`.
     pub async fn serving(endpoints: &[&Endpoint]) -> Router {
-        let router = Router::start().await;
+        Router::serving_with(None, endpoints).await
+    }
+
+    /// The same with a deliberate mistake.
+    pub async fn serving_with(fault: Option<RouterFault>, endpoints: &[&Endpoint]) -> Router {
+        let router = Router::start_with(fault).await;
         router.configure(CONFIGURATION);
         endpoints.iter().for_each(|endpoint| router.tell(endpoint.registration("plain")));
         router.tell(FeedEvent::Routers { live: 1 });
--- a/crates/router/tests/connections.rs
+++ b/crates/router/tests/connections.rs
@@ -8,7 +8,9 @@
 use hyper::Request;
 use lanegate_model::feed::FeedEvent;
 use lanegate_router::connection::{EndpointConnection, ExchangeError};
+use lanegate_router::fault::RouterFault;
 use lanegate_router::pool::{Pool, Standing, share};
+use std::future::poll_fn;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -33,6 +35,31 @@
     });
 }
 
+/// Whether a connection is handed out again on which bytes wait that belong to no request.
+async fn is_handed_out_unread(fault: Option<RouterFault>) -> bool {
+    let endpoint = Endpoint::start("i-1").await;
+    let pool = Pool::new(fault);
+    pool.apply(&endpoint.registration("plain"));
+    let mut connection = open(&pool, &endpoint).await;
+    let mut upstream = endpoint.accept().await;
+    let request = Request::get("/a").header("Attempt-Id", "1").body(Full::<Bytes>::default()).unwrap();
+    upstream.write("HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nContent-Length: 0\r\n\r\n").await;
+    let answer = connection.exchange(request).await.unwrap();
+    let mut body = answer.into_body();
+    assert!(poll_fn(|cx| connection.poll_body(&mut body, cx)).await.is_none());
+    pool.give_back(connection, Some(Duration::from_secs(5)));
+    upstream.write("HTTP/1.1 200 OK\r\n").await;
+    pool.take_idle("i-1", endpoint.address, &[]).is_some()
+}
+
+#[test]
+fn a_connection_on_which_unread_bytes_wait_is_not_handed_out() {
+    play(async {
+        assert!(!is_handed_out_unread(None).await);
+        assert!(is_handed_out_unread(Some(RouterFault::IgnoreUnread)).await, "the mistake is not found");
+    });
+}
+
 #[test]
 fn an_endpoint_has_no_more_connections_than_this_routers_share() {
     play(async {
--- a/crates/router/tests/deadlines.rs
+++ b/crates/router/tests/deadlines.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{CONFIGURATION, Endpoint, Message, Router, either, play, two_endpoints};
+use lanegate_router::fault::RouterFault;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
@@ -30,26 +31,40 @@
     assert!(took < TIMEOUT + ANSWERED_WITHIN, "the end came after {took:?}");
 }
 
+/// What two sends of a request tell, 250 ms apart, of 4,000 ms that its client has.
+async fn told_by_two_sends(fault: Option<RouterFault>) -> [u64; 2] {
+    let endpoints = two_endpoints().await;
+    let router = Router::serving_with(fault, &[&endpoints[0], &endpoints[1]]).await;
+    let mut client = router.client().await;
+    client
+        .write("GET /again/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\nDeadline-Ms: 4000\r\n\r\n")
+        .await;
+    let (upstream, first) = either(&endpoints).await;
+    sleep(Duration::from_millis(250)).await;
+    upstream.reset();
+    let (mut upstream, second) = either(&endpoints).await;
+    upstream.answer(&second, "done").await;
+    assert_eq!(client.answer().await.text(), "done");
+    [told_ms(&first), told_ms(&second)]
+}
+
 #[test]
 fn every_send_tells_what_is_left_of_the_clients_time() {
     play(async {
-        let endpoints = two_endpoints().await;
-        let router = Router::serving(&[&endpoints[0], &endpoints[1]]).await;
-        let mut client = router.client().await;
         let began = Instant::now();
-        client
-            .write("GET /again/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\nDeadline-Ms: 4000\r\n\r\n")
-            .await;
-        let (upstream, first) = either(&endpoints).await;
-        assert!(told_ms(&first) <= 4_000);
-        sleep(Duration::from_millis(250)).await;
-        upstream.reset();
-        let (mut upstream, second) = either(&endpoints).await;
+        let [first, second] = told_by_two_sends(None).await;
+        assert!(first <= 4_000);
+        assert!(second <= first - 250, "{second} after {first}");
         let elapsed = began.elapsed().as_millis() as u64;
-        assert!(told_ms(&second) <= told_ms(&first) - 250, "{} after {}", told_ms(&second), told_ms(&first));
-        assert!(told_ms(&second) + 400 >= 4_000 - elapsed, "{} after {elapsed} ms", told_ms(&second));
-        upstream.answer(&second, "done").await;
-        assert_eq!(client.answer().await.text(), "done");
+        assert!(second + 100 >= 4_000 - elapsed, "{second} after {elapsed} ms");
+    });
+}
+
+#[test]
+fn a_send_that_tells_the_whole_time_again_is_found() {
+    play(async {
+        let [first, second] = told_by_two_sends(Some(RouterFault::KeepDeadline)).await;
+        assert!(second > first - 250, "{second} after {first}");
     });
 }
 
--- /dev/null
+++ b/crates/router/tests/exchanges/client.rs
@@ -0,0 +1,231 @@
+//! Clients that ask as the script says and hold every byte that they get to their own requests.
+
+use super::record::Record;
+use super::script::{Ask, Route, answer_body, request_body, split};
+use hyper::header::HeaderMap;
+use lanegate_router::chunks::ChunkScanner;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::yield_now;
+
+/// Time that every client leaves.
+const DEADLINE_MS: u32 = 400;
+/// Turns of the other tasks between two pieces of bytes.
+const TURNS: usize = 2;
+
+async fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).await.unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream
+}
+
+/// Ids have no hexadecimal digits, so that no part of one looks like the length of a chunk.
+fn letter(number: usize) -> char {
+    char::from(b'g' + u8::try_from(number).unwrap())
+}
+
+struct Client {
+    address: SocketAddr,
+    stream: TcpStream,
+    /// All bytes that came on the present connection.
+    transcript: Vec<u8>,
+    /// How many of these belong to answers that were read.
+    read: usize,
+    /// Requests of which the answer has not come yet.
+    pending: Vec<(String, Route)>,
+    /// Ids that were asked for on the present connection.
+    own: Vec<String>,
+    record: Rc<Record>,
+}
+
+struct Answer {
+    status: u16,
+    headers: HeaderMap,
+    body: Vec<u8>,
+}
+
+/// Does all that one client does.
+pub async fn ask_all(address: SocketAddr, number: usize, asks: Vec<Ask>, record: Rc<Record>) {
+    let stream = connect(address).await;
+    let mut client = Client {
+        address,
+        stream,
+        transcript: Vec::new(),
+        read: 0,
+        pending: Vec::new(),
+        own: Vec::new(),
+        record,
+    };
+    for (count, ask) in asks.into_iter().enumerate() {
+        let id = format!("{}-{}", letter(number), letter(count));
+        match ask {
+            Ask::Request { route, body, in_chunks, cuts, pipelined } => {
+                let bytes = client.request(&id, route, body, in_chunks);
+                client.send(&bytes, &cuts).await;
+                client.pending.push((id, route));
+                if !pipelined {
+                    client.read_pending().await;
+                }
+            }
+            Ask::Leave { route, after } => {
+                client.read_pending().await;
+                let bytes = client.request(&id, route, 20, false);
+                client.send(&bytes[..after % (bytes.len() + 1)], &[]).await;
+                client.reconnect().await;
+            }
+            Ask::Junk(bytes) => {
+                client.read_pending().await;
+                client.send(&bytes, &[]).await;
+                let _ = client.stream.shutdown().await;
+                while client.fill().await {}
+                client.reconnect().await;
+            }
+        }
+    }
+    client.read_pending().await;
+    client.check_transcript();
+}
+
+impl Client {
+    fn request(&mut self, id: &str, route: Route, body: usize, in_chunks: bool) -> Vec<u8> {
+        let body = request_body(id, body);
+        self.record.asks(id, body.clone(), route.may_run_again());
+        self.own.push(id.to_owned());
+        let framed = match in_chunks && !body.is_empty() {
+            true => format!("Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n", body.len()),
+            false => format!("Content-Length: {}\r\n\r\n{body}", body.len()),
+        };
+        let head = format!(
+            "POST {} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n",
+            route.path()
+        );
+        (head + &framed).into_bytes()
+    }
+
+    async fn send(&mut self, bytes: &[u8], cuts: &[usize]) {
+        for piece in split(bytes, cuts) {
+            if self.stream.write_all(piece).await.is_err() {
+                return;
+            }
+            for _ in 0..TURNS {
+                yield_now().await;
+            }
+        }
+    }
+
+    /// Reads the answers to all that was sent.
+    async fn read_pending(&mut self) {
+        for (id, route) in std::mem::take(&mut self.pending) {
+            match self.answer().await {
+                Some(answer) => self.check(&id, route, &answer),
+                // The connection has ended, and with it the answers to whatever else was sent on it.
+                None => return self.reconnect().await,
+            }
+        }
+    }
+
+    async fn answer(&mut self) -> Option<Answer> {
+        loop {
+            if let Some((answer, length)) = parse(&self.transcript[self.read..]) {
+                self.read += length;
+                return Some(answer);
+            }
+            if !self.fill().await {
+                return None;
+            }
+        }
+    }
+
+    async fn fill(&mut self) -> bool {
+        matches!(self.stream.read_buf(&mut self.transcript).await, Ok(read) if read > 0)
+    }
+
+    async fn reconnect(&mut self) {
+        self.check_transcript();
+        self.stream = connect(self.address).await;
+        self.transcript.clear();
+        self.read = 0;
+        self.own.clear();
+        self.pending.clear();
+    }
+
+    fn check(&self, id: &str, route: Route, answer: &Answer) {
+        self.record.told(id, answer.status);
+        let own_id = answer.headers.get("attempt-id").is_some_and(|told| told == id);
+        let is_stamped = answer.headers.contains_key("server-signature");
+        let is_right = match answer.status {
+            200 => is_stamped && own_id && answer.body == answer_body(route, id, 0).as_bytes(),
+            500 => is_stamped && own_id && answer.body.is_empty(),
+            502..=504 => !is_stamped && answer.body.is_empty(),
+            _ => false,
+        };
+        if !is_right {
+            let body = String::from_utf8_lossy(&answer.body);
+            self.record.is_wrong(format!("{id} was told {} {:?} {body:?}", answer.status, answer.headers));
+        }
+    }
+
+    /// Every id that is named on the connection is that of a request which was sent on it.
+    fn check_transcript(&self) {
+        let text = without_chunk_lines(&String::from_utf8_lossy(&self.transcript));
+        for named in text.split('[').skip(1) {
+            let id = named.split(']').next().unwrap_or_default();
+            if named.contains(']') && !self.own.iter().any(|own| own == id) {
+                self.record.is_wrong(format!(
+                    "bytes of the answer to {id} came to one that asked for {:?}",
+                    self.own
+                ));
+            }
+        }
+    }
+}
+
+/// The text without the lines that frame chunks; no body has a carriage return.
+fn without_chunk_lines(text: &str) -> String {
+    let is_length = |part: &&str| !part.is_empty() && part.bytes().all(|byte| byte.is_ascii_hexdigit());
+    text.split("\r\n").filter(|part| !is_length(part)).collect()
+}
+
+/// The first whole answer in the bytes, and its length.
+fn parse(bytes: &[u8]) -> Option<(Answer, usize)> {
+    let mut fields = [httparse::EMPTY_HEADER; 32];
+    let mut head = httparse::Response::new(&mut fields);
+    let httparse::Status::Complete(start) = head.parse(bytes).expect("the bytes are no answer") else {
+        return None;
+    };
+    let status = head.code.unwrap();
+    let headers: HeaderMap = head
+        .headers
+        .iter()
+        .map(|field| (field.name.parse().unwrap(), field.value.try_into().unwrap()))
+        .collect();
+    if status == 100 {
+        return parse(&bytes[start..]).map(|(answer, length)| (answer, start + length));
+    }
+    if headers.contains_key("transfer-encoding") {
+        let mut scanner = ChunkScanner::default();
+        let length = scanner.scan(&bytes[start..]).expect("the body is not in chunks");
+        let body = scanner.is_over().then(|| unchunked(&bytes[start..start + length]))?;
+        return Some((Answer { status, headers, body }, start + length));
+    }
+    let length: usize =
+        headers.get("content-length").map_or(0, |value| value.to_str().unwrap().parse().unwrap());
+    let body = bytes.get(start..start + length)?.to_vec();
+    Some((Answer { status, headers, body }, start + length))
+}
+
+fn unchunked(mut bytes: &[u8]) -> Vec<u8> {
+    let mut body = Vec::new();
+    loop {
+        let line = bytes.iter().position(|&byte| byte == b'\n').unwrap();
+        let length = std::str::from_utf8(&bytes[..line]).unwrap().trim();
+        let length = usize::from_str_radix(length, 16).unwrap();
+        if length == 0 {
+            return body;
+        }
+        body.extend_from_slice(&bytes[line + 1..line + 1 + length]);
+        bytes = &bytes[line + 1 + length + 2..];
+    }
+}
--- /dev/null
+++ b/crates/router/tests/exchanges/endpoint.rs
@@ -0,0 +1,162 @@
+//! Endpoints that answer as the script says.
+
+use super::record::Record;
+use super::script::{Answer, Framing, Reply, Route, answer_body, split};
+use crate::common::{Endpoint, Message, Upstream};
+use std::rc::Rc;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::{spawn_local, yield_now};
+
+/// Turns of the other tasks between two pieces of bytes.
+const TURNS: usize = 3;
+
+/// Answers on every connection.
+pub async fn serve(endpoint: Endpoint, record: Rc<Record>) {
+    loop {
+        let upstream = endpoint.accept().await;
+        upstream.stream.set_nodelay(true).unwrap();
+        spawn_local(serve_connection(upstream, record.clone()));
+    }
+}
+
+/// What becomes of a connection after an answer.
+enum After {
+    /// Bytes that come once the next request is there.
+    Goes {
+        late: Vec<u8>,
+    },
+    /// Bytes that belong to nothing may meet the next request, which then has no proper answer.
+    Spoilt,
+    Ends,
+}
+
+async fn serve_connection(mut upstream: Upstream, record: Rc<Record>) {
+    let mut late = Vec::new();
+    let mut is_spoilt = false;
+    while let Some(request) = upstream.next_request().await {
+        write(&mut upstream.stream, &std::mem::take(&mut late), &[]).await;
+        let after = answer(&mut upstream.stream, &request, &record).await;
+        if is_spoilt {
+            record.has_no_answer(&request);
+        }
+        match after {
+            After::Goes { late: next } => late = next,
+            After::Spoilt => is_spoilt = true,
+            After::Ends => return,
+        }
+    }
+}
+
+async fn answer(stream: &mut TcpStream, request: &Message, record: &Record) -> After {
+    let id = request.header("Attempt-Id").unwrap_or_default().to_owned();
+    let route = Route::of(&request.first_line);
+    let before = record.arrived(&id, request.text());
+    let Answer { reply, framing, cuts } = record.next_answer();
+    let after = request.header("Last-Event-Id").map_or(0, |id| id.parse().unwrap());
+    let whole = whole(&id, route, &answer_body(route, &id, after), framing);
+    let stays = if framing == Framing::Absent { After::Ends } else { After::Goes { late: Vec::new() } };
+    if !matches!(reply, Reply::TurnedAway { .. }) {
+        record.runs(&id);
+    }
+    match reply {
+        Reply::Whole => {
+            write(stream, &whole, &cuts).await;
+            record.answered(&id, 200);
+            stays
+        }
+        Reply::Twice { late } if framing != Framing::Absent => {
+            write(stream, &whole, &cuts).await;
+            record.answered(&id, 200);
+            if late {
+                return After::Goes { late: whole };
+            }
+            write(stream, &whole, &cuts).await;
+            stays
+        }
+        Reply::Trailing(bytes) if framing != Framing::Absent => {
+            write(stream, &[&whole[..], &bytes].concat(), &cuts).await;
+            record.answered(&id, 200);
+            After::Spoilt
+        }
+        Reply::Twice { .. } | Reply::Trailing(_) => {
+            write(stream, &whole, &cuts).await;
+            record.answered(&id, 200);
+            After::Ends
+        }
+        Reply::TurnedAway { twice } => {
+            let bytes = format!(
+                "HTTP/1.1 503 Full\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            );
+            write(stream, bytes.as_bytes(), &cuts).await;
+            After::Goes { late: if twice { bytes.into_bytes() } else { Vec::new() } }
+        }
+        Reply::Foreign => {
+            let other = before.filter(|other| *other != id).unwrap_or_else(|| format!("{id}0"));
+            write(stream, &self::whole(&other, route, &answer_body(route, &other, 0), framing), &cuts).await;
+            stays
+        }
+        Reply::Unproved => {
+            let bytes = format!(
+                "HTTP/1.1 503 Full\r\nAttempt-Id: {id}\r\nServer-Signature: s\r\nContent-Length: 0\r\n\r\n"
+            );
+            write(stream, bytes.as_bytes(), &cuts).await;
+            stays
+        }
+        Reply::Failure => {
+            let bytes = format!(
+                "HTTP/1.1 500 No\r\nAttempt-Id: {id}\r\nServer-Signature: s\r\nContent-Length: 0\r\n\r\n"
+            );
+            write(stream, bytes.as_bytes(), &cuts).await;
+            if after == 0 {
+                record.answered(&id, 500);
+            }
+            After::Goes { late: Vec::new() }
+        }
+        Reply::Break { at, is_reset } => {
+            write(stream, &whole[..at % whole.len()], &cuts).await;
+            // An end in order would make an answer without a length whole.
+            if is_reset || framing == Framing::Absent {
+                stream.set_zero_linger().unwrap();
+            }
+            After::Ends
+        }
+        Reply::Garbage(bytes) => {
+            write(stream, &bytes, &cuts).await;
+            After::Ends
+        }
+    }
+}
+
+/// A whole answer with a stamp.
+fn whole(id: &str, route: Route, body: &str, framing: Framing) -> Vec<u8> {
+    let kind = if route.is_stream() { "text/event-stream" } else { "text/plain" };
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: s\r\nKeep-Alive: timeout=5\r\nContent-Type: {kind}\r\n"
+    );
+    let rest = match framing {
+        Framing::Length => format!("Content-Length: {}\r\n\r\n{body}", body.len()),
+        Framing::Chunks => {
+            let chunks: String = split(body.as_bytes(), &[body.len() / 3, body.len() / 2])
+                .into_iter()
+                .filter(|chunk| !chunk.is_empty())
+                .map(|chunk| format!("{:x}\r\n{}\r\n", chunk.len(), std::str::from_utf8(chunk).unwrap()))
+                .collect();
+            format!("Transfer-Encoding: chunked\r\n\r\n{chunks}0\r\n\r\n")
+        }
+        Framing::Absent => format!("\r\n{body}"),
+    };
+    (head + &rest).into_bytes()
+}
+
+/// Writes bytes in pieces; the router may close meanwhile.
+async fn write(stream: &mut TcpStream, bytes: &[u8], cuts: &[usize]) {
+    for piece in split(bytes, cuts) {
+        if piece.is_empty() || stream.write_all(piece).await.is_err() {
+            continue;
+        }
+        for _ in 0..TURNS {
+            yield_now().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/tests/exchanges/mod.rs
@@ -0,0 +1,58 @@
+//! Clients, a router and endpoints that exchange scripted bytes, and a record of who was told what.
+//!
+//! Time is simulated: it passes only when nobody has anything to do, so no bytes may wait in a kernel (all
+//! sockets are without delay).
+
+pub mod client;
+pub mod endpoint;
+pub mod record;
+pub mod script;
+
+use crate::common::{Endpoint, Router};
+use lanegate_router::fault::RouterFault;
+use record::Record;
+use script::Script;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::timeout;
+
+/// Longest simulated time of one play; reached only by plays that hang.
+const GUARD: Duration = Duration::from_secs(60);
+
+/// Plays a script; the error tells what is wrong.
+pub fn violation(script: &Script, fault: Option<RouterFault>) -> Option<String> {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().start_paused(true).build().unwrap();
+    runtime.block_on(LocalSet::new().run_until(async {
+        match timeout(GUARD, play(script, fault)).await {
+            Ok(record) => record.verdict(),
+            Err(_) => Some("the play hangs".into()),
+        }
+    }))
+}
+
+async fn play(script: &Script, fault: Option<RouterFault>) -> Rc<Record> {
+    let record = Rc::new(Record::new(script));
+    let mut endpoints = Vec::new();
+    for number in 0..script.endpoints {
+        endpoints.push(Endpoint::start(&format!("i-{number}")).await);
+    }
+    let router = Router::serving_with(fault, &endpoints.iter().collect::<Vec<_>>()).await;
+    for endpoint in endpoints {
+        spawn_local(endpoint::serve(endpoint, record.clone()));
+    }
+    let clients: Vec<_> = script
+        .clients
+        .iter()
+        .enumerate()
+        .map(|(number, asks)| {
+            let (asks, record) = (asks.clone(), record.clone());
+            spawn_local(client::ask_all(router.address, number, asks, record))
+        })
+        .collect();
+    for client in clients {
+        client.await.unwrap();
+    }
+    record
+}
--- /dev/null
+++ b/crates/router/tests/exchanges/record.rs
@@ -0,0 +1,108 @@
+//! Who was told what, and what is wrong with it.
+
+use super::script::{Answer, Framing, Reply, Script};
+use crate::common::Message;
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet, VecDeque};
+
+/// What has happened in a play.
+pub struct Record {
+    answers: RefCell<VecDeque<Answer>>,
+    seen: RefCell<Seen>,
+}
+
+#[derive(Default)]
+struct Seen {
+    /// Bodies of the requests that clients sent, by id.
+    asked: HashMap<String, String>,
+    /// Runs at endpoints, by id.
+    runs: HashMap<String, u32>,
+    may_run_again: HashSet<String>,
+    /// Status that an endpoint answered last, whole and in order.
+    answered: HashMap<String, u16>,
+    /// Status that the client was told.
+    told: HashMap<String, u16>,
+    last_arrival: Option<String>,
+    wrong: Vec<String>,
+}
+
+impl Record {
+    pub fn new(script: &Script) -> Record {
+        Record { answers: RefCell::new(script.answers.iter().cloned().collect()), seen: RefCell::default() }
+    }
+
+    /// How the endpoint that got a request answers it.
+    pub fn next_answer(&self) -> Answer {
+        let whole = || Answer { reply: Reply::Whole, framing: Framing::Length, cuts: Vec::new() };
+        self.answers.borrow_mut().pop_front().unwrap_or_else(whole)
+    }
+
+    /// A client is about to send a request.
+    pub fn asks(&self, id: &str, body: String, may_run_again: bool) {
+        let mut seen = self.seen.borrow_mut();
+        seen.asked.insert(id.into(), body);
+        if may_run_again {
+            seen.may_run_again.insert(id.into());
+        }
+    }
+
+    /// A request arrived at an endpoint; tells the id of the one that arrived before it anywhere.
+    pub fn arrived(&self, id: &str, body: &str) -> Option<String> {
+        let mut seen = self.seen.borrow_mut();
+        seen.answered.remove(id);
+        match seen.asked.get(id) {
+            Some(asked) if asked == body => {}
+            Some(asked) => {
+                let text = format!("{id} arrived with {body:?} instead of {asked:?}");
+                seen.wrong.push(text);
+            }
+            None => seen.wrong.push(format!("nobody asked for {id}")),
+        }
+        seen.last_arrival.replace(id.into())
+    }
+
+    /// An endpoint has begun to work on a request.
+    pub fn runs(&self, id: &str) {
+        *self.seen.borrow_mut().runs.entry(id.into()).or_default() += 1;
+    }
+
+    /// An endpoint has answered a request whole and in order.
+    pub fn answered(&self, id: &str, status: u16) {
+        self.seen.borrow_mut().answered.insert(id.into(), status);
+    }
+
+    /// An endpoint may have spoilt its answer to a request.
+    pub fn has_no_answer(&self, request: &Message) {
+        let id = request.header("Attempt-Id").unwrap_or_default();
+        self.seen.borrow_mut().answered.remove(id);
+    }
+
+    /// A client was told the end of its request.
+    pub fn told(&self, id: &str, status: u16) {
+        self.seen.borrow_mut().told.insert(id.into(), status);
+    }
+
+    pub fn is_wrong(&self, text: String) {
+        self.seen.borrow_mut().wrong.push(text);
+    }
+
+    /// What is wrong, if anything is.
+    pub fn verdict(&self) -> Option<String> {
+        let seen = self.seen.borrow();
+        let mut wrong = seen.wrong.clone();
+        for (id, runs) in &seen.runs {
+            if *runs > 1 && !seen.may_run_again.contains(id) {
+                wrong.push(format!("{id} ran {runs} times"));
+            }
+            if seen.told.get(id) == Some(&503) && !seen.may_run_again.contains(id) {
+                wrong.push(format!("{id} was refused and ran"));
+            }
+        }
+        for (id, status) in &seen.answered {
+            if seen.told.get(id).is_some_and(|told| told != status) {
+                wrong.push(format!("{id} was answered with {status}, its client told {}", seen.told[id]));
+            }
+        }
+        (!wrong.is_empty()).then(|| wrong.join("; "))
+    }
+}
--- /dev/null
+++ b/crates/router/tests/exchanges/script.rs
@@ -0,0 +1,173 @@
+//! What clients send and how endpoints answer, drawn by chance.
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+/// A play.
+#[derive(Debug, Clone)]
+pub struct Script {
+    pub endpoints: usize,
+    pub clients: Vec<Vec<Ask>>,
+    /// One for each request that reaches an endpoint, in order; later ones get a whole answer.
+    pub answers: Vec<Answer>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Route {
+    Once,
+    Again,
+    Stream,
+    Resumable,
+}
+
+/// What a client does next.
+#[derive(Debug, Clone)]
+pub enum Ask {
+    Request {
+        route: Route,
+        body: usize,
+        in_chunks: bool,
+        cuts: Vec<usize>,
+        /// Whether the next one is sent before the answer has come.
+        pipelined: bool,
+    },
+    /// Sends a part of a request and leaves.
+    Leave { route: Route, after: usize },
+    /// Sends bytes that are no request.
+    Junk(Vec<u8>),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    Length,
+    Chunks,
+    /// The answer ends with its connection.
+    Absent,
+}
+
+/// How an endpoint answers a request.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    pub reply: Reply,
+    pub framing: Framing,
+    pub cuts: Vec<usize>,
+}
+
+#[derive(Debug, Clone)]
+pub enum Reply {
+    Whole,
+    /// The same answer twice: at once, or when the next request has come.
+    Twice {
+        late: bool,
+    },
+    /// Bytes behind the answer that belong to nothing.
+    Trailing(Vec<u8>),
+    /// 503 with `Not-Executed`, perhaps a second time when the next request has come.
+    TurnedAway {
+        twice: bool,
+    },
+    /// The answer to another request.
+    Foreign,
+    /// 503 without `Not-Executed`.
+    Unproved,
+    Failure,
+    /// The answer up to a place, and then a reset or an end.
+    Break {
+        at: usize,
+        is_reset: bool,
+    },
+    Garbage(Vec<u8>),
+}
+
+fn cuts() -> impl Strategy<Value = Vec<usize>> {
+    vec(0_usize..600, 0..4)
+}
+
+fn route() -> impl Strategy<Value = Route> {
+    prop_oneof![4 => Just(Route::Once), 1 => Just(Route::Again), 2 => Just(Route::Stream), 1 => Just(Route::Resumable)]
+}
+
+fn ask() -> impl Strategy<Value = Ask> {
+    let request = (route(), 0_usize..200, any::<bool>(), cuts(), prop::bool::weighted(0.2));
+    prop_oneof![
+        12 => request.prop_map(|(route, body, in_chunks, cuts, pipelined)| {
+            Ask::Request { route, body, in_chunks, cuts, pipelined }
+        }),
+        1 => (route(), 0_usize..400).prop_map(|(route, after)| Ask::Leave { route, after }),
+        1 => vec(any::<u8>(), 1..40).prop_map(Ask::Junk),
+    ]
+}
+
+fn reply() -> impl Strategy<Value = Reply> {
+    prop_oneof![
+        6 => Just(Reply::Whole),
+        3 => any::<bool>().prop_map(|late| Reply::Twice { late }),
+        1 => vec(any::<u8>(), 1..40).prop_map(Reply::Trailing),
+        3 => any::<bool>().prop_map(|twice| Reply::TurnedAway { twice }),
+        1 => Just(Reply::Foreign),
+        1 => Just(Reply::Unproved),
+        1 => Just(Reply::Failure),
+        3 => (0_usize..700, any::<bool>()).prop_map(|(at, is_reset)| Reply::Break { at, is_reset }),
+        2 => any::<bool>().prop_map(|is_reset| Reply::Break { at: 0, is_reset }),
+        1 => vec(any::<u8>(), 1..40).prop_map(Reply::Garbage),
+    ]
+}
+
+fn answer() -> impl Strategy<Value = Answer> {
+    let framing =
+        prop_oneof![3 => Just(Framing::Length), 2 => Just(Framing::Chunks), 1 => Just(Framing::Absent)];
+    (reply(), framing, cuts()).prop_map(|(reply, framing, cuts)| Answer { reply, framing, cuts })
+}
+
+/// Any play.
+pub fn script() -> impl Strategy<Value = Script> {
+    (1_usize..=2, vec(vec(ask(), 1..6), 1..4), vec(answer(), 0..16))
+        .prop_map(|(endpoints, clients, answers)| Script { endpoints, clients, answers })
+}
+
+impl Route {
+    pub fn path(self) -> &'static str {
+        match self {
+            Route::Once => "/once/x",
+            Route::Again => "/again/x",
+            Route::Stream => "/stream/x",
+            Route::Resumable => "/resumable/x",
+        }
+    }
+
+    pub fn of(first_line: &str) -> Route {
+        let routes = [Route::Once, Route::Again, Route::Stream, Route::Resumable];
+        let path = first_line.split(' ').nth(1).unwrap();
+        routes.into_iter().find(|route| route.path() == path).unwrap()
+    }
+
+    pub fn may_run_again(self) -> bool {
+        matches!(self, Route::Again | Route::Resumable)
+    }
+
+    pub fn is_stream(self) -> bool {
+        matches!(self, Route::Stream | Route::Resumable)
+    }
+}
+
+/// Splits bytes at the given places.
+pub fn split<'a>(bytes: &'a [u8], cuts: &[usize]) -> Vec<&'a [u8]> {
+    let mut ends: Vec<usize> = cuts.iter().map(|cut| cut % (bytes.len() + 1)).collect();
+    ends.push(bytes.len());
+    ends.sort_unstable();
+    let mut begin = 0;
+    ends.into_iter().map(|end| &bytes[std::mem::replace(&mut begin, end)..end]).collect()
+}
+
+/// The body of the request with this id.
+pub fn request_body(id: &str, length: usize) -> String {
+    format!("({id})").repeat(length / 5)
+}
+
+/// The body of the answer to the request with this id; that of a stream goes on after the event `after`.
+pub fn answer_body(route: Route, id: &str, after: u32) -> String {
+    match route.is_stream() {
+        true => (after + 1..=4).map(|number| format!("id: {number}\ndata: [{id}]\n\n")).collect(),
+        false => format!("[{id}]").repeat(1 + id.len() % 3),
+    }
+}
