Answer a change that breaks off with 408, one that is too long with 413

Both got 400, which ends an operator's call for good. A change whose bytes do not all arrive may be one that was taken and is sent again; 408 lets it be sent to another controller.

--- a/crates/controller/src/controller/http.rs
+++ b/crates/controller/src/controller/http.rs
@@ -2,7 +2,7 @@
 
 use super::event::{Answer, Call, Event, Method};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, IF_MATCH};
 use hyper::service::service_fn;
@@ -64,6 +64,15 @@
     Ok(response)
 }
 
+/// The answer to a call whose body was not read whole. One that broke off says nothing about the change that it
+/// is part of, which may have been taken before, so it is no refusal.
+fn unread_body(error: &(dyn std::error::Error + 'static)) -> Answer {
+    if error.is::<LengthLimitError>() {
+        return Answer::error(413, &format!("the body is longer than {MAX_BODY_BYTES} bytes"));
+    }
+    Answer::error(408, &format!("the body did not come whole: {error}"))
+}
+
 async fn call(request: Request<Incoming>, events: mpsc::UnboundedSender<Event>) -> Result<Answer, Answer> {
     let (head, body) = request.into_parts();
     let method = match head.method {
@@ -80,7 +89,7 @@
     let body = tokio::time::timeout(READ_TIMEOUT, Limited::new(body, MAX_BODY_BYTES).collect())
         .await
         .map_err(|_| Answer::error(408, "the body did not come in time"))?
-        .map_err(|error| Answer::error(400, &format!("the body cannot be read: {error}")))?
+        .map_err(|error| unread_body(error.as_ref()))?
         .to_bytes();
     let (reply, answer) = oneshot::channel();
     let call = Call { method, path: head.uri.path().to_owned(), if_match, body, reply };
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -28,6 +28,8 @@
 mod holdings_test;
 mod housekeeping;
 mod http;
+#[cfg(test)]
+mod http_test;
 mod inspect;
 mod links;
 mod margin;
