--- a/crates/controller/src/controller/endpoints_test.rs
+++ b/crates/controller/src/controller/endpoints_test.rs
@@ -3,7 +3,8 @@
 use super::endpoints::{Changes, Endpoints, EndpointsFault, Merge, Merged};
 use super::event::Answer;
 use super::groups::KnownGroups;
-use crate::message::{Heard, HeardList, Message, Registered, Removed};
+use super::holdings::holding;
+use crate::message::{Heard, HeardList, Holding, Message, Registered, Removed};
 use bytes::Bytes;
 use lanegate_coordination::registry::FINAL_SEQUENCE;
 use std::net::SocketAddr;
@@ -461,3 +462,29 @@
     confirm(&mut restarted, first.flush.expect("the others are asked"), 2, THREE);
     assert_eq!(status(&mut answer), Some(200));
 }
+
+#[test]
+fn what_is_published_names_the_newest_heartbeat_and_its_place_in_order() {
+    let mut endpoints = endpoints();
+    let loaded = holding("i-1", "m", None, true);
+    assert_eq!(endpoints.publish(loaded.clone()), None, "the endpoint is not known");
+    put(&mut endpoints, ms(0), THREE, 5, "ready");
+    endpoints.merge_heard(ms(100), &vec![Heard { id: "i-1".into(), sequence: 7 }].into());
+    let first = endpoints.publish(loaded.clone()).expect("it is news");
+    assert_eq!((first.sequence, first.order), (7, 1));
+    let second = endpoints.publish(holding("i-1", "m", None, false)).expect("it is news");
+    assert_eq!((second.sequence, second.order), (7, 2));
+    assert!(!endpoints.hold(&first), "it comes back late from another controller");
+}
+
+#[test]
+fn a_heartbeat_that_changes_nothing_refuses_no_holding_of_the_one_before() {
+    let mut endpoints = endpoints();
+    put(&mut endpoints, ms(0), THREE, 5, "ready");
+    put(&mut endpoints, ms(1_000), THREE, 6, "ready");
+    let published = Holding { sequence: 5, order: 1, ..holding("i-1", "m", None, true) };
+    assert!(endpoints.hold(&published), "its publisher had not heard of heartbeat 6 yet");
+    put(&mut endpoints, ms(2_000), THREE, 7, "ready");
+    let late = Holding { sequence: 6, order: 1, ..published };
+    assert!(!endpoints.hold(&late), "heartbeat 7 says that the model is not there");
+}
