--- a/crates/controller/src/simulation/connections.rs
+++ b/crates/controller/src/simulation/connections.rs
@@ -236,16 +236,22 @@
                 }
             }
         }
-        self.end(number);
+        self.end_by(number, closer);
     }
 
     /// A connection ends for both sides, and what is on the way is lost.
     pub(super) fn end(&mut self, number: u64) {
+        self.end_by(number, None);
+    }
+
+    /// A connection ends: at once for whoever closed it, later for others where the path is cut.
+    fn end_by(&mut self, number: u64, closer: Option<Process>) {
         let Some(connection) = self.connections.remove(&number) else { return };
         let (dial, listener) = (connection.dial, connection.listener);
         let path_open = self.network.is_open(listener.place, dial.dialer.place);
         let late = if path_open { Duration::ZERO } else { self.spread(CUT_SPREAD) };
-        let last = self.now() + self.delay() + late;
+        let dialer_late = if closer == Some(dial.dialer) { Duration::ZERO } else { late };
+        let last = self.now() + self.delay() + dialer_late;
         self.end_for_dialer(dial, last);
         let late = self.delay() + late;
         let notice = match dial.kind {
