Split the courier's intake and its loop into modules with one job each

intake: accepting (mod), serving a connection, its state, its raw stream, the framing check, requests, the message's headers, responses, offers, counts given back on drop, eviction, closing, the program's standing, shared limits.

Functions over 40 lines are split into steps in the order they had: serve, take, letter, run, list, turn, send, offered. A connection owns its socket instead of sharing it by another count; whoever held the one held the other. Names tell what they mean: Line is Connection, Ear ClientStream, Parting CloseReason, Room BodyReservation, Judging PendingOffer, heir successor. The format of what a process hands to its successor is untouched.

The tests move to framing_test, message_test, eviction_test and resume_test, their assertions unchanged; docs/endings.md names the new places.

Line::ends stays. Standing::closing would not tell the same: a connection that stands idle with bytes unread when the process begins to close has its request's own time for them today, and would be closed at once.

--- /dev/null
+++ b/src/node/courier/attempts.rs
@@ -0,0 +1,163 @@
+//! Attempts to deliver, and probes: begun as the module asks for them, and reported to it when they end.
+
+use super::Courier;
+use crate::interface::{Effect, Ended, EndpointId, Event, MessageId, Outcome};
+use crate::node::calls::{Call, CallEnd, Leave};
+use crate::node::commit::Due;
+use crate::node::journal::{Attempt, unix};
+use crate::node::log::say;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// An attempt that the module asks for.
+pub(super) struct Send {
+    pub(super) message: u64,
+    pub(super) endpoint: EndpointId,
+    pub(super) timeout: Duration,
+}
+
+impl Courier {
+    /// Records the attempts of a turn; each begins once it is on record.
+    pub(super) fn send(&mut self, sends: Vec<Send>, now: Instant) {
+        let late = self.begins_no_call(now);
+        for send in sends {
+            self.attempt(&send, now, late);
+        }
+        // The attempts are on record before their first byte goes out; the verdicts before their notice.
+        self.settle();
+    }
+
+    fn attempt(&mut self, send: &Send, now: Instant, late: bool) {
+        let Send { message, endpoint, timeout } = *send;
+        let e = self.endpoints.get(&endpoint);
+        let to = e.and_then(|e| Some((e, e.address?)));
+        let Some((m, (e, address))) = self.held.get_mut(&message).zip(to) else {
+            // Its client left in this very batch: the module hears that nothing was sent.
+            self.events.push(never_sent(message, endpoint));
+            return;
+        };
+        let zone = self.config.zones.get(e.zone).cloned().unwrap_or_default();
+        let host = e.host.clone();
+        let attempt = Attempt { host: host.clone(), zone, sent: unix(), may_have_run: true };
+        m.out = Some((now, None));
+        if late {
+            // This process ends before an answer could come: it is left to the next, as never sent.
+            return;
+        }
+        let number = m.attempts;
+        m.attempts += 1;
+        let letter = m.letter.clone();
+        say!("{} attempt {number}: to {host} for {} ms", letter.id, timeout.as_millis());
+        let effect = self.effect(&letter.class);
+        let once = effect == Some(Effect::Once);
+        let mut leave = Leave::default();
+        if let Some(Effect::Keyed { window, .. }) = effect {
+            leave.ends = self.window_end(message, window, now);
+        }
+        self.journal.attempt(message, attempt);
+        let (cancel, cancelled) = oneshot::channel();
+        if let Some(m) = self.held.get_mut(&message) {
+            m.leave = Some((endpoint, leave.clone()));
+            m.out = Some((now, Some(cancel)));
+        }
+        let call = Call { message, attempt: number, endpoint, host, address, letter, timeout, once, leave };
+        self.dues.push(Due::Call { call, cancelled });
+    }
+
+    /// What a repeated delivery of a message of this class does.
+    fn effect(&self, class: &str) -> Option<Effect> {
+        let class = self.config.classes.iter().position(|c| c == class);
+        class.and_then(|c| self.config.settings.classes.get(c)).map(|c| c.effect)
+    }
+
+    /// When the time ends in which a repeat is dropped, if an attempt before may have run.
+    fn window_end(&self, message: u64, window: Duration, now: Instant) -> Option<Instant> {
+        let mut before = self.journal.get(message).into_iter().flat_map(|m| &m.attempts);
+        let first = before.find(|a| a.may_have_run).map(|a| a.sent);
+        first.map(|at| now + (at + window).saturating_sub(unix()))
+    }
+
+    /// A call has ended.
+    pub(super) fn call_ended(&mut self, message: u64, attempt: u32, endpoint: EndpointId, end: CallEnd) {
+        // What proves that it never ran; all else may have.
+        let never = matches!(end.outcome, Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot);
+        if never {
+            self.journal.never_ran(message, attempt);
+        }
+        if end.over {
+            self.end(message);
+        }
+        // It may have gone while the call was out, and its connection was kept after that.
+        self.close_unless_usable(endpoint);
+        if let (Outcome::Full { wait: Some(_) }, Some(m)) = (end.outcome, self.held.get(&message)) {
+            self.recall_calls_to_destination(m.letter.destination);
+        }
+        let Some(m) = self.held.get_mut(&message) else { return };
+        let Some((sent, _)) = m.out.take() else { return };
+        let (id, took) = (&m.letter.id, end.at.saturating_duration_since(sent).as_millis());
+        say!("{id} attempt {attempt}: {:?} after {took} ms", end.outcome);
+        self.events.push(Event::Ended(Ended {
+            message: MessageId(message),
+            endpoint,
+            outcome: aged(end.outcome, end.at),
+            took: end.at.saturating_duration_since(sent),
+            over: end.over,
+            report: end.report,
+        }));
+        // The module drops a message with its last outcome, and so does the courier.
+        if self.journal.get(message).is_none_or(|m| m.verdict.is_some()) {
+            self.held.remove(&message);
+        }
+    }
+
+    /// Calls off the calls that are out for these.
+    pub(super) fn cancel(&mut self, messages: Vec<u64>) {
+        for message in messages {
+            if let Some(held) = self.held.get_mut(&message) {
+                held.cancel();
+            }
+        }
+    }
+
+    /// Asks an endpoint how it fares.
+    pub(super) fn probe(&mut self, endpoint: EndpointId) {
+        let e = self.endpoints.get(&endpoint);
+        if let Some((host, address)) = e.and_then(|e| Some((e.host.clone(), e.address?))) {
+            let timeout = self.config.settings.connect_timeout * 2;
+            tokio::task::spawn_local(self.calls.clone().probe(
+                (endpoint, host),
+                address,
+                timeout,
+                self.news.clone(),
+            ));
+        }
+    }
+
+    /// A probe has ended.
+    pub(super) fn probed(&mut self, endpoint: EndpointId, sent: Instant, end: CallEnd) {
+        let took = end.at.saturating_duration_since(sent);
+        let outcome = aged(end.outcome, end.at);
+        self.events.push(Event::Probed { endpoint, outcome, took, report: end.report });
+    }
+}
+
+/// A wait runs from when its answer arrived: the age of the batch is not added to it.
+fn aged(outcome: Outcome, at: Instant) -> Outcome {
+    match outcome {
+        Outcome::Full { wait: Some(wait) } => Outcome::Full { wait: Some(wait.saturating_sub(at.elapsed())) },
+        other => other,
+    }
+}
+
+/// What the module is told of an attempt of which no byte has left.
+pub(in crate::node) fn never_sent(message: u64, endpoint: EndpointId) -> Event {
+    Event::Ended(Ended {
+        message: MessageId(message),
+        endpoint,
+        outcome: Outcome::Moot,
+        took: Duration::ZERO,
+        over: false,
+        report: None,
+    })
+}
--- /dev/null
+++ b/src/node/courier/event_loop.rs
@@ -0,0 +1,200 @@
+//! The courier's loop: waits for the next event or timer, and has it dealt with.
+
+use super::{Courier, End};
+use crate::node::handover::Successor;
+use crate::node::journal::Scrubbed;
+use crate::node::log::say;
+use crate::node::news::News;
+use crate::node::register::Change;
+use std::future::pending;
+use std::time::Duration;
+use tokio::sync::mpsc::{Receiver, UnboundedReceiver};
+use tokio::task::yield_now;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// A turn that is late by more was held up, and first lets others read what came meanwhile.
+const STANDSTILL: Duration = Duration::from_millis(50);
+const CATCH_UP: Duration = Duration::from_millis(2);
+/// How long a successor waits for notices that are on their way.
+const NOTICES_TIME: Duration = Duration::from_millis(300);
+/// How often it is looked whether all is done, after SIGTERM and for a successor.
+const STOP_POLL: Duration = Duration::from_millis(20);
+const HANDOVER_POLL: Duration = Duration::from_millis(2);
+
+/// When the loop goes on though nothing comes.
+struct Timers {
+    /// The module's next turn.
+    turn: Option<Instant>,
+    commit: Option<Instant>,
+    stop: Option<Instant>,
+    handover: Option<Instant>,
+    scrub: Option<Instant>,
+}
+
+impl Timers {
+    /// Waits for the first of them, for good if there is none.
+    async fn first(&self) {
+        let timers = [self.turn, self.commit, self.stop, self.handover, self.scrub];
+        match timers.into_iter().flatten().min() {
+            Some(at) => sleep_until(at).await,
+            None => pending().await,
+        }
+    }
+}
+
+/// Whether a timer has run out.
+fn is_due(timer: Option<Instant>, now: Instant) -> bool {
+    timer.is_some_and(|at| at <= now)
+}
+
+impl Courier {
+    /// Runs until the courier has stopped, or may be handed over.
+    pub async fn run(&mut self, inbox: &mut Receiver<News>, changes: &mut UnboundedReceiver<Change>) -> End {
+        let mut last_turn: Option<Instant> = None;
+        // Also where the module need not ask: on sockets nobody sends the list unasked.
+        self.watch();
+        self.post();
+        self.scrub = self.config.options.store.scrub().map(|every| Instant::now() + every);
+        loop {
+            let timers = self.timers(last_turn);
+            tokio::select! {
+                biased;
+                Some(change) = changes.recv() => self.operated(change),
+                done = self.journal.done() => {
+                    self.committed(done);
+                    self.settle();
+                    self.post();
+                }
+                news = inbox.recv() => {
+                    let Some(news) = news else { return End::Stopped };
+                    self.hear(news);
+                    self.hear_waiting(inbox);
+                    self.settle();
+                    self.post();
+                }
+                () = timers.first() => self.run_timers(&timers, inbox, &mut last_turn).await,
+            }
+            if self.stopped() {
+                self.finish().await;
+                return End::Stopped;
+            }
+            if let Some(successor) = self.ready_successor() {
+                return End::Asked(successor);
+            }
+        }
+    }
+
+    fn timers(&self, last_turn: Option<Instant>) -> Timers {
+        let tick = self.config.settings.tick;
+        let wake = self.wake.map(|(at, _)| at);
+        let turn = if self.events.is_empty() { wake } else { Some(Instant::now()) };
+        Timers {
+            turn: turn.map(|at| last_turn.map_or(at, |last| at.max(last + tick))),
+            commit: self.commit_due(),
+            stop: self.stopping.map(|_| Instant::now() + STOP_POLL),
+            handover: self.successor.as_ref().map(|_| Instant::now() + HANDOVER_POLL),
+            scrub: self.scrub,
+        }
+    }
+
+    /// Does what is due by now.
+    async fn run_timers(
+        &mut self,
+        timers: &Timers,
+        inbox: &mut Receiver<News>,
+        last_turn: &mut Option<Instant>,
+    ) {
+        let now = Instant::now();
+        if is_due(timers.commit, now) {
+            self.settle();
+            self.post();
+        }
+        if is_due(self.scrub, now) {
+            self.scrub(now);
+        }
+        if is_due(timers.turn, now) {
+            self.catch_up(now, inbox).await;
+            *last_turn = Some(now);
+            self.turn(now);
+            self.post();
+        }
+    }
+
+    /// After a standstill answers may be there that nobody has read yet. They come first: a message must not be
+    /// given up for want of one.
+    async fn catch_up(&mut self, now: Instant, inbox: &mut Receiver<News>) {
+        if self.wake.is_none_or(|(at, _)| at + STANDSTILL >= now) {
+            return;
+        }
+        sleep(CATCH_UP).await;
+        // Whoever was woken together with this has its turn first.
+        yield_now().await;
+        self.hear_waiting(inbox);
+    }
+
+    /// The successor, once nothing is in judgement. Notices that are not acknowledged soon go out again from
+    /// there, which does no harm.
+    fn ready_successor(&mut self) -> Option<Successor> {
+        let (_, since) = self.successor.as_ref()?;
+        let told = self.notices.is_empty() && self.posts == 0;
+        let judged = self.offers.is_empty() && self.events.is_empty() && self.standing.pending_offers() == 0;
+        let kept = self.dues.is_empty() || self.dues.failed();
+        let due = judged && kept && (told || since.elapsed() > NOTICES_TIME);
+        self.successor.take_if(|_| due).map(|(successor, _)| successor)
+    }
+
+    /// Has the next segment of the journal read again, beside the loop: the disk may take its time.
+    fn scrub(&mut self, now: Instant) {
+        self.scrub = self.config.options.store.scrub().map(|every| now + every);
+        if let Some(scrub) = self.journal.scrub() {
+            let news = self.news.clone();
+            tokio::task::spawn_local(async move {
+                if let Ok(scrubbed) = tokio::task::spawn_blocking(|| scrub.run()).await {
+                    let _ = news.send(News::Scrubbed(scrubbed)).await;
+                }
+            });
+        }
+    }
+
+    fn scrubbed(&mut self, scrubbed: &Scrubbed) {
+        if let (true, Some(damage)) = (self.journal.scrubbed(scrubbed), &scrubbed.damage) {
+            say!("journal: damaged: {damage}; what lives of it is written anew from memory");
+        }
+    }
+
+    /// Hears all that waits.
+    fn hear_waiting(&mut self, inbox: &mut Receiver<News>) {
+        while let Ok(news) = inbox.try_recv() {
+            self.hear(news);
+        }
+    }
+
+    fn hear(&mut self, news: News) {
+        match news {
+            News::Offered(offer) => self.offered(offer),
+            News::Called { message, attempt, endpoint, end } => {
+                self.call_ended(message, attempt, endpoint, end);
+            }
+            News::Probed { endpoint, sent, end } => self.probed(endpoint, sent, end),
+            News::Listed(list) => {
+                (self.listed, self.seq) = (true, Some(list.seq));
+                say!("list {}: {}", list.seq, list);
+                self.apply_list(list);
+            }
+            News::Told(messages) => self.told(messages),
+            News::Moved(discovery) => self.move_discovery(discovery),
+            News::Scrubbed(scrubbed) => self.scrubbed(&scrubbed),
+            News::Successor(successor) => {
+                // One at a time: another asks again.
+                if self.successor.is_none() {
+                    self.standing.hold();
+                    self.successor = Some((successor, Instant::now()));
+                }
+            }
+            News::Stop => {
+                self.standing.stop();
+                self.stopping.get_or_insert(Instant::now());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/courier/stopping.rs
@@ -0,0 +1,54 @@
+//! What is still done after SIGTERM, and when all of it is done.
+
+use super::Courier;
+use crate::node::log::say;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// After SIGTERM: how long new attempts are begun, and when it ends whatever is still out. SIGKILL comes
+/// no sooner than 3.7 s after it.
+const STOP_SENDING: Duration = Duration::from_millis(2200);
+pub(in crate::node) const STOP_ALL: Duration = Duration::from_millis(3300);
+/// For so long after SIGTERM new connections go on coming.
+pub(in crate::node) const STOP_LISTENING: Duration = Duration::from_millis(700);
+/// When clients that have not handed in a whole request after SIGTERM are told that nobody waits for it any more:
+/// in time for all of them to hear it before the process ends.
+pub(in crate::node) const STOP_CLOSING: Duration = Duration::from_millis(2900);
+
+impl Courier {
+    /// Whether no call is begun any more, as this process would end before its answer.
+    pub(super) fn begins_no_call(&self, now: Instant) -> bool {
+        self.stopping.is_some_and(|at| now >= at + STOP_SENDING)
+    }
+
+    /// Whether all is done that can be done after SIGTERM.
+    pub(super) fn stopped(&mut self) -> bool {
+        let Some(since) = self.stopping else { return false };
+        let since = since.elapsed();
+        let told = self.notices.is_empty() && self.posts == 0;
+        let closed = !self.standing.listening.get() && self.standing.open.borrow().is_empty();
+        let quiet = closed && self.offers.is_empty();
+        let calls = self.held.values().any(|m| matches!(m.out, Some((_, Some(_)))));
+        let idle = self.held.is_empty() || since >= STOP_SENDING;
+        since >= STOP_ALL || (quiet && told && idle && !calls && self.dues.is_empty())
+    }
+
+    /// Brings the last records to disk.
+    pub(super) async fn finish(&mut self) {
+        self.record_unsent();
+        self.settle_whole().await;
+        say!("journal: {} commits, {} syncs in this life", self.journal.commits, self.journal.syncs);
+    }
+
+    /// At the end: what still waits for its connection has not run, whatever the record of its attempt says, and the
+    /// next process may send it.
+    fn record_unsent(&mut self) {
+        for (message, m) in &self.held {
+            let Some((_, leave)) = m.leave.as_ref().filter(|(_, leave)| !leave.has_begun()) else { continue };
+            leave.recall();
+            if m.out.is_some() && m.attempts > 0 {
+                self.journal.never_ran(*message, m.attempts - 1);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/courier/turn.rs
@@ -0,0 +1,81 @@
+//! One turn of the decision module: what happened goes in, and what it asks for is carried out.
+
+use super::Courier;
+use super::attempts::Send;
+use crate::interface::{Action, Event};
+use crate::node::commit::Due;
+use crate::node::journal::Verdict;
+use crate::node::log::say;
+use crate::node::outcomes::Notice;
+use std::collections::HashMap;
+use tokio::time::Instant;
+
+/// What a turn decides about messages, to be carried out in this order once all its actions are read.
+#[derive(Default)]
+struct Decisions {
+    refused: HashMap<u64, Verdict>,
+    sends: Vec<Send>,
+    cancels: Vec<u64>,
+}
+
+impl Courier {
+    /// One batch: what happened goes in, and what the module asks for is carried out.
+    pub(super) fn turn(&mut self, now: Instant) {
+        if let Some((_, token)) = self.wake.take_if(|(at, _)| *at <= now) {
+            self.events.push(Event::Woken { token });
+        }
+        self.drop_deserted();
+        let events = std::mem::take(&mut self.events);
+        let mut actions = Vec::new();
+        self.brain.handle(now.duration_since(self.origin), &events, &mut actions);
+        let mut decisions = Decisions::default();
+        for action in actions {
+            self.act(action, now, &mut decisions);
+        }
+        let Decisions { mut refused, sends, cancels } = decisions;
+        self.take_on(&mut refused);
+        for (message, verdict) in refused {
+            self.judge(message, verdict);
+        }
+        self.send(sends, now);
+        self.cancel(cancels);
+    }
+
+    /// Carries out an action, but for those about messages, which are gathered.
+    fn act(&mut self, action: Action, now: Instant, decisions: &mut Decisions) {
+        match action {
+            Action::Send { message, endpoint, timeout } => {
+                decisions.sends.push(Send { message: message.0, endpoint, timeout });
+            }
+            Action::Refuse { message, wait } => {
+                decisions.refused.insert(message.0, Verdict::Bounced { wait });
+            }
+            Action::Fail { message } => {
+                decisions.refused.insert(message.0, Verdict::Dead);
+            }
+            Action::Cancel { message, .. } => decisions.cancels.push(message.0),
+            Action::Probe { endpoint } => self.probe(endpoint),
+            Action::Close { endpoint } => self.calls.close(endpoint),
+            Action::Subscribe { active: true } | Action::Fetch => self.watch(),
+            Action::Subscribe { active: false } | Action::Tell { .. } => {}
+            Action::Wake { token, after } => self.wake = Some((now + after, token)),
+            Action::Forget { endpoint } => self.forget(endpoint),
+            Action::Note { text } => say!("note: {text}"),
+        }
+    }
+
+    /// The module has ended a message undelivered: on record first, then told.
+    fn judge(&mut self, message: u64, verdict: Verdict) {
+        let Some(m) = self.held.get(&message) else { return };
+        if self.journal.get(message).is_none_or(|m| m.verdict.is_some()) {
+            return;
+        }
+        let (id, until) = (m.letter.id.clone(), m.letter.until);
+        say!("{id} given up: {verdict:?}");
+        if m.out.is_none() {
+            self.held.remove(&message);
+        }
+        self.journal.judge(message, verdict);
+        self.dues.push(Due::Notice(Notice { message, id, verdict }, until));
+    }
+}
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -4,7 +4,7 @@
 use super::calls::{CallEnd, Leave};
 use super::channel::{self, Client, Ear, Ended, Known, Mouth, Out, State, Word};
 use super::courier::{Courier, End, Endpoint, Held, STOP_ALL, STOP_LISTENING};
-use super::intake::{Intake, Passed, Reply};
+use super::intake::{Intake, PassedConnection, Reply};
 use super::journal::unix;
 use super::log::say;
 use super::news::News;
@@ -243,7 +243,7 @@
         self.destinations = state.destinations.into_iter().collect();
         (self.seq, self.listed) = (state.list, state.list.is_some());
         self.next = self.next.max(state.last + 1);
-        self.know();
+        self.publish_hosts();
         let now = Instant::now();
         let mut out: HashMap<u64, Out> = state.out.into_iter().map(|o| (o.message, o)).collect();
         let live: Vec<_> = self.journal.live().map(|(n, m)| (n, m.clone())).collect();
@@ -326,7 +326,7 @@
         mut self,
         mut to: Successor,
         mut inbox: Receiver<News>,
-        mut clients: UnboundedReceiver<Passed>,
+        mut clients: UnboundedReceiver<PassedConnection>,
         mut forwards: UnboundedReceiver<Forward>,
     ) -> End {
         self.leave_watch();
@@ -335,8 +335,8 @@
         loop {
             let word = tokio::select! {
                 biased;
-                Some(Passed { descriptor, heard, age, served }) = clients.recv() => {
-                    let client = Word::Client(Client { heard, age, served });
+                Some(PassedConnection { descriptor, received, age, served }) = clients.recv() => {
+                    let client = Word::Client(Client { heard: received, age, served });
                     // A successor that is gone is heard below.
                     let _ = to.mouth.say(&client, Some(descriptor)).await;
                     None
@@ -410,12 +410,3 @@
         }
     }
 }
-
-impl Held {
-    /// Calls off the call that is out.
-    fn cancel(&mut self) {
-        if let Some(cancel) = self.out.as_mut().and_then(|(_, cancel)| cancel.take()) {
-            let _ = cancel.send(());
-        }
-    }
-}
--- /dev/null
+++ b/src/node/intake/requests.rs
@@ -0,0 +1,153 @@
+//! Answers one request: a probe of readiness, or a message that is read whole and offered to the courier.
+
+use super::Intake;
+use super::connection::{Connection, Stage};
+use super::guards::{BodyReservation, PendingOffer};
+use super::limits::{BODY_DRAINED, BODY_MOST, UNREAD_GRACE};
+use super::message::ReadMessage;
+use super::offer::{Answer, Offer, Reply};
+use super::response::{closing, plain, respond};
+use crate::node::news::News;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// How long the courier may take to hear of an offer; well under the time for which a client waits.
+const OFFER_TIMEOUT: Duration = Duration::from_millis(300);
+
+const TOO_LARGE: &str = "over 64 KiB\n";
+
+impl Intake {
+    /// Answers a request; where clients are to go elsewhere, the connection closes behind the answer.
+    pub(super) async fn handle(
+        &self,
+        request: Request<Incoming>,
+        connection: &Connection,
+    ) -> Response<Full<Bytes>> {
+        let mut answer = match (request.method(), request.uri().path()) {
+            (&Method::GET, "/-/ready") => match self.standing.ready.get() && !self.standing.sends_away() {
+                true => plain(StatusCode::OK, "ready\n"),
+                false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            },
+            (&Method::POST, _) => self.take(request, connection).await,
+            _ => plain(StatusCode::NOT_FOUND, "no such page\n"),
+        };
+        if self.standing.sends_away() {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        answer
+    }
+
+    /// Takes a message in.
+    async fn take(&self, request: Request<Incoming>, connection: &Connection) -> Response<Full<Bytes>> {
+        let (parts, body) = request.into_parts();
+        let length = match declared_length(&body, connection) {
+            Ok(length) => length,
+            Err((status, why)) => return closing(status, why),
+        };
+        // Many large bodies at once must not take the memory: together they have a fixed room.
+        let kept = if length > BODY_MOST as u64 { 0 } else { length as usize };
+        let Some(_reservation) = BodyReservation::take(&self.standing, kept, self.bodies) else {
+            return respond(Reply::Unavailable);
+        };
+        // Read even if the head is at fault, so that the connection can go on.
+        let body = match receive(body, connection).await {
+            Ok(body) => body,
+            Err(fault) => return fault.response(),
+        };
+        // Once more: what is behind the body may have come with it.
+        if let Some((status, why)) = connection.framing.borrow().fault(Some(length)) {
+            return closing(status, why);
+        }
+        let at = Instant::now();
+        match self.read_message(parts.uri.path(), &parts.headers, body) {
+            Ok(message) => self.offer(message, at, connection).await,
+            Err(why) => plain(StatusCode::BAD_REQUEST, why),
+        }
+    }
+
+    /// Offers a message, which was whole at `at`, to the courier and waits for its reply.
+    async fn offer(
+        &self,
+        message: ReadMessage,
+        at: Instant,
+        connection: &Connection,
+    ) -> Response<Full<Bytes>> {
+        connection.enter(Stage::Received);
+        // While a successor is being let in; most often it is there that this is read again.
+        self.standing.until_released().await;
+        connection.enter(Stage::Offered);
+        let _pending = PendingOffer::new(&self.standing);
+        let (reply, answered) = Answer::new();
+        let ReadMessage { letter, class, tenant, time_left } = message;
+        let offer = Offer { letter: Rc::new(letter), class, tenant, time_left, at, reply };
+        let reply = match timeout(OFFER_TIMEOUT, self.news.send(News::Offered(offer))).await {
+            Ok(Ok(())) => answered.await.unwrap_or(Reply::Unavailable),
+            _ => Reply::Unavailable,
+        };
+        respond(reply)
+    }
+}
+
+/// The length that a request's head gives for its body. An error costs its connection.
+fn declared_length(body: &Incoming, connection: &Connection) -> Result<u64, (StatusCode, &'static str)> {
+    let length = body.size_hint().exact();
+    if let Some(fault) = connection.framing.borrow().fault(length) {
+        return Err(fault);
+    }
+    let length = length.unwrap_or_default();
+    if length > BODY_DRAINED as u64 {
+        return Err((StatusCode::PAYLOAD_TOO_LARGE, TOO_LARGE));
+    }
+    Ok(length)
+}
+
+/// Why there is no body.
+enum BodyFault {
+    TooLarge,
+    Broken,
+    Late,
+}
+
+impl BodyFault {
+    fn response(&self) -> Response<Full<Bytes>> {
+        match self {
+            BodyFault::TooLarge => plain(StatusCode::PAYLOAD_TOO_LARGE, TOO_LARGE),
+            BodyFault::Broken => closing(StatusCode::BAD_REQUEST, "the body broke off\n"),
+            BodyFault::Late => closing(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"),
+        }
+    }
+}
+
+/// Reads a body within the request's time; bytes that wait unread then are read for a short while yet.
+async fn receive(body: Incoming, connection: &Connection) -> Result<Bytes, BodyFault> {
+    let mut body = pin!(read(body));
+    let mut come = timeout_at(connection.request_due(), &mut body).await;
+    if come.is_err() && !connection.nothing_unread() {
+        come = timeout(UNREAD_GRACE, &mut body).await;
+    }
+    come.unwrap_or(Err(BodyFault::Late))
+}
+
+async fn read(mut body: Incoming) -> Result<Bytes, BodyFault> {
+    let (mut kept, mut seen) = (Vec::new(), 0);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| BodyFault::Broken)?.into_data() else { continue };
+        seen += data.len();
+        if seen > BODY_DRAINED {
+            break;
+        }
+        if seen <= BODY_MOST {
+            kept.extend_from_slice(&data);
+        } else {
+            kept = Vec::new();
+        }
+    }
+    if seen > BODY_MOST { Err(BodyFault::TooLarge) } else { Ok(kept.into()) }
+}
