Answer callers of the control interface that close their sending side

A caller that closes its sending side after a call waits for its answer; it was dropped there, and the change left without one.

--- a/crates/controller/src/controller/http.rs
+++ b/crates/controller/src/controller/http.rs
@@ -42,6 +42,7 @@
     let service = service_fn(|request| handle(request, events.clone()));
     let served = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
+        .half_close(true)
         .header_read_timeout(READ_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service)
         .await;
