--- a/crates/controller/src/controller/fault.rs
+++ b/crates/controller/src/controller/fault.rs
@@ -52,6 +52,49 @@
 }
 
 impl ControllerFault {
+    /// Every mistake, those of the parts included.
+    #[must_use]
+    pub fn all() -> Vec<ControllerFault> {
+        use ControllerFault as Own;
+        use register::Fault;
+        let registers = [
+            Fault::ReplyBeforePersist,
+            Fault::VoteAfterWipe,
+            Fault::RecoverFromOne,
+            Fault::IgnoreIncarnations,
+            Fault::ReuseBallot,
+            Fault::NewGroupOnly,
+            Fault::IgnoreAccepted,
+            Fault::ReadLocally,
+            Fault::ReadUndecided,
+            Fault::AcceptBelowPromise,
+            Fault::SmallMajority,
+            Fault::ProposeTwice,
+        ];
+        let contact = [
+            ContactFault::AgeFromReceipt,
+            ContactFault::SmallMajority,
+            ContactFault::HeardCounts,
+            ContactFault::StaleClock,
+            ContactFault::NewGroupOnly,
+            ContactFault::AnyLife,
+        ];
+        let own = [
+            Own::ReadLocally,
+            Own::AcknowledgeProposed,
+            Own::AcknowledgeDrainAlone,
+            Own::KeepRemovalsFromAgents,
+            Own::OrderWithoutLease,
+            Own::SkipQuietPeriod,
+            Own::KeepEpoch,
+            Own::GiveUpEpoch,
+            Own::ForgetMembers,
+            Own::AlwaysCurrent,
+        ];
+        let parts = registers.map(Own::Register).into_iter().chain(contact.map(Own::Contact));
+        own.into_iter().chain(parts).collect()
+    }
+
     /// The mistake that the registers make.
     pub(super) fn of_register(self) -> Option<register::Fault> {
         match self {
--- a/crates/controller/src/simulation/checks.rs
+++ b/crates/controller/src/simulation/checks.rs
@@ -115,6 +115,7 @@
             .controllers
             .iter()
             .filter(|machine| machine.is_awake() && !machine.is_ending())
+            .filter(|machine| !self.network.is_refusing(Place::Controller(machine.index)))
             .map(|machine| machine.index)
             .collect();
         let reaches = |from: usize, to: usize| {
