--- a/crates/lanegate/tests/signals.rs
+++ b/crates/lanegate/tests/signals.rs
@@ -10,6 +10,7 @@
 
 /// Ports of one process, and its settings file.
 struct Place {
+    frontend: u16,
     readiness: u16,
     control: u16,
     links: u16,
@@ -33,7 +34,7 @@
          ControlPlane: '127.0.0.1:{control}'}}\n",
         data.display()
     );
-    Place { readiness, control, links, settings: file(&format!("{name}.yaml"), &text) }
+    Place { frontend, readiness, control, links, settings: file(&format!("{name}.yaml"), &text) }
 }
 
 fn start(command: &str, place: &Place) -> Child {
@@ -87,6 +88,24 @@
     assert_ended_well(&terminate(child));
 }
 
+#[test]
+fn a_router_stays_at_sighup_and_answers_the_request_that_was_on_its_way() {
+    let place = place("signals-router-hup");
+    let mut child = start("router", &place);
+    call(place.readiness, "/readyz", &mut child);
+    let mut client = connect(place.frontend, &mut child);
+    client
+        .write_all(b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbo")
+        .unwrap();
+    send("-HUP", &child);
+    call(place.readiness, "/readyz", &mut child);
+    client.write_all(b"dy").unwrap();
+    let mut answer = String::new();
+    client.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503 "), "it knows no configuration yet: {answer}");
+    assert_ended_well(&terminate(child));
+}
+
 #[test]
 fn an_agent_ends_well_at_sigterm_and_stays_at_sighup() {
     let place = place("signals-agent");
