--- a/crates/coordination/src/register/mod.rs
+++ b/crates/coordination/src/register/mod.rs
@@ -92,6 +92,7 @@
 mod event;
 mod members;
 mod message;
+mod news;
 mod node;
 mod proposer;
 mod quorum;
--- a/crates/coordination/src/register/replica.rs
+++ b/crates/coordination/src/register/replica.rs
@@ -9,6 +9,7 @@
 use super::core::{Core, Proposal, earlier};
 use super::event::{Applied, Input, Output, StateMachine, Status};
 use super::message::Message;
+use super::news::News;
 use super::node::Node;
 use super::proposer::Proposer;
 use super::reader::Reader;
@@ -17,9 +18,6 @@
 use super::settings::{Fault, Settings};
 use super::value::{Carried, Value};
 
-/// A replica that is no member is told of no decision, so it asks for news so many times as often as a member.
-const SPARE_EAGERNESS: u32 = 4;
-
 /// A change of members that its proposer leaves unfinished is ended by others after so many retry intervals.
 const COMPLETION_RETRIES: u32 = 5;
 
@@ -33,9 +31,7 @@
     reader: Reader,
     catch_up: CatchUp,
     contacts: Vec<Node>,
-    announce_at: Duration,
-    /// Whom it asked for news last.
-    asked_last: Node,
+    news: News,
     complete_at: Option<Duration>,
 }
 
@@ -53,21 +49,20 @@
         nonce: u64,
     ) -> Self {
         let contacts = settings.seeds.clone();
-        let asked_last = settings.node;
+        let core = Core::new(settings, machine.into(), nonce, now);
         let mut replica = Self {
-            core: Core::new(settings, machine.into(), nonce, now),
+            news: News::new(&core),
+            core,
             acceptor: None,
             recovery: None,
             proposer: Proposer::default(),
             reader: Reader::default(),
             catch_up: CatchUp::default(),
             contacts,
-            announce_at: now,
-            asked_last,
             complete_at: None,
         };
         replica.begin(stored);
-        replica.schedule_announcement();
+        replica.schedule_news();
         replica.settle();
         replica
     }
@@ -142,7 +137,8 @@
         let recovery = self.recovery.as_ref().map(Recovery::next_wake);
         let acceptor = self.acceptor.as_ref().and_then(Acceptor::next_wake);
         let work = earlier(self.proposer.next_wake(), self.reader.next_wake());
-        let timers = earlier(earlier(Some(self.announce_at), self.complete_at), self.catch_up.next_wake());
+        let timers =
+            earlier(earlier(Some(self.news.next_wake()), self.complete_at), self.catch_up.next_wake());
         earlier(earlier(recovery, acceptor), earlier(work, timers))
     }
 
@@ -372,8 +368,8 @@
         self.catch_up.on_tick(&mut self.core);
         self.reader.on_tick(&mut self.core, &mut self.proposer);
         self.proposer.on_tick(&mut self.core);
-        if self.announce_at <= self.core.now {
-            self.announce();
+        if self.news.next_wake() <= self.core.now {
+            self.ask_for_news();
         }
         if self.complete_at.is_some_and(|at| at <= self.core.now) {
             self.complete_at = None;
@@ -381,28 +377,20 @@
         }
     }
 
-    /// Asks one other replica whether it knows a newer decided value; all others take turns.
-    fn announce(&mut self) {
-        self.schedule_announcement();
+    /// Asks one other replica whether it knows a newer decided value.
+    fn ask_for_news(&mut self) {
+        self.schedule_news();
         if self.recovery.is_some() {
             return;
         }
         let mut others = self.known().map(|known| known.value.members()).unwrap_or_default();
         others.extend(self.contacts.iter().copied());
-        others.retain(|node| *node != self.core.node());
-        let next = others.iter().filter(|node| **node > self.asked_last).min().or(others.iter().min());
-        if let Some(node) = next.copied() {
-            self.asked_last = node;
-            self.core.send(node, self.core.inquiry());
-        }
+        self.news.ask(&mut self.core, others);
     }
 
-    /// Announcements of different replicas are spread by chance.
-    fn schedule_announcement(&mut self) {
-        let eagerness = if self.status() == Status::Spare { SPARE_EAGERNESS } else { 1 };
-        let interval = self.core.settings.announce_interval / eagerness;
-        let half = interval / 2;
-        self.announce_at = self.core.now + half + self.core.up_to(interval);
+    fn schedule_news(&mut self) {
+        let is_spare = self.status() == Status::Spare;
+        self.news.schedule(&mut self.core, is_spare);
     }
 
     /// A joint value that stays in force is ended by whoever knows it.
