--- /dev/null
+++ b/crates/coordination/tests/modelled_register/mod.rs
@@ -0,0 +1,305 @@
+//! Replicas of a register as a model of a model checker: states, steps and rules.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+
+use lanegate_coordination::register::{
+    Applied, Ballot, Carried, Fault, Input, Message, Node, Outcome, Output, Record, Replica, Settings,
+    StateMachine, Value,
+};
+use stateright::{Model, Property};
+
+const FOUNDERS: usize = 3;
+const REPLICAS: usize = 4;
+const PROPOSERS: [usize; 2] = [2, 3];
+pub const A: usize = 0;
+pub const B: usize = 1;
+const D: usize = 3;
+
+struct Append;
+
+impl StateMachine for Append {
+    fn apply(&self, current: &[u8], command: &[u8]) -> Applied {
+        Applied::Changed { state: [current, command].concat(), answer: Vec::new() }
+    }
+}
+
+fn node(index: usize) -> Node {
+    Node { ip: index as u32, port: 1 }
+}
+
+fn founders() -> Vec<Node> {
+    (0..FOUNDERS).map(node).collect()
+}
+
+/// A message on its way; its bytes order and compare it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Envelope {
+    from: usize,
+    to: usize,
+    bytes: Vec<u8>,
+}
+
+/// What a founder suffers that proposes nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trouble {
+    Wipe(usize),
+    Restart(usize),
+}
+
+impl Trouble {
+    fn victim(self) -> usize {
+        match self {
+            Trouble::Wipe(victim) | Trouble::Restart(victim) => victim,
+        }
+    }
+}
+
+/// What the first proposer asks for; the second one always asks for a command.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    Command,
+    /// `a` leaves.
+    Leave,
+    /// `d` takes the place of `a`.
+    Replace,
+}
+
+impl Change {
+    fn input(self, proposer: usize) -> Input {
+        let (request, deadline) = (proposer as u64, Duration::MAX);
+        let members = |add| Input::ProposeMembers { request, remove: vec![node(A)], add, deadline };
+        match self {
+            Change::Command => Input::Propose { request, command: vec![letter(proposer)], deadline },
+            Change::Leave => members(Vec::new()),
+            Change::Replace => members(vec![node(D)]),
+        }
+    }
+}
+
+/// The command of a proposer.
+fn letter(proposer: usize) -> u8 {
+    b'a' + proposer as u8
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    Deliver(Envelope),
+    Propose(usize),
+    Trouble,
+}
+
+#[derive(Clone)]
+pub struct State {
+    replicas: Vec<Arc<Replica>>,
+    disks: Vec<Option<Record>>,
+    network: BTreeSet<Envelope>,
+    proposed: Vec<usize>,
+    /// Proposers of changes that were acknowledged, and the revisions they were told.
+    acknowledged: BTreeMap<usize, u64>,
+    /// Troubles so far.
+    troubles: usize,
+    values: BTreeMap<u64, Vec<u8>>,
+    /// Members of the newest decided value.
+    members: Vec<Node>,
+    broken: bool,
+}
+
+impl fmt::Debug for State {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "values {:?}, acknowledged {:?}", self.values, self.acknowledged)
+    }
+}
+
+impl Hash for State {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        for replica in &self.replicas {
+            replica.hash(hasher);
+        }
+        (&self.network, &self.proposed, &self.acknowledged, self.troubles).hash(hasher);
+        (&self.values, &self.members, self.broken).hash(hasher);
+    }
+}
+
+fn fingerprint(value: &impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+impl PartialEq for State {
+    fn eq(&self, other: &Self) -> bool {
+        fingerprint(self) == fingerprint(other)
+    }
+}
+
+impl State {
+    fn input(&mut self, index: usize, input: Input) {
+        Arc::make_mut(&mut self.replicas[index]).handle(Duration::ZERO, input);
+        self.flush(index);
+    }
+
+    /// Everything arrives: `d` registers with the founders and is able to vote.
+    fn deliver_all(&mut self) {
+        while let Some(Envelope { from, to, bytes }) = self.network.pop_first() {
+            let message = Message::decode(&bytes).unwrap();
+            self.input(to, Input::Message { from: node(from), message });
+        }
+    }
+
+    fn flush(&mut self, index: usize) {
+        while let Some(output) = Arc::make_mut(&mut self.replicas[index]).poll_output() {
+            match output {
+                Output::Send { to, message } => self.send(index, to.ip as usize, &message),
+                Output::Persist { token, record } => {
+                    self.disks[index] = Some(record);
+                    Arc::make_mut(&mut self.replicas[index])
+                        .handle(Duration::ZERO, Input::Persisted { token });
+                }
+                Output::Done { request, outcome: Outcome::Changed { revision, .. } } => {
+                    self.acknowledged.insert(request as usize, revision);
+                }
+                Output::Done { .. } => {}
+                Output::Learned { value } => self.learn(value),
+            }
+        }
+    }
+
+    /// Reads, refusals and news of decisions are left out: they change no vote.
+    fn send(&mut self, from: usize, to: usize, message: &Message) {
+        let reads = matches!(message, Message::Query { .. } | Message::State { .. });
+        let news = matches!(message, Message::Inquire { .. } | Message::Decided { .. });
+        let left_out = reads || news || matches!(message, Message::Refused { .. });
+        if !left_out {
+            self.network.insert(Envelope { from, to, bytes: message.encode().unwrap() });
+        }
+    }
+
+    /// One value for each revision, each built on the one before.
+    fn learn(&mut self, value: Value) {
+        let state = value.state.to_vec();
+        if self.values.last_key_value().is_none_or(|(newest, _)| *newest < value.revision) {
+            self.members = value.newest_group().to_vec();
+        }
+        let known = self.values.entry(value.revision).or_insert_with(|| state.clone());
+        let same = *known == state;
+        let built = self
+            .values
+            .values()
+            .zip(self.values.values().skip(1))
+            .all(|(first, next)| next.starts_with(first));
+        self.broken |= !same || !built;
+    }
+}
+
+#[derive(Debug, Clone)]
+pub struct Register {
+    pub change: Change,
+    /// One after the other, each at any time.
+    pub troubles: Vec<Trouble>,
+    pub fault: Option<Fault>,
+}
+
+impl Register {
+    fn replica(&self, index: usize, bootstrap: bool, stored: Option<Record>, nonce: u64) -> Replica {
+        let settings = Settings { bootstrap, fault: self.fault, ..Settings::new(node(index), founders()) };
+        Replica::new(settings, Box::new(Append), stored, Duration::ZERO, nonce)
+    }
+}
+
+impl Model for Register {
+    type State = State;
+    type Action = Action;
+
+    fn init_states(&self) -> Vec<State> {
+        let replicas = (0..REPLICAS).map(|index| Arc::new(self.replica(index, index < FOUNDERS, None, 1)));
+        let mut state = State {
+            replicas: replicas.collect(),
+            disks: vec![None; REPLICAS],
+            network: BTreeSet::new(),
+            proposed: Vec::new(),
+            acknowledged: BTreeMap::new(),
+            troubles: 0,
+            values: BTreeMap::new(),
+            members: founders(),
+            broken: false,
+        };
+        (0..REPLICAS).for_each(|index| state.flush(index));
+        let value = Carried::Full(Value::initial(founders(), bytes::Bytes::new()));
+        let message = Message::Decided { ballot: Ballot::ZERO, value };
+        state.input(FOUNDERS, Input::Message { from: node(1), message });
+        state.deliver_all();
+        vec![state]
+    }
+
+    fn actions(&self, state: &State, actions: &mut Vec<Action>) {
+        actions.extend(state.network.iter().cloned().map(Action::Deliver));
+        let idle = PROPOSERS.into_iter().filter(|index| !state.proposed.contains(index));
+        actions.extend(idle.map(Action::Propose));
+        if state.troubles < self.troubles.len() {
+            actions.push(Action::Trouble);
+        }
+    }
+
+    fn next_state(&self, last: &State, action: Action) -> Option<State> {
+        let mut state = last.clone();
+        match action {
+            Action::Deliver(envelope) => {
+                state.network.remove(&envelope);
+                let Envelope { from, to, bytes } = envelope;
+                let before = (fingerprint(&last.replicas[to]), last.network.len());
+                let message = Message::decode(&bytes).unwrap();
+                state.input(to, Input::Message { from: node(from), message });
+                // What has no effect is the same as a message lost.
+                let after = (fingerprint(&state.replicas[to]), state.network.len() + 1);
+                (before != after).then_some(state)
+            }
+            Action::Propose(index) => {
+                state.proposed.push(index);
+                state.proposed.sort_unstable();
+                let change = if index == PROPOSERS[0] { self.change } else { Change::Command };
+                state.input(index, change.input(index));
+                Some(state)
+            }
+            Action::Trouble => {
+                let trouble = self.troubles[state.troubles];
+                state.troubles += 1;
+                let victim = trouble.victim();
+                let stored = state.disks[victim].take().filter(|_| matches!(trouble, Trouble::Restart(_)));
+                state.disks[victim].clone_from(&stored);
+                let nonce = 1 + state.troubles as u64;
+                state.replicas[victim] = Arc::new(self.replica(victim, false, stored, nonce));
+                state.flush(victim);
+                Some(state)
+            }
+        }
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("one value for each revision", |_, state: &State| !state.broken),
+            Property::always("an acknowledged change is there", |model: &Register, state: &State| {
+                state.acknowledged.iter().all(|(proposer, revision)| {
+                    let is_command = *proposer != PROPOSERS[0] || model.change == Change::Command;
+                    !is_command
+                        || state.values.get(revision).is_some_and(|v| v.last() == Some(&letter(*proposer)))
+                })
+            }),
+            Property::sometimes("both changes are acknowledged", |_, state: &State| {
+                state.acknowledged.len() == PROPOSERS.len()
+            }),
+            Property::sometimes("the members are as asked for", |model: &Register, state: &State| {
+                let a_is_member = state.members.contains(&node(A));
+                let d_is_member = state.members.contains(&node(D));
+                match model.change {
+                    Change::Command => true,
+                    Change::Leave => !a_is_member && state.members.len() == FOUNDERS - 1,
+                    Change::Replace => !a_is_member && d_is_member && state.members.len() == FOUNDERS,
+                }
+            }),
+        ]
+    }
+}
