Send no order later than its lease allowed, and let the kernel give it up in time

An order was allowed by a reading of the clock in the controller's turn, and its time to connect began with its own task: a process that stood still in between sent it whenever it woke. And what a link had swallowed was sent again by the kernel for up to a second, so that it could arrive 1.5 s after the lease's last act, with the next holder's first order 1.7 s later instead of LeaseMs. It carries the time by which it must be sent from the reading that allowed it, and its connection gives up undelivered bytes after 180 ms, below the shortest retransmission timeout; the lease sets 300 ms aside for both (before: 200 ms for one).

--- a/crates/controller/src/controller/environment.rs
+++ b/crates/controller/src/controller/environment.rs
@@ -23,8 +23,9 @@
     /// Writes a record of `shard`; the end of it comes as an event with `token`.
     fn persist(&mut self, shard: u8, token: u64, record: Record);
 
-    /// Calls an endpoint on behalf of `owner`, whose tenure has the epoch `epoch`.
-    fn carry_out(&mut self, action: ServiceAction, owner: &str, epoch: u64);
+    /// Calls an endpoint on behalf of `owner`, whose tenure has the epoch `epoch`. An order that has not begun
+    /// to be sent at `send_by` (a reading of [`Environment::now`]) is not sent.
+    fn carry_out(&mut self, action: ServiceAction, owner: &str, epoch: u64, send_by: Duration);
 
     /// Reads the settings file again.
     fn read_settings(&mut self) -> Result<Settings, SettingsError>;
--- a/crates/controller/src/controller/orders.rs
+++ b/crates/controller/src/controller/orders.rs
@@ -14,18 +14,23 @@
 use hyper_util::rt::TokioIo;
 use lanegate_placement::{EndpointReport, Operation, Order, OrderAnswer};
 use serde::Serialize;
+use socket2::SockRef;
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 
-/// Longest time in which an order reaches its endpoint, once it may be sent.
-pub const ORDER_WIRE_TIME: Duration = Duration::from_millis(200);
-/// Longest wait for the connection that carries an order; with the sending it stays within
-/// [`ORDER_WIRE_TIME`].
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+/// Longest time in which an order reaches its endpoint, once it may be sent: until it is sent, and on its way.
+pub const ORDER_WIRE_TIME: Duration = Duration::from_millis(300);
+/// Longest wait for the connection that carries an order.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+/// How long the kernel tries to deliver an order. Below its shortest retransmission timeout, so that what the
+/// link has swallowed is given up then and not delivered when the link heals, after the lease.
+const DELIVERY_TIMEOUT: Duration = Duration::from_millis(180);
+const _: () =
+    assert!(CONNECT_TIMEOUT.as_millis() + DELIVERY_TIMEOUT.as_millis() <= ORDER_WIRE_TIME.as_millis());
 /// Longest wait for an answer; the connection is reset after it.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -67,8 +72,8 @@
     body: Bytes,
 }
 
-/// Gives an order under the epoch `epoch`.
-pub async fn give(order: &Order, owner: &str, epoch: u64) -> OrderAnswer {
+/// Gives an order under the epoch `epoch`, unless it cannot be sent before `send_by`.
+pub async fn give(order: &Order, owner: &str, epoch: u64, send_by: Instant) -> OrderAnswer {
     let body = OrderBody {
         operation: order.operation,
         model: &order.model,
@@ -82,7 +87,7 @@
         .header("Content-Type", "application/json")
         .body(Full::new(Bytes::from(body)));
     let Ok(request) = request else { return OrderAnswer::Invalid };
-    match call(order.address, request).await {
+    match call(order.address, request, send_by).await {
         Ok(response) => order_answer(&response),
         Err(CallError::NotSent) => OrderAnswer::Unavailable,
         Err(CallError::Unanswered) => OrderAnswer::Unknown,
@@ -100,7 +105,7 @@
 /// Asks an endpoint for its report on itself; `None` where another incarnation answers.
 pub async fn ask_report(instance: &str, address: SocketAddr) -> Option<EndpointReport> {
     let request = addressed(Method::GET, "/report", address, instance).body(Full::new(Bytes::new())).ok()?;
-    let response = call(address, request).await.ok()?;
+    let response = call(address, request, Instant::now() + CONNECT_TIMEOUT).await.ok()?;
     let is_other = response.instance.is_some_and(|id| id.as_bytes() != instance.as_bytes());
     if response.status != StatusCode::OK || is_other {
         return None;
@@ -114,13 +119,18 @@
     request.header("Host", address.to_string()).header(EXPECT_INSTANCE, instance)
 }
 
-async fn call(address: SocketAddr, request: Request<Full<Bytes>>) -> Result<EndpointResponse, CallError> {
-    let send_by = Instant::now() + CONNECT_TIMEOUT;
-    let stream = timeout(CONNECT_TIMEOUT, dial(address)).await;
+async fn call(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    send_by: Instant,
+) -> Result<EndpointResponse, CallError> {
+    let stream = timeout_at(send_by, dial(address)).await;
     let stream = stream.map_err(|_| CallError::NotSent)?.map_err(|_| CallError::NotSent)?;
+    let limited = SockRef::from(&stream).set_tcp_user_timeout(Some(DELIVERY_TIMEOUT));
+    limited.map_err(|_| CallError::NotSent)?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, mut connection) = handshake.map_err(|_| CallError::NotSent)?;
-    // The process may have stood still while the connection came up.
+    // The process may have stood still since the order was allowed, or while the connection came up.
     if Instant::now() > send_by {
         return Err(CallError::NotSent);
     }
--- a/crates/controller/src/controller/orders_test.rs
+++ b/crates/controller/src/controller/orders_test.rs
@@ -7,7 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// Time in which something that must not happen would have happened.
 const A_WHILE: Duration = Duration::from_millis(60);
@@ -19,6 +19,11 @@
     }));
 }
 
+/// Long enough for a connection.
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(1)
+}
+
 async fn endpoint() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -60,7 +65,7 @@
         read_call(&mut stream).await;
         stream.write_all(bytes.as_bytes()).await.unwrap();
     });
-    give(&order(address, None), "core-1", 7).await
+    give(&order(address, None), "core-1", 7, soon()).await
 }
 
 #[test]
@@ -68,7 +73,8 @@
     play(async {
         for if_revision in [None, Some(3)] {
             let (listener, address) = endpoint().await;
-            let given = spawn_local(async move { give(&order(address, if_revision), "core-1", 7).await });
+            let given =
+                spawn_local(async move { give(&order(address, if_revision), "core-1", 7, soon()).await });
             let (mut stream, _) = listener.accept().await.unwrap();
             let (head, body) = read_call(&mut stream).await;
             assert!(head.starts_with("POST /order HTTP/1.1\r\n"), "{head}");
@@ -121,7 +127,7 @@
     play(async {
         let (listener, address) = endpoint().await;
         drop(listener);
-        assert_eq!(give(&order(address, None), "core-1", 7).await, OrderAnswer::Unavailable);
+        assert_eq!(give(&order(address, None), "core-1", 7, soon()).await, OrderAnswer::Unavailable);
     });
 }
 
@@ -129,7 +135,7 @@
 fn an_order_without_an_answer_is_sent_once_and_its_connection_reset() {
     play(async {
         let (listener, address) = endpoint().await;
-        let given = spawn_local(async move { give(&order(address, None), "core-1", 7).await });
+        let given = spawn_local(async move { give(&order(address, None), "core-1", 7, soon()).await });
         let (mut stream, _) = listener.accept().await.unwrap();
         read_call(&mut stream).await;
         assert_eq!(given.await.unwrap(), OrderAnswer::Unknown);
@@ -160,3 +166,18 @@
         }
     });
 }
+
+/// The process stood still after the order was allowed, in its queue or while the connection came up.
+#[test]
+fn an_order_that_is_late_is_not_sent() {
+    play(async {
+        let (listener, address) = endpoint().await;
+        let late = Instant::now() - Duration::from_millis(1);
+        assert_eq!(give(&order(address, None), "core-1", 7, late).await, OrderAnswer::Unavailable);
+        let accepted = timeout(A_WHILE, listener.accept()).await;
+        if let Ok(Ok((mut stream, _))) = accepted {
+            let mut byte = [0];
+            assert_eq!(stream.read(&mut byte).await.unwrap_or(0), 0, "nothing is sent");
+        }
+    });
+}
--- a/crates/controller/src/controller/placement.rs
+++ b/crates/controller/src/controller/placement.rs
@@ -10,7 +10,7 @@
 use lanegate_model::settings::Bounds;
 use lanegate_placement::{Action, EndpointReport, OrderAnswer, OrderId, Placer, PlacerSettings, Start};
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The placers of the services whose shards this controller acts for.
 #[derive(Debug, Default)]
@@ -152,17 +152,24 @@
     }
 }
 
-/// Carries out what a placer wants, on behalf of `owner`, and tells the end of it.
+/// On whose behalf an endpoint is called.
+#[derive(Debug)]
+pub struct TenureOf {
+    pub owner: String,
+    pub epoch: u64,
+}
+
+/// Carries out what a placer wants, and tells the end of it. An order is not sent after `send_by`.
 pub async fn carry_out(
     action: ServiceAction,
-    owner: String,
-    epoch: u64,
+    tenure: TenureOf,
+    send_by: Instant,
     events: tokio::sync::mpsc::UnboundedSender<Event>,
 ) {
     let ServiceAction { service, action, .. } = action;
     let event = match action {
         Action::Order(order) => {
-            let answer = super::orders::give(&order, &owner, epoch).await;
+            let answer = super::orders::give(&order, &tenure.owner, tenure.epoch, send_by.into()).await;
             log::info!(
                 "{:?} {} {:?} at {}: {answer:?}",
                 order.operation,
--- a/crates/controller/src/controller/placing.rs
+++ b/crates/controller/src/controller/placing.rs
@@ -1,7 +1,7 @@
 //! What a controller does for the services that it places: leases, news for the placers, orders.
 
 use super::holdings::{Step, holding};
-use super::orders::ORDER_WIRE_TIME;
+use super::orders::{CONNECT_TIMEOUT, ORDER_WIRE_TIME};
 use super::placement::{Placements, ServiceAction};
 use super::shards;
 use super::{Asked, Controller, ControllerFault};
@@ -152,7 +152,7 @@
         match (epoch, &action.action) {
             (Some(epoch), _) => {
                 self.announce_eviction(&action.action);
-                self.environment.carry_out(action, &self.settings.node_name, epoch);
+                self.environment.carry_out(action, &self.settings.node_name, epoch, now + CONNECT_TIMEOUT);
             }
             (None, Action::Order(order)) => {
                 let id = order.id;
--- a/crates/controller/src/controller/process.rs
+++ b/crates/controller/src/controller/process.rs
@@ -4,7 +4,7 @@
 use super::environment::Environment;
 use super::event::Event;
 use super::links::keep_link;
-use super::placement::{ServiceAction, carry_out};
+use super::placement::{ServiceAction, TenureOf, carry_out};
 use crate::message::Hello;
 use lanegate_coordination::register::Record;
 use lanegate_model::settings::{Settings, SettingsError};
@@ -50,8 +50,10 @@
         self.disk.write(shard, token, record);
     }
 
-    fn carry_out(&mut self, action: ServiceAction, owner: &str, epoch: u64) {
-        tokio::task::spawn_local(carry_out(action, owner.to_owned(), epoch, self.events.clone()));
+    fn carry_out(&mut self, action: ServiceAction, owner: &str, epoch: u64, send_by: Duration) {
+        let tenure = TenureOf { owner: owner.to_owned(), epoch };
+        let send_by = self.started + send_by;
+        tokio::task::spawn_local(carry_out(action, tenure, send_by, self.events.clone()));
     }
 
     fn read_settings(&mut self) -> Result<Settings, SettingsError> {
--- a/crates/controller/src/simulation/controller_machine.rs
+++ b/crates/controller/src/simulation/controller_machine.rs
@@ -221,8 +221,8 @@
                 self.end_connections(|connection| is_link(&connection.dial), Some(process));
             }
             Request::Write(write) => self.queue_write(index, write),
-            Request::CarryOut { action, epoch } => {
-                let call = OrderCall { sender: process, action, epoch };
+            Request::CarryOut { action, epoch, send_by } => {
+                let call = OrderCall { sender: process, action, epoch, send_by };
                 let connected = self.delay() + self.delay();
                 self.schedule(self.now() + connected, Happening::SendOrder(call));
             }
--- a/crates/controller/src/simulation/engine.rs
+++ b/crates/controller/src/simulation/engine.rs
@@ -24,6 +24,8 @@
     pub(super) action: ServiceAction,
     /// Epoch under which it is sent.
     pub(super) epoch: u64,
+    /// When it has to have been sent.
+    pub(super) send_by: Duration,
 }
 
 impl OrderCall {
@@ -120,6 +122,9 @@
         if self.is_frozen(sender.place) {
             return self.tell(sender, Notice::Send(call));
         }
+        if self.now() > call.send_by {
+            return self.answer_order(&call, OrderAnswer::Unavailable, Duration::ZERO);
+        }
         let Some(endpoint) = call.endpoint() else { return };
         let open = self.network.is_open_both_ways(sender.place, Place::Endpoint(endpoint));
         let gone = self.endpoints[endpoint].state == State::Gone;
