--- a/crates/router/tests/deadlines.rs
+++ b/crates/router/tests/deadlines.rs
@@ -9,6 +9,8 @@
 
 /// The route's time in these tests.
 const TIMEOUT: Duration = Duration::from_millis(300);
+/// Time before the route's from which the final answer may come: it has a way to go.
+const MARGIN: Duration = Duration::from_millis(40);
 /// Time after the route's in which the final answer has to be there.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(500);
 
@@ -26,8 +28,10 @@
     router
 }
 
+/// The end comes at the route's time: silence alone is no reason for an earlier one.
 fn assert_in_time(began: Instant) {
     let took = began.elapsed();
+    assert!(took + MARGIN >= TIMEOUT, "the end came after {took:?}");
     assert!(took < TIMEOUT + ANSWERED_WITHIN, "the end came after {took:?}");
 }
 
@@ -114,7 +118,7 @@
         let began = Instant::now();
         client.get("/once/a", "1").await;
         assert_eq!(client.answer().await.status, 503);
-        assert_in_time(began);
+        assert!(began.elapsed() < TIMEOUT + ANSWERED_WITHIN);
     });
 }
 
--- a/crates/router/tests/passing.rs
+++ b/crates/router/tests/passing.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::{Endpoint, Router, answer_to, play};
+use common::{CONFIGURATION, Endpoint, Router, answer_to, either, play, two_endpoints};
+use lanegate_model::feed::FeedEvent;
 
 #[test]
 fn a_request_reaches_its_endpoint_unchanged_and_its_answer_the_client() {
@@ -114,3 +115,44 @@
         assert_eq!(router.readiness().await, 200);
     });
 }
+
+#[test]
+fn what_a_request_asks_of_a_model_is_passed_on_unchanged_each_time_and_gets_a_priority() {
+    play(async {
+        let endpoints = two_endpoints().await;
+        let router = Router::serving(&[]).await;
+        let runtime = r#""Runtime": {"Capacity": 8, "KvCacheTokens": 90000, "WeightsMb": 100000, "MaxAdapters": 2,
+            "LoadsPerS": 1, "Models": [{"Name": "m1", "WeightsMb": 70000, "LoadTimeS": 1, "Adapters": 2,
+            "AdapterSizeMb": 10}]}"#;
+        router.configure(
+            &CONFIGURATION
+                .replace("\"Version\": 1", "\"Version\": 2")
+                .replace("{\"Name\": \"plain\",", &format!("{{\"Name\": \"plain\", {runtime},")),
+        );
+        for endpoint in &endpoints {
+            let instance = serde_json::json!({
+                "Id": endpoint.id, "Backend": "plain", "Address": endpoint.address, "Zone": "z1", "Capacity": 8,
+                "State": "ready", "Sequence": 1, "Models": [{"Name": "m1", "Version": 1, "Adapters": ["a1"]}],
+            });
+            router.tell(FeedEvent::Instance(serde_json::from_value(instance).unwrap()));
+        }
+        let asked = [("Model", "m1/a1"), ("Token-Usage", "1460,80"), ("Prompt-Prefix", "5c1e:800,91bd:410")];
+        let lines: String = asked.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
+        let mut client = router.client().await;
+        client
+            .write(format!("GET /again/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\n{lines}\r\n"))
+            .await;
+        let (upstream, first) = either(&endpoints).await;
+        upstream.reset();
+        let (mut upstream, second) = either(&endpoints).await;
+        for request in [&first, &second] {
+            for (name, value) in asked {
+                assert_eq!(request.header(name), Some(value));
+            }
+            let priority: u8 = request.header("Priority").unwrap().parse().unwrap();
+            assert!(priority <= 9);
+        }
+        upstream.answer(&second, "done").await;
+        assert_eq!(client.answer().await.text(), "done");
+    });
+}
--- a/crates/router/tests/streams.rs
+++ b/crates/router/tests/streams.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Client, Endpoint, Message, Router, Upstream, play};
+use common::{Client, Endpoint, Message, Router, Upstream, either, play, two_endpoints};
 
 /// A stream that has begun, with its first event passed on.
 async fn begun(router: &Router, endpoint: &Endpoint, path: &str) -> (Client, Upstream, Message) {
@@ -133,3 +133,29 @@
         assert_eq!((answer.status, answer.text()), (200, ""));
     });
 }
+
+#[test]
+fn a_stream_that_a_client_takes_up_goes_on_from_there_and_from_what_came_since() {
+    play(async {
+        let endpoints = two_endpoints().await;
+        let router = Router::serving(&[&endpoints[0], &endpoints[1]]).await;
+        let mut client = router.client().await;
+        client
+            .write(
+                "GET /resumable/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\nLast-Event-Id: 4\r\n\r\n",
+            )
+            .await;
+        let (mut upstream, request) = either(&endpoints).await;
+        assert_eq!(request.header("Last-Event-Id"), Some("4"));
+        upstream.begin_events(&request).await;
+        upstream.chunk("versions: 2\nid: 5\n\n").await;
+        client.read_through("versions: 2\nid: 5\n\n\r\n").await;
+        upstream.reset();
+        let (mut upstream, request) = either(&endpoints).await;
+        assert_eq!(request.header("Last-Event-Id"), Some("5"));
+        upstream.begin_events(&request).await;
+        upstream.chunk("id: 6\n\n").await;
+        upstream.end_chunks().await;
+        assert_eq!(client.read_through("0\r\n\r\n").await, "7\r\nid: 6\n\n\r\n0\r\n\r\n");
+    });
+}
