Let the test of commits stand still for longer than an attempt that may be repeated is waited for

Cause: neither_the_202_nor_the_first_byte_comes_before_its_commit waits for ever when its process stands still for over a second between commit and call: the module takes the attempt of a repeatable message for timed out and begins another, whose commit the test never ends. On a loaded machine the whole run of tests would hang. Change: the message is of the class that may run once only, which is waited for until its deadline, and connections get 30 s. Every assertion stands as it was.

--- a/src/node/commit_test.rs
+++ b/src/node/commit_test.rs
@@ -21,6 +21,13 @@
 use tokio::sync::mpsc::Sender;
 use tokio::task::{LocalSet, spawn_local, yield_now};
 
+/// Longest wait for a connection. The tests hold commits open between an attempt and its call, on a machine that may
+/// stand still for longer than the second of the usual settings; no test here is about this wait.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Class of messages that may run once only.
+const PAYMENT: usize = 2;
+
 struct Bench {
     folder: PathBuf,
     news: Sender<News>,
@@ -48,6 +55,8 @@
         let platform = TcpListener::bind("127.0.0.1:0").await.expect("bound");
         let at = |listener: &TcpListener| listener.local_addr().expect("an address");
         let page: Conf = serde_json::from_str(include_str!("../../tests/settings.json")).expect("settings");
+        let mut settings = page.settings().expect("settings");
+        settings.connect_timeout = CONNECT_TIMEOUT;
         let host = Host {
             host: "s-1".to_owned(),
             dial: at(&endpoint).to_string(),
@@ -69,14 +78,14 @@
             limits: Limits { sockets: 64, disk_mb: 3.0, memory_mb: 100.0 },
             options: Options::default(),
             known: Some(List { seq: 1, whole: true, hosts: vec![host] }),
-            settings: page.settings().expect("settings"),
+            settings,
             classes: page.class_names().map(str::to_owned).collect(),
             tenants: Vec::new(),
             zones: page.zone_names().to_vec(),
             kinds: page.kind_names().to_vec(),
         };
         let register = Register::new(&folder, Durability::Power);
-        let calls = Calls::new(Duration::from_secs(1), Duration::from_secs(5), 16, register.clone());
+        let calls = Calls::new(CONNECT_TIMEOUT, Duration::from_secs(5), 16, register.clone());
         let standing = Rc::new(Standing::new(register.clone()));
         let (news, mut inbox) = tokio::sync::mpsc::channel(64);
         let brain = Brain::new(config.settings.clone(), 5).expect("a module");
@@ -134,12 +143,14 @@
 async fn neither_the_202_nor_the_first_byte_comes_before_its_commit() {
     let test = async {
         let bench = Bench::new("order").await;
-        let mut answer = bench.offer("m1", 1, Duration::from_secs(20)).await;
+        // One that may run once only is waited for until its deadline: a process that stands still for longer than
+        // an attempt that may be repeated would begin another one, whose commit nobody here ends.
+        let mut answer = bench.offer("m1", PAYMENT, Duration::from_secs(20)).await;
         bench.batch().await;
         pass().await;
         assert!(answer.try_recv().is_err(), "not told before it is kept");
         // The same one, handed in again meanwhile: a 202 would promise what is not kept yet.
-        let mut again = bench.offer("m1", 1, Duration::from_secs(20)).await;
+        let mut again = bench.offer("m1", PAYMENT, Duration::from_secs(20)).await;
         pass().await;
         assert!(again.try_recv().is_err(), "nor is the other, nor refused: it would be handed in anew");
         bench.end(Ok(()));
