--- a/crates/controller/src/controller/registers.rs
+++ b/crates/controller/src/controller/registers.rs
@@ -82,7 +82,13 @@
             },
             Some(Asked::Epoch(shard, tenure)) => self.epoch_settled(shard, tenure, &outcome),
             Some(Asked::Barrier) => self.barrier_read(request, &outcome),
-            Some(Asked::Members(shard)) => self.members.end(shard),
+            Some(Asked::Members(shard)) => {
+                self.members.end(shard);
+                if matches!(outcome, Outcome::Changed { .. }) {
+                    // Another member may have to be replaced.
+                    self.tend_members(self.now());
+                }
+            }
             None => {}
         }
     }
