--- a/crates/controller/src/agent/agent_test.rs
+++ b/crates/controller/src/agent/agent_test.rs
@@ -245,14 +245,19 @@
 #[test]
 fn a_message_of_a_link_that_was_given_up_changes_nothing() {
     let mut world = World::new();
-    let source = world.source(0);
-    world.hears(source, beat(1, 0));
-    world.agent.heard(News::Down { source });
-    world.hears(source, Message::Decided(decided(3)));
-    world.hears(source, beat(1, 9));
+    let (one, two) = (world.source(0), world.source(1));
+    world.hears(one, beat(1, 0));
+    world.hears(two, beat(1, 0));
+    world.hears(one, Message::Decided(decided(1)));
     world.at(ms(1));
-    assert!(world.read().is_empty());
-    assert_ne!(world.behind().last(), Some(&false));
+    assert_eq!(world.read(), [1]);
+    world.agent.heard(News::Down { source: one });
+    world.agent.heard(News::Down { source: two });
+    world.hears(one, Message::Decided(decided(3)));
+    world.hears(one, beat(1, 9));
+    world.at(ms(200));
+    let events: Vec<FeedEvent> = std::iter::from_fn(|| world.events.try_recv().ok()).collect();
+    assert!(matches!(events[..], [FeedEvent::Behind { behind: true }]), "{events:?}");
 }
 
 #[test]
