--- a/crates/controller/src/simulation/checks.rs
+++ b/crates/controller/src/simulation/checks.rs
@@ -3,6 +3,7 @@
 use super::place::{Place, controller_at};
 use super::violation::Violation;
 use super::world::{Happening, World};
+use crate::controller::Records;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -92,7 +93,9 @@
     fn check_whole(&self) -> Result<(), Violation> {
         let good = self.good_controllers();
         let size = 2 * self.tolerance as usize + 1;
-        if good.len() < size || !self.is_core_stable(Duration::ZERO) || !self.disks_are_healthy(&good) {
+        let refuse = good.iter().any(|index| self.network.is_refusing(Place::Controller(*index)));
+        let stable = self.is_core_stable(Duration::ZERO) && self.disks_are_healthy(&good);
+        if good.len() < size || refuse || !stable {
             return Ok(());
         }
         for (shard, group) in self.newest_groups().iter().enumerate() {
@@ -115,7 +118,6 @@
             .controllers
             .iter()
             .filter(|machine| machine.is_awake() && !machine.is_ending())
-            .filter(|machine| !self.network.is_refusing(Place::Controller(machine.index)))
             .map(|machine| machine.index)
             .collect();
         let reaches = |from: usize, to: usize| {
@@ -221,10 +223,26 @@
         holders
     }
 
-    /// Whether the others could go on without the disk of a controller: a majority of every group that any
-    /// disk knows of keeps its record.
+    /// Whether the loss of a disk is made good: the machine has every record again, or, if it is gone for good, is
+    /// in no group any more.
+    fn is_made_good(&self, index: usize, records: &[Records]) -> bool {
+        if self.controllers[index].retired {
+            return !records.iter().flat_map(members_on_disk).any(|member| member == Some(index));
+        }
+        let shards = records.iter().map(Records::len).max().unwrap_or_default();
+        records[index].len() == shards
+    }
+
+    /// Whether the others could go on without the disk of a controller: no more disks are lost at once than may
+    /// be, and a majority of every group that any disk knows of keeps its record.
     pub(super) fn may_lose_disk(&self, lost: usize) -> bool {
         let records: Vec<_> = self.controllers.iter().map(|machine| machine.disk.peek()).collect();
+        let still_lost = |(index, at): &(&usize, &Duration)| {
+            **index != lost && (self.now() < **at + CATCH_UP || !self.is_made_good(**index, &records))
+        };
+        if self.troubles.disks_lost.iter().filter(still_lost).count() >= self.tolerance as usize {
+            return false;
+        }
         let shards: BTreeSet<u8> = records.iter().flat_map(|records| records.keys().copied()).collect();
         shards.into_iter().all(|shard| {
             let keeps = |node: &lanegate_coordination::register::Node| {
@@ -240,6 +258,13 @@
     }
 }
 
+/// Nodes of all groups that a disk knows of.
+fn members_on_disk(records: &Records) -> impl Iterator<Item = Option<usize>> {
+    let groups = records.values().flat_map(|record| &record.value.groups);
+    let nodes = groups.flat_map(|group| group.members());
+    nodes.map(|node| controller_at(SocketAddr::V4((*node).into())))
+}
+
 fn places(members: &[SocketAddr]) -> Vec<Place> {
     members.iter().filter_map(|member| controller_at(*member)).map(Place::Controller).collect()
 }
--- a/crates/controller/src/simulation/settle.rs
+++ b/crates/controller/src/simulation/settle.rs
@@ -12,6 +12,8 @@
 const SETTLE_TIME: Duration = Duration::from_secs(12);
 /// A change is acknowledged within this time (`AckMs`).
 const ACKNOWLEDGE_TIME: Duration = Duration::from_secs(4);
+/// Seeds that settings files name.
+const SEEDS: usize = 3;
 /// A read is answered within this time.
 const READ_TIME: Duration = Duration::from_secs(1);
 /// Steps in which an acknowledgement is waited for.
@@ -55,6 +57,9 @@
 
     fn mend_all(&mut self) {
         self.network.mend();
+        let left = (0..self.controllers.len()).filter(|index| !self.controllers[*index].retired);
+        let seeds: Vec<usize> = left.take(SEEDS).collect();
+        self.change_all_seeds(&seeds);
         for index in 0..self.controllers.len() {
             self.mend_disk(index);
             self.thaw(Place::Controller(index));
--- a/crates/controller/src/simulation/trouble.rs
+++ b/crates/controller/src/simulation/trouble.rs
@@ -20,6 +20,8 @@
     /// When more machines were lost than may be.
     pub(super) beyond_at: Option<Duration>,
     pub(super) losses: Losses,
+    /// When each controller last lost its disk.
+    pub(super) disks_lost: BTreeMap<usize, Duration>,
     /// Changes with each step that does or ends harm.
     pub(super) steps: u64,
 }
@@ -198,7 +200,12 @@
             return;
         }
         self.kill_controller(index);
+        self.lose_disk(index);
+    }
+
+    fn lose_disk(&mut self, index: usize) {
         self.controllers[index].disk.wipe();
+        self.troubles.disks_lost.insert(index, self.clock.get());
     }
 
     /// The machine is gone for good, unless too few records would be left.
@@ -207,7 +214,7 @@
             return;
         }
         self.lose_power(index);
-        self.controllers[index].disk.wipe();
+        self.lose_disk(index);
         self.controllers[index].retired = true;
     }
 
@@ -236,7 +243,7 @@
         self.start_write(index);
     }
 
-    fn change_all_seeds(&mut self, seeds: &[usize]) {
+    pub(super) fn change_all_seeds(&mut self, seeds: &[usize]) {
         for index in 0..self.controllers.len() {
             self.change_seeds(index, seeds);
         }
--- a/crates/controller/tests/controller_faults.rs
+++ b/crates/controller/tests/controller_faults.rs
@@ -66,7 +66,7 @@
     a_vote_before_its_record_is_durable:
         ControllerFault::Register(Fault::ReplyBeforePersist), "disks-stall-and-fill.txt";
     a_vote_right_after_a_wipe:
-        ControllerFault::Register(Fault::VoteAfterWipe), "wiped-at-the-first-start.txt";
+        ControllerFault::Register(Fault::VoteAfterWipe), "wiped-with-one-that-missed-a-change.txt";
     a_read_of_the_register_from_local_state:
         ControllerFault::Register(Fault::ReadLocally), "cut-one-way.txt";
 }
