--- a/crates/controller/src/simulation/checks.rs
+++ b/crates/controller/src/simulation/checks.rs
@@ -237,10 +237,9 @@
     /// be, and a majority of every group that any disk knows of keeps its record.
     pub(super) fn may_lose_disk(&self, lost: usize) -> bool {
         let records: Vec<_> = self.controllers.iter().map(|machine| machine.disk.peek()).collect();
-        let still_lost = |(index, at): &(&usize, &Duration)| {
-            **index != lost && (self.now() < **at + CATCH_UP || !self.is_made_good(**index, &records))
-        };
-        if self.troubles.disks_lost.iter().filter(still_lost).count() >= self.tolerance as usize {
+        let still_lost = |index: &&usize| **index != lost && !self.is_made_good(**index, &records);
+        let lost_now = self.troubles.disks_lost.iter().filter(still_lost).count();
+        if self.within_tolerance && lost_now >= self.tolerance as usize {
             return false;
         }
         let shards: BTreeSet<u8> = records.iter().flat_map(|records| records.keys().copied()).collect();
--- a/crates/controller/src/simulation/scenario.rs
+++ b/crates/controller/src/simulation/scenario.rs
@@ -13,6 +13,8 @@
     pub spares: usize,
     /// Whether these have to be started by steps.
     pub spares_late: bool,
+    /// Whether a disk is kept while as many are lost as may be at once; random scenarios ask for it.
+    pub within_tolerance: bool,
     /// Routers, each with an agent.
     pub routers: usize,
     /// Endpoints, which belong to two services by turns.
@@ -27,7 +29,9 @@
 #[derive(Debug, Clone, thiserror::Error, PartialEq, Eq)]
 pub enum ParseError {
     /// The first line must give the numbers of all.
-    #[error("line {0}: expected 'founders N spares N [late] routers N endpoints N seed N'")]
+    #[error(
+        "line {0}: expected 'founders N spares N [late] [within-tolerance] routers N endpoints N seed N'"
+    )]
     Header(usize),
     /// A later line is no step.
     #[error("line {0}: no such step: {1}")]
@@ -37,10 +41,11 @@
 impl fmt::Display for Scenario {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let late = if self.spares_late { " late" } else { "" };
+        let within = if self.within_tolerance { " within-tolerance" } else { "" };
         let Scenario { founders, spares, routers, endpoints, seed, .. } = self;
         writeln!(
             formatter,
-            "founders {founders} spares {spares}{late} routers {routers} endpoints {endpoints} seed {seed}"
+            "founders {founders} spares {spares}{late}{within} routers {routers} endpoints {endpoints} seed {seed}"
         )?;
         self.steps.iter().try_for_each(|step| writeln!(formatter, "{step}"))
     }
@@ -67,7 +72,9 @@
 
 fn parse_header(line: &str) -> Option<Scenario> {
     let spares_late = line.contains(" late ");
-    let words: Vec<&str> = line.split_whitespace().filter(|word| *word != "late").collect();
+    let within_tolerance = line.contains(" within-tolerance ");
+    let optional = ["late", "within-tolerance"];
+    let words: Vec<&str> = line.split_whitespace().filter(|word| !optional.contains(word)).collect();
     let ["founders", founders, "spares", spares, "routers", routers, "endpoints", endpoints, "seed", seed] =
         *words.as_slice()
     else {
@@ -77,6 +84,7 @@
         founders: founders.parse().ok()?,
         spares: spares.parse().ok()?,
         spares_late,
+        within_tolerance,
         routers: routers.parse().ok()?,
         endpoints: endpoints.parse().ok()?,
         seed: seed.parse().ok()?,
--- a/crates/controller/src/simulation/schedule.rs
+++ b/crates/controller/src/simulation/schedule.rs
@@ -58,7 +58,7 @@
         add_steps(&mut steps, &mut random, &cast);
     }
     steps.push(Step::Settle);
-    Scenario { founders, spares, spares_late, routers, endpoints, seed, steps }
+    Scenario { founders, spares, spares_late, within_tolerance: true, routers, endpoints, seed, steps }
 }
 
 fn put(random: &mut SmallRng, cast: &Cast, form: Form) -> Step {
--- a/crates/controller/src/simulation/trouble.rs
+++ b/crates/controller/src/simulation/trouble.rs
@@ -4,7 +4,7 @@
 use super::place::Place;
 use super::step::{Scope, Step};
 use super::world::World;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Orders that arrive so soon after a thaw or the end of a cut are not judged.
@@ -20,8 +20,8 @@
     /// When more machines were lost than may be.
     pub(super) beyond_at: Option<Duration>,
     pub(super) losses: Losses,
-    /// When each controller last lost its disk.
-    pub(super) disks_lost: BTreeMap<usize, Duration>,
+    /// Controllers that have lost their disk at any time.
+    pub(super) disks_lost: BTreeSet<usize>,
     /// Changes with each step that does or ends harm.
     pub(super) steps: u64,
 }
@@ -205,7 +205,7 @@
 
     fn lose_disk(&mut self, index: usize) {
         self.controllers[index].disk.wipe();
-        self.troubles.disks_lost.insert(index, self.clock.get());
+        self.troubles.disks_lost.insert(index);
     }
 
     /// The machine is gone for good, unless too few records would be left.
--- a/crates/controller/src/simulation/world.rs
+++ b/crates/controller/src/simulation/world.rs
@@ -130,6 +130,8 @@
     /// Machines that may be lost at once.
     pub(super) tolerance: u32,
     pub(super) fault: Option<ControllerFault>,
+    /// Whether a disk is kept while as many are lost as may be at once.
+    pub(super) within_tolerance: bool,
     /// The controller that endpoints call first; any if absent.
     pub(super) preferred: Option<usize>,
 }
@@ -173,6 +175,7 @@
             founders: scenario.founders,
             tolerance,
             fault,
+            within_tolerance: scenario.within_tolerance,
             preferred: None,
         }
     }
