Count only controllers that answer; refuse exchanges of members that make a group smaller

Two faults that random schedules of the whole control side had shown.

Owners and live members now have to have answered a heartbeat of the last second, as contact asks. The register refuses an exchange that makes the group smaller.

Ruled out: the failure detector (heartbeats did arrive) and the joint values (each decided by both groups).

--- a/crates/controller/src/controller/contact.rs
+++ b/crates/controller/src/controller/contact.rs
@@ -120,6 +120,11 @@
         self.holds_until(groups).is_some_and(|end| now < end)
     }
 
+    /// Whether `peer` has answered within [`CONTACT_VALIDITY`]; this process always answers itself.
+    pub fn is_answered_by(&self, now: Duration, peer: SocketAddr) -> bool {
+        self.counts_until(peer).is_some_and(|end| now < end)
+    }
+
     /// When contact with `groups` ends if nobody answers any more; `None` if there was none.
     pub fn holds_until(&self, groups: &[Vec<SocketAddr>]) -> Option<Duration> {
         let counted = if self.has(ContactFault::NewGroupOnly) {
--- a/crates/controller/src/controller/fault.rs
+++ b/crates/controller/src/controller/fault.rs
@@ -47,6 +47,8 @@
     LeaveWithoutHandover,
     /// What controllers say of their end is ignored: they replace members, and own shards, until they are silent.
     ForgetLeaving,
+    /// A controller that is heard counts as one that acts, whether it hears anybody or not.
+    HeardActs,
     /// Agents are told that this controller is current whether it has contact or not.
     AlwaysCurrent,
 }
--- a/crates/controller/src/controller/membership.rs
+++ b/crates/controller/src/controller/membership.rs
@@ -45,7 +45,8 @@
 
     /// Lets groups grow, and replaces members that are gone or leave, in the shards that this controller owns.
     pub(super) fn tend_members(&mut self, now: Duration) {
-        let live: Vec<SocketAddr> = self.membership.live().collect();
+        let live: Vec<SocketAddr> =
+            self.membership.live().filter(|member| self.is_reached(now, *member)).collect();
         let size = 2 * self.settings.fault_tolerance.machines as usize + 1;
         for shard in shards::all() {
             let group = self.group(shard);
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -200,12 +200,20 @@
     fn owner(&self, shard: u8, key: &[u8]) -> SocketAddr {
         let group = self.group(shard);
         let order = lanegate_coordination::membership::rendezvous_order(key, &group);
+        let now = self.now();
         let live: Vec<SocketAddr> =
-            order.into_iter().filter(|member| self.membership.is_live(*member)).collect();
+            order.into_iter().filter(|member| self.is_reached(now, *member)).collect();
         let staying = live.iter().find(|member| !self.standings.is_leaving(**member));
         staying.or(live.first()).copied().unwrap_or(self.this)
     }
 
+    /// Whether a controller may be counted on: it is heard, and it hears this one. One that is heard and hears
+    /// nobody would keep its shards from being acted for.
+    fn is_reached(&self, now: Duration, controller: SocketAddr) -> bool {
+        let answers = self.contact.is_answered_by(now, controller);
+        self.membership.is_live(controller) && (answers || self.has_fault(ControllerFault::HeardActs))
+    }
+
     /// Whether this controller acts for a shard, whose group it has to know for that.
     fn owns(&self, shard: u8) -> bool {
         !self.group(shard).is_empty() && self.owner(shard, &[shard]) == self.this
--- a/crates/controller/tests/controller_faults.rs
+++ b/crates/controller/tests/controller_faults.rs
@@ -55,6 +55,8 @@
         ControllerFault::ForgetMembers, "cut-off-for-twenty-seconds.txt";
     a_cut_off_controller_that_calls_itself_current:
         ControllerFault::AlwaysCurrent, "agents-at-two-cut-off-controllers.txt";
+    a_controller_that_hears_nobody_acts:
+        ControllerFault::HeardActs, "owner-that-hears-nobody.txt";
     contact_with_less_than_a_majority:
         ControllerFault::Contact(ContactFault::SmallMajority), "cut-of-everyone.txt";
     a_majority_that_is_too_small:
--- a/crates/coordination/src/register/batch.rs
+++ b/crates/coordination/src/register/batch.rs
@@ -156,7 +156,9 @@
         return MemberStep::Done(Outcome::Unchanged { revision, answer });
     }
     let foreign = remove.iter().any(|node| !old.contains(*node));
-    if foreign || new.members().is_empty() {
+    // Two owners may have chosen the same newcomer: the second exchange would only take a member away.
+    let shrinks = !add.is_empty() && new.members().len() < old.members().len();
+    if foreign || shrinks || new.members().is_empty() {
         return MemberStep::Done(Outcome::Refused { revision, answer });
     }
     MemberStep::Join(vec![old, new])
