Read the scenarios of the whole control side in one place in the tests

Cause: four test files each read a scenario by name with lines of their own, two of them naming the ending of the file and two not. Change: tests/common/scenarios.rs reads them; every assertion, seed and scenario stands as it was.

--- a/crates/controller/tests/contact_mutants.rs
+++ b/crates/controller/tests/contact_mutants.rs
@@ -2,16 +2,12 @@
 //! scenarios that are named for it. Mistakes in the measure of contact itself that no link of the program can
 //! bring about are found by the tests beside `contact.rs`.
 
+#[path = "common/scenarios.rs"]
+mod scenarios;
+
 use lanegate_controller::controller::{ContactFault, ControllerFault};
 use lanegate_controller::simulation::{Scenario, World};
-use std::fs;
-use std::path::Path;
-
-fn scenario(name: &str) -> Scenario {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios").join(format!("{name}.txt"));
-    let text = fs::read_to_string(&path).unwrap_or_else(|error| panic!("{}: {error}", path.display()));
-    text.parse().expect("a scenario")
-}
+use scenarios::scenario;
 
 /// Every one of the scenarios finds the mistake.
 fn found_by(fault: ControllerFault, scenarios: &[&str]) {
--- a/crates/controller/tests/controller_faults.rs
+++ b/crates/controller/tests/controller_faults.rs
@@ -1,19 +1,20 @@
 //! Deliberate mistakes of a controller: a named scenario catches each of them, with its own seed or, where chance
 //! decides which of two messages is first, with one of the next.
 
+#[path = "common/scenarios.rs"]
+mod scenarios;
+
 use lanegate_controller::controller::{ContactFault, ControllerFault};
-use lanegate_controller::simulation::{Scenario, Violation, World};
+use lanegate_controller::simulation::{Violation, World};
 use lanegate_coordination::register::Fault;
-use std::path::Path;
+use scenarios::scenario;
 
 /// Seeds with which a scenario is played at most.
 const SEEDS: u64 = 200;
 
 /// The first broken rule, and the seed with which it was.
 fn first_violation(name: &str, fault: ControllerFault) -> Option<(u64, Violation)> {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios").join(name);
-    let text = std::fs::read_to_string(path).expect("a scenario");
-    let mut scenario: Scenario = text.parse().unwrap_or_else(|error| panic!("{name}: {error}"));
+    let mut scenario = scenario(name);
     let first = scenario.seed;
     (first..first + SEEDS).find_map(|seed| {
         scenario.seed = seed;
@@ -36,39 +37,39 @@
 
 caught! {
     a_read_from_what_one_controller_knows:
-        ControllerFault::ReadLocally, "cut-off-for-twenty-seconds.txt";
+        ControllerFault::ReadLocally, "cut-off-for-twenty-seconds";
     a_change_acknowledged_once_proposed:
-        ControllerFault::AcknowledgeProposed, "cut-off-for-twenty-seconds.txt";
+        ControllerFault::AcknowledgeProposed, "cut-off-for-twenty-seconds";
     a_drain_acknowledged_by_one_controller_alone:
-        ControllerFault::AcknowledgeDrainAlone, "drain-at-a-cut-off-controller.txt";
+        ControllerFault::AcknowledgeDrainAlone, "drain-at-a-cut-off-controller";
     a_removal_not_passed_on_to_agents:
-        ControllerFault::KeepRemovalsFromAgents, "end-told-to-one-controller.txt";
+        ControllerFault::KeepRemovalsFromAgents, "end-told-to-one-controller";
     orders_after_the_lease_has_ended:
-        ControllerFault::OrderWithoutLease, "holder-is-cut-off.txt";
+        ControllerFault::OrderWithoutLease, "holder-is-cut-off";
     a_takeover_without_the_quiet_period:
-        ControllerFault::SkipQuietPeriod, "holder-freezes.txt";
+        ControllerFault::SkipQuietPeriod, "holder-freezes";
     one_epoch_for_all_tenures:
-        ControllerFault::KeepEpoch, "holder-freezes.txt";
+        ControllerFault::KeepEpoch, "holder-freezes";
     an_epoch_not_asked_for_again:
-        ControllerFault::GiveUpEpoch, "epoch-not-given-in-time.txt";
+        ControllerFault::GiveUpEpoch, "epoch-not-given-in-time";
     members_forgotten_in_a_long_cut:
-        ControllerFault::ForgetMembers, "cut-off-for-twenty-seconds.txt";
+        ControllerFault::ForgetMembers, "cut-off-for-twenty-seconds";
     a_cut_off_controller_that_calls_itself_current:
-        ControllerFault::AlwaysCurrent, "agents-at-two-cut-off-controllers.txt";
+        ControllerFault::AlwaysCurrent, "agents-at-two-cut-off-controllers";
     a_controller_that_hears_nobody_acts:
-        ControllerFault::HeardActs, "owner-that-hears-nobody.txt";
+        ControllerFault::HeardActs, "owner-that-hears-nobody";
     contact_with_less_than_a_majority:
-        ControllerFault::Contact(ContactFault::SmallMajority), "cut-of-everyone.txt";
+        ControllerFault::Contact(ContactFault::SmallMajority), "cut-of-everyone";
     a_majority_that_is_too_small:
-        ControllerFault::Register(Fault::SmallMajority), "rivals-on-both-sides-of-a-cut.txt";
+        ControllerFault::Register(Fault::SmallMajority), "rivals-on-both-sides-of-a-cut";
     votes_of_an_earlier_incarnation:
-        ControllerFault::Register(Fault::IgnoreIncarnations), "vote-before-a-wipe.txt";
+        ControllerFault::Register(Fault::IgnoreIncarnations), "vote-before-a-wipe";
     an_accepted_value_not_taken_over:
-        ControllerFault::Register(Fault::IgnoreAccepted), "vote-before-a-wipe.txt";
+        ControllerFault::Register(Fault::IgnoreAccepted), "vote-before-a-wipe";
     a_vote_before_its_record_is_durable:
-        ControllerFault::Register(Fault::ReplyBeforePersist), "disks-stall-and-fill.txt";
+        ControllerFault::Register(Fault::ReplyBeforePersist), "disks-stall-and-fill";
     a_vote_right_after_a_wipe:
-        ControllerFault::Register(Fault::VoteAfterWipe), "wiped-with-one-that-missed-a-change.txt";
+        ControllerFault::Register(Fault::VoteAfterWipe), "wiped-with-one-that-missed-a-change";
     a_read_of_the_register_from_local_state:
-        ControllerFault::Register(Fault::ReadLocally), "cut-one-way.txt";
+        ControllerFault::Register(Fault::ReadLocally), "cut-one-way";
 }
--- a/crates/controller/tests/one_change.rs
+++ b/crates/controller/tests/one_change.rs
@@ -1,16 +1,15 @@
 //! Deliberate mistakes about changes of the configuration: the scenarios on one number must find them.
 
+#[path = "common/scenarios.rs"]
+mod scenarios;
+
 use lanegate_controller::controller::ControllerFault;
-use lanegate_controller::simulation::{Scenario, Violation, World};
+use lanegate_controller::simulation::{Violation, World};
 use lanegate_coordination::register::Fault;
-use std::fs;
-use std::path::Path;
+use scenarios::scenario;
 
 fn played(name: &str, fault: ControllerFault) -> Option<Violation> {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios").join(name);
-    let text = fs::read_to_string(&path).expect("a scenario");
-    let scenario: Scenario = text.parse().unwrap_or_else(|error| panic!("{}: {error}", path.display()));
-    World::play(&scenario, Some(fault)).err()
+    World::play(&scenario(name), Some(fault)).err()
 }
 
 fn check(name: &str, fault: ControllerFault) {
@@ -21,20 +20,20 @@
 
 #[test]
 fn an_acknowledgement_of_what_is_only_proposed_shows_across_a_cut() {
-    check("one-number-across-a-cut.txt", ControllerFault::AcknowledgeProposed);
+    check("one-number-across-a-cut", ControllerFault::AcknowledgeProposed);
 }
 
 #[test]
 fn a_majority_that_is_too_small_shows_across_a_cut() {
-    check("one-number-across-a-cut.txt", ControllerFault::Register(Fault::SmallMajority));
+    check("one-number-across-a-cut", ControllerFault::Register(Fault::SmallMajority));
 }
 
 #[test]
 fn a_vote_right_after_a_wipe_shows() {
-    check("wiped-controller-and-one-behind.txt", ControllerFault::Register(Fault::VoteAfterWipe));
+    check("wiped-controller-and-one-behind", ControllerFault::Register(Fault::VoteAfterWipe));
 }
 
 #[test]
 fn a_vote_before_its_record_is_durable_shows() {
-    check("stalled-disks-acknowledge-nothing.txt", ControllerFault::Register(Fault::ReplyBeforePersist));
+    check("stalled-disks-acknowledge-nothing", ControllerFault::Register(Fault::ReplyBeforePersist));
 }
--- a/crates/controller/tests/repair_faults.rs
+++ b/crates/controller/tests/repair_faults.rs
@@ -1,15 +1,12 @@
 //! Deliberate mistakes in the replacement of members and in what makes an acknowledgement safe: each is found by
 //! a scenario that holds without it.
 
+#[path = "common/scenarios.rs"]
+mod scenarios;
+
 use lanegate_controller::controller::{ControllerFault, EndpointsFault, MembersFault};
 use lanegate_controller::simulation::{Scenario, World};
-use std::path::Path;
-
-fn scenario(name: &str) -> Scenario {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios").join(format!("{name}.txt"));
-    let text = std::fs::read_to_string(&path).expect("a scenario");
-    text.parse().unwrap_or_else(|error| panic!("{}: {error}", path.display()))
-}
+use scenarios::scenario;
 
 /// Seeds with which each scenario is played, its own the first.
 const SEEDS: u64 = 8;
