--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -2,9 +2,106 @@
 
 mod common;
 
-use common::{Endpoint, Router, pass_time, play};
+use common::{Client, Endpoint, Router, pass_time, play};
+use lanegate_model::feed::FeedEvent;
 use std::time::Duration;
 
+/// A service of engines, and a route of streams that may run once, with 15 s for an answer.
+const ENGINES: &str = r#"{
+    "Version": 2,
+    "Routes": [
+        {"Name": "chat", "Hostname": "a.example", "PathPrefix": "/chat/", "RouteType": "streaming",
+         "TimeoutMs": 15000, "TargetMs": 500, "Backend": "engines", "MaxAttempts": 1}
+    ],
+    "Backends": [
+        {"Name": "engines", "MaxConns": 50, "Runtime": {"Capacity": 8, "KvCacheTokens": 90000, "WeightsMb": 100000,
+         "MaxAdapters": 2, "Models": [{"Name": "m1", "WeightsMb": 1000, "LoadTimeS": 1}]}}
+    ],
+    "Limits": {"MaxHeaderBytes": 4096, "MaxBodyBytes": 1000, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}
+}"#;
+
+/// A router before one engine that holds the model.
+async fn serving_engine(endpoint: &Endpoint) -> Router {
+    let router = Router::start().await;
+    router.configure(ENGINES);
+    let FeedEvent::Instance(mut instance) = endpoint.registration("engines") else {
+        unreachable!("a registration is an instance");
+    };
+    instance.models = vec![serde_json::from_str(r#"{"Name": "m1", "Version": 1, "Adapters": []}"#).unwrap()];
+    router.tell(FeedEvent::Instance(instance));
+    router.tell(FeedEvent::Routers { live: 1 });
+    router.tell(FeedEvent::Synchronized);
+    router
+}
+
+/// Asks for a stream of so many tokens at most.
+async fn ask_for_tokens(client: &mut Client, id: &str, tokens: u32) {
+    client
+        .write(format!(
+            "GET /chat/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {id}\r\nModel: m1\r\n\
+             Token-Usage: 100,{tokens}\r\nDeadline-Ms: 15000\r\n\r\n"
+        ))
+        .await;
+}
+
+#[test]
+fn a_stream_that_would_outlast_the_process_is_refused_before_it_is_sent() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let mut router = serving_engine(&endpoint).await;
+        let mut client = router.client().await;
+        router.terminate();
+        tokio::task::yield_now().await;
+        pass_time(Duration::from_millis(540)).await;
+        ask_for_tokens(&mut client, "1", 900).await;
+        let answer = tokio::select! {
+            answer = client.answer() => answer,
+            _ = endpoint.request() => panic!("a stream that cannot end in time was begun"),
+        };
+        assert_eq!((answer.status, answer.header("Connection")), (503, Some("close")));
+        assert!(answer.header("Retry-After").is_some());
+    });
+}
+
+#[test]
+fn a_stream_that_ends_before_the_process_is_served_after_sigterm() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let mut router = serving_engine(&endpoint).await;
+        let mut client = router.client().await;
+        router.terminate();
+        tokio::task::yield_now().await;
+        ask_for_tokens(&mut client, "1", 50).await;
+        let (mut upstream, request) = endpoint.request().await;
+        upstream.begin_events(&request).await;
+        upstream.chunk("id: 1\n\n").await;
+        upstream.end_chunks().await;
+        assert_eq!(client.answer().await.status, 200);
+    });
+}
+
+#[test]
+fn what_runs_has_nearly_the_whole_grace_to_end() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let mut router = serving_engine(&endpoint).await;
+        let mut client = router.client().await;
+        ask_for_tokens(&mut client, "1", 900).await;
+        let (mut upstream, request) = endpoint.request().await;
+        upstream.begin_events(&request).await;
+        upstream.chunk("id: 1\n\n").await;
+        client.read_through("id: 1\n\n\r\n").await;
+        router.terminate();
+        tokio::task::yield_now().await;
+        pass_time(Duration::from_millis(2_600)).await;
+        pass_time(Duration::from_millis(5_100)).await;
+        upstream.chunk("id: 2\n\n").await;
+        upstream.end_chunks().await;
+        assert_eq!(client.rest().await, "7\r\nid: 2\n\n\r\n0\r\n\r\n");
+        router.ended().await;
+    });
+}
+
 #[test]
 fn a_router_that_ends_finishes_streams_and_tells_clients_to_go() {
     play(async {
