Name the requests that are not answered in time when a router ends

Cause: the router's last line before it ends, "N requests are not answered in time", does not tell which requests these are, so that a log cannot show whether they were held, sent, or waiting for an endpoint that was still at work.

Change: each open request keeps its Attempt-Id, route, endpoint, how far its answer has come and when bytes last passed. At the end the oldest 20 are named, one line each, with their age and the time since SIGTERM. A request that is counted though its answer is whole is told as `answer=whole`: there the client has not taken it. Per request this costs one small allocation more, per piece of a stream one reading of the clock.

--- a/crates/router/src/frontend.rs
+++ b/crates/router/src/frontend.rs
@@ -69,7 +69,7 @@
         Err(answer) => return answer.into(),
     };
     activity.expect_answer_by(state.instant_of(request.deadline));
-    let ticket = Ticket::open(state.clone(), request);
+    let ticket = Ticket::open(state.clone(), request, outbound.attempt_id.clone());
     carry(Rc::new(ticket), Rc::new(outbound)).await
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod listener;
 pub mod mailbox;
 pub mod maintenance;
+pub mod open_request;
 pub mod pool;
 pub mod readiness;
 pub mod resume;
--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/shutdown.rs
@@ -16,6 +16,8 @@
 const MARGIN: Duration = Duration::from_millis(600);
 /// Time for the last answers to leave the process.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
+/// Requests that are named in the log when they are not answered in time.
+const NAMED_REQUESTS: usize = 20;
 
 /// Ends the work of the router within `grace`.
 pub async fn drain(state: &Rc<RouterState>, clients: &Clients, accepting: JoinHandle<()>, grace: Duration) {
@@ -27,6 +29,7 @@
     clients.finish();
     if timeout_at(began + grace.saturating_sub(MARGIN), clients.all_left()).await.is_err() {
         log::warn!("{} requests are not answered in time", state.open_requests());
+        state.log_open_requests(began, NAMED_REQUESTS);
         state.stop_requests();
         let _ = timeout_at(Instant::now() + LAST_ANSWERS, clients.all_left()).await;
     }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::counters::Counters;
 use crate::fault::RouterFault;
-use crate::mailbox::Mailbox;
+use crate::open_request::OpenRequest;
 use crate::pool::Pool;
 use crate::routing::Routing;
 use lanegate_dispatch::interface::{Decision, RequestId};
@@ -30,7 +30,7 @@
 pub struct RouterState {
     epoch: Instant,
     dispatcher: RefCell<Dispatcher>,
-    mailboxes: RefCell<HashMap<RequestId, Rc<Mailbox>>>,
+    requests: RefCell<HashMap<RequestId, Rc<OpenRequest>>>,
     next_request: Cell<u64>,
     random: RefCell<SmallRng>,
     routing: RefCell<Option<Rc<Routing>>>,
@@ -55,7 +55,7 @@
         Rc::new(RouterState {
             epoch: Instant::now(),
             dispatcher: RefCell::new(Dispatcher::new(settings, seed)),
-            mailboxes: RefCell::default(),
+            requests: RefCell::default(),
             next_request: Cell::new(0),
             random: RefCell::new(SmallRng::seed_from_u64(seed)),
             routing: RefCell::new(None),
@@ -163,23 +163,35 @@
 
     /// Requests that have no end yet.
     pub fn open_requests(&self) -> usize {
-        self.mailboxes.borrow().len()
+        self.requests.borrow().len()
     }
 
     /// Tells all open requests that the process ends.
     pub fn stop_requests(&self) {
-        let open: Vec<Rc<Mailbox>> = self.mailboxes.borrow().values().cloned().collect();
-        open.iter().for_each(|mailbox| mailbox.stop());
+        let open: Vec<Rc<OpenRequest>> = self.requests.borrow().values().cloned().collect();
+        open.iter().for_each(|request| request.mailbox.stop());
+    }
+
+    /// Writes a line for each of the oldest requests that have no end yet, `most` lines at most; the process
+    /// was asked to end at `ending_since`.
+    pub fn log_open_requests(&self, ending_since: Instant, most: usize) {
+        let (now, ending_since) = (self.now(), self.time_of(ending_since));
+        let requests = self.requests.borrow();
+        let mut open: Vec<&OpenRequest> = requests.values().map(Rc::as_ref).collect();
+        open.sort_unstable_by_key(|request| request.arrived());
+        for request in open.into_iter().take(most) {
+            log::warn!("not answered in time: {}", request.summary(now, ending_since));
+        }
     }
 
-    /// Decisions for the request go to this mailbox from now on.
-    pub fn register(&self, id: RequestId, mailbox: Rc<Mailbox>) {
-        self.mailboxes.borrow_mut().insert(id, mailbox);
+    /// Decisions for the request go to `request` from now on.
+    pub fn register(&self, id: RequestId, request: Rc<OpenRequest>) {
+        self.requests.borrow_mut().insert(id, request);
     }
 
     /// Decisions for the request are no longer asked for.
     pub fn unregister(&self, id: RequestId) {
-        self.mailboxes.borrow_mut().remove(&id);
+        self.requests.borrow_mut().remove(&id);
     }
 
     /// Calls the dispatcher and hands out what it decides.
@@ -205,8 +217,8 @@
             | Decision::Refuse { request, .. }
             | Decision::Fail { request, .. } => *request,
         };
-        if let Some(mailbox) = self.mailboxes.borrow().get(&id) {
-            mailbox.push(decision);
+        if let Some(open) = self.requests.borrow().get(&id) {
+            open.decided(decision);
         }
     }
 
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -55,6 +55,7 @@
 impl AnswerStream {
     /// Passes on `opened.first` and what follows.
     pub fn new(opened: Opened) -> Self {
+        opened.ticket.passed();
         AnswerStream {
             ticket: opened.ticket,
             request: opened.request,
@@ -77,6 +78,7 @@
                     Poll::Ready(Some(Ok(data))) => {
                         let passed = self.pass(data);
                         if !passed.is_empty() {
+                            self.ticket.passed();
                             return Poll::Ready(Some(Ok(passed)));
                         }
                     }
--- a/crates/router/src/ticket.rs
+++ b/crates/router/src/ticket.rs
@@ -1,7 +1,9 @@
 //! A request that the dispatcher knows, for as long as its task cares.
 
-use crate::mailbox::{Instruction, Mailbox};
+use crate::mailbox::Instruction;
+use crate::open_request::OpenRequest;
 use crate::state::RouterState;
+use hyper::header::HeaderValue;
 use lanegate_dispatch::interface::{AttemptEnd, Decision, Progress, Request, RequestId};
 use std::cell::Cell;
 use std::future::poll_fn;
@@ -12,19 +14,19 @@
 pub struct Ticket {
     state: Rc<RouterState>,
     id: RequestId,
-    mailbox: Rc<Mailbox>,
+    open: Rc<OpenRequest>,
     /// Whether nothing more will be decided for the request.
     settled: Cell<bool>,
 }
 
 impl Ticket {
-    /// Hands the request to the dispatcher.
-    pub fn open(state: Rc<RouterState>, request: Request) -> Self {
+    /// Hands the request to the dispatcher; `attempt_id` is as the client sent it.
+    pub fn open(state: Rc<RouterState>, request: Request, attempt_id: Option<HeaderValue>) -> Self {
         let id = request.id;
-        let mailbox = Rc::new(Mailbox::default());
-        state.register(id, mailbox.clone());
+        let open = Rc::new(OpenRequest::new(&request, attempt_id));
+        state.register(id, open.clone());
         state.decide(|dispatcher, now| dispatcher.submit(now, request));
-        Ticket { state, id, mailbox, settled: Cell::new(false) }
+        Ticket { state, id, open, settled: Cell::new(false) }
     }
 
     /// The router that the request belongs to.
@@ -32,6 +34,11 @@
         &self.state
     }
 
+    /// Notes that bytes of the answer are passed on.
+    pub fn passed(&self) {
+        self.open.passed(self.state.now());
+    }
+
     /// Reports news of an attempt.
     pub fn progress(&self, attempt: u32, progress: Progress) {
         self.state.decide(|dispatcher, now| dispatcher.progress(now, self.id, attempt, progress));
@@ -41,13 +48,14 @@
     pub fn ended(&self, attempt: u32, end: AttemptEnd) {
         if matches!(end, AttemptEnd::Answered { .. }) {
             self.settled.set(true);
+            self.open.completed();
         }
         self.state.decide(|dispatcher, now| dispatcher.ended(now, self.id, attempt, end));
     }
 
     /// The next instruction; the task is woken when there is one.
     pub fn poll_next(&self, cx: &mut Context<'_>) -> Poll<Instruction> {
-        let next = self.mailbox.poll_next(cx);
+        let next = self.open.mailbox.poll_next(cx);
         if let Poll::Ready(Instruction::Decided(Decision::Refuse { .. } | Decision::Fail { .. })) = next {
             self.settled.set(true);
         }
--- /dev/null
+++ b/crates/router/tests/open_requests.rs
@@ -0,0 +1,67 @@
+//! What the log tells of a request that has no end when the process ends.
+
+use hyper::header::HeaderValue;
+use lanegate_dispatch::interface::{Decision, Request, RequestId};
+use lanegate_model::configuration::RouteType;
+use lanegate_router::open_request::OpenRequest;
+use std::time::Duration;
+
+const SIGTERM: Duration = Duration::from_millis(4_000);
+const NOW: Duration = Duration::from_millis(11_400);
+
+fn open_request() -> OpenRequest {
+    let request = Request {
+        id: RequestId(7),
+        backend: "plain".into(),
+        route: "stream".into(),
+        route_type: RouteType::Streaming,
+        resumable: false,
+        max_attempts: 1,
+        priority: 1,
+        arrived: Duration::from_millis(3_000),
+        target: Duration::from_millis(8_000),
+        deadline: Duration::from_millis(23_000),
+        body_bytes: 0,
+        generation: None,
+    };
+    OpenRequest::new(&request, Some(HeaderValue::from_static("q-1")))
+}
+
+fn sent() -> Decision {
+    Decision::Send {
+        request: RequestId(7),
+        attempt: 1,
+        instance: "i-1".into(),
+        address: "127.0.0.1:80".parse().unwrap(),
+        engine_priority: 1,
+        resume: false,
+    }
+}
+
+#[test]
+fn a_request_that_is_held_names_no_endpoint() {
+    assert_eq!(
+        open_request().summary(NOW, SIGTERM).to_string(),
+        "attempt_id=q-1 route=stream endpoint=none age_ms=8400 since_sigterm_ms=7400 \
+         sent_before_sigterm=true answer=not_begun last_event_ms_ago=none"
+    );
+}
+
+#[test]
+fn a_stream_names_its_endpoint_and_the_time_of_its_last_event() {
+    let open = open_request();
+    open.decided(sent());
+    open.passed(Duration::from_millis(10_900));
+    let line = open.summary(NOW, SIGTERM).to_string();
+    assert!(line.contains(" endpoint=i-1 "), "{line}");
+    assert!(line.ends_with(" answer=begun last_event_ms_ago=500"), "{line}");
+}
+
+#[test]
+fn an_answer_that_the_client_has_not_taken_is_told_as_whole() {
+    let open = open_request();
+    open.decided(sent());
+    open.passed(Duration::from_millis(10_900));
+    open.completed();
+    assert!(open.summary(NOW, SIGTERM).to_string().contains(" answer=whole "));
+}
