Refuse what cannot be answered whole before the process ends, and cut as late as possible

Ruled out: changes that end streams, slow endpoints, the agent's restart, retries.

Change: the dispatcher is told when the process ends. A request that has not run is refused, with 503, as soon as its first byte and its whole output, 1.3 times as long as expected and 250 ms, no longer fit before that; held ones too. What runs is cut 200 ms before the platform would, not 600.

Counted: requests that outlast the process, by whether they came after SIGTERM (never: an invariant).

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -56,6 +56,12 @@
         self.held.get(backend).is_none_or(BTreeSet::is_empty)
     }
 
+    /// The services for which something is held.
+    pub fn backends(&self) -> Vec<Arc<str>> {
+        let held = self.held.iter().filter(|(_, requests)| !requests.is_empty());
+        held.map(|(backend, _)| backend.clone()).collect()
+    }
+
     /// What is held for a service, by earliest deadline, at most so many.
     pub fn by_deadline(&self, backend: &str, most: usize) -> Vec<RequestId> {
         let held = self.held.get(backend).into_iter().flatten();
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -38,6 +38,8 @@
     synchronized: bool,
     /// When it was last noticed that the process had stood still.
     stood_still: Duration,
+    /// When answers have to be whole because the process ends, once it was asked to.
+    end: Option<Duration>,
 }
 
 impl Dispatcher {
@@ -53,6 +55,16 @@
             decisions: Vec::new(),
             synchronized: false,
             stood_still: Duration::ZERO,
+            end: None,
+        }
+    }
+
+    /// The process was asked to end: what cannot be answered whole by `end` is refused while it has not run.
+    pub fn end_by(&mut self, now: Duration, end: Duration) {
+        self.notice_stall(now);
+        self.end = Some(end);
+        for backend in self.admission.backends() {
+            self.reconsider(now, &backend);
         }
     }
 
@@ -105,6 +117,7 @@
         match progress {
             Progress::Head { load } => self.head_arrived(now, flight.endpoint, load),
             Progress::FirstByte => self.first_byte_arrived(now, request),
+            Progress::Whole { pieces } => self.whole_arrived(now, request, pieces),
         }
     }
 
--- a/crates/dispatch/src/dispatcher/learning.rs
+++ b/crates/dispatch/src/dispatcher/learning.rs
@@ -46,6 +46,22 @@
         self.book_flight(id, None);
     }
 
+    /// The whole answer arrived: its pieces tell how fast the engine puts out.
+    pub(super) fn whole_arrived(&mut self, now: Duration, id: RequestId, pieces: u32) {
+        let Some(tracked) = self.requests.get(&id) else {
+            return;
+        };
+        let Some(flight) = tracked.flight().filter(|flight| !self.spans_stall(flight)) else {
+            return;
+        };
+        let (Some(first_byte), Some(wanted)) = (flight.first_byte, &tracked.request.generation) else {
+            return;
+        };
+        let model = wanted.model.clone();
+        let output = now.saturating_sub(first_byte);
+        self.fleet.service_mut(&tracked.request.backend).sample_output(&model, output, pieces);
+    }
+
     fn learn_first_byte(&mut self, now: Duration, id: RequestId, flight: Flight) {
         let tells = !self.spans_stall(&flight);
         let Some(tracked) = self.requests.get(&id).filter(|tracked| tells && !tracked.resume) else {
@@ -103,15 +119,12 @@
             return;
         };
         let backend = tracked.request.backend.clone();
-        let output_tokens = tracked.request.generation.as_ref().map(|wanted| wanted.output_tokens);
-        let first_byte = tracked.flight().and_then(|flight| flight.first_byte).unwrap_or(now);
         let served = now.saturating_sub(flight.sent);
         let tells = !self.spans_stall(&flight);
         let service = self.fleet.service_mut(&backend);
         let usual = service.served.seconds();
         if success && tells {
             service.sample_served(served);
-            output_tokens.into_iter().for_each(|tokens| service.sample_pace(now - first_byte, tokens));
         }
         if let Some(load) = self.fleet.load_mut(flight.endpoint).filter(|_| tells) {
             load.recent.record(success, served.as_secs_f64(), usual);
--- a/crates/dispatch/src/dispatcher/timing.rs
+++ b/crates/dispatch/src/dispatcher/timing.rs
@@ -27,6 +27,11 @@
 /// Part of the objective kept for the answer to an offer, at least.
 const OFFER_PART: u32 = 10;
 
+/// Before the end of the process an answer is taken to last this many times as long as expected, and a margin
+/// more.
+const END_CAUTION: f64 = 1.3;
+const END_MARGIN: Duration = Duration::from_millis(250);
+
 impl Dispatcher {
     /// Notices that the process stood still, by what it should have done meanwhile.
     pub(super) fn notice_stall(&mut self, now: Duration) {
@@ -57,12 +62,23 @@
         }
     }
 
-    /// When a held request is answered at the latest: while there is time for a first byte.
+    /// When a held request is answered at the latest: while there is time for a first byte, and for the whole
+    /// answer before the process ends.
     pub(super) fn closing(&self, tracked: &Tracked, found: &[Candidate]) -> Duration {
         let ends = self.patience.ends(tracked);
         let usual = found.iter().map(|candidate| candidate.expected).min().unwrap_or_default();
         let whole = ends.saturating_sub(tracked.request.arrived);
-        ends.saturating_sub(usual.min(whole / CLOSING_PART).max(CLOSING_MARGIN))
+        let closing = ends.saturating_sub(usual.min(whole / CLOSING_PART).max(CLOSING_MARGIN));
+        self.last_start(tracked, usual).map_or(closing, |last| last.min(closing))
+    }
+
+    /// When a request has to be sent at the latest to be answered whole before the process ends; `None` while
+    /// the process goes on, and for what may have run: that could no longer be refused.
+    fn last_start(&self, tracked: &Tracked, first_byte: Duration) -> Option<Duration> {
+        let end = self.end.filter(|_| !tracked.may_have_run)?;
+        let service = self.fleet.service(&tracked.request.backend);
+        let output = service.expected_output(tracked.request.generation.as_ref());
+        Some(end.saturating_sub((first_byte + output).mul_f64(END_CAUTION) + END_MARGIN))
     }
 
     /// When to look at a held request next.
--- a/crates/dispatch/src/patience.rs
+++ b/crates/dispatch/src/patience.rs
@@ -11,6 +11,10 @@
 const OBJECTIVES: u32 = 4;
 const PAUSES: u32 = 8;
 
+/// Time before the client gives up at which it has to have an answer, which still has to reach it: the request was
+/// noticed later than the client sent it.
+const ANSWER_MARGIN: Duration = Duration::from_millis(50);
+
 /// Longest pause between events of each route that names one.
 #[derive(Debug, Default)]
 pub struct Patience {
@@ -27,7 +31,7 @@
         self.pauses = pauses.collect();
     }
 
-    /// When the client will have given up, if nothing was sent to it until then.
+    /// When the client has to have something, or it gives up before it comes.
     pub fn ends(&self, tracked: &Tracked) -> Duration {
         let request = &tracked.request;
         if request.route_type != RouteType::Streaming || tracked.resume {
@@ -35,6 +39,6 @@
         }
         let pause = self.pauses.get(request.route.as_ref()).copied().unwrap_or_default();
         let waits = LEAST.max(tracked.aim() * OBJECTIVES).max(pause * PAUSES);
-        request.deadline.min(request.arrived + waits)
+        request.deadline.min((request.arrived + waits).saturating_sub(ANSWER_MARGIN))
     }
 }
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -1,7 +1,8 @@
 //! What is known and learned of one service: its engines, its times, its budget and the models it lacks.
 
 use crate::budget::RetryBudget;
-use crate::estimate::{FirstByteLine, Share};
+use crate::estimate::{FirstByteLine, OutputPace, Share};
+use crate::interface::Generation;
 use crate::units::{milliseconds, seconds};
 use fair_edf::{Smoothed, Smoothing};
 use lanegate_model::configuration::{Backend, Runtime};
@@ -12,9 +13,6 @@
 /// The design's first service time, and the weight of a further sample.
 pub const SERVED: Smoothing = Smoothing { initial: 0.05, gain: 0.1 };
 
-/// Time from the first byte of an answer to its end, for each token of output: a guess until the first answer.
-const PACE: Smoothing = Smoothing { initial: 0.01, gain: 0.1 };
-
 /// Tokens of memory that a request takes, as a mean over requests.
 const HELD_TOKENS: Smoothing = Smoothing { initial: 1_000.0, gain: 0.05 };
 
@@ -47,6 +45,8 @@
     pub memory_tokens: u64,
     /// Time of a load of each model that may be loaded.
     pub models: BTreeMap<Arc<str>, Duration>,
+    /// Tokens in one event of a stream.
+    pub tokens_per_event: f64,
 }
 
 impl From<&Runtime> for EngineShape {
@@ -57,6 +57,7 @@
             models: load_times
                 .map(|model| (model.name.as_str().into(), seconds(model.load_time_s)))
                 .collect(),
+            tokens_per_event: runtime.stride.unwrap_or(1.0).max(1.0),
         }
     }
 }
@@ -84,7 +85,8 @@
     pub first_byte: FirstByteLine,
     /// From the send of a request to the end of its answer.
     pub served: Smoothed,
-    pace: Smoothed,
+    /// Time of output by model; bounded by the models of the configuration.
+    paces: BTreeMap<Arc<str>, OutputPace>,
     held_tokens: Smoothed,
     first_byte_wait: Smoothed,
     read_tokens: Smoothed,
@@ -104,7 +106,7 @@
             budget: RetryBudget::default(),
             first_byte: FirstByteLine::default(),
             served: SERVED.start(),
-            pace: PACE.start(),
+            paces: BTreeMap::new(),
             held_tokens: HELD_TOKENS.start(),
             first_byte_wait: SERVED.start(),
             read_tokens: READ_TOKENS.start(),
@@ -120,6 +122,8 @@
     /// Takes the service's part of a configuration in.
     pub fn configure(&mut self, backend: &Backend) {
         self.engine = backend.runtime.as_ref().map(EngineShape::from);
+        let models = self.engine.as_ref().map(|engine| &engine.models);
+        self.paces.retain(|model, _| models.is_none_or(|models| models.contains_key(model)));
     }
 
     /// Whether the model may be loaded at all, as far as known.
@@ -155,9 +159,13 @@
         reading * self.read_tokens.seconds() / 2.0
     }
 
-    /// Takes in how long the output of an answer took after its first byte.
-    pub fn sample_pace(&mut self, output: Duration, tokens: u32) {
-        self.pace.sample(&PACE, output.as_secs_f64() / f64::from(tokens.max(1)));
+    /// Takes in how long the output of an answer took from its first piece to its last.
+    pub fn sample_output(&mut self, model: &Arc<str>, output: Duration, pieces: u32) {
+        let Some(engine) = self.engine.as_ref().filter(|engine| engine.models.contains_key(model)) else {
+            return;
+        };
+        let tokens = f64::from(pieces.saturating_sub(1)) * engine.tokens_per_event;
+        self.paces.entry(model.clone()).or_default().sample(output, tokens);
     }
 
     /// Takes in the time from send to end of an answer.
@@ -165,9 +173,19 @@
         self.served.sample(&SERVED, served.as_secs_f64());
     }
 
-    /// Time that an answer of so many tokens takes after its first byte.
-    pub fn expected_output(&self, tokens: u32) -> Duration {
-        seconds(self.pace.seconds() * f64::from(tokens))
+    /// Time that an answer takes after its first byte: by the tokens asked for, or as long as usual where the
+    /// service has no engines.
+    pub fn expected_output(&self, wanted: Option<&Generation>) -> Duration {
+        match wanted {
+            Some(wanted) => self.pace_of(&wanted.model).expected(wanted.output_tokens),
+            None => seconds(self.served.seconds()),
+        }
+    }
+
+    /// The pace of a model, or the slowest known one where it has not answered yet.
+    fn pace_of(&self, model: &str) -> OutputPace {
+        let slowest = || self.paces.values().copied().max_by(OutputPace::by_time_per_token);
+        self.paces.get(model).copied().or_else(slowest).unwrap_or_default()
     }
 
     /// Notes that something is asked for which no endpoint holds.
--- a/crates/dispatch/tests/support/scenario.rs
+++ b/crates/dispatch/tests/support/scenario.rs
@@ -229,6 +229,15 @@
                 };
                 self.dispatcher().progress(now, id_of(name), attempt_of(words), progress);
             }
+            "whole" => {
+                let pieces = words.whole("pieces").expect("a count of pieces") as u32;
+                let progress = Progress::Whole { pieces };
+                self.dispatcher().progress(now, id_of(name), attempt_of(words), progress);
+            }
+            "end_by" => {
+                let end = ms(name.parse().expect("a time"));
+                self.dispatcher().end_by(now, end);
+            }
             "ended" => {
                 let end = end_of(place, words);
                 self.dispatcher().ended(now, id_of(name), attempt_of(words), end);
@@ -271,6 +280,7 @@
                 words.text("parts").unwrap_or("1:100").split(',').map(part_of).collect();
             let mut wanted = generation(0, 0, model, &parts).generation.expect("a generation");
             wanted.adapter = adapter.map(Into::into);
+            wanted.output_tokens = words.whole("output").map_or(wanted.output_tokens, |tokens| tokens as u32);
             wanted
         });
         Request {
--- a/crates/router/src/counters.rs
+++ b/crates/router/src/counters.rs
@@ -15,6 +15,10 @@
     pub failed_attempts: Count,
     pub resumed: Count,
     pub cut: Count,
+    /// Requests that came before the process was asked to end and outlasted it.
+    pub outlasted: Count,
+    /// Requests that were taken on though the process was to end, and cut by its end. Never more than 0.
+    pub taken_on_and_cut: Count,
     pub cancelled: Count,
     pub connections_opened: Count,
     /// Answers of endpoints to requests that had an answer already.
@@ -48,7 +52,8 @@
     pub fn log(&self) {
         log::info!(
             "accepted={} requests={} successes={} refusals={} failures={} unrouted={} attempts={} \
-             failed_attempts={} resumed={} cut={} cancelled={} connections_opened={} stale_answers={} \
+             failed_attempts={} resumed={} cut={} outlasted={} \
+             taken_on_and_cut={} cancelled={} connections_opened={} stale_answers={} \
              bytes_passed={}",
             self.accepted.get(),
             self.requests.get(),
@@ -60,6 +65,8 @@
             self.failed_attempts.get(),
             self.resumed.get(),
             self.cut.get(),
+            self.outlasted.get(),
+            self.taken_on_and_cut.get(),
             self.cancelled.get(),
             self.connections_opened.get(),
             self.stale_answers.get(),
--- a/crates/router/src/open_request.rs
+++ b/crates/router/src/open_request.rs
@@ -64,6 +64,11 @@
         self.answer.set(AnswerState::Whole);
     }
 
+    /// Whether the client has got some of the answer, and not all of it is there.
+    pub fn is_begun(&self) -> bool {
+        self.answer.get() == AnswerState::Begun
+    }
+
     /// When the first byte of the request arrived.
     pub fn arrived(&self) -> Duration {
         self.arrived
--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/shutdown.rs
@@ -12,24 +12,26 @@
 const ENTRY_NOTICE: Duration = Duration::from_millis(2_500);
 /// Largest part of the whole time that may go by before clients are no longer taken.
 const ENTRY_NOTICE_SHARE: u32 = 2;
-/// Time before the platform's own end at which whatever runs is answered or cut.
-const MARGIN: Duration = Duration::from_millis(600);
+/// Time before the platform's own end at which whatever still runs is cut, so that the connections end in order.
+const CUT_MARGIN: Duration = Duration::from_millis(200);
 /// Time for the last answers to leave the process.
-const LAST_ANSWERS: Duration = Duration::from_millis(200);
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
 /// Requests that are named in the log when they are not answered in time.
 const NAMED_REQUESTS: usize = 20;
 
 /// Ends the work of the router within `grace`.
 pub async fn drain(state: &Rc<RouterState>, clients: &Clients, accepting: JoinHandle<()>, grace: Duration) {
     let began = Instant::now();
-    state.drain();
+    let cut = began + grace.saturating_sub(CUT_MARGIN);
+    state.drain(state.time_of(cut));
     log::info!("asked to end, {} requests open", state.open_requests());
     sleep(ENTRY_NOTICE.min(grace / ENTRY_NOTICE_SHARE)).await;
     accepting.abort();
     clients.finish();
-    if timeout_at(began + grace.saturating_sub(MARGIN), clients.all_left()).await.is_err() {
+    if timeout_at(cut, clients.all_left()).await.is_err() {
         log::warn!("{} requests are not answered in time", state.open_requests());
         state.log_open_requests(began, NAMED_REQUESTS);
+        state.count_cut_requests(began);
         state.stop_requests();
         let _ = timeout_at(Instant::now() + LAST_ANSWERS, clients.all_left()).await;
     }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -156,9 +156,10 @@
         self.service.get() == Service::Draining
     }
 
-    /// Notes that the process was asked to end.
-    pub fn drain(&self) {
+    /// Notes that the process was asked to end, and by when answers have to be whole.
+    pub fn drain(&self, end: Duration) {
         self.service.set(Service::Draining);
+        self.decide(|dispatcher, now| dispatcher.end_by(now, end));
     }
 
     /// Requests that have no end yet.
@@ -184,6 +185,18 @@
         }
     }
 
+    /// Counts the requests whose answers are to be cut, as the process ends; it was asked to at `ending_since`.
+    pub fn count_cut_requests(&self, ending_since: Instant) {
+        let ending_since = self.time_of(ending_since);
+        let requests = self.requests.borrow();
+        for request in requests.values().filter(|request| request.is_begun()) {
+            match request.arrived() > ending_since {
+                true => self.counters.taken_on_and_cut.increment(),
+                false => self.counters.outlasted.increment(),
+            }
+        }
+    }
+
     /// Decisions for the request go to `request` from now on.
     pub fn register(&self, id: RequestId, request: Rc<OpenRequest>) {
         self.requests.borrow_mut().insert(id, request);
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -10,7 +10,7 @@
 use crate::ticket::Ticket;
 use bytes::Bytes;
 use hyper::header::HeaderValue;
-use lanegate_dispatch::interface::{AttemptEnd, InstanceLoad};
+use lanegate_dispatch::interface::{AttemptEnd, InstanceLoad, Progress};
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -88,7 +88,8 @@
                         }
                     }
                     Poll::Ready(None) => {
-                        let rest = self.finish();
+                        let pieces = body.pieces();
+                        let rest = self.finish(pieces);
                         return Poll::Ready((!rest.is_empty()).then_some(Ok(rest)));
                     }
                     Poll::Ready(Some(Err(error))) => {
@@ -118,8 +119,9 @@
     }
 
     /// The endpoint's answer is whole.
-    fn finish(&mut self) -> Bytes {
+    fn finish(&mut self, pieces: u32) -> Bytes {
         self.source = Source::Ended;
+        self.ticket.progress(self.attempt, Progress::Whole { pieces });
         self.ticket.state().counters.successes.increment();
         self.ticket.ended(self.attempt, AttemptEnd::Answered { success: true, load: self.load });
         self.splitter.as_mut().map(EventSplitter::finish).unwrap_or_default()
