Tell demand that still waits in every report, so that a lost report is made good

Ruled out: queues at the router and the agent for what could not be sent: a report that was written into a link that then dies would still be lost.

Change: each report (one a second) tells again what was asked for before and still waits for a model or an adapter that no endpoint holds, as unplaced requests without new ones; the placer takes these as urgent.

--- a/crates/dispatch/src/demand.rs
+++ b/crates/dispatch/src/demand.rs
@@ -20,6 +20,12 @@
     adapter: Option<Arc<str>>,
 }
 
+impl DemandKey {
+    fn of(backend: &Arc<str>, wanted: &Generation) -> Self {
+        DemandKey { backend: backend.clone(), model: wanted.model.clone(), adapter: wanted.adapter.clone() }
+    }
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct DemandCount {
     requests: u32,
@@ -28,19 +34,25 @@
 }
 
 impl DemandCounts {
+    /// When the present period began.
+    pub fn since(&self) -> Duration {
+        self.since
+    }
+
     /// Counts one request, and whether any endpoint can serve it now.
     pub fn count(&mut self, backend: &Arc<str>, wanted: &Generation, placed: bool) {
-        let key = DemandKey {
-            backend: backend.clone(),
-            model: wanted.model.clone(),
-            adapter: wanted.adapter.clone(),
-        };
-        let count = self.counts.entry(key).or_default();
+        let count = self.counts.entry(DemandKey::of(backend, wanted)).or_default();
         count.requests += 1;
         count.tokens += u64::from(wanted.prompt_tokens) + u64::from(wanted.output_tokens);
         count.unplaced += u32::from(!placed);
     }
 
+    /// Counts a request that came in an earlier period and still waits for an endpoint that can serve it. What was
+    /// told of it before may have been lost.
+    pub fn count_waiting(&mut self, backend: &Arc<str>, wanted: &Generation) {
+        self.counts.entry(DemandKey::of(backend, wanted)).or_default().unplaced += 1;
+    }
+
     /// Whether something was asked for that no endpoint can serve now.
     pub fn has_unplaced(&self) -> bool {
         self.counts.values().any(|count| count.unplaced > 0)
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -169,8 +169,23 @@
         self.demand.has_unplaced()
     }
 
-    /// The demand since the last report.
+    /// Counts again what waits for a model or an adapter that no endpoint holds.
+    fn count_waiting(&mut self) {
+        let since = self.demand.since();
+        let waits = |tracked: &&Tracked| {
+            let unserved = tracked.hold().is_some_and(|hold| hold.lane.is_none());
+            unserved && tracked.request.arrived < since && !choice::is_placed(&self.fleet, tracked)
+        };
+        for tracked in self.requests.values().filter(waits) {
+            if let Some(wanted) = &tracked.request.generation {
+                self.demand.count_waiting(&tracked.request.backend, wanted);
+            }
+        }
+    }
+
+    /// The demand since the last report, and what still waits of the demand before.
     pub fn demand_report(&mut self, now: Duration) -> DemandReport {
+        self.count_waiting();
         self.demand.take(now)
     }
 }
--- a/crates/model/src/demand.rs
+++ b/crates/model/src/demand.rs
@@ -15,7 +15,7 @@
     pub requests: u32,
     /// Prompt and output tokens that those requests asked for.
     pub tokens: u64,
-    /// Of `requests`, those for which no endpoint held the model (and adapter).
+    /// Requests for which no endpoint held the model (and adapter): of `requests`, and of earlier ones that still wait.
     pub unplaced: u32,
 }
 
--- a/crates/placement/src/need_test.rs
+++ b/crates/placement/src/need_test.rs
@@ -107,3 +107,15 @@
     table.forget(Duration::from_secs(400));
     assert!(table.models.is_empty());
 }
+
+/// Word of the request itself may have been lost on its way.
+#[test]
+fn what_only_waits_is_urgent_and_gets_a_copy() {
+    let now = Duration::from_secs(5);
+    let mut table = table(4, &[("busy", 10)]);
+    let waiting = ModelDemand { unplaced: 1, ..demand("rare", 0) };
+    let report = DemandReport { period_ms: 1_000, models: vec![waiting] };
+    assert!(table.add(now, &report, BACKEND, |name, _| Some(Arc::from(name))));
+    assert!(rates(&table, "rare").urgent(now));
+    assert_eq!(fleet(&table, now).target(rates(&table, "rare"), 12, now).order, 1);
+}
--- a/crates/placement/src/rate.rs
+++ b/crates/placement/src/rate.rs
@@ -1,6 +1,6 @@
 //! Demand as smoothed rates: one that follows quickly and one that remembers.
 
-use lanegate_model::demand::DemandReport;
+use lanegate_model::demand::{DemandReport, ModelDemand};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -172,7 +172,9 @@
     ) -> bool {
         let began = *self.began.get_or_insert(now);
         let mut unplaced = false;
-        for demand in report.models.iter().filter(|demand| demand.backend == backend && demand.requests > 0) {
+        let asks = |demand: &&ModelDemand| demand.requests > 0 || demand.unplaced > 0;
+        let demands = report.models.iter().filter(|demand| demand.backend == backend);
+        for demand in demands.filter(asks) {
             let Some(model) = name(&demand.model, demand.adapter.as_deref()) else { continue };
             let entry = self
                 .models
