--- a/crates/router/src/frontend.rs
+++ b/crates/router/src/frontend.rs
@@ -119,7 +119,7 @@
     let Some(host) = host(&head.uri, &head.headers) else {
         return Err(OwnAnswer::Failure(StatusCode::BAD_REQUEST));
     };
-    let Some(resolved) = routing.resolve(host, head.uri.path(), state.chance()) else {
+    let Some(resolved) = routing.resolve(host, head.uri.path(), |route| state.split_position(route)) else {
         if state.is_behind() {
             // A newer configuration may have the route.
             state.counters.refusals.increment();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod run;
 pub mod shutdown;
 pub mod signals;
+pub mod split;
 pub mod stale;
 pub mod state;
 pub mod stream;
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -37,23 +37,28 @@
         &self.table.configuration().limits
     }
 
-    /// Finds the route; `chance`, from 0 up to 1, picks among the services of a route that splits its
-    /// traffic.
-    pub fn resolve(&self, host: &str, path: &str, chance: f64) -> Option<Resolved<'_>> {
+    /// Finds the route; `position`, from 0 up to 1, picks among the services of a route that splits its
+    /// traffic, and is asked for only there.
+    pub fn resolve(
+        &self,
+        host: &str,
+        path: &str,
+        position: impl FnOnce(&str) -> f64,
+    ) -> Option<Resolved<'_>> {
         let route = self.table.lookup(host, path)?;
-        let backend = pick(route, chance)?;
+        let backend = pick(route, position)?;
         let engine = self.table.backend(backend).is_some_and(|service| service.runtime.is_some());
         Some(Resolved { route, backend, engine })
     }
 }
 
-fn pick(route: &Route, chance: f64) -> Option<&str> {
+fn pick(route: &Route, position: impl FnOnce(&str) -> f64) -> Option<&str> {
     if route.traffic_split.is_empty() {
         return route.backend.as_deref();
     }
     let weighted = || route.traffic_split.iter().filter(|part| part.weight > 0.0);
     let total: f64 = weighted().map(|part| part.weight).sum();
-    let mut left = chance * total;
+    let mut left = position(&route.name) * total;
     for part in weighted() {
         if left < part.weight {
             return Some(&part.backend);
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -5,11 +5,10 @@
 use crate::open_request::OpenRequest;
 use crate::pool::Pool;
 use crate::routing::Routing;
+use crate::split::SplitSequences;
 use lanegate_dispatch::interface::{Decision, RequestId};
 use lanegate_dispatch::{DispatchSettings, Dispatcher};
 use lanegate_model::feed::FeedEvent;
-use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -32,7 +31,7 @@
     dispatcher: RefCell<Dispatcher>,
     requests: RefCell<HashMap<RequestId, Rc<OpenRequest>>>,
     next_request: Cell<u64>,
-    random: RefCell<SmallRng>,
+    splits: RefCell<SplitSequences>,
     routing: RefCell<Option<Rc<Routing>>>,
     synchronized: Cell<bool>,
     /// Whether a newer configuration may be in force elsewhere.
@@ -57,7 +56,7 @@
             dispatcher: RefCell::new(Dispatcher::new(settings, seed)),
             requests: RefCell::default(),
             next_request: Cell::new(0),
-            random: RefCell::new(SmallRng::seed_from_u64(seed)),
+            splits: RefCell::new(SplitSequences::new(seed)),
             routing: RefCell::new(None),
             synchronized: Cell::new(false),
             behind: Cell::new(false),
@@ -96,9 +95,9 @@
         self.epoch + time
     }
 
-    /// A number from 0 up to 1, drawn by chance.
-    pub fn chance(&self) -> f64 {
-        self.random.borrow_mut().random()
+    /// The position, from 0 up to 1, of the next request of `route` within the weights of its split.
+    pub fn split_position(&self, route: &str) -> f64 {
+        self.splits.borrow_mut().next(route)
     }
 
     /// A number for a new request.
@@ -117,6 +116,7 @@
         match &event {
             FeedEvent::Configuration(configuration) => {
                 log::info!("configuration version {} in force", configuration.version);
+                self.splits.borrow_mut().retain(configuration);
                 *self.routing.borrow_mut() = Some(Rc::new(Routing::new(configuration.clone())));
             }
             FeedEvent::Behind { behind } => self.behind.set(*behind),
--- /dev/null
+++ b/crates/router/tests/splits.rs
@@ -0,0 +1,121 @@
+//! Each part of a route's traffic split gets its share, also where many routers see few requests each.
+
+use lanegate_model::configuration::Configuration;
+use lanegate_router::routing::Routing;
+use lanegate_router::split::SplitSequences;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Requests for which shares are held to their weights, at the least.
+const REQUESTS: usize = 300;
+/// Largest part of all requests by which a share may be off, with as many routers as a small deployment has.
+const SHARE_BOUND: f64 = 0.03;
+/// The same where each router sees some three requests.
+const SHARE_BOUND_MANY_ROUTERS: f64 = 0.07;
+/// Routers of a small deployment, and of one that leaves each router a few requests.
+const FEW_ROUTERS: [usize; 4] = [1, 3, 6, 9];
+const MANY_ROUTERS: [usize; 2] = [30, 90];
+const SEEDS: u64 = 300;
+const WEIGHTS: [&[f64]; 7] = [
+    &[50.0, 50.0],
+    &[99.0, 1.0],
+    &[90.0, 10.0],
+    &[1.0, 2.0],
+    &[1.0, 1.0, 1.0],
+    &[0.0, 3.0, 7.0],
+    &[5.0, 10.0, 15.0, 30.0, 40.0],
+];
+
+fn configuration(version: u64, weights: &[f64]) -> Arc<Configuration> {
+    let parts = weights.iter().enumerate();
+    let parts: Vec<_> = parts
+        .map(|(part, weight)| serde_json::json!({"Backend": format!("b{part}"), "Weight": weight}))
+        .collect();
+    let backends: Vec<_> = (0..weights.len())
+        .map(|part| serde_json::json!({"Name": format!("b{part}"), "MaxConns": 50}))
+        .collect();
+    let configuration = serde_json::json!({
+        "Version": version,
+        "Routes": [{"Name": "split", "Hostname": "a.example", "PathPrefix": "/s/", "RouteType": "idempotent",
+            "TimeoutMs": 20000, "TargetMs": 5000, "TrafficSplit": parts, "MaxAttempts": 1}],
+        "Backends": backends,
+        "Limits": {"MaxHeaderBytes": 4096, "MaxBodyBytes": 1000, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+    });
+    Arc::new(serde_json::from_value(configuration).expect("a configuration"))
+}
+
+/// Routers that share the requests of one route.
+struct Routers {
+    sequences: Vec<SplitSequences>,
+    random: SmallRng,
+}
+
+impl Routers {
+    fn new(count: usize, seed: u64) -> Self {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let sequences = (0..count).map(|_| SplitSequences::new(random.random())).collect();
+        Routers { sequences, random }
+    }
+
+    /// The service that the next request goes to, at a router drawn by chance.
+    fn route(&mut self, routing: &Routing) -> String {
+        let router = self.random.random_range(0..self.sequences.len());
+        let sequences = &mut self.sequences[router];
+        let resolved = routing.resolve("a.example", "/s/x", |route| sequences.next(route));
+        resolved.expect("a route").backend.to_owned()
+    }
+
+    /// How far the share of a part lies off its weight's, at most, over [`REQUESTS`] requests.
+    fn worst_share(&mut self, weights: &[f64]) -> f64 {
+        let routing = Routing::new(configuration(1, weights));
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        for _ in 0..REQUESTS {
+            *counts.entry(self.route(&routing)).or_default() += 1;
+        }
+        let total: f64 = weights.iter().sum();
+        let off = weights.iter().enumerate().map(|(part, weight)| {
+            let count = counts.get(&format!("b{part}")).copied().unwrap_or_default();
+            (count as f64 / REQUESTS as f64 - weight / total).abs()
+        });
+        off.fold(0.0, f64::max)
+    }
+}
+
+/// The first weights, number of routers and seed with which a share is further off than `bound`.
+fn first_miss(routers: &[usize], bound: f64) -> Option<String> {
+    for weights in WEIGHTS {
+        for count in routers {
+            for seed in 0..SEEDS {
+                let off = Routers::new(*count, seed).worst_share(weights);
+                if off > bound {
+                    return Some(format!("{weights:?}, {count} routers, seed {seed}: off by {off:.3}"));
+                }
+            }
+        }
+    }
+    None
+}
+
+#[test]
+fn each_part_gets_its_share_at_a_few_routers() {
+    assert_eq!(first_miss(&FEW_ROUTERS, SHARE_BOUND), None);
+}
+
+#[test]
+fn each_part_gets_its_share_where_routers_see_few_requests_each() {
+    assert_eq!(first_miss(&MANY_ROUTERS, SHARE_BOUND_MANY_ROUTERS), None);
+}
+
+/// The weights change again and again while requests come; each change holds for as many requests as are judged.
+#[test]
+fn each_part_gets_its_share_after_a_change_of_the_weights() {
+    for seed in 0..SEEDS {
+        let mut routers = Routers::new(6, seed);
+        for weights in WEIGHTS {
+            let off = routers.worst_share(weights);
+            assert!(off <= SHARE_BOUND, "{weights:?}, seed {seed}: off by {off:.3}");
+        }
+    }
+}
