--- a/crates/day-generator/src/catalogue.rs
+++ b/crates/day-generator/src/catalogue.rs
@@ -1,154 +1,9 @@
 //! Every kind of trouble, with its variants, its fields and their ranges.
 
-/// What a kind strikes; weights are given by category.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Category {
-    /// Kills, freezes, wipes and losses of power of controllers.
-    ControllerLoss,
-    /// Controllers and seeds that are exchanged for others.
-    Replacement,
-    /// Cuts, resets and losses on links of the control plane.
-    Cut,
-    /// Disks of controllers.
-    Disk,
-    /// The time of day.
-    Clock,
-    /// Changes of the configuration, and their acknowledgements.
-    Change,
-    /// Routers.
-    Router,
-    /// Endpoints.
-    Endpoint,
-    /// Clients.
-    Client,
-}
+pub use crate::kind::{Availability, Category, Field, Kind, Part, Scope, Slot};
 
-impl Category {
-    /// All categories.
-    pub const ALL: [Self; 9] = [
-        Self::ControllerLoss,
-        Self::Replacement,
-        Self::Cut,
-        Self::Disk,
-        Self::Clock,
-        Self::Change,
-        Self::Router,
-        Self::Endpoint,
-        Self::Client,
-    ];
-}
-
-/// In which list of a day a kind stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Part {
-    Plan,
-    Faults,
-}
-
-/// On which sites a kind may come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Availability {
-    Always,
-    /// On sites that name this contract.
-    Contract(&'static str),
-    /// On sites that list it among their troubles.
-    Listed,
-}
-
-/// What a kind is narrowed to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Scope {
-    /// Nothing.
-    Everywhere,
-    /// Machines that count for the quorum.
-    Core,
-    /// Sometimes one service.
-    Service,
-    /// Sometimes one service; callers in one zone where the variant asks for it.
-    ServiceAndCallers,
-    /// A zone or a kind of requests.
-    Traffic,
-    /// Always one zone.
-    Zone,
-}
-
-/// Alternatives for one place in the variant; an empty one leaves it out, a repeated one is likelier.
-pub type Slot = &'static [&'static str];
-
-/// A number that a kind may carry.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Field {
-    pub key: &'static str,
-    pub low: f64,
-    pub high: f64,
-    /// Now and then drawn from here instead.
-    pub rare: Option<(f64, f64)>,
-    pub whole: bool,
-}
-
-impl Field {
-    const fn or_rarely(mut self, low: f64, high: f64) -> Self {
-        self.rare = Some((low, high));
-        self
-    }
-}
-
-const fn number(key: &'static str, low: f64, high: f64) -> Field {
-    Field { key, low, high, rare: None, whole: false }
-}
-
-const fn whole(key: &'static str, low: u32, high: u32) -> Field {
-    Field { key, low: low as f64, high: high as f64, rare: None, whole: true }
-}
-
-/// A kind of trouble.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Kind {
-    pub name: &'static str,
-    pub category: Category,
-    pub part: Part,
-    pub availability: Availability,
-    pub scope: Scope,
-    pub slots: &'static [Slot],
-    /// Whether the variant may say which machine is struck and what meets it.
-    pub chooses_machine: bool,
-    pub fields: &'static [Field],
-}
-
-impl Kind {
-    const fn fault(name: &'static str, category: Category, fields: &'static [Field]) -> Self {
-        Self {
-            name,
-            category,
-            part: Part::Faults,
-            availability: Availability::Always,
-            scope: Scope::Everywhere,
-            slots: &[],
-            chooses_machine: false,
-            fields,
-        }
-    }
-
-    const fn planned(name: &'static str, category: Category, fields: &'static [Field]) -> Self {
-        Self { part: Part::Plan, ..Self::fault(name, category, fields) }
-    }
-
-    const fn with(self, slots: &'static [Slot]) -> Self {
-        Self { slots, ..self }
-    }
-
-    const fn on(self, scope: Scope) -> Self {
-        Self { scope, ..self }
-    }
-
-    const fn choosing(self) -> Self {
-        Self { chooses_machine: true, ..self }
-    }
-
-    const fn only(self, availability: Availability) -> Self {
-        Self { availability, ..self }
-    }
-}
+use crate::kind::{number, whole};
+use Category::{Change, Client, Clock, ControllerLoss, Cut, Disk, Endpoint, Replacement, Router};
 
 /// Down time of a controller, seconds; now and then it is away for most of a day.
 const AWAY: Field = number("for_s", 0.8, 6.0).or_rarely(10.0, 22.0);
@@ -164,8 +19,6 @@
 const POWER: Slot = &["", "power"];
 const OLDEST: Slot = &["", "oldest"];
 
-use Category::{Change, Client, Clock, ControllerLoss, Cut, Disk, Endpoint, Replacement, Router};
-
 /// All kinds.
 pub const KINDS: &[Kind] = &[
     Kind::fault("node_kill", ControllerLoss, &[FEW, AWAY]).with(&[POWER]).on(Scope::Core).choosing(),
--- a/crates/day-generator/src/files.rs
+++ b/crates/day-generator/src/files.rs
@@ -17,9 +17,15 @@
 
 fn write_day(site: &Site, draw: Draw, number: u32, folder: &Path) -> Result<PathBuf, Error> {
     let day = draw_day(site, draw, number);
-    let path = folder.join(format!("{}-{}-{number:03}.toml", site.name, draw.seed));
+    let path = folder.join(file_name(site, draw, number));
     match std::fs::write(&path, day.to_string()) {
         Ok(()) => Ok(path),
         Err(cause) => Err(Error::Write { path, cause }),
     }
 }
+
+/// The site, the profile where it is not the mixed one, the seed and the number of the day.
+fn file_name(site: &Site, draw: Draw, number: u32) -> String {
+    let label = draw.label().map(|label| format!("{label}-")).unwrap_or_default();
+    format!("{}-{label}{}-{number:03}.toml", site.name, draw.seed)
+}
--- /dev/null
+++ b/crates/day-generator/src/kind.rs
@@ -0,0 +1,153 @@
+//! What a kind of trouble is made of: its category, its variants, its fields and their ranges.
+
+/// What a kind strikes; weights are given by category.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Category {
+    /// Kills, freezes, wipes and losses of power of controllers.
+    ControllerLoss,
+    /// Controllers and seeds that are exchanged for others.
+    Replacement,
+    /// Cuts, resets and losses on links of the control plane.
+    Cut,
+    /// Disks of controllers.
+    Disk,
+    /// The time of day.
+    Clock,
+    /// Changes of the configuration, and their acknowledgements.
+    Change,
+    /// Routers.
+    Router,
+    /// Endpoints.
+    Endpoint,
+    /// Clients.
+    Client,
+}
+
+impl Category {
+    /// All categories.
+    pub const ALL: [Self; 9] = [
+        Self::ControllerLoss,
+        Self::Replacement,
+        Self::Cut,
+        Self::Disk,
+        Self::Clock,
+        Self::Change,
+        Self::Router,
+        Self::Endpoint,
+        Self::Client,
+    ];
+}
+
+/// In which list of a day a kind stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    Plan,
+    Faults,
+}
+
+/// On which sites a kind may come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Availability {
+    Always,
+    /// On sites that name this contract.
+    Contract(&'static str),
+    /// On sites that list it among their troubles.
+    Listed,
+}
+
+/// What a kind is narrowed to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// Nothing.
+    Everywhere,
+    /// Machines that count for the quorum.
+    Core,
+    /// Sometimes one service.
+    Service,
+    /// Sometimes one service; callers in one zone where the variant asks for it.
+    ServiceAndCallers,
+    /// A zone or a kind of requests.
+    Traffic,
+    /// Always one zone.
+    Zone,
+}
+
+/// Alternatives for one place in the variant; an empty one leaves it out, a repeated one is likelier.
+pub type Slot = &'static [&'static str];
+
+/// A number that a kind may carry.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Field {
+    pub key: &'static str,
+    pub low: f64,
+    pub high: f64,
+    /// Now and then drawn from here instead.
+    pub rare: Option<(f64, f64)>,
+    pub whole: bool,
+}
+
+impl Field {
+    pub(crate) const fn or_rarely(mut self, low: f64, high: f64) -> Self {
+        self.rare = Some((low, high));
+        self
+    }
+}
+
+/// A number that has a fraction.
+pub(crate) const fn number(key: &'static str, low: f64, high: f64) -> Field {
+    Field { key, low, high, rare: None, whole: false }
+}
+
+/// A whole number.
+pub(crate) const fn whole(key: &'static str, low: u32, high: u32) -> Field {
+    Field { key, low: low as f64, high: high as f64, rare: None, whole: true }
+}
+
+/// A kind of trouble.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Kind {
+    pub name: &'static str,
+    pub category: Category,
+    pub part: Part,
+    pub availability: Availability,
+    pub scope: Scope,
+    pub slots: &'static [Slot],
+    /// Whether the variant may say which machine is struck and what meets it.
+    pub chooses_machine: bool,
+    pub fields: &'static [Field],
+}
+
+impl Kind {
+    pub(crate) const fn fault(name: &'static str, category: Category, fields: &'static [Field]) -> Self {
+        Self {
+            name,
+            category,
+            part: Part::Faults,
+            availability: Availability::Always,
+            scope: Scope::Everywhere,
+            slots: &[],
+            chooses_machine: false,
+            fields,
+        }
+    }
+
+    pub(crate) const fn planned(name: &'static str, category: Category, fields: &'static [Field]) -> Self {
+        Self { part: Part::Plan, ..Self::fault(name, category, fields) }
+    }
+
+    pub(crate) const fn with(self, slots: &'static [Slot]) -> Self {
+        Self { slots, ..self }
+    }
+
+    pub(crate) const fn on(self, scope: Scope) -> Self {
+        Self { scope, ..self }
+    }
+
+    pub(crate) const fn choosing(self) -> Self {
+        Self { chooses_machine: true, ..self }
+    }
+
+    pub(crate) const fn only(self, availability: Availability) -> Self {
+        Self { availability, ..self }
+    }
+}
--- a/crates/day-generator/src/lib.rs
+++ b/crates/day-generator/src/lib.rs
@@ -1,15 +1,21 @@
 //! Draws days of troubles for the operators' bench: a site file and a seed in, day files out.
 //!
-//! A day takes its traffic, its marks and its floors from one of the site's own days. Its troubles are drawn from the
-//! [`catalogue`]: any kind that fits the site, several at once and more than once, with every variant that the kind
-//! has. The same site, seed and [`Weights`] always give the same days.
+//! A day takes its traffic, its marks and its floors from one of the site's own days. What else it holds, its
+//! [`Profile`] tells: troubles of all kinds of the [`catalogue`], several at once and more than once, with every
+//! variant that the kind has; or a [`crowd`] of a few kinds with few others beside it. The same site, seed and
+//! profile always give the same days.
 
 pub mod catalogue;
+pub mod crowd;
 mod day;
 mod draw;
+mod entry;
 mod error;
 mod files;
+mod kind;
+mod profile;
 mod site;
+mod troubles;
 mod variant;
 mod weights;
 
@@ -17,5 +23,6 @@
 pub use draw::{Draw, draw_day};
 pub use error::Error;
 pub use files::write_days;
+pub use profile::Profile;
 pub use site::Site;
 pub use weights::Weights;
--- a/crates/day-generator/src/main.rs
+++ b/crates/day-generator/src/main.rs
@@ -1,7 +1,7 @@
 //! The command line of the generator.
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
-use day_generator::{Draw, Error, Site, Weights, write_days};
+use day_generator::{Draw, Error, Profile, Site, Weights, write_days};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -13,8 +13,7 @@
 struct Arguments {
     seed: u64,
     count: u32,
-    weights: Weights,
-    most_troubles: usize,
+    profile: Profile,
     site: PathBuf,
     folder: PathBuf,
 }
@@ -27,24 +26,50 @@
         .argument::<u32>("COUNT")
         .fallback(DEFAULT_COUNT)
         .display_fallback();
-    let weights = long("weights")
-        .help("What is drawn most: control, even or endpoints")
-        .argument::<String>("NAME")
-        .parse(|name| name.parse::<Weights>())
-        .fallback(Weights::Control);
-    let most_troubles = long("most-troubles")
-        .help("Most troubles of a day, 6 to 60")
-        .argument::<usize>("NUMBER")
-        .fallback(Draw::DEFAULT_MOST_TROUBLES)
-        .display_fallback();
     let site = positional::<PathBuf>("SITE").help("The site file of a deployment");
     let folder = positional::<PathBuf>("FOLDER").help("Where the day files go");
-    construct!(Arguments { seed, count, weights, most_troubles, site, folder })
+    construct!(Arguments { seed, count, profile(), site, folder })
         .to_options()
         .descr("Draws days of troubles for a deployment")
         .version(env!("CARGO_PKG_VERSION"))
 }
 
+/// A crowded profile by its name, or the mixed one with its own options.
+fn profile() -> impl Parser<Profile> {
+    let crowded = long("profile")
+        .help("Days full of one thing: planned (planned work) or orders (orders to endpoints)")
+        .argument::<String>("NAME")
+        .parse(|name| crowded_profile(&name))
+        .optional();
+    let weights = long("weights")
+        .help("What is drawn most: control (default), even or endpoints")
+        .argument::<String>("NAME")
+        .parse(|name| name.parse::<Weights>())
+        .optional();
+    let most_troubles = long("most-troubles")
+        .help("Most troubles of a day, 6 to 60 (default 13)")
+        .argument::<usize>("NUMBER")
+        .optional();
+    construct!(crowded, weights, most_troubles).parse(|(crowded, weights, most_troubles)| {
+        match (crowded, weights, most_troubles) {
+            (Some(profile), None, None) => Ok(profile),
+            (Some(profile), ..) => Err(format!("profile {} takes no other options", profile.name())),
+            (None, weights, most_troubles) => Ok(Profile::Mixed {
+                weights: weights.unwrap_or(Weights::Control),
+                most_troubles: most_troubles.unwrap_or(Profile::DEFAULT_MOST_TROUBLES),
+            }),
+        }
+    })
+}
+
+fn crowded_profile(name: &str) -> Result<Profile, String> {
+    let known = Profile::CROWDED.into_iter().find(|profile| profile.name() == name);
+    known.ok_or_else(|| {
+        let names = Profile::CROWDED.map(Profile::name).join(", ");
+        format!("profile {name:?} is none of {names}")
+    })
+}
+
 fn main() -> ExitCode {
     match run(&options().run()) {
         Ok(()) => ExitCode::SUCCESS,
@@ -58,8 +83,7 @@
 /// Writes the days and prints their paths.
 fn run(arguments: &Arguments) -> Result<(), Error> {
     let site = Site::read(&arguments.site)?;
-    let Arguments { seed, weights, most_troubles, .. } = *arguments;
-    let draw = Draw { seed, weights, most_troubles };
+    let draw = Draw { seed: arguments.seed, profile: arguments.profile };
     for path in write_days(&site, draw, arguments.count, &arguments.folder)? {
         println!("{}", path.display());
     }
--- a/crates/day-generator/tests/draw.rs
+++ b/crates/day-generator/tests/draw.rs
@@ -1,7 +1,7 @@
 //! Drawn days are whole, depend on the seed alone, and hold every kind and variant now and then.
 
 use day_generator::catalogue::{Availability, Category, Field, KINDS, Kind, Part, Scope};
-use day_generator::{Day, Draw, Site, Weights, draw_day};
+use day_generator::{Day, Draw, Profile, Site, Weights, draw_day};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
@@ -104,7 +104,7 @@
 }
 
 fn draw(seed: u64, weights: Weights) -> Draw {
-    Draw { seed, weights, most_troubles: Draw::DEFAULT_MOST_TROUBLES }
+    Draw { seed, profile: Profile::mixed(weights) }
 }
 
 /// Days 0 to `count` of one seed, as they stand in their files.
@@ -219,12 +219,14 @@
 #[test]
 fn harsher_days_have_more_troubles() {
     let site = site("atoll-clinic");
-    let harsh = Draw { most_troubles: 25, ..draw(7, Weights::Control) };
-    let counts = (0..200).map(|number| troubles(&parsed(&draw_day(&site, harsh, number))).len());
+    let of_at_most = |most_troubles| Draw {
+        seed: 7,
+        profile: Profile::Mixed { weights: Weights::Control, most_troubles },
+    };
+    let counts = (0..200).map(|number| troubles(&parsed(&draw_day(&site, of_at_most(25), number))).len());
     assert_eq!(counts.max(), Some(25));
-    let fewest = Draw { most_troubles: 0, ..harsh };
-    assert_eq!(troubles(&parsed(&draw_day(&site, fewest, 0))).len(), 6);
-    let endless = Draw { most_troubles: usize::MAX, ..harsh };
+    assert_eq!(troubles(&parsed(&draw_day(&site, of_at_most(0), 0))).len(), 6);
+    let endless = of_at_most(usize::MAX);
     assert!((0..200).all(|number| troubles(&parsed(&draw_day(&site, endless, number))).len() <= 60));
 }
 
--- a/crates/day-generator/tests/files.rs
+++ b/crates/day-generator/tests/files.rs
@@ -1,6 +1,6 @@
 //! The program, and the files that it writes.
 
-use day_generator::{Draw, Error, Site, Weights, write_days};
+use day_generator::{Draw, Error, Profile, Site, Weights, write_days};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
@@ -9,7 +9,7 @@
 }
 
 fn draw(seed: u64, weights: Weights) -> Draw {
-    Draw { seed, weights, most_troubles: Draw::DEFAULT_MOST_TROUBLES }
+    Draw { seed, profile: Profile::mixed(weights) }
 }
 
 /// A fresh folder for one test.
@@ -69,3 +69,32 @@
     assert!(!output.status.success());
     assert!(String::from_utf8_lossy(&output.stderr).contains("heavy"));
 }
+
+#[test]
+fn crowded_days_have_files_of_their_own() {
+    let folder = folder("crowded");
+    let output = Command::new(env!("CARGO_BIN_EXE_day-generator"))
+        .args(["--seed", "4", "--count", "1", "--profile", "planned"])
+        .args([&site_file(), &folder])
+        .output()
+        .unwrap();
+    let printed = String::from_utf8(output.stdout).unwrap();
+    assert!(printed.trim_end().ends_with("atoll-clinic-planned-4-000.toml"), "{printed}");
+    let day = std::fs::read_to_string(printed.trim_end()).unwrap();
+    assert!(day.contains("name = \"planned-4-0\""), "{day}");
+}
+
+#[test]
+fn options_that_do_not_fit_together_are_told() {
+    let refused = |arguments: &[&str]| {
+        let output = Command::new(env!("CARGO_BIN_EXE_day-generator"))
+            .args(arguments)
+            .args([&site_file(), Path::new("out")])
+            .output()
+            .unwrap();
+        assert!(!output.status.success());
+        String::from_utf8_lossy(&output.stderr).into_owned()
+    };
+    assert!(refused(&["--profile", "crowded"]).contains("planned, orders"));
+    assert!(refused(&["--profile", "planned", "--weights", "even"]).contains("takes no other options"));
+}
