Add metrics as text over HTTP, and counted invariants

Cause: an incident is looked at by the figures that a role tells (`metrics` in the deploy file), and none tells any.

Change: `lanegate-metrics` renders figures by prometheus-client (no protobuf) in the text format 0.0.4 and serves GET /metrics on our control server, which is hyper on the one thread (async-h1 stays ruled out, docs/findings/async-h1.md). Nothing is kept in it: a role fills an exposition from its own state when asked. At most 4 connections, 2 s for a request to arrive, 8 s for an answer to be taken; a port that cannot be bound gives one warning. `lanegate-invariants`, without dependencies, is an enum of invariants with a counter of violations each, for state machines without I/O too; all are exported from the start.

Ruled out: the registry types of the library as the store of the figures. They are shared atomics behind locks; the roles have single-threaded state already.

Tests: a strict reader of the text format; stalled, silent and greedy callers are cut off; a taken port ends nothing.

--- a/crates/control-http/src/lib.rs
+++ b/crates/control-http/src/lib.rs
@@ -15,5 +15,5 @@
 pub use client::{CallError, ClientConnection, ClientRequest, ClientResponse, call};
 pub use connection::serve_connection;
 pub use limits::ServerLimits;
-pub use message::{ControlMethod, ControlRequest, ControlResponse, IfMatch};
+pub use message::{ContentType, ControlMethod, ControlRequest, ControlResponse, IfMatch};
 pub use server::serve;
--- a/crates/control-http/src/message.rs
+++ b/crates/control-http/src/message.rs
@@ -85,7 +85,24 @@
     pub remote: SocketAddr,
 }
 
-/// The response to a request; a body is JSON.
+/// What a body holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ContentType {
+    Json,
+    /// Text in the Prometheus exposition format.
+    Metrics,
+}
+
+impl ContentType {
+    fn header(self) -> HeaderValue {
+        HeaderValue::from_static(match self {
+            ContentType::Json => "application/json",
+            ContentType::Metrics => "text/plain; version=0.0.4; charset=utf-8",
+        })
+    }
+}
+
+/// The response to a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ControlResponse {
     pub status: u16,
@@ -94,6 +111,7 @@
     /// Whole seconds after which the caller may ask again.
     pub retry_after_s: Option<u32>,
     pub body: Bytes,
+    pub content_type: ContentType,
     /// Whether the connection ends with this response.
     pub close: bool,
 }
@@ -101,7 +119,14 @@
 impl ControlResponse {
     /// A response without a body.
     pub fn status(status: u16) -> Self {
-        ControlResponse { status, location: None, retry_after_s: None, body: Bytes::new(), close: false }
+        ControlResponse {
+            status,
+            location: None,
+            retry_after_s: None,
+            body: Bytes::new(),
+            content_type: ContentType::Json,
+            close: false,
+        }
     }
 
     /// A response with a JSON body.
@@ -109,6 +134,11 @@
         ControlResponse { body: body.into(), ..Self::status(status) }
     }
 
+    /// A response with a body of another kind.
+    pub fn text(status: u16, content_type: ContentType, body: impl Into<Bytes>) -> Self {
+        ControlResponse { body: body.into(), content_type, ..Self::status(status) }
+    }
+
     /// Sends the caller to another server.
     pub fn redirect(location: impl Into<String>) -> Self {
         ControlResponse {
@@ -121,7 +151,7 @@
     pub(crate) fn headers(&self) -> HeaderMap {
         let mut headers = HeaderMap::new();
         if !self.body.is_empty() {
-            headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+            headers.insert(CONTENT_TYPE, self.content_type.header());
         }
         if let Some(location) = self.location.as_deref().and_then(|value| HeaderValue::from_str(value).ok()) {
             headers.insert(LOCATION, location);
--- /dev/null
+++ b/crates/invariants/src/lib.rs
@@ -0,0 +1,94 @@
+//! Invariants that the processes check while they run.
+//!
+//! A check that fails is a fault of this program, never of a caller or of the network. It is counted, and the
+//! process goes on. This crate depends on nothing, so that state machines without I/O can use it; the counts are
+//! exported by `lanegate-metrics`.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// What must hold at all times. To add one, add a variant, its place in [`Invariant::ALL`], its name and its
+/// description; it is exported from then on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Invariant {
+    /// A request that may have run is not sent again, unless its route allows that.
+    UnrepeatableSentOnce,
+    /// A request is sent to no more endpoints than its route allows.
+    AttemptsWithinLimit,
+    /// A request of a client has one outcome.
+    OneOutcome,
+    /// The configuration in force at a process never gets older.
+    ConfigurationVersionRises,
+    /// The decided revision of a shard, as one controller learns it, never falls.
+    RevisionRises,
+    /// Each tenure of a lease has a higher epoch than those before it.
+    EpochRises,
+}
+
+impl Invariant {
+    /// All invariants, in the order of their numbers.
+    pub const ALL: [Invariant; 6] = [
+        Invariant::UnrepeatableSentOnce,
+        Invariant::AttemptsWithinLimit,
+        Invariant::OneOutcome,
+        Invariant::ConfigurationVersionRises,
+        Invariant::RevisionRises,
+        Invariant::EpochRises,
+    ];
+
+    /// The name under which it is exported.
+    pub fn name(self) -> &'static str {
+        match self {
+            Invariant::UnrepeatableSentOnce => "unrepeatable_sent_once",
+            Invariant::AttemptsWithinLimit => "attempts_within_limit",
+            Invariant::OneOutcome => "one_outcome",
+            Invariant::ConfigurationVersionRises => "configuration_version_rises",
+            Invariant::RevisionRises => "revision_rises",
+            Invariant::EpochRises => "epoch_rises",
+        }
+    }
+
+    /// What it demands, for operators.
+    pub fn description(self) -> &'static str {
+        match self {
+            Invariant::UnrepeatableSentOnce => {
+                "a request that may have run is sent again only where its route allows that"
+            }
+            Invariant::AttemptsWithinLimit => "a request goes to at most MaxAttempts endpoints",
+            Invariant::OneOutcome => "a request of a client has one outcome",
+            Invariant::ConfigurationVersionRises => {
+                "the configuration in force at a process never gets older"
+            }
+            Invariant::RevisionRises => "the revision of a shard that a controller has learned never falls",
+            Invariant::EpochRises => "a tenure of a lease has a higher epoch than those before it",
+        }
+    }
+
+    fn index(self) -> usize {
+        self as usize
+    }
+}
+
+/// Violations so far of every invariant. Clones count together; counting is one atomic addition.
+#[derive(Debug, Clone, Default)]
+pub struct Violations(Arc<[AtomicU64; Invariant::ALL.len()]>);
+
+impl Violations {
+    /// Counts a violation of `invariant`.
+    pub fn record(&self, invariant: Invariant) {
+        self.0[invariant.index()].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a violation of `invariant` unless `holds`; returns `holds`.
+    pub fn check(&self, invariant: Invariant, holds: bool) -> bool {
+        if !holds {
+            self.record(invariant);
+        }
+        holds
+    }
+
+    /// Violations of `invariant` since the start of the process.
+    pub fn count(&self, invariant: Invariant) -> u64 {
+        self.0[invariant.index()].load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/metrics/tests/endpoint.rs
@@ -0,0 +1,185 @@
+//! Where a process tells its figures, and what callers may cost it.
+
+#[path = "common/text_format.rs"]
+mod text_format;
+
+use lanegate_metrics::{Exposition, Metric, MetricsEndpoint, ProcessIdentity};
+use std::cell::Cell;
+use std::future::{Future, ready};
+use std::net::{SocketAddr, TcpListener as BlockingListener};
+use std::rc::Rc;
+use std::time::Duration;
+use text_format::Figures;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::{LocalSet, spawn_local, yield_now};
+use tokio::time::{Instant, timeout};
+
+const SCRAPES: Metric = Metric::counter("lanegate_test_scrapes_total", "How often this was asked for");
+const ASK: &str = "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n";
+/// Longest time of a test on its clock; reached only by tests that fail.
+const GUARD: Duration = Duration::from_secs(60);
+
+fn play(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let guarded = async { timeout(GUARD, test).await.expect("the test hangs") };
+    runtime.block_on(LocalSet::new().run_until(guarded));
+}
+
+fn identity() -> ProcessIdentity {
+    ProcessIdentity::starting("router", "1.2.3")
+}
+
+/// An endpoint that counts how often it was asked.
+fn start() -> (SocketAddr, Rc<Cell<u64>>) {
+    let endpoint = MetricsEndpoint::bind(identity(), "127.0.0.1:0".parse().unwrap());
+    let address = endpoint.local_address().unwrap();
+    let scrapes = Rc::new(Cell::new(0));
+    let counted = scrapes.clone();
+    spawn_local(endpoint.serve(move || {
+        counted.set(counted.get() + 1);
+        let mut exposition = Exposition::default();
+        exposition.set(&SCRAPES, counted.get());
+        ready(Some(exposition))
+    }));
+    (address, scrapes)
+}
+
+/// The answer to one request on a connection of its own.
+async fn ask(address: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = request.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    answer
+}
+
+fn body(answer: &str) -> &str {
+    answer.split_once("\r\n\r\n").unwrap().1
+}
+
+/// Lets `time` go by in steps, with the tasks at work in between.
+async fn pass_time(time: Duration) {
+    tokio::time::pause();
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        tokio::time::advance(Duration::from_millis(100)).await;
+        for _ in 0..20 {
+            yield_now().await;
+        }
+    }
+    tokio::time::resume();
+}
+
+#[test]
+fn the_figures_are_told_as_text_with_those_of_the_process() {
+    play(async {
+        let (address, _) = start();
+        let answer = ask(address, ASK).await;
+        assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
+        assert!(answer.contains("content-type: text/plain; version=0.0.4; charset=utf-8\r\n"), "{answer}");
+        let figures = Figures::parse(body(&answer));
+        assert_eq!(figures.value("lanegate_test_scrapes_total", &[]), 1.0);
+        let build = [("version", "1.2.3"), ("role", "router")];
+        assert_eq!(figures.value("lanegate_build_info", &build), 1.0);
+        assert!(figures.value("lanegate_process_start_time_seconds", &[]) > 1.6e9);
+    });
+}
+
+#[test]
+fn other_paths_and_methods_are_answered_without_figures() {
+    play(async {
+        let (address, scrapes) = start();
+        assert!(ask(address, "GET / HTTP/1.1\r\nHost: a\r\n\r\n").await.starts_with("HTTP/1.1 404 "));
+        assert!(ask(address, "POST /metrics HTTP/1.1\r\nHost: a\r\n\r\n").await.starts_with("HTTP/1.1 405 "));
+        assert_eq!(scrapes.get(), 0);
+    });
+}
+
+#[test]
+fn a_process_that_has_no_figures_to_tell_now_says_503() {
+    play(async {
+        let endpoint = MetricsEndpoint::bind(identity(), "127.0.0.1:0".parse().unwrap());
+        let address = endpoint.local_address().unwrap();
+        spawn_local(endpoint.serve(|| ready(None)));
+        assert!(ask(address, ASK).await.starts_with("HTTP/1.1 503 "));
+    });
+}
+
+#[test]
+fn a_port_that_is_taken_ends_nothing() {
+    play(async {
+        let taken = BlockingListener::bind("127.0.0.1:0").unwrap();
+        let endpoint = MetricsEndpoint::bind(identity(), taken.local_addr().unwrap());
+        assert_eq!(endpoint.local_address(), None);
+        endpoint.serve(|| ready(Some(Exposition::default()))).await;
+    });
+}
+
+#[test]
+fn a_caller_whose_request_stalls_is_cut_off() {
+    play(async {
+        let (address, scrapes) = start();
+        let mut stalled = TcpStream::connect(address).await.unwrap();
+        stalled.write_all(b"GET /metrics HT").await.unwrap();
+        ask(address, ASK).await;
+        pass_time(Duration::from_millis(2_500)).await;
+        assert_eq!(stalled.read(&mut [0; 1]).await.unwrap_or(0), 0);
+        assert_eq!(scrapes.get(), 1);
+    });
+}
+
+#[test]
+fn a_caller_that_says_nothing_is_cut_off() {
+    play(async {
+        let (address, _) = start();
+        let mut silent = TcpStream::connect(address).await.unwrap();
+        ask(address, ASK).await;
+        pass_time(Duration::from_millis(9_000)).await;
+        assert_eq!(silent.read(&mut [0; 1]).await.unwrap_or(0), 0);
+    });
+}
+
+#[test]
+fn callers_beyond_the_bound_wait_until_others_are_cut_off() {
+    play(async {
+        let (address, scrapes) = start();
+        let mut silent = Vec::new();
+        for _ in 0..4 {
+            silent.push(TcpStream::connect(address).await.unwrap());
+        }
+        let waiting = spawn_local(ask(address, ASK));
+        pass_time(Duration::from_millis(7_000)).await;
+        assert_eq!(scrapes.get(), 0);
+        pass_time(Duration::from_millis(2_000)).await;
+        assert!(waiting.await.unwrap().starts_with("HTTP/1.1 200 OK\r\n"));
+    });
+}
+
+#[test]
+fn a_caller_that_asks_again_and_again_and_takes_no_answer_is_cut_off() {
+    play(async {
+        let endpoint = MetricsEndpoint::bind(identity(), "127.0.0.1:0".parse().unwrap());
+        let address = endpoint.local_address().unwrap();
+        let asked = Rc::new(Cell::new(0_u64));
+        let counted = asked.clone();
+        spawn_local(endpoint.serve(move || {
+            counted.set(counted.get() + 1);
+            let mut exposition = Exposition::default();
+            let long = "x".repeat(1 << 20);
+            exposition.set_labelled(&SCRAPES, &[("kind", &long)], 1_u64);
+            ready(Some(exposition))
+        }));
+        let mut greedy = TcpStream::connect(address).await.unwrap();
+        greedy.write_all(ASK.repeat(50).as_bytes()).await.unwrap();
+        pass_time(Duration::from_millis(1_000)).await;
+        let answered = asked.get();
+        assert!(answered < 20, "{answered} answers are kept for a caller that takes none");
+        pass_time(Duration::from_millis(9_000)).await;
+        assert!(asked.get() <= answered + 1);
+        let mut taken = Vec::new();
+        let _ = greedy.read_to_end(&mut taken).await;
+        assert!(taken.len() < 20 << 20, "{} bytes", taken.len());
+    });
+}
--- /dev/null
+++ b/crates/metrics/tests/exposition.rs
@@ -0,0 +1,81 @@
+//! The text of the figures.
+
+#[path = "common/text_format.rs"]
+mod text_format;
+
+use lanegate_invariants::{Invariant, Violations};
+use lanegate_metrics::{Exposition, Metric};
+use std::time::Duration;
+use text_format::Figures;
+
+const ORDERS: Metric = Metric::counter("lanegate_test_orders_total", "Orders that were given");
+const DEPTH: Metric = Metric::gauge("lanegate_test_depth", "How many wait in the queue");
+const AGE: Metric = Metric::gauge("lanegate_test_age_seconds", "How old the newest value is");
+
+#[test]
+fn the_text_is_what_the_format_demands() {
+    let mut exposition = Exposition::default();
+    exposition.set_labelled(&ORDERS, &[("kind", "load"), ("outcome", "placed")], 3_u64);
+    exposition.set_labelled(&ORDERS, &[("kind", "evict"), ("outcome", "placed")], 0_u64);
+    exposition.set(&DEPTH, 7_usize);
+    exposition.set(&AGE, Duration::from_millis(1_250));
+    assert_eq!(
+        exposition.render().unwrap(),
+        "# HELP lanegate_test_orders_total Orders that were given\n\
+         # TYPE lanegate_test_orders_total counter\n\
+         lanegate_test_orders_total{kind=\"load\",outcome=\"placed\"} 3\n\
+         lanegate_test_orders_total{kind=\"evict\",outcome=\"placed\"} 0\n\
+         # HELP lanegate_test_depth How many wait in the queue\n\
+         # TYPE lanegate_test_depth gauge\n\
+         lanegate_test_depth 7\n\
+         # HELP lanegate_test_age_seconds How old the newest value is\n\
+         # TYPE lanegate_test_age_seconds gauge\n\
+         lanegate_test_age_seconds 1.25\n"
+    );
+}
+
+#[test]
+fn samples_of_one_metric_stand_together_in_whatever_order_they_are_set() {
+    let mut exposition = Exposition::default();
+    exposition.set_labelled(&ORDERS, &[("kind", "load")], 1_u64);
+    exposition.set(&DEPTH, 2_u64);
+    exposition.set_labelled(&ORDERS, &[("kind", "evict")], 3_u64);
+    let figures = Figures::parse(&exposition.render().unwrap());
+    assert_eq!(figures.sum("lanegate_test_orders_total"), 4.0);
+    assert_eq!(figures.value("lanegate_test_depth", &[]), 2.0);
+}
+
+#[test]
+fn values_of_labels_are_escaped() {
+    let odd = "a\"b\\c\nd,e}";
+    let mut exposition = Exposition::default();
+    exposition.set_labelled(&DEPTH, &[("kind", odd)], 1_u64);
+    let figures = Figures::parse(&exposition.render().unwrap());
+    assert_eq!(figures.value("lanegate_test_depth", &[("kind", odd)]), 1.0);
+}
+
+#[test]
+fn a_metric_without_a_sample_is_described_all_the_same() {
+    let mut exposition = Exposition::default();
+    exposition.declare(&DEPTH);
+    let figures = Figures::parse(&exposition.render().unwrap());
+    assert!(figures.0["lanegate_test_depth"].samples.is_empty());
+}
+
+#[test]
+fn every_invariant_is_exported_from_the_start() {
+    let violations = Violations::default();
+    let rendered = |violations: &Violations| {
+        let mut exposition = Exposition::default();
+        exposition.set_violations(violations);
+        Figures::parse(&exposition.render().unwrap())
+    };
+    let name = "lanegate_invariant_violations_total";
+    let before = rendered(&violations);
+    assert_eq!(before.0[name].samples.len(), Invariant::ALL.len());
+    assert_eq!(before.sum(name), 0.0);
+    violations.record(Invariant::EpochRises);
+    let after = rendered(&violations);
+    assert_eq!(after.value(name, &[("invariant", "epoch_rises")]), 1.0);
+    assert_eq!(after.sum(name), 1.0);
+}
