Leave room for the worst recent delay of outputs before the process ends

Change: by how much outputs took longer than their pace, at the worst of late (half as much after 5 s) or under way now, is left as room too.

--- a/crates/dispatch/src/dispatcher/learning.rs
+++ b/crates/dispatch/src/dispatcher/learning.rs
@@ -59,7 +59,7 @@
         };
         let model = wanted.model.clone();
         let output = now.saturating_sub(first_byte);
-        self.fleet.service_mut(&tracked.request.backend).sample_output(&model, output, pieces);
+        self.fleet.service_mut(&tracked.request.backend).sample_output(now, &model, output, pieces);
     }
 
     fn learn_first_byte(&mut self, now: Duration, id: RequestId, flight: Flight) {
--- a/crates/dispatch/src/dispatcher/timing.rs
+++ b/crates/dispatch/src/dispatcher/timing.rs
@@ -64,21 +64,35 @@
 
     /// When a held request is answered at the latest: while there is time for a first byte, and for the whole
     /// answer before the process ends.
-    pub(super) fn closing(&self, tracked: &Tracked, found: &[Candidate]) -> Duration {
+    pub(super) fn closing(&self, now: Duration, tracked: &Tracked, found: &[Candidate]) -> Duration {
         let ends = self.patience.ends(tracked);
         let usual = found.iter().map(|candidate| candidate.expected).min().unwrap_or_default();
         let whole = ends.saturating_sub(tracked.request.arrived);
         let closing = ends.saturating_sub(usual.min(whole / CLOSING_PART).max(CLOSING_MARGIN));
-        self.last_start(tracked, usual).map_or(closing, |last| last.min(closing))
+        self.last_start(now, tracked, usual).map_or(closing, |last| last.min(closing))
     }
 
     /// When a request has to be sent at the latest to be answered whole before the process ends; `None` while
     /// the process goes on, and for what may have run: that could no longer be refused.
-    fn last_start(&self, tracked: &Tracked, first_byte: Duration) -> Option<Duration> {
+    fn last_start(&self, now: Duration, tracked: &Tracked, first_byte: Duration) -> Option<Duration> {
         let end = self.end.filter(|_| !tracked.may_have_run)?;
         let service = self.fleet.service(&tracked.request.backend);
         let output = service.expected_output(tracked.request.generation.as_ref());
-        Some(end.saturating_sub((first_byte + output).mul_f64(END_CAUTION) + END_MARGIN))
+        let excess = service.output_excess(now).max(self.excess_under_way(now, &tracked.request.backend));
+        Some(end.saturating_sub((first_byte + output).mul_f64(END_CAUTION) + excess + END_MARGIN))
+    }
+
+    /// By how much the output of an answer of the service under way has already taken longer than expected, at
+    /// the worst.
+    fn excess_under_way(&self, now: Duration, backend: &str) -> Duration {
+        let service = self.fleet.service(backend);
+        let excess = |tracked: &Tracked| {
+            let first_byte = tracked.flight()?.first_byte?;
+            let expected = service.expected_output(tracked.request.generation.as_ref());
+            Some(now.saturating_sub(first_byte).saturating_sub(expected))
+        };
+        let under_way = self.requests.values().filter(|tracked| *tracked.request.backend == *backend);
+        under_way.filter_map(excess).max().unwrap_or_default()
     }
 
     /// When to look at a held request next.
@@ -90,7 +104,7 @@
         found: &[Candidate],
     ) -> Duration {
         let tracked = &self.requests[&id];
-        let mut next = self.closing(tracked, found);
+        let mut next = self.closing(now, tracked, found);
         let mut consider = |at: Duration| {
             if at > now {
                 next = next.min(at);
--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -114,8 +114,8 @@
     }
 
     /// Time of an output of so many tokens.
-    pub fn expected(&self, tokens: u32) -> Duration {
-        seconds(self.per_token_s() * f64::from(tokens))
+    pub fn expected(&self, tokens: f64) -> Duration {
+        seconds(self.per_token_s() * tokens)
     }
 
     /// Orders paces, the slower one last.
@@ -128,6 +128,31 @@
     }
 }
 
+/// After this, the worst that was seen counts half.
+const WORST_HALF_LIFE: Duration = Duration::from_secs(5);
+
+/// The worst of the last seconds, which fades.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct RecentWorst {
+    worst: Duration,
+    seen: Duration,
+}
+
+impl RecentWorst {
+    /// Takes a time in at `now`.
+    pub fn sample(&mut self, now: Duration, measured: Duration) {
+        if measured >= self.at(now) {
+            *self = RecentWorst { worst: measured, seen: now };
+        }
+    }
+
+    /// What it counts at `now`.
+    pub fn at(&self, now: Duration) -> Duration {
+        let half_lives = now.saturating_sub(self.seen).as_secs_f64() / WORST_HALF_LIFE.as_secs_f64();
+        self.worst.mul_f64((-half_lives).exp2())
+    }
+}
+
 /// A share from 0 to 1 as an exponentially weighted mean.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Share(f64);
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -1,7 +1,7 @@
 //! What is known and learned of one service: its engines, its times, its budget and the models it lacks.
 
 use crate::budget::RetryBudget;
-use crate::estimate::{FirstByteLine, OutputPace, Share};
+use crate::estimate::{FirstByteLine, OutputPace, RecentWorst, Share};
 use crate::interface::Generation;
 use crate::units::{milliseconds, seconds};
 use fair_edf::{Smoothed, Smoothing};
@@ -87,6 +87,8 @@
     pub served: Smoothed,
     /// Time of output by model; bounded by the models of the configuration.
     paces: BTreeMap<Arc<str>, OutputPace>,
+    /// By how much outputs took longer than their model's pace.
+    output_excess: RecentWorst,
     held_tokens: Smoothed,
     first_byte_wait: Smoothed,
     read_tokens: Smoothed,
@@ -107,6 +109,7 @@
             first_byte: FirstByteLine::default(),
             served: SERVED.start(),
             paces: BTreeMap::new(),
+            output_excess: RecentWorst::default(),
             held_tokens: HELD_TOKENS.start(),
             first_byte_wait: SERVED.start(),
             read_tokens: READ_TOKENS.start(),
@@ -160,12 +163,15 @@
     }
 
     /// Takes in how long the output of an answer took from its first piece to its last.
-    pub fn sample_output(&mut self, model: &Arc<str>, output: Duration, pieces: u32) {
+    pub fn sample_output(&mut self, now: Duration, model: &Arc<str>, output: Duration, pieces: u32) {
         let Some(engine) = self.engine.as_ref().filter(|engine| engine.models.contains_key(model)) else {
             return;
         };
         let tokens = f64::from(pieces.saturating_sub(1)) * engine.tokens_per_event;
-        self.paces.entry(model.clone()).or_default().sample(output, tokens);
+        let pace = self.paces.entry(model.clone()).or_default();
+        let excess = output.saturating_sub(pace.expected(tokens));
+        pace.sample(output, tokens);
+        self.output_excess.sample(now, excess);
     }
 
     /// Takes in the time from send to end of an answer.
@@ -177,11 +183,16 @@
     /// service has no engines.
     pub fn expected_output(&self, wanted: Option<&Generation>) -> Duration {
         match wanted {
-            Some(wanted) => self.pace_of(&wanted.model).expected(wanted.output_tokens),
+            Some(wanted) => self.pace_of(&wanted.model).expected(f64::from(wanted.output_tokens)),
             None => seconds(self.served.seconds()),
         }
     }
 
+    /// By how much outputs took longer than expected of late, at the worst.
+    pub fn output_excess(&self, now: Duration) -> Duration {
+        self.output_excess.at(now)
+    }
+
     /// The pace of a model, or the slowest known one where it has not answered yet.
     fn pace_of(&self, model: &str) -> OutputPace {
         let slowest = || self.paces.values().copied().max_by(OutputPace::by_time_per_token);
