--- a/crates/day-generator/tests/reproducible.rs
+++ b/crates/day-generator/tests/reproducible.rs
@@ -3,7 +3,7 @@
 use day_generator::{Draw, Profile, Site, Weights, draw_day};
 use std::path::{Path, PathBuf};
 
-/// A day that was drawn at commit 2a0648b.
+/// A day that was drawn before: the mixed ones at commit 2a0648b, the crowded ones when their profile was new.
 struct Drawn {
     site: &'static str,
     file: &'static str,
@@ -12,7 +12,7 @@
     profile: Profile,
 }
 
-const DRAWN: [Drawn; 3] = [
+const DRAWN: [Drawn; 5] = [
     Drawn {
         site: "atoll-clinic",
         file: "atoll-clinic-56-000.toml",
@@ -34,6 +34,20 @@
         number: 1,
         profile: Profile::mixed(Weights::Endpoints),
     },
+    Drawn {
+        site: "atoll-clinic",
+        file: "atoll-clinic-planned-60-000.toml",
+        seed: 60,
+        number: 0,
+        profile: Profile::Planned,
+    },
+    Drawn {
+        site: "fjord-pilotage",
+        file: "fjord-pilotage-orders-61-000.toml",
+        seed: 61,
+        number: 0,
+        profile: Profile::Orders,
+    },
 ];
 
 fn site(name: &str) -> Site {
