--- a/crates/soak/src/audit/requests.rs
+++ b/crates/soak/src/audit/requests.rs
@@ -30,16 +30,16 @@
         let seen = format!(
             "attempt {id} ({route}) at router-{router}: cut {after:.3} s after it was sent, {events} events, \
              {}",
-            termination_text(view, attempt)
+            termination_text(view, attempt, at)
         );
         found.push(Violation::new(Invariant::Lost, at, seen).of_attempt(*id));
     }
     found
 }
 
-fn termination_text(view: &View, attempt: &Attempt) -> String {
+fn termination_text(view: &View, attempt: &Attempt, cut: Duration) -> String {
     let router = Place::Router(attempt.sent.router);
-    let last = view.terminations(router).filter(|told| *told <= attempt.at + attempt.sent.deadline).last();
+    let last = view.terminations(router).filter(|told| *told <= cut).last();
     last.map_or("no SIGTERM".to_owned(), |told| {
         format!("sent {:+.3} s from SIGTERM", attempt.at.as_secs_f64() - told.as_secs_f64())
     })
--- a/crates/soak/src/catalog.rs
+++ b/crates/soak/src/catalog.rs
@@ -11,7 +11,7 @@
 /// Adapters that an engine holds at most.
 pub const MAX_ADAPTERS: u32 = 2;
 /// Requests that an engine runs at once.
-pub const ENGINE_CAPACITY: u32 = 16;
+pub const ENGINE_CAPACITY: u32 = 32;
 /// Requests that an endpoint without an engine runs at once.
 pub const PLAIN_CAPACITY: u32 = 12;
 /// Time of a load from the weight store.
--- a/crates/soak/src/client/request.rs
+++ b/crates/soak/src/client/request.rs
@@ -69,9 +69,9 @@
 
 fn draw_route(random: &mut SmallRng) -> RouteKind {
     match random.random_range(0..100) {
-        0..40 => RouteKind::Lookup,
-        40..62 => RouteKind::Booking,
-        62..90 => RouteKind::Chat,
+        0..34 => RouteKind::Lookup,
+        34..54 => RouteKind::Booking,
+        54..80 => RouteKind::Chat,
         _ => RouteKind::Draft,
     }
 }
--- a/crates/soak/src/layout.rs
+++ b/crates/soak/src/layout.rs
@@ -6,6 +6,7 @@
 use crate::names::Place;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::{fs, io};
 
 /// Port of clients.
@@ -19,10 +20,17 @@
 /// Link ports of controllers begin after this one, those of agents after the second.
 const CONTROLLER_LINKS: u16 = 7_700;
 const AGENT_LINKS: u16 = 7_720;
-/// Ports on which agents feed their routers; all share one address. The system gives out those from 32,768 on.
-const FEED_PORTS: std::ops::Range<u16> = 20_000..32_000;
-/// Ports that one run looks at before the next run's begin.
-const FEED_PORTS_PER_RUN: u32 = 32;
+/// First port on which an agent feeds its router; all agents share one address, so each network has its own
+/// ports. The system gives out those from 32,768 on.
+const FIRST_FEED_PORT: u16 = 20_000;
+/// Feed ports of one network.
+const FEED_PORTS: u16 = 8;
+/// Networks that may be used at once: their feed ports end at 32,000.
+const NETWORKS: u16 = 1_500;
+/// Second part of the address of the first network; each has 256 addresses.
+const FIRST_NETWORK: u8 = 20;
+/// Last part of the address that reserves a network.
+const RESERVATION: u8 = 250;
 /// Zones; machines take turns.
 pub const ZONES: [&str; 3] = ["east", "north", "west"];
 /// Time between heartbeats, ms.
@@ -46,8 +54,9 @@
     pub controllers: u8,
     pub routers: u8,
     pub endpoints: u8,
-    network: (u8, u8),
-    feed_ports: Vec<u16>,
+    network: u16,
+    /// Keeps other runs from using the network.
+    _reservation: Rc<TcpListener>,
     /// Settings, data and logs of this run.
     pub folder: PathBuf,
 }
@@ -56,21 +65,15 @@
     /// Finds a network and ports that no other run uses, and makes the folder.
     pub fn place(controllers: u8, routers: u8, endpoints: u8, folder: PathBuf) -> io::Result<Self> {
         fs::create_dir_all(&folder)?;
-        let process = std::process::id();
-        let free_network = (0..=u8::MAX).map(|step| {
-            let number = process.wrapping_add(u32::from(step) * 251);
-            (20 + (number >> 8) as u8 % 200, number as u8)
-        });
-        let is_free = |network: &(u8, u8)| {
-            TcpListener::bind((Ipv4Addr::new(127, network.0, network.1, 1), CONTROL_PORT)).is_ok()
-        };
-        let network = free_network.into_iter().find(is_free).ok_or(io::ErrorKind::AddrInUse)?;
-        let feed_ports = feed_ports(process, usize::from(routers))?;
-        Ok(Layout { controllers, routers, endpoints, network, feed_ports, folder })
+        let first = std::process::id() as u16 % NETWORKS;
+        let mut candidates = (0..NETWORKS).map(|step| (first + step) % NETWORKS);
+        let reserved = candidates.find_map(|network| Some((network, reserve(network, routers)?)));
+        let (network, reservation) = reserved.ok_or(io::ErrorKind::AddrInUse)?;
+        Ok(Layout { controllers, routers, endpoints, network, _reservation: Rc::new(reservation), folder })
     }
 
     fn address(&self, last: u8) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.network.0, self.network.1, last)
+        address(self.network, last)
     }
 
     /// Address of the machine of a process or stand-in.
@@ -186,7 +189,7 @@
 
     fn edge_settings(&self, number: u8) -> String {
         let (frontend, readiness) = (self.frontend(number), self.readiness(number));
-        let (first, last) = (link_port(Place::Agent(number)), self.feed_ports[usize::from(number - 1)]);
+        let (first, last) = (link_port(Place::Agent(number)), feed_port(self.network, number));
         format!(
             "ListenersMap: {{Frontend: '{frontend}', Readiness: '{readiness}'}}\nPortRange: [{first}, {last}]\n\
              CountsForQuorum: false\nLimits: {{CpuQuota: 0.5, Cores: 1, MemoryMb: 260, MaxFds: 1000}}\n"
@@ -203,13 +206,21 @@
     }
 }
 
-fn feed_ports(process: u32, count: usize) -> io::Result<Vec<u16>> {
-    let size = u32::from(FEED_PORTS.end - FEED_PORTS.start);
-    let first = FEED_PORTS.start + (process.wrapping_mul(FEED_PORTS_PER_RUN) % size) as u16;
-    let all = (first..FEED_PORTS.end).chain(FEED_PORTS.start..first);
-    let is_free = |port: &u16| TcpListener::bind((Ipv4Addr::LOCALHOST, *port)).is_ok();
-    let free: Vec<u16> = all.filter(is_free).take(count).collect();
-    if free.len() < count { Err(io::ErrorKind::AddrInUse.into()) } else { Ok(free) }
+fn address(network: u16, last: u8) -> Ipv4Addr {
+    let [high, low] = network.to_be_bytes();
+    Ipv4Addr::new(127, FIRST_NETWORK + high, low, last)
+}
+
+/// Where the agent of this number feeds its router.
+fn feed_port(network: u16, number: u8) -> u16 {
+    FIRST_FEED_PORT + network * FEED_PORTS + u16::from(number - 1)
+}
+
+/// Reserves a network, if nobody has it and its feed ports are free.
+fn reserve(network: u16, routers: u8) -> Option<TcpListener> {
+    let reservation = TcpListener::bind((address(network, RESERVATION), CONTROL_PORT)).ok()?;
+    let is_free = |number| TcpListener::bind((Ipv4Addr::LOCALHOST, feed_port(network, number))).is_ok();
+    (1..=routers).all(is_free).then_some(reservation)
 }
 
 /// The name of the folder of one run.
--- a/crates/soak/src/names.rs
+++ b/crates/soak/src/names.rs
@@ -48,9 +48,15 @@
 }
 
 /// One try of a client, told in `Attempt-Id`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId(pub u64);
 
+impl fmt::Debug for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
 impl fmt::Display for AttemptId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
@@ -66,7 +72,7 @@
 }
 
 /// One incarnation of an endpoint, told in `InstanceId`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct InstanceId {
     /// Number of the endpoint.
     pub endpoint: u8,
@@ -74,6 +80,12 @@
     pub start: u32,
 }
 
+impl fmt::Debug for InstanceId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
 impl InstanceId {
     /// The endpoint of which this is an incarnation.
     pub fn place(self) -> Place {
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -66,7 +66,7 @@
             (true, _) => Service::Primary,
         };
         let next = version + unseeded().random_range(1..=3);
-        let is_whole = self.next_change.get() % WHOLE_EVERY == 0;
+        let is_whole = self.next_change.get().is_multiple_of(WHOLE_EVERY);
         let change =
             if is_whole { self.whole_change(version, next, to) } else { self.patch(version, next, to) };
         self.send(change).await;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -30,7 +30,7 @@
 /// Time after the last trouble in which everything has to be served again.
 pub const RECOVERY_TIME: Duration = Duration::from_secs(12);
 /// Time of traffic after that, by which it is judged.
-const PROOF_TIME: Duration = Duration::from_secs(4);
+const PROOF_TIME: Duration = Duration::from_secs(3);
 /// Shortest traffic: some time for troubles is left.
 pub const LEAST_TIME: Duration = Duration::from_secs(20);
 /// Time between two readings of the configuration.
