Soak: more models and adapters than room, orders that wait before they are taken

Cause: thirty orders in a run never met an engine that was nearly full of adapters, nor an order late at its engine; the order beyond an endpoint's room of the incident of 2026-12-02 did not show.

Change: 11 models with 16 adapters for 4 engines with 2 places each; a trouble that delays orders; schedules of engines also isolate and kill controllers.

--- a/crates/soak/src/catalog.rs
+++ b/crates/soak/src/catalog.rs
@@ -37,14 +37,18 @@
 }
 
 /// All models; an engine has room for two of them, or three small ones.
-pub const MODELS: [ModelFacts; 7] = [
-    model("amber", 60_000.0, 2),
+pub const MODELS: [ModelFacts; 11] = [
+    model("amber", 60_000.0, 3),
     model("birch", 72_000.0, 0),
-    model("cedar", 45_000.0, 2),
-    model("delta", 72_000.0, 0),
+    model("cedar", 45_000.0, 3),
+    model("delta", 72_000.0, 2),
     model("ember", 60_000.0, 0),
-    model("fjord", 45_000.0, 0),
+    model("fjord", 45_000.0, 4),
     model("grove", 72_000.0, 0),
+    model("hazel", 49_900.0, 2),
+    model("inlet", 72_000.0, 0),
+    model("juniper", 60_000.0, 2),
+    model("kelp", 49_900.0, 0),
 ];
 
 const fn model(name: &'static str, weights_mb: f64, adapters: u32) -> ModelFacts {
--- a/crates/soak/src/endpoint/conditions.rs
+++ b/crates/soak/src/endpoint/conditions.rs
@@ -22,6 +22,7 @@
 #[derive(Debug, Default)]
 pub struct Conditions {
     pub slow: Condition,
+    pub orders_delayed: Condition,
     pub order_answers_lost: Condition,
     pub heartbeat_answers_lost: Condition,
 }
--- a/crates/soak/src/endpoint/server.rs
+++ b/crates/soak/src/endpoint/server.rs
@@ -35,6 +35,8 @@
 const SLOWNESS: u32 = 4;
 /// How long the caller waits in vain for an answer that is lost.
 const LOST_ANSWER_TIME: Duration = Duration::from_millis(1_500);
+/// Time that a delayed order waits: less than the caller waits for its answer.
+const ORDER_DELAY: Duration = Duration::from_millis(250);
 /// How often an eviction looks whether its runs have ended.
 const EVICTION_PAUSE: Duration = Duration::from_millis(10);
 /// Pieces of a stream that may wait for a slow reader.
@@ -118,6 +120,9 @@
     let Ok(body) = serde_json::from_slice::<OrderBody>(&body) else {
         return refusal(&endpoint, None, 400);
     };
+    if endpoint.conditions.orders_delayed.is_on() {
+        sleep(ORDER_DELAY).await;
+    }
     let reply = endpoint.engine.borrow_mut().take(endpoint.journal.now(), &body);
     endpoint.journal.note(What::OrderArrived {
         instance: endpoint.id,
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -94,6 +94,9 @@
             Trouble::OrderAnswersLost { endpoint, lasts } => {
                 self.during(lasts, endpoint, |conditions| &conditions.order_answers_lost).await;
             }
+            Trouble::OrdersDelayed { endpoint, lasts } => {
+                self.during(lasts, endpoint, |conditions| &conditions.orders_delayed).await;
+            }
             Trouble::HeartbeatAnswersLost { endpoint, lasts } => {
                 self.during(lasts, endpoint, |conditions| &conditions.heartbeat_answers_lost).await;
             }
--- a/crates/soak/src/schedule/draw.rs
+++ b/crates/soak/src/schedule/draw.rs
@@ -138,15 +138,17 @@
 
     fn of_engines(&mut self) -> Trouble {
         let endpoint = self.engine();
-        match self.random.random_range(0..7) {
+        let controller = self.controller();
+        let place = Place::Controller(controller);
+        match self.random.random_range(0..13) {
             0 => Trouble::EndpointCrash { endpoint, down: self.milliseconds(500, 4_000) },
             1 => Trouble::EndpointLeave { endpoint, announced: true, down: self.milliseconds(500, 3_000) },
             2 => Trouble::EndpointSlow { endpoint, lasts: self.milliseconds(1_000, 5_000) },
-            3 => Trouble::OrderAnswersLost { endpoint, lasts: self.milliseconds(1_000, 6_000) },
-            4 => {
-                let place = Place::Controller(self.controller());
-                Trouble::Freeze { place, lasts: self.milliseconds(1_000, 5_000) }
-            }
+            3 | 4 => Trouble::OrderAnswersLost { endpoint, lasts: self.milliseconds(1_000, 6_000) },
+            5 => Trouble::OrdersDelayed { endpoint, lasts: self.milliseconds(1_000, 6_000) },
+            6 => Trouble::Freeze { place, lasts: self.milliseconds(1_000, 5_000) },
+            7 => Trouble::Kill { place, down: self.milliseconds(200, 2_000) },
+            8 => Trouble::Isolate { controller, lasts: self.milliseconds(1_000, 5_000) },
             _ => self.demand(),
         }
     }
--- a/crates/soak/src/schedule/mod.rs
+++ b/crates/soak/src/schedule/mod.rs
@@ -34,6 +34,8 @@
     EndpointSlow { endpoint: u8, lasts: Duration },
     /// Orders are carried out and their answers are lost.
     OrderAnswersLost { endpoint: u8, lasts: Duration },
+    /// Orders wait for a part of a second before they are taken.
+    OrdersDelayed { endpoint: u8, lasts: Duration },
     /// Heartbeats are taken and their answers are lost.
     HeartbeatAnswersLost { endpoint: u8, lasts: Duration },
     /// Answers to the operators are lost.
--- a/crates/soak/src/schedule/text.rs
+++ b/crates/soak/src/schedule/text.rs
@@ -73,6 +73,9 @@
             Trouble::OrderAnswersLost { endpoint, lasts } => {
                 write!(f, "lose-order-answers {endpoint} {}", Seconds(*lasts))
             }
+            Trouble::OrdersDelayed { endpoint, lasts } => {
+                write!(f, "delay-orders {endpoint} {}", Seconds(*lasts))
+            }
             Trouble::HeartbeatAnswersLost { endpoint, lasts } => {
                 write!(f, "lose-heartbeat-answers {endpoint} {}", Seconds(*lasts))
             }
@@ -166,6 +169,7 @@
             "lose-order-answers" => {
                 Trouble::OrderAnswersLost { endpoint: self.number()?, lasts: self.lasts()? }
             }
+            "delay-orders" => Trouble::OrdersDelayed { endpoint: self.number()?, lasts: self.lasts()? },
             "lose-heartbeat-answers" => {
                 Trouble::HeartbeatAnswersLost { endpoint: self.number()?, lasts: self.lasts()? }
             }
--- a/crates/soak/tests/engine.rs
+++ b/crates/soak/tests/engine.rs
@@ -47,7 +47,7 @@
 fn there_are_no_orders_for_what_does_not_exist() {
     let mut engine = Engine::holding(&["amber"]);
     assert_eq!(engine.take(at(0), &order(Operation::Load, "unknown")), OrderReply::Invalid);
-    assert_eq!(engine.take(at(0), &adapter(Operation::Load, "amber", "a3")), OrderReply::Invalid);
+    assert_eq!(engine.take(at(0), &adapter(Operation::Load, "amber", "a4")), OrderReply::Invalid);
     assert_eq!(engine.take(at(0), &adapter(Operation::Load, "cedar", "a1")), OrderReply::Invalid);
 }
 
