Soak: lost disks, all controllers killed at once, changes that are never answered

Cause: no trouble took a disk or all controllers, and a change that nobody answers was seen by nobody.

--- a/crates/soak/src/audit/configuration.rs
+++ b/crates/soak/src/audit/configuration.rs
@@ -11,13 +11,20 @@
 /// Margin for what a busy machine adds to the time in which a configuration is in force.
 const APPLY_MARGIN: Duration = Duration::from_millis(1_000);
 
-/// [`Invariant::StaleRead`], [`Invariant::ConfigurationConflict`] and [`Invariant::RefusedAfterTaken`].
+/// Time after which a change that met a trouble of the control plane is looked at.
+const CALM_AFTER: Duration = Duration::from_secs(10);
+/// Time in which a change is answered when there is no such trouble.
+const ACK_TIME: Duration = Duration::from_secs(8);
+
+/// [`Invariant::StaleRead`], [`Invariant::ConfigurationConflict`], [`Invariant::RefusedAfterTaken`] and
+/// [`Invariant::Unanswered`].
 pub fn judge(view: &View) -> Vec<Violation> {
     let mut found = stale_reads(view);
     found.extend(conflicts_of_reads(view));
     found.extend(conflicts_of_changes(view));
     found.extend(refused_after_taken(view));
     found.extend(never_read_back(view));
+    found.extend(unanswered(view));
     found
 }
 
@@ -103,6 +110,22 @@
     vec![Violation::new(Invariant::StaleRead, ended, "no controller gave the configuration at the end")]
 }
 
+/// Changes that were sent for long in a time without trouble in the control plane, and have no clear answer.
+fn unanswered(view: &View) -> Vec<Violation> {
+    let Some(ended) = view.traffic_ended else { return Vec::new() };
+    let open = view.changes.values().filter_map(|change| {
+        let since = change.sent + CALM_AFTER;
+        let is_open = change.acknowledged.is_none() && change.refused.is_none();
+        let until = since + ACK_TIME;
+        let is_troubled =
+            view.was_control_troubled(since, until) || view.were_acknowledgements_lost(since, until);
+        let is_owed = until <= ended && !is_troubled;
+        let seen = || format!("change {} has no clear answer", change.facts.change);
+        (is_open && is_owed).then(|| Violation::new(Invariant::Unanswered, until, seen()))
+    });
+    open.collect()
+}
+
 /// [`Invariant::StaleRoute`].
 pub fn stale_route(view: &View) -> Vec<Violation> {
     let mut found = Vec::new();
--- a/crates/soak/src/audit/mod.rs
+++ b/crates/soak/src/audit/mod.rs
@@ -37,6 +37,8 @@
     ConfigurationConflict,
     /// A change that was taken is not refused when it is sent again.
     RefusedAfterTaken,
+    /// A proper change gets a clear answer in time.
+    Unanswered,
     /// Requests go where a configuration in force sends them.
     StaleRoute,
     /// No order loads more than an engine has room for.
@@ -55,7 +57,7 @@
 
 impl Invariant {
     /// All of them.
-    pub const ALL: [Invariant; 16] = [
+    pub const ALL: [Invariant; 17] = [
         Invariant::Lost,
         Invariant::Overdue,
         Invariant::RunTwice,
@@ -65,6 +67,7 @@
         Invariant::StaleRead,
         Invariant::ConfigurationConflict,
         Invariant::RefusedAfterTaken,
+        Invariant::Unanswered,
         Invariant::StaleRoute,
         Invariant::BeyondRoom,
         Invariant::TwoHolders,
--- a/crates/soak/src/audit/processes.rs
+++ b/crates/soak/src/audit/processes.rs
@@ -5,7 +5,6 @@
 use crate::catalog::RouteKind;
 use crate::names::Place;
 use crate::run::RECOVERY_TIME;
-use crate::schedule::Trouble;
 use std::time::Duration;
 
 /// Part of the requests of a route that have to be served after the recovery.
@@ -42,10 +41,8 @@
 /// Whether the end was a kill of the schedule or of the end of the run, or a freeze kept the process from it.
 fn was_killed(view: &View, place: Place, at: Duration) -> bool {
     let over = view.traffic_ended.is_none_or(|ended| at >= ended);
-    let mut kills = view.troubles.iter().filter(|troubled| {
-        troubled.struck() == Some(place) && !matches!(troubled.trouble, Trouble::Terminate { .. })
-    });
-    over || kills.any(|troubled| troubled.overlaps(at.saturating_sub(RECOVERY_TIME), at))
+    let mut stops = view.troubles.iter().filter(|troubled| troubled.stops(place));
+    over || stops.any(|troubled| troubled.overlaps(at.saturating_sub(RECOVERY_TIME), at))
 }
 
 fn recovery(view: &View) -> Vec<Violation> {
--- a/crates/soak/src/audit/view.rs
+++ b/crates/soak/src/audit/view.rs
@@ -49,6 +49,16 @@
         self.from <= until && from <= self.until
     }
 
+    /// Whether it kills the process of a place, or has it stand still.
+    pub fn stops(&self, place: Place) -> bool {
+        match self.trouble {
+            Trouble::Kill { place: struck, .. } | Trouble::Freeze { place: struck, .. } => struck == place,
+            Trouble::Wipe { controller, .. } => place == Place::Controller(controller),
+            Trouble::Blackout { .. } => matches!(place, Place::Controller(_)),
+            _ => false,
+        }
+    }
+
     /// The process that it strikes, if it strikes one.
     pub fn struck(&self) -> Option<Place> {
         match self.trouble {
@@ -255,10 +265,7 @@
 
     /// Whether a process was killed, or ended by itself, or stood still at some time of the span.
     pub fn was_down(&self, place: Place, from: Duration, until: Duration) -> bool {
-        let stopped = |troubled: &&Troubled| {
-            troubled.struck() == Some(place) && !matches!(troubled.trouble, Trouble::Terminate { .. })
-        };
-        self.troubles.iter().filter(stopped).any(|troubled| troubled.overlaps(from, until))
+        self.troubles.iter().any(|troubled| troubled.stops(place) && troubled.overlaps(from, until))
             || self
                 .process_ends
                 .iter()
@@ -278,13 +285,32 @@
         let touches = |troubled: &Troubled| match troubled.trouble {
             Trouble::Cut { from: Place::Agent(agent), .. }
             | Trouble::Reset { from: Place::Agent(agent), .. } => agent == router,
-            Trouble::Cut { .. } | Trouble::Reset { .. } | Trouble::Isolate { .. } => true,
             _ => match troubled.struck() {
-                Some(Place::Controller(_)) => true,
                 Some(Place::Router(number) | Place::Agent(number)) => number == router,
                 _ => false,
             },
         };
+        self.troubles.iter().any(|troubled| touches(troubled) && troubled.overlaps(from, until))
+            || self.was_control_troubled(from, until)
+    }
+
+    /// Whether answers to operators were lost in the span.
+    pub fn were_acknowledgements_lost(&self, from: Duration, until: Duration) -> bool {
+        self.troubles.iter().any(|troubled| {
+            matches!(troubled.trouble, Trouble::AcknowledgementsLost { .. }) && troubled.overlaps(from, until)
+        })
+    }
+
+    /// Whether anything struck controllers or their links in the span.
+    pub fn was_control_troubled(&self, from: Duration, until: Duration) -> bool {
+        let touches = |troubled: &Troubled| match troubled.trouble {
+            Trouble::Cut { from: Place::Controller(_), .. }
+            | Trouble::Reset { from: Place::Controller(_), .. }
+            | Trouble::Isolate { .. }
+            | Trouble::Wipe { .. }
+            | Trouble::Blackout { .. } => true,
+            _ => matches!(troubled.struck(), Some(Place::Controller(_))),
+        };
         self.troubles.iter().any(|troubled| touches(troubled) && troubled.overlaps(from, until))
             || self.process_ends.iter().any(|end| !end.expected && from <= end.at && end.at <= until)
     }
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -1,8 +1,9 @@
 //! Carries a schedule out.
 
 use crate::client::Traffic;
-use crate::endpoint::{Condition, Endpoints};
+use crate::endpoint::{Condition, Conditions, Endpoints};
 use crate::journal::{Journal, What};
+use crate::names::Place;
 use crate::operator::Operators;
 use crate::process::Processes;
 use crate::relay::Relays;
@@ -63,6 +64,21 @@
                 sleep(down).await;
                 self.start(place).await;
             }
+            Trouble::Wipe { controller, down } => {
+                let place = Place::Controller(controller);
+                self.processes.kill(place).await;
+                self.processes.wipe(controller);
+                sleep(down).await;
+                self.start(place).await;
+            }
+            Trouble::Blackout { down } => {
+                let all = self.processes.controllers();
+                self.processes.kill_all(&all).await;
+                sleep(down).await;
+                for place in all {
+                    self.start(place).await;
+                }
+            }
             Trouble::Hangup { place } => self.processes.signal(place, Signal::HUP),
             Trouble::Freeze { place, lasts } => {
                 self.processes.signal(place, Signal::STOP);
@@ -111,7 +127,7 @@
     }
 
     /// Starts a process again; its address may still be held by the one that was killed.
-    async fn start(&self, place: crate::names::Place) {
+    async fn start(&self, place: Place) {
         for _ in 0..START_TRIES {
             if self.processes.start(place, false).is_ok() {
                 return;
@@ -130,12 +146,7 @@
         }
     }
 
-    async fn during(
-        &self,
-        lasts: Duration,
-        endpoint: u8,
-        condition: impl Fn(&crate::endpoint::Conditions) -> &Condition,
-    ) {
+    async fn during(&self, lasts: Duration, endpoint: u8, condition: impl Fn(&Conditions) -> &Condition) {
         let Some(conditions) = self.endpoints.conditions(endpoint) else { return };
         condition(&conditions).set(true);
         sleep(lasts).await;
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -7,11 +7,11 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fs::OpenOptions;
-use std::io;
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::rc::Rc;
 use std::time::Duration;
+use std::{fs, io};
 use tokio::process::{Child, Command};
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
@@ -97,6 +97,27 @@
         self.wait_for_end(place).await;
     }
 
+    /// Kills the processes of these places at once and waits for their ends.
+    pub async fn kill_all(&self, places: &[Place]) {
+        for place in places {
+            self.order_end(*place, Signal::KILL);
+        }
+        for place in places {
+            self.wait_for_end(*place).await;
+        }
+    }
+
+    /// The disk of a controller is lost.
+    pub fn wipe(&self, controller: u8) {
+        // What is not there is lost already; it is made anew at the next start.
+        let _ = fs::remove_dir_all(self.layout.data(controller));
+    }
+
+    /// The places of all controllers.
+    pub fn controllers(&self) -> Vec<Place> {
+        (1..=self.layout.controllers).map(Place::Controller).collect()
+    }
+
     /// Asks the process of a place to end; kills it after the time that it has.
     pub async fn terminate(&self, place: Place) {
         self.order_end(place, Signal::TERM);
@@ -123,12 +144,7 @@
     pub async fn end_all(&self) {
         self.over.set(true);
         let places: Vec<Place> = self.slots.borrow().keys().copied().collect();
-        for place in &places {
-            self.order_end(*place, Signal::KILL);
-        }
-        for place in places {
-            self.wait_for_end(place).await;
-        }
+        self.kill_all(&places).await;
     }
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -100,11 +100,17 @@
         system.injector.processes.end_all().await;
         done?;
         let events = journal.events();
+        std::fs::write(layout.folder.join("journal.txt"), text_of(&events))?;
         let verdict = audit::judge(&events);
         Ok(Report { schedule, events, verdict, layout })
     }
 }
 
+/// The journal as it is kept with the logs.
+fn text_of(events: &[Event]) -> String {
+    events.iter().map(|event| format!("{:.3} {:?}\n", event.at.as_secs_f64(), event.what)).collect()
+}
+
 /// The processes and the stand-ins around them.
 struct System {
     layout: Rc<Layout>,
--- a/crates/soak/src/schedule/draw.rs
+++ b/crates/soak/src/schedule/draw.rs
@@ -36,12 +36,14 @@
     controllers: u8,
     routers: u8,
     endpoints: u8,
+    /// Whether a disk was lost; no more may be in one run.
+    wiped: bool,
 }
 
 impl Draw {
     /// For a system of this size.
     pub fn new(seed: u64, controllers: u8, routers: u8, endpoints: u8) -> Self {
-        Draw { random: SmallRng::seed_from_u64(seed), controllers, routers, endpoints }
+        Draw { random: SmallRng::seed_from_u64(seed), controllers, routers, endpoints, wiped: false }
     }
 
     /// The flavour that the seed has by itself.
@@ -115,7 +117,12 @@
     fn of_control(&mut self) -> Trouble {
         let controller = self.controller();
         let place = Place::Controller(controller);
-        match self.random.random_range(0..9) {
+        match self.random.random_range(0..11) {
+            9 if !self.wiped => {
+                self.wiped = true;
+                Trouble::Wipe { controller, down: self.milliseconds(300, 2_000) }
+            }
+            10 => Trouble::Blackout { down: self.milliseconds(300, 2_000) },
             0 => Trouble::Kill { place, down: self.milliseconds(200, 3_000) },
             1 => Trouble::Freeze { place, lasts: self.milliseconds(300, 5_000) },
             2 => Trouble::Isolate { controller, lasts: self.milliseconds(500, 6_000) },
--- a/crates/soak/src/schedule/mod.rs
+++ b/crates/soak/src/schedule/mod.rs
@@ -16,6 +16,10 @@
     Kill { place: Place, down: Duration },
     /// SIGTERM, then SIGKILL after `GraceS`; started again after `down` from its end.
     Terminate { place: Place, down: Duration },
+    /// SIGKILL of a controller, and its disk is lost; started again after `down`.
+    Wipe { controller: u8, down: Duration },
+    /// SIGKILL of all controllers at once; started again after `down`.
+    Blackout { down: Duration },
     /// SIGHUP.
     Hangup { place: Place },
     /// SIGSTOP, and SIGCONT after `lasts`.
--- a/crates/soak/src/schedule/text.rs
+++ b/crates/soak/src/schedule/text.rs
@@ -55,6 +55,8 @@
         match self {
             Trouble::Kill { place, down } => write!(f, "kill {place} {}", Seconds(*down)),
             Trouble::Terminate { place, down } => write!(f, "terminate {place} {}", Seconds(*down)),
+            Trouble::Wipe { controller, down } => write!(f, "wipe {controller} {}", Seconds(*down)),
+            Trouble::Blackout { down } => write!(f, "blackout {}", Seconds(*down)),
             Trouble::Hangup { place } => write!(f, "hangup {place}"),
             Trouble::Freeze { place, lasts } => write!(f, "freeze {place} {}", Seconds(*lasts)),
             Trouble::Cut { from, controller, lasts } => {
@@ -154,6 +156,8 @@
         Ok(match verb.as_str() {
             "kill" => Trouble::Kill { place: self.place()?, down: self.lasts()? },
             "terminate" => Trouble::Terminate { place: self.place()?, down: self.lasts()? },
+            "wipe" => Trouble::Wipe { controller: self.number()?, down: self.lasts()? },
+            "blackout" => Trouble::Blackout { down: self.lasts()? },
             "hangup" => Trouble::Hangup { place: self.place()? },
             "freeze" => Trouble::Freeze { place: self.place()?, lasts: self.lasts()? },
             "cut" => Trouble::Cut { from: self.place()?, controller: self.number()?, lasts: self.lasts()? },
--- a/crates/soak/tests/auditor.rs
+++ b/crates/soak/tests/auditor.rs
@@ -184,6 +184,14 @@
         .violates(Invariant::RefusedAfterTaken);
 }
 
+#[test]
+fn a_change_that_is_never_answered_is_seen() {
+    let journal = Doctored::clean().with(21.0, What::ChangeSent(change(3, 4, 6, Service::Primary)));
+    journal.clone().violates(Invariant::Unanswered);
+    let blackout = Trouble::Blackout { down: Duration::from_secs(1) };
+    journal.with_trouble(32.0, 33.0, blackout).is_clean();
+}
+
 fn moved() -> Doctored {
     let journal = Doctored::clean().with(21.0, What::ChangeSent(change(3, 4, 6, Service::Secondary)));
     let journal = journal.with(21.1, What::ChangeAcknowledged { change: 3, controller: 1 });
