Soak: heartbeats that come seconds after they were written

Cause: what registrations tell of an engine's models was never older than its last order by more than a beat.

Change: the trouble delay-heartbeats.

--- a/crates/soak/src/endpoint/conditions.rs
+++ b/crates/soak/src/endpoint/conditions.rs
@@ -24,5 +24,6 @@
     pub slow: Condition,
     pub orders_delayed: Condition,
     pub order_answers_lost: Condition,
+    pub heartbeats_late: Condition,
     pub heartbeat_answers_lost: Condition,
 }
--- a/crates/soak/src/endpoint/registration.rs
+++ b/crates/soak/src/endpoint/registration.rs
@@ -9,8 +9,10 @@
 use rand::Rng;
 use serde_json::json;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 /// Longest wait for one answer.
@@ -26,20 +28,27 @@
 /// Longest extra time for which an endpoint serves on after `DrainMs`, ms.
 const MOST_EXTRA_MS: u64 = 800;
 
+/// How late a late heartbeat is, ms.
+const LATE_MS: RangeInclusive<u64> = 300..=4_000;
+
 /// Which controller an endpoint calls.
+#[derive(Clone)]
 pub struct Registrar {
     endpoint: Rc<Incarnation>,
     layout: Rc<Layout>,
     controller: u8,
     /// Where an answer wanted the later heartbeats.
     told: Option<SocketAddr>,
+    /// How late heartbeats of this endpoint are when they are late.
+    lateness: Duration,
 }
 
 impl Registrar {
     /// Begins with any controller.
     pub fn new(endpoint: Rc<Incarnation>, layout: Rc<Layout>) -> Self {
         let controller = unseeded().random_range(1..=layout.controllers);
-        Registrar { endpoint, layout, controller, told: None }
+        let lateness = Duration::from_millis(unseeded().random_range(LATE_MS));
+        Registrar { endpoint, layout, controller, told: None, lateness }
     }
 
     /// Sends heartbeats until the endpoint leaves or ends.
@@ -48,6 +57,11 @@
         let period = Duration::from_millis(HEARTBEAT_MS);
         while endpoint.state.get() == State::Ready && !endpoint.has_ended() {
             let request = self.registration();
+            if endpoint.conditions.heartbeats_late.is_on() {
+                spawn_local(self.clone().send_late(request));
+                sleep(period).await;
+                continue;
+            }
             if self.call(&request).await.is_none() {
                 sleep(RETRY_PAUSE).await;
             } else {
@@ -56,6 +70,14 @@
         }
     }
 
+    /// Sends a heartbeat some time after it was written, once.
+    async fn send_late(mut self, request: ClientRequest) {
+        sleep(self.lateness).await;
+        if !self.endpoint.has_ended() {
+            self.call(&request).await;
+        }
+    }
+
     /// Leaves in good order; `announced`: with the word that it drains, else by its removal alone.
     pub async fn leave(mut self, announced: bool) {
         let endpoint = self.endpoint.clone();
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -116,6 +116,9 @@
             Trouble::HeartbeatAnswersLost { endpoint, lasts } => {
                 self.during(lasts, endpoint, |conditions| &conditions.heartbeat_answers_lost).await;
             }
+            Trouble::HeartbeatsLate { endpoint, lasts } => {
+                self.during(lasts, endpoint, |conditions| &conditions.heartbeats_late).await;
+            }
             Trouble::AcknowledgementsLost { lasts } => {
                 self.operators.acknowledgements_lost.set(true);
                 sleep(lasts).await;
--- a/crates/soak/src/schedule/draw.rs
+++ b/crates/soak/src/schedule/draw.rs
@@ -147,7 +147,8 @@
         let endpoint = self.engine();
         let controller = self.controller();
         let place = Place::Controller(controller);
-        match self.random.random_range(0..13) {
+        match self.random.random_range(0..15) {
+            13 | 14 => Trouble::HeartbeatsLate { endpoint, lasts: self.milliseconds(3_000, 10_000) },
             0 => Trouble::EndpointCrash { endpoint, down: self.milliseconds(500, 4_000) },
             1 => Trouble::EndpointLeave { endpoint, announced: true, down: self.milliseconds(500, 3_000) },
             2 => Trouble::EndpointSlow { endpoint, lasts: self.milliseconds(1_000, 5_000) },
--- a/crates/soak/src/schedule/text.rs
+++ b/crates/soak/src/schedule/text.rs
@@ -81,6 +81,9 @@
             Trouble::HeartbeatAnswersLost { endpoint, lasts } => {
                 write!(f, "lose-heartbeat-answers {endpoint} {}", Seconds(*lasts))
             }
+            Trouble::HeartbeatsLate { endpoint, lasts } => {
+                write!(f, "delay-heartbeats {endpoint} {}", Seconds(*lasts))
+            }
             Trouble::AcknowledgementsLost { lasts } => {
                 write!(f, "lose-acknowledgements {}", Seconds(*lasts))
             }
@@ -177,6 +180,7 @@
             "lose-heartbeat-answers" => {
                 Trouble::HeartbeatAnswersLost { endpoint: self.number()?, lasts: self.lasts()? }
             }
+            "delay-heartbeats" => Trouble::HeartbeatsLate { endpoint: self.number()?, lasts: self.lasts()? },
             "lose-acknowledgements" => Trouble::AcknowledgementsLost { lasts: self.lasts()? },
             "change" | "move" => Trouble::Changes { count: self.read("a count")?, relevant: verb == "move" },
             "demand" => Trouble::DemandMoves { first: self.read("an index")? },
