Guess no pace of output before an engine has answered

Change: nothing is guessed; the pace is that of the model's answers, or of the slowest other model, and while no engine of the service has answered, a process that is to end refuses what it has not begun.

--- a/crates/dispatch/src/dispatcher/timing.rs
+++ b/crates/dispatch/src/dispatcher/timing.rs
@@ -73,11 +73,14 @@
     }
 
     /// When a request has to be sent at the latest to be answered whole before the process ends; `None` while
-    /// the process goes on, and for what may have run: that could no longer be refused.
+    /// the process goes on, and for what may have run: that could no longer be refused. It is too late at once while
+    /// nothing tells how long answers take.
     fn last_start(&self, now: Duration, tracked: &Tracked, first_byte: Duration) -> Option<Duration> {
         let end = self.end.filter(|_| !tracked.may_have_run)?;
         let service = self.fleet.service(&tracked.request.backend);
-        let output = service.expected_output(tracked.request.generation.as_ref());
+        let Some(output) = service.expected_output(tracked.request.generation.as_ref()) else {
+            return Some(Duration::ZERO);
+        };
         let excess = service.output_excess(now).max(self.excess_under_way(now, &tracked.request.backend));
         Some(end.saturating_sub((first_byte + output).mul_f64(END_CAUTION) + excess + END_MARGIN))
     }
@@ -88,7 +91,7 @@
         let service = self.fleet.service(backend);
         let excess = |tracked: &Tracked| {
             let first_byte = tracked.flight()?.first_byte?;
-            let expected = service.expected_output(tracked.request.generation.as_ref());
+            let expected = service.expected_output(tracked.request.generation.as_ref())?;
             Some(now.saturating_sub(first_byte).saturating_sub(expected))
         };
         let under_way = self.requests.values().filter(|tracked| *tracked.request.backend == *backend);
--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -2,7 +2,6 @@
 //! often a prompt is found in an engine's memory.
 
 use crate::units::seconds;
-use std::cmp::Ordering;
 use std::time::Duration;
 
 /// Weight that earlier samples keep at each new one: some 50 samples back still count.
@@ -87,25 +86,14 @@
     }
 }
 
-/// Before any answer, a token of output is believed to take this long, s.
-const FIRST_TOKEN_S: f64 = 0.01;
-
-/// Weight of that guess, tokens: a few answers replace it.
-const FIRST_TOKENS_WEIGHT: f64 = 100.0;
-
 /// How long a token of output takes, long answers counting more.
-#[derive(Debug, Clone, Copy, PartialEq)]
+/// Nothing is guessed before an answer has told it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct OutputPace {
     tokens: f64,
     time_s: f64,
 }
 
-impl Default for OutputPace {
-    fn default() -> Self {
-        OutputPace { tokens: FIRST_TOKENS_WEIGHT, time_s: FIRST_TOKENS_WEIGHT * FIRST_TOKEN_S }
-    }
-}
-
 impl OutputPace {
     /// Takes in the time that so many tokens took.
     pub fn sample(&mut self, output: Duration, tokens: f64) {
@@ -113,18 +101,9 @@
         self.time_s = self.time_s * KEEP + output.as_secs_f64();
     }
 
-    /// Time of an output of so many tokens.
-    pub fn expected(&self, tokens: f64) -> Duration {
-        seconds(self.per_token_s() * tokens)
-    }
-
-    /// Orders paces, the slower one last.
-    pub fn by_time_per_token(one: &Self, other: &Self) -> Ordering {
-        one.per_token_s().total_cmp(&other.per_token_s())
-    }
-
-    fn per_token_s(&self) -> f64 {
-        self.time_s / self.tokens
+    /// Time of an output of so many tokens; `None` before any answer of more than one piece.
+    pub fn expected(&self, tokens: f64) -> Option<Duration> {
+        (self.tokens > 0.0).then(|| seconds(self.time_s / self.tokens * tokens))
     }
 }
 
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -169,9 +169,9 @@
         };
         let tokens = f64::from(pieces.saturating_sub(1)) * engine.tokens_per_event;
         let pace = self.paces.entry(model.clone()).or_default();
-        let excess = output.saturating_sub(pace.expected(tokens));
+        let excess = pace.expected(tokens).map(|expected| output.saturating_sub(expected));
         pace.sample(output, tokens);
-        self.output_excess.sample(now, excess);
+        self.output_excess.sample(now, excess.unwrap_or_default());
     }
 
     /// Takes in the time from send to end of an answer.
@@ -179,13 +179,16 @@
         self.served.sample(&SERVED, served.as_secs_f64());
     }
 
-    /// Time that an answer takes after its first byte: by the tokens asked for, or as long as usual where the
-    /// service has no engines.
-    pub fn expected_output(&self, wanted: Option<&Generation>) -> Duration {
-        match wanted {
-            Some(wanted) => self.pace_of(&wanted.model).expected(f64::from(wanted.output_tokens)),
-            None => seconds(self.served.seconds()),
-        }
+    /// Time that an answer takes after its first byte: by the tokens asked for and the pace of its model, or of the
+    /// slowest other one before the model has answered; as long as usual where nothing is asked of an engine.
+    /// `None` while no engine has answered.
+    pub fn expected_output(&self, wanted: Option<&Generation>) -> Option<Duration> {
+        let Some(wanted) = wanted else {
+            return Some(seconds(self.served.seconds()));
+        };
+        let tokens = f64::from(wanted.output_tokens);
+        let of_model = self.paces.get(&wanted.model).and_then(|pace| pace.expected(tokens));
+        of_model.or_else(|| self.paces.values().filter_map(|pace| pace.expected(tokens)).max())
     }
 
     /// By how much outputs took longer than expected of late, at the worst.
@@ -193,12 +196,6 @@
         self.output_excess.at(now)
     }
 
-    /// The pace of a model, or the slowest known one where it has not answered yet.
-    fn pace_of(&self, model: &str) -> OutputPace {
-        let slowest = || self.paces.values().copied().max_by(OutputPace::by_time_per_token);
-        self.paces.get(model).copied().or_else(slowest).unwrap_or_default()
-    }
-
     /// Notes that something is asked for which no endpoint holds.
     pub fn want(&mut self, now: Duration, artifact: Artifact) {
         if self.wanted.len() >= WANTED_MOST {
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -44,11 +44,45 @@
         .await;
 }
 
+/// Serves a stream of 11 events in 110 ms, by which the router learns the pace of the model.
+async fn teach_pace(router: &Router, endpoint: &Endpoint) {
+    let mut client = router.client().await;
+    ask_for_tokens(&mut client, "teacher", 50).await;
+    let (mut upstream, request) = endpoint.request().await;
+    upstream.begin_events(&request).await;
+    for event in 1..=11 {
+        let text = format!("id: {event}\n\n");
+        upstream.chunk(&text).await;
+        client.read_through(&format!("{text}\r\n")).await;
+        pass_time(Duration::from_millis(10)).await;
+    }
+    upstream.end_chunks().await;
+    client.read_through("0\r\n\r\n").await;
+}
+
+#[test]
+fn a_stream_is_refused_while_nothing_tells_how_long_it_takes() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let mut router = serving_engine(&endpoint).await;
+        let mut client = router.client().await;
+        router.terminate();
+        tokio::task::yield_now().await;
+        ask_for_tokens(&mut client, "1", 50).await;
+        let answer = tokio::select! {
+            answer = client.answer() => answer,
+            _ = endpoint.request() => panic!("a stream of unknown length was begun"),
+        };
+        assert_eq!(answer.status, 503);
+    });
+}
+
 #[test]
 fn a_stream_that_would_outlast_the_process_is_refused_before_it_is_sent() {
     play(async {
         let endpoint = Endpoint::start("i-1").await;
         let mut router = serving_engine(&endpoint).await;
+        teach_pace(&router, &endpoint).await;
         let mut client = router.client().await;
         router.terminate();
         tokio::task::yield_now().await;
@@ -68,6 +102,7 @@
     play(async {
         let endpoint = Endpoint::start("i-1").await;
         let mut router = serving_engine(&endpoint).await;
+        teach_pace(&router, &endpoint).await;
         let mut client = router.client().await;
         router.terminate();
         tokio::task::yield_now().await;
