Learn the pace of output only from answers of two pieces or more

Cause: an answer of one piece counts as no tokens that took some time. Ruled out: bounds on the sums alone: the pace would still be wrong. Change: such answers are not sampled.

--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -32,6 +32,9 @@
 /// Wanted models and adapters that are kept at most before the forgotten ones are dropped.
 const WANTED_MOST: usize = 256;
 
+/// Pieces of an answer from which on its time tells the pace of its output.
+const LEAST_PIECES: u32 = 2;
+
 /// Share of prompts found in memory where this router sent them before, until measured.
 const FIRST_KEPT: f64 = 0.9;
 
@@ -162,12 +165,16 @@
         reading * self.read_tokens.seconds() / 2.0
     }
 
-    /// Takes in how long the output of an answer took from its first piece to its last.
+    /// Takes in how long the output of an answer took from its first piece to its last. One piece alone has no
+    /// such time.
     pub fn sample_output(&mut self, now: Duration, model: &Arc<str>, output: Duration, pieces: u32) {
+        if pieces < LEAST_PIECES {
+            return;
+        }
         let Some(engine) = self.engine.as_ref().filter(|engine| engine.models.contains_key(model)) else {
             return;
         };
-        let tokens = f64::from(pieces.saturating_sub(1)) * engine.tokens_per_event;
+        let tokens = f64::from(pieces - 1) * engine.tokens_per_event;
         let pace = self.paces.entry(model.clone()).or_default();
         let excess = pace.expected(tokens).map(|expected| output.saturating_sub(expected));
         pace.sample(output, tokens);
