Take outputs of unknown length to last as long as usual before the process ends

Cause: a request without `Token-Usage` (or with one that cannot be read) asks an engine for 0 tokens, so that its output counted as no time at all: a router that ends took it on whenever its first byte fitted, and cut it (the LOST of the incident, by another way). The time that such a stream had already run counted whole as delay, too, so that all others of its service were refused. Change: where the tokens are not told, an answer takes as long as answers of the service do, as at services without engines. Tests: dispatch process_end.rs, one, red before.

--- a/crates/dispatch/src/dispatcher/learning.rs
+++ b/crates/dispatch/src/dispatcher/learning.rs
@@ -57,9 +57,13 @@
         let (Some(first_byte), Some(wanted)) = (flight.first_byte, &tracked.request.generation) else {
             return;
         };
-        let model = wanted.model.clone();
-        let output = now.saturating_sub(first_byte);
-        self.fleet.service_mut(&tracked.request.backend).sample_output(now, &model, output, pieces);
+        let (model, output_tokens) = (wanted.model.clone(), wanted.output_tokens);
+        let (output, served) = (now.saturating_sub(first_byte), now.saturating_sub(flight.sent));
+        let service = self.fleet.service_mut(&tracked.request.backend);
+        match pieces {
+            0 | 1 => service.sample_one_piece(served, output_tokens),
+            _ => service.sample_output(now, &model, output, pieces),
+        }
     }
 
     fn learn_first_byte(&mut self, now: Duration, id: RequestId, flight: Flight) {
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -32,9 +32,6 @@
 /// Wanted models and adapters that are kept at most before the forgotten ones are dropped.
 const WANTED_MOST: usize = 256;
 
-/// Pieces of an answer from which on its time tells the pace of its output.
-const LEAST_PIECES: u32 = 2;
-
 /// Share of prompts found in memory where this router sent them before, until measured.
 const FIRST_KEPT: f64 = 0.9;
 
@@ -90,6 +87,8 @@
     pub served: Smoothed,
     /// Time of output by model; bounded by the models of the configuration.
     paces: BTreeMap<Arc<str>, OutputPace>,
+    /// Time of whole answers that came in one piece, by the tokens asked for.
+    one_piece_pace: OutputPace,
     /// By how much outputs took longer than their model's pace.
     output_excess: RecentWorst,
     held_tokens: Smoothed,
@@ -112,6 +111,7 @@
             first_byte: FirstByteLine::default(),
             served: SERVED.start(),
             paces: BTreeMap::new(),
+            one_piece_pace: OutputPace::default(),
             output_excess: RecentWorst::default(),
             held_tokens: HELD_TOKENS.start(),
             first_byte_wait: SERVED.start(),
@@ -165,37 +165,41 @@
         reading * self.read_tokens.seconds() / 2.0
     }
 
-    /// Takes in how long the output of an answer took from its first piece to its last. One piece alone has no
-    /// such time.
+    /// Takes in how long the output of an answer took from its first of several pieces to its last.
     pub fn sample_output(&mut self, now: Duration, model: &Arc<str>, output: Duration, pieces: u32) {
-        if pieces < LEAST_PIECES {
-            return;
-        }
         let Some(engine) = self.engine.as_ref().filter(|engine| engine.models.contains_key(model)) else {
             return;
         };
-        let tokens = f64::from(pieces - 1) * engine.tokens_per_event;
+        let tokens = f64::from(pieces.saturating_sub(1)) * engine.tokens_per_event;
         let pace = self.paces.entry(model.clone()).or_default();
         let excess = pace.expected(tokens).map(|expected| output.saturating_sub(expected));
         pace.sample(output, tokens);
         self.output_excess.sample(now, excess.unwrap_or_default());
     }
 
+    /// Takes in the time from send to end of an answer that came in one piece.
+    pub fn sample_one_piece(&mut self, served: Duration, output_tokens: u32) {
+        if output_tokens > 0 {
+            self.one_piece_pace.sample(served, f64::from(output_tokens));
+        }
+    }
+
     /// Takes in the time from send to end of an answer.
     pub fn sample_served(&mut self, served: Duration) {
         self.served.sample(&SERVED, served.as_secs_f64());
     }
 
     /// Time that an answer takes after its first byte: by the tokens asked for and the pace of its model, or of the
-    /// slowest other one before the model has answered; as long as usual where nothing is asked of an engine.
-    /// `None` while no engine has answered.
+    /// slowest other one before the model has answered; as long as usual where no tokens are told. `None` while no
+    /// engine has answered.
     pub fn expected_output(&self, wanted: Option<&Generation>) -> Option<Duration> {
-        let Some(wanted) = wanted else {
+        let Some(wanted) = wanted.filter(|wanted| wanted.output_tokens > 0) else {
             return Some(seconds(self.served.seconds()));
         };
         let tokens = f64::from(wanted.output_tokens);
         let of_model = self.paces.get(&wanted.model).and_then(|pace| pace.expected(tokens));
-        of_model.or_else(|| self.paces.values().filter_map(|pace| pace.expected(tokens)).max())
+        let slowest = || self.paces.values().filter_map(|pace| pace.expected(tokens)).max();
+        of_model.or_else(slowest).or_else(|| self.one_piece_pace.expected(tokens))
     }
 
     /// By how much outputs took longer than expected of late, at the worst.
--- a/crates/dispatch/tests/process_end.rs
+++ b/crates/dispatch/tests/process_end.rs
@@ -90,3 +90,18 @@
         }
     }
 }
+
+/// Without `Token-Usage` nothing tells how long an answer becomes: longer than not at all.
+#[test]
+fn output_of_unknown_length_is_taken_to_last_as_long_as_usual() {
+    let mut dispatcher = dispatcher();
+    for id in 0..50 {
+        let arrived = id * 10_000;
+        assert!(is_sent(&mut dispatcher, arrived, stream(id, arrived, 0)));
+        answer(&mut dispatcher, id, arrived + 20, 5_000, 101);
+    }
+    dispatcher.end_by(ms(600_000), ms(607_800));
+    assert!(is_sent(&mut dispatcher, 600_100, stream(100, 600_100, 0)), "5 s fit into 7.7 s");
+    dispatcher.cancel(ms(600_200), RequestId(100));
+    assert!(!is_sent(&mut dispatcher, 602_400, stream(101, 602_400, 0)), "5 s hardly fit into 5.4 s");
+}
