Check in simulated time that an acknowledgement binds whoever gave it, and for longer

Cause: the check of drains passed over acknowledgements of a controller that was not in touch, and both checks looked at one moment, at which routers may be out of touch. Change: no exception for the controller; acknowledged drains and versions are checked each 500 ms for 12 s after their bound. Both checks are stricter than before.

--- a/crates/controller/src/simulation/calls.rs
+++ b/crates/controller/src/simulation/calls.rs
@@ -236,23 +236,22 @@
     }
 
     /// The calling whose try this is, if the caller still waits for it.
-    fn waiting_for(&mut self, number: u64) -> Option<(u64, usize)> {
-        let attempt = self.calls.attempts.get(&number)?;
-        let (call, target) = (attempt.call, attempt.target);
+    fn waiting_for(&mut self, number: u64) -> Option<u64> {
+        let call = self.calls.attempts.get(&number)?.call;
         let calling = self.calls.calls.get_mut(&call)?;
         if calling.attempt != Some(number) {
             return None;
         }
         calling.attempt = None;
-        Some((call, target))
+        Some(call)
     }
 
     /// An answer reaches the caller.
     pub(super) fn answer_arrives(&mut self, number: u64, answer: Answer) {
-        let Some((call, target)) = self.waiting_for(number) else { return };
+        let Some(call) = self.waiting_for(number) else { return };
         self.calls.attempts.remove(&number);
         let calling = self.calls.calls.remove(&call).expect("somebody waits for it");
-        if self.is_answered(&calling, target, &answer) {
+        if self.is_answered(&calling, &answer) {
             return;
         }
         self.calls.calls.insert(call, calling);
@@ -261,7 +260,7 @@
 
     /// The caller has waited for long, or could not connect.
     pub(super) fn attempt_fails(&mut self, number: u64) {
-        let Some((call, _)) = self.waiting_for(number) else {
+        let Some(call) = self.waiting_for(number) else {
             return;
         };
         self.retry_later(call);
@@ -274,14 +273,12 @@
     }
 
     /// Whether this answer ends the call.
-    fn is_answered(&mut self, calling: &Calling, target: usize, answer: &Answer) -> bool {
+    fn is_answered(&mut self, calling: &Calling, answer: &Answer) -> bool {
         match calling.purpose {
             Purpose::Change(number) => self.change_answered(number, answer, calling.tries),
             Purpose::Read(number) => self.read_answered(number, answer, calling.tries),
-            Purpose::Beat { endpoint, start } => self.beat_answered(endpoint, start, target, answer.status),
-            Purpose::Delete { endpoint, start } => {
-                self.delete_answered(endpoint, start, target, answer.status)
-            }
+            Purpose::Beat { endpoint, start } => self.beat_answered(endpoint, start, answer.status),
+            Purpose::Delete { endpoint, start } => self.delete_answered(endpoint, start, answer.status),
         }
     }
 
--- a/crates/controller/src/simulation/checks.rs
+++ b/crates/controller/src/simulation/checks.rs
@@ -18,6 +18,9 @@
 const CATCH_UP: Duration = Duration::from_secs(4);
 /// `RecoverS`.
 const RECOVER: Duration = Duration::from_secs(12);
+/// How long after its bound an acknowledgement is checked, and the pause between two checks.
+const CHECK_SPAN: Duration = Duration::from_secs(12);
+const CHECK_PAUSE: Duration = Duration::from_millis(500);
 /// `LeaseMs`.
 pub(super) const LEASE: Duration = Duration::from_millis(3_000);
 
@@ -25,10 +28,10 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) enum Check {
     /// Every router in touch has this version or a newer one.
-    Applied { version: u64 },
-    /// No router in touch takes this life of an endpoint to be ready. Its end was acknowledged `by` a
-    /// controller, `at` that time.
-    Drained { endpoint: usize, start: u64, by: usize, at: Duration },
+    Applied { version: u64, until: Duration },
+    /// No router in touch takes this life of an endpoint to be ready, whether the controller that acknowledged its end
+    /// was in touch or not.
+    Drained { endpoint: usize, start: u64, until: Duration },
     /// Every shard's group is whole, unless there was trouble since this many steps.
     Whole { steps: u64 },
 }
@@ -51,13 +54,34 @@
 
     pub(super) fn check(&mut self, check: Check) -> Result<(), Violation> {
         match check {
-            Check::Applied { version } => self.check_applied(version),
-            Check::Drained { endpoint, start, by, at } => self.check_drained(endpoint, start, by, at),
+            Check::Applied { version, until } => {
+                self.check_applied(version)?;
+                self.check_again(check, until);
+                Ok(())
+            }
+            Check::Drained { endpoint, start, until } => {
+                self.check_drained(endpoint, start)?;
+                self.check_again(check, until);
+                Ok(())
+            }
             Check::Whole { steps } if steps == self.troubles.steps => self.check_whole(),
             Check::Whole { .. } => Ok(()),
         }
     }
 
+    /// What was acknowledged holds from its bound on, so it is checked several times: routers may be out of touch at the
+    /// first.
+    pub(super) fn check_from(&mut self, due: Duration, check: impl FnOnce(Duration) -> Check) {
+        self.schedule(due, Happening::Check(check(due + CHECK_SPAN)));
+    }
+
+    fn check_again(&mut self, check: Check, until: Duration) {
+        let next = self.now() + CHECK_PAUSE;
+        if next <= until {
+            self.schedule(next, Happening::Check(check));
+        }
+    }
+
     fn check_applied(&self, acknowledged: u64) -> Result<(), Violation> {
         for index in self.routers_in_touch() {
             let configuration = self.routers[index].known.configuration.as_ref();
@@ -70,9 +94,8 @@
         Ok(())
     }
 
-    fn check_drained(&self, endpoint: usize, start: u64, by: usize, at: Duration) -> Result<(), Violation> {
-        let was_in_touch = self.troubles.machine_at(Place::Controller(by)) + CONTACT <= at;
-        if self.endpoints[endpoint].start != start || !was_in_touch {
+    fn check_drained(&self, endpoint: usize, start: u64) -> Result<(), Violation> {
+        if self.endpoints[endpoint].start != start {
             return Ok(());
         }
         for index in self.routers_in_touch() {
--- a/crates/controller/src/simulation/endpoint.rs
+++ b/crates/controller/src/simulation/endpoint.rs
@@ -163,33 +163,34 @@
     }
 
     /// A heartbeat was answered. True if the endpoint is content.
-    pub(super) fn beat_answered(&mut self, index: usize, start: u64, target: usize, status: u16) -> bool {
+    pub(super) fn beat_answered(&mut self, index: usize, start: u64, status: u16) -> bool {
         let machine = &self.endpoints[index];
         let is_taken = (200..300).contains(&status);
         if is_taken && machine.start == start && machine.state == State::Draining {
-            self.leaving_acknowledged(index, target);
+            self.leaving_acknowledged(index);
         }
         is_taken
     }
 
     /// The end of an endpoint was answered. True if the endpoint is content.
-    pub(super) fn delete_answered(&mut self, index: usize, start: u64, target: usize, status: u16) -> bool {
+    pub(super) fn delete_answered(&mut self, index: usize, start: u64, status: u16) -> bool {
         let is_taken = (200..300).contains(&status);
         if is_taken && self.endpoints[index].start == start {
-            self.leaving_acknowledged(index, target);
+            self.leaving_acknowledged(index);
         }
         is_taken
     }
 
-    fn leaving_acknowledged(&mut self, index: usize, target: usize) {
+    fn leaving_acknowledged(&mut self, index: usize) {
         let now = self.now();
         let machine = &mut self.endpoints[index];
         if machine.acknowledged_at.is_some() {
             return;
         }
         machine.acknowledged_at = Some(now);
-        let check = Check::Drained { endpoint: index, start: machine.start, by: target, at: now };
-        self.schedule(now + self.drain_bound(), Happening::Check(check));
+        let start = machine.start;
+        let due = now + self.drain_bound();
+        self.check_from(due, |until| Check::Drained { endpoint: index, start, until });
     }
 }
 
--- a/crates/controller/src/simulation/operator.rs
+++ b/crates/controller/src/simulation/operator.rs
@@ -5,7 +5,7 @@
 use super::checks::Check;
 use super::place::Place;
 use super::step::Step;
-use super::world::{Happening, World};
+use super::world::World;
 use crate::controller::{Answer, Method};
 use bytes::Bytes;
 use rand::Rng;
@@ -107,7 +107,7 @@
                 self.history.change_taken(number);
                 let version = self.history.newest_acknowledged;
                 let due = self.now() + self.apply_bound();
-                self.schedule(due, Happening::Check(Check::Applied { version }));
+                self.check_from(due, |until| Check::Applied { version, until });
             }
             Verdict::Conflict => {
                 if let Some(version) = current_version(answer) {
--- a/crates/controller/tests/controller_faults.rs
+++ b/crates/controller/tests/controller_faults.rs
@@ -72,4 +72,6 @@
         ControllerFault::Register(Fault::VoteAfterWipe), "wiped-with-one-that-missed-a-change";
     a_read_of_the_register_from_local_state:
         ControllerFault::Register(Fault::ReadLocally), "cut-one-way";
+    an_end_acknowledged_by_a_controller_out_of_touch_alone:
+        ControllerFault::AcknowledgeDrainAlone, "end-told-to-one-that-is-lost-right-after";
 }
