--- a/crates/controller/tests/controller_faults.rs
+++ b/crates/controller/tests/controller_faults.rs
@@ -74,4 +74,16 @@
         ControllerFault::Register(Fault::ReadLocally), "cut-one-way";
     an_end_acknowledged_by_a_controller_out_of_touch_alone:
         ControllerFault::AcknowledgeDrainAlone, "end-told-to-one-that-is-lost-right-after";
+    a_read_from_what_one_of_two_halves_knows:
+        ControllerFault::ReadLocally, "reads-in-two-halves";
+    a_read_of_the_register_from_local_state_in_two_halves:
+        ControllerFault::Register(Fault::ReadLocally), "reads-in-two-halves";
+    a_majority_that_is_one_of_two_halves:
+        ControllerFault::Register(Fault::SmallMajority), "reads-in-two-halves";
+    a_read_from_what_a_controller_out_of_touch_knows:
+        ControllerFault::ReadLocally, "reads-at-everyone-out-of-touch";
+    a_vote_before_its_record_is_durable_as_all_lose_power:
+        ControllerFault::Register(Fault::ReplyBeforePersist), "disk-lost-while-all-others-lose-power";
+    a_read_from_what_one_controller_knows_beyond_tolerance:
+        ControllerFault::ReadLocally, "losses-beyond-tolerance-lose-nothing";
 }
