--- a/crates/router/src/fault.rs
+++ b/crates/router/src/fault.rs
@@ -24,4 +24,6 @@
     TrustStatus,
     /// The part of a traffic split is drawn by chance for each request, whatever came before.
     DrawSplits,
+    /// Connections are judged by the present time, also right after a standstill of the process.
+    SweepByPresentTime,
 }
--- a/crates/router/src/maintenance.rs
+++ b/crates/router/src/maintenance.rs
@@ -2,6 +2,7 @@
 //! are not used, reports demand and writes the counts to the log.
 
 use crate::activity::{Activity, Order, Phase};
+use crate::fault::RouterFault;
 use crate::listener::Clients;
 use crate::state::RouterState;
 use lanegate_model::configuration::Limits;
@@ -37,7 +38,8 @@
             }
         };
         let limits = state.routing().map(|routing| routing.limits().clone()).unwrap_or_default();
-        clients.each(|activity| sweep(activity, &limits, now));
+        let swept_at = if state.makes(RouterFault::SweepByPresentTime) { Instant::now() } else { now };
+        clients.each(|activity| sweep(activity, &limits, swept_at));
         state.pool.close_stale(now);
         report(&state, &demand);
         until_log -= 1;
@@ -56,6 +58,9 @@
 }
 
 /// Ends a connection that has been idle, or has stalled within a request, for longer than allowed.
+///
+/// `now` is the time at which the tick was due. After a standstill of the process that is long ago, so what came
+/// meanwhile, and what the dispatcher has to end, is answered before any connection is judged by the present time.
 fn sweep(activity: &Activity, limits: &Limits, now: Instant) {
     let spent = now.saturating_duration_since(activity.since());
     let over = |milliseconds: f64| spent.as_secs_f64() * 1_000.0 > milliseconds;
--- /dev/null
+++ b/crates/router/tests/kept_connections.rs
@@ -0,0 +1,77 @@
+//! A client's connection is never closed without an answer once a request of it was passed on to an endpoint.
+
+mod common;
+
+use common::{Endpoint, Router, pass_time, play, settle};
+use lanegate_router::fault::RouterFault;
+use std::time::Duration;
+
+/// Longer than the time of every route and the time after it at which a client that takes nothing is left.
+const STANDSTILL: Duration = Duration::from_secs(30);
+
+/// What a client gets for a request that an endpoint has, after the process stood still until long after the deadline, so
+/// that everything that was due meanwhile comes at once.
+async fn answer_after_a_standstill(fault: Option<RouterFault>) -> String {
+    let endpoint = Endpoint::start("i-1").await;
+    let router = Router::serving_with(fault, &[&endpoint]).await;
+    let mut client = router.client().await;
+    client
+        .write("GET /once/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\nConnection: close\r\n\r\n")
+        .await;
+    let (_upstream, _request) = endpoint.request().await;
+    pass_time(STANDSTILL).await;
+    client.rest().await
+}
+
+#[test]
+fn a_deadline_that_passed_while_the_process_stood_still_is_answered() {
+    play(async {
+        let answer = answer_after_a_standstill(None).await;
+        assert!(answer.starts_with("HTTP/1.1 504 "), "{answer:?}");
+    });
+}
+
+#[test]
+fn a_connection_that_is_judged_by_the_present_time_after_a_standstill_is_found() {
+    play(async {
+        assert_eq!(answer_after_a_standstill(Some(RouterFault::SweepByPresentTime)).await, "");
+    });
+}
+
+/// The connection had served before, and the answer came while the process stood still.
+#[test]
+fn an_answer_that_came_while_the_process_stood_still_reaches_its_client_or_a_504_does() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client.get("/once/a", "1").await;
+        let (mut upstream, request) = endpoint.request().await;
+        upstream.answer(&request, "first").await;
+        assert_eq!(client.answer().await.text(), "first");
+        client.get("/once/b", "2").await;
+        let request = upstream.request().await;
+        upstream.answer(&request, "second").await;
+        pass_time(STANDSTILL).await;
+        let answer = client.answer().await;
+        assert!(answer.status == 504 || answer.text() == "second", "{answer:?}");
+    });
+}
+
+/// Whoever does not take an answer that is there is left all the same.
+#[test]
+fn a_client_that_takes_no_answer_is_left() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client.get("/stream/a", "1").await;
+        let (mut upstream, request) = endpoint.request().await;
+        upstream.begin_events(&request).await;
+        upstream.chunk("id: 1\ndata: x\n\n").await;
+        client.read_through("data: x\n\n\r\n").await;
+        pass_time(STANDSTILL).await;
+        settle().await;
+        upstream.closed().await;
+    });
+}
