Work the worst delay under way out once for each time

Cause: while the process ends, each decision for a request looks at all requests for the worst delay under way, twice where it is held on; deciding anew for all that is held takes quadratic time. Change: the delay is kept for the time at which it was worked out.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -23,8 +23,10 @@
 use lanegate_invariants::Violations;
 use lanegate_model::demand::DemandReport;
 use lanegate_model::feed::FeedEvent;
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::time::Duration;
+use timing::WorstDelay;
 
 /// Decides for one router.
 pub struct Dispatcher {
@@ -41,6 +43,8 @@
     stood_still: Duration,
     /// When answers have to be whole because the process ends, once it was asked to.
     end: Option<Duration>,
+    /// The worst delay under way as it was found last: many requests are decided for at one time.
+    worst_delay: RefCell<Option<WorstDelay>>,
     violations: Violations,
 }
 
@@ -58,6 +62,7 @@
             synchronized: false,
             stood_still: Duration::ZERO,
             end: None,
+            worst_delay: RefCell::new(None),
             violations: Violations::default(),
         }
     }
--- a/crates/dispatch/src/dispatcher/timing.rs
+++ b/crates/dispatch/src/dispatcher/timing.rs
@@ -6,6 +6,7 @@
 use crate::health::{Fault, Standing};
 use crate::interface::{FailReason, RequestId};
 use crate::tracked::{Flight, Phase, Tracked};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A wake later than this tells that the process stood still: what arrived meanwhile is heard first.
@@ -32,6 +33,14 @@
 const END_CAUTION: f64 = 1.3;
 const END_MARGIN: Duration = Duration::from_millis(250);
 
+/// By how much outputs under way of a service had taken longer than expected at a time, at the worst.
+#[derive(Debug)]
+pub(super) struct WorstDelay {
+    backend: Arc<str>,
+    at: Duration,
+    excess: Duration,
+}
+
 impl Dispatcher {
     /// Notices that the process stood still, by what it should have done meanwhile.
     pub(super) fn notice_stall(&mut self, now: Duration) {
@@ -86,8 +95,18 @@
     }
 
     /// By how much the output of an answer of the service under way has already taken longer than expected, at
-    /// the worst.
-    fn excess_under_way(&self, now: Duration, backend: &str) -> Duration {
+    /// the worst; worked out once for each time.
+    fn excess_under_way(&self, now: Duration, backend: &Arc<str>) -> Duration {
+        let is_known = |known: &&WorstDelay| known.at == now && known.backend == *backend;
+        if let Some(known) = self.worst_delay.borrow().as_ref().filter(is_known) {
+            return known.excess;
+        }
+        let excess = self.find_excess_under_way(now, backend);
+        *self.worst_delay.borrow_mut() = Some(WorstDelay { backend: backend.clone(), at: now, excess });
+        excess
+    }
+
+    fn find_excess_under_way(&self, now: Duration, backend: &str) -> Duration {
         let service = self.fleet.service(backend);
         let excess = |tracked: &Tracked| {
             let first_byte = tracked.flight()?.first_byte?;
