Learn the pace of output only from streams of events

Cause: the chunks of any answer that is passed on count as events, one token (or stride) each. Those of an answer that an engine makes as a whole follow each other at once, so that 150 such answers teach a pace of hardly any time: in a test a stream of 900 tokens was sent 0.54 s after SIGTERM, which the first guess refuses; it is cut in the end. Change: only streams of events with a success tell their pieces to the dispatcher. Tests: shutdown.rs, one, red before.

--- a/crates/router/src/carry.rs
+++ b/crates/router/src/carry.rs
@@ -154,13 +154,17 @@
 ) -> Result<Response<RouterBody>, AttemptEnd> {
     let answer = attempt::send(ticket.state(), request, destination, None, sent).await?;
     ticket.progress(destination.attempt, Progress::Head { load: answer.load });
-    let is_stream = answer.head.status.is_success() && is_event_stream(&answer.head.headers);
-    match is_stream || !is_gathered(&answer.body) {
-        true => open_stream(ticket, request, destination, answer, is_stream).await,
+    match is_stream(&answer.head) || !is_gathered(&answer.body) {
+        true => open_stream(ticket, request, destination, answer).await,
         false => open_whole(ticket, request, destination, answer).await,
     }
 }
 
+/// Whether an answer is a stream of events.
+fn is_stream(head: &Parts) -> bool {
+    head.status.is_success() && is_event_stream(&head.headers)
+}
+
 /// Whether an answer is read whole before any of it is passed on, unless it turns out to be large.
 fn is_gathered(body: &EndpointBody) -> bool {
     match body.exact_length() {
@@ -210,9 +214,8 @@
     request: &Rc<Outbound>,
     destination: &Destination,
     mut answer: EndpointAnswer,
-    events: bool,
 ) -> Result<Response<RouterBody>, AttemptEnd> {
-    let is_split = events && (request.resumable || answer.body.ends_with_connection());
+    let is_split = is_stream(&answer.head) && (request.resumable || answer.body.ends_with_connection());
     let mut splitter = is_split.then(EventSplitter::default);
     let mut reported = false;
     let first = loop {
@@ -251,6 +254,7 @@
         request: request.clone(),
         attempt: destination.attempt,
         load: answer.load,
+        events: is_stream(&answer.head),
         first,
         splitter,
         body: answer.body,
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -27,6 +27,8 @@
     request: Rc<Outbound>,
     attempt: u32,
     load: Option<InstanceLoad>,
+    /// Whether it is a stream of events, each of which comes as soon as it is made.
+    events: bool,
     /// Bytes that arrived before the head was passed on.
     first: Option<Bytes>,
     /// Present on streams that may be taken up elsewhere, and on those whose end alone does not show that they
@@ -47,6 +49,8 @@
     pub request: Rc<Outbound>,
     pub attempt: u32,
     pub load: Option<InstanceLoad>,
+    /// Whether it is a stream of events.
+    pub events: bool,
     pub first: Bytes,
     pub splitter: Option<EventSplitter>,
     pub body: EndpointBody,
@@ -61,6 +65,7 @@
             request: opened.request,
             attempt: opened.attempt,
             load: opened.load,
+            events: opened.events,
             first: Some(opened.first),
             splitter: opened.splitter,
             source: Source::Endpoint(opened.body),
@@ -122,7 +127,9 @@
     /// The endpoint's answer is whole.
     fn finish(&mut self, pieces: u32) -> Bytes {
         self.source = Source::Ended;
-        self.ticket.progress(self.attempt, Progress::Whole { pieces });
+        if self.events {
+            self.ticket.progress(self.attempt, Progress::Whole { pieces });
+        }
         self.ticket.conclude(Outcome::Answered);
         self.ticket.ended(self.attempt, AttemptEnd::Answered { success: true, load: self.load });
         self.splitter.as_mut().map(EventSplitter::finish).unwrap_or_default()
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -97,6 +97,48 @@
     });
 }
 
+/// The chunks of an answer that is made as a whole follow each other at once, however long that took.
+#[test]
+fn only_events_tell_how_long_a_stream_will_take() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let mut router = serving_engine(&endpoint).await;
+        let mut client = router.client().await;
+        let mut upstream = None;
+        for number in 0..150 {
+            ask_for_tokens(&mut client, &number.to_string(), 900).await;
+            let request = match &mut upstream {
+                None => {
+                    let (opened, request) = endpoint.request().await;
+                    upstream = Some(opened);
+                    request
+                }
+                Some(upstream) => upstream.request().await,
+            };
+            let upstream = upstream.as_mut().unwrap();
+            upstream
+                .write(format!(
+                    "HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nServer-Signature: s1\r\nKeep-Alive: timeout=5\r\n\
+                     Content-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n\
+                     1\r\n[\r\n1\r\n0\r\n1\r\n]\r\n0\r\n\r\n",
+                    request.header("Attempt-Id").unwrap()
+                ))
+                .await;
+            client.read_through("0\r\n\r\n").await;
+        }
+        let mut late = router.client().await;
+        router.terminate();
+        tokio::task::yield_now().await;
+        pass_time(Duration::from_millis(540)).await;
+        ask_for_tokens(&mut late, "late", 900).await;
+        let answer = tokio::select! {
+            answer = late.answer() => answer,
+            _ = upstream.as_mut().unwrap().request() => panic!("900 tokens were taken to last hardly any time"),
+        };
+        assert_eq!(answer.status, 503);
+    });
+}
+
 #[test]
 fn a_stream_that_ends_before_the_process_is_served_after_sigterm() {
     play(async {
