--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -4,7 +4,9 @@
 
 use common::{Client, Endpoint, Router, pass_time, play};
 use lanegate_model::feed::FeedEvent;
+use std::io::Write;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
 
 /// A service of engines, and a route of streams that may run once, with 15 s for an answer.
 const ENGINES: &str = r#"{
@@ -139,6 +141,25 @@
     });
 }
 
+/// The process may notice a client and the end of the time for new ones at once.
+#[test]
+fn a_request_that_was_sent_before_clients_are_no_longer_taken_is_answered() {
+    play(async {
+        let mut router = Router::serving(&[]).await;
+        router.terminate();
+        tokio::task::yield_now().await;
+        let mut stream = std::net::TcpStream::connect(router.address).unwrap();
+        stream.write_all(b"GET /none/ HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\n\r\n").unwrap();
+        pass_time(Duration::from_millis(2_600)).await;
+        stream.set_nonblocking(true).unwrap();
+        let mut stream = tokio::net::TcpStream::from_std(stream).unwrap();
+        let mut answer = String::new();
+        let ended = stream.read_to_string(&mut answer).await;
+        assert!(answer.starts_with("HTTP/1.1 404 "), "{answer:?} and {ended:?}");
+        router.ended().await;
+    });
+}
+
 #[test]
 fn a_stream_that_ends_before_the_process_is_served_after_sigterm() {
     play(async {
