Take the pace of the endpoint into account before the process ends

Change: how much slower than the model's pace an endpoint puts out is learned from its answers, and counts where a process that is to end would send a stream there. Tests: dispatch process_end.rs.

--- a/crates/dispatch/src/dispatcher/learning.rs
+++ b/crates/dispatch/src/dispatcher/learning.rs
@@ -59,10 +59,20 @@
         };
         let (model, output_tokens) = (wanted.model.clone(), wanted.output_tokens);
         let (output, served) = (now.saturating_sub(first_byte), now.saturating_sub(flight.sent));
+        let endpoint = flight.endpoint;
         let service = self.fleet.service_mut(&tracked.request.backend);
         match pieces {
             0 | 1 => service.sample_one_piece(served, output_tokens),
-            _ => service.sample_output(now, &model, output, pieces),
+            _ => {
+                let expected = service.sample_output(now, &model, output, pieces);
+                self.learn_output_slowness(endpoint, output, expected);
+            }
+        }
+    }
+
+    fn learn_output_slowness(&mut self, key: EndpointKey, output: Duration, expected: Option<Duration>) {
+        if let (Some(expected), Some(load)) = (expected, self.fleet.load_mut(key)) {
+            load.output_slowness.sample(output.as_secs_f64(), expected.as_secs_f64());
         }
     }
 
--- a/crates/dispatch/src/dispatcher/timing.rs
+++ b/crates/dispatch/src/dispatcher/timing.rs
@@ -78,20 +78,24 @@
         let usual = found.iter().map(|candidate| candidate.expected).min().unwrap_or_default();
         let whole = ends.saturating_sub(tracked.request.arrived);
         let closing = ends.saturating_sub(usual.min(whole / CLOSING_PART).max(CLOSING_MARGIN));
-        self.last_start(now, tracked, usual).map_or(closing, |last| last.min(closing))
+        self.last_start(now, tracked, found).map_or(closing, |last| last.min(closing))
     }
 
     /// When a request has to be sent at the latest to be answered whole before the process ends; `None` while
     /// the process goes on, and for what may have run: that could no longer be refused. It is too late at once while
     /// nothing tells how long answers take.
-    fn last_start(&self, now: Duration, tracked: &Tracked, first_byte: Duration) -> Option<Duration> {
+    fn last_start(&self, now: Duration, tracked: &Tracked, found: &[Candidate]) -> Option<Duration> {
         let end = self.end.filter(|_| !tracked.may_have_run)?;
         let service = self.fleet.service(&tracked.request.backend);
         let Some(output) = service.expected_output(tracked.request.generation.as_ref()) else {
             return Some(Duration::ZERO);
         };
+        let likely = found.iter().find(|candidate| candidate.has_room && candidate.is_in()).or(found.first());
+        let first_byte = likely.map_or(Duration::ZERO, |candidate| candidate.expected);
+        let slowness = likely.map_or(1.0, |candidate| self.fleet.load(candidate.key).output_slowness.get());
+        let whole = first_byte + output.mul_f64(slowness.max(1.0));
         let excess = service.output_excess(now).max(self.excess_under_way(now, &tracked.request.backend));
-        Some(end.saturating_sub((first_byte + output).mul_f64(END_CAUTION) + excess + END_MARGIN))
+        Some(end.saturating_sub(whole.mul_f64(END_CAUTION) + excess + END_MARGIN))
     }
 
     /// By how much the output of an answer of the service under way has already taken longer than expected, at
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -165,16 +165,23 @@
         reading * self.read_tokens.seconds() / 2.0
     }
 
-    /// Takes in how long the output of an answer took from its first of several pieces to its last.
-    pub fn sample_output(&mut self, now: Duration, model: &Arc<str>, output: Duration, pieces: u32) {
-        let Some(engine) = self.engine.as_ref().filter(|engine| engine.models.contains_key(model)) else {
-            return;
-        };
+    /// Takes in how long the output of an answer took from its first of several pieces to its last; tells how long
+    /// it was expected to take, where its model had answered before.
+    pub fn sample_output(
+        &mut self,
+        now: Duration,
+        model: &Arc<str>,
+        output: Duration,
+        pieces: u32,
+    ) -> Option<Duration> {
+        let engine = self.engine.as_ref().filter(|engine| engine.models.contains_key(model))?;
         let tokens = f64::from(pieces.saturating_sub(1)) * engine.tokens_per_event;
         let pace = self.paces.entry(model.clone()).or_default();
-        let excess = pace.expected(tokens).map(|expected| output.saturating_sub(expected));
+        let expected = pace.expected(tokens);
+        let excess = expected.map(|expected| output.saturating_sub(expected));
         pace.sample(output, tokens);
         self.output_excess.sample(now, excess.unwrap_or_default());
+        expected
     }
 
     /// Takes in the time from send to end of an answer that came in one piece.
--- a/crates/dispatch/tests/process_end.rs
+++ b/crates/dispatch/tests/process_end.rs
@@ -105,3 +105,28 @@
     dispatcher.cancel(ms(600_200), RequestId(100));
     assert!(!is_sent(&mut dispatcher, 602_400, stream(101, 602_400, 0)), "5 s hardly fit into 5.4 s");
 }
+
+/// The pace of a model is that of all its endpoints; one of them may take twice as long.
+#[test]
+fn a_slow_endpoint_gets_less_before_the_process_ends() {
+    let mut dispatcher = dispatcher();
+    let teach = |dispatcher: &mut Dispatcher, ids: std::ops::Range<u64>, output: u64| {
+        for id in ids {
+            let arrived = id * 10_000;
+            assert!(is_sent(dispatcher, arrived, stream(id, arrived, 500)));
+            answer(dispatcher, id, arrived + 20, output, 101);
+        }
+    };
+    teach(&mut dispatcher, 0..30, 2_500);
+    dispatcher.apply(ms(300_000), &FeedEvent::Removed { id: "e1".into() });
+    dispatcher.apply(ms(300_000), &FeedEvent::Instance(engine("e2", &["m1"])));
+    teach(&mut dispatcher, 31..36, 5_000);
+    dispatcher.end_by(ms(400_000), ms(406_000));
+    assert!(
+        !is_sent(&mut dispatcher, 400_100, stream(100, 400_100, 500)),
+        "5 s do not surely fit into 5.9 s"
+    );
+    dispatcher.apply(ms(400_200), &FeedEvent::Instance(engine("e3", &["m1"])));
+    dispatcher.apply(ms(400_200), &FeedEvent::Removed { id: "e2".into() });
+    assert!(is_sent(&mut dispatcher, 400_300, stream(101, 400_300, 500)), "some 3 s fit into 5.7 s");
+}
