Tell a failure of an endpoint as one where its length is not told

Cause: an answer that is passed on as it comes counts as a success at its end, whatever its status: a 500 in chunks was counted as answered (test, red before), and taught the dispatcher that the endpoint is sound and how long its answers take. Change: what an answer is by its head (events, another success, a failure) is kept with it. Tests: metrics.rs, one.

--- a/crates/router/src/carry.rs
+++ b/crates/router/src/carry.rs
@@ -7,10 +7,10 @@
 use crate::attempt::{self, Destination, EndpointAnswer, EndpointBody, Outbound};
 use crate::body::RouterBody;
 use crate::events::EventSplitter;
-use crate::headers::{is_event_stream, remove_hop_by_hop};
+use crate::headers::remove_hop_by_hop;
 use crate::mailbox::Instruction;
 use crate::outcome::Outcome;
-use crate::stream::{AnswerStream, Opened};
+use crate::stream::{AnswerKind, AnswerStream, Opened};
 use crate::ticket::Ticket;
 use bytes::{Bytes, BytesMut};
 use hyper::http::response::Parts;
@@ -154,17 +154,12 @@
 ) -> Result<Response<RouterBody>, AttemptEnd> {
     let answer = attempt::send(ticket.state(), request, destination, None, sent).await?;
     ticket.progress(destination.attempt, Progress::Head { load: answer.load });
-    match is_stream(&answer.head) || !is_gathered(&answer.body) {
+    match AnswerKind::of(&answer.head) == AnswerKind::Events || !is_gathered(&answer.body) {
         true => open_stream(ticket, request, destination, answer).await,
         false => open_whole(ticket, request, destination, answer).await,
     }
 }
 
-/// Whether an answer is a stream of events.
-fn is_stream(head: &Parts) -> bool {
-    head.status.is_success() && is_event_stream(&head.headers)
-}
-
 /// Whether an answer is read whole before any of it is passed on, unless it turns out to be large.
 fn is_gathered(body: &EndpointBody) -> bool {
     match body.exact_length() {
@@ -215,7 +210,8 @@
     destination: &Destination,
     mut answer: EndpointAnswer,
 ) -> Result<Response<RouterBody>, AttemptEnd> {
-    let is_split = is_stream(&answer.head) && (request.resumable || answer.body.ends_with_connection());
+    let is_split = AnswerKind::of(&answer.head) == AnswerKind::Events
+        && (request.resumable || answer.body.ends_with_connection());
     let mut splitter = is_split.then(EventSplitter::default);
     let mut reported = false;
     let first = loop {
@@ -254,7 +250,7 @@
         request: request.clone(),
         attempt: destination.attempt,
         load: answer.load,
-        events: is_stream(&answer.head),
+        kind: AnswerKind::of(&answer.head),
         first,
         splitter,
         body: answer.body,
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -5,11 +5,13 @@
 use crate::attempt::{EndpointBody, Outbound};
 use crate::events::EventSplitter;
 use crate::fault::RouterFault;
+use crate::headers::is_event_stream;
 use crate::outcome::Outcome;
 use crate::resume::{self, Resumed};
 use crate::ticket::Ticket;
 use bytes::Bytes;
 use hyper::header::HeaderValue;
+use hyper::http::response::Parts;
 use lanegate_dispatch::interface::{AttemptEnd, InstanceLoad, Progress};
 use std::future::Future;
 use std::pin::Pin;
@@ -21,14 +23,35 @@
 #[error("the answer ended early")]
 pub struct AnswerCut;
 
+/// What the head of an endpoint's answer tells of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerKind {
+    /// A stream of events, each of which comes as soon as it is made.
+    Events,
+    /// Any other success.
+    Success,
+    /// The endpoint failed.
+    Failure,
+}
+
+impl AnswerKind {
+    /// Reads it from the head.
+    pub fn of(head: &Parts) -> Self {
+        match head.status.is_success() {
+            true if is_event_stream(&head.headers) => AnswerKind::Events,
+            true => AnswerKind::Success,
+            false => AnswerKind::Failure,
+        }
+    }
+}
+
 /// Passes the bytes of an endpoint on; takes the answer up at another endpoint where the route allows that.
 pub struct AnswerStream {
     ticket: Rc<Ticket>,
     request: Rc<Outbound>,
     attempt: u32,
     load: Option<InstanceLoad>,
-    /// Whether it is a stream of events, each of which comes as soon as it is made.
-    events: bool,
+    kind: AnswerKind,
     /// Bytes that arrived before the head was passed on.
     first: Option<Bytes>,
     /// Present on streams that may be taken up elsewhere, and on those whose end alone does not show that they
@@ -49,8 +72,7 @@
     pub request: Rc<Outbound>,
     pub attempt: u32,
     pub load: Option<InstanceLoad>,
-    /// Whether it is a stream of events.
-    pub events: bool,
+    pub kind: AnswerKind,
     pub first: Bytes,
     pub splitter: Option<EventSplitter>,
     pub body: EndpointBody,
@@ -65,7 +87,7 @@
             request: opened.request,
             attempt: opened.attempt,
             load: opened.load,
-            events: opened.events,
+            kind: opened.kind,
             first: Some(opened.first),
             splitter: opened.splitter,
             source: Source::Endpoint(opened.body),
@@ -127,11 +149,12 @@
     /// The endpoint's answer is whole.
     fn finish(&mut self, pieces: u32) -> Bytes {
         self.source = Source::Ended;
-        if self.events {
+        if self.kind == AnswerKind::Events {
             self.ticket.progress(self.attempt, Progress::Whole { pieces });
         }
-        self.ticket.conclude(Outcome::Answered);
-        self.ticket.ended(self.attempt, AttemptEnd::Answered { success: true, load: self.load });
+        let success = self.kind != AnswerKind::Failure;
+        self.ticket.conclude(if success { Outcome::Answered } else { Outcome::AnsweredWithError });
+        self.ticket.ended(self.attempt, AttemptEnd::Answered { success, load: self.load });
         self.splitter.as_mut().map(EventSplitter::finish).unwrap_or_default()
     }
 
--- a/crates/router/tests/metrics.rs
+++ b/crates/router/tests/metrics.rs
@@ -42,6 +42,26 @@
     });
 }
 
+/// A failure whose length is not told is passed on as it comes.
+#[test]
+fn a_failure_in_chunks_counts_as_one_of_the_endpoint() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        let mut client = router.client().await;
+        client.get("/once/a", "1").await;
+        let (mut upstream, _) = endpoint.request().await;
+        let head = "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: 1\r\nServer-Signature: s1\r\n\
+                    Transfer-Encoding: chunked\r\n\r\n";
+        upstream.write(head).await;
+        upstream.chunk("broken").await;
+        upstream.end_chunks().await;
+        client.read_through("0\r\n\r\n").await;
+        let told = figures(&router).await;
+        assert_eq!(ended(&told, "answered", "endpoint_error"), 1.0);
+    });
+}
+
 #[test]
 fn requests_are_counted_by_how_they_ended() {
     play(async {
