Soak: read the violations that processes count, hold heartbeats up on their way

Change: each process gets a port for its metrics, read every 5 s and at the end; the trouble hold-heartbeats.

--- a/crates/soak/src/endpoint/conditions.rs
+++ b/crates/soak/src/endpoint/conditions.rs
@@ -25,5 +25,6 @@
     pub orders_delayed: Condition,
     pub order_answers_lost: Condition,
     pub heartbeats_late: Condition,
+    pub heartbeats_held: Condition,
     pub heartbeat_answers_lost: Condition,
 }
--- a/crates/soak/src/endpoint/registration.rs
+++ b/crates/soak/src/endpoint/registration.rs
@@ -57,6 +57,9 @@
         let period = Duration::from_millis(HEARTBEAT_MS);
         while endpoint.state.get() == State::Ready && !endpoint.has_ended() {
             let request = self.registration();
+            while endpoint.conditions.heartbeats_held.is_on() && !endpoint.has_ended() {
+                sleep(RETRY_PAUSE).await;
+            }
             if endpoint.conditions.heartbeats_late.is_on() {
                 spawn_local(self.clone().send_late(request));
                 sleep(period).await;
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -119,6 +119,9 @@
             Trouble::HeartbeatsLate { endpoint, lasts } => {
                 self.during(lasts, endpoint, |conditions| &conditions.heartbeats_late).await;
             }
+            Trouble::HeartbeatsHeld { endpoint, lasts } => {
+                self.during(lasts, endpoint, |conditions| &conditions.heartbeats_held).await;
+            }
             Trouble::AcknowledgementsLost { lasts } => {
                 self.operators.acknowledgements_lost.set(true);
                 sleep(lasts).await;
--- a/crates/soak/src/metrics.rs
+++ b/crates/soak/src/metrics.rs
@@ -5,38 +5,63 @@
 use crate::names::Place;
 use lanegate_control_http::{ClientRequest, call};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::sleep;
 
 /// Whether processes have metrics. The one place where reading them is switched on.
-const ENABLED: bool = false;
+const ENABLED: bool = true;
 /// Path of the metrics.
 const PATH: &str = "/metrics";
 /// Name of the counters.
 const VIOLATIONS: &str = "lanegate_invariant_violations_total";
 /// Longest wait for the metrics of one process.
 const PATIENCE: Duration = Duration::from_secs(2);
+/// Time between two readings of all processes: counters end with their process.
+const PERIOD: Duration = Duration::from_secs(5);
 
-/// Port of the metrics of a role.
+/// Port of the metrics of a process; router and agent share a machine.
 fn port(place: Place) -> u16 {
     match place {
-        Place::Controller(_) => 9_101,
-        Place::Agent(_) => 9_102,
-        Place::Router(_) | Place::Endpoint(_) => 9_103,
+        Place::Controller(_) | Place::Router(_) | Place::Endpoint(_) => 9_464,
+        Place::Agent(_) => 9_465,
     }
 }
 
-/// Notes what every process counts.
-pub async fn read(layout: &Layout, journal: &Journal) {
-    if !ENABLED {
-        return;
+/// What a process is started with so that it has metrics.
+pub fn arguments(place: Place) -> Vec<String> {
+    if ENABLED { vec!["--metrics-port".to_owned(), port(place).to_string()] } else { Vec::new() }
+}
+
+/// Reads again and again, and notes what is above zero.
+pub async fn read_all_the_time(layout: Rc<Layout>, journal: Rc<Journal>) {
+    loop {
+        sleep(PERIOD).await;
+        for (place, violations) in read(&layout).await {
+            if violations > 0 {
+                journal.note(What::OwnCounters { place, violations });
+            }
+        }
+    }
+}
+
+/// Notes what every process counts that answers.
+pub async fn read_at_the_end(layout: &Layout, journal: &Journal) {
+    for (place, violations) in read(layout).await {
+        journal.note(What::OwnCounters { place, violations });
     }
-    for place in layout.processes() {
+}
+
+async fn read(layout: &Layout) -> Vec<(Place, u64)> {
+    let mut counted = Vec::new();
+    let places = if ENABLED { layout.processes() } else { Vec::new() };
+    for place in places {
         let address = SocketAddr::from((layout.ip(place), port(place)));
         if let Ok(answer) = call(address, &ClientRequest::get(PATH), PATIENCE).await {
-            let violations = violations(&String::from_utf8_lossy(&answer.body));
-            journal.note(What::OwnCounters { place, violations });
+            counted.push((place, violations(&String::from_utf8_lossy(&answer.body))));
         }
     }
+    counted
 }
 
 /// The sum of all violation counters in a text of metrics.
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -2,6 +2,7 @@
 
 use crate::journal::{Journal, What};
 use crate::layout::{GRACE_S, Layout};
+use crate::metrics;
 use crate::names::Place;
 use rustix::process::{Pid, Signal, kill_process};
 use std::cell::{Cell, RefCell};
@@ -75,6 +76,7 @@
         };
         Command::new(&self.program)
             .args(["--log-level", LOG_LEVEL, role])
+            .args(metrics::arguments(place))
             .env("LANEGATE_NODE_FILE", settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -144,6 +144,7 @@
         journal.note(What::TrafficBegan);
         let asking = traffic.start(seed);
         let reading = spawn_local(read_all_the_time(operators.clone(), self.layout.clone()));
+        let counting = spawn_local(metrics::read_all_the_time(self.layout.clone(), journal.clone()));
         self.injector.run(schedule).await;
         sleep(RECOVERY_TIME + PROOF_TIME).await;
         traffic.stop();
@@ -153,7 +154,8 @@
         }
         reading.abort();
         self.read_back().await;
-        metrics::read(&self.layout, journal).await;
+        counting.abort();
+        metrics::read_at_the_end(&self.layout, journal).await;
         Ok(())
     }
 
--- a/crates/soak/src/schedule/draw.rs
+++ b/crates/soak/src/schedule/draw.rs
@@ -147,7 +147,8 @@
         let endpoint = self.engine();
         let controller = self.controller();
         let place = Place::Controller(controller);
-        match self.random.random_range(0..15) {
+        match self.random.random_range(0..17) {
+            15 | 16 => Trouble::HeartbeatsHeld { endpoint, lasts: self.milliseconds(1_000, 6_000) },
             13 | 14 => Trouble::HeartbeatsLate { endpoint, lasts: self.milliseconds(3_000, 10_000) },
             0 => Trouble::EndpointCrash { endpoint, down: self.milliseconds(500, 4_000) },
             1 => Trouble::EndpointLeave { endpoint, announced: true, down: self.milliseconds(500, 3_000) },
--- a/crates/soak/src/schedule/mod.rs
+++ b/crates/soak/src/schedule/mod.rs
@@ -44,6 +44,8 @@
     HeartbeatAnswersLost { endpoint: u8, lasts: Duration },
     /// Heartbeats reach their controller up to seconds after they were written.
     HeartbeatsLate { endpoint: u8, lasts: Duration },
+    /// Heartbeats are held up on their way and come when this is over.
+    HeartbeatsHeld { endpoint: u8, lasts: Duration },
     /// Answers to the operators are lost.
     AcknowledgementsLost { lasts: Duration },
     /// Changes of the configuration in quick succession by both operators; `relevant` ones move a route.
--- a/crates/soak/src/schedule/text.rs
+++ b/crates/soak/src/schedule/text.rs
@@ -84,6 +84,9 @@
             Trouble::HeartbeatsLate { endpoint, lasts } => {
                 write!(f, "delay-heartbeats {endpoint} {}", Seconds(*lasts))
             }
+            Trouble::HeartbeatsHeld { endpoint, lasts } => {
+                write!(f, "hold-heartbeats {endpoint} {}", Seconds(*lasts))
+            }
             Trouble::AcknowledgementsLost { lasts } => {
                 write!(f, "lose-acknowledgements {}", Seconds(*lasts))
             }
@@ -181,6 +184,7 @@
                 Trouble::HeartbeatAnswersLost { endpoint: self.number()?, lasts: self.lasts()? }
             }
             "delay-heartbeats" => Trouble::HeartbeatsLate { endpoint: self.number()?, lasts: self.lasts()? },
+            "hold-heartbeats" => Trouble::HeartbeatsHeld { endpoint: self.number()?, lasts: self.lasts()? },
             "lose-acknowledgements" => Trouble::AcknowledgementsLost { lasts: self.lasts()? },
             "change" | "move" => Trouble::Changes { count: self.read("a count")?, relevant: verb == "move" },
             "demand" => Trouble::DemandMoves { first: self.read("an index")? },
--- a/crates/soak/tests/schedules.rs
+++ b/crates/soak/tests/schedules.rs
@@ -40,9 +40,9 @@
                 4 freeze router-3 2.5\n5 cut agent-1 2 3\n6 cut controller-1 2 3\n7 isolate 3 1\n\
                 8 reset controller-1 3\n9 crash 4 1\n10 drain 5 1\n11 delete 6 1\n12 slow 7 1\n\
                 13 lose-order-answers 1 2\n14 lose-heartbeat-answers 2 2\n15 lose-acknowledgements 3\n\
-                16 change 4\n17 move 2\n17.5 delay-orders 2 1\n17.6 wipe 2 1\n17.7 blackout 1\n17.8 delay-heartbeats 1 4\n18 demand 3 # the last\n";
+                16 change 4\n17 move 2\n17.5 delay-orders 2 1\n17.6 wipe 2 1\n17.7 blackout 1\n17.8 delay-heartbeats 1 4\n17.9 hold-heartbeats 1 4\n18 demand 3 # the last\n";
     let schedule: Schedule = text.parse().unwrap();
-    assert_eq!(schedule.steps.len(), 22);
+    assert_eq!(schedule.steps.len(), 23);
     assert_eq!(schedule.to_string().parse::<Schedule>().unwrap(), schedule);
 }
 
