Soak: end streams with their last event, count runs that were given too short a deadline

Cause: the stand-in ended a stream one pause after its last event, which no engine does; a run that stopped at the deadline that it was given excused a cut also where the client's own deadline was far.

--- a/crates/soak/src/audit/requests.rs
+++ b/crates/soak/src/audit/requests.rs
@@ -57,8 +57,7 @@
 }
 
 fn endpoint_broke_off(view: &View, attempt: &Attempt, at: Duration) -> bool {
-    let ended = |end: RunEnd| matches!(end, RunEnd::EndpointEnded | RunEnd::DeadlinePassed);
-    let by_run = attempt.run_ends.iter().any(|(_, _, end)| ended(*end));
+    let by_run = attempt.run_ends.iter().any(|(_, _, end)| *end == RunEnd::EndpointEnded);
     let gone = |instance| view.instance_ends.get(instance).is_some_and(|end| *end <= at + SEEN_LATER);
     by_run || attempt.arrivals.iter().any(|arrival| gone(&arrival.instance))
 }
--- a/crates/soak/src/endpoint/server.rs
+++ b/crates/soak/src/endpoint/server.rs
@@ -274,12 +274,13 @@
     asked: &Asked,
     sender: &Sender<Result<Bytes, BrokenOff>>,
 ) -> RunEnd {
-    sleep(stretched(endpoint, FIRST_EVENT)).await;
-    for id in asked.after + 1..=asked.events {
+    let first = asked.after + 1;
+    for id in first..=asked.events {
+        let pause = if id == first { FIRST_EVENT } else { asked.route.event_pause() };
+        sleep(stretched(endpoint, pause)).await;
         if sender.send(Ok(event(asked.attempt, id).into())).await.is_err() {
             return RunEnd::CallerLeft;
         }
-        sleep(stretched(endpoint, asked.route.event_pause())).await;
     }
     RunEnd::Whole
 }
--- a/crates/soak/tests/auditor.rs
+++ b/crates/soak/tests/auditor.rs
@@ -38,6 +38,15 @@
     journal.ending(16.1, DRAFT, CUT).is_clean();
 }
 
+#[test]
+fn an_answer_that_ends_at_its_deadline_is_not_lost_but_one_at_an_earlier_one_is() {
+    let journal = Doctored::clean().without(|what| matches!(what, What::RunEnded { .. }));
+    let at_its = journal.clone().with(24.9, run_ended(DRAFT, ENGINE, RunEnd::DeadlinePassed));
+    at_its.ending(24.9, DRAFT, CUT).is_clean();
+    let earlier = journal.with(16.0, run_ended(DRAFT, ENGINE, RunEnd::DeadlinePassed));
+    earlier.ending(16.1, DRAFT, CUT).violates(Invariant::Lost);
+}
+
 #[test]
 fn an_answer_that_is_cut_by_the_kill_of_its_router_is_not_lost() {
     let kill = Trouble::Kill { place: Place::Router(1), down: Duration::from_secs(1) };
