--- a/crates/soak/src/endpoint/engine.rs
+++ b/crates/soak/src/endpoint/engine.rs
@@ -72,6 +72,20 @@
     Absent,
 }
 
+/// The model and adapter that a run needs.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RunOf {
+    pub model: String,
+    pub adapter: Option<String>,
+}
+
+impl RunOf {
+    /// Whether an order takes away what the run needs.
+    fn needs(&self, order: &OrderFacts) -> bool {
+        self.model == order.model && (order.adapter.is_none() || order.adapter == self.adapter)
+    }
+}
+
 /// The models and adapters of one incarnation.
 #[derive(Debug, Default)]
 pub struct Engine {
@@ -81,8 +95,8 @@
     on_disk: BTreeSet<String>,
     /// Orders taken.
     sequence: u64,
-    /// Runs of each model.
-    runs: BTreeMap<String, u32>,
+    /// Runs of each model, by adapter.
+    runs: BTreeMap<RunOf, u32>,
     reports: VecDeque<(Duration, Value)>,
 }
 
@@ -138,7 +152,8 @@
 
     /// Whether runs still need what the order under way takes away.
     pub fn is_needed(&self, order: &OrderFacts) -> bool {
-        order.operation == Operation::Evict && self.runs.get(&order.model).is_some_and(|runs| *runs > 0)
+        order.operation == Operation::Evict
+            && self.runs.iter().any(|(run, count)| *count > 0 && run.needs(order))
     }
 
     /// The order under way is done.
@@ -180,14 +195,14 @@
         }
     }
 
-    /// A run of this model begins.
-    pub fn begin_run(&mut self, model: &str) {
-        *self.runs.entry(model.to_owned()).or_default() += 1;
+    /// A run begins.
+    pub fn begin_run(&mut self, run: RunOf) {
+        *self.runs.entry(run).or_default() += 1;
     }
 
-    /// A run of this model has ended.
-    pub fn end_run(&mut self, model: &str) {
-        if let Some(runs) = self.runs.get_mut(model) {
+    /// A run has ended.
+    pub fn end_run(&mut self, run: &RunOf) {
+        if let Some(runs) = self.runs.get_mut(run) {
             *runs = runs.saturating_sub(1);
         }
     }
--- a/crates/soak/src/endpoint/incarnation.rs
+++ b/crates/soak/src/endpoint/incarnation.rs
@@ -1,7 +1,7 @@
 //! One life of an endpoint: its state, its runs and its engine.
 
 use super::conditions::Conditions;
-use super::engine::Engine;
+use super::engine::{Engine, RunOf};
 use crate::catalog::Service;
 use crate::journal::{Journal, RunEnd, What};
 use crate::names::{AttemptId, InstanceId};
@@ -83,12 +83,12 @@
     }
 
     /// A request begins to run.
-    pub fn begin_run(self: &Rc<Self>, attempt: AttemptId, model: Option<&str>) -> Run {
+    pub fn begin_run(self: &Rc<Self>, attempt: AttemptId, of: Option<RunOf>) -> Run {
         self.active.set(self.active.get() + 1);
-        if let Some(model) = model {
-            self.engine.borrow_mut().begin_run(model);
+        if let Some(of) = &of {
+            self.engine.borrow_mut().begin_run(of.clone());
         }
-        Run { endpoint: self.clone(), attempt, model: model.map(str::to_owned), end: RunEnd::CallerLeft }
+        Run { endpoint: self.clone(), attempt, of, end: RunEnd::CallerLeft }
     }
 }
 
@@ -96,7 +96,7 @@
 pub struct Run {
     endpoint: Rc<Incarnation>,
     attempt: AttemptId,
-    model: Option<String>,
+    of: Option<RunOf>,
     end: RunEnd,
 }
 
@@ -111,8 +111,8 @@
     fn drop(&mut self) {
         let endpoint = &self.endpoint;
         endpoint.active.set(endpoint.active.get().saturating_sub(1));
-        if let Some(model) = &self.model {
-            endpoint.engine.borrow_mut().end_run(model);
+        if let Some(of) = &self.of {
+            endpoint.engine.borrow_mut().end_run(of);
         }
         let left = self.end == RunEnd::CallerLeft && endpoint.has_ended();
         let end = if left { RunEnd::EndpointEnded } else { self.end };
--- a/crates/soak/src/endpoint/mod.rs
+++ b/crates/soak/src/endpoint/mod.rs
@@ -8,7 +8,7 @@
 mod server;
 
 pub use conditions::{Condition, Conditions};
-pub use engine::{Engine, Holding, OrderBody, OrderReply};
+pub use engine::{Engine, Holding, OrderBody, OrderReply, RunOf};
 
 use crate::catalog::Service;
 use crate::journal::Journal;
--- a/crates/soak/src/endpoint/server.rs
+++ b/crates/soak/src/endpoint/server.rs
@@ -1,7 +1,7 @@
 //! What an endpoint answers.
 
 use super::body::{AnswerBody, BrokenOff};
-use super::engine::{Holding, OrderBody};
+use super::engine::{Holding, OrderBody, RunOf};
 use super::incarnation::{Incarnation, Run, State};
 use crate::answer::{event, plain_body};
 use crate::catalog::{RouteKind, Service, TOKENS_PER_EVENT};
@@ -172,6 +172,12 @@
     deadline: Instant,
 }
 
+impl Asked {
+    fn run_of(&self) -> Option<RunOf> {
+        Some(RunOf { model: self.model.clone()?, adapter: self.adapter.clone() })
+    }
+}
+
 fn read_request(request: &Request<Incoming>) -> Option<Asked> {
     let headers = request.headers();
     let (model, adapter) = match text(headers, "model").map(|model| model.split_once('/').ok_or(model)) {
@@ -207,7 +213,7 @@
     match decision {
         Decision::TurnedAway(status) => refusal(&endpoint, Some(attempt), status),
         Decision::Run => {
-            let run = endpoint.begin_run(attempt, asked.model.as_deref());
+            let run = endpoint.begin_run(attempt, asked.run_of());
             if asked.route.is_stream() {
                 stream(&endpoint, asked, run)
             } else {
