--- a/crates/soak/src/audit/requests.rs
+++ b/crates/soak/src/audit/requests.rs
@@ -54,6 +54,7 @@
         || view.was_down(router, attempt.at.saturating_sub(AFTER_STOP), at + SEEN_LATER)
         || endpoint_broke_off(view, attempt, at)
         || view.terminations(router).any(|told| outlasts_grace(attempt.at, at, told))
+        || was_slowed_beyond_grace(view, attempt, at)
 }
 
 fn endpoint_broke_off(view: &View, attempt: &Attempt, at: Duration) -> bool {
@@ -69,6 +70,15 @@
     sent <= told && cut >= told + grace * 5 / 6 && cut <= told + grace + SEEN_LATER
 }
 
+/// Whether a router that was told to end could not foresee that a stream would outlast the time: its endpoint
+/// became slow.
+fn was_slowed_beyond_grace(view: &View, attempt: &Attempt, cut: Duration) -> bool {
+    let router = Place::Router(attempt.sent.router);
+    let grace = Duration::from_secs(GRACE_S);
+    let ends = view.terminations(router).any(|told| cut >= told + grace * 5 / 6 && cut <= told + grace);
+    ends && attempt.runs().any(|run| view.was_slow(run.instance.endpoint, attempt.at, cut))
+}
+
 /// [`Invariant::Overdue`].
 pub fn overdue(view: &View) -> Vec<Violation> {
     let mut found = Vec::new();
--- a/crates/soak/src/audit/view.rs
+++ b/crates/soak/src/audit/view.rs
@@ -272,6 +272,14 @@
                 .any(|end| end.place == place && !end.expected && from <= end.at && end.at <= until)
     }
 
+    /// Whether an endpoint was slow at some time of the span.
+    pub fn was_slow(&self, endpoint: u8, from: Duration, until: Duration) -> bool {
+        self.troubles.iter().any(|troubled| {
+            matches!(troubled.trouble, Trouble::EndpointSlow { endpoint: slow, .. } if slow == endpoint)
+                && troubled.overlaps(from, until)
+        })
+    }
+
     /// Times at which a process was told to end.
     pub fn terminations(&self, place: Place) -> impl Iterator<Item = Duration> {
         self.troubles.iter().filter_map(move |troubled| match troubled.trouble {
--- a/crates/soak/src/catalog.rs
+++ b/crates/soak/src/catalog.rs
@@ -7,9 +7,9 @@
 /// Host of all routes.
 pub const HOST: &str = "soak.example";
 /// Room of an engine for weights and adapters, MB.
-pub const WEIGHTS_MB: f64 = 150_000.0;
+pub const WEIGHTS_MB: f64 = 220_000.0;
 /// Adapters that an engine holds at most.
-pub const MAX_ADAPTERS: u32 = 2;
+pub const MAX_ADAPTERS: u32 = 3;
 /// Requests that an engine runs at once.
 pub const ENGINE_CAPACITY: u32 = 32;
 /// Requests that an endpoint without an engine runs at once.
@@ -24,6 +24,8 @@
 const KV_CACHE_TOKENS: f64 = 200_000.0;
 /// Tokens in an event of a stream.
 pub const TOKENS_PER_EVENT: u32 = 5;
+/// Time between two events of any stream: a batch has one pace.
+pub const EVENT_PAUSE: Duration = Duration::from_millis(80);
 /// Longest time in which a client's idle connection is kept, ms.
 pub const IDLE_TIMEOUT_MS: u64 = 15_000;
 
@@ -36,7 +38,7 @@
     pub adapter_size_mb: f64,
 }
 
-/// All models; an engine has room for two of them, or three small ones.
+/// All models; an engine has room for three of them, or four small ones, and all together for each of them once.
 pub const MODELS: [ModelFacts; 11] = [
     model("amber", 60_000.0, 3),
     model("birch", 72_000.0, 0),
@@ -163,11 +165,6 @@
         Duration::from_millis(if self.is_stream() { 1_000 } else { 500 })
     }
 
-    /// Time between two events.
-    pub fn event_pause(self) -> Duration {
-        Duration::from_millis(if self == RouteKind::Draft { 100 } else { 30 })
-    }
-
     fn entry(self, movable: Service) -> Value {
         let kind = match self {
             RouteKind::Lookup => "idempotent",
--- a/crates/soak/src/client/request.rs
+++ b/crates/soak/src/client/request.rs
@@ -40,9 +40,9 @@
         let model = route.is_stream().then(|| draw_model(random, demand));
         let events = match route {
             RouteKind::Lookup | RouteKind::Booking => 0,
-            RouteKind::Chat => random.random_range(5..=40),
+            RouteKind::Chat => random.random_range(2..=15),
             // Up to nine seconds.
-            RouteKind::Draft => random.random_range(5..=88),
+            RouteKind::Draft => random.random_range(5..=110),
         };
         let size = random.random_range(0..MOST_BODY_BYTES);
         let path = format!("/{}/{}", route.name(), random.random_range(0..1_000));
--- a/crates/soak/src/endpoint/mod.rs
+++ b/crates/soak/src/endpoint/mod.rs
@@ -24,8 +24,12 @@
 use tokio::task::spawn_local;
 
 /// Models of the engines at the first start of the system; later starts are empty.
-const FIRST_MODELS: [&[&str]; 4] =
-    [&["amber", "birch"], &["amber", "cedar"], &["delta", "ember"], &["fjord", "grove"]];
+const FIRST_MODELS: [&[&str]; 4] = [
+    &["amber", "birch", "cedar"],
+    &["amber", "delta", "ember"],
+    &["fjord", "grove", "hazel"],
+    &["inlet", "juniper", "kelp"],
+];
 
 /// One endpoint through all its lives.
 struct Slot {
--- a/crates/soak/src/endpoint/server.rs
+++ b/crates/soak/src/endpoint/server.rs
@@ -4,7 +4,7 @@
 use super::engine::{Holding, OrderBody, RunOf};
 use super::incarnation::{Incarnation, Run, State};
 use crate::answer::{event, plain_body};
-use crate::catalog::{RouteKind, Service, TOKENS_PER_EVENT};
+use crate::catalog::{EVENT_PAUSE, RouteKind, Service, TOKENS_PER_EVENT};
 use crate::journal::{Decision, RunEnd, What};
 use crate::names::AttemptId;
 use bytes::Bytes;
@@ -282,7 +282,7 @@
 ) -> RunEnd {
     let first = asked.after + 1;
     for id in first..=asked.events {
-        let pause = if id == first { FIRST_EVENT } else { asked.route.event_pause() };
+        let pause = if id == first { FIRST_EVENT } else { EVENT_PAUSE };
         sleep(stretched(endpoint, pause)).await;
         if sender.send(Ok(event(asked.attempt, id).into())).await.is_err() {
             return RunEnd::CallerLeft;
