Log what is believed of an endpoint as each order leaves, and what became of it

The log told of an order only its operation and answer. It could not tell what the placer believed of the endpoint that rule LIMIT names: what was counted, up to which room, which revision was expected, which report or registration the belief rested on.

At level info the placer now writes each order as it leaves (expected revision, room and adapters counted, what is shown, expected and leaving), each answer, each end, and each report and changed registration of an endpoint. No decision is touched.

--- a/crates/placement/src/answers.rs
+++ b/crates/placement/src/answers.rs
@@ -2,6 +2,7 @@
 
 use crate::endpoint::{Endpoint, Verification};
 use crate::interface::{EndpointReport, Item, Operation, OrderAnswer, OrderId};
+use crate::order_log;
 use crate::placer::Placer;
 use crate::underway::{IN_FLIGHT, Stage, Underway};
 use std::sync::Arc;
@@ -28,6 +29,7 @@
         self.set_now(now);
         let Some(instance) = self.orders.get(&id).cloned() else { return };
         let Some(endpoint) = self.endpoints.get_mut(&instance) else { return };
+        order_log::answered(now, id, &instance, answer);
         match answer {
             OrderAnswer::Accepted => {
                 endpoint.taken(now);
@@ -47,6 +49,7 @@
         self.set_now(now);
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
         let id = endpoint.id.clone();
+        order_log::reported(now, &id, report);
         endpoint.reported(now, &report.models, &self.catalog);
         endpoint.verified(now, report);
         if endpoint.order_is_over(report, now) {
@@ -76,6 +79,7 @@
     pub(crate) fn close_order(&mut self, id: &Arc<str>, now: Duration) {
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
         let Some(order) = endpoint.order.take() else { return };
+        order_log::closed(now, id, &order);
         self.orders.remove(&order.id);
         self.store.ended(order.id, now);
         match order.operation {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -12,6 +12,7 @@
 mod need;
 #[cfg(test)]
 mod need_test;
+mod order_log;
 mod placer;
 mod planning;
 mod rate;
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -3,6 +3,7 @@
 use crate::catalog::Catalog;
 use crate::endpoint::{Endpoint, Verification};
 use crate::interface::{Action, Item, Operation, OrderId, PendingLoad};
+use crate::order_log;
 use crate::rate::DemandTable;
 use crate::settings::{PlacerSettings, Start};
 use crate::store::StoreBudget;
@@ -117,6 +118,7 @@
         let Some(endpoint) = self.endpoints.get_mut(instance.id.as_str()) else { return };
         let before = endpoint.registered;
         if endpoint.registration(now, instance, &self.catalog) {
+            order_log::registered(now, instance);
             let id = endpoint.id.clone();
             self.settle_shown(now, &id, before);
             self.plan_soon(now);
--- a/crates/placement/src/planning.rs
+++ b/crates/placement/src/planning.rs
@@ -4,6 +4,7 @@
 use crate::endpoint::Verification;
 use crate::interface::{Action, Item, Operation, Order, OrderId};
 use crate::models::{Rank, Site, Wish, load_lasts, wish, wishes};
+use crate::order_log::{self, Belief};
 use crate::placer::Placer;
 use crate::underway::Underway;
 use crate::view::View;
@@ -209,7 +210,7 @@
         if order.counted {
             self.store.ordered(order_id, now + lasts);
         }
-        endpoint.order = Some(order);
+        let underway = endpoint.order.insert(order).clone();
         let order = Order {
             id: order_id,
             instance: id.clone(),
@@ -219,6 +220,7 @@
             adapter: item.adapter,
             if_revision: endpoint.revision,
         };
+        order_log::given(now, &order, &underway, &Belief { endpoint, catalog: &self.catalog });
         self.orders.insert(order_id, id.clone());
         self.actions.push_back(Action::Order(order));
     }
