Give no order that does not rest on a report and on its count of orders

A registration may be older than orders that were carried out, by any time: a heartbeat stands still on its way while the link is cut. The placer had an endpoint take a load, the endpoint was cut off while it loaded, was given up after its silence, and with it went everything known of it; the heartbeat of before the load's end, heard after the heal, made it a new endpoint with room, and the next load left with no revision expected. Two more ways to the same: first heard later than 3 s into a tenure, with orders of the earlier holder done there; and heard late, more than 2.6 s after a report had told of the load.

Ruled out by the log: a restart or another incarnation (same id throughout), a lost or late answer (the load was answered 202 7 to 8 s before), an eviction counted too early (none), two tenures at once (one epoch acts throughout), time of day (only the monotonic clock is read), sizes (210.5 of 220 GB were counted, by the same sizes).

The change: what takes room at an endpoint is what a report of it at rest told, with its count of orders, and what this placer's own accepted orders did since. Every order names that count (Order.if_revision is no longer optional): an endpoint that has taken any other order refuses it. An endpoint that is heard for the first time, or again, or that refused with 409, 400 or 200 is asked first. Registrations still tell what requests can be sent to, and that an accepted order is done; they never make room. An order without an answer ends by a report alone. Models that left the configuration, or shrank in it, keep the largest size they had in this tenure; one that no configuration told of counts as filling its endpoint.

A last check before each order leaves keeps accounts of its own (guard.rs), from reports, orders and answers alone: contents known, count of orders right, no order before it open, room and places for adapters kept. It holds the order back, counts (Placer::violations) and logs. While the change was made it found a mistake in it: an order without an answer was taken for the one that the endpoint counted.

--- a/crates/controller/src/controller/orders.rs
+++ b/crates/controller/src/controller/orders.rs
@@ -46,8 +46,7 @@
     model: &'a str,
     #[serde(skip_serializing_if = "Option::is_none")]
     adapter: Option<&'a str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    if_revision: Option<u64>,
+    if_revision: u64,
     owner: &'a str,
     fencing_token: u64,
 }
--- a/crates/placement/src/answers.rs
+++ b/crates/placement/src/answers.rs
@@ -1,27 +1,36 @@
 //! How orders end: by an answer, by a registration, by a report, or by time.
 
+use crate::contents::Contents;
 use crate::endpoint::{Endpoint, Verification};
 use crate::interface::{EndpointReport, Item, Operation, OrderAnswer, OrderId};
 use crate::order_log;
 use crate::placer::Placer;
-use crate::underway::{IN_FLIGHT, Stage, Underway};
+use crate::underway::{Stage, Underway};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How long a finished load is counted without being shown; longer than a heartbeat.
-const UNSHOWN: Duration = Duration::from_millis(2_600);
-
 /// First pause after a refused order; it doubles with each further one.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(200);
 
 /// Most doublings of that pause.
 const MOST_DOUBLINGS: u32 = 5;
 
-/// A report may be this much older than its question.
-const REPORT_LAG: Duration = Duration::from_secs(1);
-
-/// How soon a busy endpoint is asked again.
-const BUSY_PAUSE: Duration = Duration::from_millis(500);
+/// How soon an endpoint is asked again that is at work, or whose report was too old.
+pub(crate) const ASK_AGAIN: Duration = Duration::from_millis(500);
+
+/// What a report says of what the endpoint holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reading {
+    /// Nothing yet: it may be older than the order under way, or that one is not over.
+    Nothing,
+    /// It is older than an order that was taken.
+    Outdated,
+    /// An order is being carried out: perhaps the one without an answer, or one that was thought to be over, or one that
+    /// is not this placer's.
+    Busy,
+    /// What the endpoint holds after its count of orders; no order is under way there.
+    AtRest,
+}
 
 impl Placer {
     /// An order was answered, or will get no answer.
@@ -30,6 +39,7 @@
         let Some(instance) = self.orders.get(&id).cloned() else { return };
         let Some(endpoint) = self.endpoints.get_mut(&instance) else { return };
         order_log::answered(now, id, &instance, answer);
+        self.guard.answered(&instance, id, answer);
         match answer {
             OrderAnswer::Accepted => {
                 endpoint.taken(now);
@@ -37,8 +47,16 @@
                 let registered = endpoint.registered;
                 self.settle_shown(now, &instance, registered);
             }
-            OrderAnswer::AlreadyDone => self.already_done(now, &instance, id),
-            OrderAnswer::Unknown => endpoint.lost(now),
+            OrderAnswer::AlreadyDone => {
+                self.store.refused(id);
+                endpoint.doubt(now);
+                self.order_done(&instance, now);
+            }
+            OrderAnswer::Unknown => {
+                if let Some(order) = endpoint.order.as_mut() {
+                    order.lost(now);
+                }
+            }
             refusal => self.refused(now, &instance, id, refusal),
         }
         self.plan_soon(now);
@@ -50,10 +68,18 @@
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
         let id = endpoint.id.clone();
         order_log::reported(now, &id, report);
-        endpoint.reported(now, &report.models, &self.catalog);
-        endpoint.verified(now, report);
-        if endpoint.order_is_over(report, now) {
-            self.close_order(&id, now);
+        self.guard.reported(now, &id, report, &self.catalog);
+        match endpoint.read(now, report) {
+            Reading::Nothing => {}
+            Reading::Outdated | Reading::Busy => endpoint.ask_again(now, report),
+            Reading::AtRest => {
+                let contents = Contents::told(&report.models, &self.catalog);
+                let order = endpoint.order.take();
+                endpoint.verified(now, contents, report.sequence);
+                if let Some(order) = order {
+                    self.order_over(&id, &order, now);
+                }
+            }
         }
         self.plan_soon(now);
     }
@@ -61,31 +87,36 @@
     /// Ends the order of an endpoint whose effect a registration shows; `before` is when the endpoint
     /// registered before that.
     pub(crate) fn settle_shown(&mut self, now: Duration, id: &Arc<str>, before: Duration) {
-        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
-        let Some(order) = endpoint.order.as_ref() else { return };
-        let shown = endpoint.holds(&order.item);
-        let over = order.stage != Stage::Sent && shown == (order.operation == Operation::Load);
-        if !over {
+        let Some(endpoint) = self.endpoints.get_mut(id).filter(|endpoint| endpoint.shows_effect()) else {
+            return;
+        };
+        let Some(order) = endpoint.order.as_mut() else { return };
+        if order.stage == Stage::Lost {
+            // It says that the order was taken, or is older than it. The count of orders tells which.
+            order.ask_at(now);
             return;
         }
-        if order.counted && order.stage == Stage::Taken {
+        if order.counted {
             let usual = self.catalog.load_time(&order.item.model);
             self.store.measured(before.saturating_sub(order.sent), usual);
         }
-        self.close_order(id, now);
+        self.order_done(id, now);
+    }
+
+    /// The order of an endpoint has been carried out.
+    pub(crate) fn order_done(&mut self, id: &Arc<str>, now: Duration) {
+        let order = self.endpoints.get_mut(id).and_then(|endpoint| endpoint.done(now));
+        if let Some(order) = order {
+            self.order_over(id, &order, now);
+        }
     }
 
     /// The order of an endpoint is over, whatever came of it.
-    pub(crate) fn close_order(&mut self, id: &Arc<str>, now: Duration) {
-        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
-        let Some(order) = endpoint.order.take() else { return };
-        order_log::closed(now, id, &order);
+    fn order_over(&mut self, id: &Arc<str>, order: &Underway, now: Duration) {
+        order_log::closed(now, id, order);
         self.orders.remove(&order.id);
         self.store.ended(order.id, now);
-        match order.operation {
-            Operation::Load => endpoint.expected_until(&order.item, now + UNSHOWN),
-            Operation::Evict => endpoint.stays(&order.item),
-        }
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
         let fulfilled = endpoint.intent.as_ref().is_some_and(|intent| {
             order.operation == Operation::Load && order.item == Item::model(intent.model.clone())
         });
@@ -94,28 +125,16 @@
         }
     }
 
-    fn already_done(&mut self, now: Duration, id: &Arc<str>, order: OrderId) {
-        self.store.refused(order);
-        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
-        endpoint.revision = None;
-        if let Some(order) = endpoint.order.as_ref().filter(|order| order.operation == Operation::Evict) {
-            let item = order.item.clone();
-            endpoint.drop_item(&item, now);
-        }
-        self.close_order(id, now);
-    }
-
     fn refused(&mut self, now: Duration, id: &Arc<str>, order: OrderId, answer: OrderAnswer) {
         self.store.refused(order);
+        self.orders.remove(&order);
         self.fenced |= answer == OrderAnswer::Fenced;
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
-        let Some(order) = endpoint.order.take() else { return };
-        self.orders.remove(&order.id);
-        endpoint.undo(&order);
+        endpoint.order = None;
         endpoint.refusals += 1;
         endpoint.not_before = now + REFUSAL_PAUSE * 2u32.pow(endpoint.refusals.min(MOST_DOUBLINGS));
         match answer {
-            OrderAnswer::Conflict => endpoint.conflict(now),
+            OrderAnswer::Conflict | OrderAnswer::Invalid => endpoint.doubt(endpoint.not_before),
             OrderAnswer::WrongInstance => endpoint.ready = false,
             _ => {}
         }
@@ -123,83 +142,35 @@
 }
 
 impl Endpoint {
-    fn taken(&mut self, now: Duration) {
-        self.refusals = 0;
-        self.revision = self.revision.map(|revision| revision + 1);
-        self.last_taken = Some(now);
-        let next_beat = self.registered + self.beat;
-        if let Some(order) = self.order.as_mut() {
-            order.taken(now, next_beat);
-        }
-    }
-
-    fn lost(&mut self, now: Duration) {
-        self.revision = None;
-        if let Some(order) = self.order.as_mut() {
-            order.lost(now);
+    /// What a report says, which may be older than orders that were taken since.
+    fn read(&self, now: Duration, report: &EndpointReport) -> Reading {
+        if report.sequence < self.least_revision {
+            return Reading::Outdated;
         }
-    }
-
-    /// Takes back what was noted when an order went out that was not taken.
-    fn undo(&mut self, order: &Underway) {
-        match order.operation {
-            Operation::Load => self.unexpect(&order.item),
-            Operation::Evict => self.stays(&order.item),
-        }
-    }
-
-    /// Either an order of this placer was not over yet, or somebody else gave one.
-    fn conflict(&mut self, now: Duration) {
-        self.revision = None;
-        let own = self.last_taken.is_some_and(|taken| now < taken + REPORT_LAG);
-        if !own {
-            self.verification = Verification::Wanted { not_before: self.not_before };
+        let Some(order) = self.order.as_ref() else {
+            return if report.busy { Reading::Busy } else { Reading::AtRest };
+        };
+        let counted = report.sequence > order.revision;
+        match order.stage {
+            Stage::Lost if counted && report.busy => Reading::Busy,
+            Stage::Taken | Stage::Lost if counted && !report.busy => Reading::AtRest,
+            // It was not taken, and cannot arrive any more.
+            Stage::Lost if !report.busy && now >= order.refuted_at() => Reading::AtRest,
+            Stage::Sent | Stage::Taken | Stage::Lost => Reading::Nothing,
         }
     }
 
-    fn verified(&mut self, now: Duration, report: &EndpointReport) {
-        let Verification::Asked { at } = self.verification else { return };
-        if report.busy {
-            self.verification = Verification::Wanted { not_before: now + BUSY_PAUSE };
+    /// A report did not tell what is held: it is asked for again, if it has to be known.
+    fn ask_again(&mut self, now: Duration, report: &EndpointReport) {
+        if let Some(order) = self.order.as_mut() {
+            if order.stage == Stage::Lost {
+                order.ask_at(now + ASK_AGAIN);
+            }
             return;
         }
-        self.verification = Verification::Settled;
-        let current = self.order.is_none() && self.last_taken.is_none_or(|taken| taken + REPORT_LAG < at);
-        self.revision = current.then_some(report.sequence);
-    }
-
-    /// Whether a report tells that the order under way is over, done or not.
-    fn order_is_over(&mut self, report: &EndpointReport, now: Duration) -> bool {
-        let Some(order) = self.order.as_ref().filter(|order| order.stage != Stage::Sent) else {
-            return false;
-        };
-        let listed = listed(report, &order.item);
-        if listed == (order.operation == Operation::Load) {
-            return true;
-        }
-        // A report that lacks it tells something only once it cannot be older than the order's arrival.
-        let settled_at = match order.stage {
-            Stage::Lost => order.sent + IN_FLIGHT + REPORT_LAG,
-            Stage::Sent | Stage::Taken => order.expected.max(order.sent) + REPORT_LAG,
-        };
-        if report.busy || now < settled_at {
-            return false;
-        }
-        // It was not taken, or came to nothing: what it was to bring takes no room.
-        let order = order.clone();
-        if order.stage == Stage::Taken && order.operation == Operation::Evict {
-            return false;
+        let is_foreign = self.revision().is_some_and(|revision| report.sequence > revision);
+        if is_foreign || matches!(self.verification, Verification::Asked { .. }) {
+            self.doubt(now + ASK_AGAIN);
         }
-        self.undo(&order);
-        self.revision = Some(report.sequence);
-        true
     }
 }
-
-fn listed(report: &EndpointReport, item: &Item) -> bool {
-    report.models.iter().any(|held| {
-        let adapter = item.adapter.as_ref();
-        *held.name == *item.model
-            && adapter.is_none_or(|adapter| held.adapters.iter().any(|a| **a == **adapter))
-    })
-}
--- a/crates/placement/src/catalog.rs
+++ b/crates/placement/src/catalog.rs
@@ -16,10 +16,19 @@
     adapters: u32,
 }
 
+/// Room that a model and each of its adapters take, MB.
+#[derive(Debug, Clone, Copy)]
+struct Sizes {
+    weights_mb: f64,
+    adapter_mb: f64,
+}
+
 /// The models that may be placed, and the limits of each endpoint.
 #[derive(Debug, Default)]
 pub struct Catalog {
     models: BTreeMap<Arc<str>, ModelSpec>,
+    /// Sizes that count, also of models that the configuration had before.
+    sizes: BTreeMap<Arc<str>, Sizes>,
     largest_model_mb: f64,
     largest_adapter_mb: f64,
     mean_load_time: Duration,
@@ -29,8 +38,8 @@
 }
 
 impl Catalog {
-    /// Reads the runtime of a service.
-    pub fn new(runtime: &Runtime) -> Catalog {
+    /// Reads the runtime of a service. Of what `before` has, the larger size counts: it may be held as it was.
+    pub fn new(runtime: &Runtime, before: &Catalog) -> Catalog {
         let models: BTreeMap<Arc<str>, ModelSpec> = runtime
             .models
             .iter()
@@ -52,6 +61,7 @@
             largest_model_mb: largest(|spec| spec.weights_mb),
             largest_adapter_mb: largest(|spec| spec.adapter_mb),
             mean_load_time: total / (models.len().max(1) as u32),
+            sizes: before.larger_sizes(&models),
             models,
             room_mb: runtime.weights_mb,
             max_adapters: runtime.max_adapters as usize,
@@ -59,6 +69,17 @@
         }
     }
 
+    fn larger_sizes(&self, models: &BTreeMap<Arc<str>, ModelSpec>) -> BTreeMap<Arc<str>, Sizes> {
+        let mut sizes = self.sizes.clone();
+        for spec in models.values() {
+            let before = sizes.get(&spec.name).copied().unwrap_or(Sizes { weights_mb: 0.0, adapter_mb: 0.0 });
+            let weights_mb = spec.weights_mb.max(before.weights_mb);
+            let adapter_mb = spec.adapter_mb.max(before.adapter_mb);
+            sizes.insert(spec.name.clone(), Sizes { weights_mb, adapter_mb });
+        }
+        sizes
+    }
+
     /// The model of that name, if the configuration has it.
     pub fn get(&self, name: &str) -> Option<&ModelSpec> {
         self.models.get(name)
@@ -76,12 +97,12 @@
         self.models.get(name).map_or_else(|| Arc::from(name), |spec| spec.name.clone())
     }
 
-    /// Room that an item takes, MB; what the configuration no longer has counts as the largest there is.
+    /// Room that an item takes, MB. A model that no configuration told of may take all of it.
     pub fn size_mb(&self, item: &Item) -> f64 {
-        let spec = self.models.get(&item.model);
+        let sizes = self.sizes.get(&item.model);
         match item.adapter {
-            None => spec.map_or(self.largest_model_mb, |spec| spec.weights_mb),
-            Some(_) => spec.map_or(self.largest_adapter_mb, |spec| spec.adapter_mb),
+            None => sizes.map_or(self.room_mb.max(self.largest_model_mb), |sizes| sizes.weights_mb),
+            Some(_) => sizes.map_or(self.largest_adapter_mb, |sizes| sizes.adapter_mb),
         }
     }
 
--- a/crates/placement/src/interface.rs
+++ b/crates/placement/src/interface.rs
@@ -51,8 +51,16 @@
     pub operation: Operation,
     pub model: Arc<str>,
     pub adapter: Option<Arc<str>>,
-    /// Number of orders that the endpoint is expected to have taken so far, where that is known.
-    pub if_revision: Option<u64>,
+    /// Number of orders that the endpoint is expected to have taken so far: what the order rests on is known to hold
+    /// at that count, and the endpoint refuses the order at any other.
+    pub if_revision: u64,
+}
+
+impl Order {
+    /// What it is to load or evict.
+    pub fn item(&self) -> Item {
+        Item { model: self.model.clone(), adapter: self.adapter.clone() }
+    }
 }
 
 /// What the I/O side is to do now.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -6,7 +6,11 @@
 mod adapters;
 mod answers;
 mod catalog;
+mod contents;
 mod endpoint;
+mod guard;
+#[cfg(test)]
+mod guard_test;
 mod interface;
 mod models;
 mod need;
@@ -23,6 +27,7 @@
 mod underway;
 mod view;
 
+pub use guard::{InvariantViolations, Violation};
 pub use interface::{Action, EndpointReport, Item, Operation, Order, OrderAnswer, OrderId, PendingLoad};
 pub use placer::Placer;
 pub use settings::{PlacerSettings, Start};
--- a/crates/placement/src/models.rs
+++ b/crates/placement/src/models.rs
@@ -1,7 +1,8 @@
 //! Where a model that wants another copy should be loaded, and what gives way to it.
 
 use crate::catalog::Catalog;
-use crate::endpoint::{Endpoint, Held};
+use crate::contents::Held;
+use crate::endpoint::Endpoint;
 use crate::interface::Item;
 use crate::view::{Endpoints, Room, Standing, View};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -161,7 +162,7 @@
         if self.rank == Rank::Restore {
             return None;
         }
-        let held = endpoint.held.iter().filter(|held| endpoint.stays_here(&held.model));
+        let held = endpoint.contents.models().filter(|held| endpoint.shows_model(&held.model));
         let mut candidates: Vec<Victim> = held.filter_map(|held| self.victim(view, held, catalog)).collect();
         candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
         let mut freed = 0.0;
--- a/crates/placement/src/order_log.rs
+++ b/crates/placement/src/order_log.rs
@@ -1,7 +1,8 @@
 //! What the log says of orders: what was believed of an endpoint as each left, and what became of it.
 
 use crate::catalog::Catalog;
-use crate::endpoint::{Endpoint, Expected, Held};
+use crate::contents::Held;
+use crate::endpoint::Endpoint;
 use crate::interface::{EndpointReport, Item, Order, OrderAnswer, OrderId};
 use crate::underway::Underway;
 use lanegate_model::instance::{HeldModel, Instance};
@@ -27,12 +28,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Belief { endpoint, catalog } = self;
         write!(f, "{} of {} MB, ", endpoint.used_mb(catalog), catalog.room_mb)?;
-        write!(f, "{} of {} adapters, held [", endpoint.adapters(), catalog.max_adapters)?;
-        list(f, endpoint.held.iter().map(HeldLine))?;
-        write!(f, "], expected [")?;
-        list(f, endpoint.expected.iter().map(ExpectedLine))?;
-        write!(f, "], leaving [")?;
-        list(f, endpoint.leaving.iter())?;
+        write!(f, "{} of {} adapters, holds [", endpoint.adapters(), catalog.max_adapters)?;
+        list(f, endpoint.contents.models().map(HeldLine))?;
+        write!(f, "], shows [")?;
+        list(f, endpoint.shown.models().map(HeldLine))?;
         write!(f, "]")
     }
 }
@@ -46,14 +45,6 @@
     }
 }
 
-struct ExpectedLine<'a>(&'a Expected);
-
-impl fmt::Display for ExpectedLine<'_> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} until {:.3}", self.0.item, self.0.until.as_secs_f64())
-    }
-}
-
 /// Models as an endpoint tells them.
 struct Told<'a>(&'a [HeldModel]);
 
@@ -81,14 +72,14 @@
 }
 
 /// An order is about to leave.
-pub fn given(now: Duration, order: &Order, underway: &Underway, belief: &Belief) {
+pub fn given(now: Duration, order: &Order, belief: &Belief) {
     log::info!(
-        "{:.3} order {} to {}: {:?} {}, if revision {:?}; counted with it: {belief}",
+        "{:.3} order {} to {}: {:?} {}, if revision {}; counted with it: {belief}",
         now.as_secs_f64(),
         order.id.0,
         order.instance,
         order.operation,
-        underway.item,
+        order.item(),
         order.if_revision,
     );
 }
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -2,6 +2,7 @@
 
 use crate::catalog::Catalog;
 use crate::endpoint::{Endpoint, Verification};
+use crate::guard::{InvariantViolations, OrderGuard};
 use crate::interface::{Action, Item, Operation, OrderId, PendingLoad};
 use crate::order_log;
 use crate::rate::DemandTable;
@@ -21,10 +22,6 @@
 /// Shortest time between two rounds of planning.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(50);
 
-/// After a takeover, endpoints first heard of within this are asked for their count of orders before
-/// they are given one: orders of the predecessor may be under way there.
-const TAKEOVER_SPAN: Duration = Duration::from_secs(3);
-
 /// How long a question may go unanswered before it is asked again.
 const QUESTION_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -39,12 +36,11 @@
 pub struct Placer {
     pub(crate) backend: Arc<str>,
     pub(crate) seed: u64,
-    pub(crate) began: Duration,
-    pub(crate) start: Start,
     pub(crate) catalog: Catalog,
     pub(crate) demand: DemandTable,
     pub(crate) endpoints: Endpoints,
     pub(crate) orders: BTreeMap<OrderId, Arc<str>>,
+    pub(crate) guard: OrderGuard,
     pub(crate) store: StoreBudget,
     pub(crate) actions: VecDeque<Action>,
     /// Incarnations that were replaced at their address; late registrations of them say nothing.
@@ -68,12 +64,11 @@
         Placer {
             backend: Arc::from(backend),
             seed,
-            began: now,
-            start: settings.start,
             catalog: Catalog::default(),
             demand: DemandTable::default(),
             endpoints: Endpoints::new(),
             orders: BTreeMap::new(),
+            guard: OrderGuard::default(),
             store: StoreBudget::new(settings.ceiling_window, settings.ceiling_overshoot, assumed_until),
             actions: VecDeque::new(),
             replaced: VecDeque::new(),
@@ -95,7 +90,7 @@
     /// The runtime of the service, as the newest configuration has it.
     pub fn configure(&mut self, now: Duration, runtime: &Runtime) {
         self.now = now;
-        self.catalog = Catalog::new(runtime);
+        self.catalog = Catalog::new(runtime, &self.catalog);
         self.store.permit(runtime.loads_per_s, self.catalog.sustained_loads());
         self.plan_soon(now);
     }
@@ -106,13 +101,12 @@
         if *instance.backend != *self.backend {
             return;
         }
-        let verification = self.first_verification(now);
         if self.replaced.iter().any(|id| **id == *instance.id) {
             return;
         }
         if !self.endpoints.contains_key(instance.id.as_str()) {
             self.replace(now, instance);
-            let endpoint = Endpoint::new(instance, verification);
+            let endpoint = Endpoint::new(now, instance);
             self.endpoints.insert(endpoint.id.clone(), endpoint);
         }
         let Some(endpoint) = self.endpoints.get_mut(instance.id.as_str()) else { return };
@@ -125,11 +119,6 @@
         }
     }
 
-    fn first_verification(&self, now: Duration) -> Verification {
-        let inherited = self.start == Start::Takeover && now < self.began + TAKEOVER_SPAN;
-        if inherited { Verification::Wanted { not_before: now } } else { Verification::Settled }
-    }
-
     /// A new incarnation at an address ends the one before.
     fn replace(&mut self, now: Duration, instance: &Instance) {
         let before = self.endpoints.values().find(|endpoint| endpoint.address == instance.address);
@@ -151,6 +140,7 @@
 
     fn forget_endpoint(&mut self, now: Duration, id: &str) -> bool {
         let Some(endpoint) = self.endpoints.remove(id) else { return false };
+        self.guard.forget(id);
         if let Some(order) = endpoint.order {
             self.orders.remove(&order.id);
             self.store.ended(order.id, now);
@@ -208,7 +198,7 @@
         }
         let Some(order) = endpoint.order.as_mut() else { return };
         if order.over_by_time(now) {
-            self.close_order(id, now);
+            self.order_done(id, now);
             return;
         }
         if order.unanswered() && now >= order.sent + ANSWER_PATIENCE {
@@ -243,7 +233,7 @@
         });
         let refused = Some(endpoint.not_before);
         let verification = match endpoint.verification {
-            Verification::Settled => None,
+            Verification::Settled { .. } => None,
             Verification::Wanted { not_before } => endpoint.intent.is_some().then_some(not_before),
             Verification::Asked { at } => Some(at + QUESTION_PATIENCE),
         };
@@ -255,6 +245,11 @@
         self.fenced
     }
 
+    /// Orders that were held back because they would have broken a limit; none in a placer without mistakes.
+    pub fn violations(&self) -> InvariantViolations {
+        self.guard.violations()
+    }
+
     /// Loads that were ordered and that no registration shows yet.
     pub fn pending_loads(&self) -> impl Iterator<Item = PendingLoad> + '_ {
         self.endpoints.values().filter_map(|endpoint| {
--- a/crates/placement/src/underway.rs
+++ b/crates/placement/src/underway.rs
@@ -1,6 +1,6 @@
 //! An order that an endpoint was given and that is not known to be over.
 
-use crate::interface::{Item, Operation, OrderId};
+use crate::interface::{Item, Operation, Order, OrderId};
 use std::time::Duration;
 
 /// How long an adapter's load is taken to last, ms; it arrives in some ms.
@@ -17,7 +17,10 @@
 
 /// How long an order without an answer may still reach its endpoint: its connection is reset a second after it
 /// was sent, and what is on its way then takes less than the rest.
-pub const IN_FLIGHT: Duration = Duration::from_millis(1_500);
+const IN_FLIGHT: Duration = Duration::from_millis(1_500);
+
+/// A report may be this much older than its question.
+const REPORT_LAG: Duration = Duration::from_secs(1);
 
 /// Longest pause between two questions about the same order.
 const LONGEST_PAUSE: Duration = Duration::from_secs(8);
@@ -39,6 +42,8 @@
     pub id: OrderId,
     pub operation: Operation,
     pub item: Item,
+    /// Orders that the endpoint had taken when this one left.
+    pub revision: u64,
     pub sent: Duration,
     pub stage: Stage,
     /// Whether the load is counted by the weight store.
@@ -58,13 +63,19 @@
     if (now..soon).contains(&next_beat) { next_beat + EVICT_QUESTION } else { now + EVICT_QUESTION }
 }
 
+/// From when a report that does not count an order sent at `sent` tells that it was not taken and never will be.
+pub fn refuted_at(sent: Duration) -> Duration {
+    sent + IN_FLIGHT + REPORT_LAG
+}
+
 impl Underway {
     /// An order that goes out now and should take `lasts`.
-    pub fn new(id: OrderId, operation: Operation, item: Item, now: Duration, lasts: Duration) -> Underway {
+    pub fn new(order: &Order, now: Duration, lasts: Duration) -> Underway {
         Underway {
-            id,
-            operation,
-            item,
+            id: order.id,
+            operation: order.operation,
+            item: order.item(),
+            revision: order.if_revision,
             sent: now,
             stage: Stage::Sent,
             counted: false,
@@ -91,6 +102,16 @@
         self.ask_at = Some(now.max(self.sent + IN_FLIGHT));
     }
 
+    /// The endpoint may tell more of it by then.
+    pub fn ask_at(&mut self, at: Duration) {
+        self.ask_at = Some(at);
+    }
+
+    /// From when a report that does not count it tells that it was not taken.
+    pub fn refuted_at(&self) -> Duration {
+        refuted_at(self.sent)
+    }
+
     /// The endpoint is being asked now: when to ask again if nothing comes of it.
     pub fn asking(&mut self, now: Duration) {
         self.asked += 1;
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -108,15 +108,13 @@
     }
 
     fn take_copies(&mut self, endpoint: &Endpoint) {
-        let held = endpoint.held.iter().map(|held| &held.model);
-        let expected = endpoint.expected.iter().map(|expected| &expected.item);
-        let expected = expected.filter(|item| item.is_model()).map(|item| &item.model);
-        let mut models: Vec<&Arc<str>> =
-            held.chain(expected).filter(|model| endpoint.stays_here(model)).collect();
-        models.extend(endpoint.intended(self.now).filter(|intended| !models.contains(intended)));
-        for model in models {
+        let items = endpoint.items().filter(|item| item.is_model() && endpoint.keeps(item));
+        let mut models: Vec<Arc<str>> = items.map(|item| item.model).collect();
+        let intended = endpoint.intended(self.now).filter(|intended| !models.contains(intended));
+        models.extend(intended.cloned());
+        for model in &models {
             self.add_copy(model, &endpoint.zone);
-            if endpoint.holds_model(model)
+            if endpoint.shows_model(model)
                 && let Some(standing) = self.models.get_mut(model)
             {
                 standing.serving += 1;
@@ -157,7 +155,7 @@
         if self.fleet.work <= 0.0 {
             return 0.0;
         }
-        let held = endpoint.held.iter().filter_map(|held| self.models.get(&held.model));
+        let held = endpoint.contents.models().filter_map(|held| self.models.get(&held.model));
         let work: f64 = held.map(Standing::work_per_copy).sum();
         work * self.fleet.endpoints as f64 / self.fleet.work
     }
--- a/crates/placement/tests/room.rs
+++ b/crates/placement/tests/room.rs
@@ -64,6 +64,9 @@
             beats: 0,
             next_beat_ms: 0,
             up: true,
+            cut: None,
+            heal_ms: 0,
+            stalled: None,
         };
         Play {
             placer: placer(0, Start::First),
@@ -210,6 +213,7 @@
     play.hear(&late);
     play.run_for(15_000);
     assert!(play.broken.is_empty(), "{:?}", play.broken);
+    assert_eq!(play.placer.violations().total(), 0);
     assert!(play.endpoint.holds("m4", None), "{:?}", play.given);
 }
 
@@ -229,6 +233,7 @@
     play.hear(&late);
     play.run_for(15_000);
     assert!(play.broken.is_empty(), "{:?}", play.broken);
+    assert_eq!(play.placer.violations().total(), 0);
     assert!(play.endpoint.holds("m4", None), "{:?}", play.given);
 }
 
@@ -250,5 +255,6 @@
     play.beats_arrive = true;
     play.run_for(15_000);
     assert!(play.broken.is_empty(), "{:?}", play.broken);
+    assert_eq!(play.placer.violations().total(), 0);
     assert!(play.endpoint.holds("m4", None), "{:?}", play.given);
 }
--- a/crates/placement/tests/scenarios.rs
+++ b/crates/placement/tests/scenarios.rs
@@ -6,6 +6,7 @@
 
 use lanegate_placement::Operation;
 use std::path::Path;
+use support::fleet::Cut;
 use support::simulation::{Asked, Simulation, runtime};
 
 /// A parsed line, with its place for messages.
@@ -122,6 +123,8 @@
         "drain" => simulation.drain_endpoint(line.word(3), None),
         "notice" => simulation.drain_endpoint(line.word(3), Some(line.number(4))),
         "takeover" => simulation.take_over(),
+        "cut" => simulation.cut(line.word(3), Cut::All, (line.number(4) * 1_000.0) as u64),
+        "stall" => simulation.cut(line.word(3), Cut::Beats, (line.number(4) * 1_000.0) as u64),
         "loss" => simulation.loss = line.number(3),
         "end" => {}
         "expect" => expect(simulation, line),
@@ -130,7 +133,8 @@
 }
 
 /// `copies ITEM`, `zones MODEL`, `orders SECONDS`, `loads SECONDS` (of models) and `unplaced SECONDS` (each of
-/// the last seconds), `unheld` (items in demand without a copy), `questions`, `conflicts`.
+/// the last seconds), `unheld` (items in demand without a copy), `first_questions` (incarnations that a
+/// placer asked), `questions` (all beyond these), `conflicts`.
 fn expect(simulation: &Simulation, line: &Line) {
     let since = |seconds: f64| simulation.now_ms.saturating_sub((seconds * 1_000.0) as u64);
     match line.word(3) {
@@ -161,6 +165,7 @@
             let loads = late.filter(|(_, order)| order.operation == Operation::Load);
             line.compare(5, loads.count() as f64);
         }
+        "first_questions" => line.compare(4, simulation.first_questions.len() as f64),
         "questions" => line.compare(4, simulation.questions as f64),
         "conflicts" => line.compare(4, simulation.conflicts as f64),
         other => panic!("{}: {other} can't be measured", line.place),
--- a/crates/placement/tests/support/check.rs
+++ b/crates/placement/tests/support/check.rs
@@ -2,7 +2,7 @@
 
 use super::fleet::{Endpoint, size};
 use lanegate_model::configuration::Runtime;
-use lanegate_placement::{Operation, Order};
+use lanegate_placement::{InvariantViolations, Operation, Order};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Window of the ceiling, ms.
@@ -86,6 +86,13 @@
         }
     }
 
+    /// The placer held orders back that would have broken a limit: it planned them by mistake.
+    pub fn held_back(&mut self, now_ms: u64, violations: InvariantViolations) {
+        if violations.total() > 0 {
+            self.broken.push(format!("{now_ms}: {violations:?}"));
+        }
+    }
+
     /// No more than one order of a fleet's endpoints may be open for each; called when one is settled.
     pub fn settled(&mut self, instance: &str, order: u64) {
         if self.open.get(instance) == Some(&order) {
