--- a/crates/router/tests/streams.rs
+++ b/crates/router/tests/streams.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::{Client, Endpoint, Message, Router, Upstream, either, play, two_endpoints};
+use common::{Client, Endpoint, Message, Router, Upstream, either, pass_time, play, settle, two_endpoints};
+use std::time::Duration;
 
 /// A stream that has begun, with its first event passed on.
 async fn begun(router: &Router, endpoint: &Endpoint, path: &str) -> (Client, Upstream, Message) {
@@ -71,6 +72,30 @@
     });
 }
 
+/// Silence of the second run within an answer is no reason to end that, nor to look for a third run.
+#[test]
+fn a_stream_that_was_taken_up_may_be_silent_for_long() {
+    play(async {
+        let endpoints =
+            [Endpoint::start("i-1").await, Endpoint::start("i-2").await, Endpoint::start("i-3").await];
+        let router = Router::serving(&[&endpoints[0]]).await;
+        let (mut client, upstream, _) = begun(&router, &endpoints[0], "/resumable/a").await;
+        router.tell(endpoints[1].registration("plain"));
+        drop(upstream);
+        let (mut upstream, request) = endpoints[1].request().await;
+        upstream.begin_events(&request).await;
+        settle().await;
+        router.tell(endpoints[2].registration("plain"));
+        for _ in 0..120 {
+            settle().await;
+            pass_time(Duration::from_millis(100)).await;
+        }
+        upstream.chunk("id: 2\ndata: b\n\n").await;
+        upstream.end_chunks().await;
+        assert_eq!(client.read_through("0\r\n\r\n").await, "F\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+    });
+}
+
 #[test]
 fn events_that_a_second_run_repeats_are_passed_on_once() {
     play(async {
