Keep a live endpoint when a late heartbeat of the incarnation before is heard

The placer took it for a new incarnation, forgot the live one and ignored its heartbeats for the rest of the tenure.

The placer now remembers with their sequences which incarnations are gone. One of them ends nobody when it is heard again, and one that was displaced comes back with a later heartbeat. Two at one address do no harm: orders and questions name the incarnation.

--- a/crates/placement/src/endpoint.rs
+++ b/crates/placement/src/endpoint.rs
@@ -121,6 +121,11 @@
         changed | self.guess(now, instance, catalog)
     }
 
+    /// Sequence of the newest registration.
+    pub fn sequence(&self) -> u64 {
+        self.sequence.unwrap_or(0)
+    }
+
     /// Takes what a registration shows for the contents, where nothing better is known. True if that changes them.
     fn guess(&mut self, now: Duration, instance: &Instance, catalog: &Catalog) -> bool {
         if self.order.is_some() || self.contents.is_told_by(&instance.models) {
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -28,8 +28,8 @@
 /// How long an order may be without any word of its fate before it counts as lost.
 const ANSWER_PATIENCE: Duration = Duration::from_secs(10);
 
-/// Replaced incarnations that are remembered.
-const REPLACED_KEPT: usize = 64;
+/// Incarnations that are gone and are remembered.
+const GONE_KEPT: usize = 256;
 
 /// Places the models and adapters of one service.
 #[derive(Debug)]
@@ -43,8 +43,8 @@
     pub(crate) guard: OrderGuard,
     pub(crate) store: StoreBudget,
     pub(crate) actions: VecDeque<Action>,
-    /// Incarnations that were replaced at their address; late registrations of them say nothing.
-    replaced: VecDeque<Arc<str>>,
+    /// Incarnations that are gone, each with its newest sequence, the latest last.
+    gone: VecDeque<(Arc<str>, u64)>,
     pub(crate) last_order: u64,
     pub(crate) fenced: bool,
     pub(crate) planned: Option<Duration>,
@@ -71,7 +71,7 @@
             guard: OrderGuard::default(),
             store: StoreBudget::new(settings.ceiling_window, settings.ceiling_overshoot, assumed_until),
             actions: VecDeque::new(),
-            replaced: VecDeque::new(),
+            gone: VecDeque::new(),
             last_order: 0,
             fenced: false,
             planned: None,
@@ -101,11 +101,13 @@
         if *instance.backend != *self.backend {
             return;
         }
-        if self.replaced.iter().any(|id| **id == *instance.id) {
-            return;
-        }
         if !self.endpoints.contains_key(instance.id.as_str()) {
-            self.replace(now, instance);
+            match self.gone.iter().find(|(id, _)| **id == *instance.id) {
+                Some((_, sequence)) if instance.sequence <= *sequence => return,
+                // It lives, or a heartbeat of it was late: whether it or another one has the address is not known.
+                Some(_) => {}
+                None => self.replace(now, instance),
+            }
             let endpoint = Endpoint::new(now, instance);
             self.endpoints.insert(endpoint.id.clone(), endpoint);
         }
@@ -124,10 +126,6 @@
         let before = self.endpoints.values().find(|endpoint| endpoint.address == instance.address);
         let Some(id) = before.map(|endpoint| endpoint.id.clone()) else { return };
         self.forget_endpoint(now, &id);
-        self.replaced.push_back(id);
-        if self.replaced.len() > REPLACED_KEPT {
-            self.replaced.pop_front();
-        }
     }
 
     /// An endpoint is gone.
@@ -141,6 +139,11 @@
     fn forget_endpoint(&mut self, now: Duration, id: &str) -> bool {
         let Some(endpoint) = self.endpoints.remove(id) else { return false };
         self.guard.forget(id);
+        self.gone.retain(|(gone, _)| *gone != endpoint.id);
+        self.gone.push_back((endpoint.id.clone(), endpoint.sequence()));
+        if self.gone.len() > GONE_KEPT {
+            self.gone.pop_front();
+        }
         if let Some(order) = endpoint.order {
             self.orders.remove(&order.id);
             self.store.ended(order.id, now);
--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -201,6 +201,28 @@
     assert!(play.run_until(3_100).iter().all(|order| order.if_revision < 9));
 }
 
+/// A heartbeat of the incarnation before stood still on its way until that one had been given up.
+#[test]
+fn a_late_heartbeat_of_the_incarnation_before_does_not_end_the_new_one() {
+    let mut play = Play::new();
+    let first = play.first_order();
+    play.placer.order_answered(play.now(), first.id, OrderAnswer::Accepted);
+    play.placer.removed(play.now(), "i-1");
+    let json = serde_json::json!({
+        "Id": "i-2", "Backend": BACKEND, "Address": "10.0.0.1:80", "Zone": "z1", "Capacity": 64,
+        "State": "ready", "Sequence": 1,
+    });
+    let new: Instance = serde_json::from_value(json).unwrap();
+    play.placer.instance(play.now(), &new);
+    play.register(&[]);
+    play.placer.instance(play.now(), &Instance { sequence: 2, ..new });
+    play.placer.removed(play.now(), "i-1");
+    play.run_until(1_000);
+    play.placer.report(play.now(), "i-2", &report(&[], false, 0));
+    let orders = play.run_until(3_000);
+    assert!(orders.iter().any(|order| &*order.instance == "i-2"), "{orders:?}");
+}
+
 #[test]
 fn a_placer_that_an_endpoint_fenced_gives_no_further_order() {
     let mut play = Play::new();
--- a/crates/placement/tests/support/simulation.rs
+++ b/crates/placement/tests/support/simulation.rs
@@ -480,7 +480,6 @@
         endpoint.orders_taken = 0;
         endpoint.beats = 0;
         endpoint.next_beat_ms = self.now_ms;
-        endpoint.stalled = None;
         endpoint.work = None;
     }
 
