Drop what only a left source had listed, so that an ended endpoint does not stay

Traced by what each controller, the agent's sources and the router held 3 s after the heal. Ruled out: the controllers (all three knew the end within 0.29 s). Change: one second after a source's link has ended, what no complete source lists is dropped, once; the second is for a source that was ahead of the others. Feeds of sources that listed it begin anew.

--- a/crates/controller/src/view.rs
+++ b/crates/controller/src/view.rs
@@ -21,6 +21,9 @@
 /// How long what a lost source had listed is kept, so that its feed can go on where it stood. Shorter than
 /// removals are remembered, as a replayed registration must not outlive them.
 const LOST_SOURCE_MEMORY: Duration = Duration::from_secs(30);
+/// How long after the end of a source's link what it alone had listed still counts. It may have been ahead of the
+/// others, who hear of a registration within tenths of a second; or it was behind, and would not tell of its end.
+const LOST_SOURCE_COUNTS: Duration = Duration::from_millis(1_000);
 /// How long a controller is remembered that no source names any more.
 const CONTROLLER_MEMORY: Duration = Duration::from_secs(30);
 
@@ -46,6 +49,8 @@
 struct LostSource {
     since: Duration,
     source: Source,
+    /// Whether what it alone had listed has been dropped.
+    settled: bool,
 }
 
 /// The merged view.
@@ -97,7 +102,7 @@
             Message::Registered(registered) => self.registered(now, source, registered, news),
             Message::Removed(removed) => self.removed(now, source, removed, news),
             Message::Holding(holding) => self.held(holding, news),
-            Message::FeedBeat(beat) => self.beat(now, source, beat),
+            Message::FeedBeat(beat) => self.beat(now, source, beat, news),
             Message::Controllers(controllers) => self.named(now, source, &controllers),
             _ => {}
         }
@@ -137,16 +142,31 @@
         }
     }
 
-    fn beat(&mut self, now: Duration, source: SocketAddr, beat: FeedBeat) {
+    fn beat(&mut self, now: Duration, source: SocketAddr, beat: FeedBeat, news: &mut Vec<Message>) {
         let entry = self.source(source);
         entry.position = Position { source: beat.source, offset: beat.offset };
         entry.quorum = beat.quorum == 1;
         self.count_routers(source, beat);
         self.registry.forget(now, REMOVAL_MEMORY);
         self.lost.retain(|_, lost| now.saturating_sub(lost.since) <= LOST_SOURCE_MEMORY);
+        self.settle_lost(now, news);
         self.refresh_controllers(now);
     }
 
+    /// Drops what only sources had listed whose links ended a while ago, once somebody else has told everything.
+    fn settle_lost(&mut self, now: Duration, news: &mut Vec<Message>) {
+        if !self.is_complete() {
+            return;
+        }
+        let is_due =
+            |lost: &LostSource| !lost.settled && now.saturating_sub(lost.since) >= LOST_SOURCE_COUNTS;
+        if !self.lost.values().any(is_due) {
+            return;
+        }
+        self.lost.values_mut().filter(|lost| is_due(lost)).for_each(|lost| lost.settled = true);
+        self.drop_unlisted(news);
+    }
+
     fn named(&mut self, now: Duration, source: SocketAddr, controllers: &Controllers) {
         let text = controllers.addresses.text();
         self.source(source).controllers =
@@ -182,11 +202,11 @@
         self.lost.get(&source).map(|lost| lost.source.position).unwrap_or_default()
     }
 
-    /// A source's link has ended; what it listed stays until another source says otherwise.
+    /// A source's link has ended; what it alone listed stays for a while, and as long as nobody else has told everything.
     pub fn lost(&mut self, now: Duration, source: SocketAddr) {
         self.configuration.lost(source);
         if let Some(lost) = self.sources.remove(&source) {
-            self.lost.insert(source, LostSource { since: now, source: lost });
+            self.lost.insert(source, LostSource { since: now, source: lost, settled: false });
         }
     }
 
@@ -274,13 +294,20 @@
         }
     }
 
-    /// Drops what no complete source lists.
     fn snapshot_ended(&mut self, source: SocketAddr, complete: bool, news: &mut Vec<Message>) {
         let was_complete = self.is_complete();
         self.source(source).complete = complete;
         if !complete {
             return;
         }
+        self.drop_unlisted(news);
+        if !was_complete {
+            news.push(Message::SnapshotEnd { complete: 1 });
+        }
+    }
+
+    /// Drops what no complete source lists.
+    fn drop_unlisted(&mut self, news: &mut Vec<Message>) {
         let told = |id: &str| self.sources.values().any(|s| s.complete && s.listed.contains(id));
         let live = self.registry.entries().filter(|(_, entry)| entry.registration.is_some());
         let vanished: Vec<(String, u64)> =
@@ -291,9 +318,6 @@
             self.lost.retain(|_, lost| !lost.source.listed.contains(&id));
             news.push(Message::Removed(Removed { id: id.as_str().into(), sequence }));
         }
-        if !was_complete {
-            news.push(Message::SnapshotEnd { complete: 1 });
-        }
     }
 }
 
--- a/crates/controller/tests/view.rs
+++ b/crates/controller/tests/view.rs
@@ -6,6 +6,7 @@
 use lanegate_controller::configuration_feed::reader::Pace;
 use lanegate_controller::message::{ConfigurationVersion, Controllers, Decided, FeedBeat, Message};
 use lanegate_controller::view::View;
+use lanegate_coordination::feed::Position;
 use proptest::prelude::*;
 use std::net::SocketAddr;
 
@@ -94,6 +95,35 @@
     assert_eq!(news, vec![registered("i-2", 80, 1, &[]), removed("i-1", u64::MAX)]);
 }
 
+/// The source that was left was behind, and will not tell of the end any more.
+#[test]
+fn what_only_a_left_source_had_listed_goes_after_a_while() {
+    let mut view = View::default();
+    let (stale, current) = (registered("i-1", 80, 3, &[]), registered("i-2", 81, 4, &[]));
+    tell(&mut view, controller(1), &[Message::SnapshotBegin, stale, current.clone(), end(true), beat(1, 1)]);
+    tell(&mut view, controller(2), &[Message::SnapshotBegin, current, end(true), beat(1, 1)]);
+    view.lost(ms(100), controller(1));
+    assert_eq!(tell_at(&mut view, 600, controller(2), &[beat(1, 1)]), vec![]);
+    assert_eq!(tell_at(&mut view, 1_100, controller(2), &[beat(1, 1)]), vec![removed("i-1", 3)]);
+    assert!(view.registration("i-2").is_some());
+    assert_eq!(view.position(controller(1)), Position::default(), "its feed has to begin anew");
+}
+
+/// Nobody else has told everything.
+#[test]
+fn what_a_left_source_had_listed_stays_without_another_complete_one() {
+    let mut view = View::default();
+    tell(
+        &mut view,
+        controller(1),
+        &[Message::SnapshotBegin, registered("i-1", 80, 3, &[]), end(true), beat(1, 1)],
+    );
+    tell(&mut view, controller(2), &[Message::SnapshotBegin, end(false), beat(1, 1)]);
+    view.lost(ms(100), controller(1));
+    assert_eq!(tell_at(&mut view, 5_000, controller(2), &[beat(1, 1)]), vec![]);
+    assert!(view.registration("i-1").is_some());
+}
+
 #[test]
 fn what_has_vanished_goes_with_the_end_of_a_complete_snapshot_only() {
     let mut view = View::default();
