Keep the counts of held back orders over tenures, and ask for none in simulations

Placements::violations sums what the placers of this process held back, ended ones included, for whoever exports it. The simulated control side checks after each step that it is zero.

Run: controller and placement tests.

--- a/crates/controller/src/controller/inspect.rs
+++ b/crates/controller/src/controller/inspect.rs
@@ -1,6 +1,7 @@
 //! What a simulation looks up in a controller.
 
 use super::{Controller, shards};
+use lanegate_placement::InvariantViolations;
 use std::net::SocketAddr;
 
 impl Controller {
@@ -20,6 +21,11 @@
         margins?.into_iter().min()
     }
 
+    /// Orders that the placers here held back because they would have broken a limit.
+    pub(crate) fn violations(&self) -> InvariantViolations {
+        self.placements.violations()
+    }
+
     /// Shards for which this controller acts.
     pub(crate) fn acting_shards(&self) -> usize {
         shards::all().filter(|shard| self.placements.acts_for(*shard)).count()
--- a/crates/controller/src/controller/placement.rs
+++ b/crates/controller/src/controller/placement.rs
@@ -8,7 +8,9 @@
 use lanegate_model::configuration::Configuration;
 use lanegate_model::demand::DemandReport;
 use lanegate_model::settings::Bounds;
-use lanegate_placement::{Action, EndpointReport, OrderAnswer, OrderId, Placer, PlacerSettings, Start};
+use lanegate_placement::{
+    Action, EndpointReport, InvariantViolations, OrderAnswer, OrderId, Placer, PlacerSettings, Start,
+};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -18,6 +20,8 @@
     placers: BTreeMap<String, Placer>,
     /// Epochs of the shards that this controller acts for.
     epochs: BTreeMap<u8, u64>,
+    /// What was counted by placers that have ended.
+    ended: InvariantViolations,
 }
 
 /// An action of the placer of `service`.
@@ -53,7 +57,7 @@
     /// This controller acts for `shard` no more.
     pub fn ended(&mut self, shard: u8) {
         self.epochs.remove(&shard);
-        self.placers.retain(|service, _| shard_of(service) != shard);
+        self.keep_placers(|service| shard_of(service) != shard);
     }
 
     /// Makes the placers that are missing, drops those whose service is gone, and tells all of them the
@@ -71,7 +75,7 @@
             let backend = configuration.backends.iter().find(|backend| backend.name == service)?;
             backend.runtime.as_ref()
         };
-        self.placers.retain(|service, _| runtime(service).is_some());
+        self.keep_placers(|service| runtime(service).is_some());
         for backend in &configuration.backends {
             let shard = shard_of(&backend.name);
             let (Some(runtime), Some(epoch)) = (&backend.runtime, self.epochs.get(&shard)) else { continue };
@@ -95,6 +99,19 @@
         }
     }
 
+    fn keep_placers(&mut self, keep: impl Fn(&str) -> bool) {
+        let ended = self.placers.iter().filter(|(service, _)| !keep(service));
+        ended.for_each(|(_, placer)| self.ended += placer.violations());
+        self.placers.retain(|service, _| keep(service));
+    }
+
+    /// Orders that placers of this process held back because they would have broken a limit.
+    pub fn violations(&self) -> InvariantViolations {
+        let mut sum = self.ended;
+        self.placers.values().for_each(|placer| sum += placer.violations());
+        sum
+    }
+
     /// A registration was heard.
     pub fn heard(&mut self, now: Duration, registered: &Registered) {
         if let Some(placer) = self.placers.get_mut(&registered.instance.backend) {
--- a/crates/controller/src/simulation/checks.rs
+++ b/crates/controller/src/simulation/checks.rs
@@ -94,6 +94,17 @@
         Ok(())
     }
 
+    /// No placer planned an order that its last check had to hold back.
+    pub(super) fn check_orders_held_back(&self) -> Result<(), Violation> {
+        for machine in &self.controllers {
+            let orders = machine.controller().map_or(0, |controller| controller.violations().total());
+            if orders > 0 {
+                return Err(Violation::OrdersHeldBack { sender: Place::Controller(machine.index), orders });
+            }
+        }
+        Ok(())
+    }
+
     fn check_drained(&self, endpoint: usize, start: u64) -> Result<(), Violation> {
         if self.endpoints[endpoint].start != start {
             return Ok(());
--- a/crates/controller/src/simulation/violation.rs
+++ b/crates/controller/src/simulation/violation.rs
@@ -27,6 +27,8 @@
     NotApplied { router: Place, version: u64, acknowledged: u64 },
     #[error("{router} sends to {endpoint} a bound after its drain was acknowledged")]
     DrainUnknown { router: Place, endpoint: Place },
+    #[error("{orders} orders of {sender} would have broken a limit and were held back")]
+    OrdersHeldBack { sender: Place, orders: u64 },
     #[error("an order with token {token} came after one with {highest}")]
     TokenWentBack { highest: u64, token: u64 },
     #[error("two senders use token {0}")]
--- a/crates/controller/src/simulation/world.rs
+++ b/crates/controller/src/simulation/world.rs
@@ -146,6 +146,7 @@
         world.start_all(scenario.spares_late);
         for (index, step) in scenario.steps.iter().enumerate() {
             world.step(index + 1, step)?;
+            world.check_orders_held_back()?;
         }
         Ok(())
     }
--- a/crates/placement/src/guard.rs
+++ b/crates/placement/src/guard.rs
@@ -9,6 +9,7 @@
 use crate::interface::{EndpointReport, Item, Operation, Order, OrderAnswer, OrderId};
 use crate::underway::refuted_at;
 use std::collections::BTreeMap;
+use std::ops::AddAssign;
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
@@ -90,6 +91,16 @@
     }
 }
 
+impl AddAssign for InvariantViolations {
+    fn add_assign(&mut self, other: InvariantViolations) {
+        self.unknown_contents += other.unknown_contents;
+        self.order_unsettled += other.order_unsettled;
+        self.wrong_revision += other.wrong_revision;
+        self.beyond_room += other.beyond_room;
+        self.beyond_adapters += other.beyond_adapters;
+    }
+}
+
 /// An order that left and is not known to be over or refused.
 #[derive(Debug)]
 struct OpenOrder {
--- a/crates/placement/src/guard_test.rs
+++ b/crates/placement/src/guard_test.rs
@@ -126,6 +126,19 @@
     assert_eq!(play.guard.violations().beyond_adapters(), 1);
 }
 
+#[test]
+fn counts_of_several_placers_add_up() {
+    let mut first = Play::new();
+    let _ = first.load("m1", 0);
+    let mut second = Play::told(&[("m1", &[]), ("m2", &[]), ("m3", &[])], 0);
+    let _ = second.load("m4", 0);
+    let _ = second.load("m4", 1);
+    let mut sum = first.guard.violations();
+    sum += second.guard.violations();
+    assert_eq!((sum.unknown_contents(), sum.beyond_room(), sum.wrong_revision()), (1, 1, 1));
+    assert_eq!(sum.total(), 3);
+}
+
 #[test]
 fn an_order_on_another_count_of_orders_is_held_back() {
     let mut play = Play::told(&[], 3);
