--- a/crates/soak/tests/schedules.rs
+++ b/crates/soak/tests/schedules.rs
@@ -46,6 +46,17 @@
     assert_eq!(schedule.to_string().parse::<Schedule>().unwrap(), schedule);
 }
 
+#[test]
+fn the_schedules_that_are_kept_can_be_read() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/schedules");
+    let files: Vec<_> = std::fs::read_dir(folder).unwrap().map(|file| file.unwrap().path()).collect();
+    assert!(!files.is_empty());
+    for file in files {
+        let schedule: Schedule = std::fs::read_to_string(&file).unwrap().parse().unwrap();
+        assert!(!schedule.steps.is_empty(), "{}", file.display());
+    }
+}
+
 #[test]
 fn mistakes_are_named_with_their_line() {
     let mistakes = [
