--- a/crates/lanegate/tests/common/mod.rs
+++ b/crates/lanegate/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Runs of the program.
 #![allow(dead_code)]
 
+pub mod processes;
+
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
