--- a/crates/controller/src/agent/mod.rs
+++ b/crates/controller/src/agent/mod.rs
@@ -3,6 +3,7 @@
 #[cfg(test)]
 mod agent_test;
 mod environment;
+mod metrics;
 mod process;
 pub mod sources;
 pub mod unconfirmed;
@@ -15,7 +16,9 @@
 use crate::message::{ConfigurationVersion, FeedBeat, Hello, Message, Role};
 use crate::subscription::News;
 use crate::view::View;
+use lanegate_invariants::Violations;
 use lanegate_model::settings::Settings;
+use metrics::{Counters, LastBeat};
 use sources::Sources;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -65,6 +68,10 @@
     /// What routers were told last of how much this agent may be trusted.
     beat_told: Option<FeedBeat>,
     settings_read: Duration,
+    /// The newest heartbeat of each source whose link is up.
+    beats: BTreeMap<SocketAddr, LastBeat>,
+    counters: Counters,
+    violations: Violations,
 }
 
 impl Agent {
@@ -82,6 +89,9 @@
             configurations: ConfigurationPublisher::keeping(KEPT_CONFIGURATIONS),
             beat_told: None,
             settings_read: Duration::ZERO,
+            beats: BTreeMap::new(),
+            counters: Counters::default(),
+            violations: Violations::default(),
         }
     }
 
@@ -94,9 +104,12 @@
         match news {
             News::Up { source, outbox } => {
                 self.outboxes.insert(source, outbox);
+                self.counters.links_started += 1;
             }
             News::Message { source, message } => self.message(source, message),
             News::Down { source } => {
+                self.counters.links_ended += 1;
+                self.beats.remove(&source);
                 self.outboxes.remove(&source);
                 self.environment.unfollow(source);
                 self.view.lost(self.now(), source);
@@ -114,7 +127,10 @@
             return;
         }
         let beat = match &message {
-            Message::FeedBeat(beat) => Some(beat.quorum == 1),
+            Message::FeedBeat(beat) => {
+                self.beats.insert(source, LastBeat { at: self.now(), offset: beat.offset });
+                Some(beat.quorum == 1)
+            }
             _ => None,
         };
         let trusted = self.sources.is_trusted(source);
@@ -261,6 +277,7 @@
             self.environment.follow(source, hello);
         }
         for source in plan.stop {
+            self.beats.remove(&source);
             self.outboxes.remove(&source);
             self.view.lost(now, source);
             self.unconfirmed.lost(source);
--- a/crates/controller/src/agent/process.rs
+++ b/crates/controller/src/agent/process.rs
@@ -5,6 +5,7 @@
 use crate::link::{self, Outbox, Reader};
 use crate::message::Hello;
 use crate::subscription::{News, follow};
+use lanegate_metrics::{MetricsEndpoint, Scrapes};
 use lanegate_model::settings::{Settings, SettingsError};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -45,8 +46,8 @@
     }
 }
 
-/// Runs an agent until SIGTERM. Must run inside a `LocalSet`.
-pub async fn run_agent(settings: Settings) -> std::io::Result<()> {
+/// Runs an agent until SIGTERM; it tells its figures at `endpoint`. Must run inside a `LocalSet`.
+pub async fn run_agent(settings: Settings, endpoint: Option<MetricsEndpoint>) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let listener = link::listen(loopback_address(&settings))?;
@@ -57,6 +58,7 @@
     let process = Process { started, news, links: BTreeMap::new() };
     let mut agent = Agent::new(settings, draw_life(), Box::new(process));
     agent.review();
+    let mut scrapes = Scrapes::of(endpoint);
     let mut review = tokio::time::interval(REVIEW_PERIOD);
     review.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -64,6 +66,7 @@
         tokio::select! {
             Some(news) = from_sources.recv() => agent.heard(news),
             Some(event) = from_readers.recv() => agent.downstream(event),
+            Some(scrape) = scrapes.next() => scrape.answer(agent.metrics()),
             _ = review.tick() => agent.review(),
             _ = reload.recv() => agent.read_settings(),
             _ = terminate.recv() => return Ok(()),
--- a/crates/controller/src/agent/sources.rs
+++ b/crates/controller/src/agent/sources.rs
@@ -27,6 +27,17 @@
     retry_at: BTreeMap<SocketAddr, Duration>,
 }
 
+/// Sources in use, by what they said last.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SourceCounts {
+    /// Being dialled, or up without a word on their quorum yet.
+    pub starting: usize,
+    /// In touch with a majority.
+    pub trusted: usize,
+    /// Up, but not in touch with a majority.
+    pub cut_off: usize,
+}
+
 /// What to change.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Plan {
@@ -64,6 +75,19 @@
         !self.followed.values().any(|standing| *standing == Standing::Trusted)
     }
 
+    /// Sources in use, by what they said last.
+    pub fn counts(&self) -> SourceCounts {
+        let mut counts = SourceCounts::default();
+        for standing in self.followed.values() {
+            match standing {
+                Standing::Starting => counts.starting += 1,
+                Standing::Trusted => counts.trusted += 1,
+                Standing::CutOff => counts.cut_off += 1,
+            }
+        }
+        counts
+    }
+
     /// Decides which sources among `known` to begin and to end.
     pub fn plan(&mut self, now: Duration, name: &str, known: &BTreeSet<SocketAddr>) -> Plan {
         self.retry_at.retain(|_, at| *at > now);
--- a/crates/controller/src/controller/callers_test.rs
+++ b/crates/controller/src/controller/callers_test.rs
@@ -3,6 +3,7 @@
 use super::event::{Answer, Call, Event};
 use super::http::serve;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -23,7 +24,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (sender, events) = mpsc::unbounded_channel();
-        spawn_local(serve(listener, sender));
+        spawn_local(serve(listener, sender, Rc::default()));
         Interface { address, events }
     }
 
--- a/crates/controller/src/controller/calls.rs
+++ b/crates/controller/src/controller/calls.rs
@@ -3,6 +3,7 @@
 use super::event::{Answer, Call, Method};
 use super::groups::KnownGroups;
 use super::operator::ANSWER_TIMEOUT;
+use super::unavailable::Unavailable;
 use super::{Asked, Controller, ControllerFault, shards};
 use crate::message::{Forwarded, Message, Token};
 use lanegate_coordination::register::Input;
@@ -21,7 +22,7 @@
     /// Answers a call, at once or later.
     pub(super) fn call(&mut self, call: Call) {
         if self.is_leaving() && call.path != STATUS_PATH {
-            return answer(call, Answer::error(503, "this controller is about to end"));
+            return answer(call, Answer::unavailable(Unavailable::Leaving));
         }
         if let Some(id) = call.path.strip_prefix(INSTANCES_PATH) {
             let id = id.to_owned();
@@ -66,7 +67,7 @@
         if self.has_fault(ControllerFault::ReadLocally) {
             let document = self.decided.as_ref().map(|decided| decided.document.bytes.clone());
             let known = document.map(|document| Answer::new(200, document));
-            return answer(call, known.unwrap_or_else(|| Answer::error(503, "nothing is known yet")));
+            return answer(call, known.unwrap_or_else(|| Answer::unavailable(Unavailable::NoMajority)));
         }
         let now = self.now();
         let request = self.request_number();
@@ -162,7 +163,11 @@
 pub(super) fn change_answer(encoded: &[u8]) -> Answer {
     let outcome = match Outcome::decode(encoded) {
         Ok(outcome) => outcome,
-        Err(error) => return Answer::error(503, &format!("no clear answer: {error}")),
+        Err(error) => {
+            let text = format!("no clear answer: {error}");
+            let unavailable = Some(Unavailable::ChangeUnclear);
+            return Answer { unavailable, ..Answer::error(503, &text) };
+        }
     };
     let body = match &outcome {
         Outcome::Taken { version } => serde_json::json!({ "Version": version }),
@@ -173,5 +178,7 @@
         Outcome::Invalid(findings) => findings_body("the change is not valid", findings),
         Outcome::Unclear(findings) => findings_body("no clear answer", findings),
     };
-    Answer::new(outcome.status(), body.to_string())
+    let is_unclear = matches!(outcome, Outcome::Unclear(_));
+    let unavailable = is_unclear.then_some(Unavailable::ChangeUnclear);
+    Answer { unavailable, ..Answer::new(outcome.status(), body.to_string()) }
 }
--- /dev/null
+++ b/crates/controller/src/controller/counters.rs
@@ -0,0 +1,148 @@
+//! Counts of what a controller did, for its metrics.
+
+use lanegate_model::control_state::Outcome;
+use lanegate_placement::{Operation, OrderAnswer};
+use std::collections::BTreeMap;
+
+/// How an order ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum OrderOutcome {
+    Accepted,
+    AlreadyDone,
+    Conflict,
+    Fenced,
+    WrongInstance,
+    Invalid,
+    Unavailable,
+    /// It may have been taken.
+    Unanswered,
+    /// It was never sent, as this controller may not act for the service now.
+    NoLease,
+}
+
+impl From<OrderAnswer> for OrderOutcome {
+    fn from(answer: OrderAnswer) -> Self {
+        match answer {
+            OrderAnswer::Accepted => OrderOutcome::Accepted,
+            OrderAnswer::AlreadyDone => OrderOutcome::AlreadyDone,
+            OrderAnswer::Conflict => OrderOutcome::Conflict,
+            OrderAnswer::Fenced => OrderOutcome::Fenced,
+            OrderAnswer::WrongInstance => OrderOutcome::WrongInstance,
+            OrderAnswer::Invalid => OrderOutcome::Invalid,
+            OrderAnswer::Unavailable => OrderOutcome::Unavailable,
+            OrderAnswer::Unknown => OrderOutcome::Unanswered,
+        }
+    }
+}
+
+impl OrderOutcome {
+    /// All outcomes, with their names as labels.
+    pub const ALL: [(OrderOutcome, &'static str); 9] = [
+        (OrderOutcome::Accepted, "accepted"),
+        (OrderOutcome::AlreadyDone, "already_done"),
+        (OrderOutcome::Conflict, "conflict"),
+        (OrderOutcome::Fenced, "fenced"),
+        (OrderOutcome::WrongInstance, "wrong_instance"),
+        (OrderOutcome::Invalid, "invalid"),
+        (OrderOutcome::Unavailable, "unavailable"),
+        (OrderOutcome::Unanswered, "unanswered"),
+        (OrderOutcome::NoLease, "no_lease"),
+    ];
+}
+
+/// Operations that are ordered, with their names as labels.
+pub const OPERATIONS: [(Operation, &str); 2] = [(Operation::Load, "load"), (Operation::Evict, "evict")];
+
+/// How a change of the configuration ended for the operator.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ChangeOutcome {
+    Taken,
+    AlreadyTaken,
+    Conflict,
+    Invalid,
+    /// No clear answer: it may have been taken.
+    Unclear,
+}
+
+impl ChangeOutcome {
+    /// All outcomes, with their names as labels.
+    pub const ALL: [(ChangeOutcome, &'static str); 5] = [
+        (ChangeOutcome::Taken, "taken"),
+        (ChangeOutcome::AlreadyTaken, "already_taken"),
+        (ChangeOutcome::Conflict, "conflict"),
+        (ChangeOutcome::Invalid, "invalid"),
+        (ChangeOutcome::Unclear, "unclear"),
+    ];
+
+    /// The outcome that an encoded outcome of the control state tells.
+    pub fn of_encoded(encoded: &[u8]) -> Self {
+        match Outcome::decode(encoded) {
+            Ok(Outcome::Taken { .. }) => ChangeOutcome::Taken,
+            Ok(Outcome::AlreadyTaken { .. }) => ChangeOutcome::AlreadyTaken,
+            Ok(Outcome::Conflict { .. }) => ChangeOutcome::Conflict,
+            Ok(Outcome::Invalid(_)) => ChangeOutcome::Invalid,
+            Ok(Outcome::Unclear(_)) | Err(_) => ChangeOutcome::Unclear,
+        }
+    }
+}
+
+/// Counts since the start of the process.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Orders that were given and have no answer yet.
+    pub orders_under_way: u64,
+    loads: BTreeMap<OrderOutcome, u64>,
+    evictions: BTreeMap<OrderOutcome, u64>,
+    changes: BTreeMap<ChangeOutcome, u64>,
+    /// Endpoints removed as they were silent for too long.
+    pub expiries: u64,
+    /// Times that the process noticed that it had stood still.
+    pub pauses: u64,
+    /// Tenures of leases that have begun.
+    pub tenures: u64,
+}
+
+impl Counters {
+    /// An order leaves.
+    pub fn order_given(&mut self) {
+        self.orders_under_way += 1;
+    }
+
+    /// An order that was given has ended.
+    pub fn order_answered(&mut self, operation: Operation, answer: OrderAnswer) {
+        self.orders_under_way = self.orders_under_way.saturating_sub(1);
+        self.count_order(operation, answer.into());
+    }
+
+    /// An order was not given for want of the lease.
+    pub fn order_withheld(&mut self, operation: Operation) {
+        self.count_order(operation, OrderOutcome::NoLease);
+    }
+
+    fn count_order(&mut self, operation: Operation, outcome: OrderOutcome) {
+        let orders = match operation {
+            Operation::Load => &mut self.loads,
+            Operation::Evict => &mut self.evictions,
+        };
+        *orders.entry(outcome).or_default() += 1;
+    }
+
+    /// Orders of an operation that ended so.
+    pub fn orders(&self, operation: Operation, outcome: OrderOutcome) -> u64 {
+        let orders = match operation {
+            Operation::Load => &self.loads,
+            Operation::Evict => &self.evictions,
+        };
+        orders.get(&outcome).copied().unwrap_or_default()
+    }
+
+    /// A change of the operator here has ended.
+    pub fn change_ended(&mut self, outcome: ChangeOutcome) {
+        *self.changes.entry(outcome).or_default() += 1;
+    }
+
+    /// Changes that ended so.
+    pub fn changes(&self, outcome: ChangeOutcome) -> u64 {
+        self.changes.get(&outcome).copied().unwrap_or_default()
+    }
+}
--- a/crates/controller/src/controller/disk.rs
+++ b/crates/controller/src/controller/disk.rs
@@ -3,7 +3,10 @@
 use super::event::Event;
 use lanegate_coordination::register::{CodecError, Record};
 use lanegate_coordination::storage::{Folder, StoreError, VersionedStore};
+use parking_lot::Mutex;
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
 /// A record to write.
@@ -13,10 +16,50 @@
     record: Record,
 }
 
+/// What the disk has done since the start of the process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct DiskUse {
+    /// Records that are on disk.
+    pub written: u64,
+    /// Records that could not be written.
+    pub failed: u64,
+    /// Records that wait to be written, or are being written.
+    pub waiting: u64,
+    /// Time of all writes.
+    pub time: Duration,
+    /// Time of the longest write.
+    pub longest: Duration,
+}
+
+/// Shared by the disk's thread and those who hand records to it.
+#[derive(Debug, Default)]
+pub struct DiskCounts(Mutex<DiskUse>);
+
+impl DiskCounts {
+    /// The counts now.
+    pub fn snapshot(&self) -> DiskUse {
+        *self.0.lock()
+    }
+
+    fn queued(&self) {
+        self.0.lock().waiting += 1;
+    }
+
+    fn ended(&self, is_written: bool, time: Duration) {
+        let mut counts = self.0.lock();
+        counts.waiting = counts.waiting.saturating_sub(1);
+        counts.written += u64::from(is_written);
+        counts.failed += u64::from(!is_written);
+        counts.time += time;
+        counts.longest = counts.longest.max(time);
+    }
+}
+
 /// Hands records to the disk's thread.
 #[derive(Debug, Clone)]
 pub struct Disk {
     writes: std::sync::mpsc::Sender<Write>,
+    counts: Arc<DiskCounts>,
 }
 
 impl Disk {
@@ -25,22 +68,27 @@
         mut folder: Folder,
         mut stores: BTreeMap<u8, VersionedStore>,
         events: mpsc::UnboundedSender<Event>,
+        counts: Arc<DiskCounts>,
     ) -> std::io::Result<Disk> {
         let (writes, queue) = std::sync::mpsc::channel::<Write>();
+        let ended = counts.clone();
         std::thread::Builder::new().name("disk".to_owned()).spawn(move || {
             for Write { shard, token, record } in queue {
+                let began = Instant::now();
                 let durable = write(&mut folder, &mut stores, shard, &record);
                 let durable = durable.inspect_err(|error| log::warn!("record of shard {shard}: {error}"));
+                ended.ended(durable.is_ok(), began.elapsed());
                 if events.send(Event::Written { shard, token, durable: durable.is_ok() }).is_err() {
                     return;
                 }
             }
         })?;
-        Ok(Disk { writes })
+        Ok(Disk { writes, counts })
     }
 
     /// Queues a record.
     pub fn write(&self, shard: u8, token: u64, record: Record) {
+        self.counts.queued();
         let _ = self.writes.send(Write { shard, token, record });
     }
 }
--- a/crates/controller/src/controller/endpoints.rs
+++ b/crates/controller/src/controller/endpoints.rs
@@ -2,6 +2,7 @@
 
 use super::event::Answer;
 use super::groups::KnownGroups;
+use super::unavailable::Unavailable;
 use crate::message::{Heard, HeardList, Holding, Message, Registered as RegisteredMessage, Removed};
 use crate::registration::Registered;
 use crate::view::registered_message;
@@ -326,6 +327,11 @@
         }
     }
 
+    /// Acknowledgements that wait for the other replicas.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// When [`Endpoints::give_up`] is to be called next.
     pub fn next_wake(&self) -> Option<Duration> {
         self.waiting.values().map(|waiting| waiting.until).min()
@@ -392,7 +398,7 @@
 }
 
 fn too_few_reached() -> Answer {
-    Answer::error(503, "too few controllers can be reached")
+    Answer::unavailable(Unavailable::HeartbeatNotReplicated)
 }
 
 fn removed_message(id: &str, sequence: u64) -> Message {
--- a/crates/controller/src/controller/event.rs
+++ b/crates/controller/src/controller/event.rs
@@ -1,5 +1,6 @@
 //! What happens to a controller: messages, calls, and ends of writes, one after the other.
 
+use super::unavailable::Unavailable;
 use crate::link::Outbox;
 use crate::message::{Hello, Message};
 use bytes::Bytes;
@@ -33,12 +34,19 @@
 pub struct Answer {
     pub status: u16,
     pub body: Bytes,
+    /// Why the status is 503, where it is.
+    pub unavailable: Option<Unavailable>,
 }
 
 impl Answer {
     /// An answer with a body of JSON.
     pub fn new(status: u16, body: impl Into<Bytes>) -> Self {
-        Answer { status, body: body.into() }
+        Answer { status, body: body.into(), unavailable: None }
+    }
+
+    /// There is no clear answer: 503.
+    pub fn unavailable(reason: Unavailable) -> Self {
+        Answer { unavailable: Some(reason), ..Answer::error(503, reason.text()) }
     }
 
     /// An error as JSON: `{"Error": text}`.
--- a/crates/controller/src/controller/housekeeping.rs
+++ b/crates/controller/src/controller/housekeeping.rs
@@ -34,6 +34,7 @@
         let acts = |shard| (alone || self.has_contact(shard)) && self.owns(shard);
         let owns: Vec<bool> = shards::all().map(acts).collect();
         let removed = self.endpoints.expire(now, |service| owns[usize::from(shard_of(service))]);
+        self.counters.expiries += removed.len() as u64;
         for message in removed {
             self.peers.broadcast(&message);
             self.readers.append(&message);
--- a/crates/controller/src/controller/http.rs
+++ b/crates/controller/src/controller/http.rs
@@ -1,6 +1,7 @@
 //! The control interface: endpoints and operators over HTTP/1.1.
 
 use super::event::{Answer, Call, Event, Method};
+use super::unavailable::{Unavailable, UnavailableCounts};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -9,6 +10,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
@@ -23,11 +25,15 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Serves calls on `listener` for the life of the process. Must run inside a `LocalSet`.
-pub async fn serve(listener: TcpListener, events: mpsc::UnboundedSender<Event>) {
+pub async fn serve(
+    listener: TcpListener,
+    events: mpsc::UnboundedSender<Event>,
+    unavailable: Rc<UnavailableCounts>,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(stream, events.clone()));
+                tokio::task::spawn_local(connection(stream, events.clone(), unavailable.clone()));
             }
             Err(error) => {
                 log::warn!("control interface: {error}");
@@ -37,11 +43,15 @@
     }
 }
 
-async fn connection(stream: TcpStream, events: mpsc::UnboundedSender<Event>) {
+async fn connection(
+    stream: TcpStream,
+    events: mpsc::UnboundedSender<Event>,
+    unavailable: Rc<UnavailableCounts>,
+) {
     if let Err(error) = crate::link::set_options(&stream) {
         log::debug!("options of a control connection: {error}");
     }
-    let service = service_fn(|request| handle(request, events.clone()));
+    let service = service_fn(|request| handle(request, events.clone(), unavailable.clone()));
     let served = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .half_close(true)
@@ -56,11 +66,15 @@
 async fn handle(
     request: Request<Incoming>,
     events: mpsc::UnboundedSender<Event>,
+    unavailable: Rc<UnavailableCounts>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let answer = match call(request, events).await {
         Ok(answer) => answer,
         Err(answer) => answer,
     };
+    if let Some(reason) = answer.unavailable {
+        unavailable.count(reason);
+    }
     let mut response = Response::new(Full::new(answer.body));
     *response.status_mut() = answer.status.try_into().expect("answers have a status of three digits");
     response.headers_mut().insert(CONTENT_TYPE, "application/json".parse().expect("a media type"));
@@ -114,5 +128,5 @@
     let (reply, answer) = oneshot::channel();
     let call = Call { method, path: head.uri.path().to_owned(), if_match, body, reply };
     let _ = events.send(Event::Call(call));
-    answer.await.map_err(|_| Answer::error(503, "no clear answer"))
+    answer.await.map_err(|_| Answer::unavailable(Unavailable::Dropped))
 }
--- a/crates/controller/src/controller/http_test.rs
+++ b/crates/controller/src/controller/http_test.rs
@@ -2,6 +2,7 @@
 
 use super::event::{Answer, Event};
 use super::http;
+use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -12,7 +13,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let (events, mut calls) = mpsc::unbounded_channel();
-    tokio::task::spawn_local(http::serve(listener, events));
+    tokio::task::spawn_local(http::serve(listener, events, Rc::default()));
     tokio::task::spawn_local(async move {
         while let Some(Event::Call(call)) = calls.recv().await {
             let _ = call.reply.send(Answer::new(200, "{}"));
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -7,6 +7,9 @@
 mod contact;
 #[cfg(test)]
 mod contact_test;
+mod counters;
+#[cfg(test)]
+mod counters_test;
 mod demand;
 #[cfg(test)]
 mod demand_test;
@@ -41,6 +44,7 @@
 #[cfg(test)]
 mod members_test;
 mod membership;
+mod metrics;
 mod operator;
 #[cfg(test)]
 mod operator_test;
@@ -71,6 +75,7 @@
 #[cfg(test)]
 mod trust_test;
 mod turn;
+mod unavailable;
 
 pub use contact::ContactFault;
 pub use endpoints::EndpointsFault;
@@ -84,6 +89,7 @@
 
 use crate::message::Decided;
 use contact::Contact;
+use counters::Counters;
 use demand::RecentDemand;
 use endpoints::Endpoints;
 use groups::KnownGroups;
@@ -91,6 +97,7 @@
 use holdings::Holdings;
 use lanegate_coordination::lease::LeaseNode;
 use lanegate_coordination::membership::Membership;
+use lanegate_invariants::Violations;
 use lanegate_model::configuration::Configuration;
 use lanegate_model::settings::Settings;
 use margin::Margins;
@@ -151,6 +158,12 @@
     next_housekeeping: Duration,
     next_beat: Duration,
     last_turn: Duration,
+    counters: Counters,
+    violations: Violations,
+    /// Newest revision learned of each shard.
+    newest_revisions: BTreeMap<u8, u64>,
+    /// Epoch of the newest tenure of each shard here.
+    newest_epochs: BTreeMap<u32, u64>,
 }
 
 /// What a request to a register was for.
--- a/crates/controller/src/controller/operator.rs
+++ b/crates/controller/src/controller/operator.rs
@@ -5,6 +5,7 @@
 //! is harmless: the second time it is found among those already taken.
 
 use super::event::Answer;
+use super::unavailable::Unavailable;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -52,13 +53,15 @@
     pending: BTreeMap<u64, Pending>,
     /// Number of the newest change.
     newest: u64,
+    /// Changes whose operator was told that there is no clear answer in time.
+    given_up: u64,
 }
 
 impl Operator {
     /// Nothing is under way. Numbers go on from `life`, drawn at each start of the process: an owner may answer
     /// a change of an earlier life, and that answer must not be taken for one to a change of this life.
     pub fn new(life: u64) -> Self {
-        Operator { pending: BTreeMap::new(), newest: life }
+        Operator { pending: BTreeMap::new(), newest: life, given_up: 0 }
     }
 
     /// Takes a change. It is proposed here at once, unless `owner_live`: then the owner is asked first.
@@ -71,7 +74,7 @@
         owner_live: bool,
     ) -> Option<u64> {
         if self.pending.len() >= MAX_PENDING {
-            let _ = reply.send(Answer::error(503, "too many calls are under way"));
+            let _ = reply.send(Answer::unavailable(Unavailable::TooManyChanges));
             return None;
         }
         let propose_at = owner_live.then_some(now + OWNER_PATIENCE);
@@ -102,6 +105,16 @@
         self.newest
     }
 
+    /// Changes under way, those that another controller handed over too.
+    pub fn under_way(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Changes whose operator was told that there is no clear answer in time.
+    pub fn given_up(&self) -> u64 {
+        self.given_up
+    }
+
     /// The command of a change under way.
     pub fn command(&self, request: u64) -> Option<&[u8]> {
         self.pending.get(&request).map(|pending| pending.command.as_slice())
@@ -124,7 +137,8 @@
         let late: Vec<u64> =
             self.pending.iter().filter(|(_, pending)| pending.until <= now).map(|(id, _)| *id).collect();
         for request in late {
-            self.settle(request, || Answer::error(503, "no clear answer in time; send the same again"));
+            let settled = self.settle(request, || Answer::unavailable(Unavailable::ChangeNotSettled));
+            self.given_up += u64::from(matches!(settled, Settled::Answered));
         }
         let mut due = Vec::new();
         for (request, pending) in &mut self.pending {
--- a/crates/controller/src/controller/placing.rs
+++ b/crates/controller/src/controller/placing.rs
@@ -8,6 +8,7 @@
 use crate::message::{Holding, Message, RouterDemand, ShardMessage};
 use lanegate_coordination::lease::Output;
 use lanegate_coordination::register::Input;
+use lanegate_invariants::Invariant;
 use lanegate_model::demand::DemandReport;
 use lanegate_placement::{Action, Operation, Order, OrderAnswer, Start};
 use std::collections::BTreeSet;
@@ -56,6 +57,9 @@
                 }
                 Output::Began { shard, epoch, .. } => {
                     log::info!("acts for shard {shard}, epoch {epoch}");
+                    self.counters.tenures += 1;
+                    let newest = self.newest_epochs.insert(shard, epoch).unwrap_or_default();
+                    self.violations.check(Invariant::EpochRises, epoch > newest);
                     self.placements.began(shard as u8, epoch);
                     self.configure_placements(epoch);
                 }
@@ -115,6 +119,7 @@
     /// An order was answered, or not.
     pub(super) fn order_answered(&mut self, service: &str, order: &Order, answer: OrderAnswer) {
         let now = self.now();
+        self.counters.order_answered(order.operation, answer);
         if answer == OrderAnswer::Accepted {
             let load_time = self.load_time(service, &order.model);
             self.holdings.accepted(now, service, order, load_time);
@@ -150,12 +155,16 @@
         let goes_on = self.has_fault(ControllerFault::OrderWithoutLease);
         let epoch = if goes_on { self.placements.epoch(action.shard) } else { epoch };
         match (epoch, &action.action) {
-            (Some(epoch), _) => {
+            (Some(epoch), action_kind) => {
+                if matches!(action_kind, Action::Order(_)) {
+                    self.counters.order_given();
+                }
                 self.announce_eviction(&action.action);
                 self.environment.carry_out(action, &self.settings.node_name, epoch, now + CONNECT_TIMEOUT);
             }
             (None, Action::Order(order)) => {
                 let id = order.id;
+                self.counters.order_withheld(order.operation);
                 self.placements.answered(now, &action.service, id, OrderAnswer::Unavailable);
             }
             (None, Action::AskReport { .. }) => {}
--- a/crates/controller/src/controller/registers.rs
+++ b/crates/controller/src/controller/registers.rs
@@ -1,13 +1,16 @@
 //! The registers: what their replicas ask for, what was decided, and answers to requests.
 
+use super::counters::ChangeOutcome;
 use super::event::Answer;
 use super::groups::KnownGroups;
 use super::operator::Settled;
 use super::shards::{self, read_epoch};
+use super::unavailable::Unavailable;
 use super::{Asked, Controller, ControllerFault};
 use crate::message::{Blob, Decided, Forwarded, Message, ShardMessage};
 use lanegate_coordination::lease::Tenure;
 use lanegate_coordination::register::{Input, Outcome, Output, Value};
+use lanegate_invariants::Invariant;
 use lanegate_model::control_state::{ControlState, Outcome as Taken};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -34,6 +37,9 @@
     /// A newer decided value of a shard is known.
     pub(super) fn learned(&mut self, shard: u8, value: &Value) {
         let now = self.now();
+        let newest = self.newest_revisions.entry(shard).or_default();
+        self.violations.check(Invariant::RevisionRises, value.revision >= *newest);
+        *newest = value.revision.max(*newest);
         let members: Vec<SocketAddr> =
             value.newest_group().iter().map(|node| SocketAddr::V4((*node).into())).collect();
         members.iter().for_each(|member| self.know(*member));
@@ -116,7 +122,8 @@
                 let body = Blob::from(answer.to_vec());
                 self.peers.send(peer, &Message::ChangeOutcome(Forwarded { request, body }));
             }
-            Settled::Answered | Settled::Unknown => {}
+            Settled::Answered => self.counters.change_ended(ChangeOutcome::of_encoded(answer)),
+            Settled::Unknown => {}
         }
     }
 
@@ -138,7 +145,7 @@
 
 fn read_answer(outcome: &Outcome) -> Answer {
     let Outcome::Value { state, .. } = outcome else {
-        return Answer::error(503, "no majority of the controllers can be reached");
+        return Answer::unavailable(Unavailable::NoMajority);
     };
     match ControlState::decode(state) {
         Ok(state) => match state.document() {
--- a/crates/controller/src/controller/setup.rs
+++ b/crates/controller/src/controller/setup.rs
@@ -1,8 +1,9 @@
 //! Starting a controller and ending it.
 
 use super::contact::Contact;
+use super::counters::Counters;
 use super::demand::RecentDemand;
-use super::disk::Disk;
+use super::disk::{Disk, DiskCounts};
 use super::endpoints::Endpoints;
 use super::environment::Environment;
 use super::event::Event;
@@ -19,7 +20,8 @@
 use super::shards::{self, ConfigurationMachine, EpochCounter, Shards};
 use super::standing::Standings;
 use super::trust::Trust;
-use super::{Controller, http, links};
+use super::unavailable::UnavailableCounts;
+use super::{Controller, http, links, metrics};
 use crate::life::draw_life;
 use crate::link;
 use crate::message::{Hello, Role};
@@ -27,10 +29,14 @@
 use lanegate_coordination::membership::{Membership, MembershipSettings, NodeId};
 use lanegate_coordination::register::{self, Node, Record, Replica, StateMachine};
 use lanegate_coordination::storage::{Directory, Folder, StoreError, VersionedStore};
+use lanegate_invariants::Violations;
+use lanegate_metrics::{MetricsEndpoint, Scrapes};
 use lanegate_model::settings::Settings;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
@@ -61,8 +67,11 @@
     System(#[from] std::io::Error),
 }
 
-/// Runs a controller until SIGTERM. Must run inside a `LocalSet`.
-pub async fn run_controller(settings: Settings) -> Result<(), ControllerError> {
+/// Runs a controller until SIGTERM; it tells its figures at `endpoint`. Must run inside a `LocalSet`.
+pub async fn run_controller(
+    settings: Settings,
+    endpoint: Option<MetricsEndpoint>,
+) -> Result<(), ControllerError> {
     let control = settings.listeners_map.control_plane;
     let control = control.ok_or(ControllerError::Missing("ListenersMap.ControlPlane"))?;
     let links_at = SocketAddr::new(control.ip(), settings.port_range.0);
@@ -72,9 +81,11 @@
     let mut reload = signal(SignalKind::hangup())?;
     let (events, mut queue) = mpsc::unbounded_channel();
     let started = Instant::now();
-    let mut controller = start_process(settings, control, started, events.clone())?;
-    tokio::task::spawn_local(http::serve(calls, events.clone()));
+    let (unavailable, disk) = (Rc::new(UnavailableCounts::default()), Arc::new(DiskCounts::default()));
+    let mut controller = start_process(settings, control, started, events.clone(), disk.clone())?;
+    tokio::task::spawn_local(http::serve(calls, events.clone(), unavailable.clone()));
     tokio::task::spawn_local(links::accept(peer_links, events));
+    let mut scrapes = Scrapes::of(endpoint);
     while !controller.has_left() {
         let wake = controller.next_wake();
         tokio::select! {
@@ -87,6 +98,11 @@
                     controller.take(event);
                 }
             }
+            Some(scrape) = scrapes.next() => {
+                let mut exposition = controller.metrics();
+                metrics::add_surroundings(&mut exposition, &unavailable, &disk);
+                scrape.answer(exposition);
+            }
             () = tokio::time::sleep_until((started + wake).into()) => {}
         }
         controller.turn();
@@ -113,13 +129,14 @@
     control: SocketAddr,
     started: Instant,
     events: mpsc::UnboundedSender<Event>,
+    counts: Arc<DiskCounts>,
 ) -> Result<Controller, ControllerError> {
     let life = draw_life();
     let folder = settings.data_dir.clone().ok_or(ControllerError::Missing("DataDir"))?;
     let mut directory =
         Folder::open(&folder).map_err(|error| ControllerError::Folder { folder: folder.clone(), error })?;
     let (stores, records) = open_stores(&folder, &mut directory)?;
-    let disk = Disk::start(directory, stores, events.clone())?;
+    let disk = Disk::start(directory, stores, events.clone(), counts)?;
     let hello = hello(&settings, control, life);
     let link_port = settings.port_range.0;
     let environment = Process { started, link_port, hello, disk, events, links: BTreeMap::new() };
@@ -185,6 +202,10 @@
             next_housekeeping: now,
             next_beat: now,
             last_turn: now,
+            counters: Counters::default(),
+            violations: Violations::default(),
+            newest_revisions: BTreeMap::new(),
+            newest_epochs: BTreeMap::new(),
             settings,
         };
         controller.start();
--- a/crates/controller/src/controller/turn.rs
+++ b/crates/controller/src/controller/turn.rs
@@ -54,6 +54,7 @@
     pub(crate) fn turn(&mut self) {
         let now = self.now();
         if now > self.last_turn + PAUSE_THRESHOLD {
+            self.counters.pauses += 1;
             self.endpoints.excuse(now);
             self.members.excuse();
         }
--- a/crates/controller/src/view.rs
+++ b/crates/controller/src/view.rs
@@ -248,6 +248,11 @@
         messages
     }
 
+    /// Live endpoints.
+    pub fn endpoints(&self) -> usize {
+        self.registry.entries().filter(|(_, entry)| entry.registration.is_some()).count()
+    }
+
     /// The registration of an incarnation.
     pub fn registration(&self, id: &str) -> Option<&Registered> {
         self.registry.get(id)?.registration.as_ref()
--- a/crates/lanegate/examples/hollow_fleet/agents.rs
+++ b/crates/lanegate/examples/hollow_fleet/agents.rs
@@ -9,7 +9,7 @@
 pub async fn run(layout: &Layout, numbers: Range<usize>) -> Outcome<()> {
     let mut agents = JoinSet::new();
     for number in numbers {
-        agents.spawn_local(lanegate_controller::run_agent(layout.router_settings(number)?));
+        agents.spawn_local(lanegate_controller::run_agent(layout.router_settings(number)?, None));
     }
     while let Some(ended) = agents.join_next().await {
         ended??;
--- a/crates/lanegate/examples/small_system/processes.rs
+++ b/crates/lanegate/examples/small_system/processes.rs
@@ -63,9 +63,9 @@
 
 /// Starts all three.
 pub fn start(addresses: &Addresses, data: &Path) -> Outcome<()> {
-    run("controller", addresses.settings("core-1", CORE, data)?, run_controller);
+    run("controller", addresses.settings("core-1", CORE, data)?, |settings| run_controller(settings, None));
     let edge = addresses.settings("edge-1", EDGE, data)?;
-    run("agent", edge.clone(), run_agent);
+    run("agent", edge.clone(), |settings| run_agent(settings, None));
     run("router", edge, router);
     Ok(())
 }
--- a/crates/lanegate/src/commands/controller.rs
+++ b/crates/lanegate/src/commands/controller.rs
@@ -6,7 +6,5 @@
 
 /// Serves until SIGTERM.
 pub fn run(metrics_port: Option<u16>) -> Result<(), CommandError> {
-    process::run(ProcessRole::Controller, metrics_port, |settings, _| {
-        lanegate_controller::run_controller(settings)
-    })
+    process::run(ProcessRole::Controller, metrics_port, lanegate_controller::run_controller)
 }
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -7,8 +7,10 @@
 mod exposition;
 mod metric;
 mod process;
+mod scrapes;
 
 pub use endpoint::{METRICS_PATH, MetricsEndpoint};
 pub use exposition::Exposition;
 pub use metric::{Kind, Metric, Value};
 pub use process::ProcessIdentity;
+pub use scrapes::{Scrape, Scrapes};
