Bind the port for metrics after what a role serves

Cause: the port was bound first, so one that is also a role's own would have kept the role from starting.

Change: a role gets the address, binds what it serves, then the metrics. A test gives router and controller their own ports for the metrics: they serve and warn.

--- a/crates/controller/src/agent/process.rs
+++ b/crates/controller/src/agent/process.rs
@@ -5,7 +5,7 @@
 use crate::link::{self, Outbox, Reader};
 use crate::message::Hello;
 use crate::subscription::{News, follow};
-use lanegate_metrics::{MetricsEndpoint, Scrapes};
+use lanegate_metrics::{MetricsAddress, Scrapes};
 use lanegate_model::settings::{Settings, SettingsError};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -46,8 +46,8 @@
     }
 }
 
-/// Runs an agent until SIGTERM; it tells its figures at `endpoint`. Must run inside a `LocalSet`.
-pub async fn run_agent(settings: Settings, endpoint: Option<MetricsEndpoint>) -> std::io::Result<()> {
+/// Runs an agent until SIGTERM; it tells its figures at `metrics`. Must run inside a `LocalSet`.
+pub async fn run_agent(settings: Settings, metrics: Option<MetricsAddress>) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let listener = link::listen(loopback_address(&settings))?;
@@ -58,7 +58,7 @@
     let process = Process { started, news, links: BTreeMap::new() };
     let mut agent = Agent::new(settings, draw_life(), Box::new(process));
     agent.review();
-    let mut scrapes = Scrapes::of(endpoint);
+    let mut scrapes = Scrapes::at(metrics);
     let mut review = tokio::time::interval(REVIEW_PERIOD);
     review.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
--- a/crates/controller/src/controller/setup.rs
+++ b/crates/controller/src/controller/setup.rs
@@ -30,7 +30,7 @@
 use lanegate_coordination::register::{self, Node, Record, Replica, StateMachine};
 use lanegate_coordination::storage::{Directory, Folder, StoreError, VersionedStore};
 use lanegate_invariants::Violations;
-use lanegate_metrics::{MetricsEndpoint, Scrapes};
+use lanegate_metrics::{MetricsAddress, Scrapes};
 use lanegate_model::settings::Settings;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, SocketAddrV4};
@@ -67,10 +67,10 @@
     System(#[from] std::io::Error),
 }
 
-/// Runs a controller until SIGTERM; it tells its figures at `endpoint`. Must run inside a `LocalSet`.
+/// Runs a controller until SIGTERM; it tells its figures at `metrics_at`. Must run inside a `LocalSet`.
 pub async fn run_controller(
     settings: Settings,
-    endpoint: Option<MetricsEndpoint>,
+    metrics_at: Option<MetricsAddress>,
 ) -> Result<(), ControllerError> {
     let control = settings.listeners_map.control_plane;
     let control = control.ok_or(ControllerError::Missing("ListenersMap.ControlPlane"))?;
@@ -85,7 +85,7 @@
     let mut controller = start_process(settings, control, started, events.clone(), disk.clone())?;
     tokio::task::spawn_local(http::serve(calls, events.clone(), unavailable.clone()));
     tokio::task::spawn_local(links::accept(peer_links, events));
-    let mut scrapes = Scrapes::of(endpoint);
+    let mut scrapes = Scrapes::at(metrics_at);
     while !controller.has_left() {
         let wake = controller.next_wake();
         tokio::select! {
--- a/crates/lanegate/src/commands/process.rs
+++ b/crates/lanegate/src/commands/process.rs
@@ -1,7 +1,7 @@
 //! What all processes that serve have in common: settings, and one thread for everything.
 
 use super::CommandError;
-use lanegate_metrics::{MetricsEndpoint, ProcessIdentity};
+use lanegate_metrics::{MetricsAddress, ProcessIdentity};
 use lanegate_model::settings::{ProcessRole, Settings};
 use std::error::Error;
 use std::net::SocketAddr;
@@ -14,7 +14,7 @@
 pub fn run<F, E>(
     role: ProcessRole,
     metrics_port: Option<u16>,
-    serve: impl FnOnce(Settings, Option<MetricsEndpoint>) -> F,
+    serve: impl FnOnce(Settings, Option<MetricsAddress>) -> F,
 ) -> Result<(), CommandError>
 where
     F: Future<Output = Result<(), E>>,
@@ -26,7 +26,7 @@
     let identity = ProcessIdentity::starting(role_name(role), env!("CARGO_PKG_VERSION"));
     let work = async {
         let address = metrics_port.map(|port| SocketAddr::new(settings.ip, port));
-        let metrics = address.map(|address| MetricsEndpoint::bind(identity, address));
+        let metrics = address.map(|address| MetricsAddress::new(identity, address));
         serve(settings, metrics).await.map_err(Into::into)
     };
     block_on(work).map_err(CommandError::Process)?;
--- a/crates/lanegate/src/commands/router.rs
+++ b/crates/lanegate/src/commands/router.rs
@@ -2,7 +2,7 @@
 
 use super::CommandError;
 use super::process;
-use lanegate_metrics::MetricsEndpoint;
+use lanegate_metrics::MetricsAddress;
 use lanegate_model::settings::{ProcessRole, Settings};
 use lanegate_router::RouterError;
 use tokio::sync::mpsc;
@@ -13,7 +13,7 @@
 }
 
 /// Routes what clients send, by what the agent beside this process tells.
-async fn serve(settings: Settings, metrics: Option<MetricsEndpoint>) -> Result<(), RouterError> {
+async fn serve(settings: Settings, metrics: Option<MetricsAddress>) -> Result<(), RouterError> {
     let (events, feed) = mpsc::unbounded_channel();
     let (demand, reports) = mpsc::unbounded_channel();
     tokio::task::spawn_local(lanegate_controller::feed_client(settings.clone(), events, reports));
--- a/crates/lanegate/tests/metrics.rs
+++ b/crates/lanegate/tests/metrics.rs
@@ -143,6 +143,23 @@
     }
 }
 
+#[test]
+fn a_port_for_metrics_that_is_one_of_the_roles_own_stays_with_the_role() {
+    for role in ["router", "controller"] {
+        let place = place(&format!("metrics-own-{role}"));
+        let (served, path) = match role {
+            "router" => (place.readiness, "/readyz"),
+            _ => (place.control, "/status"),
+        };
+        let mut child = start_with_metrics(role, &place, served.port());
+        let answer = call(served, path, &mut child);
+        assert!(!answer.starts_with("HTTP/1.1 404 "), "{answer}");
+        let output = terminate(child);
+        assert_eq!(output.status.code(), Some(0), "{}", err(&output));
+        assert!(err(&output).contains("no metrics at"), "{}", err(&output));
+    }
+}
+
 #[test]
 fn a_process_without_a_port_for_metrics_listens_at_none() {
     let place = place("metrics-none");
--- a/crates/metrics/src/endpoint.rs
+++ b/crates/metrics/src/endpoint.rs
@@ -24,6 +24,25 @@
 /// Longest body of a request; a request for figures has none.
 const MAX_BODY_BYTES: usize = 1_024;
 
+/// Where a process is to tell its figures. Nothing is bound yet, so that the role can bind first what it serves.
+#[derive(Debug, Clone, Copy)]
+pub struct MetricsAddress {
+    identity: ProcessIdentity,
+    address: SocketAddr,
+}
+
+impl MetricsAddress {
+    /// The figures of a process at this address.
+    pub fn new(identity: ProcessIdentity, address: SocketAddr) -> Self {
+        MetricsAddress { identity, address }
+    }
+
+    /// Listens. Where that fails the log says so once, and the process goes on without.
+    pub fn bind(self) -> MetricsEndpoint {
+        MetricsEndpoint::bind(self.identity, self.address)
+    }
+}
+
 /// The socket on which a process tells its figures; there may be none.
 #[derive(Debug)]
 pub struct MetricsEndpoint {
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -9,7 +9,7 @@
 mod process;
 mod scrapes;
 
-pub use endpoint::{METRICS_PATH, MetricsEndpoint};
+pub use endpoint::{METRICS_PATH, MetricsAddress, MetricsEndpoint};
 pub use exposition::Exposition;
 pub use metric::{Kind, Metric, Value};
 pub use process::ProcessIdentity;
--- a/crates/metrics/src/scrapes.rs
+++ b/crates/metrics/src/scrapes.rs
@@ -1,6 +1,6 @@
 //! Requests for the figures of a process whose state belongs to one task.
 
-use crate::endpoint::MetricsEndpoint;
+use crate::endpoint::MetricsAddress;
 use crate::exposition::Exposition;
 use tokio::sync::{mpsc, oneshot};
 
@@ -28,11 +28,12 @@
 }
 
 impl Scrapes {
-    /// Serves `endpoint`, if there is one, by a task of its own. Has to be called inside a `LocalSet`.
-    pub fn of(endpoint: Option<MetricsEndpoint>) -> Self {
+    /// Listens at `address`, if there is one, and serves it by a task of its own. Has to be called inside a
+    /// `LocalSet`.
+    pub fn at(address: Option<MetricsAddress>) -> Self {
         let (requester, requests) = mpsc::channel(MAX_WAITING);
-        if let Some(endpoint) = endpoint {
-            let requester = requester.clone();
+        if let Some(address) = address {
+            let (endpoint, requester) = (address.bind(), requester.clone());
             tokio::task::spawn_local(endpoint.serve(move || ask(requester.clone())));
         }
         Scrapes { requests, _requester: requester }
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -9,7 +9,7 @@
 use crate::signals::Signals;
 use crate::state::RouterState;
 use lanegate_dispatch::DispatchSettings;
-use lanegate_metrics::MetricsEndpoint;
+use lanegate_metrics::{MetricsAddress, MetricsEndpoint};
 use lanegate_model::demand::DemandReport;
 use lanegate_model::feed::FeedEvent;
 use lanegate_model::settings::Settings;
@@ -51,18 +51,18 @@
     pub metrics: Option<MetricsEndpoint>,
 }
 
-/// Runs a router until SIGTERM, and finishes what runs then.
+/// Runs a router until SIGTERM, and finishes what runs then; it tells its figures at `metrics`.
 pub async fn run(
     settings: Settings,
     feed: UnboundedReceiver<FeedEvent>,
     demand: UnboundedSender<DemandReport>,
-    metrics: Option<MetricsEndpoint>,
+    metrics: Option<MetricsAddress>,
 ) -> Result<(), RouterError> {
     let mut signals = Signals::listen().map_err(RouterError::Signals)?;
     let sockets = Sockets {
         frontend: bind(settings.listeners_map.frontend.ok_or(RouterError::NoFrontend)?)?,
         readiness: settings.listeners_map.readiness.map(bind).transpose()?,
-        metrics,
+        metrics: metrics.map(MetricsAddress::bind),
     };
     run_on(sockets, settings, feed, demand, signals.terminated()).await;
     Ok(())
