--- a/crates/lanegate/tests/metrics.rs
+++ b/crates/lanegate/tests/metrics.rs
@@ -6,6 +6,7 @@
 
 use common::err;
 use common::processes::{Place, Process, call, connect, place, start_with_metrics, terminate};
+use lanegate_invariants::Invariant;
 use lanegate_metrics::METRICS_PATH;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
@@ -45,11 +46,16 @@
     }
 }
 
-/// All names in the section on metrics of the operators' page.
-fn documented() -> BTreeSet<String> {
+/// The section on metrics of the operators' page.
+fn section_on_metrics() -> String {
     let page = std::fs::read_to_string(repository().join("docs/operators.md")).unwrap();
     let section = page.split_once("\n## Metrics\n").expect("a section on metrics").1;
-    let section = section.split_once("\n## ").map_or(section, |(section, _)| section);
+    section.split_once("\n## ").map_or(section, |(section, _)| section).to_owned()
+}
+
+/// All names in that section.
+fn documented() -> BTreeSet<String> {
+    let section = section_on_metrics();
     let words = section.split(|letter: char| !(letter.is_ascii_alphanumeric() || letter == '_'));
     words.filter(|word| word.starts_with("lanegate_")).map(str::to_owned).collect()
 }
@@ -70,6 +76,14 @@
     assert_eq!(told, documented());
 }
 
+#[test]
+fn every_invariant_stands_on_the_operators_page() {
+    let section = section_on_metrics();
+    for invariant in Invariant::ALL {
+        assert!(section.contains(&format!("| `{}` |", invariant.name())), "{}", invariant.name());
+    }
+}
+
 #[test]
 fn the_figures_of_the_three_roles_agree_on_the_configuration() {
     let place = place("metrics-system");
