--- a/crates/dispatch/tests/process_end.rs
+++ b/crates/dispatch/tests/process_end.rs
@@ -130,3 +130,20 @@
     dispatcher.apply(ms(400_200), &FeedEvent::Removed { id: "e2".into() });
     assert!(is_sent(&mut dispatcher, 400_300, stream(101, 400_300, 500)), "some 3 s fit into 7.2 s");
 }
+
+/// Its engine may become overloaded after the send, whatever was known before: drawn day
+/// `sccx-lanegate-planned-work-131`, where a stream of 1.5 s ran for more than 6 s.
+#[test]
+fn no_stream_is_begun_once_the_process_is_to_end() {
+    let mut dispatcher = dispatcher();
+    for id in 0..50 {
+        let arrived = id * 10_000;
+        assert!(is_sent(&mut dispatcher, arrived, stream(id, arrived, 100)));
+        answer(&mut dispatcher, id, arrived + 20, 100, 21);
+    }
+    dispatcher.end_by(ms(600_000), ms(607_800));
+    for (place, tokens) in [0, 1, 5, 100, 1_000, u32::MAX].into_iter().enumerate() {
+        let request = stream(100 + place as u64, 600_100, tokens);
+        assert!(!is_sent(&mut dispatcher, 600_100, request), "a stream of {tokens} tokens was begun");
+    }
+}
