Begin no stream once the process was asked to end

Ruled out: a larger factor: 1.5 s by all that was known became more than 6 s. Change: after SIGTERM a stream, or whatever an engine makes, is refused (503, come back in 50 ms) as long as it has not run, held ones too; what is answered as a whole is sent while twice its usual time and 250 ms are left.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -23,10 +23,8 @@
 use lanegate_invariants::Violations;
 use lanegate_model::demand::DemandReport;
 use lanegate_model::feed::FeedEvent;
-use std::cell::RefCell;
 use std::collections::HashMap;
 use std::time::Duration;
-use timing::WorstDelay;
 
 /// Decides for one router.
 pub struct Dispatcher {
@@ -43,8 +41,6 @@
     stood_still: Duration,
     /// When answers have to be whole because the process ends, once it was asked to.
     end: Option<Duration>,
-    /// The worst delay under way as it was found last: many requests are decided for at one time.
-    worst_delay: RefCell<Option<WorstDelay>>,
     violations: Violations,
 }
 
@@ -62,12 +58,12 @@
             synchronized: false,
             stood_still: Duration::ZERO,
             end: None,
-            worst_delay: RefCell::new(None),
             violations: Violations::default(),
         }
     }
 
-    /// The process was asked to end: what cannot be answered whole by `end` is refused while it has not run.
+    /// The process was asked to end: what may not be answered whole by `end` is refused while it has not run. No
+    /// stream is begun any more, as nothing bounds its time.
     pub fn end_by(&mut self, now: Duration, end: Duration) {
         self.notice_stall(now);
         self.end = Some(end);
@@ -140,7 +136,6 @@
         match progress {
             Progress::Head { load } => self.head_arrived(now, flight.endpoint, load),
             Progress::FirstByte => self.first_byte_arrived(now, request),
-            Progress::Whole { pieces } => self.whole_arrived(now, request, pieces),
         }
     }
 
--- a/crates/dispatch/src/dispatcher/learning.rs
+++ b/crates/dispatch/src/dispatcher/learning.rs
@@ -46,36 +46,6 @@
         self.book_flight(id, None);
     }
 
-    /// The whole answer arrived: its pieces tell how fast the engine puts out.
-    pub(super) fn whole_arrived(&mut self, now: Duration, id: RequestId, pieces: u32) {
-        let Some(tracked) = self.requests.get(&id) else {
-            return;
-        };
-        let Some(flight) = tracked.flight().filter(|flight| !self.spans_stall(flight)) else {
-            return;
-        };
-        let (Some(first_byte), Some(wanted)) = (flight.first_byte, &tracked.request.generation) else {
-            return;
-        };
-        let (model, output_tokens) = (wanted.model.clone(), wanted.output_tokens);
-        let (output, served) = (now.saturating_sub(first_byte), now.saturating_sub(flight.sent));
-        let endpoint = flight.endpoint;
-        let service = self.fleet.service_mut(&tracked.request.backend);
-        match pieces {
-            0 | 1 => service.sample_one_piece(served, output_tokens),
-            _ => {
-                let expected = service.sample_output(now, &model, output, pieces);
-                self.learn_output_slowness(endpoint, output, expected);
-            }
-        }
-    }
-
-    fn learn_output_slowness(&mut self, key: EndpointKey, output: Duration, expected: Option<Duration>) {
-        if let (Some(expected), Some(load)) = (expected, self.fleet.load_mut(key)) {
-            load.output_slowness.sample(output.as_secs_f64(), expected.as_secs_f64());
-        }
-    }
-
     fn learn_first_byte(&mut self, now: Duration, id: RequestId, flight: Flight) {
         let tells = !self.spans_stall(&flight);
         let Some(tracked) = self.requests.get(&id).filter(|tracked| tells && !tracked.resume) else {
--- a/crates/dispatch/src/dispatcher/placing.rs
+++ b/crates/dispatch/src/dispatcher/placing.rs
@@ -87,7 +87,7 @@
             return;
         };
         let found = choice::candidates(&self.fleet, now, tracked);
-        if now >= self.closing(now, tracked, &found) {
+        if now >= self.closing(tracked, &found) {
             let reason = FailReason::Deadline;
             return self.give_up(now, id, reason, LEAST_RETRY_AFTER);
         }
@@ -111,7 +111,7 @@
         let tracked = &self.requests[&id];
         let budget = &self.fleet.service(&tracked.request.backend).budget;
         let eases = budget.eases_at(now, &self.fleet.budget_bounds);
-        match eases.filter(|&at| at < self.closing(now, tracked, found)) {
+        match eases.filter(|&at| at < self.closing(tracked, found)) {
             Some(_) => self.hold(now, id, Some(candidate), found),
             None => self.give_up(now, id, FailReason::Attempts, LEAST_RETRY_AFTER),
         }
@@ -146,7 +146,7 @@
         if !self.fleet.service(&backend).may_load(&artifact.model) {
             return self.give_up(now, id, FailReason::Attempts, ABSENT_RETRY_AFTER);
         }
-        let closing = self.closing(now, tracked, &[]);
+        let closing = self.closing(tracked, &[]);
         let service = self.fleet.service_mut(&backend);
         service.want(now, artifact.clone());
         let wait = service.expected_load_wait(now, &artifact);
--- a/crates/dispatch/src/dispatcher/timing.rs
+++ b/crates/dispatch/src/dispatcher/timing.rs
@@ -6,7 +6,7 @@
 use crate::health::{Fault, Standing};
 use crate::interface::{FailReason, RequestId};
 use crate::tracked::{Flight, Phase, Tracked};
-use std::sync::Arc;
+use crate::units::seconds;
 use std::time::Duration;
 
 /// A wake later than this tells that the process stood still: what arrived meanwhile is heard first.
@@ -30,17 +30,9 @@
 
 /// Before the end of the process an answer is taken to last this many times as long as expected, and a margin
 /// more.
-const END_CAUTION: f64 = 2.0;
+const END_CAUTION: u32 = 2;
 const END_MARGIN: Duration = Duration::from_millis(250);
 
-/// By how much outputs under way of a service had taken longer than expected at a time, at the worst.
-#[derive(Debug)]
-pub(super) struct WorstDelay {
-    backend: Arc<str>,
-    at: Duration,
-    excess: Duration,
-}
-
 impl Dispatcher {
     /// Notices that the process stood still, by what it should have done meanwhile.
     pub(super) fn notice_stall(&mut self, now: Duration) {
@@ -73,52 +65,24 @@
 
     /// When a held request is answered at the latest: while there is time for a first byte, and for the whole
     /// answer before the process ends.
-    pub(super) fn closing(&self, now: Duration, tracked: &Tracked, found: &[Candidate]) -> Duration {
+    pub(super) fn closing(&self, tracked: &Tracked, found: &[Candidate]) -> Duration {
         let ends = self.patience.ends(tracked);
         let usual = found.iter().map(|candidate| candidate.expected).min().unwrap_or_default();
         let whole = ends.saturating_sub(tracked.request.arrived);
         let closing = ends.saturating_sub(usual.min(whole / CLOSING_PART).max(CLOSING_MARGIN));
-        self.last_start(now, tracked, found).map_or(closing, |last| last.min(closing))
+        self.last_start(tracked, usual).map_or(closing, |last| last.min(closing))
     }
 
     /// When a request has to be sent at the latest to be answered whole before the process ends; `None` while
-    /// the process goes on, and for what may have run: that could no longer be refused. It is too late at once while
-    /// nothing tells how long answers take.
-    fn last_start(&self, now: Duration, tracked: &Tracked, found: &[Candidate]) -> Option<Duration> {
+    /// the process goes on, and for what may have run: that could no longer be refused. For what is open-ended it
+    /// is too late at once.
+    fn last_start(&self, tracked: &Tracked, first_byte: Duration) -> Option<Duration> {
         let end = self.end.filter(|_| !tracked.may_have_run)?;
-        let service = self.fleet.service(&tracked.request.backend);
-        let Some(output) = service.expected_output(tracked.request.generation.as_ref()) else {
+        if tracked.is_open_ended() {
             return Some(Duration::ZERO);
-        };
-        let likely = found.iter().find(|candidate| candidate.has_room && candidate.is_in()).or(found.first());
-        let first_byte = likely.map_or(Duration::ZERO, |candidate| candidate.expected);
-        let slowness = likely.map_or(1.0, |candidate| self.fleet.load(candidate.key).output_slowness.get());
-        let whole = first_byte + output.mul_f64(slowness.max(1.0));
-        let excess = service.output_excess(now).max(self.excess_under_way(now, &tracked.request.backend));
-        Some(end.saturating_sub(whole.mul_f64(END_CAUTION) + excess + END_MARGIN))
-    }
-
-    /// By how much the output of an answer of the service under way has already taken longer than expected, at
-    /// the worst; worked out once for each time.
-    fn excess_under_way(&self, now: Duration, backend: &Arc<str>) -> Duration {
-        let is_known = |known: &&WorstDelay| known.at == now && known.backend == *backend;
-        if let Some(known) = self.worst_delay.borrow().as_ref().filter(is_known) {
-            return known.excess;
         }
-        let excess = self.find_excess_under_way(now, backend);
-        *self.worst_delay.borrow_mut() = Some(WorstDelay { backend: backend.clone(), at: now, excess });
-        excess
-    }
-
-    fn find_excess_under_way(&self, now: Duration, backend: &str) -> Duration {
-        let service = self.fleet.service(backend);
-        let excess = |tracked: &Tracked| {
-            let first_byte = tracked.flight()?.first_byte?;
-            let expected = service.expected_output(tracked.request.generation.as_ref())?;
-            Some(now.saturating_sub(first_byte).saturating_sub(expected))
-        };
-        let under_way = self.requests.values().filter(|tracked| *tracked.request.backend == *backend);
-        under_way.filter_map(excess).max().unwrap_or_default()
+        let served = seconds(self.fleet.service(&tracked.request.backend).served.seconds());
+        Some(end.saturating_sub((first_byte + served) * END_CAUTION + END_MARGIN))
     }
 
     /// When to look at a held request next.
@@ -130,7 +94,7 @@
         found: &[Candidate],
     ) -> Duration {
         let tracked = &self.requests[&id];
-        let mut next = self.closing(now, tracked, found);
+        let mut next = self.closing(tracked, found);
         let mut consider = |at: Duration| {
             if at > now {
                 next = next.min(at);
--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -1,9 +1,6 @@
 //! What is learned from answers: the time to the first byte by tokens to read, the pace of output, and how
 //! often a prompt is found in an engine's memory.
 
-use crate::units::seconds;
-use std::time::Duration;
-
 /// Weight that earlier samples keep at each new one: some 50 samples back still count.
 const KEEP: f64 = 0.98;
 
@@ -86,52 +83,6 @@
     }
 }
 
-/// How long a token of output takes, long answers counting more.
-/// Nothing is guessed before an answer has told it.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct OutputPace {
-    tokens: f64,
-    time_s: f64,
-}
-
-impl OutputPace {
-    /// Takes in the time that so many tokens took.
-    pub fn sample(&mut self, output: Duration, tokens: f64) {
-        self.tokens = self.tokens * KEEP + tokens;
-        self.time_s = self.time_s * KEEP + output.as_secs_f64();
-    }
-
-    /// Time of an output of so many tokens; `None` before any answer of more than one piece.
-    pub fn expected(&self, tokens: f64) -> Option<Duration> {
-        (self.tokens > 0.0).then(|| seconds(self.time_s / self.tokens * tokens))
-    }
-}
-
-/// After this, the worst that was seen counts half.
-const WORST_HALF_LIFE: Duration = Duration::from_secs(5);
-
-/// The worst of the last seconds, which fades.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct RecentWorst {
-    worst: Duration,
-    seen: Duration,
-}
-
-impl RecentWorst {
-    /// Takes a time in at `now`.
-    pub fn sample(&mut self, now: Duration, measured: Duration) {
-        if measured >= self.at(now) {
-            *self = RecentWorst { worst: measured, seen: now };
-        }
-    }
-
-    /// What it counts at `now`.
-    pub fn at(&self, now: Duration) -> Duration {
-        let half_lives = now.saturating_sub(self.seen).as_secs_f64() / WORST_HALF_LIFE.as_secs_f64();
-        self.worst.mul_f64((-half_lives).exp2())
-    }
-}
-
 /// A share from 0 to 1 as an exponentially weighted mean.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Share(f64);
--- a/crates/dispatch/src/interface.rs
+++ b/crates/dispatch/src/interface.rs
@@ -103,9 +103,6 @@
     Head { load: Option<InstanceLoad> },
     /// The first event, or the first byte of the body, arrived.
     FirstByte,
-    /// The whole answer, a stream of events, has arrived in so many pieces: one for each event unless several came
-    /// at once.
-    Whole { pieces: u32 },
 }
 
 /// How an attempt ended.
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -31,8 +31,6 @@
     /// Prompts that its memory is believed to keep.
     pub cache: PrefixCache,
     pub slowness: Slowness,
-    /// The same of its outputs, after the first byte.
-    pub output_slowness: Slowness,
     pub recent: RecentCalls,
     pub health: Health,
     /// Nothing is sent before this: it was full, or no connection was to be had.
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -1,8 +1,7 @@
 //! What is known and learned of one service: its engines, its times, its budget and the models it lacks.
 
 use crate::budget::RetryBudget;
-use crate::estimate::{FirstByteLine, OutputPace, RecentWorst, Share};
-use crate::interface::Generation;
+use crate::estimate::{FirstByteLine, Share};
 use crate::units::{milliseconds, seconds};
 use fair_edf::{Smoothed, Smoothing};
 use lanegate_model::configuration::{Backend, Runtime};
@@ -45,8 +44,6 @@
     pub memory_tokens: u64,
     /// Time of a load of each model that may be loaded.
     pub models: BTreeMap<Arc<str>, Duration>,
-    /// Tokens in one event of a stream.
-    pub tokens_per_event: f64,
 }
 
 impl From<&Runtime> for EngineShape {
@@ -57,7 +54,6 @@
             models: load_times
                 .map(|model| (model.name.as_str().into(), seconds(model.load_time_s)))
                 .collect(),
-            tokens_per_event: runtime.stride.unwrap_or(1.0).max(1.0),
         }
     }
 }
@@ -85,12 +81,6 @@
     pub first_byte: FirstByteLine,
     /// From the send of a request to the end of its answer.
     pub served: Smoothed,
-    /// Time of output by model; bounded by the models of the configuration.
-    paces: BTreeMap<Arc<str>, OutputPace>,
-    /// Time of whole answers that came in one piece, by the tokens asked for.
-    one_piece_pace: OutputPace,
-    /// By how much outputs took longer than their model's pace.
-    output_excess: RecentWorst,
     held_tokens: Smoothed,
     first_byte_wait: Smoothed,
     read_tokens: Smoothed,
@@ -110,9 +100,6 @@
             budget: RetryBudget::default(),
             first_byte: FirstByteLine::default(),
             served: SERVED.start(),
-            paces: BTreeMap::new(),
-            one_piece_pace: OutputPace::default(),
-            output_excess: RecentWorst::default(),
             held_tokens: HELD_TOKENS.start(),
             first_byte_wait: SERVED.start(),
             read_tokens: READ_TOKENS.start(),
@@ -128,8 +115,6 @@
     /// Takes the service's part of a configuration in.
     pub fn configure(&mut self, backend: &Backend) {
         self.engine = backend.runtime.as_ref().map(EngineShape::from);
-        let models = self.engine.as_ref().map(|engine| &engine.models);
-        self.paces.retain(|model, _| models.is_none_or(|models| models.contains_key(model)));
     }
 
     /// Whether the model may be loaded at all, as far as known.
@@ -165,55 +150,11 @@
         reading * self.read_tokens.seconds() / 2.0
     }
 
-    /// Takes in how long the output of an answer took from its first of several pieces to its last; tells how long
-    /// it was expected to take, where its model had answered before.
-    pub fn sample_output(
-        &mut self,
-        now: Duration,
-        model: &Arc<str>,
-        output: Duration,
-        pieces: u32,
-    ) -> Option<Duration> {
-        let engine = self.engine.as_ref().filter(|engine| engine.models.contains_key(model))?;
-        let tokens = f64::from(pieces.saturating_sub(1)) * engine.tokens_per_event;
-        let pace = self.paces.entry(model.clone()).or_default();
-        let expected = pace.expected(tokens);
-        let excess = expected.map(|expected| output.saturating_sub(expected));
-        pace.sample(output, tokens);
-        self.output_excess.sample(now, excess.unwrap_or_default());
-        expected
-    }
-
-    /// Takes in the time from send to end of an answer that came in one piece.
-    pub fn sample_one_piece(&mut self, served: Duration, output_tokens: u32) {
-        if output_tokens > 0 {
-            self.one_piece_pace.sample(served, f64::from(output_tokens));
-        }
-    }
-
     /// Takes in the time from send to end of an answer.
     pub fn sample_served(&mut self, served: Duration) {
         self.served.sample(&SERVED, served.as_secs_f64());
     }
 
-    /// Time that an answer takes after its first byte: by the tokens asked for and the pace of its model, or of the
-    /// slowest other one before the model has answered; as long as usual where no tokens are told. `None` while no
-    /// engine has answered.
-    pub fn expected_output(&self, wanted: Option<&Generation>) -> Option<Duration> {
-        let Some(wanted) = wanted.filter(|wanted| wanted.output_tokens > 0) else {
-            return Some(seconds(self.served.seconds()));
-        };
-        let tokens = f64::from(wanted.output_tokens);
-        let of_model = self.paces.get(&wanted.model).and_then(|pace| pace.expected(tokens));
-        let slowest = || self.paces.values().filter_map(|pace| pace.expected(tokens)).max();
-        of_model.or_else(slowest).or_else(|| self.one_piece_pace.expected(tokens))
-    }
-
-    /// By how much outputs took longer than expected of late, at the worst.
-    pub fn output_excess(&self, now: Duration) -> Duration {
-        self.output_excess.at(now)
-    }
-
     /// Notes that something is asked for which no endpoint holds.
     pub fn want(&mut self, now: Duration, artifact: Artifact) {
         if self.wanted.len() >= WANTED_MOST {
--- a/crates/dispatch/src/tracked.rs
+++ b/crates/dispatch/src/tracked.rs
@@ -126,6 +126,12 @@
         }
     }
 
+    /// Whether nothing bounds how long its answer takes: the tokens of an output are not known before its end, and
+    /// an engine may become overloaded meanwhile.
+    pub fn is_open_ended(&self) -> bool {
+        self.request.route_type == RouteType::Streaming || self.request.generation.is_some()
+    }
+
     /// Whether the rules allow it to be sent to this endpoint.
     pub fn may_go_to(&self, key: EndpointKey) -> bool {
         let known = self.reached.contains(&key);
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -86,8 +86,6 @@
     ends_with_connection: bool,
     /// Whether the connection may carry other requests afterwards.
     is_reusable: bool,
-    /// Pieces in which it has come so far.
-    pieces: u32,
 }
 
 impl EndpointBody {
@@ -101,10 +99,7 @@
             next = next.filter(Result::is_ok);
         }
         match &next {
-            Some(Ok(data)) => {
-                self.pieces += 1;
-                self.state.counters.bytes_passed.add(data.len() as u64);
-            }
+            Some(Ok(data)) => self.state.counters.bytes_passed.add(data.len() as u64),
             Some(Err(_)) => self.connection = None,
             None => self.give_back(),
         }
@@ -116,11 +111,6 @@
         poll_fn(|cx| self.poll_data(cx)).await
     }
 
-    /// Pieces in which it has come so far: one for each event unless several came at once.
-    pub fn pieces(&self) -> u32 {
-        self.pieces
-    }
-
     /// Length of the body, where the head tells it.
     pub fn exact_length(&self) -> Option<u64> {
         self.incoming.size_hint().exact()
@@ -218,7 +208,6 @@
             told_idle,
             ends_with_connection,
             is_reusable: request.attempt_id.is_some(),
-            pieces: 0,
         };
         return match verdict {
             Ok(()) => Ok(EndpointAnswer { load: instance_load(&head.headers), head, body }),
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::http::response::Parts;
-use lanegate_dispatch::interface::{AttemptEnd, InstanceLoad, Progress};
+use lanegate_dispatch::interface::{AttemptEnd, InstanceLoad};
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -115,8 +115,7 @@
                         }
                     }
                     Poll::Ready(None) => {
-                        let pieces = body.pieces();
-                        let rest = self.finish(pieces);
+                        let rest = self.finish();
                         return Poll::Ready((!rest.is_empty()).then_some(Ok(rest)));
                     }
                     Poll::Ready(Some(Err(error))) => {
@@ -147,11 +146,8 @@
     }
 
     /// The endpoint's answer is whole.
-    fn finish(&mut self, pieces: u32) -> Bytes {
+    fn finish(&mut self) -> Bytes {
         self.source = Source::Ended;
-        if self.kind == AnswerKind::Events {
-            self.ticket.progress(self.attempt, Progress::Whole { pieces });
-        }
         let success = self.kind != AnswerKind::Failure;
         self.ticket.conclude(if success { Outcome::Answered } else { Outcome::AnsweredWithError });
         self.ticket.ended(self.attempt, AttemptEnd::Answered { success, load: self.load });
