Let requests wait for a router's first configuration, for a part of their time

Change: a request waits for the first configuration for a quarter of its time, 1.5 s at most, 256 requests and 8 MB at once; it is refused as before afterwards, and at once where the process is to end.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod body;
 pub mod carry;
 pub mod chunks;
+pub mod configuration_wait;
 pub mod connection;
 pub mod counters;
 pub mod cut_requests;
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -1,5 +1,6 @@
 //! What all tasks of the router share: the dispatcher, the configuration in force and the connections.
 
+use crate::configuration_wait::ConfigurationWait;
 use crate::counters::Counters;
 use crate::fault::RouterFault;
 use crate::open_request::OpenRequest;
@@ -35,6 +36,8 @@
     splits: RefCell<SplitSequences>,
     routing: RefCell<Option<Rc<Routing>>>,
     synchronized: Cell<bool>,
+    /// Requests that came before the first configuration.
+    unconfigured: ConfigurationWait,
     /// Whether a newer configuration may be in force elsewhere.
     behind: Cell<bool>,
     service: Cell<Service>,
@@ -68,6 +71,7 @@
             splits: RefCell::new(SplitSequences::new(seed, fault)),
             routing: RefCell::new(None),
             synchronized: Cell::new(false),
+            unconfigured: ConfigurationWait::default(),
             behind: Cell::new(false),
             service: Cell::new(Service::Running),
             draining_since: Cell::new(None),
@@ -132,6 +136,7 @@
                 self.splits.borrow_mut().retain(configuration);
                 *self.routing.borrow_mut() = Some(Rc::new(Routing::new(configuration.clone())));
                 self.configured_at.set(Some(Instant::now()));
+                self.unconfigured.wake();
             }
             FeedEvent::Behind { behind } => self.behind.set(*behind),
             FeedEvent::AgentLink { up } => self.agent_linked.set(*up),
@@ -156,6 +161,22 @@
         self.routing.borrow().clone()
     }
 
+    /// Lets a request wait for the first configuration, which it may be about to get. Nothing waits once there is
+    /// one, or in a process that is to end.
+    pub async fn await_configuration(
+        &self,
+        began: Duration,
+        client_time: Option<Duration>,
+        body_bytes: usize,
+    ) {
+        if self.routing.borrow().is_some() || self.is_draining() {
+            return;
+        }
+        let began = self.instant_of(began);
+        let end = self.unconfigured.wait(began, client_time, body_bytes).await;
+        log::debug!("waited for a configuration: {end:?}, {} still wait", self.unconfigured.waiting());
+    }
+
     /// Whether a newer configuration may be in force elsewhere: what is not known here may be known there.
     pub fn is_behind(&self) -> bool {
         self.behind.get()
@@ -175,6 +196,7 @@
     pub fn drain(&self, end: Duration) {
         self.service.set(Service::Draining);
         self.draining_since.set(Some(Instant::now()));
+        self.unconfigured.wake();
         self.decide(|dispatcher, now| dispatcher.end_by(now, end));
     }
 
--- /dev/null
+++ b/crates/router/tests/before_configuration.rs
@@ -0,0 +1,119 @@
+//! Requests that reach a router before its first configuration wait for it, for a part of their time.
+
+mod common;
+
+use common::{CONFIGURATION, Client, Endpoint, Router, pass_time, play, settle};
+use lanegate_model::feed::FeedEvent;
+use lanegate_router::configuration_wait::{ConfigurationWait, WaitEnd};
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+
+/// Asks for `/again/x` and tells how long an answer is waited for, ms.
+async fn ask(client: &mut Client, id: &str, deadline_ms: u32) {
+    let head = format!(
+        "GET /again/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\n\r\n"
+    );
+    client.write(head).await;
+    settle().await;
+}
+
+fn begin(router: &Router, endpoint: &Endpoint) {
+    router.configure(CONFIGURATION);
+    router.tell(endpoint.registration("plain"));
+    router.tell(FeedEvent::Routers { live: 1 });
+    router.tell(FeedEvent::Synchronized);
+}
+
+#[test]
+fn a_request_waits_for_the_configuration_and_is_served() {
+    play(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::start().await;
+        let mut client = router.client().await;
+        ask(&mut client, "1", 8_000).await;
+        pass_time(Duration::from_millis(1_400)).await;
+        begin(&router, &endpoint);
+        let (mut upstream, request) = endpoint.request().await;
+        upstream.answer(&request, "served").await;
+        assert_eq!(client.answer().await.text(), "served");
+    });
+}
+
+#[test]
+fn a_request_is_refused_after_a_quarter_of_its_time() {
+    play(async {
+        let router = Router::start().await;
+        let mut client = router.client().await;
+        ask(&mut client, "1", 2_000).await;
+        pass_time(Duration::from_millis(520)).await;
+        let answer = client.answer().await;
+        assert_eq!((answer.status, answer.header("Retry-After")), (503, Some("0.250")));
+    });
+}
+
+#[test]
+fn the_longest_time_does_not_make_a_request_wait_for_long() {
+    play(async {
+        let router = Router::start().await;
+        let mut client = router.client().await;
+        ask(&mut client, "1", 600_000).await;
+        pass_time(Duration::from_millis(1_520)).await;
+        assert_eq!(client.answer().await.status, 503);
+    });
+}
+
+#[test]
+fn a_process_that_is_to_end_lets_nothing_wait() {
+    play(async {
+        let mut router = Router::start().await;
+        let mut waiting = router.client().await;
+        ask(&mut waiting, "1", 6_000).await;
+        router.terminate();
+        assert_eq!(waiting.answer().await.status, 503, "what waits is refused at once");
+    });
+}
+
+#[test]
+fn a_client_that_leaves_gives_its_place_back() {
+    play(async {
+        let wait = std::rc::Rc::new(ConfigurationWait::default());
+        let began = Instant::now();
+        let waiting = {
+            let wait = wait.clone();
+            spawn_local(async move { wait.wait(began, Some(Duration::from_secs(6)), 10).await })
+        };
+        settle().await;
+        assert_eq!(wait.waiting(), 1);
+        waiting.abort();
+        settle().await;
+        assert_eq!(wait.waiting(), 0);
+    });
+}
+
+#[test]
+fn so_many_wait_at_once_and_so_many_bytes_and_no_more() {
+    play(async {
+        let began = Instant::now();
+        let time = Some(Duration::from_secs(6));
+        for (requests, bytes, fits) in
+            [(255, 10, true), (256, 10, false), (7, 1 << 20, true), (8, 1 << 20, false)]
+        {
+            let wait = std::rc::Rc::new(ConfigurationWait::default());
+            for _ in 0..requests {
+                let wait = wait.clone();
+                spawn_local(async move { wait.wait(began, time, bytes).await });
+            }
+            settle().await;
+            assert_eq!(wait.waiting(), requests);
+            let further = {
+                let wait = wait.clone();
+                spawn_local(async move { wait.wait(began, time, bytes).await })
+            };
+            settle().await;
+            wait.wake();
+            let end = if fits { WaitEnd::Woken } else { WaitEnd::NoRoom };
+            assert_eq!(further.await.unwrap(), end, "{requests} requests of {bytes} bytes");
+        }
+    });
+}
