Heed what the feed tells of orders between two heartbeats, and hide what is being evicted

Cause: a router took an instance only under a higher sequence, and what is known of orders comes under the one of the last heartbeat. So no router ever heard of an eviction or a load before the endpoint's next heartbeat. Ruled out: full engines (nearly all tell places); requests on their way as the order came (52 of 189). Change: an instance under the known sequence is taken as news; the holder of the lease hides again what it ordered to be evicted after each heartbeat that still lists it.

--- a/crates/controller/src/controller/endpoints_test.rs
+++ b/crates/controller/src/controller/endpoints_test.rs
@@ -67,6 +67,14 @@
     (endpoints.put(now, "i-1", body(sequence, state), &known(group), true, reply), answer)
 }
 
+/// A heartbeat of an engine that lists one model.
+fn put_holding(endpoints: &mut Endpoints, now: Duration, sequence: u64, model: &str) {
+    let mut body: serde_json::Value = serde_json::from_slice(&body(sequence, "ready")).unwrap();
+    body["Models"] = serde_json::json!([{ "Name": model, "Version": 1, "Adapters": [] }]);
+    let (reply, _answer) = oneshot::channel();
+    endpoints.put(now, "i-1", body.to_string().into(), &known(THREE), true, reply);
+}
+
 fn status(answer: &mut Receiver<Answer>) -> Option<u16> {
     answer.try_recv().ok().map(|answer| answer.status)
 }
@@ -488,3 +496,20 @@
     let late = Holding { sequence: 6, order: 1, ..published };
     assert!(!endpoints.hold(&late), "heartbeat 7 says that the model is not there");
 }
+
+#[test]
+fn what_is_about_to_go_can_be_hidden_again_after_each_heartbeat_that_lists_it() {
+    let mut endpoints = endpoints();
+    let shows =
+        |endpoints: &Endpoints| endpoints.registration("i-1").is_some_and(|known| known.shows("m", None));
+    put_holding(&mut endpoints, ms(0), 5, "m");
+    assert!(shows(&endpoints));
+    endpoints.publish(holding("i-1", "m", None, false)).expect("it is news");
+    assert!(!shows(&endpoints));
+    put_holding(&mut endpoints, ms(1_000), 6, "m");
+    assert!(shows(&endpoints), "a heartbeat is newer than what was published before it");
+    endpoints.publish(holding("i-1", "m", None, false)).expect("it is news again");
+    assert!(!shows(&endpoints));
+    put(&mut endpoints, ms(2_000), THREE, 7, "ready");
+    assert!(!shows(&endpoints), "it has gone");
+}
--- a/crates/controller/src/controller/placement.rs
+++ b/crates/controller/src/controller/placement.rs
@@ -9,7 +9,7 @@
 use lanegate_model::demand::DemandReport;
 use lanegate_model::settings::Bounds;
 use lanegate_placement::{
-    Action, EndpointReport, InvariantViolations, OrderAnswer, OrderId, Placer, PlacerSettings, Start,
+    Action, EndpointReport, InvariantViolations, Item, OrderAnswer, OrderId, Placer, PlacerSettings, Start,
 };
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -119,6 +119,12 @@
         }
     }
 
+    /// What an endpoint of a service was ordered to drop and may not have dropped yet.
+    pub fn leaving(&self, registered: &Registered) -> Option<Item> {
+        let instance = &registered.instance;
+        self.placers.get(&instance.backend)?.leaving(&instance.id).cloned()
+    }
+
     /// An incarnation is gone.
     pub fn removed(&mut self, now: Duration, id: &str) {
         self.placers.values_mut().for_each(|placer| placer.removed(now, id));
--- a/crates/controller/src/controller/placing.rs
+++ b/crates/controller/src/controller/placing.rs
@@ -189,5 +189,16 @@
             Some(registered) => self.placements.heard(now, registered),
             None => self.placements.removed(now, id),
         }
+        self.announce_leaving(id);
+    }
+
+    /// An endpoint lists what it was ordered to drop until the last run with it has ended, and refuses requests for
+    /// it all that time. Its heartbeats meanwhile do not bring routers back.
+    fn announce_leaving(&mut self, id: &str) {
+        let Some(registered) = self.endpoints.registration(id) else { return };
+        let Some(item) = self.placements.leaving(registered) else { return };
+        if registered.shows(&item.model, item.adapter.as_deref()) {
+            self.publish(holding(id, &item.model, item.adapter.as_deref(), false));
+        }
     }
 }
--- a/crates/controller/src/registration.rs
+++ b/crates/controller/src/registration.rs
@@ -68,6 +68,15 @@
         Instance { models: self.current_models(), ..self.instance.clone() }
     }
 
+    /// Whether it holds a model, or an adapter of it, by what is known now.
+    pub fn shows(&self, model: &str, adapter: Option<&str>) -> bool {
+        let models = self.current_models();
+        let held = models.iter().find(|held| held.name == model);
+        held.is_some_and(|held| {
+            adapter.is_none_or(|adapter| held.adapters.iter().any(|name| name == adapter))
+        })
+    }
+
     fn current_models(&self) -> Vec<HeldModel> {
         let mut models = self.instance.models.clone();
         for holding in &self.holdings {
--- a/crates/dispatch/src/endpoints.rs
+++ b/crates/dispatch/src/endpoints.rs
@@ -92,13 +92,14 @@
 }
 
 impl EndpointTable {
-    /// Takes a registration in, unless as new a one of that incarnation is known.
+    /// Takes a registration in, unless a newer one of that incarnation is known. One of the same sequence may say
+    /// more: the feed completes a heartbeat with what is known of orders since.
     pub fn register(&mut self, now: Duration, instance: &Instance) -> (EndpointKey, TableChange) {
         if let Some(&key) = self.keys.get(instance.id.as_str())
             && let Some(known) = self.endpoints.get_mut(&key)
         {
-            let is_newer = instance.sequence > known.sequence;
-            let change = if is_newer { known.renew(now, instance) } else { TableChange::Unchanged };
+            let is_older = instance.sequence < known.sequence;
+            let change = if is_older { TableChange::Unchanged } else { known.renew(now, instance) };
             return (key, change);
         }
         (self.add(endpoint_of(now, instance)), TableChange::Added)
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -243,6 +243,12 @@
         [order, refused, verification].into_iter().flatten().filter(|at| *at > self.now).min()
     }
 
+    /// What an endpoint was ordered to drop and may not have dropped yet: it refuses requests for that, and still
+    /// lists it until its runs have ended.
+    pub fn leaving(&self, instance: &str) -> Option<&Item> {
+        self.endpoints.get(instance)?.leaving()
+    }
+
     /// Whether an endpoint has seen a higher fencing token: this placer gives no orders any more.
     pub fn fenced(&self) -> bool {
         self.fenced
--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -35,7 +35,7 @@
         capacity: 64,
         kv_cache_tokens: 233_000.0,
         stride: None,
-        models: vec![model("m1"), model("m2"), model("m3")],
+        models: vec![model("m1"), model("m2"), model("m3"), model("m4")],
         weights_mb: 220_000.0,
         max_adapters: 8,
         loads_per_s: 2.8,
@@ -119,6 +119,22 @@
         }
     }
 
+    /// The endpoint is full and `m4` is asked for, so that it is ordered to evict something; tells the order.
+    fn evict(&mut self) -> Order {
+        loop {
+            assert!(self.now_ms < 10_000, "nothing is evicted");
+            self.ask_for("m4");
+            let mut orders = self.run_until(self.now_ms + 100);
+            if std::mem::take(&mut self.questions) > 0 {
+                self.placer.report(self.now(), "i-1", &report(&["m1", "m2", "m3"], false, 0));
+            }
+            if let Some(order) = orders.pop() {
+                assert_eq!(order.operation, Operation::Evict);
+                return order;
+            }
+        }
+    }
+
     /// A first order leaves, once the endpoint has told what it holds; tells it.
     fn first_order(&mut self) -> Order {
         self.register(&[]);
@@ -231,3 +247,24 @@
     assert!(play.placer.fenced());
     assert!(play.run_until(10_000).is_empty());
 }
+
+/// An eviction lasts until the last run with the model has ended; the endpoint refuses new ones all that time, and
+/// its heartbeats list the model.
+#[test]
+fn what_is_being_evicted_is_told_until_a_heartbeat_no_longer_lists_it() {
+    let mut play = Play::new();
+    play.register(&["m1", "m2", "m3"]);
+    assert_eq!(play.placer.leaving("i-1"), None);
+    let order = play.evict();
+    let leaving = play.placer.leaving("i-1").cloned();
+    assert_eq!(leaving, Some(order.item()), "from the order on");
+    play.placer.order_answered(play.now(), order.id, OrderAnswer::Accepted);
+    for _ in 0..4 {
+        play.run_until(play.now_ms + 1_000);
+        play.register(&["m1", "m2", "m3"]);
+        assert_eq!(play.placer.leaving("i-1"), leaving.as_ref(), "a heartbeat still lists it");
+    }
+    let left: Vec<&str> = ["m1", "m2", "m3"].into_iter().filter(|model| *order.model != **model).collect();
+    play.register(&left);
+    assert_eq!(play.placer.leaving("i-1"), None);
+}
