End a try at once that none of its route's endpoints will take

Ruled out: sending it to a second endpoint, which the protocol forbids whether or not the first one ran it. Change: a try is exhausted when none of the endpoints that it was sent to holds what it needs; the client is told to come back at once, or after the load.

--- a/crates/dispatch/src/dispatcher/placing.rs
+++ b/crates/dispatch/src/dispatcher/placing.rs
@@ -3,7 +3,7 @@
 use super::Dispatcher;
 use crate::admission::Overdue;
 use crate::choice::{self, Candidate, Verdict};
-use crate::endpoints::EndpointKey;
+use crate::endpoints::{Endpoint, EndpointKey};
 use crate::interface::{Decision, FailReason, RequestId};
 use crate::tracked::{Flight, Hold, Phase};
 use crate::units::{nanoseconds, seconds};
@@ -122,7 +122,8 @@
         let tracked = &self.requests[&id];
         let backend = tracked.request.backend.clone();
         if self.is_exhausted(id) {
-            return self.give_up(now, id, FailReason::Attempts, LEAST_RETRY_AFTER);
+            let wait = self.wait_of_new_try(now, id);
+            return self.give_up(now, id, FailReason::Attempts, wait);
         }
         if !self.synchronized {
             return self.hold(now, id, None, &[]);
@@ -156,17 +157,34 @@
         }
     }
 
-    /// Whether no endpoint that exists now or comes later may take it.
+    /// Whether no endpoint may take it, now or later: it was sent to as many as its route allows, and none of these
+    /// will take it. A model that one of them has dropped is loaded elsewhere, if at all.
     fn is_exhausted(&self, id: RequestId) -> bool {
         let tracked = &self.requests[&id];
         let at_most = tracked.request.max_attempts.max(1) as usize;
+        let wanted = tracked.request.generation.as_ref();
         let returns = |key: &EndpointKey| {
-            let ready = self.fleet.table.get(*key).is_some_and(|endpoint| endpoint.takes_requests());
-            ready && !tracked.avoided.contains(key)
+            let endpoint = self.fleet.table.get(*key).filter(|endpoint| endpoint.takes_requests());
+            let holds = |endpoint: &Endpoint| {
+                wanted.is_none_or(|wanted| endpoint.holds(&wanted.model, wanted.adapter.as_deref()))
+            };
+            endpoint.is_some_and(holds) && !tracked.avoided.contains(key)
         };
         tracked.reached.len() >= at_most && !tracked.reached.iter().any(returns)
     }
 
+    /// When the client should come back with a new try, which may go to any endpoint: at once where one holds what
+    /// it needs, else after the load that it asks for.
+    fn wait_of_new_try(&mut self, now: Duration, id: RequestId) -> Duration {
+        let tracked = &self.requests[&id];
+        let Some(artifact) = tracked.artifact().filter(|_| !choice::is_placed(&self.fleet, tracked)) else {
+            return LEAST_RETRY_AFTER;
+        };
+        let service = self.fleet.service_mut(&tracked.request.backend.clone());
+        service.want(now, artifact.clone());
+        service.expected_load_wait(now, &artifact)
+    }
+
     /// Holds a request, on the chart of an endpoint where one can take it.
     pub(super) fn hold(
         &mut self,
--- /dev/null
+++ b/crates/dispatch/tests/exhausted.rs
@@ -0,0 +1,73 @@
+//! A try that was sent to as many endpoints as its route allows ends once none of these will take it.
+
+mod support;
+
+use lanegate_dispatch::interface::{AttemptEnd, Decision, Request, RequestId};
+use lanegate_dispatch::{DispatchSettings, Dispatcher};
+use lanegate_model::feed::FeedEvent;
+use lanegate_model::instance::Instance;
+use std::time::Duration;
+use support::{engine, generation, ms};
+
+const MISDIRECTED: AttemptEnd = AttemptEnd::NotExecuted { status: 421, load: None, wrong_instance: false };
+
+/// A request that may be sent to one endpoint.
+fn once(id: u64, arrived: u64, model: &str) -> Request {
+    Request { max_attempts: 1, ..generation(id, arrived, model, &[(id, 100)]) }
+}
+
+fn refused(dispatcher: &mut Dispatcher) -> Option<Duration> {
+    dispatcher.take_decisions().into_iter().find_map(|decision| match decision {
+        Decision::Refuse { retry_after, .. } => Some(retry_after),
+        _ => None,
+    })
+}
+
+fn dispatcher(instances: &[Instance]) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), 1);
+    for instance in instances {
+        dispatcher.apply(ms(0), &FeedEvent::Instance(instance.clone()));
+    }
+    dispatcher.apply(ms(0), &FeedEvent::Synchronized);
+    dispatcher
+}
+
+#[test]
+fn a_try_is_refused_at_once_when_its_only_endpoint_has_dropped_the_model() {
+    let mut dispatcher = dispatcher(&[engine("e1", &["m1"]), engine("e2", &["m2"])]);
+    dispatcher.submit(ms(10), once(1, 10, "m1"));
+    dispatcher.ended(ms(20), RequestId(1), 1, MISDIRECTED);
+    let wait = refused(&mut dispatcher).expect("it has not run, and no endpoint may take it");
+    assert!(wait > ms(500), "the model has to be loaded first: {wait:?}");
+}
+
+#[test]
+fn it_may_come_back_at_once_where_another_endpoint_holds_the_model() {
+    let mut dispatcher = dispatcher(&[engine("e1", &["m1"])]);
+    dispatcher.submit(ms(10), once(1, 10, "m1"));
+    dispatcher.apply(ms(15), &FeedEvent::Instance(engine("e2", &["m1"])));
+    dispatcher.ended(ms(20), RequestId(1), 1, MISDIRECTED);
+    let wait = refused(&mut dispatcher).expect("the other endpoint is for another try");
+    assert!(wait <= ms(50), "{wait:?}");
+}
+
+#[test]
+fn a_try_waits_on_where_its_endpoint_still_holds_the_model() {
+    let mut dispatcher = dispatcher(&[engine("e1", &["m1"])]);
+    dispatcher.submit(ms(10), once(1, 10, "m1"));
+    dispatcher.ended(
+        ms(20),
+        RequestId(1),
+        1,
+        AttemptEnd::NotExecuted { status: 503, load: None, wrong_instance: false },
+    );
+    assert_eq!(refused(&mut dispatcher), None);
+}
+
+#[test]
+fn a_try_that_may_go_to_two_endpoints_waits_for_the_second() {
+    let mut dispatcher = dispatcher(&[engine("e1", &["m1"])]);
+    dispatcher.submit(ms(10), generation(1, 10, "m1", &[(1, 100)]));
+    dispatcher.ended(ms(20), RequestId(1), 1, MISDIRECTED);
+    assert_eq!(refused(&mut dispatcher), None, "the model may be loaded in time");
+}
