--- a/crates/controller/src/controller/placement.rs
+++ b/crates/controller/src/controller/placement.rs
@@ -7,7 +7,8 @@
 use crate::registration::Registered;
 use lanegate_model::configuration::Configuration;
 use lanegate_model::demand::DemandReport;
-use lanegate_model::settings::Bounds;
+use lanegate_model::mechanism::Mechanism;
+use lanegate_model::settings::Settings;
 use lanegate_placement::{
     Action, EndpointReport, InvariantViolations, Item, OrderAnswer, OrderId, Placer, PlacerSettings, Start,
 };
@@ -66,7 +67,7 @@
         &mut self,
         now: Duration,
         configuration: &Configuration,
-        bounds: &Bounds,
+        settings: &Settings,
         start: Start,
         instances: impl Iterator<Item = &'a Registered> + Clone,
         demand: &RecentDemand,
@@ -83,13 +84,14 @@
                 placer.configure(now, runtime);
                 continue;
             }
-            let settings = PlacerSettings::new(bounds, start);
-            let mut placer = Placer::new(now, &backend.name, *epoch, &settings);
+            let placer_settings = PlacerSettings::new(settings, start);
+            let mut placer = Placer::new(now, &backend.name, *epoch, &placer_settings);
             if start == Start::Takeover {
-                placer.predecessor_idle(Duration::from_secs_f64(bounds.lease_ms.max(0.0) / 1e3));
+                placer.predecessor_idle(Duration::from_secs_f64(settings.bounds.lease_ms.max(0.0) / 1e3));
             }
             placer.configure(now, runtime);
-            for (at, report) in demand.reports() {
+            let recalls = settings.switched_off.leaves(Mechanism::DemandRecall);
+            for (at, report) in demand.reports().into_iter().filter(|_| recalls) {
                 placer.recall(at, &report);
             }
             for registered in instances.clone().filter(|r| r.instance.backend == backend.name) {
--- a/crates/controller/src/controller/placing.rs
+++ b/crates/controller/src/controller/placing.rs
@@ -10,6 +10,7 @@
 use lanegate_coordination::register::Input;
 use lanegate_invariants::Invariant;
 use lanegate_model::demand::DemandReport;
+use lanegate_model::mechanism::Mechanism;
 use lanegate_placement::{Action, Operation, Order, OrderAnswer, Start};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -81,7 +82,7 @@
         let now = self.now();
         let instances = self.endpoints.live().map(|(_, registered)| registered);
         let demand = &self.recent_demand;
-        self.placements.configure(now, &configuration, &self.settings.bounds, start, instances, demand);
+        self.placements.configure(now, &configuration, &self.settings, start, instances, demand);
     }
 
     /// A router told its demand.
@@ -195,6 +196,9 @@
     /// An endpoint lists what it was ordered to drop until the last run with it has ended, and refuses requests for
     /// it all that time. Its heartbeats meanwhile do not bring routers back.
     fn announce_leaving(&mut self, id: &str) {
+        if !self.settings.switched_off.leaves(Mechanism::EvictionHiding) {
+            return;
+        }
         let Some(registered) = self.endpoints.registration(id) else { return };
         let Some(item) = self.placements.leaving(registered) else { return };
         if registered.shows(&item.model, item.adapter.as_deref()) {
--- a/crates/controller/src/simulation/settings.rs
+++ b/crates/controller/src/simulation/settings.rs
@@ -1,6 +1,7 @@
 //! Settings files of simulated processes.
 
 use super::place::{LINK_PORT, Place};
+use lanegate_model::mechanism::SwitchedOff;
 use lanegate_model::settings::{Bounds, Settings};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -31,6 +32,7 @@
             ..Default::default()
         },
         bounds: Bounds::default(),
+        switched_off: SwitchedOff::default(),
     }
 }
 
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -97,9 +97,10 @@
 
     /// Who gives way: of the class that has missed least, the one that occupies longest; of equals the one
     /// that is due last.
-    pub fn victim<'a>(&self, overdue: &'a [Overdue]) -> Option<&'a Overdue> {
+    pub fn victim<'a>(&self, overdue: &'a [Overdue], by_class: bool) -> Option<&'a Overdue> {
+        let ratio = |held: &Overdue| if by_class { self.miss_ratio(&held.route) } else { 0.0 };
         overdue.iter().min_by(|one, other| {
-            let by_class = self.miss_ratio(&one.route).total_cmp(&self.miss_ratio(&other.route));
+            let by_class = ratio(one).total_cmp(&ratio(other));
             let by_length = other.occupies.cmp(&one.occupies);
             by_class.then(by_length).then(other.due.cmp(&one.due)).then(other.request.cmp(&one.request))
         })
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -8,6 +8,7 @@
 use crate::rendezvous::rank;
 use crate::service::{Artifact, Service};
 use crate::tracked::{Belief, Tracked};
+use lanegate_model::mechanism::Mechanism;
 use std::cmp::Ordering;
 use std::time::Duration;
 
@@ -96,7 +97,7 @@
 
 /// The endpoint in use that ranks highest for the prefix: the same in every router that sees the same ones.
 fn owner(fleet: &Fleet, able: &[(EndpointKey, &Endpoint)], tracked: &Tracked) -> Option<EndpointKey> {
-    let affinity = tracked.chain.affinity()?;
+    let affinity = tracked.chain.affinity().filter(|_| fleet.uses(Mechanism::PrefixOwner))?;
     let in_use = able.iter().filter(|(key, _)| !fleet.load(*key).health.is_out());
     in_use.max_by_key(|(_, endpoint)| rank(affinity, endpoint.hash)).map(|(key, _)| *key)
 }
@@ -124,7 +125,8 @@
             awaited: Some(self.now + expected),
         };
         let faults = f64::from(load.health.faults().min(FAULTS_COUNTED));
-        let affinity = self.tracked.chain.affinity();
+        let uses_owner = self.fleet.uses(Mechanism::PrefixOwner);
+        let affinity = self.tracked.chain.affinity().filter(|_| uses_owner);
         let refused_until = load.refuses_until(self.artifact.as_ref()).unwrap_or_default();
         let closed_until = load.closed_until.max(refused_until);
         Candidate {
@@ -149,7 +151,10 @@
     /// What is believed of the prompt there, and how many of its tokens are expected to be read.
     fn unread(&self, key: EndpointKey, load: &EndpointLoad) -> (Belief, u64) {
         let chain = &self.tracked.chain;
-        let cached = load.cache.cached_tokens(chain);
+        let cached = match self.fleet.uses(Mechanism::PrefixCache) {
+            true => load.cache.cached_tokens(chain),
+            false => 0,
+        };
         let (belief, kept) = match cached {
             0 if self.owner == Some(key) => {
                 (Belief::Owned, f64::from(chain.shared_tokens()) * self.service.owned.get())
@@ -164,7 +169,12 @@
     fn expected_s(&self, endpoint: &Endpoint, load: &EndpointLoad, unread: u64) -> f64 {
         let reading_s = self.service.first_byte.expected_s(self.ahead_tokens(load) + unread as f64);
         let cold = if endpoint.warm_at > self.now { COLD_SLOWNESS } else { 1.0 };
-        reading_s * load.slowness.get() * cold + self.queue_s(endpoint, load) + load.excess_s(self.now)
+        reading_s * load.slowness.get() * cold + self.queue_s(endpoint, load) + self.excess_s(load)
+    }
+
+    /// How much later than expected a first byte is likely to come.
+    fn excess_s(&self, load: &EndpointLoad) -> f64 {
+        if self.fleet.uses(Mechanism::ExcessDelay) { load.excess_s(self.now) } else { 0.0 }
     }
 
     /// Tokens that an engine reads before those of a newcomer: of own requests, and of others' by the part of
@@ -185,6 +195,9 @@
 
     /// What the requests that run there already add.
     fn batch_s(&self, endpoint: &Endpoint, load: &EndpointLoad) -> f64 {
+        if !self.fleet.uses(Mechanism::BatchCost) {
+            return 0.0;
+        }
         let filled = load.occupancy(self.now) / f64::from(endpoint.capacity);
         let weight = if self.service.engine.is_some() { BATCH_COST } else { 1.0 };
         weight * filled * self.service.served.seconds()
@@ -193,11 +206,11 @@
     /// What the streams that run there lose while the prompt is read between their tokens.
     fn stall_s(&self, load: &EndpointLoad, unread: u64) -> f64 {
         match self.service.engine {
-            Some(_) => {
+            Some(_) if self.fleet.uses(Mechanism::StallCost) => {
                 let reading_s = self.service.first_byte.per_token_s() * unread as f64;
                 STALL_COST * load.occupancy(self.now) * reading_s
             }
-            None => 0.0,
+            _ => 0.0,
         }
     }
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -23,6 +23,7 @@
 use lanegate_invariants::Violations;
 use lanegate_model::demand::DemandReport;
 use lanegate_model::feed::FeedEvent;
+use lanegate_model::mechanism::Mechanism;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -77,6 +78,11 @@
         Dispatcher { violations, ..self }
     }
 
+    /// Whether a mechanism works here.
+    pub fn uses(&self, mechanism: Mechanism) -> bool {
+        self.fleet.uses(mechanism)
+    }
+
     /// Requests that are at no endpoint now.
     pub(crate) fn held_requests(&self) -> usize {
         self.requests.values().filter(|tracked| tracked.hold().is_some()).count()
--- a/crates/dispatch/src/dispatcher/learning.rs
+++ b/crates/dispatch/src/dispatcher/learning.rs
@@ -5,6 +5,7 @@
 use crate::health::Fault;
 use crate::interface::{AttemptEnd, InstanceLoad, RequestId};
 use crate::tracked::{Belief, Flight, Phase, Tracked};
+use lanegate_model::mechanism::Mechanism;
 use std::time::Duration;
 
 /// Prompt tokens that must be in question for a time to tell whether they were kept.
@@ -120,8 +121,9 @@
     }
 
     fn succeeded(&mut self, now: Duration, key: EndpointKey) {
+        let slowly = self.fleet.uses(Mechanism::SlowReturn);
         if let Some(load) = self.fleet.load_mut(key) {
-            load.health.succeeded(now);
+            load.health.succeeded(now, slowly);
         }
     }
 
--- a/crates/dispatch/src/dispatcher/placing.rs
+++ b/crates/dispatch/src/dispatcher/placing.rs
@@ -7,9 +7,10 @@
 use crate::interface::{Decision, FailReason, RequestId};
 use crate::tracked::{Flight, Hold, Phase};
 use crate::units::{nanoseconds, seconds};
-use crate::urgency::engine_priority;
+use crate::urgency::{LEAST_URGENT, engine_priority};
 use fair_edf::Ns;
 use lanegate_invariants::Invariant;
+use lanegate_model::mechanism::Mechanism;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -136,7 +137,8 @@
             };
         }
         match tracked.artifact() {
-            Some(artifact) => self.await_load(now, id, artifact),
+            Some(artifact) if self.fleet.uses(Mechanism::LoadWait) => self.await_load(now, id, artifact),
+            Some(_) => self.give_up(now, id, FailReason::Attempts, ABSENT_RETRY_AFTER),
             None => self.hold(now, id, None, &[]),
         }
     }
@@ -168,7 +170,8 @@
             let holds = |endpoint: &Endpoint| {
                 wanted.is_none_or(|wanted| endpoint.holds(&wanted.model, wanted.adapter.as_deref()))
             };
-            endpoint.is_some_and(holds) && !tracked.avoided.contains(key)
+            let drops = self.fleet.uses(Mechanism::ExhaustedTry);
+            endpoint.is_some_and(|endpoint| !drops || holds(endpoint)) && !tracked.avoided.contains(key)
         };
         tracked.reached.len() >= at_most && !tracked.reached.iter().any(returns)
     }
@@ -240,7 +243,8 @@
         while let Some(overdue) = self.admission.overdue(lane, nanoseconds(now)) {
             let overdue: Vec<Overdue> = overdue.into_iter().filter_map(|held| self.described(held)).collect();
             let able = overdue.iter().filter(|held| self.gives_way(now, held)).cloned().collect::<Vec<_>>();
-            let Some(victim) = self.admission.victim(&able).cloned() else {
+            let by_class = self.fleet.uses(Mechanism::MissRatioVictim);
+            let Some(victim) = self.admission.victim(&able, by_class).cloned() else {
                 return;
             };
             match self.may_refuse(now, victim.request) {
@@ -267,7 +271,9 @@
         let tracked = &self.requests[&id];
         let cheap_until = tracked.request.arrived + tracked.aim() / REFUSAL_PART;
         let unsent = tracked.attempts == 0 && now <= cheap_until;
-        unsent && self.fleet.is_crowded(now, &tracked.request.backend)
+        self.fleet.uses(Mechanism::EarlyRefusal)
+            && unsent
+            && self.fleet.is_crowded(now, &tracked.request.backend)
     }
 
     fn refuse_overdue(&mut self, now: Duration, lane: EndpointKey, id: RequestId) {
@@ -309,6 +315,7 @@
     pub(super) fn send(&mut self, now: Duration, id: RequestId, candidate: Candidate) {
         let is_trial = !candidate.is_in();
         let bounds = self.fleet.budget_bounds;
+        let urgent = self.fleet.uses(Mechanism::EngineUrgency);
         let (Some(tracked), Some(endpoint)) =
             (self.requests.get_mut(&id), self.fleet.table.get(candidate.key))
         else {
@@ -348,7 +355,10 @@
             attempt: tracked.attempts,
             instance,
             address,
-            engine_priority: engine_priority(tracked.request.priority, reading, left),
+            engine_priority: match urgent {
+                true => engine_priority(tracked.request.priority, reading, left),
+                false => tracked.request.priority.min(LEAST_URGENT),
+            },
             resume: tracked.resume,
         });
         self.fleet.enter(now, candidate.key, candidate.footprint);
--- a/crates/dispatch/src/dispatcher/timing.rs
+++ b/crates/dispatch/src/dispatcher/timing.rs
@@ -7,6 +7,7 @@
 use crate::interface::{FailReason, RequestId};
 use crate::tracked::{Flight, Phase, Tracked};
 use crate::units::seconds;
+use lanegate_model::mechanism::Mechanism;
 use std::time::Duration;
 
 /// A wake later than this tells that the process stood still: what arrived meanwhile is heard first.
@@ -66,7 +67,10 @@
     /// When a held request is answered at the latest: while there is time for a first byte, and for the whole
     /// answer before the process ends.
     pub(super) fn closing(&self, tracked: &Tracked, found: &[Candidate]) -> Duration {
-        let ends = self.patience.ends(tracked);
+        let ends = match self.fleet.uses(Mechanism::ClientPatience) {
+            true => self.patience.ends(tracked),
+            false => tracked.request.deadline,
+        };
         let usual = found.iter().map(|candidate| candidate.expected).min().unwrap_or_default();
         let whole = ends.saturating_sub(tracked.request.arrived);
         let closing = ends.saturating_sub(usual.min(whole / CLOSING_PART).max(CLOSING_MARGIN));
@@ -121,7 +125,8 @@
     pub(super) fn must_offer(&self, now: Duration, id: RequestId, candidate: &Candidate) -> bool {
         let tracked = &self.requests[&id];
         let last_moment = offer_at(tracked, candidate.expected);
-        tracked.attempts == 0 && now >= last_moment && now < tracked.request.target
+        let offers = self.fleet.uses(Mechanism::LastOffer);
+        offers && tracked.attempts == 0 && now >= last_moment && now < tracked.request.target
     }
 
     /// Nothing came for much longer than expected. Where the endpoint told nothing else either, it is taken
@@ -149,7 +154,8 @@
     /// Gives a silent attempt up for another endpoint, where the rules, the budget and the load allow it.
     fn try_elsewhere(&mut self, now: Duration, id: RequestId, flight: Flight) -> bool {
         let tracked = &self.requests[&id];
-        if !tracked.is_repeatable() || !self.affords(now, id) {
+        let may_leave = self.fleet.uses(Mechanism::SilenceRetry) && tracked.is_repeatable();
+        if !may_leave || !self.affords(now, id) {
             return false;
         }
         let mut found = choice::candidates(&self.fleet, now, tracked);
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -10,6 +10,7 @@
 use crate::summary::EndpointCounts;
 use lanegate_model::configuration::Configuration;
 use lanegate_model::instance::Instance;
+use lanegate_model::mechanism::Mechanism;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, HashMap};
@@ -49,6 +50,11 @@
         }
     }
 
+    /// Whether a mechanism works here.
+    pub fn uses(&self, mechanism: Mechanism) -> bool {
+        self.settings.switched_off.leaves(mechanism)
+    }
+
     /// Takes a configuration in.
     pub fn configure(&mut self, configuration: &Configuration) {
         for backend in &configuration.backends {
@@ -150,7 +156,7 @@
 
     /// An endpoint failed; it is left out for a while, unless too many others of its service are.
     pub fn failed(&mut self, now: Duration, key: EndpointKey, fault: Fault) {
-        let may_eject = self.may_eject(key);
+        let may_eject = self.uses(Mechanism::Ejection) && self.may_eject(key);
         let jitter = 1.0 + JITTER * (2.0 * self.rng.random::<f64>() - 1.0);
         if let Some(load) = self.loads.get_mut(&key) {
             load.health.failed(now, fault, may_eject, jitter);
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -110,13 +110,14 @@
         }
     }
 
-    /// It answered in full and well.
-    pub fn succeeded(&mut self, now: Duration) {
+    /// It answered in full and well. It gets few requests at first where it comes back `slowly`.
+    pub fn succeeded(&mut self, now: Duration, slowly: bool) {
         self.heard = now;
         self.faults = 0;
         self.pause = Duration::ZERO;
         self.state = match self.state {
             State::In => State::In,
+            State::Out { .. } | State::Returning(_) if !slowly => State::In,
             State::Out { .. } => State::Returning(FIRST_RETURN),
             State::Returning(allowed) if allowed >= FULL_RETURN => State::In,
             State::Returning(allowed) => State::Returning(allowed * 2),
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -1,5 +1,6 @@
 //! What the dispatcher takes from the settings file of its process.
 
+use lanegate_model::mechanism::SwitchedOff;
 use lanegate_model::settings::{Bounds, Settings};
 use std::collections::BTreeMap;
 
@@ -12,6 +13,8 @@
     pub zones: BTreeMap<String, String>,
     /// Figures of the rules in force.
     pub bounds: Bounds,
+    /// Mechanisms that do not work.
+    pub switched_off: SwitchedOff,
 }
 
 impl From<&Settings> for DispatchSettings {
@@ -20,6 +23,7 @@
             zone: settings.zone.clone(),
             zones: settings.zones.clone(),
             bounds: settings.bounds.clone(),
+            switched_off: settings.switched_off,
         }
     }
 }
--- a/crates/dispatch/src/urgency.rs
+++ b/crates/dispatch/src/urgency.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Least urgent rank that an engine knows.
-const LEAST_URGENT: u8 = 9;
+pub const LEAST_URGENT: u8 = 9;
 
 /// Bounds of the steps of urgency: the time to read, as a part of the time until the target.
 const STEPS: [f64; 4] = [1.0 / 16.0, 1.0 / 8.0, 1.0 / 4.0, 1.0 / 2.0];
--- a/crates/dispatch/tests/admission.rs
+++ b/crates/dispatch/tests/admission.rs
@@ -22,20 +22,20 @@
     }
     admission.count_miss(&paid, 0);
     let held = [overdue(1, "paid", 10, 5), overdue(2, "casual", 20, 5)];
-    assert_eq!(admission.victim(&held).map(|victim| victim.request), Some(RequestId(2)));
+    assert_eq!(admission.victim(&held, true).map(|victim| victim.request), Some(RequestId(2)));
     admission.count_miss(&casual, 0);
     admission.count_miss(&casual, 0);
-    assert_eq!(admission.victim(&held).map(|victim| victim.request), Some(RequestId(1)));
+    assert_eq!(admission.victim(&held, true).map(|victim| victim.request), Some(RequestId(1)));
 }
 
 #[test]
 fn within_a_class_the_longest_and_then_the_latest_gives_way() {
     let admission = Admission::default();
     let held = [overdue(1, "c", 10, 5), overdue(2, "c", 20, 7), overdue(3, "c", 30, 5)];
-    assert_eq!(admission.victim(&held).map(|victim| victim.request), Some(RequestId(2)));
+    assert_eq!(admission.victim(&held, true).map(|victim| victim.request), Some(RequestId(2)));
     let alike = [overdue(1, "c", 10, 5), overdue(3, "c", 30, 5), overdue(2, "c", 20, 5)];
-    assert_eq!(admission.victim(&alike).map(|victim| victim.request), Some(RequestId(3)));
-    assert_eq!(admission.victim(&[]), None);
+    assert_eq!(admission.victim(&alike, true).map(|victim| victim.request), Some(RequestId(3)));
+    assert_eq!(admission.victim(&[], true), None);
 }
 
 #[test]
--- a/crates/dispatch/tests/health.rs
+++ b/crates/dispatch/tests/health.rs
@@ -16,7 +16,7 @@
     let mut mixed = Health::default();
     for at in 0..10 {
         mixed.failed(ms(at * 10), Fault::Told, true, 1.0);
-        mixed.succeeded(ms(at * 10 + 5));
+        mixed.succeeded(ms(at * 10 + 5), true);
     }
     assert_eq!(mixed.standing(ms(200)), Standing::In);
 }
@@ -48,11 +48,11 @@
     let mut health = Health::default();
     health.failed(ms(0), Fault::Silent, true, 1.0);
     health.sent();
-    health.succeeded(ms(3_000));
+    health.succeeded(ms(3_000), true);
     let mut allowed = Vec::new();
     while let Standing::Returning(most) = health.standing(ms(3_000)) {
         allowed.push(most);
-        health.succeeded(ms(3_000));
+        health.succeeded(ms(3_000), true);
     }
     assert_eq!(allowed, [1, 2, 4, 8, 16]);
     assert_eq!(health.standing(ms(3_000)), Standing::In);
--- a/crates/lanegate/src/command_line.rs
+++ b/crates/lanegate/src/command_line.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long, positional};
+use lanegate_model::mechanism::Mechanism;
 use log::LevelFilter;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -18,13 +19,21 @@
 /// One command.
 #[derive(Debug, Clone)]
 pub enum Command {
-    Router { metrics_port: Option<u16> },
+    Router(Serving),
     Agent { metrics_port: Option<u16> },
-    Controller { metrics_port: Option<u16> },
+    Controller(Serving),
     Check { files: Vec<PathBuf> },
     Status { address: SocketAddr },
 }
 
+/// How a process serves that decides for requests or models.
+#[derive(Debug, Clone)]
+pub struct Serving {
+    pub metrics_port: Option<u16>,
+    /// Mechanisms that are switched off.
+    pub without: Vec<Mechanism>,
+}
+
 /// A command line, read.
 pub enum Parsed {
     Arguments(Arguments),
@@ -71,17 +80,31 @@
 }
 
 fn command() -> impl Parser<Command> {
-    let router = metrics_port().map(|metrics_port| Command::Router { metrics_port }).to_options();
+    let router = serving().map(Command::Router).to_options();
     let router = router.descr("Serve clients").command("router");
     let agent = metrics_port().map(|metrics_port| Command::Agent { metrics_port }).to_options();
     let agent = agent.descr("Keep a router fed").command("agent");
-    let controller = metrics_port().map(|metrics_port| Command::Controller { metrics_port }).to_options();
+    let controller = serving().map(Command::Controller).to_options();
     let controller = controller.descr("Keep configuration and registrations").command("controller");
     let check = check().to_options().descr("Check settings and configuration files").command("check");
     let status = status().to_options().descr("Ask a controller how it is").command("status");
     construct!([router, agent, controller, check, status])
 }
 
+fn serving() -> impl Parser<Serving> {
+    let metrics_port = metrics_port();
+    let without = without();
+    construct!(Serving { metrics_port, without })
+}
+
+fn without() -> impl Parser<Vec<Mechanism>> {
+    long("without")
+        .help("A mechanism that is switched off, to measure what it is worth; may be given several times")
+        .argument::<String>("MECHANISM")
+        .parse(|name| name.parse::<Mechanism>())
+        .many()
+}
+
 fn metrics_port() -> impl Parser<Option<u16>> {
     long("metrics-port")
         .help("Port at the machine's address where GET /metrics tells the figures of the process")
--- a/crates/lanegate/src/commands/agent.rs
+++ b/crates/lanegate/src/commands/agent.rs
@@ -6,5 +6,5 @@
 
 /// Serves until SIGTERM.
 pub fn run(metrics_port: Option<u16>) -> Result<(), CommandError> {
-    process::run(ProcessRole::Agent, metrics_port, lanegate_controller::run_agent)
+    process::run(ProcessRole::Agent, metrics_port, &[], lanegate_controller::run_agent)
 }
--- a/crates/lanegate/src/commands/controller.rs
+++ b/crates/lanegate/src/commands/controller.rs
@@ -2,9 +2,11 @@
 
 use super::CommandError;
 use super::process;
+use crate::command_line::Serving;
 use lanegate_model::settings::ProcessRole;
 
 /// Serves until SIGTERM.
-pub fn run(metrics_port: Option<u16>) -> Result<(), CommandError> {
-    process::run(ProcessRole::Controller, metrics_port, lanegate_controller::run_controller)
+pub fn run(serving: &Serving) -> Result<(), CommandError> {
+    let Serving { metrics_port, without } = serving;
+    process::run(ProcessRole::Controller, *metrics_port, without, lanegate_controller::run_controller)
 }
--- a/crates/lanegate/src/commands/mod.rs
+++ b/crates/lanegate/src/commands/mod.rs
@@ -49,9 +49,9 @@
 /// Does what `command` asks for.
 pub fn run(command: Command) -> Result<(), CommandError> {
     match command {
-        Command::Router { metrics_port } => router::run(metrics_port),
+        Command::Router(serving) => router::run(&serving),
         Command::Agent { metrics_port } => agent::run(metrics_port),
-        Command::Controller { metrics_port } => controller::run(metrics_port),
+        Command::Controller(serving) => controller::run(&serving),
         Command::Check { files } => check::run(&files),
         Command::Status { address } => status::run(address),
     }
--- a/crates/lanegate/src/commands/process.rs
+++ b/crates/lanegate/src/commands/process.rs
@@ -2,6 +2,7 @@
 
 use super::CommandError;
 use lanegate_metrics::{MetricsAddress, ProcessIdentity};
+use lanegate_model::mechanism::Mechanism;
 use lanegate_model::settings::{ProcessRole, Settings};
 use std::error::Error;
 use std::net::SocketAddr;
@@ -10,17 +11,22 @@
 
 /// Reads the settings and runs `serve` with them until it ends.
 ///
-/// Where a port is given, the process tells its figures there, at the address of its machine.
+/// The mechanisms of `without` are switched off. Where a port is given, the process tells its figures there, at the address of its machine.
 pub fn run<F, E>(
     role: ProcessRole,
     metrics_port: Option<u16>,
+    without: &[Mechanism],
     serve: impl FnOnce(Settings, Option<MetricsAddress>) -> F,
 ) -> Result<(), CommandError>
 where
     F: Future<Output = Result<(), E>>,
     E: Into<Box<dyn Error>>,
 {
-    let settings = load(role)?;
+    let mut settings = load(role)?;
+    settings.switched_off = without.iter().copied().collect();
+    for mechanism in without {
+        log::warn!("{mechanism} is switched off");
+    }
     let (first_port, last_port) = settings.port_range;
     log::info!("{} starts as {role:?}, ports {first_port} to {last_port}", settings.node_name);
     let identity = ProcessIdentity::starting(role_name(role), env!("CARGO_PKG_VERSION"));
--- a/crates/lanegate/src/commands/router.rs
+++ b/crates/lanegate/src/commands/router.rs
@@ -2,14 +2,15 @@
 
 use super::CommandError;
 use super::process;
+use crate::command_line::Serving;
 use lanegate_metrics::MetricsAddress;
 use lanegate_model::settings::{ProcessRole, Settings};
 use lanegate_router::RouterError;
 use tokio::sync::mpsc;
 
 /// Serves until SIGTERM.
-pub fn run(metrics_port: Option<u16>) -> Result<(), CommandError> {
-    process::run(ProcessRole::Router, metrics_port, serve)
+pub fn run(serving: &Serving) -> Result<(), CommandError> {
+    process::run(ProcessRole::Router, serving.metrics_port, &serving.without, serve)
 }
 
 /// Routes what clients send, by what the agent beside this process tells.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod findings;
 pub mod instance;
 mod lenient;
+pub mod mechanism;
 pub mod routes;
 pub mod settings;
--- a/crates/model/src/settings/mod.rs
+++ b/crates/model/src/settings/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::findings::Findings;
 use crate::lenient;
+use crate::mechanism::SwitchedOff;
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
@@ -52,6 +53,9 @@
     pub fault_tolerance: FaultTolerance,
     #[serde(default)]
     pub bounds: Bounds,
+    /// Mechanisms that the command line switches off; no part of the file.
+    #[serde(skip)]
+    pub switched_off: SwitchedOff,
 }
 
 impl Settings {
--- a/crates/placement/src/models.rs
+++ b/crates/placement/src/models.rs
@@ -5,6 +5,7 @@
 use crate::endpoint::Endpoint;
 use crate::interface::Item;
 use crate::view::{Endpoints, Room, Standing, View};
+use lanegate_model::mechanism::Mechanism;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
@@ -89,6 +90,7 @@
 pub fn wishes(view: &View) -> Vec<Wish> {
     let mut wishes: Vec<Wish> =
         view.models.iter().filter_map(|(model, standing)| wish(model, standing)).collect();
+    wishes.retain(|wish| wish.rank != Rank::Restore || view.switched_off.leaves(Mechanism::Restore));
     wishes.sort_by(|a, b| a.rank.group().cmp(&b.rank.group()).then(b.gain().total_cmp(&a.gain())));
     wishes
 }
@@ -211,6 +213,9 @@
     /// What it costs that the room comes free only when the last run of the victim has ended: until then, requests
     /// for this model miss.
     fn drain_cost(&self, view: &View, held: &Held) -> f64 {
+        if !view.switched_off.leaves(Mechanism::DrainCost) {
+            return 0.0;
+        }
         let rate = view.models.get(&held.model).map_or(0.0, Standing::rate_per_copy);
         self.gain() * view.drain.expected_s(rate)
     }
@@ -225,7 +230,10 @@
         }
         if other.in_demand {
             let left = other.copies - 1;
-            let missed = other.unserved(left) - other.unserved(other.copies);
+            let missed = match view.switched_off.leaves(Mechanism::NeededCopies) {
+                true => other.unserved(left) - other.unserved(other.copies),
+                false => 0.0,
+            };
             let cost = SPARE_COST * other.relief(left) + MISS_COST * missed;
             return (other.copies >= 2 && self.rank.urgent() && cost <= self.gain()).then_some(cost);
         }
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -13,6 +13,7 @@
 use lanegate_model::configuration::Runtime;
 use lanegate_model::demand::DemandReport;
 use lanegate_model::instance::Instance;
+use lanegate_model::mechanism::SwitchedOff;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -44,6 +45,7 @@
     pub(crate) guard: OrderGuard,
     pub(crate) store: StoreBudget,
     pub(crate) drain: DrainTime,
+    pub(crate) switched_off: SwitchedOff,
     pub(crate) actions: VecDeque<Action>,
     /// Incarnations that are gone, each with its newest sequence, the latest last.
     gone: VecDeque<(Arc<str>, u64)>,
@@ -73,6 +75,7 @@
             guard: OrderGuard::default(),
             store: StoreBudget::new(settings.ceiling_window, settings.ceiling_overshoot, assumed_until),
             drain: DrainTime::default(),
+            switched_off: settings.switched_off,
             actions: VecDeque::new(),
             gone: VecDeque::new(),
             last_order: 0,
--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -1,6 +1,7 @@
 //! What a placer is told once, when it is made.
 
-use lanegate_model::settings::Bounds;
+use lanegate_model::mechanism::SwitchedOff;
+use lanegate_model::settings::Settings;
 use std::time::Duration;
 
 /// Whether somebody may have placed models just before.
@@ -20,15 +21,19 @@
     /// How far beyond the permitted rate the loads of a window may lie.
     pub ceiling_overshoot: f64,
     pub start: Start,
+    /// Mechanisms that do not work.
+    pub switched_off: SwitchedOff,
 }
 
 impl PlacerSettings {
-    /// Takes the figures from the settings file's bounds.
-    pub fn new(bounds: &Bounds, start: Start) -> PlacerSettings {
+    /// Takes the figures from the settings of the process.
+    pub fn new(settings: &Settings, start: Start) -> PlacerSettings {
+        let bounds = &settings.bounds;
         PlacerSettings {
             ceiling_window: Duration::from_secs_f64(bounds.ceiling_window_s.max(0.0)),
             ceiling_overshoot: bounds.ceiling_overshoot,
             start,
+            switched_off: settings.switched_off,
         }
     }
 }
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -5,6 +5,7 @@
 use crate::endpoint::Endpoint;
 use crate::need::{Fleet, Target};
 use crate::rate::DemandTable;
+use lanegate_model::mechanism::SwitchedOff;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -69,6 +70,8 @@
     pub fleet: Fleet,
     /// How long endpoints take to drop a model.
     pub drain: DrainTime,
+    /// Mechanisms that do not work.
+    pub switched_off: SwitchedOff,
     /// Whether demand is known well enough to tell what is not wanted.
     pub watched: bool,
     pub models: BTreeMap<Arc<str>, Standing>,
@@ -87,20 +90,15 @@
 
 impl View {
     /// Looks at the service as it stands now.
-    pub fn new(
-        now: Duration,
-        demand: &DemandTable,
-        endpoints: &Endpoints,
-        catalog: &Catalog,
-        drain: DrainTime,
-    ) -> View {
+    pub fn new(now: Duration, demand: &DemandTable, endpoints: &Endpoints, catalog: &Catalog) -> View {
         let ready = endpoints.values().filter(|endpoint| endpoint.ready).count();
         let work = demand.models.values().map(|rates| rates.total.fast(now) * rates.total.mean_work()).sum();
         let fleet = Fleet { endpoints: ready, work };
         let mut view = View {
             now,
             fleet,
-            drain,
+            drain: DrainTime::default(),
+            switched_off: SwitchedOff::default(),
             watched: demand.watched(now),
             models: BTreeMap::new(),
             rooms: Vec::new(),
--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -3,6 +3,7 @@
 use lanegate_model::configuration::{Model, Runtime};
 use lanegate_model::demand::{DemandReport, ModelDemand};
 use lanegate_model::instance::{HeldModel, Instance, InstanceState};
+use lanegate_model::mechanism::SwitchedOff;
 use lanegate_placement::{
     Action, EndpointReport, Operation, Order, OrderAnswer, Placer, PlacerSettings, Start,
 };
@@ -55,6 +56,7 @@
             ceiling_window: Duration::from_secs(5),
             ceiling_overshoot: 1.1,
             start: Start::First,
+            switched_off: SwitchedOff::default(),
         };
         let mut placer = Placer::new(Duration::ZERO, BACKEND, 1, &settings);
         placer.configure(Duration::ZERO, &runtime());
--- a/crates/placement/tests/room.rs
+++ b/crates/placement/tests/room.rs
@@ -4,6 +4,7 @@
 
 use lanegate_model::demand::{DemandReport, ModelDemand};
 use lanegate_model::instance::Instance;
+use lanegate_model::mechanism::SwitchedOff;
 use lanegate_placement::{
     Action, EndpointReport, Operation, Order, OrderAnswer, Placer, PlacerSettings, Start,
 };
@@ -40,7 +41,12 @@
 }
 
 fn placer(now_ms: u64, start: Start) -> Placer {
-    let settings = PlacerSettings { ceiling_window: Duration::from_secs(5), ceiling_overshoot: 1.1, start };
+    let settings = PlacerSettings {
+        ceiling_window: Duration::from_secs(5),
+        ceiling_overshoot: 1.1,
+        start,
+        switched_off: SwitchedOff::default(),
+    };
     let now = Duration::from_millis(now_ms);
     let mut placer = Placer::new(now, BACKEND, 1, &settings);
     placer.configure(now, &runtime(8, MODEL_MB, LOAD_S, 12, 66.0));
--- a/crates/placement/tests/support/simulation.rs
+++ b/crates/placement/tests/support/simulation.rs
@@ -6,6 +6,7 @@
 use lanegate_model::configuration::{Model, Runtime};
 use lanegate_model::demand::{DemandReport, ModelDemand};
 use lanegate_model::instance::{Instance, InstanceState};
+use lanegate_model::mechanism::SwitchedOff;
 use lanegate_placement::{
     Action, EndpointReport, Operation, Order, OrderAnswer, OrderId, Placer, PlacerSettings, Start,
 };
@@ -101,7 +102,12 @@
 }
 
 fn settings(start: Start) -> PlacerSettings {
-    PlacerSettings { ceiling_window: Duration::from_millis(WINDOW_MS), ceiling_overshoot: OVERSHOOT, start }
+    PlacerSettings {
+        ceiling_window: Duration::from_millis(WINDOW_MS),
+        ceiling_overshoot: OVERSHOOT,
+        start,
+        switched_off: SwitchedOff::default(),
+    }
 }
 
 impl Simulation {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -11,6 +11,7 @@
 use lanegate_dispatch::{DispatchSettings, DispatchSummary, Dispatcher};
 use lanegate_invariants::{Invariant, Violations};
 use lanegate_model::feed::FeedEvent;
+use lanegate_model::mechanism::Mechanism;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -169,7 +170,8 @@
         client_time: Option<Duration>,
         body_bytes: usize,
     ) {
-        if self.routing.borrow().is_some() || self.is_draining() {
+        let waits = self.dispatcher.borrow().uses(Mechanism::ConfigurationWait);
+        if !waits || self.routing.borrow().is_some() || self.is_draining() {
             return;
         }
         let began = self.instant_of(began);
