Let controllers regain contact as links come up, and agents dial again sooner

Ruled out: reads of the disk (30 ms), processor time. Change: the newest heartbeat is sent again to a peer whose link comes up, here or there; its answer counts from when it left first. A dial ends after 300 ms; an agent that follows no trusted source dials again after 100 ms.

--- a/crates/controller/src/agent/sources.rs
+++ b/crates/controller/src/agent/sources.rs
@@ -9,6 +9,8 @@
 const WANTED: usize = 2;
 /// Pause before a source whose link failed is dialled again.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// The same while no source is in touch with a majority, as after a start of everything at once.
+const URGENT_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Standing {
@@ -61,7 +63,8 @@
     /// Notes that a source's link has ended.
     pub fn ended(&mut self, now: Duration, source: SocketAddr) {
         self.followed.remove(&source);
-        self.retry_at.insert(source, now + RETRY_PAUSE);
+        let pause = if self.none_trusted() { URGENT_RETRY_PAUSE } else { RETRY_PAUSE };
+        self.retry_at.insert(source, now + pause);
     }
 
     /// The source to which this agent's own messages go.
--- a/crates/controller/src/controller/contact.rs
+++ b/crates/controller/src/controller/contact.rs
@@ -56,6 +56,8 @@
     life: u64,
     /// The latest heartbeats, oldest first.
     sent: VecDeque<Sent>,
+    /// The newest heartbeat, as it left.
+    newest: Option<Heartbeat>,
     /// For each peer, when the newest heartbeat that it has answered was sent.
     answered: BTreeMap<SocketAddr, Duration>,
     last_call: Duration,
@@ -69,6 +71,7 @@
             this,
             life,
             sent: VecDeque::new(),
+            newest: None,
             answered: BTreeMap::new(),
             last_call: Duration::ZERO,
             fault: None,
@@ -90,6 +93,12 @@
             self.sent.pop_front();
         }
         self.sent.push_back(Sent { sequence: heartbeat.sequence, at: now });
+        self.newest = Some(*heartbeat);
+    }
+
+    /// The newest heartbeat of this process. It may be sent again: its answer counts from when it left first.
+    pub fn newest(&self) -> Option<&Heartbeat> {
+        self.newest.as_ref()
     }
 
     /// A heartbeat of `peer` has come. It says nothing of contact, as the peer may not hear this process.
--- a/crates/controller/src/controller/contact_test.rs
+++ b/crates/controller/src/controller/contact_test.rs
@@ -442,3 +442,17 @@
     contact.echoed(ms(0), address(1), &heartbeat(0, 1, 9));
     assert!(!contact.reaches(ms(0), &[group(&[0, 1, 2])]));
 }
+
+#[test]
+fn the_answer_to_a_repeated_heartbeat_counts_from_when_the_heartbeat_left_first() {
+    let mut contact = Contact::new(address(0), 1);
+    assert_eq!(contact.newest(), None);
+    contact.sent(ms(100), &heartbeat(0, 1, 1));
+    contact.sent(ms(300), &heartbeat(0, 1, 2));
+    let repeated = *contact.newest().expect("one has left");
+    assert_eq!(repeated, heartbeat(0, 1, 2));
+    contact.echoed(ms(450), address(1), &repeated);
+    let groups = [group(&[0, 1, 2])];
+    assert!(contact.reaches(ms(300) + CONTACT_VALIDITY - ms(1), &groups));
+    assert!(!contact.reaches(ms(300) + CONTACT_VALIDITY, &groups), "not from 450 ms");
+}
--- a/crates/controller/src/controller/membership.rs
+++ b/crates/controller/src/controller/membership.rs
@@ -4,7 +4,7 @@
 use super::members::{GroupView, MemberChange};
 use super::{Asked, Controller, ControllerFault, shards};
 use crate::message::{Message, Standing};
-use lanegate_coordination::membership::Output;
+use lanegate_coordination::membership::{Heartbeat, Output};
 use lanegate_coordination::register::{Input, Node};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -16,6 +16,15 @@
 const MARGIN_GRACE: Duration = Duration::from_secs(2);
 
 impl Controller {
+    /// Sends the newest heartbeat once more to a peer whose link has just come up, here or there: after a start of
+    /// all controllers, contact does not wait for the next one.
+    pub(super) fn repeat_heartbeat(&self, peer: SocketAddr) {
+        let encoded = self.contact.newest().map(Heartbeat::encode);
+        if let Some(Ok(bytes)) = encoded {
+            self.peers.send(peer, &Message::Heartbeat { body: bytes.into() });
+        }
+    }
+
     pub(super) fn membership_outputs(&mut self, outputs: Vec<Output>) {
         let changed = outputs.iter().any(|output| matches!(output, Output::StateChanged { .. }));
         for output in outputs {
--- a/crates/controller/src/controller/turn.rs
+++ b/crates/controller/src/controller/turn.rs
@@ -98,12 +98,14 @@
             Event::PeerUp { peer, outbox } => {
                 self.greet(&outbox);
                 self.peers.up(peer, outbox);
+                self.repeat_heartbeat(peer);
                 self.contact(peer);
             }
             Event::PeerDown { peer } => self.peers.down(peer),
             Event::PeerHello { hello } => {
                 if let Ok(peer) = hello.control_address.text().parse() {
                     self.know(peer);
+                    self.repeat_heartbeat(peer);
                 }
             }
             Event::PeerMessage { peer, message } => self.peer_message(peer, message),
--- a/crates/controller/src/simulation/connections.rs
+++ b/crates/controller/src/simulation/connections.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// A connection that nobody answers is given up after this long.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// A connection in which a direction is cut ends after this long, and up to [`CUT_SPREAD`] later.
 const CUT_TIMEOUT: Duration = Duration::from_millis(1_500);
 const CUT_SPREAD: Duration = Duration::from_millis(1_000);
--- a/crates/controller/tests/sources.rs
+++ b/crates/controller/tests/sources.rs
@@ -105,3 +105,21 @@
     sources.heard(second, false);
     assert!(sources.none_trusted());
 }
+
+/// After a start of everything at once, the first sources that are dialled may not be up yet.
+#[test]
+fn while_none_is_trusted_a_source_that_fails_is_dialled_again_soon() {
+    let mut sources = Sources::default();
+    let plan = sources.plan(ms(0), AGENT, &known(3));
+    plan.start.iter().for_each(|source| sources.ended(ms(300), *source));
+    assert_eq!(sources.plan(ms(300), AGENT, &known(3)).start.len(), 1, "the one that was not tried yet");
+    let again = sources.plan(ms(400), AGENT, &known(3));
+    assert_eq!(again.start.len(), 1, "two at a time: {again:?}");
+
+    let (mut sources, first, second) = settled(2);
+    sources.ended(ms(1_000), first);
+    assert_eq!(sources.plan(ms(1_100), AGENT, &known(2)), Plan::default(), "the other one is enough for now");
+    sources.ended(ms(1_100), second);
+    assert_eq!(sources.plan(ms(1_200), AGENT, &known(2)).start, [second]);
+    assert_eq!(sources.plan(ms(1_400), AGENT, &known(2)).start, [first]);
+}
