--- a/crates/day-generator/src/lib.rs
+++ b/crates/day-generator/src/lib.rs
@@ -13,6 +13,7 @@
 mod error;
 mod files;
 mod kind;
+pub mod loss;
 pub mod play;
 mod profile;
 mod site;
