Mend four open ends of control: partial cuts, unheard heartbeats, stalled disks, loads

Causes, each from the open points of docs/control and the roadmap: - A controller in contact through others missed changes of a member that does not reach it until a poll, 1 to 3 s later, while its feed said current. - The owner of an endpoint that was partitioned from the controller that the endpoint calls expired it every 4.2 s, and a third controller contradicted every time. - A disk that stalls refuses nothing, so its replicas counted as able to vote, and such a spare took a lost member's place. - The end of one lease dropped the awaited loads of every shard.

Changes: the configuration is read again every 400 ms while a member of its group has not answered for 1 s; who contradicts a removal relays newer heartbeats and registrations to that peer for 60 s; a write that is pending for 1.5 s takes the controller's vote away; awaited loads end with the lease of their own shard. Each has a deliberate mistake or a test.

Five mistakes that only tests of the parts found are now found from outside: RecoverFromOne, AcceptBelowPromise, ReadUncommitted, AgeFromReceipt, CountReceivedHeartbeats.

--- a/crates/controller/src/controller/consensus/freshness.rs
+++ b/crates/controller/src/controller/consensus/freshness.rs
@@ -5,10 +5,13 @@
 //! first reads the register: a read that was begun in contact misses nothing that was acknowledged before it.
 //! Only from its answer on, and for as long as contact lasts unbroken, does the feed call this controller
 //! current.
+//!
+//! A member of the group that does not answer may commit changes all the same, with others whom it reaches, and announces
+//! them to those whom it reaches only. So while some member does not answer, the register is read again and again.
 
 use crate::controller::consensus::shards;
 use crate::controller::operator::pending_changes::ANSWER_TIMEOUT;
-use crate::controller::{Controller, InFlightRequest};
+use crate::controller::{Controller, ControllerFault, InFlightRequest};
 use lanegate_coordination::register::{Input, Outcome};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -119,6 +122,7 @@
             self.read_barrier();
         }
         if watched.notify {
+            log::info!("configuration currency changed current={}", self.freshness.is_current());
             self.send_feed_heartbeat();
         }
     }
@@ -133,6 +137,24 @@
         self.execute_outputs(shards::CONFIGURATION, outputs);
     }
 
+    /// Reads the configuration again while a member of its group does not answer: that member may have committed a change
+    /// whose announcement does not arrive here. The flag is not taken back meanwhile.
+    pub(crate) fn reread_configuration(&mut self) {
+        if !self.is_current() || self.has_fault(ControllerFault::SkipReread) {
+            return;
+        }
+        let now = self.now();
+        let answers = |member: &SocketAddr| self.quorum_contact.is_answered_by(now, *member);
+        if self.groups(shards::CONFIGURATION).iter().flatten().all(answers) {
+            return;
+        }
+        let request = self.request_number();
+        self.in_flight.insert(request, InFlightRequest::Reread);
+        let deadline = now + ANSWER_TIMEOUT;
+        let outputs = self.shards.handle(now, shards::CONFIGURATION, Input::Read { request, deadline });
+        self.execute_outputs(shards::CONFIGURATION, outputs);
+    }
+
     /// The read that [`Freshness`] waits for has ended; what it found has been learned already.
     pub(crate) fn on_barrier_read(&mut self, request: u64, outcome: &Outcome) {
         self.freshness.read_ended(request, matches!(outcome, Outcome::Value { .. }));
--- a/crates/controller/src/controller/consensus/mod.rs
+++ b/crates/controller/src/controller/consensus/mod.rs
@@ -8,6 +8,9 @@
 pub(super) mod freshness;
 #[cfg(test)]
 mod freshness_test;
+pub(super) mod pending_writes;
+#[cfg(test)]
+mod pending_writes_test;
 pub(super) mod quorum_contact;
 #[cfg(test)]
 mod quorum_contact_test;
--- a/crates/controller/src/controller/consensus/registers.rs
+++ b/crates/controller/src/controller/consensus/registers.rs
@@ -27,7 +27,10 @@
                     }
                     Err(error) => log::error!("register message not encoded shard={shard} error={error}"),
                 },
-                Output::Persist { token, record } => self.environment.persist(shard, token, record),
+                Output::Persist { token, record } => {
+                    self.pending_writes.started(self.now(), shard);
+                    self.environment.persist(shard, token, record);
+                }
                 Output::Done { request, outcome } => self.on_request_done(request, outcome),
                 Output::Committed { value } => self.on_committed(shard, &value),
             }
@@ -108,7 +111,8 @@
                     self.reconcile_members(self.now());
                 }
             }
-            None => {}
+            // What the read found has been learned from its committed value.
+            Some(InFlightRequest::Reread) | None => {}
         }
     }
 
--- a/crates/controller/src/controller/endpoints/expiry.rs
+++ b/crates/controller/src/controller/endpoints/expiry.rs
@@ -1,5 +1,5 @@
-//! Periodic tasks: expiry of endpoints, routers and peers, reconciliation of members, and the completeness of the
-//! registry after a start.
+//! Periodic tasks: expiry of endpoints, routers and peers, reconciliation of members, further reads of the configuration, and
+//! the completeness of the registry after a start.
 
 use crate::controller::consensus::shards::{self, shard_of};
 use crate::controller::{Controller, ControllerFault};
@@ -24,6 +24,7 @@
         self.expire_peers(now);
         self.reconcile_members(now);
         self.campaign_for_leases();
+        self.reread_configuration();
     }
 
     fn expire_endpoints(&mut self, now: Duration) {
--- a/crates/controller/src/controller/endpoints/mod.rs
+++ b/crates/controller/src/controller/endpoints/mod.rs
@@ -8,3 +8,6 @@
 pub(super) mod registry;
 #[cfg(test)]
 mod registry_test;
+pub(super) mod relay;
+#[cfg(test)]
+mod relay_test;
--- a/crates/controller/src/controller/endpoints/pending_loads.rs
+++ b/crates/controller/src/controller/endpoints/pending_loads.rs
@@ -1,6 +1,7 @@
 //! Accepted loads whose model is not resident yet. Routers are notified of a loaded model or adapter as soon as it can
 //! be used, not with the endpoint's next heartbeat, which may be a second away.
 
+use crate::controller::consensus::shards::shard_of;
 use crate::message::ResidencyUpdate;
 use lanegate_config::instance::ResidentModel;
 use lanegate_placement::{Operation, Order};
@@ -96,9 +97,9 @@
         updates
     }
 
-    /// Forgets all pending loads, of every shard; called when a lease of this controller ends.
-    pub(crate) fn clear(&mut self) {
-        self.pending.clear();
+    /// The lease of a shard has ended: the loads of its services are another controller's now.
+    pub(crate) fn tenure_ended(&mut self, shard: u8) {
+        self.pending.retain(|pending| shard_of(&pending.service) != shard);
     }
 
     /// When [`PendingLoads::due`] is to be called next.
--- a/crates/controller/src/controller/endpoints/pending_loads_test.rs
+++ b/crates/controller/src/controller/endpoints/pending_loads_test.rs
@@ -1,5 +1,6 @@
 //! Loads that were accepted show to routers as soon as they can be used, and not before.
 
+use crate::controller::consensus::shards::shard_of;
 use crate::controller::endpoints::pending_loads::{PendingLoadStep, PendingLoads, residency_update};
 use lanegate_config::instance::ResidentModel;
 use lanegate_placement::{Operation, Order, OrderId};
@@ -90,6 +91,19 @@
 fn the_end_of_a_tenure_ends_the_wait() {
     let mut pending_loads = PendingLoads::default();
     pending_loads.accepted(ms(0), SERVICE, &order(Operation::Load, "m", None), LOAD_TIME);
-    pending_loads.clear();
+    pending_loads.tenure_ended(shard_of(SERVICE));
     assert_eq!(pending_loads.due(LOAD_SHOWS), vec![]);
+    assert_eq!(pending_loads.next_wake(), None);
+}
+
+/// The lease of one shard may go to another controller while this one keeps the others.
+#[test]
+fn the_end_of_a_tenure_leaves_the_loads_of_other_shards() {
+    let names = (0..).map(|number| format!("service-{number}"));
+    let other = names.into_iter().find(|name| shard_of(name) != shard_of(SERVICE)).expect("four shards");
+    let mut pending_loads = PendingLoads::default();
+    pending_loads.accepted(ms(0), SERVICE, &order(Operation::Load, "m", None), LOAD_TIME);
+    pending_loads.accepted(ms(0), &other, &order(Operation::Load, "m", None), LOAD_TIME);
+    pending_loads.tenure_ended(shard_of(&other));
+    assert_eq!(pending_loads.due(LOAD_SHOWS), vec![request_report()]);
 }
--- a/crates/controller/src/controller/endpoints/registry.rs
+++ b/crates/controller/src/controller/endpoints/registry.rs
@@ -194,11 +194,18 @@
         Some(registered_message(id, entry.latest, entry.registration.as_ref()?))
     }
 
-    /// Merges heartbeats that another controller received.
-    pub(crate) fn merge_heartbeats(&mut self, now: Duration, list: &HeartbeatBatch) {
+    /// Merges heartbeats that another controller received. Returns those that were not known here.
+    pub(crate) fn merge_heartbeats(&mut self, now: Duration, list: &HeartbeatBatch) -> Vec<BatchedHeartbeat> {
+        let mut newer = Vec::new();
         for heartbeat in &list.heartbeats {
-            self.registry.refresh(now, &heartbeat.id.text(), heartbeat.sequence);
+            let id = heartbeat.id.text();
+            let known = self.registry.get(&id).map(|entry| entry.latest);
+            if known.is_some_and(|latest| heartbeat.sequence > latest) {
+                newer.push(heartbeat.clone());
+            }
+            self.registry.refresh(now, &id, heartbeat.sequence);
         }
+        newer
     }
 
     /// Heartbeats received here since the last call, for the other controllers.
--- a/crates/controller/src/controller/event_loop.rs
+++ b/crates/controller/src/controller/event_loop.rs
@@ -121,6 +121,7 @@
             Event::AgentDown { agent } => self.subscribers.disconnected(agent),
             Event::Call(call) => self.call(call),
             Event::Written { shard, token, durable } => {
+                self.pending_writes.ended(shard);
                 let input = if durable { Input::Persisted { token } } else { Input::PersistFailed { token } };
                 let outputs = self.shards.handle(now, shard, input);
                 self.execute_outputs(shard, outputs);
--- a/crates/controller/src/controller/fault.rs
+++ b/crates/controller/src/controller/fault.rs
@@ -43,6 +43,8 @@
     RefuseLocally,
     /// A drain that another controller sent is not relayed to other controllers.
     KeepDrainsFromPeers,
+    /// Heartbeats of endpoints are not relayed to a controller that does not receive them.
+    KeepHeartbeatsFromPeers,
     /// A controller that shuts down does not wait until it is replaced.
     ShutDownWithoutHandover,
     /// The draining status of controllers is ignored: they own shards, and are not replaced, until they are suspected.
@@ -51,6 +53,10 @@
     CountUnreachedPeers,
     /// The feed claims that this controller is current whether it has contact or not.
     AlwaysCurrent,
+    /// The configuration is not read again while a member of its group does not answer.
+    SkipReread,
+    /// A replica whose disk stalls counts as able to vote.
+    CountStalledDisk,
 }
 
 impl ControllerFault {
@@ -92,6 +98,9 @@
             Own::GiveUpEpoch,
             Own::ForgetMembers,
             Own::AlwaysCurrent,
+            Own::SkipReread,
+            Own::CountStalledDisk,
+            Own::KeepHeartbeatsFromPeers,
         ];
         let parts = registers.map(Own::Register).into_iter().chain(contact.map(Own::QuorumContact));
         own.into_iter().chain(parts).collect()
--- a/crates/controller/src/controller/membership/peer_messages.rs
+++ b/crates/controller/src/controller/membership/peer_messages.rs
@@ -21,10 +21,10 @@
             Message::HeartbeatEcho { body } => self.on_heartbeat_echo(peer, &body),
             Message::Register(message) => self.register_message(peer, &message),
             Message::Lease(message) => self.on_lease_message(peer, &message),
-            Message::Registered(registered) => self.merge_registration(&registered),
-            Message::Removed(removed) => self.merge_removal(&removed),
+            Message::Registered(registered) => self.merge_registration(peer, &registered),
+            Message::Removed(removed) => self.merge_removal(peer, &removed),
             Message::ResidencyUpdate(update) => self.apply_peer_residency(update),
-            Message::HeartbeatBatch(batch) => self.merge_heartbeats(&batch),
+            Message::HeartbeatBatch(batch) => self.merge_heartbeats(peer, &batch),
             Message::SnapshotEnd { complete: 1 } => self.mark_complete(),
             Message::Flush(flush) => self.confirm_flush(peer, flush),
             Message::Flushed(confirmation) => self.flushed(peer, &confirmation),
@@ -61,18 +61,29 @@
         }
     }
 
-    fn merge_registration(&mut self, registered: &Registered) {
+    fn merge_registration(&mut self, peer: SocketAddr, registered: &Registered) {
         let merge = self.endpoints.merge(self.now(), registered);
         for message in &merge.updates {
             self.subscribers.append(message);
         }
         if merge.relay && !self.has_fault(ControllerFault::KeepDrainsFromPeers) {
             merge.updates.iter().for_each(|message| self.peers.broadcast(message));
+        } else {
+            merge.updates.iter().for_each(|message| self.relay(peer, message));
         }
         self.update_placers(&registered.id.text());
     }
 
-    fn merge_removal(&mut self, removed: &Removed) {
+    /// Passes on what `source` has sent to the peers that do not hear it.
+    fn relay(&mut self, source: SocketAddr, message: &Message) {
+        if self.has_fault(ControllerFault::KeepHeartbeatsFromPeers) {
+            return;
+        }
+        let targets = self.relay_targets.targets(self.now(), source);
+        targets.into_iter().for_each(|target| self.peers.send(target, message));
+    }
+
+    fn merge_removal(&mut self, peer: SocketAddr, removed: &Removed) {
         let relays = self.endpoints.relays_removal(removed);
         if relays && !self.has_fault(ControllerFault::KeepDrainsFromPeers) {
             self.peers.broadcast(&Message::Removed(removed.clone()));
@@ -81,6 +92,7 @@
             RemovalMerge::Removed if self.has_fault(ControllerFault::KeepRemovalsFromAgents) => {}
             RemovalMerge::Removed => self.subscribers.append(&Message::Removed(removed.clone())),
             RemovalMerge::Contradicted(registered) => {
+                self.relay_targets.contradicted(self.now(), peer);
                 self.subscribers.append(&registered);
                 self.peers.broadcast(&registered);
             }
@@ -89,8 +101,11 @@
         self.update_placers(&removed.id.text());
     }
 
-    fn merge_heartbeats(&mut self, batch: &HeartbeatBatch) {
-        self.endpoints.merge_heartbeats(self.now(), batch);
+    fn merge_heartbeats(&mut self, peer: SocketAddr, batch: &HeartbeatBatch) {
+        let newer = self.endpoints.merge_heartbeats(self.now(), batch);
+        if !newer.is_empty() {
+            self.relay(peer, &Message::HeartbeatBatch(newer.into()));
+        }
         batch.heartbeats.iter().for_each(|heartbeat| self.update_placers(&heartbeat.id.text()));
     }
 
--- a/crates/controller/src/controller/membership/reconfiguration.rs
+++ b/crates/controller/src/controller/membership/reconfiguration.rs
@@ -101,7 +101,10 @@
 
     /// The status of this controller.
     pub(crate) fn own_status(&self) -> MemberStatus {
-        let voting = self.shards.iter().filter(|(_, replica)| replica.can_vote()).map(|(shard, _)| shard);
+        let is_stalled = self.pending_writes.is_stalled(self.now());
+        let disk_works = !is_stalled || self.has_fault(ControllerFault::CountStalledDisk);
+        let voting = self.shards.iter().filter(|(_, replica)| disk_works && replica.can_vote());
+        let voting = voting.map(|(shard, _)| shard);
         MemberStatus::new(self.incarnation, voting, self.is_draining())
     }
 
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -36,12 +36,14 @@
 use crate::message::CommittedConfiguration;
 use consensus::fault_tolerance::ToleranceMonitor;
 use consensus::freshness::Freshness;
+use consensus::pending_writes::PendingWrites;
 use consensus::quorum_contact::QuorumContact;
 use consensus::replica_groups::KnownGroups;
 use consensus::shards::Shards;
 use counters::Counters;
 use endpoints::pending_loads::PendingLoads;
 use endpoints::registry::EndpointRegistry;
+use endpoints::relay::RelayTargets;
 use feed::live_routers::LiveRouters;
 use feed::subscribers::Subscribers;
 use lanegate_config::configuration::Configuration;
@@ -73,6 +75,8 @@
     peers: Peers,
     subscribers: Subscribers,
     endpoints: EndpointRegistry,
+    relay_targets: RelayTargets,
+    pending_writes: PendingWrites,
     shards: Shards,
     pending_changes: PendingChanges,
     membership: FailureDetector,
@@ -119,6 +123,8 @@
     Read(tokio::sync::oneshot::Sender<event::Answer>),
     /// A read barrier: confirms that the known configuration is current.
     Barrier,
+    /// A further read of the configuration, while a member of its group does not answer.
+    Reread,
     /// A change of the group of a shard.
     MemberChange(u8),
     /// A change of the operator, by its number there.
--- a/crates/controller/src/controller/placement/placement_control.rs
+++ b/crates/controller/src/controller/placement/placement_control.rs
@@ -68,7 +68,7 @@
                 Output::Ended { shard, .. } => {
                     log::info!("lease released shard={shard}");
                     self.placers.tenure_ended(shard as u8);
-                    self.pending_loads.clear();
+                    self.pending_loads.tenure_ended(shard as u8);
                 }
             }
         }
--- a/crates/controller/src/controller/setup.rs
+++ b/crates/controller/src/controller/setup.rs
@@ -3,12 +3,14 @@
 use crate::controller::Controller;
 use crate::controller::consensus::fault_tolerance::ToleranceMonitor;
 use crate::controller::consensus::freshness::Freshness;
+use crate::controller::consensus::pending_writes::PendingWrites;
 use crate::controller::consensus::quorum_contact::QuorumContact;
 use crate::controller::consensus::records::Records;
 use crate::controller::consensus::shards::{self, ConfigurationMachine, EpochCounter, Shards};
 use crate::controller::counters::Counters;
 use crate::controller::endpoints::pending_loads::PendingLoads;
 use crate::controller::endpoints::registry::EndpointRegistry;
+use crate::controller::endpoints::relay::RelayTargets;
 use crate::controller::environment::Environment;
 use crate::controller::error::ControllerError;
 use crate::controller::fault::ControllerFault;
@@ -70,6 +72,8 @@
             subscribers: Subscribers::new(incarnation),
             endpoints: EndpointRegistry::new(heartbeat, control, incarnation)
                 .with_fault(fault.and_then(ControllerFault::acknowledgement)),
+            relay_targets: RelayTargets::default(),
+            pending_writes: PendingWrites::default(),
             shards: Shards::new(replicas),
             pending_changes: PendingChanges::new(incarnation),
             membership: FailureDetector::new(
--- a/crates/controller/tests/controller_faults.rs
+++ b/crates/controller/tests/controller_faults.rs
@@ -84,6 +84,22 @@
         ControllerFault::ReadLocally, "reads-at-everyone-out-of-touch";
     a_vote_before_its_record_is_durable_as_all_lose_power:
         ControllerFault::Register(Fault::ReplyBeforePersist), "disk-lost-while-all-others-lose-power";
+    a_recovery_from_one_controller_alone:
+        ControllerFault::Register(Fault::RecoverFromOne), "wiped-with-one-that-missed-a-change";
+    an_accept_below_a_promise:
+        ControllerFault::Register(Fault::AcceptBelowPromise), "accept-arrives-after-a-newer-promise";
+    a_read_of_what_a_minority_accepted:
+        ControllerFault::Register(Fault::ReadUncommitted), "read-finds-a-value-of-a-minority";
+    contact_by_answers_that_are_seconds_old:
+        ControllerFault::QuorumContact(ContactFault::AgeFromReceipt), "lag-grows-at-both-sources";
+    contact_by_heartbeats_that_are_received:
+        ControllerFault::QuorumContact(ContactFault::CountReceivedHeartbeats), "silence-nothing-leaves";
+    a_change_missed_behind_a_partial_cut:
+        ControllerFault::SkipReread, "changes-missed-behind-partial-cuts";
+    heartbeats_not_relayed_to_an_owner_that_does_not_hear_them:
+        ControllerFault::KeepHeartbeatsFromPeers, "owner-does-not-hear-the-called-controller";
+    a_stalled_disk_that_counts_as_a_vote:
+        ControllerFault::CountStalledDisk, "stalled-spare-does-not-join";
     a_read_from_what_one_controller_knows_beyond_tolerance:
         ControllerFault::ReadLocally, "losses-beyond-tolerance-lose-nothing";
 }
