Let the simulation's expectations return a named type; one fault search for all tests

An expectation returned a bare pair of a truth and a text. Three test files of the controller each read scenarios and looked for the seed that finds a deliberate fault, in a loop of their own, and two had the same macro.

Now `Evaluation` names both parts, and `tests/common` has one reader of all scenarios, one search and one macro.

--- a/crates/controller/src/simulation/expectation.rs
+++ b/crates/controller/src/simulation/expectation.rs
@@ -114,6 +114,23 @@
     }
 }
 
+/// Whether an expectation is met, and what was found.
+struct Evaluation {
+    is_met: bool,
+    found: String,
+}
+
+impl Evaluation {
+    fn new(is_met: bool, found: impl Into<String>) -> Self {
+        Evaluation { is_met, found: found.into() }
+    }
+
+    /// Something holds or does not.
+    fn holds(is_met: bool) -> Self {
+        Evaluation::new(is_met, if is_met { "that" } else { "not that" })
+    }
+}
+
 fn change_status_text(status: ChangeStatus) -> &'static str {
     match status {
         ChangeStatus::Open => "open",
@@ -135,64 +152,66 @@
 
 impl World {
     pub(super) fn expect(&self, step: usize, expectation: &Expectation) -> Result<(), Violation> {
-        let (is_met, found) = self.evaluate(expectation);
-        if is_met {
+        let evaluation = self.evaluate(expectation);
+        if evaluation.is_met {
             return Ok(());
         }
-        Err(Violation::Unmet { step, expected: expectation.to_string(), found })
+        Err(Violation::Unmet { step, expected: expectation.to_string(), found: evaluation.found })
     }
 
-    /// Whether an expectation is met, and what was found.
-    fn evaluate(&self, expectation: &Expectation) -> (bool, String) {
-        let truth = |is_met: bool| (is_met, if is_met { "that" } else { "not that" }.to_owned());
+    fn evaluate(&self, expectation: &Expectation) -> Evaluation {
         match expectation {
             Expectation::Change { number, status } => {
                 let found =
                     self.history.change(*number).map_or("nothing", |sent| change_status_text(sent.status));
-                (found == status, found.to_owned())
+                Evaluation::new(found == status, found)
             }
             Expectation::Read { number, status } => {
                 let read = self.history.reads.get(number.wrapping_sub(1));
                 let found = read.map_or("nothing", |read| read_status_text(read.status));
-                (found == status, found.to_owned())
+                Evaluation::new(found == status, found)
             }
             Expectation::Router { router, change } => {
                 let found = self.change_at(*router).unwrap_or_default();
-                (found == *change, format!("change {found}"))
-            }
-            Expectation::Uses { router, endpoint } => truth(self.uses(*router, *endpoint)),
-            Expectation::Avoids { router, endpoint } => truth(!self.uses(*router, *endpoint)),
-            Expectation::Acknowledged(endpoint) => truth(self.is_acknowledged(*endpoint)),
-            Expectation::Unacknowledged(endpoint) => truth(!self.is_acknowledged(*endpoint)),
-            Expectation::Member(host) => {
-                let groups = self.newest_groups();
-                (groups.iter().all(|group| group.contains(host)), format!("{groups:?}"))
-            }
-            Expectation::NoMember(host) => {
-                let groups = self.newest_groups();
-                (groups.iter().all(|group| !group.contains(host)), format!("{groups:?}"))
-            }
-            Expectation::GroupSize(size) => {
-                let groups = self.newest_groups();
-                (groups.iter().all(|group| group.len() == *size), format!("{groups:?}"))
+                Evaluation::new(found == *change, format!("change {found}"))
             }
+            Expectation::Uses { router, endpoint } => Evaluation::holds(self.uses(*router, *endpoint)),
+            Expectation::Avoids { router, endpoint } => Evaluation::holds(!self.uses(*router, *endpoint)),
+            Expectation::Acknowledged(endpoint) => Evaluation::holds(self.is_acknowledged(*endpoint)),
+            Expectation::Unacknowledged(endpoint) => Evaluation::holds(!self.is_acknowledged(*endpoint)),
+            Expectation::Member(host) => self.every_group(|group| group.contains(host)),
+            Expectation::NoMember(host) => self.every_group(|group| !group.contains(host)),
+            Expectation::GroupSize(size) => self.every_group(|group| group.len() == *size),
             Expectation::Margin(losses) => {
                 let found = self.fault_tolerances();
                 let enough = |margin: &Option<usize>| margin.is_some_and(|margin| margin >= *losses);
-                (!found.is_empty() && found.iter().all(|(_, margin)| enough(margin)), format!("{found:?}"))
+                let is_met = !found.is_empty() && found.iter().all(|(_, margin)| enough(margin));
+                Evaluation::new(is_met, format!("{found:?}"))
             }
-            Expectation::Down(host) => truth(self.is_down(*host)),
+            Expectation::Down(host) => Evaluation::holds(self.is_down(*host)),
             Expectation::Holders(count) => {
                 let found = self.holders().len();
-                (found == *count, found.to_string())
+                Evaluation::new(found == *count, found.to_string())
+            }
+            Expectation::Acts(host) => Evaluation::holds(self.holders().contains(host)),
+            Expectation::Idle(host) => Evaluation::holds(!self.holders().contains(host)),
+            Expectation::Orders(count) => {
+                let found = self.history.orders;
+                Evaluation::new(found >= *count, found.to_string())
+            }
+            Expectation::Lost(count) => {
+                let found = self.history.lost;
+                Evaluation::new(found <= *count, found.to_string())
             }
-            Expectation::Acts(host) => truth(self.holders().contains(host)),
-            Expectation::Idle(host) => truth(!self.holders().contains(host)),
-            Expectation::Orders(count) => (self.history.orders >= *count, self.history.orders.to_string()),
-            Expectation::Lost(count) => (self.history.lost <= *count, self.history.lost.to_string()),
         }
     }
 
+    /// Whether the newest group of each shard is as it should be.
+    fn every_group(&self, is_right: impl Fn(&Vec<Host>) -> bool) -> Evaluation {
+        let groups = self.newest_groups();
+        Evaluation::new(groups.iter().all(is_right), format!("{groups:?}"))
+    }
+
     /// The change that made the configuration of a router.
     fn change_at(&self, router: Host) -> Option<usize> {
         let Host::Router(index) = router else { return None };
--- a/crates/controller/tests/behaviour_digests.rs
+++ b/crates/controller/tests/behaviour_digests.rs
@@ -1,9 +1,12 @@
 //! What the whole simulated control side does stays as it was: frames, stored records, orders, calls and
 //! answers with their times, and at the end the status and the metrics of every controller.
 
+#[path = "common/scenario_files.rs"]
+mod scenario_files;
+
 use lanegate_controller::simulation::{Scenario, World, random_link_scenario, random_scenario};
 use lanegate_golden::assert_digests;
-use std::path::{Path, PathBuf};
+use scenario_files::all_scenarios;
 
 /// Random scenarios that are played.
 const SEEDS: u64 = 300;
@@ -31,20 +34,6 @@
     })
 }
 
-fn scenario_files() -> Vec<PathBuf> {
-    let directory = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
-    let files = std::fs::read_dir(directory).expect("the directory of scenarios");
-    let mut paths: Vec<PathBuf> = files.map(|file| file.expect("a file").path()).collect();
-    paths.sort();
-    paths
-}
-
-fn read(path: &Path) -> (String, Scenario) {
-    let name = path.file_stem().expect("a file name").to_string_lossy().into_owned();
-    let text = std::fs::read_to_string(path).expect("a scenario");
-    (name, text.parse().unwrap_or_else(|error| panic!("{}: {error}", path.display())))
-}
-
 #[test]
 fn random_schedules_do_what_they_did() {
     let scenarios: Vec<_> = (0..SEEDS).map(|seed| (seed.to_string(), random_scenario(seed))).collect();
@@ -60,6 +49,5 @@
 
 #[test]
 fn written_scenarios_do_what_they_did() {
-    let scenarios: Vec<_> = scenario_files().iter().map(|path| read(path)).collect();
-    assert_digests(env!("CARGO_MANIFEST_DIR"), "scenarios", digests_of(&scenarios));
+    assert_digests(env!("CARGO_MANIFEST_DIR"), "scenarios", digests_of(&all_scenarios()));
 }
--- a/crates/controller/tests/controller_faults.rs
+++ b/crates/controller/tests/controller_faults.rs
@@ -4,38 +4,27 @@
 #[path = "common/scenarios.rs"]
 mod scenarios;
 
+#[path = "common/fault_search.rs"]
+mod fault_search;
+
+#[macro_use]
+#[path = "common/finds.rs"]
+mod finds;
+
+use fault_search::assert_finds;
 use lanegate_controller::controller::{ContactFault, ControllerFault};
-use lanegate_controller::simulation::{Violation, World};
 use lanegate_coordination::register::Fault;
-use scenarios::scenario;
 
 /// Seeds with which a scenario is played at most.
 const SEEDS: u64 = 200;
 
-/// The first broken rule, and the seed with which it was.
-fn first_violation(name: &str, fault: ControllerFault) -> Option<(u64, Violation)> {
-    let mut scenario = scenario(name);
-    let first = scenario.seed;
-    (first..first + SEEDS).find_map(|seed| {
-        scenario.seed = seed;
-        World::play(&scenario, Some(fault)).err().map(|violation| (seed, violation))
-    })
-}
-
-macro_rules! caught {
-    ($($name:ident: $fault:expr, $scenario:literal;)*) => {
-        $(
-            #[test]
-            fn $name() {
-                let found = first_violation($scenario, $fault);
-                println!("{:?}: {found:?}", $fault);
-                assert!(found.is_some(), "{} does not catch {:?}", $scenario, $fault);
-            }
-        )*
-    };
+#[track_caller]
+fn found_by(name: &str, fault: ControllerFault) {
+    assert_finds(name, fault, SEEDS);
 }
 
-caught! {
+finds! {
+    found_by;
     a_read_from_what_one_controller_knows:
         ControllerFault::ReadLocally, "cut-off-for-twenty-seconds";
     a_change_acknowledged_once_proposed:
--- a/crates/controller/tests/one_change.rs
+++ b/crates/controller/tests/one_change.rs
@@ -4,31 +4,19 @@
 #[path = "common/scenarios.rs"]
 mod scenarios;
 
+#[path = "common/fault_search.rs"]
+mod fault_search;
+
+use fault_search::assert_finds;
 use lanegate_controller::controller::ControllerFault;
-use lanegate_controller::simulation::{Scenario, Violation, World};
 use lanegate_coordination::register::Fault;
-use scenarios::scenario;
 
 /// Seeds from a scenario's own on with which a fault is looked for that shows by chance.
 const SEEDS: u64 = 16;
 
-fn played(name: &str, fault: ControllerFault, seeds: u64) -> Option<Violation> {
-    let scenario = scenario(name);
-    let first = scenario.seed;
-    (first..first + seeds).find_map(|seed| {
-        let play = Scenario { seed, ..scenario.clone() };
-        World::play(&play, Some(fault)).err()
-    })
-}
-
+#[track_caller]
 fn check(name: &str, fault: ControllerFault) {
-    check_with(name, fault, 1);
-}
-
-fn check_with(name: &str, fault: ControllerFault, seeds: u64) {
-    let violation = played(name, fault, seeds);
-    println!("{name}, {fault:?}: {violation:?}");
-    assert!(violation.is_some(), "{name} does not find {fault:?}");
+    assert_finds(name, fault, 1);
 }
 
 #[test]
@@ -48,7 +36,7 @@
 
 #[test]
 fn a_vote_before_its_record_is_durable_shows() {
-    check_with(
+    assert_finds(
         "stalled-disks-acknowledge-nothing",
         ControllerFault::Register(Fault::ReplyBeforePersist),
         SEEDS,
--- a/crates/controller/tests/repair_faults.rs
+++ b/crates/controller/tests/repair_faults.rs
@@ -4,6 +4,14 @@
 #[path = "common/scenarios.rs"]
 mod scenarios;
 
+#[path = "common/fault_search.rs"]
+mod fault_search;
+
+#[macro_use]
+#[path = "common/finds.rs"]
+mod finds;
+
+use fault_search::assert_finds;
 use lanegate_controller::controller::{AcknowledgementFault, ControllerFault, ReplacementFault};
 use lanegate_controller::simulation::{Scenario, World};
 use scenarios::scenario;
@@ -15,29 +23,16 @@
 #[track_caller]
 fn found_by(name: &str, fault: ControllerFault) {
     let scenario = scenario(name);
-    let seeds = scenario.seed..scenario.seed + SEEDS;
-    let scenarios: Vec<Scenario> = seeds.map(|seed| Scenario { seed, ..scenario.clone() }).collect();
-    for scenario in &scenarios {
-        let played = World::play(scenario, None).map_err(|violation| violation.to_string());
-        assert_eq!(played, Ok(()), "{name} with seed {}", scenario.seed);
+    for seed in scenario.seed..scenario.seed + SEEDS {
+        let play = Scenario { seed, ..scenario.clone() };
+        let played = World::play(&play, None).map_err(|violation| violation.to_string());
+        assert_eq!(played, Ok(()), "{name} with seed {seed}");
     }
-    let found = scenarios.iter().find_map(|scenario| World::play(scenario, Some(fault)).err());
-    println!("{fault:?}: {found:?}");
-    assert!(found.is_some(), "{name} does not find {fault:?}");
-}
-
-macro_rules! found {
-    ($($name:ident: $fault:expr, $scenario:literal;)*) => {
-        $(
-            #[test]
-            fn $name() {
-                found_by($scenario, $fault);
-            }
-        )*
-    };
+    assert_finds(name, fault, SEEDS);
 }
 
-found! {
+finds! {
+    found_by;
     suspicions_of_one_shard_applied_to_all:
         ControllerFault::Replacement(ReplacementFault::ShareSuspicions), "replaced-by-different-owners";
     a_spare_that_joins_before_it_can_vote:
