--- a/crates/day-generator/src/bin/loss-table.rs
+++ b/crates/day-generator/src/bin/loss-table.rs
@@ -1,4 +1,4 @@
-//! The command line that tells where the worth of played days was lost.
+//! The command line that prints where the value of played days was lost.
 
 use bpaf::{OptionParser, Parser, construct, positional};
 use day_generator::loss::DayReport;
@@ -26,12 +26,12 @@
         .some("name at least one report");
     construct!(Arguments { reports })
         .to_options()
-        .descr("Tells for each played day how much worth was lost to what")
+        .descr("Prints for each played day how much value was lost to what")
         .version(env!("CARGO_PKG_VERSION"))
 }
 
 fn main() -> ExitCode {
-    match options().run().reports.iter().try_for_each(|path| tell(path)) {
+    match options().run().reports.iter().try_for_each(|path| print_table(path)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
@@ -40,7 +40,7 @@
     }
 }
 
-fn tell(path: &Path) -> Result<(), TableError> {
+fn print_table(path: &Path) -> Result<(), TableError> {
     let read = std::fs::read_to_string(path);
     let text = read.map_err(|error| TableError::Read { path: path.to_owned(), error })?;
     let report = DayReport::read(&text);
--- a/crates/day-generator/src/catalogue.rs
+++ b/crates/day-generator/src/catalogue.rs
@@ -1,17 +1,17 @@
-//! Every kind of trouble, with its variants, its fields and their ranges.
+//! Every kind of fault, with its variants, its fields and their ranges.
 
 pub use crate::kind::{Availability, Category, Field, Kind, Part, Scope, Slot};
 
-use crate::kind::{number, whole};
-use Category::{Change, Client, Clock, ControllerLoss, Cut, Disk, Endpoint, Replacement, Router};
+use crate::kind::{integer, number};
+use Category::{Change, Client, Clock, ControllerLoss, Disk, Endpoint, Link, Replacement, Router};
 
 /// Down time of a controller, seconds; now and then it is away for most of a day.
 const AWAY: Field = number("for_s", 0.8, 6.0).or_rarely(10.0, 22.0);
 const BRIEF: Field = number("for_s", 0.8, 4.0);
 const SPELL: Field = number("for_s", 2.0, 7.0);
-const ONE: Field = whole("count", 1, 1);
-const FEW: Field = whole("count", 1, 2);
-const PAUSE: Field = number("gap_s", 0.2, 1.5);
+const ONE: Field = integer("count", 1, 1);
+const FEW: Field = integer("count", 1, 2);
+const INTERVAL: Field = number("gap_s", 0.2, 1.5);
 const SOME_ENDPOINTS: Field = number("share", 0.08, 0.2);
 const SOME_ROUTERS: Field = number("share", 0.1, 0.4);
 const CONFIGURATION_PARTS: Slot = &["route", "weights", "timeout", "tenant", "quota", "idle"];
@@ -55,23 +55,23 @@
     Kind::planned(
         "roll_term",
         Replacement,
-        &[number("share", 0.3, 1.0), whole("x", 1, 1), number("gap_s", 1.0, 4.0)],
+        &[number("share", 0.3, 1.0), integer("x", 1, 1), number("gap_s", 1.0, 4.0)],
     )
     .with(&[&["", "busy"]])
     .on(Scope::Core),
-    Kind::fault("core_cut", Cut, &[FEW, AWAY])
+    Kind::fault("core_cut", Link, &[FEW, AWAY])
         .with(&[
             &["", "", "all", "near", "oldest", "one_way", "seeds", "both", "lure"],
             &["", "", "reset", "refuse"],
         ])
         .choosing(),
-    Kind::fault("node_cut", Cut, &[SOME_ROUTERS, SPELL]).with(&[&["", "all", "servers"]]),
-    Kind::fault("srv_cut", Cut, &[SOME_ENDPOINTS, number("x", 0.1, 0.5), SPELL])
+    Kind::fault("node_cut", Link, &[SOME_ROUTERS, SPELL]).with(&[&["", "all", "servers"]]),
+    Kind::fault("srv_cut", Link, &[SOME_ENDPOINTS, number("x", 0.1, 0.5), SPELL])
         .with(&[&["", "fronts", "one_way", "reset"]])
         .on(Scope::Service),
-    Kind::fault("reset_conns", Cut, &[number("share", 0.1, 0.6), number("x", 0.2, 1.0)]),
-    Kind::fault("reset_conns", Cut, &[number("share", 0.4, 1.0), number("x", 0.3, 1.0)]).on(Scope::Core),
-    Kind::fault("lossy", Cut, &[number("x", 0.01, 0.04), SPELL]).on(Scope::Zone).only(Availability::Listed),
+    Kind::fault("reset_conns", Link, &[number("share", 0.1, 0.6), number("x", 0.2, 1.0)]),
+    Kind::fault("reset_conns", Link, &[number("share", 0.4, 1.0), number("x", 0.3, 1.0)]).on(Scope::Core),
+    Kind::fault("lossy", Link, &[number("x", 0.01, 0.04), SPELL]).on(Scope::Zone).only(Availability::Listed),
     Kind::fault("disk_slow", Disk, &[FEW, number("x", 10.0, 80.0), number("for_s", 2.0, 9.0)]).choosing(),
     Kind::fault("disk_full", Disk, &[FEW, number("for_s", 2.0, 7.0).or_rarely(10.0, 18.0)]).choosing(),
     Kind::fault("disk_stall", Disk, &[FEW, number("for_s", 1.0, 5.0).or_rarely(6.0, 12.0)]).choosing(),
@@ -81,8 +81,8 @@
     Kind::planned("config_change", Change, &[]).with(&[CONFIGURATION_PARTS]),
     Kind::planned("config_storm", Change, &[number("for_s", 1.5, 8.0), number("gap_s", 0.08, 0.9)])
         .with(&[CONFIGURATION_PARTS]),
-    Kind::planned("config_race", Change, &[whole("count", 1, 5), PAUSE]),
-    Kind::planned("bad_config", Change, &[whole("count", 1, 4), PAUSE]).with(&[&[
+    Kind::planned("config_race", Change, &[integer("count", 1, 5), INTERVAL]),
+    Kind::planned("bad_config", Change, &[integer("count", 1, 4), INTERVAL]).with(&[&[
         "",
         "cut_short",
         "unknown_service",
@@ -94,7 +94,7 @@
         "stale_match",
         "shared_key",
     ]]),
-    Kind::planned("big_config", Change, &[whole("count", 200, 1400)]).only(Availability::Listed),
+    Kind::planned("big_config", Change, &[integer("count", 200, 1400)]).only(Availability::Listed),
     Kind::fault("ack_lost", Change, &[number("x", 0.3, 0.9), number("for_s", 3.0, 14.0)]),
     Kind::planned("hup", Change, &[number("share", 0.3, 1.0), number("gap_s", 0.5, 3.0)]),
     Kind::fault("node_kill", Router, &[SOME_ROUTERS, BRIEF]).with(&[POWER]),
@@ -104,14 +104,14 @@
     Kind::planned(
         "roll_term",
         Router,
-        &[number("share", 0.3, 1.0), whole("x", 1, 2), number("gap_s", 0.8, 2.0)],
+        &[number("share", 0.3, 1.0), integer("x", 1, 2), number("gap_s", 0.8, 2.0)],
     )
     .with(&[&["", "busy"]]),
     // Routers that leave do not come back: three such entries must leave some.
     Kind::planned(
         "roll_term",
         Router,
-        &[number("share", 0.1, 0.25), whole("x", 1, 2), number("gap_s", 0.8, 2.0)],
+        &[number("share", 0.1, 0.25), integer("x", 1, 2), number("gap_s", 0.8, 2.0)],
     )
     .with(&[&["remove"]]),
     Kind::fault("srv_crash", Endpoint, &[SOME_ENDPOINTS, SPELL])
@@ -122,7 +122,7 @@
     Kind::planned(
         "release",
         Endpoint,
-        &[number("share", 0.1, 0.4), whole("x", 1, 2), number("gap_s", 0.6, 1.5)],
+        &[number("share", 0.1, 0.4), integer("x", 1, 2), number("gap_s", 0.6, 1.5)],
     )
     .on(Scope::Service),
     Kind::planned("scale_in", Endpoint, &[SOME_ENDPOINTS]).on(Scope::Service),
@@ -156,6 +156,6 @@
         .on(Scope::Service)
         .only(Availability::Contract("pool")),
     Kind::fault("burst", Client, &[number("x", 1.3, 2.4), number("for_s", 2.0, 5.0)]).on(Scope::Traffic),
-    Kind::fault("retry_abuse", Client, &[number("share", 0.1, 0.4), whole("x", 1, 2), SPELL]),
+    Kind::fault("retry_abuse", Client, &[number("share", 0.1, 0.4), integer("x", 1, 2), SPELL]),
     Kind::fault("give_up", Client, &[number("share", 0.1, 0.4), SPELL]),
 ];
--- a/crates/day-generator/src/crowd.rs
+++ b/crates/day-generator/src/crowd.rs
@@ -1,8 +1,8 @@
 //! What days of the crowded profiles are full of: a few kinds, each often and with wider ranges than in the
 //! [`catalogue`](crate::catalogue).
 
-use crate::kind::{Category, Field, Kind, Scope, Slot, number, whole};
-use Category::{Change, Client, Clock, ControllerLoss, Cut, Endpoint, Replacement, Router};
+use crate::kind::{Category, Field, Kind, Scope, Slot, integer, number};
+use Category::{Change, Client, Clock, ControllerLoss, Endpoint, Link, Replacement, Router};
 
 /// A kind of which a crowd is drawn, and how often it comes in relation to the others.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -35,8 +35,8 @@
     Member { kind, weight }
 }
 
-const ONE: Field = whole("count", 1, 1);
-const ONE_OR_TWO_AT_A_TIME: Field = whole("x", 1, 2);
+const ONE: Field = integer("count", 1, 1);
+const ONE_OR_TWO_AT_A_TIME: Field = integer("x", 1, 2);
 const ALL_OF_THEM: Field = number("share", 1.0, 1.0);
 const BETWEEN_STOPS: Field = number("gap_s", 1.0, 3.0);
 const SPELL: Field = number("for_s", 2.0, 7.0);
@@ -49,7 +49,7 @@
 
 /// All controllers are stopped and started in turn.
 const ALL_CONTROLLERS_IN_TURN: Kind =
-    Kind::planned("roll_term", Replacement, &[ALL_OF_THEM, whole("x", 1, 1), number("gap_s", 1.0, 4.0)])
+    Kind::planned("roll_term", Replacement, &[ALL_OF_THEM, integer("x", 1, 1), number("gap_s", 1.0, 4.0)])
         .on(Scope::Core);
 
 /// Changes in quick succession that take nothing from what clients ask for.
@@ -73,7 +73,7 @@
         member(5, ALL_ROUTERS_IN_TURN),
         member(5, QUIET_STORM),
         member(2, Kind::planned("config_change", Change, &[]).with(&[QUIET_PARTS])),
-        member(1, Kind::planned("config_race", Change, &[whole("count", 1, 5), number("gap_s", 0.2, 1.5)])),
+        member(1, Kind::planned("config_race", Change, &[integer("count", 1, 5), number("gap_s", 0.2, 1.5)])),
         member(3, Kind::planned("hup", Change, &[number("share", 0.3, 1.0), number("gap_s", 0.5, 3.0)])),
         member(2, RELEASE),
         member(1, SCALE_IN),
@@ -91,7 +91,7 @@
 
 /// Demand that moves to other models.
 const MODEL_SHIFT: Kind =
-    Kind::planned("model_shift", Client, &[whole("count", 1, 6), number("for_s", 1.5, 11.0)]);
+    Kind::planned("model_shift", Client, &[integer("count", 1, 6), number("for_s", 1.5, 11.0)]);
 
 /// Orders to endpoints in quick succession, while those who give, carry or take them fail.
 pub const ORDERS: Crowd = Crowd {
@@ -114,18 +114,18 @@
         member(2, ALL_CONTROLLERS_IN_TURN),
         member(
             1,
-            Kind::fault("core_cut", Cut, &[ONE, number("for_s", 0.8, 6.0)])
+            Kind::fault("core_cut", Link, &[ONE, number("for_s", 0.8, 6.0)])
                 .with(&[&["", "all", "one_way"], &["", "giver"]]),
         ),
         member(
             2,
-            Kind::fault("reset_conns", Cut, &[number("share", 0.4, 1.0), number("x", 0.3, 1.0)])
+            Kind::fault("reset_conns", Link, &[number("share", 0.4, 1.0), number("x", 0.3, 1.0)])
                 .on(Scope::Core),
         ),
-        member(1, Kind::fault("lossy", Cut, &[number("x", 0.02, 0.05), number("for_s", 3.0, 8.0)])),
+        member(1, Kind::fault("lossy", Link, &[number("x", 0.02, 0.05), number("for_s", 3.0, 8.0)])),
         member(
             2,
-            Kind::fault("srv_cut", Cut, &[number("share", 0.1, 0.4), SPELL])
+            Kind::fault("srv_cut", Link, &[number("share", 0.1, 0.4), SPELL])
                 .with(&[&["", "fronts", "one_way", "reset"]])
                 .on(Scope::Service),
         ),
--- a/crates/day-generator/src/day.rs
+++ b/crates/day-generator/src/day.rs
@@ -3,7 +3,7 @@
 use std::fmt::{self, Display, Formatter};
 use toml::{Table, Value};
 
-/// One trouble, or one piece of planned work, of a day.
+/// One fault, or one piece of planned work, of a day.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Entry {
     /// Seconds from the start of traffic.
@@ -39,7 +39,7 @@
     pub head: Table,
     /// Planned work.
     pub plan: Vec<Table>,
-    /// All other troubles.
+    /// All other faults.
     pub faults: Vec<Table>,
     /// What clients send.
     pub traffic: Vec<Table>,
--- a/crates/day-generator/src/draw.rs
+++ b/crates/day-generator/src/draw.rs
@@ -2,10 +2,10 @@
 
 use crate::day::{Day, Entry};
 use crate::entry::draw_number;
+use crate::faults::{InjectedFault, draw_faults};
 use crate::kind::{Part, Slot};
 use crate::profile::Profile;
 use crate::site::{Site, StandardDay};
-use crate::troubles::{Trouble, draw_troubles};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -25,7 +25,7 @@
 const MIXED_LABEL: &str = "drawn";
 
 /// Largest seed of a day.
-const MOST_DAY_SEED: i64 = 1 << 31;
+const MAX_DAY_SEED: i64 = 1 << 31;
 
 /// Distance of the generators of two days of one seed (an odd number near 2^64 / golden ratio).
 const DAY_STRIDE: u64 = 0x9e37_79b9_7f4a_7c15;
@@ -61,14 +61,14 @@
     let standard = site.days().choose(&mut random).expect("a site has a day");
     let name = format!("{}-{seed}-{number}", draw.label().unwrap_or(MIXED_LABEL));
     let head = draw_head(standard, name, &mut random);
-    let troubles = draw_troubles(site, profile, &mut random);
+    let faults = draw_faults(site, profile, &mut random);
     let mut plan: Vec<Table> = standard.demand_shifts().cloned().collect();
-    plan.extend(tables(&troubles, Part::Plan));
+    plan.extend(tables(&faults, Part::Plan));
     Day {
         origin: origin(site, draw, number),
         head,
         plan,
-        faults: tables(&troubles, Part::Faults),
+        faults: tables(&faults, Part::Faults),
         traffic: standard.traffic.clone(),
     }
 }
@@ -85,7 +85,7 @@
     let mut head = Table::new();
     head.insert("name".into(), Value::String(name));
     head.insert("slot".into(), Value::String("trouble".into()));
-    head.insert("seed".into(), Value::Integer(random.random_range(1..MOST_DAY_SEED)));
+    head.insert("seed".into(), Value::Integer(random.random_range(1..MAX_DAY_SEED)));
     head.insert("closing".into(), Value::Table(draw_closing(random)));
     head.insert("one".into(), standard.one.clone());
     head.insert("zero".into(), standard.zero.clone());
@@ -110,9 +110,9 @@
 }
 
 /// The entries of one list, in order of time.
-fn tables(troubles: &[Trouble], part: Part) -> Vec<Table> {
+fn tables(faults: &[InjectedFault], part: Part) -> Vec<Table> {
     let mut entries: Vec<&Entry> =
-        troubles.iter().filter(|trouble| trouble.part() == part).map(|trouble| &trouble.entry).collect();
+        faults.iter().filter(|fault| fault.part() == part).map(|fault| &fault.entry).collect();
     entries.sort_by(|left, right| left.at.total_cmp(&right.at));
     entries.into_iter().map(Entry::to_table).collect()
 }
--- a/crates/day-generator/src/entry.rs
+++ b/crates/day-generator/src/entry.rs
@@ -1,4 +1,4 @@
-//! Drawing one trouble: its variant, its strength, its length and its place.
+//! Drawing one fault: its variant, its strength, its length and its place.
 
 use crate::day::Entry;
 use crate::kind::{Field, Kind, Scope};
@@ -12,13 +12,13 @@
 /// How often a number is drawn from its rare range.
 const RARE_CHANCE: f64 = 0.15;
 
-/// How often a trouble of endpoints is narrowed to one service.
+/// How often a fault of endpoints is narrowed to one service.
 const SERVICE_CHANCE: f64 = 0.7;
 
 /// How often a burst is narrowed, to a zone or to a kind of requests.
 const TRAFFIC_CHANCE: f64 = 0.8;
 
-/// Draws a trouble of this kind that begins at `at` seconds.
+/// Draws a fault of this kind that begins at `at` seconds.
 pub fn draw_entry(site: &Site, kind: &Kind, at: f64, random: &mut SmallRng) -> Entry {
     let how = draw_variant(kind, random);
     let mut fields = Table::new();
@@ -34,7 +34,7 @@
         Some(rare) if random.random_bool(RARE_CHANCE) => rare,
         _ => (field.low, field.high),
     };
-    if field.whole {
+    if field.is_integer {
         return Value::Integer(random.random_range(range.0 as i64..=range.1 as i64));
     }
     Value::Float(draw_number(random, range))
--- a/crates/day-generator/src/faults.rs
+++ b/crates/day-generator/src/faults.rs
@@ -1,4 +1,4 @@
-//! Which troubles a day has, and when they begin.
+//! Which faults a day has, and when they begin.
 
 use crate::catalogue::KINDS;
 use crate::crowd::{Count, Crowd, Member};
@@ -14,99 +14,99 @@
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 
-/// Fewest troubles of a mixed day, planned work included.
-const FEWEST_TROUBLES: usize = 6;
+/// Fewest faults of a mixed day, planned work included.
+const MIN_FAULTS: usize = 6;
 
-/// No mixed day has more troubles than this; kinds would run out not far beyond.
-const MOST_TROUBLES: usize = 60;
+/// No mixed day has more faults than this; kinds would run out not far beyond.
+const MAX_FAULTS: usize = 60;
 
-/// Most troubles of one kind in a day.
-const MOST_OF_A_KIND: usize = 3;
+/// Most faults of one kind in a day.
+const MAX_OF_A_KIND: usize = 3;
 
-/// Most moments at which several troubles of a mixed day come together.
-const MOST_MOMENTS: usize = 3;
+/// Most moments at which several faults of a mixed day come together.
+const MAX_MOMENTS: usize = 3;
 
-/// How often a trouble of a mixed day comes at one of the moments.
+/// How often a fault of a mixed day comes at one of the moments.
 const MOMENT_CHANCE: f64 = 0.6;
 
-/// Troubles of one moment begin within this time, seconds.
+/// Faults of one moment begin within this time, seconds.
 const MOMENT_LENGTH_S: f64 = 1.5;
 
-/// The first trouble comes no earlier, seconds.
+/// The first fault comes no earlier, seconds.
 const EARLIEST_S: f64 = 1.0;
 
-/// Time between the last trouble and the end of traffic, seconds.
+/// Time between the last fault and the end of traffic, seconds.
 const LAST_BEFORE_END_S: f64 = 2.0;
 
-/// A trouble of a day, and the kind that it was drawn from.
+/// A fault of a day, and the kind that it was drawn from.
 #[derive(Debug)]
-pub struct Trouble {
+pub struct InjectedFault {
     pub kind: Kind,
     pub entry: Entry,
 }
 
-impl Trouble {
+impl InjectedFault {
     /// The list of the day in which it stands.
     pub fn part(&self) -> Part {
         self.kind.part
     }
 }
 
-/// Draws all troubles of a day.
-pub fn draw_troubles(site: &Site, profile: Profile, random: &mut SmallRng) -> Vec<Trouble> {
+/// Draws all faults of a day.
+pub fn draw_faults(site: &Site, profile: Profile, random: &mut SmallRng) -> Vec<InjectedFault> {
     match profile {
-        Profile::Mixed { weights, most_troubles } => draw_mixed(site, weights, most_troubles, random),
+        Profile::Mixed { weights, max_faults } => draw_mixed(site, weights, max_faults, random),
         Profile::Planned | Profile::Orders => {
             profile.crowd().map(|crowd| draw_crowded(site, crowd, random)).unwrap_or_default()
         }
     }
 }
 
-fn draw_mixed(site: &Site, weights: Weights, most_troubles: usize, random: &mut SmallRng) -> Vec<Trouble> {
+fn draw_mixed(site: &Site, weights: Weights, max_faults: usize, random: &mut SmallRng) -> Vec<InjectedFault> {
     let moments = draw_moments(site, random);
-    let most = most_troubles.clamp(FEWEST_TROUBLES, MOST_TROUBLES);
-    let wanted = random.random_range(FEWEST_TROUBLES..=most);
-    let mut troubles: Vec<Trouble> = Vec::new();
-    while troubles.len() < wanted {
+    let most = max_faults.clamp(MIN_FAULTS, MAX_FAULTS);
+    let wanted = random.random_range(MIN_FAULTS..=most);
+    let mut faults: Vec<InjectedFault> = Vec::new();
+    while faults.len() < wanted {
         let kind = draw_kind(site, weights, random);
-        if troubles.iter().filter(|trouble| trouble.kind.name == kind.name).count() < MOST_OF_A_KIND {
+        if faults.iter().filter(|fault| fault.kind.name == kind.name).count() < MAX_OF_A_KIND {
             let at = draw_start(site, &moments, random);
-            troubles.push(Trouble { kind: *kind, entry: draw_entry(site, kind, at, random) });
+            faults.push(InjectedFault { kind: *kind, entry: draw_entry(site, kind, at, random) });
         }
     }
-    troubles
+    faults
 }
 
-fn draw_crowded(site: &Site, crowd: &Crowd, random: &mut SmallRng) -> Vec<Trouble> {
-    let mut troubles = vec![draw_at_any_time(site, crowd.always, random)];
+fn draw_crowded(site: &Site, crowd: &Crowd, random: &mut SmallRng) -> Vec<InjectedFault> {
+    let mut faults = vec![draw_at_any_time(site, crowd.always, random)];
     let of_crowd = draw_count(crowd.size, random);
-    add_drawn(&mut troubles, of_crowd, site, random, |random| draw_member(crowd.members, random));
+    add_drawn(&mut faults, of_crowd, site, random, |random| draw_member(crowd.members, random));
     let others = draw_count(crowd.others, random);
-    add_drawn(&mut troubles, others, site, random, |random| draw_fault(site, random));
-    troubles
+    add_drawn(&mut faults, others, site, random, |random| draw_unplanned_kind(site, random));
+    faults
 }
 
-/// Adds `count` troubles of the kinds that `draw` gives, none of them too often.
+/// Adds `count` faults of the kinds that `draw` gives, none of them too often.
 fn add_drawn(
-    troubles: &mut Vec<Trouble>,
+    faults: &mut Vec<InjectedFault>,
     count: usize,
     site: &Site,
     random: &mut SmallRng,
     draw: impl Fn(&mut SmallRng) -> Kind,
 ) {
-    let wanted = troubles.len() + count;
-    while troubles.len() < wanted {
+    let wanted = faults.len() + count;
+    while faults.len() < wanted {
         let kind = draw(random);
-        let alike = |trouble: &&Trouble| trouble.kind.name == kind.name && trouble.kind.scope == kind.scope;
-        if troubles.iter().filter(alike).count() < MOST_OF_A_KIND {
-            troubles.push(draw_at_any_time(site, kind, random));
+        let alike = |fault: &&InjectedFault| fault.kind.name == kind.name && fault.kind.scope == kind.scope;
+        if faults.iter().filter(alike).count() < MAX_OF_A_KIND {
+            faults.push(draw_at_any_time(site, kind, random));
         }
     }
 }
 
-fn draw_at_any_time(site: &Site, kind: Kind, random: &mut SmallRng) -> Trouble {
+fn draw_at_any_time(site: &Site, kind: Kind, random: &mut SmallRng) -> InjectedFault {
     let at = draw_number(random, (EARLIEST_S, latest(site)));
-    Trouble { kind, entry: draw_entry(site, &kind, at, random) }
+    InjectedFault { kind, entry: draw_entry(site, &kind, at, random) }
 }
 
 fn draw_count(count: Count, random: &mut SmallRng) -> usize {
@@ -119,7 +119,7 @@
 }
 
 /// A fault of the catalogue, of every category as often as of any other.
-fn draw_fault(site: &Site, random: &mut SmallRng) -> Kind {
+fn draw_unplanned_kind(site: &Site, random: &mut SmallRng) -> Kind {
     loop {
         let kind = draw_kind(site, Weights::Even, random);
         if kind.part == Part::Faults {
@@ -129,11 +129,11 @@
 }
 
 fn draw_moments(site: &Site, random: &mut SmallRng) -> Vec<f64> {
-    let count = random.random_range(1..=MOST_MOMENTS);
+    let count = random.random_range(1..=MAX_MOMENTS);
     (0..count).map(|_| draw_number(random, (EARLIEST_S, latest(site) - MOMENT_LENGTH_S))).collect()
 }
 
-/// The latest start of a trouble, seconds.
+/// The latest start of a fault, seconds.
 fn latest(site: &Site) -> f64 {
     site.length_s - LAST_BEFORE_END_S
 }
--- a/crates/day-generator/src/kind.rs
+++ b/crates/day-generator/src/kind.rs
@@ -1,4 +1,4 @@
-//! What a kind of trouble is made of: its category, its variants, its fields and their ranges.
+//! What a kind of fault is made of: its category, its variants, its fields and their ranges.
 
 /// What a kind strikes; weights are given by category.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -7,8 +7,8 @@
     ControllerLoss,
     /// Controllers and seeds that are exchanged for others.
     Replacement,
-    /// Cuts, resets and losses on links of the control plane.
-    Cut,
+    /// Partitions, resets and losses on links.
+    Link,
     /// Disks of controllers.
     Disk,
     /// The time of day.
@@ -28,7 +28,7 @@
     pub const ALL: [Self; 9] = [
         Self::ControllerLoss,
         Self::Replacement,
-        Self::Cut,
+        Self::Link,
         Self::Disk,
         Self::Clock,
         Self::Change,
@@ -51,7 +51,7 @@
     Always,
     /// On sites that name this contract.
     Contract(&'static str),
-    /// On sites that list it among their troubles.
+    /// On sites that list it among their faults.
     Listed,
 }
 
@@ -83,7 +83,7 @@
     pub high: f64,
     /// Now and then drawn from here instead.
     pub rare: Option<(f64, f64)>,
-    pub whole: bool,
+    pub is_integer: bool,
 }
 
 impl Field {
@@ -95,15 +95,15 @@
 
 /// A number that has a fraction.
 pub(crate) const fn number(key: &'static str, low: f64, high: f64) -> Field {
-    Field { key, low, high, rare: None, whole: false }
+    Field { key, low, high, rare: None, is_integer: false }
 }
 
 /// A whole number.
-pub(crate) const fn whole(key: &'static str, low: u32, high: u32) -> Field {
-    Field { key, low: low as f64, high: high as f64, rare: None, whole: true }
+pub(crate) const fn integer(key: &'static str, low: u32, high: u32) -> Field {
+    Field { key, low: low as f64, high: high as f64, rare: None, is_integer: true }
 }
 
-/// A kind of trouble.
+/// A kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Kind {
     pub name: &'static str,
--- a/crates/day-generator/src/lib.rs
+++ b/crates/day-generator/src/lib.rs
@@ -1,7 +1,7 @@
-//! Draws days of troubles for the operators' bench: a site file and a seed in, day files out.
+//! Draws days of faults for the operators' bench: a site file and a seed in, day files out.
 //!
 //! A day takes its traffic, its marks and its floors from one of the site's own days. What else it holds, its
-//! [`Profile`] tells: troubles of all kinds of the [`catalogue`], several at once and more than once, with every
+//! [`Profile`] tells: faults of all kinds of the [`catalogue`], several at once and more than once, with every
 //! variant that the kind has; or a [`crowd`] of a few kinds with few others beside it. The same site, seed and
 //! profile always give the same days.
 
@@ -11,13 +11,13 @@
 mod draw;
 mod entry;
 mod error;
+mod faults;
 mod files;
 mod kind;
 pub mod loss;
 pub mod play;
 mod profile;
 mod site;
-mod troubles;
 mod variant;
 mod weights;
 
--- a/crates/day-generator/src/loss.rs
+++ b/crates/day-generator/src/loss.rs
@@ -1,14 +1,14 @@
-//! Where the worth of a played day was lost: the parts of its figure and its prices, as points that add up to what
+//! Where the value of a played day was lost: the parts of its figure and its prices, as points that add up to what
 //! it lacks of 1, with the moments and kinds of requests that stand behind them.
 
 use serde::Deserialize;
 use std::fmt;
 
-/// Losses below this are told as one sum, points.
-const LEAST_TOLD: f64 = 0.000_5;
+/// Losses below this are reported as one sum, points.
+const MIN_REPORTED_LOSS: f64 = 0.000_5;
 
-/// Windows that are told, the worst first.
-const WINDOWS_TOLD: usize = 4;
+/// Windows that are reported, the worst first.
+const REPORTED_WINDOWS: usize = 4;
 
 /// What is read of the report that the bench writes of one day (`--report`).
 #[derive(Debug, Clone, Deserialize)]
@@ -30,7 +30,9 @@
     late: u64,
     refused: u64,
     failed: u64,
-    worth: f64,
+    /// Share of its value that was earned.
+    #[serde(rename = "worth")]
+    earned: f64,
 }
 
 /// Points lost for one reason.
@@ -48,9 +50,9 @@
 
     /// All losses, the largest first; they add up to [`DayReport::lacking`].
     pub fn losses(&self) -> Vec<Loss> {
-        let parts = self.parts.iter().map(|(name, weight, worth)| Loss {
-            cause: format!("{name}: {worth:.3} of 1, weight {weight}"),
-            points: weight * (1.0 - worth),
+        let parts = self.parts.iter().map(|(name, weight, earned)| Loss {
+            cause: format!("{name}: {earned:.3} of 1, weight {weight}"),
+            points: weight * (1.0 - earned),
         });
         let prices = self.prices.iter().map(|(name, amount, points)| Loss {
             cause: format!("price: {amount:.3} {name}"),
@@ -66,30 +68,30 @@
         1.0 - self.figure
     }
 
-    /// The windows that served the least of their worth, the worst first.
+    /// The windows that served the least of their value, the worst first.
     pub fn worst_windows(&self) -> Vec<&Counts> {
         let mut windows: Vec<&Counts> = self.windows.iter().collect();
-        windows.sort_by(|one, other| one.worth.total_cmp(&other.worth));
-        windows.truncate(WINDOWS_TOLD);
+        windows.sort_by(|one, other| one.earned.total_cmp(&other.earned));
+        windows.truncate(REPORTED_WINDOWS);
         windows
     }
 }
 
 impl fmt::Display for Counts {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Counts { name, n, late, refused, failed, worth } = self;
+        let Counts { name, n, late, refused, failed, earned } = self;
         write!(
             formatter,
-            "{name}: {worth:.3} of {n} requests; late {late}, refused {refused}, failed {failed}"
+            "{name}: {earned:.3} of {n} requests; late {late}, refused {refused}, failed {failed}"
         )
     }
 }
 
 impl fmt::Display for DayReport {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (told, small): (Vec<Loss>, Vec<Loss>) =
-            self.losses().into_iter().partition(|loss| loss.points >= LEAST_TOLD);
-        for loss in &told {
+        let (reported, small): (Vec<Loss>, Vec<Loss>) =
+            self.losses().into_iter().partition(|loss| loss.points >= MIN_REPORTED_LOSS);
+        for loss in &reported {
             writeln!(formatter, "{:8.4}  {}", loss.points, loss.cause)?;
         }
         let rest: f64 = small.iter().map(|loss| loss.points).sum();
--- a/crates/day-generator/src/main.rs
+++ b/crates/day-generator/src/main.rs
@@ -30,7 +30,7 @@
     let folder = positional::<PathBuf>("FOLDER").help("Where the day files go");
     construct!(Arguments { seed, count, profile(), site, folder })
         .to_options()
-        .descr("Draws days of troubles for a deployment")
+        .descr("Draws days of faults for a deployment")
         .version(env!("CARGO_PKG_VERSION"))
 }
 
@@ -46,17 +46,17 @@
         .argument::<String>("NAME")
         .parse(|name| name.parse::<Weights>())
         .optional();
-    let most_troubles = long("most-troubles")
-        .help("Most troubles of a day, 6 to 60 (default 13)")
+    let max_faults = long("max-faults")
+        .help("Most faults of a day, 6 to 60 (default 13)")
         .argument::<usize>("NUMBER")
         .optional();
-    construct!(crowded, weights, most_troubles).parse(|(crowded, weights, most_troubles)| {
-        match (crowded, weights, most_troubles) {
+    construct!(crowded, weights, max_faults).parse(|(crowded, weights, max_faults)| {
+        match (crowded, weights, max_faults) {
             (Some(profile), None, None) => Ok(profile),
             (Some(profile), ..) => Err(format!("profile {} takes no other options", profile.name())),
-            (None, weights, most_troubles) => Ok(Profile::Mixed {
+            (None, weights, max_faults) => Ok(Profile::Mixed {
                 weights: weights.unwrap_or(Weights::Control),
-                most_troubles: most_troubles.unwrap_or(Profile::DEFAULT_MOST_TROUBLES),
+                max_faults: max_faults.unwrap_or(Profile::DEFAULT_MAX_FAULTS),
             }),
         }
     })
--- a/crates/day-generator/src/profile.rs
+++ b/crates/day-generator/src/profile.rs
@@ -6,12 +6,12 @@
 /// A named way to fill days.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Profile {
-    /// Troubles of all kinds, several of them at common moments.
+    /// Faults of all kinds, several of them at common moments.
     Mixed {
         /// What is drawn most.
         weights: Weights,
-        /// Most troubles of a day, planned work included; taken as 6 to 60.
-        most_troubles: usize,
+        /// Most faults of a day, planned work included; taken as 6 to 60.
+        max_faults: usize,
     },
     /// Planned work of all sorts at once, with few faults beside it.
     Planned,
@@ -20,15 +20,15 @@
 }
 
 impl Profile {
-    /// Most troubles of a mixed day where nothing else is asked for.
-    pub const DEFAULT_MOST_TROUBLES: usize = 13;
+    /// Most faults of a mixed day where nothing else is asked for.
+    pub const DEFAULT_MAX_FAULTS: usize = 13;
 
     /// The profiles beside the mixed one.
     pub const CROWDED: [Self; 2] = [Self::Planned, Self::Orders];
 
     /// Mixed days of usual length.
     pub const fn mixed(weights: Weights) -> Self {
-        Self::Mixed { weights, most_troubles: Self::DEFAULT_MOST_TROUBLES }
+        Self::Mixed { weights, max_faults: Self::DEFAULT_MAX_FAULTS }
     }
 
     /// The name, as it stands on the command line.
--- a/crates/day-generator/src/site.rs
+++ b/crates/day-generator/src/site.rs
@@ -9,7 +9,7 @@
 /// Kind of the entries that stay with the traffic of the day that they come from.
 const DEMAND_SHIFT: &str = "model_shift";
 
-/// A deployment, as far as days of troubles depend on it.
+/// A deployment, as far as days of faults depend on it.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Site {
     /// Name of the deployment.
@@ -20,7 +20,8 @@
     zones: Vec<Named>,
     services: Vec<Named>,
     classes: Vec<Named>,
-    troubles: Vec<ListedTrouble>,
+    #[serde(rename = "troubles")]
+    listed_faults: Vec<ListedFault>,
     #[serde(rename = "day")]
     days: Vec<StandardDay>,
 }
@@ -31,7 +32,7 @@
 }
 
 #[derive(Debug, Clone, Deserialize)]
-struct ListedTrouble {
+struct ListedFault {
     kind: String,
 }
 
@@ -87,7 +88,7 @@
         match kind.availability {
             Availability::Always => true,
             Availability::Contract(contract) => self.contracts.iter().any(|known| known == contract),
-            Availability::Listed => self.troubles.iter().any(|trouble| trouble.kind == kind.name),
+            Availability::Listed => self.listed_faults.iter().any(|fault| fault.kind == kind.name),
         }
     }
 
--- a/crates/day-generator/src/variant.rs
+++ b/crates/day-generator/src/variant.rs
@@ -1,4 +1,4 @@
-//! Drawing the words of a trouble's variant.
+//! Drawing the words of a fault's variant.
 
 use crate::catalogue::{Kind, Slot};
 use rand::Rng;
--- a/crates/day-generator/src/weights.rs
+++ b/crates/day-generator/src/weights.rs
@@ -1,4 +1,4 @@
-//! How often troubles of each category are drawn.
+//! How often faults of each category are drawn.
 
 use crate::catalogue::Category;
 use std::str::FromStr;
@@ -41,7 +41,7 @@
     match category {
         Category::ControllerLoss => 10,
         Category::Replacement => 6,
-        Category::Cut => 7,
+        Category::Link => 7,
         Category::Disk => 4,
         Category::Clock => 1,
         Category::Change => 12,
@@ -58,7 +58,7 @@
         Category::Router => 3,
         Category::ControllerLoss
         | Category::Replacement
-        | Category::Cut
+        | Category::Link
         | Category::Disk
         | Category::Clock
         | Category::Change => 1,
--- a/crates/day-generator/tests/draw.rs
+++ b/crates/day-generator/tests/draw.rs
@@ -96,8 +96,8 @@
     phrase.split_whitespace().all(|word| words(entry).contains(&word))
 }
 
-/// The troubles of a day, without the shifts of demand that belong to the traffic.
-fn troubles(day: &Table) -> Vec<(Part, &Table)> {
+/// The faults of a day, without the shifts of demand that belong to the traffic.
+fn faults(day: &Table) -> Vec<(Part, &Table)> {
     let plan = entries(day, "plan").into_iter().map(|entry| (Part::Plan, entry));
     let faults = entries(day, "faults").into_iter().map(|entry| (Part::Faults, entry));
     plan.chain(faults).filter(|(_, entry)| text(entry, "kind") != "model_shift").collect()
@@ -141,8 +141,8 @@
         }
         let closing = day["closing"].as_table().unwrap();
         prop_assert!(CLOSINGS.contains(&text(closing, "kind")));
-        let drawn = troubles(&day);
-        prop_assert!((6..=13).contains(&drawn.len()), "{} troubles", drawn.len());
+        let drawn = faults(&day);
+        prop_assert!((6..=13).contains(&drawn.len()), "{} faults", drawn.len());
         for (part, entry) in drawn {
             prop_assert!(KINDS.iter().any(|kind| fits(kind, part, entry)), "{:?} fits no kind", entry);
             prop_assert!((1.0..=site.length_s).contains(&number_at(entry)));
@@ -153,7 +153,7 @@
     fn places_and_traffic_are_those_of_the_site(seed: u64, number in 0u32..1000) {
         let site = site("fjord-pilotage");
         let day = parsed(&draw_day(&site, draw(seed, Weights::Endpoints), number));
-        for (_, entry) in troubles(&day) {
+        for (_, entry) in faults(&day) {
             for (key, known) in [
                 ("zone", site.zones()),
                 ("to_zone", site.zones()),
@@ -178,7 +178,7 @@
 fn every_kind_with_every_variant_comes() {
     let site = site("fjord-pilotage");
     let days = days(&site, Weights::Even, 4000);
-    let drawn: Vec<(Part, &Table)> = days.iter().flat_map(troubles).collect();
+    let drawn: Vec<(Part, &Table)> = days.iter().flat_map(faults).collect();
     for kind in KINDS.iter().filter(|kind| kind.availability == Availability::Always) {
         let own: Vec<&Table> =
             drawn.iter().filter(|(part, entry)| fits(kind, *part, entry)).map(|(_, entry)| *entry).collect();
@@ -199,7 +199,7 @@
         KINDS.iter().filter(|kind| !site.knows(kind)).map(|kind| kind.name).collect();
     assert_eq!(unknown, BTreeSet::from(["big_config", "idle_race", "lossy", "srv_flap", "srv_lying_health"]));
     for day in days(&site, Weights::Even, 500) {
-        assert!(troubles(&day).iter().all(|(_, entry)| !unknown.contains(text(entry, "kind"))));
+        assert!(faults(&day).iter().all(|(_, entry)| !unknown.contains(text(entry, "kind"))));
     }
 }
 
@@ -208,7 +208,7 @@
     let mut most = 0;
     for day in days(&site("atoll-clinic"), Weights::Control, 300) {
         let mut counts = BTreeMap::new();
-        for (_, entry) in troubles(&day) {
+        for (_, entry) in faults(&day) {
             *counts.entry(text(entry, "kind").to_owned()).or_insert(0) += 1;
         }
         most = most.max(counts.into_values().max().unwrap_or(0));
@@ -217,23 +217,21 @@
 }
 
 #[test]
-fn harsher_days_have_more_troubles() {
+fn harsher_days_have_more_faults() {
     let site = site("atoll-clinic");
-    let of_at_most = |most_troubles| Draw {
-        seed: 7,
-        profile: Profile::Mixed { weights: Weights::Control, most_troubles },
-    };
-    let counts = (0..200).map(|number| troubles(&parsed(&draw_day(&site, of_at_most(25), number))).len());
+    let of_at_most =
+        |max_faults| Draw { seed: 7, profile: Profile::Mixed { weights: Weights::Control, max_faults } };
+    let counts = (0..200).map(|number| faults(&parsed(&draw_day(&site, of_at_most(25), number))).len());
     assert_eq!(counts.max(), Some(25));
-    assert_eq!(troubles(&parsed(&draw_day(&site, of_at_most(0), 0))).len(), 6);
+    assert_eq!(faults(&parsed(&draw_day(&site, of_at_most(0), 0))).len(), 6);
     let endless = of_at_most(usize::MAX);
-    assert!((0..200).all(|number| troubles(&parsed(&draw_day(&site, endless, number))).len() <= 60));
+    assert!((0..200).all(|number| faults(&parsed(&draw_day(&site, endless, number))).len() <= 60));
 }
 
 #[test]
 fn not_all_routers_leave() {
     for day in days(&site("fjord-pilotage"), Weights::Even, 2000) {
-        let all = troubles(&day);
+        let all = faults(&day);
         let leaving =
             all.iter().filter(|(_, entry)| says(entry, "remove")).map(|(_, entry)| number(entry, "share"));
         let leaving: f64 = leaving.sum();
@@ -244,21 +242,21 @@
 #[test]
 fn no_service_is_gone_for_good() {
     for day in days(&site("fjord-pilotage"), Weights::Even, 2000) {
-        let all = troubles(&day);
+        let all = faults(&day);
         assert!(!all.iter().any(|(_, entry)| says(entry, "gone all") && text(entry, "kind") == "srv_crash"));
     }
 }
 
 #[test]
-fn several_troubles_come_at_once() {
+fn several_faults_come_at_once() {
     let days = days(&site("atoll-clinic"), Weights::Control, 100);
     let crowded = days.iter().filter(|day| most_within(day, 1.5) >= 3).count();
-    assert!(crowded >= 60, "only {crowded} of 100 days have three troubles within 1.5 s");
+    assert!(crowded >= 60, "only {crowded} of 100 days have three faults within 1.5 s");
 }
 
-/// The most troubles that begin within some span of this length, seconds.
+/// The most faults that begin within some span of this length, seconds.
 fn most_within(day: &Table, span_s: f64) -> usize {
-    let starts: Vec<f64> = troubles(day).iter().map(|(_, entry)| number_at(entry)).collect();
+    let starts: Vec<f64> = faults(day).iter().map(|(_, entry)| number_at(entry)).collect();
     let after = |start: f64| starts.iter().filter(|other| (start..=start + span_s).contains(other)).count();
     starts.iter().map(|start| after(*start)).max().unwrap_or(0)
 }
@@ -268,7 +266,7 @@
     let site = site("fjord-pilotage");
     let share = |weights| {
         let days = days(&site, weights, 300);
-        let drawn: Vec<_> = days.iter().flat_map(troubles).collect();
+        let drawn: Vec<_> = days.iter().flat_map(faults).collect();
         let of_endpoints =
             drawn.iter().filter(|(part, entry)| is_of(Category::Endpoint, *part, entry)).count();
         of_endpoints as f64 / drawn.len() as f64
--- a/crates/day-generator/tests/reproducible.rs
+++ b/crates/day-generator/tests/reproducible.rs
@@ -25,7 +25,7 @@
         file: "fjord-pilotage-55-001.toml",
         seed: 55,
         number: 1,
-        profile: Profile::Mixed { weights: Weights::Control, most_troubles: 22 },
+        profile: Profile::Mixed { weights: Weights::Control, max_faults: 22 },
     },
     Drawn {
         site: "fjord-pilotage",
