--- a/crates/controller/src/simulation/expectation.rs
+++ b/crates/controller/src/simulation/expectation.rs
@@ -126,7 +126,7 @@
     }
 
     /// Something holds or does not.
-    fn holds(is_met: bool) -> Self {
+    fn of(is_met: bool) -> Self {
         Evaluation::new(is_met, if is_met { "that" } else { "not that" })
     }
 }
@@ -175,10 +175,10 @@
                 let found = self.change_at(*router).unwrap_or_default();
                 Evaluation::new(found == *change, format!("change {found}"))
             }
-            Expectation::Uses { router, endpoint } => Evaluation::holds(self.uses(*router, *endpoint)),
-            Expectation::Avoids { router, endpoint } => Evaluation::holds(!self.uses(*router, *endpoint)),
-            Expectation::Acknowledged(endpoint) => Evaluation::holds(self.is_acknowledged(*endpoint)),
-            Expectation::Unacknowledged(endpoint) => Evaluation::holds(!self.is_acknowledged(*endpoint)),
+            Expectation::Uses { router, endpoint } => Evaluation::of(self.uses(*router, *endpoint)),
+            Expectation::Avoids { router, endpoint } => Evaluation::of(!self.uses(*router, *endpoint)),
+            Expectation::Acknowledged(endpoint) => Evaluation::of(self.is_acknowledged(*endpoint)),
+            Expectation::Unacknowledged(endpoint) => Evaluation::of(!self.is_acknowledged(*endpoint)),
             Expectation::Member(host) => self.every_group(|group| group.contains(host)),
             Expectation::NoMember(host) => self.every_group(|group| !group.contains(host)),
             Expectation::GroupSize(size) => self.every_group(|group| group.len() == *size),
@@ -188,13 +188,13 @@
                 let is_met = !found.is_empty() && found.iter().all(|(_, margin)| enough(margin));
                 Evaluation::new(is_met, format!("{found:?}"))
             }
-            Expectation::Down(host) => Evaluation::holds(self.is_down(*host)),
+            Expectation::Down(host) => Evaluation::of(self.is_down(*host)),
             Expectation::Holders(count) => {
                 let found = self.holders().len();
                 Evaluation::new(found == *count, found.to_string())
             }
-            Expectation::Acts(host) => Evaluation::holds(self.holders().contains(host)),
-            Expectation::Idle(host) => Evaluation::holds(!self.holders().contains(host)),
+            Expectation::Acts(host) => Evaluation::of(self.holders().contains(host)),
+            Expectation::Idle(host) => Evaluation::of(!self.holders().contains(host)),
             Expectation::Orders(count) => {
                 let found = self.history.orders;
                 Evaluation::new(found >= *count, found.to_string())
--- a/crates/controller/src/simulation/faults.rs
+++ b/crates/controller/src/simulation/faults.rs
@@ -71,8 +71,8 @@
         let now = self.now();
         match step {
             Step::Partition { from, to } => self.partition(*from, *to),
-            Step::Silence { from, to } => {
-                self.network.silence(*from, *to);
+            Step::Blackhole { from, to } => {
+                self.network.blackhole(*from, *to);
                 self.paths_changed();
             }
             Step::Lag { from, to, time } => {
@@ -117,7 +117,7 @@
                 }
             }
             Step::Partition { from, to }
-            | Step::Silence { from, to }
+            | Step::Blackhole { from, to }
             | Step::Lag { from, to, .. }
             | Step::ResetOneSide { host: from, peer: to } => {
                 self.fault_history.machine(now, *from);
--- a/crates/controller/src/simulation/network.rs
+++ b/crates/controller/src/simulation/network.rs
@@ -1,7 +1,7 @@
 //! The simulated network between machines: delays, and faults of one direction each.
 //!
 //! Three faults differ in what happens to connections. A *partition* ends them: neither side gets acknowledgements,
-//! so both give them up after a while. A *silence* keeps them: packets of one direction are held back until it ends,
+//! so both give them up after a while. A *black hole* keeps them: packets of one direction are held back until it ends,
 //! while the transport of both sides is content, as behind a proxy that acknowledges what it has not delivered. A *lag* delivers
 //! everything, but seconds late: a queue on the way that has filled up.
 
@@ -21,7 +21,7 @@
     /// Directions in which nothing arrives.
     partitions: BTreeSet<(Host, Host)>,
     /// Directions in which nothing arrives, although connections last.
-    silences: BTreeSet<(Host, Host)>,
+    blackholes: BTreeSet<(Host, Host)>,
     /// Directions in which everything arrives this much later.
     lags: BTreeMap<(Host, Host), Duration>,
     /// Machines that are without power: nothing arrives there, nothing comes from there.
@@ -37,7 +37,7 @@
         Network {
             longest_delay: Duration::from_millis(USUAL_DELAY_MS),
             partitions: BTreeSet::new(),
-            silences: BTreeSet::new(),
+            blackholes: BTreeSet::new(),
             lags: BTreeMap::new(),
             dark: BTreeSet::new(),
             refusing: BTreeSet::new(),
@@ -51,9 +51,9 @@
         }
     }
 
-    pub(super) fn silence(&mut self, from: Host, to: Host) {
+    pub(super) fn blackhole(&mut self, from: Host, to: Host) {
         if from != to {
-            self.silences.insert((from, to));
+            self.blackholes.insert((from, to));
         }
     }
 
@@ -65,10 +65,10 @@
         }
     }
 
-    /// Ends all partitions, silences and refusals.
+    /// Ends all partitions, black holes and refusals.
     pub(super) fn heal(&mut self) {
         self.partitions.clear();
-        self.silences.clear();
+        self.blackholes.clear();
         self.refusing.clear();
     }
 
@@ -109,7 +109,7 @@
 
     /// Whether what is sent now arrives.
     pub(super) fn is_open(&self, from: Host, to: Host) -> bool {
-        self.is_connected(from, to) && !self.silences.contains(&(from, to))
+        self.is_connected(from, to) && !self.blackholes.contains(&(from, to))
     }
 
     /// Whether a connection between the two works.
--- a/crates/controller/src/simulation/schedule.rs
+++ b/crates/controller/src/simulation/schedule.rs
@@ -174,14 +174,14 @@
 fn add_link_fault(steps: &mut Vec<Step>, random: &mut SmallRng, cast: &Cast) {
     let (one, other) = (cast.any(random), cast.any(random));
     match random.random_range(0..8) {
-        0 => steps.push(Step::Silence { from: one, to: other }),
-        1 => steps.extend([Step::Silence { from: one, to: other }, wait(random), Step::Heal]),
+        0 => steps.push(Step::Blackhole { from: one, to: other }),
+        1 => steps.extend([Step::Blackhole { from: one, to: other }, wait(random), Step::Heal]),
         2 => {
-            steps.extend(links_from(random, cast, |from, to| Step::Silence { from, to }));
+            steps.extend(links_from(random, cast, |from, to| Step::Blackhole { from, to }));
             steps.extend([wait(random), Step::Heal]);
         }
         3 => {
-            steps.extend(links_from(random, cast, |to, from| Step::Silence { from, to }));
+            steps.extend(links_from(random, cast, |to, from| Step::Blackhole { from, to }));
             steps.extend([wait(random), Step::Heal]);
         }
         4 => steps.push(Step::Lag { from: one, to: other, time: random.random_range(1..=LONGEST_LAG) }),
--- a/crates/controller/src/simulation/step.rs
+++ b/crates/controller/src/simulation/step.rs
@@ -37,8 +37,8 @@
     Wait(u64),
     /// What one machine sends to another does not arrive.
     Partition { from: Host, to: Host },
-    /// What one machine sends to another is held back until the silence ends; connections last.
-    Silence { from: Host, to: Host },
+    /// What one machine sends to another is held back until it ends; connections last.
+    Blackhole { from: Host, to: Host },
     /// What one machine sends to another arrives so many milliseconds later: a queue on the way is full.
     Lag { from: Host, to: Host, time: u64 },
     /// The connections between two machines are reset at the first; the second notices late.
@@ -47,7 +47,7 @@
     Isolate { host: Host, scope: Scope },
     /// The machines of a set and all others no longer reach each other.
     Split(Vec<Host>),
-    /// All partitions, silences, lags and refusals end.
+    /// All partitions, black holes, lags and refusals end.
     Heal,
     /// A machine refuses new connections.
     Refuse(Host),
@@ -135,7 +135,7 @@
             Step::Crash(index) => write!(formatter, "crash {}", endpoint(index)),
             Step::Wait(time) => write!(formatter, "wait {time}"),
             Step::Partition { from, to } => write!(formatter, "cut {from} {to}"),
-            Step::Silence { from, to } => write!(formatter, "silence {from} {to}"),
+            Step::Blackhole { from, to } => write!(formatter, "blackhole {from} {to}"),
             Step::Lag { from, to, time } => write!(formatter, "lag {from} {to} {time}"),
             Step::ResetOneSide { host, peer } => write!(formatter, "abort {host} {peer}"),
             Step::Isolate { host, scope: Scope::Peers } => write!(formatter, "isolate {host} peers"),
@@ -274,7 +274,7 @@
 fn step_between(word: &str, first: &str, second: &str) -> Result<Step, NoStep> {
     Ok(match (word, second) {
         ("cut", _) => Step::Partition { from: host(first)?, to: host(second)? },
-        ("silence", _) => Step::Silence { from: host(first)?, to: host(second)? },
+        ("blackhole", _) => Step::Blackhole { from: host(first)?, to: host(second)? },
         ("abort", _) => Step::ResetOneSide { host: host(first)?, peer: host(second)? },
         ("isolate", "peers") => Step::Isolate { host: host(first)?, scope: Scope::Peers },
         ("isolate", "all") => Step::Isolate { host: host(first)?, scope: Scope::All },
--- a/crates/controller/tests/controller_faults.rs
+++ b/crates/controller/tests/controller_faults.rs
@@ -82,7 +82,7 @@
     contact_by_answers_that_are_seconds_old:
         ControllerFault::QuorumContact(ContactFault::AgeFromReceipt), "lag-grows-at-both-sources";
     contact_by_heartbeats_that_are_received:
-        ControllerFault::QuorumContact(ContactFault::CountReceivedHeartbeats), "silence-nothing-leaves";
+        ControllerFault::QuorumContact(ContactFault::CountReceivedHeartbeats), "blackhole-nothing-leaves";
     a_change_missed_behind_a_partial_cut:
         ControllerFault::SkipReread, "changes-missed-behind-partial-cuts";
     heartbeats_not_relayed_to_an_owner_that_does_not_hear_them:
