--- a/crates/day-generator/src/crowd.rs
+++ b/crates/day-generator/src/crowd.rs
@@ -39,7 +39,7 @@
 const ONE_OR_TWO_AT_A_TIME: Field = integer("x", 1, 2);
 const ALL_OF_THEM: Field = number("share", 1.0, 1.0);
 const BETWEEN_STOPS: Field = number("gap_s", 1.0, 3.0);
-const SPELL: Field = number("for_s", 2.0, 7.0);
+const DURATION: Field = number("for_s", 2.0, 7.0);
 const QUIET_PARTS: Slot = &["idle", "weights", "timeout", "route"];
 const BUSY: Slot = &["", "", "busy"];
 
@@ -98,7 +98,7 @@
     always: MODEL_SHIFT,
     members: &[
         member(6, MODEL_SHIFT),
-        member(3, Kind::fault("burst", Client, &[number("x", 1.3, 3.0), SPELL]).on(Scope::Traffic)),
+        member(3, Kind::fault("burst", Client, &[number("x", 1.3, 3.0), DURATION]).on(Scope::Traffic)),
         member(
             3,
             Kind::fault("node_kill", ControllerLoss, &[ONE, number("for_s", 0.8, 6.0)])
@@ -125,18 +125,22 @@
         member(1, Kind::fault("lossy", Link, &[number("x", 0.02, 0.05), number("for_s", 3.0, 8.0)])),
         member(
             2,
-            Kind::fault("srv_cut", Link, &[number("share", 0.1, 0.4), SPELL])
+            Kind::fault("srv_cut", Link, &[number("share", 0.1, 0.4), DURATION])
                 .with(&[&["", "fronts", "one_way", "reset"]])
                 .on(Scope::Service),
         ),
         member(
             2,
-            Kind::fault("clock_step", Clock, &[number("share", 0.3, 0.7), number("x", 500.0, 6500.0), SPELL])
-                .with(&[&["", "back", "ahead"]]),
+            Kind::fault(
+                "clock_step",
+                Clock,
+                &[number("share", 0.3, 0.7), number("x", 500.0, 6500.0), DURATION],
+            )
+            .with(&[&["", "back", "ahead"]]),
         ),
         member(
             3,
-            Kind::fault("srv_crash", Endpoint, &[number("share", 0.1, 0.35), SPELL])
+            Kind::fault("srv_crash", Endpoint, &[number("share", 0.1, 0.35), DURATION])
                 .with(&[&["", "dark"]])
                 .on(Scope::Service),
         ),
@@ -157,7 +161,7 @@
         ),
         member(
             2,
-            Kind::fault("srv_slow", Endpoint, &[number("share", 0.1, 0.35), number("x", 2.0, 6.0), SPELL])
+            Kind::fault("srv_slow", Endpoint, &[number("share", 0.1, 0.35), number("x", 2.0, 6.0), DURATION])
                 .on(Scope::Service),
         ),
         member(2, RELEASE),
