--- a/crates/day-generator/src/bin/play-days.rs
+++ b/crates/day-generator/src/bin/play-days.rs
@@ -79,9 +79,10 @@
 fn day_files(named: &[PathBuf]) -> Result<Vec<PathBuf>, Error> {
     let mut files = Vec::new();
     for path in named {
-        match path.is_dir() {
-            true => files.extend(files_of(path)?),
-            false => files.push(path.clone()),
+        if path.is_dir() {
+            files.extend(files_of(path)?);
+        } else {
+            files.push(path.clone());
         }
     }
     Ok(files)
--- a/crates/day-generator/src/crowd.rs
+++ b/crates/day-generator/src/crowd.rs
@@ -7,14 +7,18 @@
 /// A kind of which a crowd is drawn, and how often it comes in relation to the others.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Member {
+    /// The kind.
     pub kind: Kind,
+    /// How often it is drawn, in shares of the sum over all members.
     pub weight: u32,
 }
 
 /// Fewest and most of something.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Count {
+    /// The fewest.
     pub least: usize,
+    /// The most.
     pub most: usize,
 }
 
--- a/crates/day-generator/src/entry.rs
+++ b/crates/day-generator/src/entry.rs
@@ -19,7 +19,7 @@
 const TRAFFIC_CHANCE: f64 = 0.8;
 
 /// Draws a fault of this kind that begins at `at` seconds.
-pub fn draw_entry(site: &Site, kind: &Kind, at: f64, random: &mut SmallRng) -> Entry {
+pub(crate) fn draw_entry(site: &Site, kind: &Kind, at: f64, random: &mut SmallRng) -> Entry {
     let how = draw_variant(kind, random);
     let mut fields = Table::new();
     for field in kind.fields {
@@ -82,11 +82,11 @@
 }
 
 /// A number from a range, in hundredths.
-pub fn draw_number(random: &mut SmallRng, (low, high): (f64, f64)) -> f64 {
+pub(crate) fn draw_number(random: &mut SmallRng, (low, high): (f64, f64)) -> f64 {
     rounded(random.random_range(low..=high))
 }
 
 /// To hundredths, as day files are written.
-pub fn rounded(number: f64) -> f64 {
+pub(crate) fn rounded(number: f64) -> f64 {
     (number * 100.0).round() / 100.0
 }
--- a/crates/day-generator/src/faults.rs
+++ b/crates/day-generator/src/faults.rs
@@ -40,20 +40,20 @@
 
 /// A fault of a day, and the kind that it was drawn from.
 #[derive(Debug)]
-pub struct InjectedFault {
-    pub kind: Kind,
-    pub entry: Entry,
+pub(crate) struct InjectedFault {
+    pub(crate) kind: Kind,
+    pub(crate) entry: Entry,
 }
 
 impl InjectedFault {
     /// The list of the day in which it stands.
-    pub fn part(&self) -> Part {
+    pub(crate) fn part(&self) -> Part {
         self.kind.part
     }
 }
 
 /// Draws all faults of a day.
-pub fn draw_faults(site: &Site, profile: Profile, random: &mut SmallRng) -> Vec<InjectedFault> {
+pub(crate) fn draw_faults(site: &Site, profile: Profile, random: &mut SmallRng) -> Vec<InjectedFault> {
     match profile {
         Profile::Mixed { weights, max_faults } => draw_mixed(site, weights, max_faults, random),
         Profile::Planned | Profile::Orders => {
--- a/crates/day-generator/src/kind.rs
+++ b/crates/day-generator/src/kind.rs
@@ -41,13 +41,16 @@
 /// In which list of a day a kind stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Part {
+    /// Planned work.
     Plan,
+    /// All else.
     Faults,
 }
 
 /// On which sites a kind may come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Availability {
+    /// On all sites.
     Always,
     /// On sites that name this contract.
     Contract(&'static str),
@@ -78,11 +81,15 @@
 /// A number that a kind may carry.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Field {
+    /// Key in the day file; its unit is told by the key (`for_s` and `gap_s` are seconds).
     pub key: &'static str,
+    /// Least value.
     pub low: f64,
+    /// Greatest value.
     pub high: f64,
     /// Now and then drawn from here instead.
     pub rare: Option<(f64, f64)>,
+    /// Whether it has no fraction.
     pub is_integer: bool,
 }
 
@@ -106,14 +113,21 @@
 /// A kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Kind {
+    /// Name, as day files have it.
     pub name: &'static str,
+    /// What it strikes.
     pub category: Category,
+    /// The list of a day in which it stands.
     pub part: Part,
+    /// On which sites it may come.
     pub availability: Availability,
+    /// What it is narrowed to.
     pub scope: Scope,
+    /// Alternatives for each place of the variant.
     pub slots: &'static [Slot],
     /// Whether the variant may say which machine is struck and what meets it.
     pub chooses_machine: bool,
+    /// Numbers that it carries.
     pub fields: &'static [Field],
 }
 
--- a/crates/day-generator/src/lib.rs
+++ b/crates/day-generator/src/lib.rs
@@ -27,4 +27,4 @@
 pub use files::write_days;
 pub use profile::Profile;
 pub use site::Site;
-pub use weights::Weights;
+pub use weights::{UnknownWeights, Weights};
--- a/crates/day-generator/src/loss.rs
+++ b/crates/day-generator/src/loss.rs
@@ -38,12 +38,18 @@
 /// Points lost for one reason.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Loss {
+    /// The part of the figure, or the price, with its amount.
     pub cause: String,
+    /// What it takes off a figure of 1.
     pub points: f64,
 }
 
 impl DayReport {
     /// Reads a report.
+    ///
+    /// # Errors
+    ///
+    /// When the text is no report of a day.
     pub fn read(text: &str) -> Result<Self, serde_json::Error> {
         serde_json::from_str(text)
     }
--- a/crates/day-generator/src/play/bench.rs
+++ b/crates/day-generator/src/play/bench.rs
@@ -29,6 +29,7 @@
 pub struct Played {
     /// Name of the day's file, without its ending.
     pub name: String,
+    /// The bench's report, or why there is none.
     pub outcome: Result<Report, Error>,
 }
 
@@ -53,10 +54,10 @@
         command.stdin(Stdio::null()).stdout(output).stderr(errors);
         let status =
             command.status().map_err(|cause| Error::Start { program: self.program.clone(), cause })?;
-        match report.exists() {
-            true => Report::read(&report),
-            false => Err(Error::NoReport { day: day.to_path_buf(), status }),
+        if !report.exists() {
+            return Err(Error::NoReport { day: day.to_path_buf(), status });
         }
+        Report::read(&report)
     }
 }
 
--- a/crates/day-generator/src/play/report.rs
+++ b/crates/day-generator/src/play/report.rs
@@ -23,6 +23,7 @@
 /// One broken rule.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Break {
+    /// Name of the rule.
     pub rule: String,
     /// Seconds from the start of traffic.
     pub at_s: f64,
--- a/crates/day-generator/src/site.rs
+++ b/crates/day-generator/src/site.rs
@@ -38,30 +38,28 @@
 
 /// One of the site's own days: what drawn days take from it.
 #[derive(Debug, Clone, Deserialize)]
-pub struct StandardDay {
-    /// Label of the kind of day.
-    pub slot: String,
+pub(crate) struct StandardDay {
     /// Mark of a full score.
-    pub one: Value,
+    pub(crate) one: Value,
     /// Mark of no score.
-    pub zero: Value,
+    pub(crate) zero: Value,
     /// Floor of the whole day.
-    pub goal: Value,
+    pub(crate) goal: Value,
     /// Floors of kinds of requests.
-    pub floor_classes: Value,
+    pub(crate) floor_classes: Value,
     /// Floors of zones.
-    pub floor_zones: Value,
+    pub(crate) floor_zones: Value,
     /// Seconds that the bench expects to need for it.
-    pub wall: Value,
+    pub(crate) wall: Value,
     /// What clients send.
-    pub traffic: Vec<Table>,
+    pub(crate) traffic: Vec<Table>,
     #[serde(default)]
     plan: Vec<Table>,
 }
 
 impl StandardDay {
     /// The shifts of demand that belong to the traffic.
-    pub fn demand_shifts(&self) -> impl Iterator<Item = &Table> {
+    pub(crate) fn demand_shifts(&self) -> impl Iterator<Item = &Table> {
         self.plan.iter().filter(|entry| entry.get("kind").and_then(Value::as_str) == Some(DEMAND_SHIFT))
     }
 }
@@ -93,7 +91,7 @@
     }
 
     /// The site's own days.
-    pub fn days(&self) -> &[StandardDay] {
+    pub(crate) fn days(&self) -> &[StandardDay] {
         &self.days
     }
 
--- a/crates/day-generator/src/variant.rs
+++ b/crates/day-generator/src/variant.rs
@@ -15,7 +15,7 @@
 const EXTRA_CHANCE: f64 = 0.25;
 
 /// Draws one variant of the kind.
-pub fn draw_variant(kind: &Kind, random: &mut SmallRng) -> Vec<&'static str> {
+pub(crate) fn draw_variant(kind: &Kind, random: &mut SmallRng) -> Vec<&'static str> {
     let mut words = Vec::new();
     for slot in kind.slots {
         push_alternative(&mut words, slot, random);
--- a/crates/day-generator/src/weights.rs
+++ b/crates/day-generator/src/weights.rs
@@ -2,6 +2,15 @@
 
 use crate::catalogue::Category;
 use std::str::FromStr;
+use thiserror::Error;
+
+/// A name that no set of weights has.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("weights {name:?} are none of {}", Weights::ALL.map(Weights::name).join(", "))]
+pub struct UnknownWeights {
+    /// The name that was given.
+    pub name: String,
+}
 
 /// A named set of weights.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -66,13 +75,10 @@
 }
 
 impl FromStr for Weights {
-    type Err = String;
+    type Err = UnknownWeights;
 
-    fn from_str(name: &str) -> Result<Self, Self::Err> {
+    fn from_str(name: &str) -> Result<Self, UnknownWeights> {
         let known = Self::ALL.into_iter().find(|weights| weights.name() == name);
-        known.ok_or_else(|| {
-            let names = Self::ALL.map(Self::name).join(", ");
-            format!("weights {name:?} are none of {names}")
-        })
+        known.ok_or_else(|| UnknownWeights { name: name.to_owned() })
     }
 }
--- a/crates/day-generator/tests/draw.rs
+++ b/crates/day-generator/tests/draw.rs
@@ -284,5 +284,5 @@
     for weights in Weights::ALL {
         assert_eq!(weights.name().parse(), Ok(weights));
     }
-    assert!("none".parse::<Weights>().unwrap_err().contains("control, even, endpoints"));
+    assert!("none".parse::<Weights>().unwrap_err().to_string().contains("control, even, endpoints"));
 }
