--- a/crates/controller/src/simulation/network.rs
+++ b/crates/controller/src/simulation/network.rs
@@ -60,7 +60,7 @@
     pub(super) fn set_lag(&mut self, from: Host, to: Host, lag: Duration) {
         if lag.is_zero() {
             self.lags.remove(&(from, to));
-        } else {
+        } else if from != to {
             self.lags.insert((from, to), lag);
         }
     }
