Relay no heartbeat of an incarnation that is removed here

Cause, found by reading the relay once more: a heartbeat of a tombstone does not advance what is known, so it counted as news each time it came. Three controllers that relay to one another and have all removed the incarnation would have passed it round for up to 60 s. Now only a newer heartbeat of a live incarnation is news; a test says so.

--- a/crates/controller/src/controller/endpoints/registry.rs
+++ b/crates/controller/src/controller/endpoints/registry.rs
@@ -194,13 +194,14 @@
         Some(registered_message(id, entry.latest, entry.registration.as_ref()?))
     }
 
-    /// Merges heartbeats that another controller received. Returns those that were not known here.
+    /// Merges heartbeats that another controller received. Returns those that were news of a live incarnation: a removed
+    /// one stays as it is, so its heartbeat would be news each time that it came.
     pub(crate) fn merge_heartbeats(&mut self, now: Duration, list: &HeartbeatBatch) -> Vec<BatchedHeartbeat> {
         let mut newer = Vec::new();
         for heartbeat in &list.heartbeats {
             let id = heartbeat.id.text();
-            let known = self.registry.get(&id).map(|entry| entry.latest);
-            if known.is_some_and(|latest| heartbeat.sequence > latest) {
+            let known = self.registry.get(&id).filter(|entry| entry.registration.is_some());
+            if known.is_some_and(|entry| heartbeat.sequence > entry.latest) {
                 newer.push(heartbeat.clone());
             }
             self.registry.refresh(now, &id, heartbeat.sequence);
--- a/crates/controller/src/controller/endpoints/registry_test.rs
+++ b/crates/controller/src/controller/endpoints/registry_test.rs
@@ -519,3 +519,15 @@
     register(&mut endpoints, ms(2_000), THREE, 7, "ready");
     assert!(!shows(&endpoints), "it has gone");
 }
+
+/// A relayed heartbeat of a removed incarnation would else go round in circles among controllers that all removed it.
+#[test]
+fn only_a_newer_heartbeat_of_a_live_incarnation_is_news() {
+    let batch = |sequence| HeartbeatBatch::from(vec![BatchedHeartbeat { id: "i-1".into(), sequence }]);
+    let mut endpoints = endpoints();
+    register(&mut endpoints, ms(0), THREE, 1, "ready");
+    assert_eq!(endpoints.merge_heartbeats(ms(1), &batch(2)), batch(2).heartbeats);
+    assert_eq!(endpoints.merge_heartbeats(ms(2), &batch(2)), vec![], "known by now");
+    assert_eq!(endpoints.merge_removal(ms(3), &removed(2)), RemovalMerge::Removed);
+    assert_eq!(endpoints.merge_heartbeats(ms(4), &batch(3)), vec![], "removed");
+}
