Let one function begin every read of the configuration's register

The operator's read, the read barrier and the further reads each wrote down the request, its deadline and the call of the register. Now `start_read` does it for all three.

--- a/crates/controller/src/controller/consensus/freshness.rs
+++ b/crates/controller/src/controller/consensus/freshness.rs
@@ -128,13 +128,9 @@
     }
 
     fn read_barrier(&mut self) {
-        let now = self.now();
         let request = self.request_number();
-        self.in_flight.insert(request, InFlightRequest::Barrier);
         self.freshness.read_started(request);
-        let deadline = now + ANSWER_TIMEOUT;
-        let outputs = self.shards.handle(now, shards::CONFIGURATION, Input::Read { request, deadline });
-        self.execute_outputs(shards::CONFIGURATION, outputs);
+        self.start_read(request, InFlightRequest::Barrier);
     }
 
     /// Reads the configuration again while a member of its group does not answer: that member may have committed a change
@@ -149,7 +145,13 @@
             return;
         }
         let request = self.request_number();
-        self.in_flight.insert(request, InFlightRequest::Reread);
+        self.start_read(request, InFlightRequest::Reread);
+    }
+
+    /// Reads the configuration's register through a majority.
+    pub(in crate::controller) fn start_read(&mut self, request: u64, purpose: InFlightRequest) {
+        let now = self.now();
+        self.in_flight.insert(request, purpose);
         let deadline = now + ANSWER_TIMEOUT;
         let outputs = self.shards.handle(now, shards::CONFIGURATION, Input::Read { request, deadline });
         self.execute_outputs(shards::CONFIGURATION, outputs);
--- a/crates/controller/src/controller/operator/control_calls.rs
+++ b/crates/controller/src/controller/operator/control_calls.rs
@@ -3,13 +3,11 @@
 use crate::controller::consensus::replica_groups::KnownGroups;
 use crate::controller::consensus::shards;
 use crate::controller::event::{Answer, Call, Method};
-use crate::controller::operator::pending_changes::ANSWER_TIMEOUT;
 use crate::controller::operator::unavailable::Unavailable;
 use crate::controller::{Controller, ControllerFault, InFlightRequest};
 use crate::message::{Forwarded, Message, Token};
 use lanegate_config::control_state::{Command, Method as ChangeMethod, Outcome, apply};
 use lanegate_config::findings::Findings;
-use lanegate_coordination::register::Input;
 use std::collections::BTreeMap;
 
 /// Where the configuration is read and changed.
@@ -74,12 +72,8 @@
             let known = document.map(|document| Answer::new(200, document));
             return answer(call, known.unwrap_or_else(|| Answer::unavailable(Unavailable::NoMajority)));
         }
-        let now = self.now();
         let request = self.request_number();
-        self.in_flight.insert(request, InFlightRequest::Read(call.reply));
-        let deadline = now + ANSWER_TIMEOUT;
-        let outputs = self.shards.handle(now, shards::CONFIGURATION, Input::Read { request, deadline });
-        self.execute_outputs(shards::CONFIGURATION, outputs);
+        self.start_read(request, InFlightRequest::Read(call.reply));
     }
 
     fn change_configuration(&mut self, method: ChangeMethod, call: Call) {
