Review case 2: a burst of long bodies takes routers over their memory

Cause: a router reads every body whole and keeps it while its request is under way, without a bound on the sum; nothing reads MemoryMb.

No change of the programs.

--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -148,6 +148,15 @@
         self.processes[role, name] = process
         self.record(f"platform: started {role} {name} at {ip}, process {process.pid}")
 
+    def memory_mb(self, role, name):
+        """Resident memory of a process, 0 if it has ended."""
+        try:
+            with open(f"/proc/{self.processes[role, name].pid}/status") as file:
+                sizes = [int(line.split()[1]) for line in file if line.startswith("VmRSS")]
+            return sizes[0] / 1024 if sizes else 0.0
+        except OSError:
+            return 0.0
+
     def kill(self, role, name):
         process = self.processes[role, name]
         process.kill()
@@ -248,7 +257,7 @@
 
 
 def receive(stream):
-    data = stream.recv(65536)
+    data = stream.recv(1 << 18)
     if not data:
         raise ConnectionError("closed")
     return data
@@ -295,9 +304,9 @@
 class Endpoint:
     """A sound endpoint of a service without engines: registers, sends heartbeats, answers requests."""
 
-    def __init__(self, platform, controllers, last, service, name, work_s=0.02):
+    def __init__(self, platform, controllers, last, service, name, work_s=0.02, capacity=8):
         self.platform, self.controllers = platform, controllers
-        self.service, self.id, self.work_s = service, name, work_s
+        self.service, self.id, self.work_s, self.capacity = service, name, work_s, capacity
         self.address = (platform.ip(last), ENDPOINT_PORT)
         self.sequence, self.runs, self.lock = 0, [], threading.Lock()
         self.listener = socket.socket()
@@ -322,8 +331,11 @@
                 lines = head.decode("latin1").split("\r\n")
                 headers = {line.split(":", 1)[0].lower(): line.split(":", 1)[1].strip() for line in lines[1:]}
                 length = int(headers.get("content-length", 0))
-                while len(data) < length:
-                    data += receive(stream)
+                parts, size = [data], len(data)
+                while size < length:
+                    parts.append(receive(stream))
+                    size += len(parts[-1])
+                data = b"".join(parts)
                 body, data = data[:length], data[length:]
                 self.answer(stream, lines[0].split()[1], headers, body)
         except OSError:
@@ -344,7 +356,7 @@
         text = f"{self.id} ran {attempt}".encode()
         head = (
             f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: {self.id}.{attempt}\r\n"
-            f"Instance-Load: 1,0,8\r\nContent-Length: {len(text)}\r\n\r\n"
+            f"Instance-Load: 1,0,{self.capacity}\r\nContent-Length: {len(text)}\r\n\r\n"
         )
         stream.sendall(head.encode() + text)
 
@@ -356,7 +368,7 @@
                 self.sequence += 1
                 registration = {
                     "Backend": self.service, "Address": "%s:%d" % self.address, "Zone": "harbour", "Version": "v1",
-                    "Capacity": 8, "State": "ready", "ColdLeftMs": 0, "Sequence": self.sequence,
+                    "Capacity": self.capacity, "State": "ready", "ColdLeftMs": 0, "Sequence": self.sequence,
                 }
                 headers = [("Host", "control"), ("Content-Type", "application/json")]
                 try:
