Agents try every known controller before one that failed is tried again

Cause: Sources::plan took candidates in a fixed order and left one out only for 100 ms (400 ms beside a trusted source) after a failure. An attempt at a machine that is gone takes 300 ms, so four such addresses at the head of an agent's order (three beside a trusted source) were attempted in turn for ever, and nothing behind them.

Change: candidates are attempted in the order in which their last links ended: never attempted, then trusted until the end, then failed, oldest first. A machine that is gone costs a live one behind it one attempt.

--- a/crates/controller/src/agent/sources.rs
+++ b/crates/controller/src/agent/sources.rs
@@ -1,5 +1,9 @@
-//! Selects the controllers that an agent follows: two with quorum contact, in a rendezvous-hash order that differs
-//! between agents.
+//! Selects the controllers that an agent follows: two with quorum contact.
+//!
+//! Invariant: a controller whose last attempt failed is attempted again only after every other known one that may be
+//! attempted. So any number of machines that are gone delays a live controller by at most one attempt each. Controllers
+//! that were not attempted yet come in a rendezvous-hash order that differs between agents, so that agents spread over
+//! the controllers.
 
 use lanegate_coordination::membership::rendezvous_order;
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,11 +28,29 @@
     Partitioned,
 }
 
-/// The sources in use, and those that failed recently and may not be retried yet.
+/// How the last link to a source ended.
+#[derive(Debug, Clone, Copy)]
+struct EndedLink {
+    /// Whether the source had quorum contact until the end.
+    was_trusted: bool,
+    ended_at: Duration,
+    /// When the source may be attempted again.
+    retry_at: Duration,
+}
+
+impl EndedLink {
+    /// Sorts sources in the order in which they are attempted again: one that had quorum contact until its link ended is
+    /// likely to be up again, whereas an address that fails again and again may be that of a machine that is gone.
+    fn retry_order(&self) -> (bool, Duration) {
+        (!self.was_trusted, self.ended_at)
+    }
+}
+
+/// The sources in use, and how the last links to the others ended.
 #[derive(Debug, Default)]
 pub struct Sources {
     followed: BTreeMap<SocketAddr, SourceStatus>,
-    retry_at: BTreeMap<SocketAddr, Duration>,
+    ended: BTreeMap<SocketAddr, EndedLink>,
 }
 
 /// Numbers of sources in use, by their last reported status.
@@ -67,9 +89,9 @@
 
     /// Records that a source's link has ended, and when it may be retried.
     pub fn link_down(&mut self, now: Duration, source: SocketAddr) {
-        self.followed.remove(&source);
+        let was_trusted = self.followed.remove(&source) == Some(SourceStatus::Trusted);
         let delay = if self.has_no_trusted() { URGENT_RETRY_DELAY } else { RETRY_DELAY };
-        self.retry_at.insert(source, now + delay);
+        self.ended.insert(source, EndedLink { was_trusted, ended_at: now, retry_at: now + delay });
     }
 
     /// The source to which this agent sends demand reports and, if possible, fetches: a trusted one if there is any.
@@ -98,29 +120,48 @@
 
     /// Decides which sources among `known` to start and to stop following. `name` determines the order of preference.
     pub fn plan(&mut self, now: Duration, name: &str, known: &BTreeSet<SocketAddr>) -> SourcePlan {
-        self.retry_at.retain(|_, at| *at > now);
-        let mut plan = SourcePlan::default();
-        let mut usable =
-            self.followed.values().filter(|status| **status != SourceStatus::Partitioned).count();
-        let all: Vec<SocketAddr> = known.iter().copied().collect();
-        for source in rendezvous_order(name.as_bytes(), &all) {
-            if usable >= WANTED_SOURCES {
-                break;
-            }
-            if self.followed.contains_key(&source) || self.retry_at.contains_key(&source) {
-                continue;
-            }
-            self.followed.insert(source, SourceStatus::Starting);
-            plan.start.push(source);
-            usable += 1;
+        self.ended.retain(|source, _| known.contains(source));
+        let start = self.sources_to_start(now, name, known);
+        self.followed.extend(start.iter().map(|source| (*source, SourceStatus::Starting)));
+        let stop = self.sources_to_stop();
+        for source in &stop {
+            self.followed.remove(source);
+            self.ended.insert(*source, EndedLink { was_trusted: false, ended_at: now, retry_at: now });
         }
-        let trusted = self.followed.values().filter(|status| **status == SourceStatus::Trusted).count();
-        if trusted >= WANTED_SOURCES {
-            let partitioned =
-                self.followed.iter().filter(|(_, status)| **status == SourceStatus::Partitioned);
-            plan.stop = partitioned.map(|(source, _)| *source).collect();
-            self.followed.retain(|source, _| !plan.stop.contains(source));
+        SourcePlan { start, stop }
+    }
+
+    fn sources_to_start(&self, now: Duration, name: &str, known: &BTreeSet<SocketAddr>) -> Vec<SocketAddr> {
+        let usable = self.followed.values().filter(|status| **status != SourceStatus::Partitioned).count();
+        let mut candidates = self.candidates(now, name, known);
+        candidates.truncate(WANTED_SOURCES.saturating_sub(usable));
+        candidates
+    }
+
+    /// The sources that may be attempted now, in the order in which they are attempted: those that were not attempted
+    /// yet by preference, then the others by the time at which their last link ended. With a fixed order, addresses of
+    /// machines that are gone could be attempted in turn for ever, because an attempt at one outlasts the retry delay
+    /// of the others, and a live source behind them in the order would never be reached.
+    fn candidates(&self, now: Duration, name: &str, known: &BTreeSet<SocketAddr>) -> Vec<SocketAddr> {
+        let may_start = |source: &SocketAddr| {
+            !self.followed.contains_key(source)
+                && self.ended.get(source).is_none_or(|ended| ended.retry_at <= now)
+        };
+        let allowed: Vec<SocketAddr> = known.iter().copied().filter(may_start).collect();
+        let mut candidates = rendezvous_order(name.as_bytes(), &allowed);
+        candidates.sort_by_key(|source| self.ended.get(source).map(EndedLink::retry_order));
+        candidates
+    }
+
+    /// Sources without quorum contact, once enough others have it.
+    fn sources_to_stop(&self) -> Vec<SocketAddr> {
+        let with_status = |wanted| {
+            let matching = self.followed.iter().filter(move |(_, status)| **status == wanted);
+            matching.map(|(source, _)| *source)
+        };
+        if with_status(SourceStatus::Trusted).count() < WANTED_SOURCES {
+            return Vec::new();
         }
-        plan
+        with_status(SourceStatus::Partitioned).collect()
     }
 }
--- a/crates/controller/tests/sources.rs
+++ b/crates/controller/tests/sources.rs
@@ -5,8 +5,11 @@
 
 use common::{controller, ms};
 use lanegate_controller::agent::sources::{SourcePlan, Sources};
+use lanegate_controller::link::CONNECT_TIMEOUT;
+use proptest::prelude::{Just, ProptestConfig, Strategy, prop_assert, prop_oneof, proptest};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 const AGENT: &str = "edge-1";
 
@@ -131,3 +134,141 @@
     assert_eq!(sources.plan(ms(1_200), AGENT, &known(2)).start, [second]);
     assert_eq!(sources.plan(ms(1_400), AGENT, &known(2)).start, [first]);
 }
+
+/// What happens to an attempt at a controller's address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Address {
+    /// The machine is gone: the attempt times out.
+    Silent,
+    /// No process listens.
+    Refusing,
+    /// The connection is accepted and reset.
+    Resetting,
+    /// The connection is accepted and no message arrives, as from a frozen process.
+    Mute,
+    /// The controller reports that it has no quorum contact, and its link stays up.
+    Partitioned,
+    /// The controller has quorum contact, and resets its links after each report.
+    Flapping,
+}
+
+/// Longest attempt at any address: one that is accepted and on which nothing is received.
+const LONGEST_ATTEMPT: Duration = Duration::from_millis(1_800);
+/// Time between two reviews of the sources, besides those when a link ends.
+const REVIEW_PERIOD: Duration = Duration::from_millis(500);
+/// Longest delay before a source whose link failed may be attempted again.
+const LONGEST_RETRY_DELAY: Duration = Duration::from_millis(400);
+
+impl Address {
+    /// Time from an attempt to the end of its link; `None` if the link stays up.
+    fn link_time(self) -> Option<Duration> {
+        match self {
+            Address::Silent => Some(CONNECT_TIMEOUT),
+            Address::Refusing => Some(ms(1)),
+            Address::Resetting | Address::Flapping => Some(ms(2)),
+            Address::Mute => Some(LONGEST_ATTEMPT),
+            Address::Partitioned => None,
+        }
+    }
+
+    fn quorum_report(self) -> Option<bool> {
+        match self {
+            Address::Partitioned => Some(false),
+            Address::Flapping => Some(true),
+            Address::Silent | Address::Refusing | Address::Resetting | Address::Mute => None,
+        }
+    }
+}
+
+/// An agent that knows `others` and one controller that is silent until `live_from`. Returns when an attempt
+/// at that controller first succeeds, up to `end`.
+fn reached_at(agent: &str, others: &[Address], live_from: Duration, end: Duration) -> Option<Duration> {
+    let live = controller(u8::try_from(others.len()).expect("few addresses") + 1);
+    let address_of = |source: SocketAddr| {
+        (0..others.len()).find(|index| controller(*index as u8 + 1) == source).map(|index| others[index])
+    };
+    let known = known(others.len() as u8 + 1);
+    let mut sources = Sources::default();
+    let mut links: BTreeSet<(Duration, SocketAddr)> = BTreeSet::new();
+    let mut now = ms(0);
+    let mut next_review = ms(0);
+    while now <= end {
+        for source in sources.plan(now, agent, &known).start {
+            if source == live && now >= live_from {
+                return Some(now);
+            }
+            let address = address_of(source).unwrap_or(Address::Silent);
+            if let Some(quorum) = address.quorum_report() {
+                sources.report_quorum(source, quorum);
+            }
+            links.extend(address.link_time().map(|time| (now + time, source)));
+        }
+        now = links.first().map_or(next_review, |(ends_at, _)| (*ends_at).min(next_review));
+        if now == next_review {
+            next_review += REVIEW_PERIOD;
+        } else if let Some((_, source)) = links.pop_first() {
+            sources.link_down(now, source);
+        }
+    }
+    None
+}
+
+fn address() -> impl Strategy<Value = Address> {
+    prop_oneof![
+        3 => Just(Address::Silent),
+        2 => Just(Address::Refusing),
+        1 => Just(Address::Resetting),
+        1 => Just(Address::Mute),
+        1 => Just(Address::Partitioned),
+        1 => Just(Address::Flapping),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    /// An agent that prefers addresses of machines that are gone never attempted the live one behind them.
+    #[test]
+    fn a_live_source_is_reached_whatever_the_others_do(
+        agent in "edge-[0-9]{1,3}",
+        others in proptest::collection::vec(address(), 0..24),
+        live_from in 0_u64..30_000,
+    ) {
+        let live_from = ms(live_from);
+        // Two attempts at a time, at each other address once; the one under way at the live address has to end first.
+        let turns = others.len().div_ceil(2) as u32 + 1;
+        let bound = turns * LONGEST_ATTEMPT + LONGEST_RETRY_DELAY + REVIEW_PERIOD;
+        let reached = reached_at(&agent, &others, live_from, live_from + bound);
+        prop_assert!(reached.is_some(), "not reached within {bound:?}");
+    }
+}
+
+/// After replacements of core machines, agents that preferred four machines that were gone tried these in turn for ever.
+#[test]
+fn addresses_of_machines_that_are_gone_delay_a_live_source_by_one_attempt_each() {
+    for gone in 0..20_u32 {
+        let others = vec![Address::Silent; gone as usize];
+        for agent in 0..50 {
+            let reached = reached_at(&format!("edge-{agent}"), &others, ms(0), ms(60_000));
+            assert!(
+                reached.is_some_and(|at| at <= gone.div_ceil(2) * CONNECT_TIMEOUT),
+                "{gone} gone: {reached:?}"
+            );
+        }
+    }
+}
+
+/// The address of a source that is known to be up is attempted before those that failed, when its link was reset.
+#[test]
+fn a_trusted_source_whose_link_was_reset_comes_before_addresses_that_failed() {
+    let known = known(4);
+    let mut sources = Sources::default();
+    let first_two = sources.plan(ms(0), AGENT, &known).start;
+    first_two.iter().for_each(|source| sources.link_down(ms(300), *source));
+    let last_two = sources.plan(ms(300), AGENT, &known).start;
+    last_two.iter().for_each(|source| assert!(sources.report_quorum(*source, true)));
+    last_two.iter().for_each(|source| sources.link_down(ms(5_000), *source));
+    assert_eq!(sources.plan(ms(5_000), AGENT, &known).start, first_two, "the others have to wait");
+    first_two.iter().for_each(|source| sources.link_down(ms(5_300), *source));
+    assert_eq!(sources.plan(ms(5_400), AGENT, &known).start, last_two);
+}
