Kept client connections read each head under the limit in force

Cause: the limit was read when a connection was accepted and given to the HTTP library for the connection's life. By the same cause a lowered limit did not hold on kept connections, and a connection accepted before the first configuration had no limit but the library's.

Change: each time a connection has something to do, its limit is compared with the one in force. Between two requests, with nothing unwritten and no body unread, the library's connection is replaced by one with the new limit, on the same stream; bytes that were read of the next request are read again. A head that has begun gets a raised limit, and keeps its limit when it is lowered. Serving a connection moved from listener.rs to connection.rs, the stream from activity.rs to stream.rs.

--- a/crates/router/src/client/activity.rs
+++ b/crates/router/src/client/activity.rs
@@ -1,12 +1,8 @@
 //! Tracks the activity of client connections, so that idle and stalled ones can be closed.
 
 use std::cell::{Cell, RefCell};
-use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use std::task::{Context, Waker};
 use tokio::time::Instant;
 
 /// What a client connection waits for.
@@ -48,6 +44,10 @@
     is_close_delimited: Cell<bool>,
     /// Whether the connection has to be reset when it is dropped, so that a truncated answer does not look complete.
     is_reset: Cell<bool>,
+    /// Whether a part of the body of the last request has not been read.
+    has_unread_body: Cell<bool>,
+    /// Whether the HTTP library has bytes that it could not write to the socket yet.
+    has_unwritten_bytes: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
 
@@ -62,6 +62,8 @@
             close_mode: Cell::new(CloseMode::KeepOpen),
             is_close_delimited: Cell::new(false),
             is_reset: Cell::new(false),
+            has_unread_body: Cell::new(false),
+            has_unwritten_bytes: Cell::new(false),
             waker: RefCell::new(None),
         })
     }
@@ -77,7 +79,7 @@
     }
 
     /// Records that bytes of the client arrived.
-    fn received(&self, now: Instant) {
+    pub fn received(&self, now: Instant) {
         match self.phase.get() {
             Phase::Idle => {
                 self.phase.set(Phase::Head);
@@ -96,9 +98,15 @@
             Phase::Idle | Phase::Body | Phase::Answering => now,
         };
         self.enter(Phase::Body, now);
+        self.has_unread_body.set(true);
         began
     }
 
+    /// Records that the body of a request was read to its end.
+    pub fn on_body_complete(&self) {
+        self.has_unread_body.set(false);
+    }
+
     /// Records that an answer without a length ends with the connection (HTTP/1.0).
     pub fn mark_close_delimited(&self) {
         self.is_close_delimited.set(true);
@@ -110,6 +118,24 @@
         self.is_reset.set(self.is_close_delimited.get());
     }
 
+    /// Whether the connection has to be reset when it is dropped.
+    pub fn is_reset(&self) -> bool {
+        self.is_reset.get()
+    }
+
+    /// Records whether the HTTP library has bytes that it could not write to the socket yet.
+    pub fn set_unwritten_bytes(&self, has_unwritten_bytes: bool) {
+        self.has_unwritten_bytes.set(has_unwritten_bytes);
+    }
+
+    /// Whether nothing of the requests so far is left to be read or written, so that the next byte of the client begins a
+    /// request or continues its head.
+    pub fn is_between_requests(&self) -> bool {
+        matches!(self.phase.get(), Phase::Idle | Phase::Head)
+            && !self.has_unread_body.get()
+            && !self.has_unwritten_bytes.get()
+    }
+
     /// Sets the deadline of the current answer.
     pub fn set_answer_deadline(&self, deadline: Instant) {
         self.answer_deadline.set(deadline);
@@ -164,69 +190,3 @@
         self.0.enter(Phase::Idle, Instant::now());
     }
 }
-
-/// The stream of a client, which records when bytes arrive.
-#[derive(Debug)]
-pub struct ClientStream {
-    stream: TcpStream,
-    activity: Rc<Activity>,
-}
-
-impl ClientStream {
-    /// Wraps `stream` and records its input in `activity`.
-    pub fn new(stream: TcpStream, activity: Rc<Activity>) -> Self {
-        ClientStream { stream, activity }
-    }
-}
-
-impl Drop for ClientStream {
-    fn drop(&mut self) {
-        if !self.activity.is_reset.get() {
-            return;
-        }
-        if let Err(error) = self.stream.set_zero_linger() {
-            log::debug!("connection reset failed error={error}");
-        }
-    }
-}
-
-impl AsyncRead for ClientStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        if buffer.filled().len() > before {
-            self.activity.received(Instant::now());
-        }
-        result
-    }
-}
-
-impl AsyncWrite for ClientStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
--- a/crates/router/src/client/frontend.rs
+++ b/crates/router/src/client/frontend.rs
@@ -61,10 +61,13 @@
     request: Request<Incoming>,
     arrived: Duration,
 ) -> Response<RouterBody> {
-    let limits = state.routing().map(|routing| routing.limits().clone()).unwrap_or_default();
+    let limits = state.limits();
     let (head, incoming) = request.into_parts();
     let body = match read_body(incoming, &limits).await {
-        Ok(body) => body,
+        Ok(body) => {
+            activity.on_body_complete();
+            body
+        }
         Err(_) if state.routing().is_none() => return unconfigured(state).into(),
         Err(status) => {
             state.counters.outcomes.count(Outcome::RejectedMalformed);
--- a/crates/router/src/client/listener.rs
+++ b/crates/router/src/client/listener.rs
@@ -1,22 +1,16 @@
-//! Listening sockets and client connections.
+//! Listening sockets, and the set of open client connections.
 
-use crate::client::activity::{Activity, ClientStream, CloseMode, Phase};
-use crate::client::frontend;
+use crate::client::activity::{Activity, CloseMode, Phase};
+use crate::client::connection::serve;
 use crate::state::RouterState;
-use hyper::server::conn::http1::Builder;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 
@@ -24,8 +18,6 @@
 const BACKLOG: i32 = 4_096;
 /// Wait after a failed accept. The usual cause is that no file descriptors are left.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-/// Smallest buffer that the HTTP library accepts, bytes.
-const SMALLEST_BUFFER: usize = 8 * 1024;
 
 /// Opens a listening socket.
 ///
@@ -129,7 +121,11 @@
                 state.counters.accepted.increment();
                 let activity = Activity::new(Instant::now());
                 let registration = clients.register(activity.clone());
-                tokio::task::spawn_local(serve(stream, state.clone(), activity, registration));
+                let serving = serve(stream, state.clone(), activity);
+                tokio::task::spawn_local(async move {
+                    serving.await;
+                    drop(registration);
+                });
             }
             Err(error) => {
                 log::warn!("accept failed error={error}");
@@ -138,53 +134,3 @@
         }
     }
 }
-
-async fn serve(
-    stream: TcpStream,
-    state: Rc<RouterState>,
-    activity: Rc<Activity>,
-    _registration: Registration,
-) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("client socket option not set error={error}");
-        return;
-    }
-    let io = TokioIo::new(ClientStream::new(stream, activity.clone()));
-    let service = service_fn(|request| frontend::handle(state.clone(), activity.clone(), request));
-    let mut connection = pin!(builder(&state).serve_connection(io, service));
-    let mut is_closing = false;
-    poll_fn(|cx| {
-        let close_mode = activity.close_mode(cx);
-        if close_mode == CloseMode::Abort {
-            return Poll::Ready(());
-        }
-        let mut polled = connection.as_mut().poll(cx);
-        // A request of which at least a part has arrived is read and answered before the connection is closed.
-        if close_mode == CloseMode::Graceful
-            && !is_closing
-            && polled.is_pending()
-            && activity.phase() != Phase::Head
-        {
-            is_closing = true;
-            connection.as_mut().graceful_shutdown();
-            polled = connection.as_mut().poll(cx);
-        }
-        polled.map(|result| {
-            if let Err(error) = result {
-                log::debug!("client connection failed error={error}");
-                activity.mark_broken();
-            }
-        })
-    })
-    .await;
-}
-
-fn builder(state: &RouterState) -> Builder {
-    let largest_head = state.routing().map(|routing| routing.limits().max_header_bytes).unwrap_or_default();
-    let mut builder = Builder::new();
-    builder.auto_date_header(false);
-    if largest_head > 0 {
-        builder.max_header_size(largest_head).max_buf_size(largest_head.max(SMALLEST_BUFFER));
-    }
-    builder
-}
--- a/crates/router/src/client/mod.rs
+++ b/crates/router/src/client/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod activity;
 pub mod body;
+pub mod connection;
 pub mod frontend;
 pub mod listener;
 pub mod local_reply;
+pub mod stream;
--- a/crates/router/src/fault.rs
+++ b/crates/router/src/fault.rs
@@ -27,4 +27,6 @@
     /// Client connections are checked against the current time instead of the time at which the check was due, also directly
     /// after a stall of the process.
     CheckAtCurrentTime,
+    /// A client connection keeps the limit of heads that was in force when it was accepted.
+    KeepHeadLimit,
 }
--- a/crates/router/src/process/maintenance.rs
+++ b/crates/router/src/process/maintenance.rs
@@ -42,7 +42,7 @@
                 continue;
             }
         };
-        let limits = state.routing().map(|routing| routing.limits().clone()).unwrap_or_default();
+        let limits = state.limits();
         let checked_at = if state.has_fault(RouterFault::CheckAtCurrentTime) { Instant::now() } else { now };
         clients.for_each(|activity| close_if_stalled(activity, &limits, checked_at));
         state.pool.close_expired(now);
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -7,6 +7,7 @@
 use crate::routing::configuration_wait::ConfigurationWait;
 use crate::routing::table::Routing;
 use crate::routing::traffic_split::SplitSequences;
+use lanegate_config::configuration::Limits;
 use lanegate_config::feed::FeedEvent;
 use lanegate_config::mechanism::Mechanism;
 use lanegate_dispatch::{DispatchSettings, DispatchSummary, Dispatcher};
@@ -102,6 +103,16 @@
         self.epoch + time
     }
 
+    /// The limits of the configuration in force; the defaults while there is none.
+    pub fn limits(&self) -> Limits {
+        self.routing().map(|routing| routing.limits().clone()).unwrap_or_default()
+    }
+
+    /// Largest head of a request, bytes; `None` while there is no configuration.
+    pub fn head_limit(&self) -> Option<usize> {
+        self.routing.borrow().as_ref().map(|routing| routing.limits().max_header_bytes)
+    }
+
     /// The position, in [0, 1), of the next request of `route` within the cumulated weights of its traffic split.
     pub fn split_position(&self, route: &str) -> f64 {
         self.splits.borrow_mut().next(route)
