The body of a request is held to the limit in force, not only to the one at its head

A body that was still on its way when MaxBodyBytes was raised, or when the first configuration came to a router, got 413 by the limit of before.

Change: each part of a body is compared with the limit in force now, or at the head if that was larger: a lowered limit does not refuse what began under the older one.

Measured: changed_limits.rs, 3 new tests; 2 of them failed on the code as it was (413), the third pins that a lowered limit does not refuse a body that has begun.

--- a/crates/router/src/client/frontend.rs
+++ b/crates/router/src/client/frontend.rs
@@ -61,9 +61,8 @@
     request: Request<Incoming>,
     arrived: Duration,
 ) -> Response<RouterBody> {
-    let limits = state.limits();
     let (head, incoming) = request.into_parts();
-    let body = match read_body(incoming, &limits).await {
+    let body = match read_body(incoming, BodyLimit::new(state)).await {
         Ok(body) => {
             activity.on_body_complete();
             body
@@ -93,10 +92,29 @@
     LocalReply::Refusal { retry_after: UNCONFIGURED_RETRY_AFTER }
 }
 
+/// The largest body of one request: the limit in force now, or when its head was complete if that was larger. A body
+/// that takes long must not be refused by a limit that has been raised, nor by one that was lowered after it began.
+struct BodyLimit<'a> {
+    state: &'a RouterState,
+    /// Bytes; `None` if there was no configuration.
+    at_head: Option<usize>,
+}
+
+impl<'a> BodyLimit<'a> {
+    fn new(state: &'a RouterState) -> Self {
+        BodyLimit { state, at_head: state.body_limit() }
+    }
+
+    fn allows(&self, bytes: usize) -> bool {
+        let limit = self.at_head.max(self.state.body_limit());
+        bytes <= limit.unwrap_or_else(|| Limits::default().max_body_bytes)
+    }
+}
+
 /// Reads the complete body. The error is the status with which the client is answered.
-async fn read_body(mut incoming: Incoming, limits: &Limits) -> Result<Bytes, StatusCode> {
-    let bound = limits.max_body_bytes;
-    if incoming.size_hint().lower() > bound as u64 {
+async fn read_body(mut incoming: Incoming, limit: BodyLimit<'_>) -> Result<Bytes, StatusCode> {
+    let announced = usize::try_from(incoming.size_hint().lower()).unwrap_or(usize::MAX);
+    if !limit.allows(announced) {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
     let mut first = Bytes::new();
@@ -105,7 +123,7 @@
         let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() else {
             continue;
         };
-        if first.len().max(buffered.len()) + data.len() > bound {
+        if !limit.allows(first.len().max(buffered.len()) + data.len()) {
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
         }
         if first.is_empty() {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -113,6 +113,11 @@
         self.routing.borrow().as_ref().map(|routing| routing.limits().max_header_bytes)
     }
 
+    /// Largest body of a request, bytes; `None` while there is no configuration.
+    pub fn body_limit(&self) -> Option<usize> {
+        self.routing.borrow().as_ref().map(|routing| routing.limits().max_body_bytes)
+    }
+
     /// The position, in [0, 1), of the next request of `route` within the cumulated weights of its traffic split.
     pub fn split_position(&self, route: &str) -> f64 {
         self.splits.borrow_mut().next(route)
--- a/crates/router/tests/changed_limits.rs
+++ b/crates/router/tests/changed_limits.rs
@@ -207,6 +207,56 @@
     });
 }
 
+/// A body that had begun under a lower limit was held to that limit to its end.
+#[test]
+fn a_body_that_has_begun_gets_a_raised_limit() {
+    run_test(async {
+        let router = Router::serving(&[]).await;
+        run_ready_tasks().await;
+        let mut client = used_client(&router).await;
+        client.write("POST /none/ HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+        client.write(format!("320\r\n{}\r\n", "x".repeat(800))).await;
+        run_ready_tasks().await;
+        router.configure(&configuration(2, FIRST_HEAD_LIMIT, 2_000));
+        run_ready_tasks().await;
+        client.write(format!("320\r\n{}\r\n0\r\n\r\n", "x".repeat(800))).await;
+        assert_eq!(client.answer().await.status, 404);
+    });
+}
+
+#[test]
+fn a_body_that_has_begun_is_not_held_to_a_lowered_limit() {
+    run_test(async {
+        let router = Router::serving(&[]).await;
+        run_ready_tasks().await;
+        let mut client = used_client(&router).await;
+        client.write("POST /none/ HTTP/1.1\r\nHost: a.example\r\nContent-Length: 900\r\n\r\n").await;
+        client.write("x".repeat(400)).await;
+        run_ready_tasks().await;
+        router.configure(&configuration(2, FIRST_HEAD_LIMIT, 500));
+        run_ready_tasks().await;
+        client.write("x".repeat(500)).await;
+        assert_eq!(client.answer().await.status, 404);
+        client.write("POST /none/ HTTP/1.1\r\nHost: a.example\r\nContent-Length: 900\r\n\r\n").await;
+        assert_eq!(client.answer().await.status, 413);
+    });
+}
+
+/// A body that had begun before the first configuration came was held to the default limit, and got 413.
+#[test]
+fn a_body_from_before_the_first_configuration_gets_its_limit() {
+    run_test(async {
+        let router = Router::start().await;
+        let mut client = router.client().await;
+        client.write("POST /none/ HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+        run_ready_tasks().await;
+        router.configure(&configuration(2, FIRST_HEAD_LIMIT, 6_000_000));
+        run_ready_tasks().await;
+        client.write(format!("4c4b40\r\n{}\r\n0\r\n\r\n", "x".repeat(5_000_000))).await;
+        assert_eq!(client.answer().await.status, 404);
+    });
+}
+
 /// The idle time-out and the time-out of heads are those in force when they are checked.
 #[test]
 fn a_kept_connection_gets_changed_timeouts() {
