Controllers read their settings file again while a seed has no link

Controllers never forget a seed, and name it to peers and agents: after replacements every agent knew addresses of machines that were long gone, for as long as any controller from the beginning ran. (An agent reads the file again while it has no trusted source.)

Change: while a seed has no link, the file is read again every 2 s, and its seeds take the place of those known. What members of a group are known by does not change.

Tests: the scenario settings-files-change-without-a-signal (a new step changes files without a signal; a new condition asks that no running controller knows one that is gone), and the mutant KeepSeeds, which it catches in controller_faults. On the way that test showed that discovering the seeds at each reading hid the mutant ExpireMembers; reading now only replaces the list.

--- a/crates/controller/src/controller/fault.rs
+++ b/crates/controller/src/controller/fault.rs
@@ -59,6 +59,8 @@
     SkipReread,
     /// A replica whose disk has stalled counts as able to vote.
     CountStalledDisk,
+    /// The settings file is not read again unless a signal asks for it.
+    KeepSeeds,
 }
 
 impl ControllerFault {
--- a/crates/controller/src/controller/membership/peer_discovery.rs
+++ b/crates/controller/src/controller/membership/peer_discovery.rs
@@ -1,4 +1,8 @@
 //! Discovery of the other controllers, and the messages that each is sent when its link comes up.
+//!
+//! The settings file may name other seeds at any time, with or without a signal. So a controller reads it again while a
+//! seed has no link: the seeds with which a process started would otherwise stay among the controllers that it names to
+//! its peers and agents, however long ago their machines were replaced.
 
 use crate::controller::consensus::shards;
 use crate::controller::{Controller, ControllerFault};
@@ -8,7 +12,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Interval between reads of the settings file while a seed has no link.
+const SEED_REVIEW_PERIOD: Duration = Duration::from_secs(2);
+
 impl Controller {
+    /// Whether a controller at `peer` is known.
+    pub(crate) fn knows_peer(&self, peer: SocketAddr) -> bool {
+        self.peers.is_known(peer)
+    }
+
     /// Sends the full state of this controller to a peer whose link has come up.
     pub(crate) fn send_greeting(&self, outbox: &Outbox) {
         outbox.message(&self.controllers_message());
@@ -46,6 +58,7 @@
     /// Removes peers that have not been named for long. Seeds and members of any group never expire, so that they and a
     /// controller that was partitioned for long find each other again.
     pub(crate) fn expire_peers(&mut self, now: Duration) {
+        self.review_seeds(now);
         let members = shards::all().flat_map(|shard| self.group(shard));
         let needed: Vec<SocketAddr> = members.chain(self.settings.seeds.iter().copied()).collect();
         if !self.has_fault(ControllerFault::ExpireMembers) {
@@ -61,6 +74,15 @@
         self.controllers_changed();
     }
 
+    /// Reads the settings file again if a seed has no link, at most once in [`SEED_REVIEW_PERIOD`].
+    fn review_seeds(&mut self, now: Duration) {
+        let is_due = now >= self.settings_read_at + SEED_REVIEW_PERIOD;
+        let all_linked = self.settings.seeds.iter().all(|seed| self.peers.is_linked(*seed));
+        if is_due && !all_linked && !self.has_fault(ControllerFault::KeepSeeds) {
+            self.read_seeds();
+        }
+    }
+
     fn controllers_changed(&mut self) {
         let now = self.now();
         self.membership.set_nodes(now, &self.peers.addresses());
@@ -74,14 +96,17 @@
         Message::Controllers(Controllers { addresses: addresses.join(" ").as_str().into() })
     }
 
-    /// Reads the settings file again and applies its seeds; other settings are not changed.
+    /// Reads the settings file again, and opens links to the controllers that it names; other settings are not changed.
     pub(crate) fn read_settings(&mut self) {
+        self.read_seeds();
+        let seeds = self.settings.seeds.clone();
+        seeds.into_iter().for_each(|seed| self.discover_peer(seed));
+    }
+
+    fn read_seeds(&mut self) {
+        self.settings_read_at = self.now();
         match self.environment.read_settings() {
-            Ok(settings) => {
-                self.settings.seeds = settings.seeds;
-                let seeds = self.settings.seeds.clone();
-                seeds.into_iter().for_each(|seed| self.discover_peer(seed));
-            }
+            Ok(settings) => self.settings.seeds = settings.seeds,
             Err(findings) => log::warn!("settings not reloaded error={findings}"),
         }
     }
--- a/crates/controller/src/controller/membership/peers.rs
+++ b/crates/controller/src/controller/membership/peers.rs
@@ -74,6 +74,16 @@
         }
     }
 
+    /// Whether a controller at `peer` is known.
+    pub(crate) fn is_known(&self, peer: SocketAddr) -> bool {
+        self.peers.contains_key(&peer)
+    }
+
+    /// Whether there is a link to `peer`, or it is this controller.
+    pub(crate) fn is_linked(&self, peer: SocketAddr) -> bool {
+        peer == self.own_address || self.peers.get(&peer).is_some_and(|peer| peer.outbox.is_some())
+    }
+
     /// The peers with a link.
     pub(crate) fn linked(&self) -> impl Iterator<Item = SocketAddr> {
         self.peers.iter().filter(|(_, peer)| peer.outbox.is_some()).map(|(address, _)| *address)
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -105,6 +105,8 @@
     /// Whether the registry is complete: every live endpoint has sent a heartbeat here or to a peer.
     complete: bool,
     routers: LiveRouters,
+    /// When the settings file was last read.
+    settings_read_at: Duration,
     next_periodic_tasks: Duration,
     next_feed_heartbeat: Duration,
     last_tick: Duration,
--- a/crates/controller/src/controller/setup.rs
+++ b/crates/controller/src/controller/setup.rs
@@ -105,6 +105,7 @@
             next_request: 0,
             complete: first,
             routers: LiveRouters::default(),
+            settings_read_at: now,
             next_periodic_tasks: now,
             next_feed_heartbeat: now,
             last_tick: now,
--- a/crates/controller/src/simulation/expectation.rs
+++ b/crates/controller/src/simulation/expectation.rs
@@ -1,5 +1,6 @@
 //! Conditions that a scenario checks at a step, and their text form.
 
+use super::controller_machine::ControllerMachine;
 use super::history::{ChangeStatus, ReadStatus};
 use super::host::Host;
 use super::violation::Violation;
@@ -29,6 +30,8 @@
     Member(Host),
     /// No shard's group has this member.
     NoMember(Host),
+    /// No running controller knows this one.
+    Forgotten(Host),
     /// Every shard's group has this many members.
     GroupSize(usize),
     /// Every running member knows that each shard tolerates this many losses or more in all groups in force.
@@ -64,6 +67,7 @@
             Expectation::Unacknowledged(endpoint) => write!(formatter, "{endpoint} unacknowledged"),
             Expectation::Member(host) => write!(formatter, "{host} member"),
             Expectation::NoMember(host) => write!(formatter, "{host} nowhere"),
+            Expectation::Forgotten(host) => write!(formatter, "{host} forgotten"),
             Expectation::GroupSize(size) => write!(formatter, "size {size}"),
             Expectation::Margin(losses) => write!(formatter, "margin {losses}"),
             Expectation::Down(host) => write!(formatter, "{host} down"),
@@ -107,6 +111,7 @@
             [who, "unacknowledged"] => Expectation::Unacknowledged(host(who)?),
             [who, "member"] => Expectation::Member(host(who)?),
             [who, "nowhere"] => Expectation::NoMember(host(who)?),
+            [who, "forgotten"] => Expectation::Forgotten(host(who)?),
             [who, "acts"] => Expectation::Acts(host(who)?),
             [who, "idle"] => Expectation::Idle(host(who)?),
             _ => return Err(ExpectationParseError),
@@ -181,6 +186,7 @@
             Expectation::Unacknowledged(endpoint) => Evaluation::of(!self.is_acknowledged(*endpoint)),
             Expectation::Member(host) => self.every_group(|group| group.contains(host)),
             Expectation::NoMember(host) => self.every_group(|group| !group.contains(host)),
+            Expectation::Forgotten(host) => self.is_forgotten(*host),
             Expectation::GroupSize(size) => self.every_group(|group| group.len() == *size),
             Expectation::Margin(losses) => {
                 let found = self.fault_tolerances();
@@ -212,6 +218,16 @@
         Evaluation::new(groups.iter().all(is_right), format!("{groups:?}"))
     }
 
+    /// Whether no running controller knows `host`.
+    fn is_forgotten(&self, host: Host) -> Evaluation {
+        let knows = |machine: &&ControllerMachine| {
+            machine.controller().is_some_and(|controller| controller.knows_peer(host.address()))
+        };
+        let knowing: Vec<Host> =
+            self.controllers.iter().filter(knows).map(|machine| Host::Controller(machine.index)).collect();
+        Evaluation::new(knowing.is_empty(), format!("known to {}", super::step::names(knowing)))
+    }
+
     /// The change that produced the configuration of a router.
     fn change_at(&self, router: Host) -> Option<usize> {
         let Host::Router(index) = router else { return None };
--- a/crates/controller/src/simulation/faults.rs
+++ b/crates/controller/src/simulation/faults.rs
@@ -101,6 +101,7 @@
             Step::Full(index) => self.controllers[*index].disk.fill(),
             Step::Work(index) => self.repair_disk(*index),
             Step::Seeds(seeds) => self.change_all_seeds(seeds),
+            Step::UnsignalledSeeds(seeds) => self.write_all_seeds(seeds),
             Step::Crash(index) => self.crash_endpoint(*index),
             _ => return,
         }
@@ -110,7 +111,12 @@
     fn record_fault(&mut self, step: &Step, now: Duration) {
         match step {
             Step::Crash(_) => return,
-            Step::Heal | Step::Delay(_) | Step::Rate(_) | Step::Split(_) | Step::Seeds(_) => {
+            Step::Heal
+            | Step::Delay(_)
+            | Step::Rate(_)
+            | Step::Split(_)
+            | Step::Seeds(_)
+            | Step::UnsignalledSeeds(_) => {
                 self.fault_history.record_core_fault(now);
                 for index in 0..self.routers.len() {
                     self.fault_history.record_machine_fault(now, Host::Router(index));
@@ -256,6 +262,12 @@
         self.start_write(index);
     }
 
+    /// All settings files name other seeds.
+    fn write_all_seeds(&mut self, seeds: &[usize]) {
+        self.controllers.iter_mut().for_each(|machine| machine.set_seeds(seeds));
+        self.routers.iter_mut().for_each(|machine| machine.set_seeds(seeds));
+    }
+
     pub(super) fn change_all_seeds(&mut self, seeds: &[usize]) {
         for index in 0..self.controllers.len() {
             self.change_seeds(index, seeds);
--- a/crates/controller/src/simulation/step.rs
+++ b/crates/controller/src/simulation/step.rs
@@ -81,8 +81,10 @@
     Full(usize),
     /// The disk of a controller works normally again, with its content unchanged.
     Work(usize),
-    /// Settings files name these seeds from now on.
+    /// Settings files name these seeds from now on, and processes are notified (SIGHUP).
     Seeds(Vec<usize>),
+    /// Settings files name these seeds from now on, and no process is notified.
+    UnsignalledSeeds(Vec<usize>),
     /// Endpoints call this controller first from now on.
     Prefer(usize),
     /// All faults end, and the system must recover within its time bounds.
@@ -102,7 +104,7 @@
     format!("{word} {}", Host::Controller(via))
 }
 
-fn names(hosts: impl IntoIterator<Item = Host>) -> String {
+pub(super) fn names(hosts: impl IntoIterator<Item = Host>) -> String {
     let names: Vec<String> = hosts.into_iter().map(|host| host.to_string()).collect();
     names.join(" ")
 }
@@ -159,6 +161,9 @@
             Step::Full(index) => write!(formatter, "full {}", controller(index)),
             Step::Work(index) => write!(formatter, "work {}", controller(index)),
             Step::Seeds(seeds) => write!(formatter, "seeds {}", names(seeds.iter().map(controller))),
+            Step::UnsignalledSeeds(seeds) => {
+                write!(formatter, "unsignalled-seeds {}", names(seeds.iter().map(controller)))
+            }
             Step::Prefer(index) => write!(formatter, "prefer {}", controller(index)),
             Step::Quiesce => write!(formatter, "settle"),
             Step::Expect(expectation) => write!(formatter, "expect {expectation}"),
@@ -178,6 +183,10 @@
             }
             ["heal"] => Ok(Step::Heal),
             ["settle"] => Ok(Step::Quiesce),
+            ["unsignalled-seeds", ref seeds @ ..] => {
+                let seeds = seeds.iter().map(|word| controller(word)).collect::<Result<_, _>>();
+                seeds.map(Step::UnsignalledSeeds)
+            }
             ["seeds", ref seeds @ ..] => {
                 seeds.iter().map(|word| controller(word)).collect::<Result<_, _>>().map(Step::Seeds)
             }
--- a/crates/controller/tests/controller_faults.rs
+++ b/crates/controller/tests/controller_faults.rs
@@ -41,6 +41,8 @@
         ControllerFault::ReuseEpoch, "holder-freezes";
     an_epoch_not_requested_again:
         ControllerFault::SkipEpochRetry, "epoch-not-given-in-time";
+    seeds_of_the_start_kept_for_ever:
+        ControllerFault::KeepSeeds, "settings-files-change-without-a-signal";
     members_forgotten_in_a_long_partition:
         ControllerFault::ExpireMembers, "cut-off-for-twenty-seconds";
     a_partitioned_controller_that_claims_to_be_current:
