A configuration is fetched from the source that has owed an answer longest, not the first one

Cause: of the sources that announced the newest version the fetcher took the preferred one, else the one with the lowest address.

Change: sources that owe no answer are asked first (the preferred one among them), then the one that has owed it longest.

Test: every_source_that_has_the_newest_version_is_asked; on the code as it was, three of six sources were asked, seven times each or more.

--- a/crates/controller/src/configuration_feed/fetcher.rs
+++ b/crates/controller/src/configuration_feed/fetcher.rs
@@ -178,8 +178,8 @@
         self.in_flight.remove(&source);
     }
 
-    /// The source to fetch from now, and the message to send to it; `preferred` if it is among those that announced the
-    /// newest version. Returns `None` while an earlier fetch has not timed out.
+    /// The source to fetch from now, and the message to send to it; `preferred` if it announced the newest version and
+    /// owes no answer. Returns `None` while an earlier fetch has not timed out.
     pub fn fetch(&mut self, now: Duration, preferred: Option<SocketAddr>) -> Option<(SocketAddr, Message)> {
         if self.next_wake(now)? > now {
             return None;
@@ -187,8 +187,8 @@
         let candidates = self.candidates(now);
         let newest = candidates.iter().map(|(_, version)| version.revision).max()?;
         let have_newest = candidates.iter().filter(|(_, version)| version.revision == newest);
-        let sources: Vec<SocketAddr> = have_newest.map(|(source, _)| *source).collect();
-        let source = preferred.filter(|preferred| sources.contains(preferred)).unwrap_or(sources[0]);
+        let source =
+            have_newest.map(|(source, _)| *source).min_by_key(|source| self.order(*source, preferred))?;
         let base = self.version.filter(|_| !self.requires_complete);
         let timeout = if base.is_some() { DELTA_TIMEOUT } else { DOCUMENT_TIMEOUT };
         self.in_flight.insert(source, InFlightFetch { at: now, timeout });
@@ -209,6 +209,14 @@
         Some(free.max(waited).max(self.next_fetch).max(now))
     }
 
+    /// Sorts sources in the order in which they are asked: those that owe no answer first, then the one that has owed it
+    /// longest. With a fixed order, sources that send heartbeats and do not answer would be asked again before one behind
+    /// them was asked at all.
+    fn order(&self, source: SocketAddr, preferred: Option<SocketAddr>) -> (Option<Duration>, bool) {
+        let asked_at = self.in_flight.get(&source).map(|in_flight| in_flight.at);
+        (asked_at, preferred != Some(source))
+    }
+
     fn candidates(&self, now: Duration) -> Vec<(SocketAddr, ConfigurationVersion)> {
         let is_free =
             |source: &SocketAddr| self.in_flight.get(source).is_none_or(|a| a.at + RETRY_DELAY <= now);
--- a/crates/controller/tests/configuration_feed.rs
+++ b/crates/controller/tests/configuration_feed.rs
@@ -362,3 +362,22 @@
     assert_eq!(FetchPacing::LINK.interval(10_000_000), ms(800));
     assert_eq!(FetchPacing::LOOPBACK.interval(10_000_000), ms(100));
 }
+
+/// Sources that announced the newest version and never answered were asked in turn, and the one behind them never.
+#[test]
+fn every_source_that_has_the_newest_version_is_asked() {
+    for preferred in [None, Some(controller(1))] {
+        let mut fetcher = ConfigurationFetcher::new(FetchPacing::LINK);
+        let newest = version(&committed(3, document(3, 1, 1)));
+        let sources: Vec<SocketAddr> = (1..=6).map(controller).collect();
+        sources
+            .iter()
+            .for_each(|source| assert!(fetcher.on_announcement(*source, newest) || *source != sources[0]));
+        let mut asked = Vec::new();
+        for now in (0..20_000).step_by(10) {
+            asked.extend(fetcher.fetch(ms(now), preferred).map(|(source, _)| source));
+        }
+        let first_round: std::collections::BTreeSet<&SocketAddr> = asked.iter().take(sources.len()).collect();
+        assert_eq!(first_round.len(), sources.len(), "preferred {preferred:?}: {asked:?}");
+    }
+}
