Review cases 4 and 5: processes end with the script, and a limit of time

Processes of a script are killed by the kernel if the script itself is killed; a run that does not come about exits with 2.

--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -65,6 +65,7 @@
 }
 
 fn main() {
+    limit_time();
     let record = Record::new();
     let code = run(&record);
     record.note(match code {
--- a/review/4/support.rs
+++ b/review/4/support.rs
@@ -6,6 +6,7 @@
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -13,8 +14,12 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
+/// A process asks to be killed when the script ends, however that ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
@@ -80,14 +85,16 @@
 
     pub fn start(&mut self) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new("target/release/lanegate")
-            .args(&self.arguments)
-            .env("LANEGATE_NODE_FILE", &self.settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        self.child = Some(child);
+        let mut command = Command::new("target/release/lanegate");
+        command.args(&self.arguments).env("LANEGATE_NODE_FILE", &self.settings);
+        command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        self.child = Some(command.spawn()?);
         Ok(())
     }
 
@@ -342,6 +349,15 @@
     }
 }
 
+/// Ends the script after 115 s, as one that could not run.
+pub fn limit_time() {
+    std::thread::spawn(|| {
+        std::thread::sleep(Duration::from_secs(115));
+        eprintln!("the time is over");
+        std::process::exit(2);
+    });
+}
+
 pub fn has_trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -195,6 +195,7 @@
     \"Backends\":[{\"Name\":\"tiles\",\"HealthPath\":\"/healthz\",\"MaxConns\":110}]}";
 
 fn main() {
+    limit_time();
     let record = Record::new();
     let code = run(&record);
     record.note(match code {
