Groups survive the loss of the zones and regions that FaultTolerance names

Cause: FaultTolerance.Zones and Regions were read and used by nothing. The group stayed the three seeds, two of them in the lost zone. Change: controllers name their zone and region when a link comes up (words that earlier releases skip, and only where a zone or region has to be survived). The best spread chooses the spare that joins, and a member of a healthy group is exchanged for a spare while the loss is not survived. Each exchange lowers the imbalance, so that a series of them ends. ZoneMargin and RegionMargin stand in the status, and the warning names the unit.

--- a/crates/config/src/settings/mod.rs
+++ b/crates/config/src/settings/mod.rs
@@ -138,17 +138,19 @@
     pub disk_mb: f64,
 }
 
-/// Simultaneous failures that the system has to tolerate.
+/// Simultaneous failures that the system has to tolerate: as many machines, or as many whole zones, or as many whole
+/// regions. Controllers choose the size of a replica group, and spread its members, so that each of these leaves a
+/// majority.
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct FaultTolerance {
     /// Number of machines.
     #[serde(deserialize_with = "lenient::integer")]
     pub machines: u32,
-    /// Number of zones.
+    /// Number of zones, each with all of its machines.
     #[serde(deserialize_with = "lenient::integer")]
     pub zones: u32,
-    /// Number of regions.
+    /// Number of regions, each with all of its machines.
     #[serde(deserialize_with = "lenient::integer")]
     pub regions: u32,
 }
--- a/crates/controller/src/controller/consensus/fault_tolerance_test.rs
+++ b/crates/controller/src/controller/consensus/fault_tolerance_test.rs
@@ -1,7 +1,7 @@
 //! How many failures a group tolerates, and when a change is reported.
 
 use crate::controller::consensus::fault_tolerance::{
-    MemberState, ToleranceChange, ToleranceMonitor, tolerable_failures,
+    FailureUnit, MemberState, ToleranceChange, ToleranceMonitor, tolerable_failures,
 };
 use std::net::SocketAddr;
 
@@ -19,9 +19,26 @@
     tolerable_failures(
         &groups,
         |member| if group(lost).contains(&member) { state } else { MemberState::Voting },
+        |member| member,
     )
 }
 
+/// Zones that a group tolerates to lose whose members, all of them voting, are in `zones`, in the order of their numbers.
+fn tolerated_zones(zones: &[&str]) -> Option<usize> {
+    let members: Vec<SocketAddr> = (1..).map(node).take(zones.len()).collect();
+    let zone = |member: SocketAddr| zones[members.iter().position(|node| *node == member).expect("a member")];
+    tolerable_failures(std::slice::from_ref(&members), |_| MemberState::Voting, zone)
+}
+
+#[test]
+fn members_of_one_zone_are_lost_together() {
+    assert_eq!(tolerated_zones(&["a", "a", "b"]), Some(0));
+    assert_eq!(tolerated_zones(&["a", "b", "c"]), Some(1));
+    assert_eq!(tolerated_zones(&["a", "a", "b", "b", "c"]), Some(1));
+    assert_eq!(tolerated_zones(&["a", "a", "a", "b", "c"]), Some(0));
+    assert_eq!(tolerated_zones(&["a", "b", "c", "d", "e"]), Some(2));
+}
+
 #[test]
 fn each_member_that_does_not_vote_takes_one_from_the_margin() {
     assert_eq!(tolerated_failures(&[&[1, 2, 3]], &[], MemberState::Suspected), Some(1));
@@ -47,15 +64,24 @@
 #[test]
 fn exhausted_and_restored_tolerance_are_reported_once() {
     let mut monitor = ToleranceMonitor::default();
-    assert_eq!(monitor.observe(0, Some(1)), None);
-    assert_eq!(monitor.observe(0, Some(0)), Some(ToleranceChange::Exhausted));
-    assert_eq!(monitor.observe(0, Some(0)), None);
-    assert_eq!(monitor.observe(0, None), None);
+    assert_eq!(monitor.observe(0, FailureUnit::Machine, Some(1)), None);
+    assert_eq!(monitor.observe(0, FailureUnit::Machine, Some(0)), Some(ToleranceChange::Exhausted));
+    assert_eq!(monitor.observe(0, FailureUnit::Machine, Some(0)), None);
+    assert_eq!(monitor.observe(0, FailureUnit::Machine, None), None);
     assert_eq!(
-        monitor.observe(1, None),
+        monitor.observe(1, FailureUnit::Machine, None),
         Some(ToleranceChange::Exhausted),
         "each shard is tracked separately"
     );
-    assert_eq!(monitor.observe(0, Some(1)), Some(ToleranceChange::Restored));
-    assert_eq!(monitor.observe(0, Some(2)), None);
+    assert_eq!(monitor.observe(0, FailureUnit::Machine, Some(1)), Some(ToleranceChange::Restored));
+    assert_eq!(monitor.observe(0, FailureUnit::Machine, Some(2)), None);
+}
+
+#[test]
+fn the_tolerance_of_zones_is_reported_apart_from_that_of_machines() {
+    let mut monitor = ToleranceMonitor::default();
+    assert_eq!(monitor.observe(0, FailureUnit::Machine, Some(1)), None);
+    assert_eq!(monitor.observe(0, FailureUnit::Zone, Some(0)), Some(ToleranceChange::Exhausted));
+    assert_eq!(monitor.observe(0, FailureUnit::Machine, Some(1)), None);
+    assert_eq!(monitor.observe(0, FailureUnit::Zone, Some(1)), Some(ToleranceChange::Restored));
 }
--- a/crates/controller/src/controller/event_loop.rs
+++ b/crates/controller/src/controller/event_loop.rs
@@ -5,6 +5,7 @@
 use crate::controller::endpoints::expiry::PERIODIC_TASKS_PERIOD;
 use crate::controller::event::Event;
 use crate::controller::feed::agents::FEED_HEARTBEAT_PERIOD;
+use crate::controller::membership::failure_domains::Location;
 use crate::controller::membership::handover::Handover;
 use lanegate_coordination::register::{Input, Value};
 use std::time::Duration;
@@ -15,6 +16,7 @@
 impl Controller {
     /// Applies the committed values that were restored from disk, and connects to the seeds.
     pub(crate) fn start(&mut self) {
+        self.failure_domains.record(self.own_address, Location::of(&self.settings));
         let seeds = self.settings.seeds.clone();
         seeds.into_iter().for_each(|seed| self.discover_peer(seed));
         let committed: Vec<(u8, Value)> = self
--- a/crates/controller/src/controller/membership/mod.rs
+++ b/crates/controller/src/controller/membership/mod.rs
@@ -1,6 +1,9 @@
 //! Membership: links to the other controllers, their messages and status, changes of replica groups, and the graceful
 //! shutdown of this controller.
 
+pub(super) mod failure_domains;
+#[cfg(test)]
+mod failure_domains_test;
 pub(super) mod handover;
 #[cfg(test)]
 mod handover_test;
--- a/crates/controller/src/controller/membership/peer_discovery.rs
+++ b/crates/controller/src/controller/membership/peer_discovery.rs
@@ -5,6 +5,7 @@
 //! its peers and agents, however long ago their machines were replaced.
 
 use crate::controller::consensus::shards;
+use crate::controller::membership::failure_domains::Location;
 use crate::controller::{Controller, ControllerFault};
 use crate::link::Outbox;
 use crate::message::{Controllers, Message};
@@ -24,6 +25,9 @@
     /// Sends the full state of this controller to a peer whose link has come up.
     pub(crate) fn send_greeting(&self, outbox: &Outbox) {
         outbox.message(&self.controllers_message());
+        if self.failure_domains.are_required() {
+            outbox.message(&self.location_message());
+        }
         outbox.message(&Message::MemberStatus(self.own_status()));
         for message in self.endpoints.full_snapshot() {
             outbox.message(&message);
@@ -96,6 +100,20 @@
         Message::Controllers(Controllers { addresses: addresses.join(" ").as_str().into() })
     }
 
+    /// The location of this controller, as a list of controllers that names none: a peer of an earlier release skips words
+    /// that are no addresses.
+    fn location_message(&self) -> Message {
+        let words = Location::of(&self.settings).to_words();
+        Message::Controllers(Controllers { addresses: words.as_str().into() })
+    }
+
+    /// Records the location of a peer. A spare in another zone may allow a change of a group.
+    pub(crate) fn record_location(&mut self, peer: SocketAddr, location: Location) {
+        if self.failure_domains.record(peer, location) {
+            self.reconcile_members(self.now());
+        }
+    }
+
     /// Reads the settings file again, and opens links to the controllers that it names; other settings are not changed.
     pub(crate) fn read_settings(&mut self) {
         self.read_seeds();
--- a/crates/controller/src/controller/membership/peer_messages.rs
+++ b/crates/controller/src/controller/membership/peer_messages.rs
@@ -3,6 +3,7 @@
 use crate::controller::consensus::replica_groups::KnownGroups;
 use crate::controller::consensus::shards;
 use crate::controller::endpoints::registry::RemovalMerge;
+use crate::controller::membership::failure_domains::Location;
 use crate::controller::{Controller, ControllerFault};
 use crate::message::{
     Blob, Confirmation, Controllers, Forwarded, HeartbeatBatch, Message, Registered, Removed,
@@ -29,7 +30,7 @@
             Message::Flush(flush) => self.confirm_flush(peer, flush),
             Message::Flushed(confirmation) => self.flushed(peer, &confirmation),
             Message::MemberStatus(status) => self.record_status(peer, status),
-            Message::Controllers(controllers) => self.discover_peers(&controllers),
+            Message::Controllers(controllers) => self.on_controllers(peer, &controllers),
             Message::Change(change) => self.propose_forwarded(peer, change),
             Message::ChangeOutcome(outcome) => self.complete_change(outcome.request, &outcome.body.bytes),
             Message::Demand(demand) => self.on_demand(&demand),
@@ -114,8 +115,12 @@
         self.peers.send(peer, &Message::Flushed(known.confirmation(flush.token)));
     }
 
-    fn discover_peers(&mut self, controllers: &Controllers) {
+    /// A peer names the controllers that it knows, or its own location.
+    fn on_controllers(&mut self, peer: SocketAddr, controllers: &Controllers) {
         let addresses = controllers.addresses.text();
+        if let Some(location) = Location::from_words(&addresses) {
+            self.record_location(peer, location);
+        }
         let peers = addresses.split_whitespace().filter_map(|address| address.parse().ok());
         peers.for_each(|peer| self.discover_peer(peer));
     }
--- a/crates/controller/src/controller/membership/reconfiguration.rs
+++ b/crates/controller/src/controller/membership/reconfiguration.rs
@@ -1,8 +1,10 @@
 //! Heartbeats of controllers, and the reconfiguration of replica groups that follows from them.
 
-use crate::controller::consensus::fault_tolerance::{MemberState, ToleranceChange, tolerable_failures};
+use crate::controller::consensus::fault_tolerance::{
+    FailureUnit, MemberState, ToleranceChange, tolerable_failures,
+};
 use crate::controller::consensus::shards;
-use crate::controller::membership::replacement::{GroupView, MemberChange};
+use crate::controller::membership::replacement::{GroupView, MemberChange, group_size};
 use crate::controller::{Controller, ControllerFault, InFlightRequest};
 use crate::message::{MemberStatus, Message};
 use lanegate_coordination::membership::{Heartbeat, Output};
@@ -62,15 +64,20 @@
     pub(crate) fn reconcile_members(&mut self, now: Duration) {
         let live: Vec<SocketAddr> =
             self.membership.live().filter(|member| self.is_reached(now, *member)).collect();
-        let size = 2 * self.settings.fault_tolerance.machines as usize + 1;
+        let size = group_size(&self.settings.fault_tolerance);
         for shard in shards::all() {
             let group = self.group(shard);
             self.replacement_planner.observe(now, shard, &group, &live);
             if !self.owns(shard) || !self.has_contact(shard) {
                 continue;
             }
-            let view =
-                GroupView { shard, group: &group, live: &live, member_statuses: &self.member_statuses };
+            let view = GroupView {
+                shard,
+                group: &group,
+                live: &live,
+                member_statuses: &self.member_statuses,
+                failure_domains: &self.failure_domains,
+            };
             if let Some(change) = self.replacement_planner.plan(now, view, size) {
                 self.change_members(now, shard, &change);
             }
@@ -148,25 +155,55 @@
         members.into_iter().map(describe)
     }
 
-    /// Number of failures that the groups of a shard still tolerate; `None` without a majority.
+    /// Number of machines that the groups of a shard can still lose; `None` without a majority.
     pub(crate) fn fault_tolerance(&self, shard: u8) -> Option<usize> {
-        tolerable_failures(&self.known_groups(shard).groups, |member| self.member_state(shard, member))
+        self.tolerable_losses(shard, FailureUnit::Machine)
+    }
+
+    /// Number of machines, zones or regions that the groups of a shard can still lose; `None` without a majority.
+    pub(crate) fn tolerable_losses(&self, shard: u8, unit: FailureUnit) -> Option<usize> {
+        let groups = self.known_groups(shard).groups;
+        let state = |member| self.member_state(shard, member);
+        match unit {
+            FailureUnit::Machine => tolerable_failures(&groups, state, |member| member),
+            FailureUnit::Zone => tolerable_failures(&groups, state, |node| self.failure_domains.zone(node)),
+            FailureUnit::Region => {
+                tolerable_failures(&groups, state, |node| self.failure_domains.region(node))
+            }
+        }
+    }
+
+    /// Number of machines, zones or regions whose loss the groups have to survive.
+    pub(crate) fn required_tolerance(&self, unit: FailureUnit) -> usize {
+        match unit {
+            FailureUnit::Machine => self.settings.fault_tolerance.machines as usize,
+            FailureUnit::Zone => self.failure_domains.required_zones(),
+            FailureUnit::Region => self.failure_domains.required_regions(),
+        }
     }
 
     /// Logs when a shard stops tolerating a further failure, and when it tolerates one again.
     fn report_fault_tolerance(&mut self, now: Duration) {
-        if now < FAULT_TOLERANCE_GRACE || self.settings.fault_tolerance.machines == 0 {
+        if now < FAULT_TOLERANCE_GRACE {
             return;
         }
-        for shard in shards::all() {
-            match self.tolerance_monitor.observe(shard, self.fault_tolerance(shard)) {
-                Some(ToleranceChange::Exhausted) => {
-                    let states: Vec<_> = self.member_states(shard).collect();
-                    log::warn!("fault tolerance exhausted shard={shard} members={states:?}");
-                }
-                Some(ToleranceChange::Restored) => log::info!("fault tolerance restored shard={shard}"),
-                None => {}
+        let required = FailureUnit::ALL.into_iter().filter(|unit| self.required_tolerance(*unit) > 0);
+        for unit in required.collect::<Vec<_>>() {
+            shards::all().for_each(|shard| self.report_tolerable_losses(shard, unit));
+        }
+    }
+
+    fn report_tolerable_losses(&mut self, shard: u8, unit: FailureUnit) {
+        let tolerable = self.tolerable_losses(shard, unit);
+        match self.tolerance_monitor.observe(shard, unit, tolerable) {
+            Some(ToleranceChange::Exhausted) => {
+                let states: Vec<_> = self.member_states(shard).collect();
+                log::warn!("fault tolerance exhausted shard={shard} unit={unit} members={states:?}");
+            }
+            Some(ToleranceChange::Restored) => {
+                log::info!("fault tolerance restored shard={shard} unit={unit}");
             }
+            None => {}
         }
     }
 }
--- a/crates/controller/src/controller/membership/replacement.rs
+++ b/crates/controller/src/controller/membership/replacement.rs
@@ -1,11 +1,20 @@
-//! Plans the membership of the replica group of each shard: a group grows to the size that the configured fault
-//! tolerance requires, and a member that is unreachable or draining is replaced by a spare.
+//! Plans the membership of the replica group of each shard.
+//!
+//! Invariant: with as many machines as the configured fault tolerance needs, each group comes to have the size and the
+//! spread over zones and regions with which it survives the losses that the tolerance names. So a group grows to that
+//! size; a member that is unreachable or draining is replaced by a spare; and a member is exchanged for a spare of
+//! another zone or region while the group would not survive the loss of the failure domains that it has to. A founding
+//! group consists of the seeds, wherever these are, and a replacement may leave two members in one zone, so the last
+//! rule applies at any time.
 //!
 //! Each shard has its own group and is planned independently: the owner of one shard may have replaced a member that
 //! the owner of another shard has not replaced yet.
 
 use crate::controller::consensus::replica_groups::KnownGroups;
+use crate::controller::membership::failure_domains::{FailureDomains, Imbalance};
 use crate::controller::membership::member_status::MemberStatuses;
+use lanegate_config::settings::FaultTolerance;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,6 +26,13 @@
 /// The shard whose suspicions a deliberate fault applies to all shards.
 const FIRST_SHARD: u8 = 0;
 
+/// Number of members with which a group can survive each of the losses that `tolerance` names: more than half of them
+/// remain when as many are lost as machines, or as zones or regions with one member each.
+pub(crate) fn group_size(tolerance: &FaultTolerance) -> usize {
+    let lost = tolerance.machines.max(tolerance.zones).max(tolerance.regions);
+    2 * lost as usize + 1
+}
+
 /// One membership change of a group.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct MemberChange {
@@ -34,6 +50,23 @@
     pub live: &'a [SocketAddr],
     /// The status that each controller reported.
     pub member_statuses: &'a MemberStatuses,
+    /// Where the controllers are, and the losses of zones and regions that the group has to survive.
+    pub failure_domains: &'a FailureDomains,
+}
+
+impl GroupView<'_> {
+    /// The imbalance of the group after a change.
+    fn imbalance_after(&self, remove: Option<SocketAddr>, add: SocketAddr) -> Imbalance {
+        let remaining = self.group.iter().copied().filter(|member| Some(*member) != remove);
+        let members: Vec<SocketAddr> = remaining.chain([add]).collect();
+        self.failure_domains.imbalance(&members)
+    }
+
+    /// Whether every member is reachable and can vote, so that an exchange of one costs no fault tolerance.
+    fn is_healthy(&self) -> bool {
+        let can_vote = |member: &SocketAddr| self.member_statuses.can_vote(*member, self.shard);
+        self.group.iter().all(|member| self.live.contains(member) && can_vote(member))
+    }
 }
 
 /// Deliberate faults. Tests show that each is detected.
@@ -48,6 +81,8 @@
     JoinBeforeVoting,
     /// Time during which this process itself was stalled counts towards time-outs.
     CountOwnStall,
+    /// Groups are not spread over zones and regions.
+    IgnoreFailureDomains,
 }
 
 /// Tracks suspected members, and plans their replacement by spares.
@@ -113,18 +148,26 @@
         self.changing.remove(&shard);
     }
 
-    /// The next change that the group of a shard needs to reach `size` members without suspected or draining ones, if
-    /// any.
+    /// The next change that the group of a shard needs to reach `size` members without suspected or draining ones, spread
+    /// over the failure domains, if any.
     pub(crate) fn plan(&self, now: Duration, view: GroupView<'_>, size: usize) -> Option<MemberChange> {
         if view.group.is_empty() || self.is_changing(view.shard) {
             return None;
         }
-        let add = self.next_spare(view)?;
+        let ignored = FailureDomains::default();
+        let view = if self.has(ReplacementFault::IgnoreFailureDomains) {
+            GroupView { failure_domains: &ignored, ..view }
+        } else {
+            view
+        };
+        let spares = self.spares(view);
         if view.group.len() < size {
-            return Some(MemberChange { remove: None, add });
+            return best_spare(view, &spares, None);
+        }
+        match self.longest_suspected(now, view).or_else(|| draining_member(view)) {
+            Some(member) => best_spare(view, &spares, Some(member)),
+            None => exchange_for_spread(view, &spares),
         }
-        let remove = self.longest_suspected(now, view).or_else(|| draining_member(view))?;
-        Some(MemberChange { remove: Some(remove), add })
     }
 
     fn is_changing(&self, shard: u8) -> bool {
@@ -132,12 +175,11 @@
         self.changing.contains(&shard) || (one_at_a_time && !self.changing.is_empty())
     }
 
-    /// The spare that joins next. The choice is deterministic, so that the owners of all shards choose the same spare and
-    /// the shards keep the same members.
-    fn next_spare(&self, view: GroupView<'_>) -> Option<SocketAddr> {
+    /// The controllers that may join the group, in the order of their addresses.
+    fn spares(&self, view: GroupView<'_>) -> BTreeSet<SocketAddr> {
         let outside = view.live.iter().copied().filter(|node| !view.group.contains(node));
         let before_voting = self.has(ReplacementFault::JoinBeforeVoting);
-        outside.filter(|node| before_voting || view.member_statuses.can_join(*node, view.shard)).min()
+        outside.filter(|node| before_voting || view.member_statuses.can_join(*node, view.shard)).collect()
     }
 
     /// The member that has been suspected longest, if for at least [`REPLACEMENT_TIMEOUT`].
@@ -158,3 +200,30 @@
 fn draining_member(view: GroupView<'_>) -> Option<SocketAddr> {
     view.group.iter().copied().filter(|member| view.member_statuses.is_draining(*member)).min()
 }
+
+/// The spare that joins next, in place of `remove` if that is given: the one with which the group is spread best, and of
+/// several the one with the lowest address. The choice is deterministic, so that the owners of all shards choose the
+/// same spare and the shards keep the same members.
+fn best_spare(
+    view: GroupView<'_>,
+    spares: &BTreeSet<SocketAddr>,
+    remove: Option<SocketAddr>,
+) -> Option<MemberChange> {
+    let add = spares.iter().copied().min_by_key(|spare| view.imbalance_after(remove, *spare))?;
+    Some(MemberChange { remove, add })
+}
+
+/// The exchange of a member for a spare that brings a group nearest to surviving the required loss of zones or regions;
+/// `None` if the group survives it, or no exchange brings it nearer. Each exchange lowers the imbalance, so that a
+/// series of them ends.
+fn exchange_for_spread(view: GroupView<'_>, spares: &BTreeSet<SocketAddr>) -> Option<MemberChange> {
+    let present = view.failure_domains.imbalance(view.group);
+    if present.is_tolerated() || !view.failure_domains.are_known(view.group) || !view.is_healthy() {
+        return None;
+    }
+    let exchanges = spares.iter().flat_map(|add| view.group.iter().map(move |remove| (*remove, *add)));
+    let known = exchanges.filter(|(_, add)| view.failure_domains.are_known(&[*add]));
+    let rated = known.map(|(remove, add)| (view.imbalance_after(Some(remove), add), add, Reverse(remove)));
+    let (_, add, Reverse(remove)) = rated.filter(|(imbalance, ..)| *imbalance < present).min()?;
+    Some(MemberChange { remove: Some(remove), add })
+}
--- a/crates/controller/src/controller/membership/replacement_test.rs
+++ b/crates/controller/src/controller/membership/replacement_test.rs
@@ -1,5 +1,6 @@
 //! Growth of the replica groups, and the replacement of suspected and draining members.
 
+use crate::controller::membership::failure_domains::FailureDomains;
 use crate::controller::membership::member_status::MemberStatuses;
 use crate::controller::membership::replacement::{GroupView, MemberChange, ReplacementPlanner};
 use crate::message::MemberStatus;
@@ -42,7 +43,9 @@
     member_statuses: &MemberStatuses,
 ) -> Option<MemberChange> {
     let (group, live) = (nodes(group), nodes(live));
-    let view = GroupView { shard, group: &group, live: &live, member_statuses };
+    let failure_domains = FailureDomains::default();
+    let view =
+        GroupView { shard, group: &group, live: &live, member_statuses, failure_domains: &failure_domains };
     planner.plan(ms(time), view, size)
 }
 
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -51,6 +51,7 @@
 use lanegate_coordination::lease::LeaseNode;
 use lanegate_coordination::membership::FailureDetector;
 use lanegate_invariants::Violations;
+use membership::failure_domains::FailureDomains;
 use membership::handover::Handover;
 use membership::member_status::MemberStatuses;
 use membership::peers::Peers;
@@ -84,6 +85,7 @@
     freshness: Freshness,
     replacement_planner: ReplacementPlanner,
     member_statuses: MemberStatuses,
+    failure_domains: FailureDomains,
     tolerance_monitor: ToleranceMonitor,
     /// Present once the shutdown has begun.
     handover: Option<Handover>,
--- a/crates/controller/src/controller/operator/control_calls.rs
+++ b/crates/controller/src/controller/operator/control_calls.rs
@@ -1,5 +1,6 @@
 //! Handling of calls on the control interface.
 
+use crate::controller::consensus::fault_tolerance::FailureUnit;
 use crate::controller::consensus::replica_groups::KnownGroups;
 use crate::controller::consensus::shards;
 use crate::controller::event::{Answer, Call, Method};
@@ -119,7 +120,7 @@
             .map(|(shard, replica)| {
                 let members: Vec<String> = self.group(shard).iter().map(ToString::to_string).collect();
                 let states: BTreeMap<String, String> = self.member_states(shard).collect();
-                serde_json::json!({
+                let mut status = serde_json::json!({
                     "Shard": shard,
                     "Replica": format!("{:?}", replica.status()),
                     "Revision": replica.committed().map(|value| value.revision),
@@ -128,7 +129,14 @@
                     "Margin": self.fault_tolerance(shard),
                     "Owner": self.owner(shard, &[shard]).to_string(),
                     "Contact": self.has_contact(shard),
-                })
+                });
+                for (unit, name) in [(FailureUnit::Zone, "ZoneMargin"), (FailureUnit::Region, "RegionMargin")]
+                {
+                    if self.required_tolerance(unit) > 0 {
+                        status[name] = self.tolerable_losses(shard, unit).into();
+                    }
+                }
+                status
             })
             .collect();
         let live: Vec<String> = self.membership.live().map(|node| node.to_string()).collect();
--- a/crates/controller/src/controller/setup.rs
+++ b/crates/controller/src/controller/setup.rs
@@ -16,6 +16,7 @@
 use crate::controller::fault::ControllerFault;
 use crate::controller::feed::live_routers::LiveRouters;
 use crate::controller::feed::subscribers::Subscribers;
+use crate::controller::membership::failure_domains::FailureDomains;
 use crate::controller::membership::member_status::MemberStatuses;
 use crate::controller::membership::peers::Peers;
 use crate::controller::membership::replacement::ReplacementPlanner;
@@ -91,6 +92,7 @@
             freshness: Freshness::default(),
             replacement_planner: ReplacementPlanner::new(fault.and_then(ControllerFault::replacement)),
             member_statuses: MemberStatuses::default(),
+            failure_domains: FailureDomains::new(&settings.fault_tolerance),
             tolerance_monitor: ToleranceMonitor::default(),
             handover: None,
             leases: LeaseNode::new(lease, node, start, now),
--- a/crates/controller/src/message.rs
+++ b/crates/controller/src/message.rs
@@ -227,7 +227,8 @@
     pub routers: u32,
 }
 
-/// Controllers that the sender knows, as control addresses separated by spaces.
+/// Controllers that the sender knows, as control addresses separated by spaces. Words that are no addresses are skipped;
+/// `zone=NAME` and `region=NAME` name the location of the sender, if it is a controller.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
 pub struct Controllers {
--- a/crates/controller/src/simulation/checks.rs
+++ b/crates/controller/src/simulation/checks.rs
@@ -270,14 +270,17 @@
         records[index].len() == shards
     }
 
-    /// Whether the others can continue without the disk of a controller: with `within_tolerance`, no more disks are
-    /// lost at the same time than the fault tolerance allows, and a majority of every group stored on any disk keeps its
-    /// record.
+    /// Whether the disk of a controller may be lost: it is in the one zone whose loss has to be survived, or the others
+    /// can continue without it. They can if a majority of every group stored on any disk keeps its record and, with
+    /// `within_tolerance`, no more disks are lost at the same time than the fault tolerance allows.
     pub(super) fn may_lose_disk(&self, lost: usize) -> bool {
         let records: Vec<_> = self.controllers.iter().map(|machine| machine.disk.peek()).collect();
         let still_lost = |index: &&usize| **index != lost && !self.is_disk_loss_repaired(**index, &records);
-        let lost_now = self.fault_history.disks_lost.iter().filter(still_lost).count();
-        if self.within_tolerance && lost_now >= self.tolerance as usize {
+        let lost_now: Vec<usize> = self.fault_history.disks_lost.iter().filter(still_lost).copied().collect();
+        if self.are_in_one_zone(lost, &lost_now) {
+            return true;
+        }
+        if self.within_tolerance && lost_now.len() >= self.tolerance as usize {
             return false;
         }
         let shards: BTreeSet<u8> = records.iter().flat_map(|records| records.keys().copied()).collect();
@@ -293,6 +296,12 @@
             groups.all(|group| group.members().iter().filter(|node| keeps(node)).count() >= group.majority())
         })
     }
+
+    /// Whether these controllers are in one zone; false in a simulation without zones.
+    fn are_in_one_zone(&self, first: usize, others: &[usize]) -> bool {
+        let zone = self.zones.get(first);
+        zone.is_some() && others.iter().all(|other| self.zones.get(*other) == zone)
+    }
 }
 
 /// Nodes of all groups that are stored on a disk.
--- a/crates/controller/src/simulation/controller_machine.rs
+++ b/crates/controller/src/simulation/controller_machine.rs
@@ -6,7 +6,7 @@
 use super::engine::OrderCall;
 use super::environment::SimulatedEnvironment;
 use super::host::{Host, controller_at};
-use super::settings::{seed_addresses, settings};
+use super::settings::{seed_addresses, set_zone, settings};
 use super::world::{Delivery, SimulationEvent, World};
 use crate::controller::{Controller, Event, Start};
 use crate::message::{Hello, Role};
@@ -53,9 +53,12 @@
 }
 
 impl ControllerMachine {
-    pub(super) fn new(index: usize, founders: usize, tolerance: u32) -> Self {
+    pub(super) fn new(index: usize, founders: usize, tolerance: u32, zone: Option<usize>) -> Self {
         let seeds: Vec<usize> = (0..founders).collect();
-        let settings = settings(Host::Controller(index), &seeds, tolerance, true);
+        let mut settings = settings(Host::Controller(index), &seeds, tolerance, true);
+        if let Some(zone) = zone {
+            set_zone(&mut settings, zone);
+        }
         ControllerMachine {
             index,
             disk: Disk::new(),
--- a/crates/controller/src/simulation/scenario.rs
+++ b/crates/controller/src/simulation/scenario.rs
@@ -13,6 +13,8 @@
     pub spares: usize,
     /// Whether the spares are started by steps instead of at the beginning.
     pub spares_late: bool,
+    /// Zone of each controller, by number. If any are given, groups have to survive the loss of one zone.
+    pub zones: Vec<usize>,
     /// Whether disks are lost only as long as the fault tolerance allows it; random scenarios ask for it.
     pub within_tolerance: bool,
     /// Routers, each with an agent.
@@ -30,7 +32,8 @@
 pub enum ParseError {
     /// The first line is not a valid header.
     #[error(
-        "line {0}: expected 'founders N spares N [late] [within-tolerance] routers N endpoints N seed N'"
+        "line {0}: expected \
+         'founders N spares N [zones N,N,...] [late] [within-tolerance] routers N endpoints N seed N'"
     )]
     Header(usize),
     /// A later line is not a valid step.
@@ -42,10 +45,13 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let late = if self.spares_late { " late" } else { "" };
         let within = if self.within_tolerance { " within-tolerance" } else { "" };
+        let zones: Vec<String> = self.zones.iter().map(ToString::to_string).collect();
+        let zones = if zones.is_empty() { String::new() } else { format!(" zones {}", zones.join(",")) };
         let Scenario { founders, spares, routers, endpoints, seed, .. } = self;
         writeln!(
             formatter,
-            "founders {founders} spares {spares}{late}{within} routers {routers} endpoints {endpoints} seed {seed}"
+            "founders {founders} spares {spares}{zones}{late}{within} routers {routers} endpoints {endpoints} \
+             seed {seed}"
         )?;
         self.steps.iter().try_for_each(|step| writeln!(formatter, "{step}"))
     }
@@ -74,7 +80,8 @@
     let spares_late = line.contains(" late ");
     let within_tolerance = line.contains(" within-tolerance ");
     let optional = ["late", "within-tolerance"];
-    let words: Vec<&str> = line.split_whitespace().filter(|word| !optional.contains(word)).collect();
+    let mut words: Vec<&str> = line.split_whitespace().filter(|word| !optional.contains(word)).collect();
+    let zones = take_zones(&mut words)?;
     let ["founders", founders, "spares", spares, "routers", routers, "endpoints", endpoints, "seed", seed] =
         *words.as_slice()
     else {
@@ -84,6 +91,7 @@
         founders: founders.parse().ok()?,
         spares: spares.parse().ok()?,
         spares_late,
+        zones,
         within_tolerance,
         routers: routers.parse().ok()?,
         endpoints: endpoints.parse().ok()?,
@@ -91,3 +99,12 @@
         steps: Vec::new(),
     })
 }
+
+/// Removes the word `zones` and the list after it from a header. Returns the list, which is empty without that word, or
+/// `None` if it cannot be read.
+fn take_zones(words: &mut Vec<&str>) -> Option<Vec<usize>> {
+    let Some(at) = words.iter().position(|word| *word == "zones") else { return Some(Vec::new()) };
+    let list = words.get(at + 1)?.split(',').map(|zone| zone.parse().ok()).collect();
+    words.drain(at..=at + 1);
+    list
+}
--- a/crates/controller/src/simulation/schedule.rs
+++ b/crates/controller/src/simulation/schedule.rs
@@ -77,7 +77,17 @@
         add_steps(&mut steps, random, &participants);
     }
     steps.push(Step::Quiesce);
-    Scenario { founders, spares, spares_late, within_tolerance: true, routers, endpoints, seed, steps }
+    Scenario {
+        founders,
+        spares,
+        spares_late,
+        zones: Vec::new(),
+        within_tolerance: true,
+        routers,
+        endpoints,
+        seed,
+        steps,
+    }
 }
 
 fn put(random: &mut SmallRng, participants: &Participants, form: Form) -> Step {
--- a/crates/controller/src/simulation/settings.rs
+++ b/crates/controller/src/simulation/settings.rs
@@ -9,6 +9,9 @@
 /// Last port of the range for links, on which agents accept their routers.
 const LAST_PORT: u16 = 7100;
 
+/// Number of zones whose loss has to be survived in a simulation with zones.
+const TOLERATED_ZONES: u32 = 1;
+
 /// Settings of a process at `host`.
 pub(super) fn settings(host: Host, seeds: &[usize], tolerance: u32, bootstrap: bool) -> Settings {
     let control = matches!(host, Host::Controller(_)).then(|| host.address());
@@ -36,6 +39,12 @@
     }
 }
 
+/// Puts a machine into a zone, and requires that the loss of one zone is survived.
+pub(super) fn set_zone(settings: &mut Settings, zone: usize) {
+    settings.zone = format!("zone-{zone}");
+    settings.fault_tolerance.zones = TOLERATED_ZONES;
+}
+
 /// Control addresses of controllers.
 pub(super) fn seed_addresses(seeds: &[usize]) -> Vec<SocketAddr> {
     seeds.iter().map(|index| Host::Controller(*index).address()).collect()
--- a/crates/controller/src/simulation/world.rs
+++ b/crates/controller/src/simulation/world.rs
@@ -130,6 +130,8 @@
     pub(super) founders: usize,
     /// Number of machines that may be lost at the same time.
     pub(super) tolerance: u32,
+    /// Zone of each controller, if it has one. The loss of one zone has to be survived.
+    pub(super) zones: Vec<usize>,
     pub(super) fault: Option<ControllerFault>,
     /// Whether disks are lost only as long as the fault tolerance allows it.
     pub(super) within_tolerance: bool,
@@ -190,7 +192,10 @@
             order: 0,
             starts: 0,
             controllers: (0..controllers)
-                .map(|index| ControllerMachine::new(index, scenario.founders, tolerance))
+                .map(|index| {
+                    let zone = scenario.zones.get(index).copied();
+                    ControllerMachine::new(index, scenario.founders, tolerance, zone)
+                })
                 .collect(),
             routers: (0..scenario.routers)
                 .map(|index| RouterMachine::new(index, scenario.founders, tolerance))
@@ -204,6 +209,7 @@
             fault_history: FaultHistory::default(),
             founders: scenario.founders,
             tolerance,
+            zones: scenario.zones.clone(),
             fault,
             within_tolerance: scenario.within_tolerance,
             preferred: None,
--- a/crates/controller/tests/repair_faults.rs
+++ b/crates/controller/tests/repair_faults.rs
@@ -41,6 +41,8 @@
         ControllerFault::Replacement(ReplacementFault::CountOwnStall), "owner-frozen";
     one_change_of_members_at_a_time:
         ControllerFault::Replacement(ReplacementFault::OneChangeAtATime), "shards-changed-together";
+    a_group_with_its_majority_in_one_zone:
+        ControllerFault::Replacement(ReplacementFault::IgnoreFailureDomains), "zone-lost-with-its-disks";
     a_member_that_ends_without_handing_over:
         ControllerFault::ShutDownWithoutHandover, "leaving-while-another-is-down";
     an_end_that_others_ignore:
