A late heartbeat of a former incarnation no longer removes the live one at its address

Cause: the registry took the incarnation that it did not know for the newer one at an address and removed the other for good; the view of agents and routers did the same. After a restart neither is known, so the order of arrival decided, and nothing undid it. Change: the other incarnation is removed as of its newest heartbeat and the one that may be on its way; the one that goes on sending heartbeats returns and removes the other. Such removals go to all controllers, which contradict with a later heartbeat. Views follow their sources. Placers are notified of the removal.

--- a/crates/controller/src/controller/endpoints/registry.rs
+++ b/crates/controller/src/controller/endpoints/registry.rs
@@ -12,7 +12,7 @@
 use crate::view::registered_message;
 use bytes::Bytes;
 use lanegate_config::instance::InstanceState;
-use lanegate_coordination::registry::{FINAL_SEQUENCE, Registry, RegistryUpdate};
+use lanegate_coordination::registry::{FINAL_SEQUENCE, Registry, RegistryUpdate, RemovedIncarnation};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -39,6 +39,8 @@
     pub updates: Vec<Message>,
     /// Whether the updates have to be relayed to the other controllers. The drain may have been acknowledged already, so
     /// it must reach every controller that this one reaches, including those partitioned from the original receiver.
+    /// And a controller that knows a later heartbeat of an incarnation which was removed for another one at its address
+    /// has to contradict, or the two controllers would go on with different incarnations.
     pub relay: bool,
 }
 
@@ -151,7 +153,8 @@
         let registration = registration.carry_over_from(self.registration(&id));
         match self.registry.merge(now, &id, message.sequence, registration) {
             RegistryUpdate::Changed { replaced } => {
-                RegistrationMerge { updates: self.changed(&id, replaced), relay: draining }
+                let relay = draining || !replaced.is_empty();
+                RegistrationMerge { updates: self.changed(&id, replaced), relay }
             }
             RegistryUpdate::Refreshed | RegistryUpdate::Stale => RegistrationMerge::default(),
         }
@@ -267,8 +270,8 @@
         self.registry.entries().filter_map(|(id, entry)| Some((id, entry.registration.as_ref()?)))
     }
 
-    fn changed(&self, id: &str, replaced: Vec<String>) -> Vec<Message> {
-        let removed = replaced.iter().map(|id| removed_message(id, FINAL_SEQUENCE));
+    fn changed(&self, id: &str, replaced: Vec<RemovedIncarnation>) -> Vec<Message> {
+        let removed = replaced.iter().map(|removed| removed_message(&removed.id, removed.sequence));
         self.current(id).into_iter().chain(removed).collect()
     }
 
--- a/crates/controller/src/controller/endpoints/registry_test.rs
+++ b/crates/controller/src/controller/endpoints/registry_test.rs
@@ -533,3 +533,37 @@
     assert_eq!(endpoints.merge_removal(ms(3), &removed(2)), RemovalMerge::Removed);
     assert_eq!(endpoints.merge_heartbeats(ms(4), &batch(3)), vec![], "removed");
 }
+
+/// A heartbeat of the incarnation `id` at the usual address, as another controller sends it.
+fn registered_as(id: &str, sequence: u64) -> Registered {
+    Registered { id: id.into(), ..registered(sequence, "ready") }
+}
+
+/// A late heartbeat of a former incarnation reached another controller, which removed the live one. The controller that
+/// knows the live one's later heartbeats contradicts, or routers would have lost it for good.
+#[test]
+fn a_removal_for_another_incarnation_at_the_address_is_sent_on_and_contradicted() {
+    let mut receiver = endpoints();
+    receiver.merge(ms(0), &registered_as("i-live", 2));
+    let merge = receiver.merge(ms(1), &registered_as("i-former", 7));
+    let removed_live = Removed { id: "i-live".into(), sequence: 3 };
+    let messages =
+        vec![Message::Registered(registered_as("i-former", 7)), Message::Removed(removed_live.clone())];
+    assert_eq!(merge, RegistrationMerge { updates: messages, relay: true });
+
+    let mut other = endpoints();
+    other.merge(ms(0), &registered_as("i-live", 2));
+    let heartbeats = vec![BatchedHeartbeat { id: "i-live".into(), sequence: 5 }];
+    other.merge_heartbeats(ms(1), &HeartbeatBatch::from(heartbeats));
+    let live = registered_as_newer("i-live", 2, 5);
+    let contradicted = RemovalMerge::Contradicted(Message::Registered(live.clone()));
+    assert_eq!(other.merge_removal(ms(2), &removed_live), contradicted);
+    let removed_former = Removed { id: "i-former".into(), sequence: 8 };
+    let merge = receiver.merge(ms(3), &live);
+    assert_eq!(merge.updates, vec![Message::Registered(live), Message::Removed(removed_former)]);
+}
+
+/// The registration of `sequence` with the sequence of a newer heartbeat that changed nothing.
+fn registered_as_newer(id: &str, sequence: u64, newer: u64) -> Registered {
+    Registered { sequence: newer, ..registered_as(id, sequence) }
+}
--- a/crates/controller/src/controller/membership/peer_messages.rs
+++ b/crates/controller/src/controller/membership/peer_messages.rs
@@ -73,6 +73,7 @@
             merge.updates.iter().for_each(|message| self.relay(peer, message));
         }
         self.update_placers(&registered.id.text());
+        self.update_placers_of_removed(&merge.updates);
     }
 
     /// Relays a message from `source` to the peers that are considered partitioned from its sender.
--- a/crates/controller/src/controller/operator/control_calls.rs
+++ b/crates/controller/src/controller/operator/control_calls.rs
@@ -61,6 +61,7 @@
             self.peers.broadcast(message);
         }
         self.update_placers(id);
+        self.update_placers_of_removed(&changes.messages);
         if let Some(token) = changes.flush {
             self.peers.broadcast(&Message::Flush(Token { token }));
         }
--- a/crates/controller/src/controller/placement/placement_control.rs
+++ b/crates/controller/src/controller/placement/placement_control.rs
@@ -201,6 +201,15 @@
         self.republish_evictions(id);
     }
 
+    /// Notifies the placers of the incarnations that these messages remove.
+    pub(crate) fn update_placers_of_removed(&mut self, messages: &[Message]) {
+        for message in messages {
+            if let Message::Removed(removed) = message {
+                self.update_placers(&removed.id.text());
+            }
+        }
+    }
+
     /// Publishes a pending eviction again after a heartbeat. An endpoint lists an evicted model until the last run with
     /// it has ended, but refuses requests for it all that time. Otherwise its heartbeats would make routers send requests
     /// for the model again.
--- a/crates/controller/src/simulation/calls.rs
+++ b/crates/controller/src/simulation/calls.rs
@@ -28,6 +28,8 @@
     Read(usize),
     /// A heartbeat of an incarnation of an endpoint.
     Heartbeat { endpoint: usize, start: u64 },
+    /// A heartbeat that was held up on its way; its endpoint no longer waits for an answer.
+    LateHeartbeat,
     /// The deregistration of an incarnation of an endpoint.
     Delete { endpoint: usize, start: u64 },
 }
@@ -281,6 +283,7 @@
             Purpose::Read(number) => self.read_answered(number, answer, pending_call.attempts),
             Purpose::Heartbeat { endpoint, start } => self.heartbeat_answered(endpoint, start, answer.status),
             Purpose::Delete { endpoint, start } => self.delete_answered(endpoint, start, answer.status),
+            Purpose::LateHeartbeat => true,
         }
     }
 
@@ -288,7 +291,7 @@
         match pending_call.purpose {
             Purpose::Change(number) => self.history.change_given_up(number),
             Purpose::Read(number) => self.history.read_given_up(number),
-            Purpose::Heartbeat { .. } | Purpose::Delete { .. } => {}
+            Purpose::Heartbeat { .. } | Purpose::LateHeartbeat | Purpose::Delete { .. } => {}
         }
     }
 
--- a/crates/controller/src/simulation/step.rs
+++ b/crates/controller/src/simulation/step.rs
@@ -33,6 +33,10 @@
     Remove(usize),
     /// An endpoint crashes without deregistering.
     Crash(usize),
+    /// An endpoint sends a heartbeat that is held up on its way.
+    HoldHeartbeat(usize),
+    /// The heartbeat of an endpoint that was held up reaches a controller.
+    DeliverHeld { endpoint: usize, via: usize },
     /// Time passes, in milliseconds.
     Wait(u64),
     /// Packets from one machine to another are lost.
@@ -135,6 +139,10 @@
             Step::Drain(index) => write!(formatter, "drain {}", endpoint(index)),
             Step::Remove(index) => write!(formatter, "remove {}", endpoint(index)),
             Step::Crash(index) => write!(formatter, "crash {}", endpoint(index)),
+            Step::HoldHeartbeat(index) => write!(formatter, "hold {}", endpoint(index)),
+            Step::DeliverHeld { endpoint: index, via } => {
+                write!(formatter, "late {} {}", endpoint(index), controller(via))
+            }
             Step::Wait(time) => write!(formatter, "wait {time}"),
             Step::Partition { from, to } => write!(formatter, "cut {from} {to}"),
             Step::Blackhole { from, to } => write!(formatter, "blackhole {from} {to}"),
@@ -262,6 +270,7 @@
         "drain" => Step::Drain(endpoint(argument)?),
         "prefer" => Step::Prefer(controller(argument)?),
         "remove" => Step::Remove(endpoint(argument)?),
+        "hold" => Step::HoldHeartbeat(endpoint(argument)?),
         "crash" => Step::Crash(endpoint(argument)?),
         "refuse" => Step::Refuse(host(argument)?),
         "reset" => Step::Reset(host(argument)?),
@@ -287,6 +296,7 @@
         ("abort", _) => Step::ResetOneSide { host: host(first)?, peer: host(second)? },
         ("isolate", "peers") => Step::Isolate { host: host(first)?, scope: Scope::Peers },
         ("isolate", "all") => Step::Isolate { host: host(first)?, scope: Scope::All },
+        ("late", _) => Step::DeliverHeld { endpoint: endpoint(first)?, via: controller(second)? },
         ("slow", _) => Step::Slow(controller(first)?, number(second)?),
         _ => return Err(StepParseError),
     })
--- a/crates/controller/src/simulation/world.rs
+++ b/crates/controller/src/simulation/world.rs
@@ -249,6 +249,14 @@
                 self.preferred = Some(*controller);
                 Ok(())
             }
+            Step::HoldHeartbeat(endpoint) => {
+                self.hold_heartbeat(*endpoint);
+                Ok(())
+            }
+            Step::DeliverHeld { endpoint, via } => {
+                self.deliver_held_heartbeat(*endpoint, *via);
+                Ok(())
+            }
             Step::Remove(endpoint) => {
                 self.remove_endpoint(*endpoint);
                 Ok(())
--- a/crates/controller/src/view.rs
+++ b/crates/controller/src/view.rs
@@ -1,7 +1,8 @@
 //! The state of a subscriber: updates from any number of sources, merged into one view.
 //!
 //! Configurations are ordered by revision and registrations by sequence, so a source that lags behind another can never
-//! revert the view. Endpoints that were removed while a source was disconnected are dropped at the end of that source's
+//! revert the view. Which of two incarnations at one address has ended is left to the sources: their removals carry the
+//! sequence as of which they hold, while a view does not receive every heartbeat. Endpoints that were removed while a source was disconnected are dropped at the end of that source's
 //! next snapshot.
 
 use crate::configuration_feed::fetcher::{ConfigurationFetcher, FetchPacing};
@@ -307,14 +308,10 @@
         let body = message.body.bytes.clone().into();
         let Ok(registration) = Registered::parse(&id, body) else { return };
         let registration = registration.carry_over_from(self.registration(&id));
-        let RegistryUpdate::Changed { replaced } =
-            self.registry.merge(now, &id, message.sequence, registration)
-        else {
-            return;
-        };
-        updates.push(Message::Registered(message));
-        let tombstone = |id: String| Removed { id: id.as_str().into(), sequence: u64::MAX };
-        updates.extend(replaced.into_iter().map(|id| Message::Removed(tombstone(id))));
+        let update = self.registry.merge_reported(now, &id, message.sequence, registration);
+        if matches!(update, RegistryUpdate::Changed { .. }) {
+            updates.push(Message::Registered(message));
+        }
     }
 
     fn apply_removal(
