Views drop tombstones in time, also without heartbeats of the feed

Cause: a view checked retention times only at a heartbeat of the feed. An agent sends its router one only when something in it changes, so there a removal was never forgotten. Change: retention times are checked at any message, at most every 500 ms.

--- a/crates/controller/src/view.rs
+++ b/crates/controller/src/view.rs
@@ -4,6 +4,9 @@
 //! revert the view. Which of two incarnations at one address has ended is left to the sources: their removals carry the
 //! sequence as of which they hold, while a view does not receive every heartbeat. Endpoints that were removed while a source was disconnected are dropped at the end of that source's
 //! next snapshot.
+//!
+//! What is retained for a limited time is dropped at the first message after that time, whether or not the source sends
+//! heartbeats, so that no removal outlasts its retention.
 
 use crate::configuration_feed::fetcher::{ConfigurationFetcher, FetchPacing};
 use crate::message::{
@@ -26,6 +29,9 @@
 /// the others, which receive a registration within tenths of a second. Or it may have been behind, and have missed the
 /// removal of the endpoint.
 const LOST_SOURCE_GRACE: Duration = Duration::from_millis(1_000);
+/// Interval at which retention times are checked, besides the checks at heartbeats of the feed: an agent sends its router
+/// one only when it reports something else.
+const RETENTION_CHECK_PERIOD: Duration = Duration::from_millis(500);
 /// How long a controller is retained after a source last named it.
 const CONTROLLER_RETENTION: Duration = Duration::from_secs(30);
 
@@ -66,6 +72,8 @@
     /// When each controller was last named by a source.
     named: BTreeMap<SocketAddr, Duration>,
     routers: u32,
+    /// When retention times are checked next, if a message arrives.
+    next_retention_check: Duration,
 }
 
 impl Default for View {
@@ -85,6 +93,7 @@
             controllers: BTreeSet::new(),
             named: BTreeMap::new(),
             routers: 0,
+            next_retention_check: Duration::ZERO,
         }
     }
 
@@ -97,6 +106,9 @@
         updates: &mut Vec<Message>,
     ) {
         self.restore_source(source, &message);
+        if now >= self.next_retention_check {
+            self.drop_expired(now, updates);
+        }
         match message {
             Message::SnapshotBegin => *self.source(source) = Source::default(),
             Message::SnapshotEnd { complete } => self.snapshot_ended(source, complete == 1, updates),
@@ -174,6 +186,13 @@
         entry.position = Position { source: heartbeat.source, offset: heartbeat.offset };
         entry.quorum = heartbeat.quorum == 1;
         self.count_routers(source, heartbeat);
+        self.drop_expired(now, updates);
+    }
+
+    /// Drops what has been retained for its time: tombstones, the state of lost sources and what only they listed, and
+    /// controllers that no source names any more.
+    fn drop_expired(&mut self, now: Duration, updates: &mut Vec<Message>) {
+        self.next_retention_check = now + RETENTION_CHECK_PERIOD;
         self.registry.purge_tombstones(now, TOMBSTONE_RETENTION);
         self.lost.retain(|_, lost| now.saturating_sub(lost.since) <= LOST_SOURCE_RETENTION);
         self.expire_lost_sources(now, updates);
--- a/crates/controller/tests/view.rs
+++ b/crates/controller/tests/view.rs
@@ -475,3 +475,14 @@
     view.source_lost(ms(600), controller(1));
     assert!(view.may_be_behind(), "nobody is heard any more");
 }
+
+/// An agent sends its router a heartbeat of the feed only when something in it changes. The router kept the tombstones of
+/// endpoints for good, and never listed them again.
+#[test]
+fn a_tombstone_is_dropped_without_heartbeats_of_the_feed() {
+    let mut view = View::default();
+    send(&mut view, controller(1), &[registered("i-1", 80, 5, &[]), removed("i-1", u64::MAX)]);
+    let again = registered("i-1", 80, 6, &[]);
+    assert_eq!(send_at(&mut view, 60_000, controller(1), std::slice::from_ref(&again)), vec![]);
+    assert_eq!(send_at(&mut view, 60_501, controller(1), std::slice::from_ref(&again)), vec![again]);
+}
