An acknowledged end or drain of an endpoint outlasts a restart of all controllers

Cause: that an incarnation is draining or gone was in memory alone. A restarted controller had nothing to compare the sequence of a heartbeat with. Change: a tombstone log on each controller's disk. A controller counts itself, and confirms a flush, only once everything that it has received is on disk; a process begins with the tombstones that it finds.

--- a/crates/controller/src/controller/consensus/disk.rs
+++ b/crates/controller/src/controller/consensus/disk.rs
@@ -1,19 +1,54 @@
 //! The thread that writes records to disk, so that a slow write or sync does not block the event loop.
 
+use crate::controller::consensus::records::Stores;
+use crate::controller::endpoints::tombstone_log::TombstoneWrite;
 use crate::controller::event::Event;
 use lanegate_coordination::register::{CodecError, Record};
-use lanegate_coordination::storage::{FileDirectory, StoreError, VersionedStore};
+use lanegate_coordination::storage::{FileDirectory, StoreError};
 use parking_lot::Mutex;
-use std::collections::BTreeMap;
+use std::fmt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
-/// A record to write.
-struct Write {
-    shard: u8,
-    token: u64,
-    record: Record,
+/// What is to be written.
+enum Write {
+    /// The record of a shard.
+    Shard { shard: u8, token: u64, record: Record },
+    /// The tombstone log.
+    Tombstones(TombstoneWrite),
+}
+
+impl Write {
+    fn save(&self, folder: &mut FileDirectory, stores: &mut Stores) -> Result<(), WriteError> {
+        match self {
+            Write::Shard { shard, record, .. } => {
+                let bytes = record.encode()?;
+                let store = stores.shards.get_mut(shard).expect("every shard has a store");
+                Ok(store.save(folder, &bytes)?)
+            }
+            Write::Tombstones(write) => Ok(stores.tombstones.save(folder, &write.record)?),
+        }
+    }
+
+    /// The event that reports the end of the write.
+    fn ended(&self, durable: bool) -> Event {
+        match *self {
+            Write::Shard { shard, token, .. } => Event::Written { shard, token, durable },
+            Write::Tombstones(TombstoneWrite { version, .. }) => {
+                Event::TombstonesWritten { version, durable }
+            }
+        }
+    }
+}
+
+impl fmt::Display for Write {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Write::Shard { shard, .. } => write!(formatter, "shard={shard}"),
+            Write::Tombstones(_) => formatter.write_str("tombstones"),
+        }
+    }
 }
 
 /// Statistics of disk writes since the start of the process.
@@ -63,23 +98,23 @@
 }
 
 impl Disk {
-    /// Starts the thread; the completion of each write arrives as [`Event::Written`].
+    /// Starts the thread; the completion of each write arrives as [`Event::Written`] or [`Event::TombstonesWritten`].
     pub(crate) fn start(
         mut folder: FileDirectory,
-        mut stores: BTreeMap<u8, VersionedStore>,
+        mut stores: Stores,
         events: mpsc::UnboundedSender<Event>,
         counts: Arc<DiskCounts>,
     ) -> std::io::Result<Disk> {
         let (writes, queue) = std::sync::mpsc::channel::<Write>();
         let ended = counts.clone();
         std::thread::Builder::new().name("disk".to_owned()).spawn(move || {
-            for Write { shard, token, record } in queue {
+            for write in queue {
                 let began = Instant::now();
-                let durable = write(&mut folder, &mut stores, shard, &record);
-                let durable = durable
-                    .inspect_err(|error| log::warn!("record not persisted shard={shard} error={error}"));
+                let durable = write.save(&mut folder, &mut stores);
+                let durable =
+                    durable.inspect_err(|error| log::warn!("record not persisted {write} error={error}"));
                 ended.ended(durable.is_ok(), began.elapsed());
-                if events.send(Event::Written { shard, token, durable: durable.is_ok() }).is_err() {
+                if events.send(write.ended(durable.is_ok())).is_err() {
                     return;
                 }
             }
@@ -89,20 +124,18 @@
 
     /// Queues a record for writing.
     pub(crate) fn write(&self, shard: u8, token: u64, record: Record) {
-        self.counts.queued();
-        let _ = self.writes.send(Write { shard, token, record });
+        self.queue(Write::Shard { shard, token, record });
     }
-}
 
-fn write(
-    folder: &mut FileDirectory,
-    stores: &mut BTreeMap<u8, VersionedStore>,
-    shard: u8,
-    record: &Record,
-) -> Result<(), WriteError> {
-    let bytes = record.encode()?;
-    let store = stores.get_mut(&shard).expect("every shard has a store");
-    Ok(store.save(folder, &bytes)?)
+    /// Queues the tombstone log for writing.
+    pub(crate) fn write_tombstones(&self, write: TombstoneWrite) {
+        self.queue(Write::Tombstones(write));
+    }
+
+    fn queue(&self, write: Write) {
+        self.counts.queued();
+        let _ = self.writes.send(write);
+    }
 }
 
 /// Why a record could not be written.
--- a/crates/controller/src/controller/endpoints/acknowledgements.rs
+++ b/crates/controller/src/controller/endpoints/acknowledgements.rs
@@ -1,5 +1,5 @@
 //! Acknowledgements of drains and deregistrations, which are sent once a majority of the controllers has received the
-//! notice.
+//! notice and has it on disk.
 
 use crate::controller::consensus::replica_groups::KnownGroups;
 use crate::controller::event::Answer;
@@ -25,6 +25,8 @@
     RepeatTokens,
     /// Groups that only a peer knows are ignored.
     OwnGroupsOnly,
+    /// A controller counts itself, and confirms flushes, before its tombstones are on its disk.
+    CountUnwritten,
 }
 
 /// An acknowledgement that waits until a majority of each group in force has received the notice.
@@ -34,6 +36,8 @@
     id: String,
     /// Controllers that confirmed, each with the groups that it knew at that time.
     confirmed_by: BTreeMap<SocketAddr, KnownGroups>,
+    /// Version of the tombstone log that has to be on disk before this controller counts itself.
+    version: u64,
     until: Duration,
 }
 
@@ -46,14 +50,17 @@
     fn is_confirmed(
         &self,
         own_address: SocketAddr,
+        durable_version: u64,
         known: &KnownGroups,
         fault: Option<AcknowledgementFault>,
     ) -> bool {
+        let has_written =
+            self.version <= durable_version || fault == Some(AcknowledgementFault::CountUnwritten);
         if fault == Some(AcknowledgementFault::CountNonMembers) {
             let majority = known.groups.iter().map(|group| group.len() / 2 + 1).max();
             return majority.is_some_and(|majority| self.confirmed_by.len() + 1 >= majority);
         }
-        let counts = |node| node == own_address || self.confirmed_by.contains_key(&node);
+        let counts = |node| (node == own_address && has_written) || self.confirmed_by.contains_key(&node);
         if fault == Some(AcknowledgementFault::OwnGroupsOnly) {
             return known.have_majority(counts);
         }
@@ -67,8 +74,10 @@
 /// The acknowledgements of one controller that wait for a majority, and the drains that a majority has confirmed.
 #[derive(Debug)]
 pub(crate) struct Acknowledgements {
-    /// This controller, which counts as one that has received the notice.
+    /// This controller, which counts as one that has received the notice once its tombstone is on its disk.
     own_address: SocketAddr,
+    /// The newest version of the tombstone log that is on disk.
+    durable_version: u64,
     /// Draining incarnations whose drain a majority has confirmed.
     confirmed: BTreeSet<String>,
     pending: BTreeMap<u64, PendingAcknowledgement>,
@@ -83,6 +92,7 @@
     pub(crate) fn new(own_address: SocketAddr, incarnation: u64) -> Self {
         Acknowledgements {
             own_address,
+            durable_version: 0,
             confirmed: BTreeSet::new(),
             pending: BTreeMap::new(),
             next_token: incarnation,
@@ -125,7 +135,7 @@
         self.acknowledge_confirmed(known);
     }
 
-    /// A peer has restarted: confirmations by its earlier process are dropped, as the notices were only in its memory.
+    /// A peer has restarted: confirmations by its earlier process are dropped, as it may have lost its disk.
     pub(crate) fn peer_restarted(&mut self, peer: SocketAddr) {
         if self.fault == Some(AcknowledgementFault::CountRestartedPeers) {
             return;
@@ -137,8 +147,10 @@
 
     /// Sends the acknowledgements that are confirmed. To be called when confirmations or the groups `known` have changed.
     pub(crate) fn acknowledge_confirmed(&mut self, known: &KnownGroups) {
-        let (own_address, fault) = (self.own_address, self.fault);
-        let is_confirmed = |pending: &PendingAcknowledgement| pending.is_confirmed(own_address, known, fault);
+        let (own_address, durable_version, fault) = (self.own_address, self.durable_version, self.fault);
+        let is_confirmed = |pending: &PendingAcknowledgement| {
+            pending.is_confirmed(own_address, durable_version, known, fault)
+        };
         let confirmed = self.pending.iter().filter(|(_, pending)| is_confirmed(pending));
         let confirmed: Vec<u64> = confirmed.map(|(token, _)| *token).collect();
         for token in confirmed {
@@ -148,6 +160,17 @@
         }
     }
 
+    /// The tombstones up to `version` of the log are on disk.
+    pub(crate) fn tombstones_written(&mut self, version: u64, known: &KnownGroups) {
+        self.durable_version = version;
+        self.acknowledge_confirmed(known);
+    }
+
+    /// Whether flushes are confirmed before the tombstones are on disk; a deliberate fault.
+    pub(crate) fn counts_unwritten(&self) -> bool {
+        self.fault == Some(AcknowledgementFault::CountUnwritten)
+    }
+
     /// Allocates a flush number; also used for flushes that no acknowledgement waits for.
     pub(crate) fn next_token(&mut self) -> u64 {
         let token = self.next_token;
@@ -179,18 +202,24 @@
         self.pending.values().map(|pending| pending.until).min()
     }
 
-    /// Adds an acknowledgement, which waits for a majority. Returns the token of the flush to send, or `None` if no
-    /// further confirmation is needed.
+    /// Adds an acknowledgement, which waits for a majority. This controller counts once `version` of its tombstone log is
+    /// on disk. Returns the token of the flush to send, or `None` if no further confirmation is needed.
     pub(crate) fn wait(
         &mut self,
         now: Duration,
         id: &str,
+        version: u64,
         known: &KnownGroups,
         reply: oneshot::Sender<Answer>,
     ) -> Option<u64> {
         let until = now + REPLICATION_TIMEOUT;
-        let pending =
-            PendingAcknowledgement { reply, id: id.to_owned(), confirmed_by: BTreeMap::new(), until };
+        let pending = PendingAcknowledgement {
+            reply,
+            id: id.to_owned(),
+            confirmed_by: BTreeMap::new(),
+            version,
+            until,
+        };
         let token = self.next_token();
         self.pending.insert(token, pending);
         self.acknowledge_confirmed(known);
--- a/crates/controller/src/controller/endpoints/mod.rs
+++ b/crates/controller/src/controller/endpoints/mod.rs
@@ -12,3 +12,6 @@
 pub(super) mod relay;
 #[cfg(test)]
 mod relay_test;
+pub(super) mod tombstone_log;
+#[cfg(test)]
+mod tombstone_log_test;
--- a/crates/controller/src/controller/endpoints/registry.rs
+++ b/crates/controller/src/controller/endpoints/registry.rs
@@ -4,6 +4,7 @@
 use crate::controller::endpoints::acknowledgements::{
     AcknowledgementFault, Acknowledgements, acknowledged, not_replicated,
 };
+use crate::controller::endpoints::tombstone_log::{TOMBSTONE_RETENTION, TombstoneLog};
 use crate::controller::event::Answer;
 use crate::message::{
     BatchedHeartbeat, HeartbeatBatch, Message, Registered as RegisteredMessage, Removed, ResidencyUpdate,
@@ -18,8 +19,6 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// How long the tombstone of a removed incarnation is retained.
-const TOMBSTONE_RETENTION: Duration = Duration::from_secs(60);
 /// Number of heartbeats that an endpoint may miss before it expires. Routers detect a dead endpoint long before; the
 /// expiry only keeps the registry from growing.
 const MISSED_HEARTBEATS: f64 = 3.5;
@@ -65,6 +64,8 @@
     heartbeats: BTreeMap<String, u64>,
     /// Acknowledgements of drains and deregistrations.
     pub(crate) acknowledgements: Acknowledgements,
+    /// Drains and deregistrations that have to outlast a restart.
+    pub(crate) tombstone_log: TombstoneLog,
 }
 
 impl EndpointRegistry {
@@ -76,9 +77,18 @@
             timeout: heartbeat.mul_f64(MISSED_HEARTBEATS),
             heartbeats: BTreeMap::new(),
             acknowledgements: Acknowledgements::new(own_address, incarnation),
+            tombstone_log: TombstoneLog::default(),
         }
     }
 
+    /// The same with the tombstones that an earlier process left on disk.
+    pub(crate) fn with_tombstones(mut self, now: Duration, tombstone_log: TombstoneLog) -> Self {
+        for (id, sequence) in tombstone_log.iter() {
+            self.registry.remove(now, id, sequence);
+        }
+        EndpointRegistry { tombstone_log, ..self }
+    }
+
     /// The same with a deliberate fault, for tests.
     pub(crate) fn with_fault(self, fault: Option<AcknowledgementFault>) -> Self {
         EndpointRegistry { acknowledgements: self.acknowledgements.with_fault(fault), ..self }
@@ -113,14 +123,17 @@
             RegistryUpdate::Refreshed => {
                 self.heartbeats.insert(id.to_owned(), sequence);
             }
-            RegistryUpdate::Changed { replaced } => changes.messages = self.changed(id, replaced),
+            RegistryUpdate::Changed { replaced } => {
+                self.record_draining(now, id);
+                changes.messages = self.changed(id, replaced);
+            }
         }
         if !draining {
             self.acknowledgements.forget(id);
         }
         if draining && !self.acknowledgements.is_confirmed(id) {
             changes.messages.extend(self.current(id));
-            changes.flush = self.acknowledgements.wait(now, id, known, reply);
+            changes.flush = self.acknowledgements.wait(now, id, self.tombstone_log.version(), known, reply);
         } else if in_contact {
             let _ = reply.send(acknowledged());
         } else {
@@ -139,8 +152,19 @@
     ) -> Changes {
         self.registry.remove(now, id, FINAL_SEQUENCE);
         self.heartbeats.remove(id);
+        self.tombstone_log.record(now, id, FINAL_SEQUENCE);
         let messages = vec![removed_message(id, FINAL_SEQUENCE)];
-        Changes { messages, flush: self.acknowledgements.wait(now, id, known, reply) }
+        let flush = self.acknowledgements.wait(now, id, self.tombstone_log.version(), known, reply);
+        Changes { messages, flush }
+    }
+
+    /// Records an incarnation that is draining, so that after a restart no earlier heartbeat makes it ready again.
+    fn record_draining(&mut self, now: Duration, id: &str) {
+        let Some(entry) = self.registry.get(id) else { return };
+        let registration = entry.registration.as_ref();
+        if registration.is_some_and(|registration| registration.instance.state == InstanceState::Draining) {
+            self.tombstone_log.record(now, id, entry.sequence);
+        }
     }
 
     /// Merges a registration that another controller received.
@@ -153,6 +177,7 @@
         let registration = registration.carry_over_from(self.registration(&id));
         match self.registry.merge(now, &id, message.sequence, registration) {
             RegistryUpdate::Changed { replaced } => {
+                self.record_draining(now, &id);
                 let relay = draining || !replaced.is_empty();
                 RegistrationMerge { updates: self.changed(&id, replaced), relay }
             }
@@ -184,6 +209,9 @@
     /// Merges the removal of an incarnation that another controller sent.
     pub(crate) fn merge_removal(&mut self, now: Duration, removed: &Removed) -> RemovalMerge {
         let id = removed.id.text();
+        if removed.sequence == FINAL_SEQUENCE {
+            self.tombstone_log.record(now, &id, FINAL_SEQUENCE);
+        }
         if self.registry.remove(now, &id, removed.sequence) {
             return RemovalMerge::Removed;
         }
@@ -229,6 +257,7 @@
     /// Removes endpoints whose heartbeats have timed out, in the services that this controller owns.
     pub(crate) fn expire(&mut self, now: Duration, owns: impl Fn(&str) -> bool) -> Vec<Message> {
         self.registry.purge_tombstones(now, TOMBSTONE_RETENTION);
+        self.tombstone_log.purge(now);
         let registry = &self.registry;
         self.acknowledgements
             .retain_confirmed(|id| registry.get(id).is_some_and(|entry| entry.registration.is_some()));
--- a/crates/controller/src/controller/endpoints/registry_test.rs
+++ b/crates/controller/src/controller/endpoints/registry_test.rs
@@ -4,6 +4,7 @@
 use crate::controller::endpoints::acknowledgements::AcknowledgementFault;
 use crate::controller::endpoints::pending_loads::residency_update;
 use crate::controller::endpoints::registry::{Changes, EndpointRegistry, RegistrationMerge, RemovalMerge};
+use crate::controller::endpoints::tombstone_log::TombstoneLog;
 use crate::controller::event::Answer;
 use crate::message::{BatchedHeartbeat, HeartbeatBatch, Message, Registered, Removed, ResidencyUpdate};
 use bytes::Bytes;
@@ -65,7 +66,16 @@
     state: &str,
 ) -> (Changes, Receiver<Answer>) {
     let (reply, answer) = oneshot::channel();
-    (endpoints.register(now, "i-1", body(sequence, state), &known(group), true, reply), answer)
+    let changes = endpoints.register(now, "i-1", body(sequence, state), &known(group), true, reply);
+    write_tombstones(endpoints, now, &known(group));
+    (changes, answer)
+}
+
+/// The disk of the controller under test writes its tombstones.
+fn write_tombstones(endpoints: &mut EndpointRegistry, now: Duration, known: &KnownGroups) {
+    let Some(write) = endpoints.tombstone_log.take_write(now) else { return };
+    endpoints.tombstone_log.write_ended(now, write.version, true);
+    endpoints.acknowledgements.tombstones_written(write.version, known);
 }
 
 /// A heartbeat of an engine that lists one model.
@@ -123,6 +133,7 @@
     let mut endpoints = endpoints();
     let (reply, mut answer) = oneshot::channel();
     let changes = endpoints.register(ms(0), "i-1", body(1, "draining"), &known(THREE), false, reply);
+    write_tombstones(&mut endpoints, ms(0), &known(THREE));
     assert_eq!(status(&mut answer), None);
     confirm(&mut endpoints, changes.flush.expect("a flush is sent"), 2, THREE);
     assert_eq!(status(&mut answer), Some(200));
@@ -203,8 +214,12 @@
 #[test]
 fn a_controller_that_is_alone_in_its_group_acknowledges_by_itself() {
     let mut endpoints = endpoints();
-    let (changes, mut answer) = register(&mut endpoints, ms(0), &[OWN_NUMBER], 1, "draining");
-    assert_eq!((changes.flush, status(&mut answer)), (None, Some(200)));
+    let (reply, mut answer) = oneshot::channel();
+    let alone = known(&[OWN_NUMBER]);
+    endpoints.register(ms(0), "i-1", body(1, "draining"), &alone, true, reply);
+    assert_eq!(status(&mut answer), None, "nobody has it on disk");
+    write_tombstones(&mut endpoints, ms(0), &alone);
+    assert_eq!(status(&mut answer), Some(200));
 }
 
 #[test]
@@ -213,6 +228,7 @@
     register(&mut endpoints, ms(0), THREE, 1, "ready");
     let (reply, mut answer) = oneshot::channel();
     let changes = endpoints.deregister(ms(10), "i-1", &known(THREE), reply);
+    write_tombstones(&mut endpoints, ms(10), &known(THREE));
     assert_eq!(changes.messages, vec![Message::Removed(removed(FINAL_SEQUENCE))]);
     assert_eq!(status(&mut answer), None);
     confirm(&mut endpoints, changes.flush.expect("a flush is sent"), 3, THREE);
@@ -229,6 +245,7 @@
     for time in [0, 1_000] {
         let (reply, mut answer) = oneshot::channel();
         let changes = endpoints.deregister(ms(time), "i-1", &known(THREE), reply);
+        write_tombstones(&mut endpoints, ms(time), &known(THREE));
         assert_eq!(changes.messages, vec![Message::Removed(removed(FINAL_SEQUENCE))]);
         assert!(changes.flush.is_some());
         endpoints.acknowledgements.expire_pending(ms(time) + EXPIRES_AT);
@@ -436,6 +453,7 @@
     let mut endpoints = endpoints().with_fault(Some(fault));
     let (reply, mut answer) = oneshot::channel();
     let changes = endpoints.register(ms(0), "i-1", body(1, "draining"), known, true, reply);
+    write_tombstones(&mut endpoints, ms(0), known);
     let token = changes.flush.expect("a flush is sent");
     for (number, known_to_peer) in known_to_peer {
         endpoints.acknowledgements.flushed(token, peer(*number), (*known_to_peer).clone(), known);
@@ -567,3 +585,66 @@
 fn registered_as_newer(id: &str, sequence: u64, newer: u64) -> Registered {
     Registered { sequence: newer, ..registered_as(id, sequence) }
 }
+
+/// All controllers are killed right after an acknowledgement: what was in memory alone is forgotten (review/6).
+#[test]
+fn a_controller_counts_itself_only_once_its_tombstone_is_on_disk() {
+    let mut endpoints = endpoints();
+    let (reply, mut answer) = oneshot::channel();
+    let changes = endpoints.deregister(ms(0), "i-1", &known(THREE), reply);
+    let token = changes.flush.expect("a flush");
+    confirm(&mut endpoints, token, 2, THREE);
+    assert_eq!(status(&mut answer), None, "one of three has it on disk");
+    write_tombstones(&mut endpoints, ms(1), &known(THREE));
+    assert_eq!(status(&mut answer), Some(200));
+}
+
+#[test]
+fn two_peers_that_have_a_tombstone_on_disk_are_a_majority_without_this_controller() {
+    let mut endpoints = endpoints();
+    let (reply, mut answer) = oneshot::channel();
+    let changes = endpoints.deregister(ms(0), "i-1", &known(THREE), reply);
+    let token = changes.flush.expect("a flush");
+    confirm(&mut endpoints, token, 2, THREE);
+    confirm(&mut endpoints, token, 3, THREE);
+    assert_eq!(status(&mut answer), Some(200));
+}
+
+/// The registry of the next process of a controller that has written its tombstones.
+fn restarted(endpoints: &mut EndpointRegistry) -> EndpointRegistry {
+    let write = endpoints.tombstone_log.take_write(ms(10)).expect("tombstones to write");
+    let log = TombstoneLog::restore(ms(0), &write.record).expect("a record that can be read");
+    self::endpoints().with_tombstones(ms(0), log)
+}
+
+/// A heartbeat that had been sent before the end arrived after the restart, and the endpoint got requests again.
+#[test]
+fn a_late_heartbeat_after_a_restart_registers_no_incarnation_that_was_deregistered() {
+    let mut endpoints = endpoints();
+    endpoints.merge_removal(ms(0), &removed(FINAL_SEQUENCE));
+    let mut endpoints = restarted(&mut endpoints);
+    let (changes, mut answer) = register(&mut endpoints, ms(100), THREE, 7, "ready");
+    assert_eq!((changes.messages, status(&mut answer)), (vec![], Some(200)));
+    assert!(endpoints.registration("i-1").is_none());
+    assert!(endpoints.full_snapshot().any(|message| message == Message::Removed(removed(FINAL_SEQUENCE))));
+}
+
+#[test]
+fn after_a_restart_a_draining_incarnation_returns_with_its_next_heartbeat_only() {
+    let mut endpoints = endpoints();
+    endpoints.merge(ms(0), &registered(5, "draining"));
+    let mut endpoints = restarted(&mut endpoints);
+    register(&mut endpoints, ms(100), THREE, 4, "ready");
+    assert!(endpoints.registration("i-1").is_none(), "it was sent before the drain");
+    let (changes, _) = register(&mut endpoints, ms(200), THREE, 6, "draining");
+    assert!(changes.messages.contains(&Message::Registered(registered(6, "draining"))));
+}
+
+#[test]
+fn an_incarnation_that_expired_or_was_replaced_is_not_written() {
+    let mut endpoints = endpoints();
+    endpoints.merge(ms(0), &registered(5, "ready"));
+    endpoints.merge(ms(1), &registered_as("i-2", 1));
+    endpoints.expire(ms(9_000), |_| true);
+    assert_eq!(endpoints.tombstone_log.take_write(ms(9_000)), None);
+}
--- a/crates/controller/src/controller/environment.rs
+++ b/crates/controller/src/controller/environment.rs
@@ -4,6 +4,7 @@
 //! All other input arrives as an [`Event`](crate::controller::event::Event). A process implements this with real
 //! sockets, disks and time, a simulation with simulated ones.
 
+use crate::controller::endpoints::tombstone_log::TombstoneWrite;
 use crate::controller::placement::placers::ServiceAction;
 use lanegate_config::settings::{Settings, SettingsError};
 use lanegate_coordination::register::Record;
@@ -25,6 +26,9 @@
     /// Writes a record of `shard`; its completion arrives as an event with `token`.
     fn persist(&mut self, shard: u8, token: u64, record: Record);
 
+    /// Writes the tombstone log; its completion arrives as an event with its version.
+    fn persist_tombstones(&mut self, write: TombstoneWrite);
+
     /// Calls an endpoint on behalf of `owner`, whose tenure has the epoch `epoch`. An order that could not be sent by
     /// `send_by` (a reading of [`Environment::now`]) is dropped.
     fn execute_action(&mut self, action: ServiceAction, owner: &str, epoch: u64, send_by: Duration);
--- a/crates/controller/src/controller/event.rs
+++ b/crates/controller/src/controller/event.rs
@@ -101,6 +101,11 @@
         instance: String,
         report: EndpointReport,
     },
+    /// A version of the tombstone log is on disk, or could not be written.
+    TombstonesWritten {
+        version: u64,
+        durable: bool,
+    },
     /// A record of a shard is on disk, or could not be written.
     Written {
         shard: u8,
--- a/crates/controller/src/controller/event_loop.rs
+++ b/crates/controller/src/controller/event_loop.rs
@@ -89,6 +89,7 @@
             self.next_periodic_tasks = now + PERIODIC_TASKS_PERIOD;
             self.run_periodic_tasks(now);
         }
+        self.write_tombstones();
         self.broadcast_status();
         self.advance_handover(now);
     }
@@ -122,6 +123,7 @@
             }
             Event::AgentDown { agent } => self.subscribers.disconnected(agent),
             Event::Call(call) => self.call(call),
+            Event::TombstonesWritten { version, durable } => self.tombstones_written(version, durable),
             Event::Written { shard, token, durable } => {
                 self.pending_writes.ended(shard);
                 let input = if durable { Input::Persisted { token } } else { Input::PersistFailed { token } };
--- a/crates/controller/src/controller/membership/peer_messages.rs
+++ b/crates/controller/src/controller/membership/peer_messages.rs
@@ -111,9 +111,36 @@
         batch.heartbeats.iter().for_each(|heartbeat| self.update_placers(&heartbeat.id.text()));
     }
 
-    fn confirm_flush(&self, peer: SocketAddr, flush: Token) {
+    /// Confirms a flush once the tombstones that were received before it are on disk.
+    fn confirm_flush(&mut self, peer: SocketAddr, flush: Token) {
+        let may_confirm = self.endpoints.tombstone_log.may_confirm(self.now(), peer, flush.token);
+        if may_confirm || self.endpoints.acknowledgements.counts_unwritten() {
+            self.send_confirmation(peer, flush.token);
+        }
+    }
+
+    fn send_confirmation(&self, peer: SocketAddr, token: u64) {
         let known = self.known_groups(shards::CONFIGURATION);
-        self.peers.send(peer, &Message::Flushed(known.confirmation(flush.token)));
+        self.peers.send(peer, &Message::Flushed(known.confirmation(token)));
+    }
+
+    /// Writes the tombstones that are not on disk yet, unless a write is pending or has just failed.
+    pub(crate) fn write_tombstones(&mut self) {
+        let now = self.now();
+        if let Some(write) = self.endpoints.tombstone_log.take_write(now) {
+            self.environment.persist_tombstones(write);
+        }
+    }
+
+    /// A write of the tombstone log has ended: acknowledgements and confirmations may have waited for it.
+    pub(crate) fn tombstones_written(&mut self, version: u64, durable: bool) {
+        self.endpoints.tombstone_log.write_ended(self.now(), version, durable);
+        let known = self.acknowledging_groups();
+        let durable_version = self.endpoints.tombstone_log.durable_version();
+        self.endpoints.acknowledgements.tombstones_written(durable_version, &known);
+        for (peer, token) in self.endpoints.tombstone_log.take_confirmable() {
+            self.send_confirmation(peer, token);
+        }
     }
 
     /// A peer names the controllers that it knows, or its own location.
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -22,8 +22,9 @@
 mod setup;
 
 pub use consensus::quorum_contact::ContactFault;
-pub(crate) use consensus::records::{Records, Stores, open_stores};
+pub(crate) use consensus::records::{Records, StoredState, Stores, open_stores};
 pub use endpoints::acknowledgements::AcknowledgementFault;
+pub(crate) use endpoints::tombstone_log::TombstoneWrite;
 pub(crate) use environment::Environment;
 pub use error::ControllerError;
 pub(crate) use event::{Answer, Call, Event, Method};
--- a/crates/controller/src/controller/operator/control_calls.rs
+++ b/crates/controller/src/controller/operator/control_calls.rs
@@ -42,12 +42,7 @@
         if id.is_empty() || id.contains('/') {
             return answer(call, Answer::error(404, "no such path"));
         }
-        let locally = self.has_fault(ControllerFault::AcknowledgeDrainLocally);
-        let known = if locally {
-            KnownGroups::only(self.own_address)
-        } else {
-            self.known_groups(shards::CONFIGURATION)
-        };
+        let known = self.acknowledging_groups();
         let now = self.now();
         let without_contact = self.has_fault(ControllerFault::AcknowledgeHeartbeatWithoutContact);
         let in_contact = without_contact || self.has_contact(shards::CONFIGURATION);
@@ -67,6 +62,14 @@
         }
     }
 
+    /// The groups of which a majority has to have a drain or an end before it is acknowledged.
+    pub(crate) fn acknowledging_groups(&self) -> KnownGroups {
+        if self.has_fault(ControllerFault::AcknowledgeDrainLocally) {
+            return KnownGroups::only(self.own_address);
+        }
+        self.known_groups(shards::CONFIGURATION)
+    }
+
     fn read_configuration(&mut self, call: Call) {
         if self.has_fault(ControllerFault::ReadLocally) {
             let document =
--- a/crates/controller/src/controller/process.rs
+++ b/crates/controller/src/controller/process.rs
@@ -1,6 +1,7 @@
 //! The environment of a controller in a real process: sockets, a disk, and the system's monotonic clock.
 
 use crate::controller::consensus::disk::Disk;
+use crate::controller::endpoints::tombstone_log::TombstoneWrite;
 use crate::controller::environment::Environment;
 use crate::controller::event::Event;
 use crate::controller::membership::links::maintain_link;
@@ -50,6 +51,10 @@
         self.disk.write(shard, token, record);
     }
 
+    fn persist_tombstones(&mut self, write: TombstoneWrite) {
+        self.disk.write_tombstones(write);
+    }
+
     fn execute_action(&mut self, action: ServiceAction, owner: &str, epoch: u64, send_by: Duration) {
         let tenure = OrderTenure { owner: owner.to_owned(), epoch };
         let send_by = self.started + send_by;
--- a/crates/controller/src/controller/run.rs
+++ b/crates/controller/src/controller/run.rs
@@ -86,12 +86,12 @@
     let folder = settings.data_dir.clone().ok_or(ControllerError::Missing("DataDir"))?;
     let mut directory = FileDirectory::open(&folder)
         .map_err(|source| ControllerError::Folder { folder: folder.clone(), source })?;
-    let (stores, records) = open_stores(&folder, &mut directory)?;
+    let (stores, stored) = open_stores(&folder, &mut directory)?;
     let disk = Disk::start(directory, stores, events.clone(), counts)?;
     let hello = hello(&settings, control, incarnation);
     let link_port = settings.port_range.0;
     let environment = Process { started, link_port, hello, disk, events, links: BTreeMap::new() };
-    let start = Start { settings, control, incarnation, records, fault: None };
+    let start = Start { settings, control, incarnation, stored, fault: None };
     Controller::new(start, Box::new(environment))
 }
 
--- a/crates/controller/src/controller/setup.rs
+++ b/crates/controller/src/controller/setup.rs
@@ -5,12 +5,13 @@
 use crate::controller::consensus::freshness::Freshness;
 use crate::controller::consensus::pending_writes::PendingWrites;
 use crate::controller::consensus::quorum_contact::QuorumContact;
-use crate::controller::consensus::records::Records;
+use crate::controller::consensus::records::{Records, StoredState};
 use crate::controller::consensus::shards::{self, ConfigurationMachine, EpochCounter, Shards};
 use crate::controller::counters::Counters;
 use crate::controller::endpoints::pending_loads::PendingLoads;
 use crate::controller::endpoints::registry::EndpointRegistry;
 use crate::controller::endpoints::relay::RelayTargets;
+use crate::controller::endpoints::tombstone_log::TombstoneLog;
 use crate::controller::environment::Environment;
 use crate::controller::error::ControllerError;
 use crate::controller::fault::ControllerFault;
@@ -47,8 +48,8 @@
     pub control: SocketAddr,
     /// Drawn at random at each start of the process.
     pub incarnation: u64,
-    /// Register records that were read from disk.
-    pub records: Records,
+    /// What was read from disk.
+    pub stored: StoredState,
     /// A deliberate fault, set in simulations only.
     pub fault: Option<ControllerFault>,
 }
@@ -56,7 +57,8 @@
 impl Controller {
     /// Starts a controller.
     pub(crate) fn new(start: Start, environment: Box<dyn Environment>) -> Result<Self, ControllerError> {
-        let Start { settings, control, incarnation, records, fault } = start;
+        let Start { settings, control, incarnation, stored: StoredState { records, tombstones }, fault } =
+            start;
         let now = environment.now();
         let own_address = ipv4(control)?;
         let first = settings.bootstrap && records.is_empty();
@@ -74,7 +76,8 @@
             peers: Peers::new(control),
             subscribers: Subscribers::new(incarnation),
             endpoints: EndpointRegistry::new(heartbeat, control, incarnation)
-                .with_fault(fault.and_then(ControllerFault::acknowledgement)),
+                .with_fault(fault.and_then(ControllerFault::acknowledgement))
+                .with_tombstones(now, restore_tombstones(now, tombstones.as_deref())),
             relay_targets: RelayTargets::default(),
             pending_writes: PendingWrites::default(),
             shards: Shards::new(replicas),
@@ -139,6 +142,16 @@
     }
 }
 
+/// The tombstone log of an earlier process. One that cannot be read is reported and treated as lost, like a lost disk: the
+/// other controllers have the tombstones.
+fn restore_tombstones(now: Duration, record: Option<&[u8]>) -> TombstoneLog {
+    let Some(record) = record else { return TombstoneLog::default() };
+    TombstoneLog::restore(now, record).unwrap_or_else(|error| {
+        log::error!("tombstones not restored error={error}");
+        TombstoneLog::default()
+    })
+}
+
 fn start_replicas(
     settings: &Settings,
     own_address: SocketAddrV4,
--- a/crates/controller/src/simulation/controller_environment.rs
+++ b/crates/controller/src/simulation/controller_environment.rs
@@ -2,7 +2,7 @@
 
 use super::disk::Write;
 use super::environment::SimulatedEnvironment;
-use crate::controller::{Environment, ServiceAction};
+use crate::controller::{Environment, ServiceAction, TombstoneWrite};
 use lanegate_config::settings::{Settings, SettingsError};
 use lanegate_coordination::register::Record;
 use std::net::SocketAddr;
@@ -14,6 +14,7 @@
     OpenLink(SocketAddr),
     CloseLink(SocketAddr),
     Write(Write),
+    WriteTombstones(TombstoneWrite),
     ExecuteAction { action: ServiceAction, epoch: u64, send_by: Duration },
 }
 
@@ -31,7 +32,11 @@
     }
 
     fn persist(&mut self, shard: u8, token: u64, record: Record) {
-        self.request(Request::Write(Write { shard, token, record }));
+        self.request(Request::Write(Write::Shard { shard, token, record }));
+    }
+
+    fn persist_tombstones(&mut self, write: TombstoneWrite) {
+        self.request(Request::WriteTombstones(write));
     }
 
     fn execute_action(&mut self, action: ServiceAction, _owner: &str, epoch: u64, send_by: Duration) {
--- a/crates/controller/src/simulation/controller_machine.rs
+++ b/crates/controller/src/simulation/controller_machine.rs
@@ -8,7 +8,7 @@
 use super::host::{Host, controller_at};
 use super::settings::{seed_addresses, set_zone, settings};
 use super::world::{Delivery, SimulationEvent, World};
-use crate::controller::{Controller, Event, Start};
+use crate::controller::{Controller, Start};
 use crate::message::{Hello, Role};
 use lanegate_config::settings::Settings;
 use rand::Rng;
@@ -135,12 +135,12 @@
             SimulatedEnvironment::new(self.clock.clone(), self.controllers[index].settings.clone());
         let incarnation = self.random.random_range(1..=u64::MAX);
         let machine = &mut self.controllers[index];
-        let Some(records) = machine.disk.open() else { return };
+        let Some(stored) = machine.disk.open() else { return };
         // Only the first start of the whole system bootstraps the group.
         machine.settings.borrow_mut().bootstrap = self.clock.get().is_zero();
         let settings = machine.settings.borrow().clone();
         machine.has_run = true;
-        let start = Start { settings, control: host.address(), incarnation, records, fault: self.fault };
+        let start = Start { settings, control: host.address(), incarnation, stored, fault: self.fault };
         let started = Controller::new(start, Box::new(environment.share()));
         let controller = started.expect("simulated settings are complete");
         let links = BTreeMap::new();
@@ -228,6 +228,10 @@
                 self.end_connections(|connection| is_link(&connection.dial), Some(process));
             }
             Request::Write(write) => self.queue_write(index, write),
+            Request::WriteTombstones(write) => {
+                self.trace.tombstones_stored(self.clock.get(), index, write.version, &write.record);
+                self.controllers[index].disk.queue(Write::Tombstones(write));
+            }
             Request::ExecuteAction { action, epoch, send_by } => {
                 self.trace.service_action(self.clock.get(), index, &action, epoch, send_by);
                 let call = OrderCall { sender: process, action, epoch, send_by };
@@ -255,8 +259,10 @@
     }
 
     fn queue_write(&mut self, index: usize, write: Write) {
-        let record = write.record.encode().unwrap_or_default();
-        self.trace.stored(self.clock.get(), index, write.shard, write.token, &record);
+        if let Write::Shard { shard, token, record } = &write {
+            let record = record.encode().unwrap_or_default();
+            self.trace.stored(self.clock.get(), index, *shard, *token, &record);
+        }
         self.controllers[index].disk.queue(write);
     }
 
@@ -279,9 +285,7 @@
             return;
         }
         let written = self.controllers[index].disk.finish_write();
-        if let Some(written) = written {
-            let (shard, token, durable) = (written.shard, written.token, written.durable);
-            let event = Event::Written { shard, token, durable };
+        if let Some(event) = written {
             self.deliver_to_controller(index, process, Delivery::Controller(event));
         }
         self.start_write(index);
--- a/crates/controller/src/simulation/disk.rs
+++ b/crates/controller/src/simulation/disk.rs
@@ -1,7 +1,7 @@
 //! The simulated disk of a controller. It executes one write at a time, in order; writes take time, and may fail or
 //! hang.
 
-use crate::controller::{Records, Stores, open_stores};
+use crate::controller::{Event, Records, StoredState, Stores, TombstoneWrite, open_stores};
 use lanegate_coordination::register::Record;
 use lanegate_coordination::storage::SimulatedDirectory;
 use rand::Rng;
@@ -15,26 +15,20 @@
 /// Number of file system steps of a save, from creating the file to removing old ones.
 const SAVE_STEPS: u32 = 6;
 
-/// A record that is to be written.
+/// What is to be written.
 #[derive(Debug)]
-pub(super) struct Write {
-    pub(super) shard: u8,
-    pub(super) token: u64,
-    pub(super) record: Record,
-}
-
-/// The outcome of a write.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Written {
-    pub(super) shard: u8,
-    pub(super) token: u64,
-    pub(super) durable: bool,
+pub(super) enum Write {
+    /// The record of a shard.
+    Shard { shard: u8, token: u64, record: Record },
+    /// The tombstone log.
+    Tombstones(TombstoneWrite),
 }
 
 /// A disk and the queue of its writes.
 pub(super) struct Disk {
     directory: SimulatedDirectory,
-    stores: Stores,
+    /// Present while a process has them open.
+    stores: Option<Stores>,
     pub(super) longest_write: Duration,
     stalled: bool,
     queue: VecDeque<Write>,
@@ -46,7 +40,7 @@
     pub(super) fn new() -> Self {
         Disk {
             directory: SimulatedDirectory::new(),
-            stores: Stores::new(),
+            stores: None,
             longest_write: HEALTHY_WRITE_TIME,
             stalled: false,
             queue: VecDeque::new(),
@@ -54,11 +48,11 @@
         }
     }
 
-    /// Opens the stores as a starting process does, and returns their records.
-    pub(super) fn open(&mut self) -> Option<Records> {
-        let (stores, records) = open_stores(Path::new("data"), &mut self.directory).ok()?;
-        self.stores = stores;
-        Some(records)
+    /// Opens the stores as a starting process does, and returns what they hold.
+    pub(super) fn open(&mut self) -> Option<StoredState> {
+        let (stores, stored) = open_stores(Path::new("data"), &mut self.directory).ok()?;
+        self.stores = Some(stores);
+        Some(stored)
     }
 
     /// The records that a process starting now would read. Leaves the disk unchanged.
@@ -66,7 +60,7 @@
         let mut copy = Disk::new();
         copy.directory = self.directory.clone();
         copy.directory.rejects_writes = false;
-        copy.open().unwrap_or_default()
+        copy.open().unwrap_or_default().records
     }
 
     pub(super) fn queue(&mut self, write: Write) {
@@ -78,32 +72,43 @@
         !self.busy && !self.stalled && !self.queue.is_empty()
     }
 
-    /// Ends the first write in the queue; `None` if the disk hangs.
-    pub(super) fn finish_write(&mut self) -> Option<Written> {
+    /// Ends the first write in the queue, and returns the event that reports it; `None` if the disk hangs.
+    pub(super) fn finish_write(&mut self) -> Option<Event> {
         self.busy = false;
         if self.stalled {
             return None;
         }
-        let Write { shard, token, record } = self.queue.pop_front()?;
-        let durable = self.save(shard, &record);
-        Some(Written { shard, token, durable })
+        let write = self.queue.pop_front()?;
+        let durable = self.save(&write);
+        Some(match write {
+            Write::Shard { shard, token, .. } => Event::Written { shard, token, durable },
+            Write::Tombstones(TombstoneWrite { version, .. }) => {
+                Event::TombstonesWritten { version, durable }
+            }
+        })
     }
 
-    fn save(&mut self, shard: u8, record: &Record) -> bool {
-        let Ok(bytes) = record.encode() else { return false };
-        let Some(store) = self.stores.get_mut(&shard) else { return false };
-        store.save(&mut self.directory, &bytes).is_ok()
+    fn save(&mut self, write: &Write) -> bool {
+        let Some(stores) = &mut self.stores else { return false };
+        match write {
+            Write::Shard { shard, record, .. } => {
+                let Ok(bytes) = record.encode() else { return false };
+                let Some(store) = stores.shards.get_mut(shard) else { return false };
+                store.save(&mut self.directory, &bytes).is_ok()
+            }
+            Write::Tombstones(write) => stores.tombstones.save(&mut self.directory, &write.record).is_ok(),
+        }
     }
 
     /// The process is killed, possibly during a write.
     pub(super) fn interrupt(&mut self, random: &mut SmallRng) {
         self.directory.operations_until_crash = Some(random.random_range(0..=SAVE_STEPS));
         if let Some(write) = self.queue.pop_front() {
-            self.save(write.shard, &write.record);
+            self.save(&write);
         }
         self.directory.operations_until_crash = None;
         self.queue.clear();
-        self.stores = Stores::new();
+        self.stores = None;
         self.busy = false;
     }
 
--- a/crates/controller/src/simulation/trace.rs
+++ b/crates/controller/src/simulation/trace.rs
@@ -7,6 +7,8 @@
 use lanegate_placement::{Action, Operation};
 use std::time::Duration;
 
+/// Stands for the tombstone log in place of a shard.
+const TOMBSTONES: u8 = u8::MAX;
 const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
@@ -99,6 +101,17 @@
         self.bytes(record);
     }
 
+    /// A controller writes its tombstone log.
+    pub(super) fn tombstones_stored(
+        &mut self,
+        now: Duration,
+        controller: usize,
+        version: u64,
+        record: &[u8],
+    ) {
+        self.stored(now, controller, TOMBSTONES, version, record);
+    }
+
     /// A controller calls an endpoint.
     pub(super) fn service_action(
         &mut self,
--- a/crates/controller/tests/repair_faults.rs
+++ b/crates/controller/tests/repair_faults.rs
@@ -49,6 +49,8 @@
         ControllerFault::IgnoreDraining, "leaving-member-hands-over";
     confirmations_of_controllers_that_are_no_members:
         ControllerFault::Acknowledgement(AcknowledgementFault::CountNonMembers), "drain-at-one-with-spares-only";
+    an_end_acknowledged_before_it_is_on_disk:
+        ControllerFault::Acknowledgement(AcknowledgementFault::CountUnwritten), "end-on-slow-disks";
     a_drain_that_is_not_passed_on:
         ControllerFault::SkipDrainRelay, "drain-passed-on";
 }
