A head is refused for its size alone, not for its number of fields

Cause: the HTTP library's own limit of a hundred fields stood beside the limit on bytes. The same at the endpoint's side: an answer of more fields counted as none (502), and a late one of more than 64 was taken for the one that was waited for. Answers may have what fits into 32 KB. Looked at and left: control interface, metrics, readiness (no limit of ours on heads).

--- a/crates/router/src/client/connection.rs
+++ b/crates/router/src/client/connection.rs
@@ -1,7 +1,7 @@
 //! One client connection: reads requests with the HTTP library and closes when it is requested to.
 //!
 //! Invariant: the head of a request is read under the limit of the configuration in force when the head begins, or under
-//! a higher one that has come into force since. The HTTP library takes the limit when a connection is created, but a
+//! a higher one that has come into force since, and its number of fields is not limited beside that. The HTTP library takes the limit when a connection is created, but a
 //! client may keep its connection across any number of configurations. So between two requests the library's
 //! connection is replaced by one with the new limit, on the same stream.
 //!
@@ -13,6 +13,7 @@
 use crate::client::frontend;
 use crate::client::stream::ClientStream;
 use crate::fault::RouterFault;
+use crate::header_fields::max_fields;
 use crate::state::RouterState;
 use hyper::body::Incoming;
 use hyper::server::conn::http1::{Builder, Connection};
@@ -135,8 +136,9 @@
 
 fn builder(head_limit: Option<usize>) -> Builder {
     let mut builder = Builder::new();
-    builder.auto_date_header(false);
-    if let Some(largest_head) = head_limit.filter(|limit| *limit > 0) {
+    let head_limit = head_limit.filter(|limit| *limit > 0);
+    builder.auto_date_header(false).max_headers(max_fields(head_limit));
+    if let Some(largest_head) = head_limit {
         builder.max_header_size(largest_head).max_buf_size(largest_head.max(SMALLEST_BUFFER));
     }
     builder
--- a/crates/router/src/endpoint/connection.rs
+++ b/crates/router/src/endpoint/connection.rs
@@ -3,6 +3,7 @@
 
 use crate::endpoint::lease::Lease;
 use crate::endpoint::shared_stream::{EndpointStream, SharedStream};
+use crate::header_fields::{MAX_ANSWER_HEAD_BYTES, max_fields};
 use crate::headers::ATTEMPT_ID;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -66,7 +67,9 @@
         configure(&stream)?;
         let shared = Rc::new(SharedStream::new(stream));
         let io = TokioIo::new(EndpointStream(shared.clone()));
-        let (sender, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
+        let mut builder = http1::Builder::new();
+        builder.max_headers(max_fields(Some(MAX_ANSWER_HEAD_BYTES)));
+        let (sender, connection) = builder.handshake(io).await.map_err(io::Error::other)?;
         let driver = Box::pin(connection);
         Ok(EndpointConnection {
             sender,
--- a/crates/router/src/endpoint/late_responses.rs
+++ b/crates/router/src/endpoint/late_responses.rs
@@ -5,6 +5,7 @@
 //! the HTTP library parses it. Everything else is passed on to the library, and [`crate::endpoint::verify`] checks the result.
 
 use crate::endpoint::chunk_scanner::ChunkScanner;
+use crate::header_fields::{MAX_ANSWER_HEAD_BYTES, max_fields};
 use crate::headers::ATTEMPT_ID;
 use hyper::Method;
 use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
@@ -14,10 +15,8 @@
 
 /// Number of earlier requests of a connection whose late responses are recognised.
 const MAX_REMEMBERED: usize = 8;
-/// Largest head that is parsed here, bytes; larger ones are passed on to the library.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
-/// Maximum number of header fields that are parsed here; responses with more are passed on to the library.
-const MAX_FIELDS: usize = 64;
+/// Number of header fields for which there is room without an allocation.
+const USUAL_FIELDS: usize = 64;
 
 /// A request that was sent on a connection.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -57,6 +56,14 @@
     Chunks(ChunkScanner),
 }
 
+/// What is known of a head.
+enum Parsed {
+    /// A part of it has not arrived.
+    Incomplete,
+    /// It has `length` bytes.
+    Complete { length: usize, disposition: Disposition },
+}
+
 /// What happens to a response whose head is complete.
 enum Disposition {
     Forward,
@@ -131,19 +138,15 @@
     fn read_head<'a>(&mut self, mut head: Vec<u8>, bytes: &'a [u8]) -> &'a [u8] {
         let known = head.len();
         head.extend_from_slice(bytes);
-        let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
-        let mut answer = httparse::Response::new(&mut fields);
-        let length = match answer.parse(&head) {
-            Ok(httparse::Status::Complete(length)) => length,
-            Ok(httparse::Status::Partial) if head.len() <= MAX_HEAD_BYTES => {
+        match self.parse(&head) {
+            Parsed::Incomplete if head.len() <= MAX_ANSWER_HEAD_BYTES => {
                 self.state = State::Head(head);
-                return &[];
+                &[]
             }
-            Ok(httparse::Status::Partial) | Err(_) => return self.forward(&head),
-        };
-        match self.disposition(&answer) {
-            Disposition::Forward => self.forward(&head),
-            Disposition::Discard(remainder) => {
+            Parsed::Incomplete | Parsed::Complete { disposition: Disposition::Forward, .. } => {
+                self.forward(&head)
+            }
+            Parsed::Complete { length, disposition: Disposition::Discard(remainder) } => {
                 self.discarded += 1;
                 self.begin_discarding(remainder);
                 &bytes[length.saturating_sub(known)..]
@@ -151,6 +154,32 @@
         }
     }
 
+    fn parse(&self, head: &[u8]) -> Parsed {
+        match self.parse_into(head, &mut [httparse::EMPTY_HEADER; USUAL_FIELDS]) {
+            Err(httparse::Error::TooManyHeaders) => {
+                let mut fields = vec![httparse::EMPTY_HEADER; max_fields(Some(MAX_ANSWER_HEAD_BYTES))];
+                self.parse_into(head, &mut fields)
+            }
+            parsed => parsed,
+        }
+        // The library reports what is wrong with the head.
+        .unwrap_or(Parsed::Complete { length: head.len(), disposition: Disposition::Forward })
+    }
+
+    fn parse_into<'h>(
+        &self,
+        head: &'h [u8],
+        fields: &mut [httparse::Header<'h>],
+    ) -> Result<Parsed, httparse::Error> {
+        let mut answer = httparse::Response::new(fields);
+        match answer.parse(head)? {
+            httparse::Status::Complete(length) => {
+                Ok(Parsed::Complete { length, disposition: self.disposition(&answer) })
+            }
+            httparse::Status::Partial => Ok(Parsed::Incomplete),
+        }
+    }
+
     fn discard_body<'a>(&mut self, remainder: Remainder, bytes: &'a [u8]) -> &'a [u8] {
         let (taken, left) = match remainder {
             Remainder::Bytes(left) => {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod endpoint;
 #[doc(hidden)]
 pub mod fault;
+mod header_fields;
 pub mod headers;
 pub mod process;
 pub mod request;
