A controller on a machine that does not count for a majority joins no replica group

A controller on a machine that does not count took a lost member's place, though FaultTolerance speaks only of machines that count. Change: such a controller reports no replica that can vote, so no group takes it.

--- a/crates/config/src/settings/mod.rs
+++ b/crates/config/src/settings/mod.rs
@@ -47,8 +47,9 @@
     /// True only at the first start of the system.
     #[serde(default)]
     pub bootstrap: bool,
-    /// Whether the machine counts for a majority; not read.
-    #[serde(default)]
+    /// Whether the machine counts for a majority, and so among those that [`FaultTolerance`] names: a controller on a
+    /// machine that does not never joins a replica group. True if the file does not say.
+    #[serde(default = "default_counts_for_quorum")]
     pub counts_for_quorum: bool,
     /// Resources that the machine grants the process.
     #[serde(default)]
@@ -106,6 +107,10 @@
     1_200.0
 }
 
+fn default_counts_for_quorum() -> bool {
+    true
+}
+
 /// Addresses for what the process serves to callers from outside.
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
--- a/crates/controller/src/controller/membership/reconfiguration.rs
+++ b/crates/controller/src/controller/membership/reconfiguration.rs
@@ -108,11 +108,13 @@
         self.execute_outputs(shard, outputs);
     }
 
-    /// The status of this controller.
+    /// The status of this controller. One on a machine that does not count for a majority reports no replica that can
+    /// vote: so it joins no group, and no group relies on it for its fault tolerance.
     pub(crate) fn own_status(&self) -> MemberStatus {
         let is_stalled = self.pending_writes.is_stalled(self.now());
         let disk_works = !is_stalled || self.has_fault(ControllerFault::CountStalledDisk);
-        let voting = self.shards.iter().filter(|(_, replica)| disk_works && replica.can_vote());
+        let may_vote = disk_works && self.settings.counts_for_quorum;
+        let voting = self.shards.iter().filter(|(_, replica)| may_vote && replica.can_vote());
         let voting = voting.map(|(shard, _)| shard);
         MemberStatus::new(self.incarnation, voting, self.is_draining())
     }
--- a/crates/controller/src/simulation/checks.rs
+++ b/crates/controller/src/simulation/checks.rs
@@ -127,7 +127,8 @@
     }
 
     fn check_groups_complete(&self) -> Result<(), Violation> {
-        let working = self.working_controllers();
+        let mut working = self.working_controllers();
+        working.retain(|index| self.controllers[*index].counts_for_quorum());
         let size = 2 * self.tolerance as usize + 1;
         let refuse = working.iter().any(|index| self.network.is_refusing(Host::Controller(*index)));
         let stable = self.is_core_stable(Duration::ZERO) && self.disks_are_healthy(&working);
--- a/crates/controller/src/simulation/schedule.rs
+++ b/crates/controller/src/simulation/schedule.rs
@@ -82,6 +82,7 @@
         spares,
         spares_late,
         zones: Vec::new(),
+        uncounted: 0,
         within_tolerance: true,
         routers,
         endpoints,
