Router: an answer whose head does not say where it ends is refused

Cause: the HTTP library is the only reader of answers, and it is lenient. It takes a line feed alone for the end of a line, skips empty lines ahead of the status line, merges repeated lengths, passes on a length beside an encoding, treats an unknown encoding as "until the connection closes" and looks only at the last of several, and reads over control bytes in chunk lines and line feeds in trailers.

Change: crates/http-framing follows the bytes of a connection to an endpoint before the library gets them, and refuses what has no single reading: status line and status, line ends, fields, one decimal length, `chunked` alone, never both, and chunks to the letter. The read fails, so the library never gets the bytes that would complete the answer, and the connection is not used again. The attempt ends as one that may have run: no repeat without the route's leave, no promise to the client. `answer refused endpoint=... reason=...` in the log and the metric lanegate_router_invalid_answers_total{endpoint,reason}, which also counts what the router refused before (Attempt-Id, Server-Signature, Content-Encoding, 1xx).

Statuses of 600 and above passed as failures and are refused now.

--- /dev/null
+++ b/crates/http-framing/src/inspector.rs
@@ -0,0 +1,124 @@
+//! Follows the responses on one connection.
+
+use crate::chunks::ChunkScanner;
+use crate::error::FramingError;
+use crate::head::{BodyLength, read_head};
+use std::mem;
+
+/// Largest head that is read, bytes. The HTTP library refuses shorter ones than this.
+const MAX_HEAD_BYTES: usize = 512 * 1024;
+
+/// Follows the responses on one connection, one for each request.
+///
+/// Bytes after a response are not inspected, because the connection must not be used again.
+#[derive(Debug, Default)]
+pub struct ResponseInspector {
+    state: State,
+    /// Whether the request is a HEAD request, whose response has no body.
+    answers_head: bool,
+}
+
+#[derive(Debug, Default)]
+enum State {
+    /// The response is complete, or none is expected yet.
+    #[default]
+    Complete,
+    /// After a complete response, inside another one.
+    Following,
+    /// Inside the head of the response; the bytes that have arrived.
+    Head(Vec<u8>),
+    /// Inside a body of known length; number of bytes that remain.
+    Bytes(u64),
+    /// Inside a chunked body.
+    Chunks(ChunkScanner),
+    /// Inside a body that ends with its connection.
+    UntilClose,
+    /// The response was refused.
+    Refused(FramingError),
+}
+
+impl ResponseInspector {
+    /// Expects the response to a request that is about to be sent.
+    pub fn expect(&mut self, answers_head: bool) {
+        self.answers_head = answers_head;
+        self.state = State::Head(Vec::new());
+    }
+
+    /// Inspects received bytes.
+    ///
+    /// # Errors
+    /// If the response has to be refused. None of `bytes` may be used then, nor anything that follows.
+    pub fn push(&mut self, mut bytes: &[u8]) -> Result<(), FramingError> {
+        while !bytes.is_empty() {
+            match self.step(bytes) {
+                Ok((state, rest)) => (self.state, bytes) = (state, rest),
+                Err(error) => {
+                    self.state = State::Refused(error);
+                    return Err(error);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether the bytes so far end with a complete response.
+    pub fn is_complete(&self) -> bool {
+        matches!(self.state, State::Complete)
+    }
+
+    fn step<'b>(&mut self, bytes: &'b [u8]) -> Result<(State, &'b [u8]), FramingError> {
+        match mem::take(&mut self.state) {
+            State::Complete => Ok((State::Following, &[])),
+            State::Following => Ok((State::Following, &[])),
+            State::Head(head) => self.read_head(head, bytes),
+            State::Bytes(left) => {
+                let taken = left.min(bytes.len() as u64);
+                Ok((State::in_bytes(left - taken), &bytes[taken as usize..]))
+            }
+            State::Chunks(mut scanner) => {
+                let taken = scanner.scan(bytes).map_err(|_| FramingError::Chunk)?;
+                let state = if scanner.is_over() { State::Complete } else { State::Chunks(scanner) };
+                Ok((state, &bytes[taken..]))
+            }
+            State::UntilClose => Ok((State::UntilClose, &[])),
+            State::Refused(error) => Err(error),
+        }
+    }
+
+    /// Continues to read a head. A head that arrives in one piece is not copied.
+    fn read_head<'b>(
+        &self,
+        mut partial: Vec<u8>,
+        bytes: &'b [u8],
+    ) -> Result<(State, &'b [u8]), FramingError> {
+        let known = partial.len();
+        let head = if partial.is_empty() {
+            bytes
+        } else {
+            partial.extend_from_slice(bytes);
+            &partial
+        };
+        let after_head = read_head(head, |head| {
+            let body = head.body_length(self.answers_head)?;
+            let state = match body {
+                _ if head.is_informational() => State::Head(Vec::new()),
+                BodyLength::Bytes(length) => State::in_bytes(length),
+                BodyLength::Chunked => State::Chunks(ChunkScanner::default()),
+                BodyLength::UntilClose => State::UntilClose,
+            };
+            Ok((state, head.length))
+        })?;
+        match after_head.transpose()? {
+            Some((state, length)) => Ok((state, &bytes[length.saturating_sub(known)..])),
+            None if head.len() > MAX_HEAD_BYTES => Err(FramingError::HeadTooLong),
+            None if known == 0 => Ok((State::Head(bytes.to_vec()), &[])),
+            None => Ok((State::Head(partial), &[])),
+        }
+    }
+}
+
+impl State {
+    fn in_bytes(left: u64) -> State {
+        if left == 0 { State::Complete } else { State::Bytes(left) }
+    }
+}
--- a/crates/router/src/endpoint/answer.rs
+++ b/crates/router/src/endpoint/answer.rs
@@ -1,6 +1,7 @@
 //! The answer of an endpoint.
 
 use crate::endpoint::connection::EndpointConnection;
+use crate::endpoint::invalid_answer::InvalidAnswer;
 use crate::fault::RouterFault;
 use crate::state::RouterState;
 use bytes::Bytes;
@@ -48,7 +49,7 @@
         }
         match &next {
             Some(Ok(data)) => self.state.counters.forwarded_bytes.add(data.len() as u64),
-            Some(Err(_)) => self.connection = None,
+            Some(Err(error)) => self.abandon(InvalidAnswer::in_framing(error)),
             None => self.release(),
         }
         Poll::Ready(next)
@@ -69,6 +70,14 @@
         self.ends_with_connection
     }
 
+    /// Closes the connection after an error, which `invalid` caused if that is given.
+    fn abandon(&mut self, invalid: Option<InvalidAnswer>) {
+        let connection = self.connection.take();
+        if let (Some(connection), Some(invalid)) = (connection, invalid) {
+            self.state.on_invalid_answer(connection.lease().instance(), invalid);
+        }
+    }
+
     fn release(&mut self) {
         if let Some(connection) = self.connection.take().filter(|_| self.is_reusable) {
             self.state.pool.release(connection, self.idle_timeout);
--- a/crates/router/src/endpoint/attempt.rs
+++ b/crates/router/src/endpoint/attempt.rs
@@ -2,9 +2,10 @@
 
 use crate::endpoint::answer::{EndpointAnswer, EndpointBody};
 use crate::endpoint::connection::{EndpointConnection, ExchangeError};
+use crate::endpoint::invalid_answer::InvalidAnswer;
 use crate::endpoint::outbound::{Destination, Outbound};
 use crate::endpoint::pool::Availability;
-use crate::endpoint::verify::{self, Expected};
+use crate::endpoint::verify::{self, Expected, Rejection};
 use crate::fault::RouterFault;
 use crate::headers::{
     DEADLINE_MS, EXPECT_INSTANCE, LAST_EVENT_ID, PRIORITY, instance_load, keep_alive, milliseconds,
@@ -39,9 +40,6 @@
     let result = exchange(state, request, destination, last_event, sent).await;
     if let Err(end) = &result {
         state.counters.failed_attempts.increment();
-        if *end == AttemptEnd::InvalidResponse {
-            state.pool.quarantine(&destination.instance);
-        }
         log::debug!(
             "attempt failed attempt_id={:?} endpoint={} end={end:?}",
             request.attempt_id,
@@ -82,7 +80,10 @@
                     return Err(AttemptEnd::NotSent);
                 }
             }
-            Err(ExchangeError::InvalidResponse(_)) => return Err(AttemptEnd::InvalidResponse),
+            Err(ExchangeError::InvalidResponse(invalid)) => {
+                state.on_invalid_answer(&destination.instance, invalid);
+                return Err(AttemptEnd::InvalidResponse);
+            }
             Err(ExchangeError::Broken(_)) => {
                 if !(used_before && state.has_fault(RouterFault::RetryAfterReset)) {
                     return Err(AttemptEnd::Broken);
@@ -119,24 +120,34 @@
     };
     match verdict {
         Ok(()) => Ok(EndpointAnswer { load: instance_load(&head.headers), head, body }),
-        Err(end) => {
-            discard(body, end).await;
-            Err(end)
+        Err(Rejection::Invalid(invalid)) => {
+            state.on_invalid_answer(&destination.instance, invalid);
+            Err(AttemptEnd::InvalidResponse)
         }
+        Err(Rejection::Ended(end @ AttemptEnd::NotExecuted { .. })) => discard(body).await.and(Err(end)),
+        Err(Rejection::Ended(end)) => Err(end),
     }
 }
 
 /// Reads what has already arrived of an answer to a request that did not run. If that is the complete answer, the connection
 /// can be reused.
-async fn discard(mut body: EndpointBody, end: AttemptEnd) {
-    if !matches!(end, AttemptEnd::NotExecuted { .. }) {
-        return;
-    }
+///
+/// # Errors
+///
+/// If the body contradicts the head, which then proves nothing.
+async fn discard(mut body: EndpointBody) -> Result<(), AttemptEnd> {
     poll_fn(|cx| {
-        while let Poll::Ready(Some(Ok(_))) = body.poll_data(cx) {}
-        Poll::Ready(())
+        loop {
+            match body.poll_data(cx) {
+                Poll::Ready(Some(Ok(_))) => {}
+                Poll::Ready(Some(Err(error))) if InvalidAnswer::in_framing(&error).is_some() => {
+                    return Poll::Ready(Err(AttemptEnd::InvalidResponse));
+                }
+                Poll::Ready(_) | Poll::Pending => return Poll::Ready(Ok(())),
+            }
+        }
     })
-    .await;
+    .await
 }
 
 /// A connection for the request, and whether it was used for an earlier request.
--- a/crates/router/src/endpoint/connection.rs
+++ b/crates/router/src/endpoint/connection.rs
@@ -1,10 +1,10 @@
 //! One connection to an endpoint. It has no task of its own; the task that uses it polls it. So dropping the connection closes
 //! it at once, and an idle connection needs no task.
 
+use crate::endpoint::invalid_answer::InvalidAnswer;
 use crate::endpoint::lease::Lease;
 use crate::endpoint::shared_stream::{EndpointStream, SharedStream};
 use crate::header_fields::{MAX_ANSWER_HEAD_BYTES, max_fields};
-use crate::headers::ATTEMPT_ID;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -42,7 +42,7 @@
     Broken(hyper::Error),
     /// The received bytes are not a valid response.
     #[error("the response is invalid: {0}")]
-    InvalidResponse(hyper::Error),
+    InvalidResponse(InvalidAnswer),
 }
 
 /// A connection to an endpoint, for one request at a time.
@@ -106,7 +106,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ExchangeError> {
         let written_before = self.shared.written_bytes();
-        self.shared.late_responses().expect(request.headers().get(&ATTEMPT_ID), request.method());
+        self.shared.expect_response(&request);
         let mut answer = pin!(self.sender.try_send_request(request));
         let driver = &mut self.driver;
         let connection_state = &mut self.connection_state;
@@ -117,10 +117,7 @@
         result.await.map_err(|mut failed| match failed.take_message() {
             Some(_) => ExchangeError::NotSent,
             None if self.shared.written_bytes() == written_before => ExchangeError::NotSent,
-            None => match failed.into_error() {
-                error if error.is_parse() => ExchangeError::InvalidResponse(error),
-                error => ExchangeError::Broken(error),
-            },
+            None => failure(failed.into_error()),
         })
     }
 
@@ -177,6 +174,15 @@
     }
 }
 
+/// The failure of an exchange whose request was sent.
+fn failure(error: hyper::Error) -> ExchangeError {
+    match InvalidAnswer::in_framing(&error) {
+        Some(invalid) => ExchangeError::InvalidResponse(invalid),
+        None if error.is_parse() => ExchangeError::InvalidResponse(InvalidAnswer::Unreadable),
+        None => ExchangeError::Broken(error),
+    }
+}
+
 /// What the peer of an idle connection has done.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerState {
--- a/crates/router/src/endpoint/mod.rs
+++ b/crates/router/src/endpoint/mod.rs
@@ -4,6 +4,7 @@
 pub mod attempt;
 pub mod chunk_scanner;
 pub mod connection;
+pub mod invalid_answer;
 pub mod late_responses;
 pub mod lease;
 pub mod outbound;
--- a/crates/router/src/endpoint/shared_stream.rs
+++ b/crates/router/src/endpoint/shared_stream.rs
@@ -1,6 +1,11 @@
-//! The TCP stream that the HTTP library reads and writes, with the filter of late responses in between.
+//! The TCP stream that the HTTP library reads and writes. In between are the filter of late responses and the inspector,
+//! which refuses a response whose end is in doubt.
 
 use crate::endpoint::late_responses::LateResponseFilter;
+use crate::headers::ATTEMPT_ID;
+use hyper::body::Body;
+use hyper::{Method, Request};
+use lanegate_http_framing::ResponseInspector;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell, RefMut};
 use std::io;
@@ -23,6 +28,7 @@
     /// Whether the last write is pending because the send buffer is full: the endpoint does not read.
     is_blocked: Cell<bool>,
     late_responses: RefCell<LateResponseFilter>,
+    inspector: RefCell<ResponseInspector>,
 }
 
 impl SharedStream {
@@ -33,9 +39,17 @@
             written: Cell::new(0),
             is_blocked: Cell::new(false),
             late_responses: RefCell::default(),
+            inspector: RefCell::default(),
         }
     }
 
+    /// Expects the response to a request that is about to be sent.
+    pub(crate) fn expect_response(&self, request: &Request<impl Body>) {
+        let (attempt_id, method) = (request.headers().get(&ATTEMPT_ID), request.method());
+        self.late_responses.borrow_mut().expect(attempt_id, method);
+        self.inspector.borrow_mut().expect(method == Method::HEAD);
+    }
+
     /// Bytes written to the kernel so far.
     pub(crate) fn written_bytes(&self) -> u64 {
         self.written.get()
@@ -67,6 +81,14 @@
 
     /// Reads input for the HTTP library.
     fn poll_read(&self, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(self.poll_read_filtered(cx, buffer))?;
+        self.inspector.borrow_mut().push(&buffer.filled()[before..])?;
+        Poll::Ready(Ok(()))
+    }
+
+    /// Reads input without late responses.
+    fn poll_read_filtered(&self, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let mut stream = self.stream.borrow_mut();
         let mut late_responses = self.late_responses.borrow_mut();
         while !late_responses.is_forwarding() {
--- a/crates/router/src/endpoint/verify.rs
+++ b/crates/router/src/endpoint/verify.rs
@@ -1,5 +1,6 @@
 //! Verification of answers: whether an answer belongs to the request, and whether the request ran.
 
+use crate::endpoint::invalid_answer::InvalidAnswer;
 use crate::fault::RouterFault;
 use crate::headers::{ATTEMPT_ID, INSTANCE_ID, NOT_EXECUTED, SERVER_SIGNATURE, instance_load};
 use hyper::body::{Body, Incoming};
@@ -20,38 +21,48 @@
     pub fault: Option<RouterFault>,
 }
 
+/// Why an answer cannot be forwarded.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Rejection {
+    /// It is not a valid answer to the request.
+    Invalid(InvalidAnswer),
+    /// It is valid and ends the attempt like this.
+    Ended(AttemptEnd),
+}
+
 /// Checks the head of an answer.
 ///
 /// # Errors
 ///
-/// How the attempt ended, if the answer cannot be forwarded.
-pub fn check(expected: Expected<'_>, answer: &Response<Incoming>) -> Result<(), AttemptEnd> {
+/// Why the answer cannot be forwarded.
+pub fn check(expected: Expected<'_>, answer: &Response<Incoming>) -> Result<(), Rejection> {
     let headers = answer.headers();
     let matches_request = headers.get(&ATTEMPT_ID) == expected.attempt_id;
     if !matches_request && expected.fault != Some(RouterFault::AcceptAnyAttemptId) {
-        return Err(AttemptEnd::InvalidResponse);
+        return Err(Rejection::Invalid(InvalidAnswer::AttemptId));
     }
     let status = answer.status();
     if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&NOT_EXECUTED) {
         let load = instance_load(headers);
         let wrong_instance = status == StatusCode::MISDIRECTED_REQUEST && is_other_instance(expected, answer);
-        return Err(AttemptEnd::NotExecuted { status: status.as_u16(), load, wrong_instance });
+        let end = AttemptEnd::NotExecuted { status: status.as_u16(), load, wrong_instance };
+        return Err(Rejection::Ended(end));
+    }
+    if headers.contains_key(CONTENT_ENCODING) {
+        return Err(Rejection::Invalid(InvalidAnswer::ContentEncoding));
     }
-    if headers.contains_key(CONTENT_ENCODING) || status.is_informational() {
-        return Err(AttemptEnd::InvalidResponse);
+    if status.is_informational() {
+        return Err(Rejection::Invalid(InvalidAnswer::Informational));
     }
     if status.is_success() && !headers.contains_key(&SERVER_SIGNATURE) {
-        return Err(AttemptEnd::InvalidResponse);
+        return Err(Rejection::Invalid(InvalidAnswer::Signature));
     }
     if implies_not_executed(status) {
         if expected.fault == Some(RouterFault::TrustStatusAlone) {
-            return Err(AttemptEnd::NotExecuted {
-                status: status.as_u16(),
-                load: None,
-                wrong_instance: false,
-            });
+            let end = AttemptEnd::NotExecuted { status: status.as_u16(), load: None, wrong_instance: false };
+            return Err(Rejection::Ended(end));
         }
-        return Err(AttemptEnd::Broken);
+        return Err(Rejection::Ended(AttemptEnd::Broken));
     }
     Ok(())
 }
--- a/crates/router/src/process/counters.rs
+++ b/crates/router/src/process/counters.rs
@@ -2,7 +2,8 @@
 
 use crate::process::aborted_requests::AbortedRequests;
 use crate::request::outcome::{Outcome, OutcomeCounts};
-use std::cell::Cell;
+use lanegate_http_framing::RefusalCounts;
+use std::cell::{Cell, RefCell};
 
 /// Counters since the start of the process.
 #[derive(Debug, Default)]
@@ -19,6 +20,8 @@
     pub attempts: Count,
     /// Attempts without an answer that could be forwarded.
     pub failed_attempts: Count,
+    /// Answers that were not forwarded because they are not valid.
+    pub invalid_answers: RefCell<RefusalCounts>,
     /// Streams that were resumed at another endpoint.
     pub resumed: Count,
     /// Attempts to open a connection to an endpoint.
--- a/crates/router/src/process/metrics.rs
+++ b/crates/router/src/process/metrics.rs
@@ -24,6 +24,10 @@
     "lanegate_router_attempts_failed_total",
     "Sends that brought no answer that could be passed on",
 );
+const INVALID_ANSWERS: Metric = Metric::counter(
+    "lanegate_router_invalid_answers_total",
+    "Answers that were not passed on because they are not valid, by endpoint and reason",
+);
 const RETRIES: Metric =
     Metric::counter("lanegate_router_retries_total", "Sends that were counted against the retry budget");
 const RETRY_BUDGET_REMAINING: Metric = Metric::gauge(
@@ -105,6 +109,10 @@
     exposition.set(&REQUESTS_QUEUED, dispatch.queued_requests);
     exposition.set(&ATTEMPTS, counters.attempts.get());
     exposition.set(&ATTEMPTS_FAILED, counters.failed_attempts.get());
+    exposition.declare(&INVALID_ANSWERS);
+    for (endpoint, reason, count) in counters.invalid_answers.borrow().iter() {
+        exposition.set_labelled(&INVALID_ANSWERS, &[("endpoint", endpoint), ("reason", reason)], count);
+    }
     exposition.set(&RETRIES, dispatch.retries);
     exposition.declare(&RETRY_BUDGET_REMAINING);
     if let Some(left) = dispatch.min_retry_budget {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -1,5 +1,6 @@
 //! The state that all tasks of the router share: the dispatcher, the configuration in force and the connection pool.
 
+use crate::endpoint::invalid_answer::InvalidAnswer;
 use crate::endpoint::pool::Pool;
 use crate::fault::RouterFault;
 use crate::process::counters::Counters;
@@ -88,6 +89,13 @@
         self.fault == Some(fault)
     }
 
+    /// Records that an endpoint sent an answer that is not forwarded, and quarantines it.
+    pub fn on_invalid_answer(&self, endpoint: &str, invalid: InvalidAnswer) {
+        log::warn!("answer refused endpoint={endpoint} reason={} error=\"{invalid}\"", invalid.reason());
+        self.counters.invalid_answers.borrow_mut().record(endpoint, invalid.reason());
+        self.pool.quarantine(endpoint);
+    }
+
     /// The time of `instant` on the monotonic clock of the process.
     pub fn time_of(&self, instant: Instant) -> Duration {
         instant.saturating_duration_since(self.epoch)
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -130,6 +130,17 @@
         Client { stream: TcpStream::connect(self.address).await.unwrap(), unread: Vec::new() }
     }
 
+    /// The current metrics, in the exposition format.
+    pub(crate) async fn scrape(&self) -> String {
+        let mut stream = TcpStream::connect(self.metrics).await.unwrap();
+        let request = b"GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        stream.write_all(request).await.unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+        answer.split_once("\r\n\r\n").unwrap().1.to_string()
+    }
+
     /// The status of the readiness check.
     pub(crate) async fn readiness(&self) -> u16 {
         let stream = TcpStream::connect(self.readiness).await.unwrap();
@@ -187,6 +198,11 @@
         Upstream { stream: self.listener.accept().await.unwrap().0, unread: Vec::new() }
     }
 
+    /// Whether the router has opened a connection that was not accepted yet.
+    pub(crate) async fn has_connection(&self) -> bool {
+        timeout(Duration::ZERO, self.listener.accept()).await.is_ok()
+    }
+
     /// The first request on the next connection of the router.
     pub(crate) async fn request(&self) -> (Upstream, Message) {
         let mut upstream = self.accept().await;
@@ -240,6 +256,16 @@
         self.stream.write_all(bytes.as_ref()).await.unwrap();
     }
 
+    /// Writes bytes; the router may have closed the connection.
+    pub(crate) async fn write_if_open(&mut self, bytes: &[u8]) {
+        let _ = self.stream.write_all(bytes).await;
+    }
+
+    /// Ends the sending side of the connection.
+    pub(crate) async fn shut_down(&mut self) {
+        let _ = self.stream.shutdown().await;
+    }
+
     /// The next request; `None` if the router closes the connection first.
     pub(crate) async fn next_request(&mut self) -> Option<Message> {
         read_message(&mut self.stream, &mut self.unread).await
@@ -350,11 +376,40 @@
 
     /// All bytes until the connection ends in any way.
     pub(crate) async fn rest(mut self) -> String {
+        self.rest_so_far().await
+    }
+
+    /// Like [`Client::rest`], and keeps the client.
+    pub(crate) async fn rest_so_far(&mut self) -> String {
         while matches!(self.stream.read_buf(&mut self.unread).await, Ok(read) if read > 0) {}
         String::from_utf8_lossy(&self.unread).into_owned()
     }
 }
 
+/// Whether the text is a complete answer with a status of success, by its own framing.
+pub(crate) fn is_complete_success(text: &str) -> bool {
+    let Some((head, body)) = text.split_once("\r\n\r\n") else { return false };
+    let field = |name: &str| {
+        let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+        lines.find(|(known, _)| known.eq_ignore_ascii_case(name)).map(|(_, value)| value.to_owned())
+    };
+    let is_complete = match (field("Transfer-Encoding"), field("Content-Length")) {
+        (Some(_), _) => body.ends_with("0\r\n\r\n"),
+        (None, Some(length)) => length.parse() == Ok(body.len()),
+        (None, None) => true,
+    };
+    head.starts_with("HTTP/1.1 2") && is_complete
+}
+
+/// The body of a complete answer, without the lines around chunks.
+pub(crate) fn body_of(text: &str) -> String {
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or_default();
+    if !head.to_ascii_lowercase().contains("transfer-encoding") {
+        return body.into();
+    }
+    body.split("\r\n").skip(1).step_by(2).collect()
+}
+
 async fn read_message(stream: &mut TcpStream, unread: &mut Vec<u8>) -> Option<Message> {
     let head_end = loop {
         if let Some(place) = find(unread, b"\r\n\r\n") {
--- a/crates/router/tests/metrics.rs
+++ b/crates/router/tests/metrics.rs
@@ -9,20 +9,14 @@
 use lanegate_config::feed::FeedEvent;
 use std::time::Duration;
 use text_format::ParsedMetrics;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 const REQUESTS: &str = "lanegate_router_requests_total";
 
 /// The current metrics of a router.
 async fn figures(router: &Router) -> ParsedMetrics {
-    let mut stream = TcpStream::connect(router.metrics).await.unwrap();
-    let request = b"GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
-    stream.write_all(request).await.unwrap();
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).await.unwrap();
-    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
-    ParsedMetrics::parse(answer.split_once("\r\n\r\n").unwrap().1)
+    ParsedMetrics::parse(&router.scrape().await)
 }
 
 fn ended(figures: &ParsedMetrics, outcome: &str, reason: &str) -> f64 {
