Router: an answer that is longer than its head says is refused

With a length that is too large, the rest was taken from the next bytes of the connection: "abcdef" and the beginning of an extra answer came through as one body, "abcdefHTT".

Cause: the HTTP library ends a body where its head says so and looks at what follows only when the connection is used again; by then the client has its answer.

Change: when a read ends the answer, the bytes behind it are inspected before the library gets the read: those of the same read, those of the filter of late responses, and those that the kernel holds. Bytes that do not begin another answer refuse the answer. An extra answer behind a whole one still leaves that one whole. A refusal (Not-Executed) that is contradicted in this way is no promise: the client gets 502.

Not covered: surplus that arrives after the answer was passed on. The connection is then closed and the endpoint quarantined, as before.

--- a/crates/http-framing/src/error.rs
+++ b/crates/http-framing/src/error.rs
@@ -33,6 +33,9 @@
     /// The body is not validly chunked.
     #[error("invalid chunked encoding")]
     Chunk,
+    /// Bytes follow the response that do not begin another one: the body is longer than its head says.
+    #[error("bytes after the end of the response")]
+    BytesAfterEnd,
 }
 
 impl FramingError {
@@ -48,6 +51,7 @@
             FramingError::TransferEncoding => "transfer_encoding",
             FramingError::LengthAndEncoding => "length_and_encoding",
             FramingError::Chunk => "chunk",
+            FramingError::BytesAfterEnd => "bytes_after_end",
         }
     }
 
--- a/crates/http-framing/src/inspector.rs
+++ b/crates/http-framing/src/inspector.rs
@@ -7,10 +7,13 @@
 
 /// Largest head that is read, bytes. The HTTP library refuses shorter ones than this.
 const MAX_HEAD_BYTES: usize = 512 * 1024;
+/// How every response begins.
+const RESPONSE_START: &[u8] = b"HTTP/1.";
 
 /// Follows the responses on one connection, one for each request.
 ///
-/// Bytes after a response are not inspected, because the connection must not be used again.
+/// Bytes after a response are accepted only if they begin another one: endpoints may answer twice. Those bytes are not
+/// inspected, because the connection must not be used again.
 #[derive(Debug, Default)]
 pub struct ResponseInspector {
     state: State,
@@ -61,14 +64,27 @@
         Ok(())
     }
 
-    /// Whether the bytes so far end with a complete response.
+    /// Whether the bytes so far end with a complete response. What follows can still show that its length is wrong.
     pub fn is_complete(&self) -> bool {
         matches!(self.state, State::Complete)
     }
 
+    /// Inspects the beginning of bytes that have arrived and will be pushed later.
+    ///
+    /// # Errors
+    /// [`FramingError::BytesAfterEnd`] if the last response is complete and these bytes do not begin another one.
+    pub fn push_following(&mut self, bytes: &[u8]) -> Result<(), FramingError> {
+        if !self.is_complete() || begins_response(bytes) {
+            return Ok(());
+        }
+        self.state = State::Refused(FramingError::BytesAfterEnd);
+        Err(FramingError::BytesAfterEnd)
+    }
+
     fn step<'b>(&mut self, bytes: &'b [u8]) -> Result<(State, &'b [u8]), FramingError> {
         match mem::take(&mut self.state) {
-            State::Complete => Ok((State::Following, &[])),
+            State::Complete if begins_response(bytes) => Ok((State::Following, &[])),
+            State::Complete => Err(FramingError::BytesAfterEnd),
             State::Following => Ok((State::Following, &[])),
             State::Head(head) => self.read_head(head, bytes),
             State::Bytes(left) => {
@@ -122,3 +138,9 @@
         if left == 0 { State::Complete } else { State::Bytes(left) }
     }
 }
+
+/// Whether the bytes begin a response, as far as they go.
+fn begins_response(bytes: &[u8]) -> bool {
+    let length = bytes.len().min(RESPONSE_START.len());
+    bytes[..length] == RESPONSE_START[..length]
+}
--- a/crates/http-framing/src/lib.rs
+++ b/crates/http-framing/src/lib.rs
@@ -14,9 +14,11 @@
 mod error;
 mod head;
 mod inspector;
+mod stream;
 
 pub use chunks::{ChunkScanner, NotChunked};
 pub use counts::RefusalCounts;
 pub use error::FramingError;
 pub use head::{BodyLength, Head, read_head};
 pub use inspector::ResponseInspector;
+pub use stream::inspect_received;
--- a/crates/http-framing/tests/common/answers.rs
+++ b/crates/http-framing/tests/common/answers.rs
@@ -92,6 +92,7 @@
     broken("line_end", "HTTP/1.1 200 OK\r\n{fields}X: a\n\nContent-Length: 6\r\n\r\nabcdef"),
     broken("line_end", "HTTP/1.1 200 OK\r\n{fields}\rContent-Length: 6\r\n\r\nabcdef"),
     broken("line_end", "HTTP/1.1 200 OK\r\n{fields}\r\rContent-Length: 6\r\n\r\nabcdef"),
+    broken("bytes_after_end", "HTTP/1.1 200 OK\r\n{fields}Content-Length: 6\r\n\r\nX: y\r\n\r\nabcdef"),
     // The length.
     broken("content_length", "HTTP/1.1 200 OK\r\n{fields}Content-Length:\r\n\r\nabcdef"),
     broken("content_length", "HTTP/1.1 200 OK\r\n{fields}Content-Length: \t\r\n\r\nabcdef"),
@@ -115,6 +116,11 @@
         "content_length",
         "HTTP/1.1 200 OK\r\n{fields}Content-Length: 6\r\ncontent-length: 6\r\n\r\nabcdef",
     ),
+    broken("bytes_after_end", "HTTP/1.1 200 OK\r\n{fields}Content-Length: 0\r\n\r\nabcdef"),
+    broken("bytes_after_end", "HTTP/1.1 200 OK\r\n{fields}Content-Length: 3\r\n\r\nabcdef"),
+    broken("bytes_after_end", "HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\n\r\nabcdef"),
+    broken("bytes_after_end", "HTTP/1.1 200 OK\r\n{fields}Content-Length: 4\r\n\r\nabcd\r\n"),
+    broken("bytes_after_end", "HTTP/1.1 204 No Content\r\n{fields}Content-Length: 6\r\n\r\nabcdef"),
     // The encoding.
     broken(
         "length_and_encoding",
@@ -201,6 +207,14 @@
         "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n0\r\nid: 1\n\n\r\n0\r\n\r\n",
     ),
     broken("chunk", "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n6\r\nabcdef\r\n0\r\n\n"),
+    broken(
+        "bytes_after_end",
+        "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nabcdef\r\n0\r\n\r\n",
+    ),
+    broken(
+        "bytes_after_end",
+        "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n0\r\nid: 1\r\n\r\n\r\n0\r\n\r\n",
+    ),
 ];
 
 /// An answer in order, with the body [`BODY`].
--- a/crates/http-framing/tests/responses.rs
+++ b/crates/http-framing/tests/responses.rs
@@ -12,7 +12,7 @@
 
 const FIELDS: &str = "X-First: 1\r\nX-Second: 2\r\n";
 
-/// Inspects `bytes` cut at the given offsets.
+/// Inspects `bytes` cut at the given offsets, and what follows each time, up to the end of the connection.
 fn inspect(bytes: &[u8], offsets: &[usize]) -> Result<(), FramingError> {
     let mut ends: Vec<usize> = offsets.iter().map(|offset| offset % (bytes.len() + 1)).collect();
     ends.push(bytes.len());
@@ -22,6 +22,8 @@
     let mut start = 0;
     for end in ends {
         inspector.push(&bytes[start..end])?;
+        // What has arrived, but is not read yet.
+        inspector.push_following(&bytes[end..])?;
         start = end;
     }
     Ok(())
@@ -47,6 +49,18 @@
     }
 }
 
+#[test]
+fn the_response_to_a_head_request_has_no_body() {
+    for (rest, expected) in
+        [("", Ok(())), ("HTTP/1.1 200 OK\r\n\r\n", Ok(())), ("abcdef", Err(FramingError::BytesAfterEnd))]
+    {
+        let mut inspector = ResponseInspector::default();
+        inspector.expect(true);
+        let bytes = format!("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n{rest}");
+        assert_eq!(inspector.push(bytes.as_bytes()), expected, "{rest:?}");
+    }
+}
+
 #[test]
 fn responses_on_one_connection_are_told_apart() {
     let mut inspector = ResponseInspector::default();
@@ -56,6 +70,8 @@
         assert_eq!(inspector.push(bytes.as_bytes()), Ok(()));
         assert!(inspector.is_complete());
     }
+    assert_eq!(inspector.push(b"unasked"), Err(FramingError::BytesAfterEnd));
+    assert_eq!(inspector.push(b"HTTP/1.1 200 OK\r\n"), Err(FramingError::BytesAfterEnd), "it stays refused");
 }
 
 #[test]
--- a/crates/router/src/endpoint/late_responses.rs
+++ b/crates/router/src/endpoint/late_responses.rs
@@ -129,6 +129,11 @@
         length > 0
     }
 
+    /// The beginning of the bytes that the library may read.
+    pub fn ready(&self) -> &[u8] {
+        self.ready.as_slices().0
+    }
+
     fn forward<'a>(&mut self, bytes: &[u8]) -> &'a [u8] {
         self.ready.extend(bytes);
         &[]
--- a/crates/router/src/endpoint/shared_stream.rs
+++ b/crates/router/src/endpoint/shared_stream.rs
@@ -5,7 +5,7 @@
 use crate::headers::ATTEMPT_ID;
 use hyper::body::Body;
 use hyper::{Method, Request};
-use lanegate_http_framing::ResponseInspector;
+use lanegate_http_framing::{ResponseInspector, inspect_received};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell, RefMut};
 use std::io;
@@ -83,8 +83,7 @@
     fn poll_read(&self, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         ready!(self.poll_read_filtered(cx, buffer))?;
-        self.inspector.borrow_mut().push(&buffer.filled()[before..])?;
-        Poll::Ready(Ok(()))
+        Poll::Ready(self.inspect(&buffer.filled()[before..]))
     }
 
     /// Reads input without late responses.
@@ -105,6 +104,13 @@
         }
         Pin::new(&mut *stream).poll_read(cx, buffer)
     }
+
+    /// Inspects what the HTTP library is about to get, and whether more has arrived than belongs to the response.
+    fn inspect(&self, received: &[u8]) -> io::Result<()> {
+        let late_responses = self.late_responses.borrow();
+        let mut inspector = self.inspector.borrow_mut();
+        inspect_received(&mut inspector, received, late_responses.ready(), &self.stream.borrow())
+    }
 }
 
 /// The stream as the HTTP library sees it.
