Router: an answer that has lost its length is refused once that shows

A damaged name of Transfer-Encoding brought the client the chunks undecoded, sizes and all.

Cause: an answer with neither a length nor an encoding is in order, it ends with its connection, and any damaged head can come to look like that.

Change: the body of such an answer is searched for what its head has lost. It is refused if it begins with fields up to an empty line, one of which is a field of heads that the head lacks (the first line may be cut in two), or if it is chunked from its beginning to its end; an event stream is refused at a first line that is a chunk size, before an event is passed on.

Not covered, because nothing tells it from an answer in order: an answer that never had a length, whose head is cut behind its last known field.

--- a/crates/http-framing/src/chunks.rs
+++ b/crates/http-framing/src/chunks.rs
@@ -9,6 +9,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ChunkScanner {
     position: Position,
+    has_size: bool,
 }
 
 /// The part of the body to which the next byte belongs.
@@ -44,7 +45,7 @@
 
 impl Default for ChunkScanner {
     fn default() -> Self {
-        ChunkScanner { position: Position::FirstSizeDigit }
+        ChunkScanner { position: Position::FirstSizeDigit, has_size: false }
     }
 }
 
@@ -60,6 +61,7 @@
             taken += match self.position {
                 Position::Data(left) => self.skip(left, bytes.len() - taken),
                 _ => {
+                    self.has_size |= matches!(self.position, Position::SizeLineFeed(_));
                     self.position = self.position.next(bytes[taken])?;
                     1
                 }
@@ -73,6 +75,11 @@
         self.position == Position::End
     }
 
+    /// Whether the size of the first chunk was read, with its line end.
+    pub(crate) fn has_size(&self) -> bool {
+        self.has_size
+    }
+
     fn skip(&mut self, left: u64, available: usize) -> usize {
         let skipped = left.min(available as u64);
         self.position = match left - skipped {
@@ -122,6 +129,6 @@
 }
 
 /// Whether the byte may stand in the name of a field.
-fn is_token(byte: u8) -> bool {
+pub(crate) fn is_token(byte: u8) -> bool {
     byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
 }
--- a/crates/http-framing/src/error.rs
+++ b/crates/http-framing/src/error.rs
@@ -33,6 +33,12 @@
     /// The body is not validly chunked.
     #[error("invalid chunked encoding")]
     Chunk,
+    /// The body, which ends with its connection, begins with the rest of a head.
+    #[error("the body begins with lines of a head")]
+    HeadInBody,
+    /// The body, which ends with its connection, is chunked, and the head does not say so.
+    #[error("the body is chunked, which the head does not say")]
+    ChunksInBody,
     /// Bytes follow the response that do not begin another one: the body is longer than its head says.
     #[error("bytes after the end of the response")]
     BytesAfterEnd,
@@ -51,6 +57,8 @@
             FramingError::TransferEncoding => "transfer_encoding",
             FramingError::LengthAndEncoding => "length_and_encoding",
             FramingError::Chunk => "chunk",
+            FramingError::HeadInBody => "head_in_body",
+            FramingError::ChunksInBody => "chunks_in_body",
             FramingError::BytesAfterEnd => "bytes_after_end",
         }
     }
--- a/crates/http-framing/src/inspector.rs
+++ b/crates/http-framing/src/inspector.rs
@@ -3,6 +3,7 @@
 use crate::chunks::ChunkScanner;
 use crate::error::FramingError;
 use crate::head::{BodyLength, read_head};
+use crate::until_close::UntilClose;
 use std::mem;
 
 /// Largest head that is read, bytes. The HTTP library refuses shorter ones than this.
@@ -35,7 +36,7 @@
     /// Inside a chunked body.
     Chunks(ChunkScanner),
     /// Inside a body that ends with its connection.
-    UntilClose,
+    UntilClose(UntilClose),
     /// The response was refused.
     Refused(FramingError),
 }
@@ -64,6 +65,29 @@
         Ok(())
     }
 
+    /// Handles the end of the connection. The HTTP library notices a response that is cut off.
+    ///
+    /// # Errors
+    /// If the response would be complete now and has to be refused.
+    pub fn end(&mut self) -> Result<(), FramingError> {
+        let State::UntilClose(body) = &self.state else {
+            return Ok(());
+        };
+        let result = body.end();
+        if let Err(error) = result {
+            self.state = State::Refused(error);
+        }
+        result
+    }
+
+    /// Inspects what was read from the connection; nothing means its end.
+    ///
+    /// # Errors
+    /// As [`Self::push`] and [`Self::end`].
+    pub fn read(&mut self, bytes: &[u8]) -> Result<(), FramingError> {
+        if bytes.is_empty() { self.end() } else { self.push(bytes) }
+    }
+
     /// Whether the bytes so far end with a complete response. What follows can still show that its length is wrong.
     pub fn is_complete(&self) -> bool {
         matches!(self.state, State::Complete)
@@ -96,7 +120,10 @@
                 let state = if scanner.is_over() { State::Complete } else { State::Chunks(scanner) };
                 Ok((state, &bytes[taken..]))
             }
-            State::UntilClose => Ok((State::UntilClose, &[])),
+            State::UntilClose(mut body) => {
+                body.push(bytes)?;
+                Ok((State::UntilClose(body), &[]))
+            }
             State::Refused(error) => Err(error),
         }
     }
@@ -120,7 +147,7 @@
                 _ if head.is_informational() => State::Head(Vec::new()),
                 BodyLength::Bytes(length) => State::in_bytes(length),
                 BodyLength::Chunked => State::Chunks(ChunkScanner::default()),
-                BodyLength::UntilClose => State::UntilClose,
+                BodyLength::UntilClose => State::UntilClose(UntilClose::new(&head)),
             };
             Ok((state, head.length))
         })?;
--- a/crates/http-framing/src/lib.rs
+++ b/crates/http-framing/src/lib.rs
@@ -14,7 +14,9 @@
 mod error;
 mod head;
 mod inspector;
+mod leaked_head;
 mod stream;
+mod until_close;
 
 pub use chunks::{ChunkScanner, NotChunked};
 pub use counts::RefusalCounts;
--- a/crates/http-framing/src/stream.rs
+++ b/crates/http-framing/src/stream.rs
@@ -8,7 +8,7 @@
 /// Number of bytes that tell whether another response follows.
 const FOLLOWING_BYTES: usize = 8;
 
-/// Inspects what was read from `stream`. If that ends with a complete response, the bytes that have
+/// Inspects what was read from `stream`; nothing means its end. If that ends with a complete response, the bytes that have
 /// arrived behind it are inspected too: `pending`, which were taken from the stream and not read yet, and those that the
 /// kernel holds. It is asked directly, because the runtime may not have processed the event yet.
 ///
@@ -20,7 +20,7 @@
     pending: &[u8],
     stream: &TcpStream,
 ) -> io::Result<()> {
-    inspector.push(received)?;
+    inspector.read(received)?;
     if received.is_empty() || !inspector.is_complete() {
         return Ok(());
     }
--- a/crates/http-framing/tests/common/answers.rs
+++ b/crates/http-framing/tests/common/answers.rs
@@ -76,7 +76,7 @@
         "field",
         "HTTP/1.1 200 OK\r\n{fields}X: a\r\n Content-Length: 3\r\nContent-Length: 6\r\n\r\nabcdef",
     ),
-    // Ends of lines.
+    // Ends of lines, and an early end of the head.
     broken("line_end", "HTTP/1.1 200 OK\n{fields}Content-Length: 6\r\n\r\nabcdef"),
     broken("line_end", "HTTP/1.1 200 OK\r\n{fields}Content-Length: 6\n\r\nabcdef"),
     broken("line_end", "HTTP/1.1 200 OK\r\n{fields}Content-Length: 6\n\nabcdef"),
@@ -92,6 +92,17 @@
     broken("line_end", "HTTP/1.1 200 OK\r\n{fields}X: a\n\nContent-Length: 6\r\n\r\nabcdef"),
     broken("line_end", "HTTP/1.1 200 OK\r\n{fields}\rContent-Length: 6\r\n\r\nabcdef"),
     broken("line_end", "HTTP/1.1 200 OK\r\n{fields}\r\rContent-Length: 6\r\n\r\nabcdef"),
+    broken("head_in_body", "HTTP/1.1 200 OK\r\n{fields}\r\nContent-Length: 6\r\n\r\nabcdef"),
+    broken(
+        "head_in_body",
+        "HTTP/1.1 200 OK\r\n{fields}\r\nDate: now\r\ncontent-length:6\r\nX: y\r\n\r\nabcdef",
+    ),
+    broken("head_in_body", "HTTP/1.1 200 OK\r\n{fields}X: a\r\n\r\nb\r\nContent-Length: 6\r\n\r\nabcdef"),
+    broken(
+        "head_in_body",
+        "HTTP/1.1 200 OK\r\n{fields}\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nabcdef\r\n0\r\n\r\n",
+    ),
+    broken("head_in_body", "HTTP/1.1 200 OK\r\n{fields}\r\nConnection: close\r\n\r\nabcdef"),
     broken("bytes_after_end", "HTTP/1.1 200 OK\r\n{fields}Content-Length: 6\r\n\r\nX: y\r\n\r\nabcdef"),
     // The length.
     broken("content_length", "HTTP/1.1 200 OK\r\n{fields}Content-Length:\r\n\r\nabcdef"),
@@ -217,6 +228,16 @@
     ),
 ];
 
+/// Answers whose damage shows once the endpoint closes the connection: until then the body may go on.
+pub const BROKEN_ONCE_CLOSED: &[BrokenAnswer] = &[
+    broken("chunks_in_body", "HTTP/1.1 200 OK\r\n{fields}\r\n6\r\nabcdef\r\n0\r\n\r\n"),
+    broken(
+        "chunks_in_body",
+        "HTTP/1.1 200 OK\r\n{fields}Transfer-Encodinh: chunked\r\n\r\n2\r\nab\r\n4;x\r\ncdef\r\n0\r\nT: 1\r\n\r\n",
+    ),
+    broken("chunks_in_body", "HTTP/1.0 200 OK\r\n{fields}X: chunked\r\n\r\n6\r\nabcdef\r\n0\r\n\r\n"),
+];
+
 /// An answer in order, with the body [`BODY`].
 #[derive(Debug, Clone, Copy)]
 pub struct AnswerInOrder {
@@ -272,3 +293,22 @@
     until_close("HTTP/1.1 200 OK\r\n{fields}Connection: close\r\n\r\nabcdef"),
     until_close("HTTP/1.0 200 OK\r\n{fields}\r\nabcdef"),
 ];
+
+/// Bodies that have to pass in an answer that ends with its connection.
+pub const BODIES_IN_ORDER: &[&str] = &[
+    "",
+    "\r\n",
+    "\r\n\r\n",
+    "name: value\r\n\r\nmore",
+    "name: value\nContent-Length: 3\n\nmore",
+    "Content-Length is a field\r\n\r\n",
+    "id: 1\r\ndata: x\r\n\r\n",
+    "versions: 2\r\ndata: x\r\n\r\n",
+    "a\r\nb\r\nContent-Length: 3\r\n\r\nc",
+    "{\"Content-Length\": 3}\r\n\r\n",
+    "abc",
+    "42\r\n",
+    "6\r\nabcdef\r\n",
+    "3\r\nabc\r\n0\r\n",
+    "3\r\nabc\r\n0\r\n\r\nmore",
+];
--- a/crates/http-framing/tests/responses.rs
+++ b/crates/http-framing/tests/responses.rs
@@ -4,7 +4,7 @@
 #[path = "common/answers.rs"]
 mod answers;
 
-use answers::{BROKEN, IN_ORDER};
+use answers::{BODIES_IN_ORDER, BROKEN, BROKEN_ONCE_CLOSED, IN_ORDER};
 use lanegate_http_framing::{ChunkScanner, FramingError, RefusalCounts, ResponseInspector};
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -26,12 +26,12 @@
         inspector.push_following(&bytes[end..])?;
         start = end;
     }
-    Ok(())
+    inspector.end()
 }
 
 #[test]
 fn a_broken_response_is_refused_for_its_reason() {
-    for answer in BROKEN {
+    for answer in BROKEN.iter().chain(BROKEN_ONCE_CLOSED) {
         let bytes = answer.with_fields(FIELDS).into_bytes();
         let reason = inspect(&bytes, &[]).map_err(FramingError::reason);
         assert_eq!(reason, Err(answer.reason), "{answer:?}");
@@ -47,6 +47,30 @@
         let bytes = answer.with_fields(FIELDS).into_bytes();
         assert_eq!(inspect(&bytes, &[]), Ok(()), "{answer:?}");
     }
+    for body in BODIES_IN_ORDER {
+        let bytes = format!("HTTP/1.1 200 OK\r\n{FIELDS}\r\n{body}").into_bytes();
+        assert_eq!(inspect(&bytes, &[]), Ok(()), "{body:?}");
+    }
+}
+
+#[test]
+fn an_event_stream_does_not_begin_with_a_chunk() {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream; charset=utf-8\r\n\r\n";
+    for chunk in ["8\r\n", "8\r\nid: 1\n\n\r\n", "8;x\r\nid: 1\n\n\r\n8\r\n"] {
+        let bytes = format!("{head}{chunk}");
+        assert_eq!(inspect(bytes.as_bytes(), &[]), Err(FramingError::ChunksInBody), "{chunk:?}");
+    }
+    for events in ["data: x\r\n\r\n", "event: a\n\n", "8: x\r\n\r\n", ": 8\r\n\r\n"] {
+        let bytes = format!("{head}{events}");
+        assert_eq!(inspect(bytes.as_bytes(), &[]), Ok(()), "{events:?}");
+    }
+}
+
+#[test]
+fn a_field_that_the_head_has_may_begin_a_body() {
+    let bytes =
+        b"HTTP/1.1 200 OK\r\nContent-Type: message/rfc822\r\n\r\nContent-Type: text/plain\r\n\r\nhello";
+    assert_eq!(inspect(bytes, &[]), Ok(()));
 }
 
 #[test]
--- a/crates/router/tests/broken_answers.rs
+++ b/crates/router/tests/broken_answers.rs
@@ -8,7 +8,7 @@
 #[allow(unreachable_pub, reason = "the file is shared with the tests of another crate")]
 mod text_format;
 
-use answers::{AnswerInOrder, BODY, BROKEN, BrokenAnswer, IN_ORDER};
+use answers::{AnswerInOrder, BODIES_IN_ORDER, BODY, BROKEN, BROKEN_ONCE_CLOSED, BrokenAnswer, IN_ORDER};
 use common::{
     CONFIGURATION, Endpoint, Message, Router, Upstream, answer_to, body_of, first_request,
     is_complete_success, run_ready_tasks, run_test, two_endpoints,
@@ -160,6 +160,35 @@
     });
 }
 
+#[test]
+fn an_answer_that_has_lost_its_length_becomes_a_failure_once_its_connection_is_closed() {
+    run_test(async {
+        for answer in BROKEN_ONCE_CLOSED {
+            for path in PATHS {
+                let faults = faults_with(answer, path, Connection::Closed).await;
+                assert!(faults.is_empty(), "{}", faults.join("\n"));
+            }
+        }
+    });
+}
+
+#[test]
+fn a_long_answer_that_has_lost_its_encoding_is_cut_off() {
+    run_test(async {
+        let mut exchange = Exchange::begin("/once/a", Connection::Closed).await;
+        let chunk = format!("186a0\r\n{}\r\n", "x".repeat(100_000));
+        let bytes = format!("HTTP/1.1 200 OK\r\n{}\r\n{chunk}{chunk}0\r\n\r\n", fields("2"));
+        let Exchange { upstream, client, .. } = &mut exchange;
+        let sending = async {
+            upstream.write_if_open(bytes.as_bytes()).await;
+            upstream.shut_down().await;
+        };
+        let (received, ()) = tokio::join!(client.rest_so_far(), sending);
+        assert!(received.starts_with("HTTP/1.1 200 OK\r\n"), "{}", &received[..100]);
+        assert!(!is_complete_success(&received), "{} bytes", received.len());
+    });
+}
+
 #[test]
 fn a_broken_answer_that_arrives_byte_by_byte_does_not_look_complete() {
     run_test(async {
@@ -227,6 +256,19 @@
     });
 }
 
+#[test]
+fn a_body_that_ends_with_its_connection_is_not_taken_for_a_head() {
+    run_test(async {
+        for body in BODIES_IN_ORDER {
+            let mut exchange = Exchange::begin("/once/a", Connection::Closed).await;
+            let answer = format!("HTTP/1.1 200 OK\r\n{}\r\n{body}", fields("2"));
+            let received = exchange.answer(&answer, Connection::Closed).await;
+            assert!(is_complete_success(&received), "{body:?}: {received:?}");
+            assert_eq!(received.split_once("\r\n\r\n").unwrap().1, *body);
+        }
+    });
+}
+
 #[test]
 fn a_broken_refusal_is_no_promise() {
     run_test(async {
