Router: the length of a late answer is not guessed

Cause: the filter of late answers had a reader of its own, more lenient than the HTTP library's: "+0" as a length, a length beside an encoding, a bare line feed, an empty line for a chunk of size 0, any two bytes for the line end behind a chunk.

Change: the filter reads heads and chunks with lanegate-http-framing; its own scanner of chunks is gone. A late answer that it cannot follow to its end is refused, and the request in flight, which may have run, ends with 502 and is not repeated.

Evidence: the_length_of_a_late_answer_is_not_guessed failed on the code before (200 behind "Content-Length: +0"). a_broken_late_answer_spoils_no_other_answer plays all 109 forms ahead of an answer in order: it passed on the code before too, and stays.

--- a/crates/router/src/endpoint/late_responses.rs
+++ b/crates/router/src/endpoint/late_responses.rs
@@ -3,20 +3,21 @@
 //! An endpoint may answer a request a second time while the next request is in flight on the same connection. `Attempt-Id`
 //! shows which request a response belongs to. A response to an earlier request of the connection is discarded here, before
 //! the HTTP library parses it. Everything else is passed on to the library, and [`crate::endpoint::verify`] checks the result.
+//!
+//! The end of a response that is discarded has to be known without doubt: what follows it is taken for the response to the
+//! current request. So a late response with an ambiguous length is refused, not skipped.
 
-use crate::endpoint::chunk_scanner::ChunkScanner;
-use crate::header_fields::{MAX_ANSWER_HEAD_BYTES, max_fields};
+use crate::header_fields::MAX_ANSWER_HEAD_BYTES;
 use crate::headers::ATTEMPT_ID;
 use hyper::Method;
-use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::HeaderValue;
+use lanegate_http_framing::{BodyLength, ChunkScanner, FramingError, Head, read_head};
 use std::collections::VecDeque;
 use std::mem;
 use tokio::io::ReadBuf;
 
 /// Number of earlier requests of a connection whose late responses are recognised.
 const MAX_REMEMBERED: usize = 8;
-/// Number of header fields for which there is room without an allocation.
-const USUAL_FIELDS: usize = 64;
 
 /// A request that was sent on a connection.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -56,14 +57,6 @@
     Chunks(ChunkScanner),
 }
 
-/// What is known of a head.
-enum Parsed {
-    /// A part of it has not arrived.
-    Incomplete,
-    /// It has `length` bytes.
-    Complete { length: usize, disposition: Disposition },
-}
-
 /// What happens to a response whose head is complete.
 enum Disposition {
     Forward,
@@ -103,14 +96,19 @@
     }
 
     /// Filters received bytes.
-    pub fn push(&mut self, mut bytes: &[u8]) {
+    ///
+    /// # Errors
+    ///
+    /// If a response cannot be told from what follows it.
+    pub fn push(&mut self, mut bytes: &[u8]) -> Result<(), FramingError> {
         while !bytes.is_empty() {
             bytes = match mem::take(&mut self.state) {
                 State::Forwarding => self.forward(bytes),
-                State::Head(head) => self.read_head(head, bytes),
-                State::Discarding(remainder) => self.discard_body(remainder, bytes),
+                State::Head(head) => self.read_head(head, bytes)?,
+                State::Discarding(remainder) => self.discard_body(remainder, bytes)?,
             };
         }
+        Ok(())
     }
 
     /// Handles the end of the connection: an incomplete head is passed on to the library.
@@ -140,83 +138,61 @@
     }
 
     /// Continues to read a head; returns the bytes that are not consumed.
-    fn read_head<'a>(&mut self, mut head: Vec<u8>, bytes: &'a [u8]) -> &'a [u8] {
+    fn read_head<'a>(&mut self, mut head: Vec<u8>, bytes: &'a [u8]) -> Result<&'a [u8], FramingError> {
         let known = head.len();
         head.extend_from_slice(bytes);
-        match self.parse(&head) {
-            Parsed::Incomplete if head.len() <= MAX_ANSWER_HEAD_BYTES => {
+        let parsed = read_head(&head, |head| Ok((head.length, self.disposition(&head)?)))?;
+        match parsed.transpose()? {
+            None if head.len() <= MAX_ANSWER_HEAD_BYTES => {
                 self.state = State::Head(head);
-                &[]
+                Ok(&[])
             }
-            Parsed::Incomplete | Parsed::Complete { disposition: Disposition::Forward, .. } => {
-                self.forward(&head)
-            }
-            Parsed::Complete { length, disposition: Disposition::Discard(remainder) } => {
+            None | Some((_, Disposition::Forward)) => Ok(self.forward(&head)),
+            Some((length, Disposition::Discard(remainder))) => {
                 self.discarded += 1;
                 self.begin_discarding(remainder);
-                &bytes[length.saturating_sub(known)..]
-            }
-        }
-    }
-
-    fn parse(&self, head: &[u8]) -> Parsed {
-        match self.parse_into(head, &mut [httparse::EMPTY_HEADER; USUAL_FIELDS]) {
-            Err(httparse::Error::TooManyHeaders) => {
-                let mut fields = vec![httparse::EMPTY_HEADER; max_fields(Some(MAX_ANSWER_HEAD_BYTES))];
-                self.parse_into(head, &mut fields)
+                Ok(&bytes[length.saturating_sub(known)..])
             }
-            parsed => parsed,
         }
-        // The library reports what is wrong with the head.
-        .unwrap_or(Parsed::Complete { length: head.len(), disposition: Disposition::Forward })
     }
 
-    fn parse_into<'h>(
-        &self,
-        head: &'h [u8],
-        fields: &mut [httparse::Header<'h>],
-    ) -> Result<Parsed, httparse::Error> {
-        let mut answer = httparse::Response::new(fields);
-        match answer.parse(head)? {
-            httparse::Status::Complete(length) => {
-                Ok(Parsed::Complete { length, disposition: self.disposition(&answer) })
-            }
-            httparse::Status::Partial => Ok(Parsed::Incomplete),
-        }
-    }
-
-    fn discard_body<'a>(&mut self, remainder: Remainder, bytes: &'a [u8]) -> &'a [u8] {
+    fn discard_body<'a>(&mut self, remainder: Remainder, bytes: &'a [u8]) -> Result<&'a [u8], FramingError> {
         let (taken, left) = match remainder {
             Remainder::Bytes(left) => {
                 let taken = left.min(bytes.len() as u64);
                 (taken as usize, Remainder::Bytes(left - taken))
             }
-            Remainder::Chunks(mut scanner) => match scanner.scan(bytes) {
-                Ok(taken) => (taken, Remainder::Chunks(scanner)),
-                // The library reports the error.
-                Err(_) => return self.forward(bytes),
-            },
+            Remainder::Chunks(mut scanner) => {
+                let taken = scanner.scan(bytes).map_err(|_| FramingError::Chunk)?;
+                (taken, Remainder::Chunks(scanner))
+            }
         };
         self.begin_discarding(left);
-        &bytes[taken..]
+        Ok(&bytes[taken..])
     }
 
     fn begin_discarding(&mut self, remainder: Remainder) {
         self.state = if remainder.is_over() { State::Head(Vec::new()) } else { State::Discarding(remainder) };
     }
 
-    fn disposition(&self, answer: &httparse::Response<'_, '_>) -> Disposition {
-        let mut ids =
-            answer.headers.iter().filter(|field| field.name.eq_ignore_ascii_case(ATTEMPT_ID.as_str()));
-        let Some(id) = ids.next().map(|field| field.value).filter(|_| ids.next().is_none()) else {
-            return Disposition::Forward;
+    fn disposition(&self, head: &Head<'_>) -> Result<Disposition, FramingError> {
+        let name = ATTEMPT_ID;
+        let mut ids = head.values(name.as_str());
+        let Some(id) = ids.next().filter(|_| ids.next().is_none()) else {
+            return Ok(Disposition::Forward);
         };
         if self.current.as_ref().is_some_and(|current| current.attempt_id.as_bytes() == id) {
-            return Disposition::Forward;
+            return Ok(Disposition::Forward);
         }
-        let sent = self.earlier.iter().find(|sent| sent.attempt_id.as_bytes() == id);
-        let remainder = sent.and_then(|sent| remainder(answer, sent.is_head));
-        remainder.map_or(Disposition::Forward, Disposition::Discard)
+        let Some(sent) = self.earlier.iter().find(|sent| sent.attempt_id.as_bytes() == id) else {
+            return Ok(Disposition::Forward);
+        };
+        Ok(match head.body_length(sent.is_head)? {
+            BodyLength::Bytes(length) => Disposition::Discard(Remainder::Bytes(length)),
+            BodyLength::Chunked => Disposition::Discard(Remainder::Chunks(ChunkScanner::default())),
+            // No other response can follow on this connection.
+            BodyLength::UntilClose => Disposition::Forward,
+        })
     }
 }
 
@@ -228,22 +204,3 @@
         }
     }
 }
-
-/// How much of the response follows its head; `None` if only the end of the connection delimits the body or its framing is
-/// invalid.
-fn remainder(answer: &httparse::Response<'_, '_>, is_head: bool) -> Option<Remainder> {
-    if is_head || matches!(answer.code, Some(100..=199 | 204 | 304)) {
-        return Some(Remainder::Bytes(0));
-    }
-    let values = |name: &str| -> Vec<&str> {
-        let fields = answer.headers.iter().filter(|field| field.name.eq_ignore_ascii_case(name));
-        fields.map(|field| std::str::from_utf8(field.value).unwrap_or_default().trim()).collect()
-    };
-    match (&values(TRANSFER_ENCODING.as_str())[..], &values(CONTENT_LENGTH.as_str())[..]) {
-        ([], [length]) => length.parse().ok().map(Remainder::Bytes),
-        ([encoding], _) if encoding.eq_ignore_ascii_case("chunked") => {
-            Some(Remainder::Chunks(ChunkScanner::default()))
-        }
-        _ => None,
-    }
-}
--- a/crates/router/src/endpoint/mod.rs
+++ b/crates/router/src/endpoint/mod.rs
@@ -2,7 +2,6 @@
 
 pub mod answer;
 pub mod attempt;
-pub mod chunk_scanner;
 pub mod connection;
 pub mod invalid_answer;
 pub mod late_responses;
--- a/crates/router/src/endpoint/shared_stream.rs
+++ b/crates/router/src/endpoint/shared_stream.rs
@@ -99,7 +99,7 @@
             ready!(Pin::new(&mut *stream).poll_read(cx, &mut read))?;
             match read.filled() {
                 [] => late_responses.end(),
-                bytes => late_responses.push(bytes),
+                bytes => late_responses.push(bytes)?,
             }
         }
         Pin::new(&mut *stream).poll_read(cx, buffer)
--- a/crates/router/tests/broken_answers.rs
+++ b/crates/router/tests/broken_answers.rs
@@ -321,6 +321,54 @@
     });
 }
 
+/// Late answers to an earlier request that are damaged, ahead of an answer in order.
+#[test]
+fn a_broken_late_answer_spoils_no_other_answer() {
+    run_test(async {
+        let mut report = Vec::new();
+        for late in BROKEN {
+            for connection in [Connection::Reused, Connection::AfterLateAnswer] {
+                let mut exchange = Exchange::begin("/once/a", connection).await;
+                let answer = IN_ORDER[0].with_fields(&fields("2"));
+                let bytes = late.with_fields(&fields("1")) + &answer;
+                let received = exchange.answer(&bytes, connection).await;
+                let is_answer = is_complete_success(&received) && received.ends_with("\r\n\r\nabcdef");
+                let is_failure =
+                    received.starts_with("HTTP/1.1 502 ") || received.starts_with("HTTP/1.1 504 ");
+                if !is_answer && !is_failure {
+                    report.push(format!("{late:?} {connection:?}: its client received {received:?}"));
+                }
+                if exchange.endpoint.has_connection().await {
+                    report.push(format!("{late:?} {connection:?}: the request was sent again"));
+                }
+            }
+        }
+        assert!(report.is_empty(), "{} faults:\n{}", report.len(), report.join("\n"));
+    });
+}
+
+/// A late answer that is not understood is not skipped, because what follows it may belong to it.
+#[test]
+fn the_length_of_a_late_answer_is_not_guessed() {
+    run_test(async {
+        let framings = [
+            "Content-Length: +0\r\n\r\n",
+            "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n0\n\n",
+            "Transfer-Encoding: chunked\r\n\r\n1\r\nxyz0\r\n\r\n",
+            "Content-Length: 0\n\n",
+        ];
+        for framing in framings {
+            let mut exchange = Exchange::begin("/once/a", Connection::Reused).await;
+            let late = format!("HTTP/1.1 200 OK\r\n{}{framing}", fields("1"));
+            let answer = IN_ORDER[0].with_fields(&fields("2"));
+            let received = exchange.answer(&(late + &answer), Connection::Reused).await;
+            assert!(received.starts_with("HTTP/1.1 502 "), "{framing:?}: {received:?}");
+        }
+    });
+}
+
 #[test]
 fn a_long_answer_with_a_length_that_is_too_small_is_cut_off() {
     run_test(async {
--- a/crates/router/tests/exchanges/client.rs
+++ b/crates/router/tests/exchanges/client.rs
@@ -3,7 +3,7 @@
 use super::record::Record;
 use super::script::{ClientAction, Route, answer_body, request_body, split};
 use hyper::header::HeaderMap;
-use lanegate_router::endpoint::chunk_scanner::ChunkScanner;
+use lanegate_http_framing::ChunkScanner;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
