Router: a stream with a broken chunk is cut off, not resumed

Cause: an invalid chunk was handled like a connection that breaks, and what had been passed on before it was trusted.

Change: a stream that is refused for its framing ends visibly broken, on every route. Streams that break off in order are resumed as before.

Evidence: a_stream_with_a_broken_chunk_is_cut_off_and_not_resumed, five damaged chunks on a plain and a resumable route; without this change the resumable ones are sent to the other endpoint.

--- a/crates/router/src/request/stream.rs
+++ b/crates/router/src/request/stream.rs
@@ -4,6 +4,7 @@
 //! library.
 
 use crate::endpoint::answer::EndpointBody;
+use crate::endpoint::invalid_answer::InvalidAnswer;
 use crate::endpoint::outbound::Outbound;
 use crate::fault::RouterFault;
 use crate::headers::is_event_stream;
@@ -134,7 +135,12 @@
                             "answer of endpoint broke off attempt_id={:?} error={error}",
                             self.request.attempt_id
                         );
-                        if self.begin_resume().is_err() {
+                        // What came before may not be the endpoint's events, so they cannot be continued.
+                        let is_invalid = InvalidAnswer::in_framing(&error).is_some();
+                        if is_invalid {
+                            self.end_attempt();
+                        }
+                        if is_invalid || self.begin_resume().is_err() {
                             return self.truncate(Outcome::TruncatedEndpoint);
                         }
                     }
@@ -170,8 +176,7 @@
 
     /// Reports that the answer of the endpoint broke off, and begins to wait for another attempt if the stream can be resumed.
     fn begin_resume(&mut self) -> Result<(), TruncatedAnswer> {
-        self.source = Source::Ended;
-        self.handle.ended(self.attempt, AttemptEnd::BrokenMidway);
+        self.end_attempt();
         let splitter = self.splitter.as_mut().filter(|_| self.request.resumable).ok_or(TruncatedAnswer)?;
         splitter.begin_resumed_stream();
         let last = splitter.last_id().ok_or(TruncatedAnswer)?;
@@ -181,6 +186,12 @@
         Ok(())
     }
 
+    /// Records that the answer of the endpoint broke off.
+    fn end_attempt(&mut self) {
+        self.source = Source::Ended;
+        self.handle.ended(self.attempt, AttemptEnd::BrokenMidway);
+    }
+
     fn continue_with(&mut self, resumed: Resumed) {
         self.handle.state().counters.resumed.increment();
         self.attempt = resumed.attempt;
--- a/crates/router/tests/broken_answers.rs
+++ b/crates/router/tests/broken_answers.rs
@@ -369,6 +369,38 @@
     });
 }
 
+#[test]
+fn a_stream_with_a_broken_chunk_is_cut_off_and_not_resumed() {
+    run_test(async {
+        let broken = [
+            "6\r\nid: 2\n\n\r\n",
+            "9\r\nid: 2\n\n\r\n8\r\nid: 3\n\n\r\n",
+            "0\r\nid: 2\n\n\r\n",
+            "x\r\n",
+            "\r\n",
+        ];
+        for path in ["/stream/a", "/resumable/a"] {
+            for chunk in broken {
+                let endpoints = two_endpoints().await;
+                let router = Router::serving(&[&endpoints[0], &endpoints[1]]).await;
+                let mut client = router.client().await;
+                client.get(path, "2").await;
+                let (mut upstream, request) = first_request(&endpoints).await;
+                upstream.begin_events(&request).await;
+                upstream.chunk("id: 1\n\n").await;
+                client.read_through("id: 1\n\n\r\n").await;
+                upstream.write(format!("{chunk}7\r\nid: 4\n\n\r\n0\r\n\r\n")).await;
+                let rest = client.rest().await;
+                assert!(!rest.ends_with("0\r\n\r\n"), "{path} {chunk:?}: {rest:?}");
+                for endpoint in &endpoints {
+                    assert!(!endpoint.has_connection().await, "{path} {chunk:?}: the request was sent again");
+                }
+                assert_eq!(invalid_answers(&router, "chunk").await, 1.0, "{path} {chunk:?}");
+            }
+        }
+    });
+}
+
 #[test]
 fn a_long_answer_with_a_length_that_is_too_small_is_cut_off() {
     run_test(async {
