Router: an answer that names two requests belongs to neither

Change: the answer has to have the Attempt-Id of its attempt, and no other line of that name; else it is refused as attempt_id, like any answer to another request.

Evidence: an_answer_that_names_two_requests_is_a_failure got 200 on the code before.

--- a/crates/router/src/endpoint/verify.rs
+++ b/crates/router/src/endpoint/verify.rs
@@ -37,7 +37,8 @@
 /// Why the answer cannot be forwarded.
 pub fn check(expected: Expected<'_>, answer: &Response<Incoming>) -> Result<(), Rejection> {
     let headers = answer.headers();
-    let matches_request = headers.get(&ATTEMPT_ID) == expected.attempt_id;
+    let mut ids = headers.get_all(&ATTEMPT_ID).iter();
+    let matches_request = ids.next() == expected.attempt_id && ids.next().is_none();
     if !matches_request && expected.fault != Some(RouterFault::AcceptAnyAttemptId) {
         return Err(Rejection::Invalid(InvalidAnswer::AttemptId));
     }
--- a/crates/router/tests/response_matching.rs
+++ b/crates/router/tests/response_matching.rs
@@ -65,6 +65,22 @@
     });
 }
 
+#[test]
+fn an_answer_that_names_two_requests_is_a_failure() {
+    run_test(async {
+        let endpoint = Endpoint::start("i-1").await;
+        let router = Router::serving(&[&endpoint]).await;
+        for other in ["9", "1"] {
+            let mut client = router.client().await;
+            client.get("/once/a", "1").await;
+            let (mut upstream, request) = endpoint.request().await;
+            let ids = format!("Attempt-Id: 1\r\nAttempt-Id: {other}\r\n");
+            upstream.write(answer_to(&request, "200 OK", "no").replace("Attempt-Id: 1\r\n", &ids)).await;
+            assert_eq!(client.answer().await.status, 502, "{other}");
+        }
+    });
+}
+
 #[test]
 fn answers_swapped_between_two_endpoints_reach_no_client() {
     run_test(async {
