Placer: a broken answer of an endpoint proves nothing of an order

What callers saw: the answer to an order or a report request with a damaged head was believed: 202, 409, 412 or 421 as the outcome of an order, 503 with Not-Executed as proof that it was not taken, and a report as the state of the endpoint.

Cause: as in the router; the placer reads answers with the HTTP library alone.

Change: the placer's connections go through the inspector (InspectedStream). A refused answer counts as no answer: the order may have been taken, its connection is reset, and it is not sent again. `answer refused endpoint=... reason=...` in the log and the metric lanegate_controller_invalid_answers_total{endpoint,reason}.

Each refusal is counted by its reason.

--- a/crates/controller/src/controller/metrics.rs
+++ b/crates/controller/src/controller/metrics.rs
@@ -9,6 +9,7 @@
 use crate::controller::operator::unavailable::{Unavailable, UnavailableCounts};
 use lanegate_config::instance::InstanceState;
 use lanegate_coordination::register::Status;
+use lanegate_http_framing::RefusalCounts;
 use lanegate_metrics::{Exposition, Metric};
 use std::time::Duration;
 
@@ -74,6 +75,10 @@
     "lanegate_controller_expiries_total",
     "Endpoints that this controller removed as they were silent for too long",
 );
+const INVALID_ANSWERS: Metric = Metric::counter(
+    "lanegate_controller_invalid_answers_total",
+    "Answers of endpoints to orders and report requests that are not valid, by endpoint and reason",
+);
 const ORDERS: Metric = Metric::counter(
     "lanegate_controller_orders_total",
     "Orders to endpoints that have ended, by operation and outcome",
@@ -200,12 +205,18 @@
     }
 }
 
-/// Adds the metrics of the control interface and of the disk thread, which are kept outside the controller's state.
+/// Adds the metrics of the control interface, of the disk thread and of the client of endpoints, which are kept outside the
+/// controller's state.
 pub(super) fn add_process_metrics(
     exposition: &mut Exposition,
     unavailable: &UnavailableCounts,
     disk: &DiskCounts,
+    refusals: &RefusalCounts,
 ) {
+    exposition.declare(&INVALID_ANSWERS);
+    for (endpoint, reason, count) in refusals.iter() {
+        exposition.set_labelled(&INVALID_ANSWERS, &[("endpoint", endpoint), ("reason", reason)], count);
+    }
     for reason in Unavailable::ALL {
         exposition.set_labelled(&UNAVAILABLE, &[("reason", reason.name())], unavailable.get(reason));
     }
--- a/crates/controller/src/controller/placement/endpoint_client.rs
+++ b/crates/controller/src/controller/placement/endpoint_client.rs
@@ -2,7 +2,8 @@
 //!
 //! Each call uses its own connection and is sent once, so its answer cannot be confused with that of another call, and
 //! nothing is retried here. An order without an answer may have been executed, or may still be in transit. Its
-//! connection is reset, so that the kernel does not deliver the order when a link heals much later.
+//! connection is reset, so that the kernel does not deliver the order when a link heals much later. An answer whose end is
+//! in doubt proves nothing, whatever its status says: it counts as no answer.
 
 use crate::link::dial;
 use bytes::Bytes;
@@ -12,12 +13,15 @@
 use hyper::http::request::Builder;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use lanegate_http_framing::{FramingError, InspectedStream, RefusalCounts};
 use lanegate_placement::{EndpointReport, Operation, Order, OrderAnswer};
 use serde::Serialize;
 use socket2::SockRef;
+use std::cell::{Ref, RefCell};
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -58,6 +62,8 @@
     NotSent,
     /// The request was sent and may have been executed.
     Unanswered,
+    /// The request was sent and may have been executed; the answer is not a valid one.
+    Refused(FramingError),
 }
 
 /// A complete answer of an endpoint.
@@ -71,25 +77,74 @@
     body: Bytes,
 }
 
-/// Sends an order under the epoch `epoch`, unless it cannot be sent before `send_by`.
-pub(crate) async fn send_order(order: &Order, owner: &str, epoch: u64, send_by: Instant) -> OrderAnswer {
-    let body = OrderBody {
-        operation: order.operation,
-        model: &order.model,
-        adapter: order.adapter.as_deref(),
-        if_revision: order.if_revision,
-        owner,
-        fencing_token: epoch,
-    };
-    let Ok(body) = serde_json::to_vec(&body) else { return OrderAnswer::Invalid };
-    let request = addressed(Method::POST, "/order", order.address, &order.instance)
-        .header("Content-Type", "application/json")
-        .body(Full::new(Bytes::from(body)));
-    let Ok(request) = request else { return OrderAnswer::Invalid };
-    match call(order.address, request, send_by).await {
-        Ok(response) => order_answer(&response),
-        Err(CallError::NotSent) => OrderAnswer::Unavailable,
-        Err(CallError::Unanswered) => OrderAnswer::Unknown,
+/// Sends calls to endpoints, and counts the answers that it refuses.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct EndpointClient {
+    refusals: Rc<RefCell<RefusalCounts>>,
+}
+
+impl EndpointClient {
+    /// The answers that were refused, by endpoint and reason.
+    pub(crate) fn refusals(&self) -> Ref<'_, RefusalCounts> {
+        self.refusals.borrow()
+    }
+
+    /// Sends an order under the epoch `epoch`, unless it cannot be sent before `send_by`.
+    pub(crate) async fn send_order(
+        &self,
+        order: &Order,
+        owner: &str,
+        epoch: u64,
+        send_by: Instant,
+    ) -> OrderAnswer {
+        let body = OrderBody {
+            operation: order.operation,
+            model: &order.model,
+            adapter: order.adapter.as_deref(),
+            if_revision: order.if_revision,
+            owner,
+            fencing_token: epoch,
+        };
+        let Ok(body) = serde_json::to_vec(&body) else { return OrderAnswer::Invalid };
+        let request = addressed(Method::POST, "/order", order.address, &order.instance)
+            .header("Content-Type", "application/json")
+            .body(Full::new(Bytes::from(body)));
+        let Ok(request) = request else { return OrderAnswer::Invalid };
+        match self.call(&order.instance, order.address, request, send_by).await {
+            Ok(response) => order_answer(&response),
+            Err(CallError::NotSent) => OrderAnswer::Unavailable,
+            Err(CallError::Unanswered | CallError::Refused(_)) => OrderAnswer::Unknown,
+        }
+    }
+
+    /// Requests the report of an endpoint. `None` if there is no valid answer, or another incarnation answers.
+    pub(crate) async fn request_report(&self, instance: &str, address: SocketAddr) -> Option<EndpointReport> {
+        let request =
+            addressed(Method::GET, "/report", address, instance).body(Full::new(Bytes::new())).ok()?;
+        let response = self.call(instance, address, request, Instant::now() + CONNECT_TIMEOUT).await.ok()?;
+        let is_other = response.instance.is_some_and(|id| id.as_bytes() != instance.as_bytes());
+        if response.status != StatusCode::OK || is_other {
+            return None;
+        }
+        serde_json::from_slice(&response.body).ok()
+    }
+
+    async fn call(
+        &self,
+        instance: &str,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        send_by: Instant,
+    ) -> Result<EndpointResponse, CallError> {
+        let result = call(address, request, send_by).await;
+        if let Err(CallError::Refused(refused)) = result {
+            let reason = refused.reason();
+            log::warn!(
+                "answer refused endpoint={instance} address={address} reason={reason} error=\"{refused}\""
+            );
+            self.refusals.borrow_mut().record(instance, reason);
+        }
+        result
     }
 }
 
@@ -102,17 +157,6 @@
     }
 }
 
-/// Requests the report of an endpoint. `None` if there is no valid answer, or another incarnation answers.
-pub(crate) async fn request_report(instance: &str, address: SocketAddr) -> Option<EndpointReport> {
-    let request = addressed(Method::GET, "/report", address, instance).body(Full::new(Bytes::new())).ok()?;
-    let response = call(address, request, Instant::now() + CONNECT_TIMEOUT).await.ok()?;
-    let is_other = response.instance.is_some_and(|id| id.as_bytes() != instance.as_bytes());
-    if response.status != StatusCode::OK || is_other {
-        return None;
-    }
-    serde_json::from_slice(&response.body).ok()
-}
-
 /// The head of a request that only the incarnation `instance` of an endpoint may execute.
 fn addressed(method: Method, path: &str, address: SocketAddr, instance: &str) -> Builder {
     let request = Request::builder().method(method).uri(path);
@@ -128,26 +172,26 @@
     let stream = stream.map_err(|_| CallError::NotSent)?.map_err(|_| CallError::NotSent)?;
     let limited = SockRef::from(&stream).set_tcp_user_timeout(Some(DELIVERY_TIMEOUT));
     limited.map_err(|_| CallError::NotSent)?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let handshake = http1::handshake(TokioIo::new(InspectedStream::new(stream))).await;
     let (mut sender, mut connection) = handshake.map_err(|_| CallError::NotSent)?;
     // The process may have stalled since the order was authorized, or while connecting.
     if Instant::now() > send_by {
         return Err(CallError::NotSent);
     }
     let response = timeout(ANSWER_TIMEOUT, exchange(&mut sender, &mut connection, request)).await;
-    match response {
-        Ok(Ok(response)) => Ok(response),
-        _ => {
-            reset(&connection.into_parts().io.into_inner());
-            Err(CallError::Unanswered)
-        }
-    }
+    let error = match response {
+        Ok(Ok(response)) => return Ok(response),
+        Ok(Err(error)) => FramingError::cause_of(&error).map_or(CallError::Unanswered, CallError::Refused),
+        Err(_) => CallError::Unanswered,
+    };
+    reset(connection.into_parts().io.inner().get_ref());
+    Err(error)
 }
 
 /// Sends the request and reads the complete answer.
 async fn exchange(
     sender: &mut SendRequest<Full<Bytes>>,
-    connection: &mut Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    connection: &mut Connection<TokioIo<InspectedStream>, Full<Bytes>>,
     request: Request<Full<Bytes>>,
 ) -> hyper::Result<EndpointResponse> {
     let mut exchange = pin!(async {
--- a/crates/controller/src/controller/placement/endpoint_client_test.rs
+++ b/crates/controller/src/controller/placement/endpoint_client_test.rs
@@ -1,4 +1,5 @@
-use crate::controller::placement::endpoint_client::{request_report, send_order};
+use crate::controller::placement::endpoint_client::EndpointClient;
+use answers::{BROKEN, BROKEN_ONCE_CLOSED, IN_ORDER};
 use lanegate_placement::{Operation, Order, OrderAnswer, OrderId};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -9,6 +10,10 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, timeout};
 
+#[allow(unreachable_pub, reason = "the file is shared with the tests of other crates")]
+#[path = "../../../../http-framing/tests/common/answers.rs"]
+mod answers;
+
 /// How long a test waits before it concludes that an event does not occur.
 const ABSENCE_TIMEOUT: Duration = Duration::from_millis(60);
 
@@ -65,7 +70,7 @@
         read_call(&mut stream).await;
         stream.write_all(bytes.as_bytes()).await.unwrap();
     });
-    send_order(&order(address, 0), "core-1", 7, soon()).await
+    EndpointClient::default().send_order(&order(address, 0), "core-1", 7, soon()).await
 }
 
 #[test]
@@ -73,10 +78,9 @@
     run_test(async {
         for if_revision in [0, 3] {
             let (listener, address) = endpoint().await;
-            let given =
-                spawn_local(
-                    async move { send_order(&order(address, if_revision), "core-1", 7, soon()).await },
-                );
+            let given = spawn_local(async move {
+                EndpointClient::default().send_order(&order(address, if_revision), "core-1", 7, soon()).await
+            });
             let (mut stream, _) = listener.accept().await.unwrap();
             let (head, body) = read_call(&mut stream).await;
             assert!(head.starts_with("POST /order HTTP/1.1\r\n"), "{head}");
@@ -127,7 +131,10 @@
     run_test(async {
         let (listener, address) = endpoint().await;
         drop(listener);
-        assert_eq!(send_order(&order(address, 0), "core-1", 7, soon()).await, OrderAnswer::Unavailable);
+        assert_eq!(
+            EndpointClient::default().send_order(&order(address, 0), "core-1", 7, soon()).await,
+            OrderAnswer::Unavailable
+        );
     });
 }
 
@@ -135,7 +142,9 @@
 fn an_order_without_an_answer_is_sent_once_and_its_connection_reset() {
     run_test(async {
         let (listener, address) = endpoint().await;
-        let given = spawn_local(async move { send_order(&order(address, 0), "core-1", 7, soon()).await });
+        let given = spawn_local(async move {
+            EndpointClient::default().send_order(&order(address, 0), "core-1", 7, soon()).await
+        });
         let (mut stream, _) = listener.accept().await.unwrap();
         read_call(&mut stream).await;
         assert_eq!(given.await.unwrap(), OrderAnswer::Unknown);
@@ -156,7 +165,8 @@
             ("HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n{\"Sequence\":4}", None),
         ] {
             let (listener, address) = endpoint().await;
-            let in_flight = spawn_local(async move { request_report("i-1", address).await });
+            let in_flight =
+                spawn_local(async move { EndpointClient::default().request_report("i-1", address).await });
             let (mut stream, _) = listener.accept().await.unwrap();
             let (head, _) = read_call(&mut stream).await;
             assert!(head.contains("expect-instance: i-1"), "{head}");
@@ -167,13 +177,97 @@
     });
 }
 
+/// The answer to one call of an endpoint that keeps the connection open or closes it. `call` is given the address.
+async fn answer_of<F: Future>(bytes: String, closes: bool, call: impl FnOnce(SocketAddr) -> F) -> F::Output {
+    let (listener, address) = endpoint().await;
+    let serving = spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_call(&mut stream).await;
+        stream.write_all(bytes.as_bytes()).await.unwrap();
+        if !closes {
+            let _ = stream.read_u8().await;
+        }
+        drop(stream);
+        assert!(timeout(ABSENCE_TIMEOUT, listener.accept()).await.is_err(), "the call was sent again");
+    });
+    let result = call(address).await;
+    serving.await.unwrap();
+    result
+}
+
+/// Statuses that would each be an outcome of an order in an answer in order.
+const STATUSES: [&str; 6] = ["200", "202", "409", "412", "421", "503"];
+
+#[test]
+fn a_broken_answer_to_an_order_proves_nothing() {
+    run_test(async {
+        let mut report = Vec::new();
+        for (number, answer) in BROKEN.iter().chain(BROKEN_ONCE_CLOSED).enumerate() {
+            let status = format!(" {} ", STATUSES[number % STATUSES.len()]);
+            let bytes = answer.with_fields("Not-Executed: 1\r\n").replacen(" 200 ", &status, 1);
+            let client = EndpointClient::default();
+            let caller = client.clone();
+            let given = answer_of(bytes, true, |address| async move {
+                caller.send_order(&order(address, 0), "core-1", 7, soon()).await
+            });
+            let given = given.await;
+            assert!(client.refusals().iter().eq([("i-1", answer.reason, 1)]), "{answer:?}");
+            if given != OrderAnswer::Unknown {
+                report.push(format!("{answer:?} with status{status}: {given:?}"));
+            }
+        }
+        assert!(report.is_empty(), "{} faults:\n{}", report.len(), report.join("\n"));
+    });
+}
+
+#[test]
+fn a_broken_report_is_none() {
+    run_test(async {
+        let mut report = Vec::new();
+        for answer in BROKEN {
+            let bytes = answer.with_fields("").replace("abcdef", "{    }");
+            let given = answer_of(bytes, true, |address| async move {
+                EndpointClient::default().request_report("i-1", address).await
+            });
+            if let Some(given) = given.await {
+                report.push(format!("{answer:?}: {given:?}"));
+            }
+        }
+        assert!(report.is_empty(), "{} faults:\n{}", report.len(), report.join("\n"));
+    });
+}
+
+#[test]
+fn answers_in_order_are_understood() {
+    run_test(async {
+        for answer in IN_ORDER {
+            let bytes = answer.with_fields("");
+            let given = answer_of(bytes.clone(), answer.until_close, |address| async move {
+                EndpointClient::default().send_order(&order(address, 0), "core-1", 7, soon()).await
+            });
+            assert_eq!(given.await, OrderAnswer::AlreadyDone, "{answer:?}");
+            let bytes = bytes
+                .replace("abcdef", "{    }")
+                .replace("\r\nab\r\n", "\r\n{ \r\n")
+                .replace("\r\ncdef\r\n", "\r\n   }\r\n");
+            let given = answer_of(bytes, answer.until_close, |address| async move {
+                EndpointClient::default().request_report("i-1", address).await
+            });
+            assert!(given.await.is_some(), "{answer:?}");
+        }
+    });
+}
+
 /// The process stalled after the order was authorized, before sending it or while connecting.
 #[test]
 fn an_order_that_is_late_is_not_sent() {
     run_test(async {
         let (listener, address) = endpoint().await;
         let late = Instant::now() - Duration::from_millis(1);
-        assert_eq!(send_order(&order(address, 0), "core-1", 7, late).await, OrderAnswer::Unavailable);
+        assert_eq!(
+            EndpointClient::default().send_order(&order(address, 0), "core-1", 7, late).await,
+            OrderAnswer::Unavailable
+        );
         let accepted = timeout(ABSENCE_TIMEOUT, listener.accept()).await;
         if let Ok(Ok((mut stream, _))) = accepted {
             let mut byte = [0];
--- a/crates/controller/src/controller/placement/placers.rs
+++ b/crates/controller/src/controller/placement/placers.rs
@@ -2,6 +2,7 @@
 
 use crate::controller::consensus::shards::shard_of;
 use crate::controller::event::Event;
+use crate::controller::placement::endpoint_client::EndpointClient;
 use crate::controller::placement::recent_demand::RecentDemand;
 use crate::registration::Registered;
 use lanegate_config::configuration::Configuration;
@@ -187,6 +188,7 @@
 
 /// Executes an action of a placer and reports its outcome as an event. An order is not sent after `send_by`.
 pub(crate) async fn execute_action(
+    client: EndpointClient,
     action: ServiceAction,
     tenure: OrderTenure,
     send_by: Instant,
@@ -195,13 +197,7 @@
     let ServiceAction { service, action, .. } = action;
     let event = match action {
         Action::Order(order) => {
-            let answer = crate::controller::placement::endpoint_client::send_order(
-                &order,
-                &tenure.owner,
-                tenure.epoch,
-                send_by.into(),
-            )
-            .await;
+            let answer = client.send_order(&order, &tenure.owner, tenure.epoch, send_by.into()).await;
             log::info!(
                 "order completed operation={:?} model={} adapter={:?} instance={} answer={answer:?}",
                 order.operation,
@@ -212,11 +208,7 @@
             Event::OrderAnswered { service, order, answer }
         }
         Action::RequestReport { instance, address } => {
-            let Some(report) =
-                crate::controller::placement::endpoint_client::request_report(&instance, address).await
-            else {
-                return;
-            };
+            let Some(report) = client.request_report(&instance, address).await else { return };
             Event::Reported { service, instance: instance.to_string(), report }
         }
     };
--- a/crates/controller/src/controller/process.rs
+++ b/crates/controller/src/controller/process.rs
@@ -5,6 +5,7 @@
 use crate::controller::environment::Environment;
 use crate::controller::event::Event;
 use crate::controller::membership::links::maintain_link;
+use crate::controller::placement::endpoint_client::EndpointClient;
 use crate::controller::placement::placers::{OrderTenure, ServiceAction, execute_action};
 use crate::message::Hello;
 use lanegate_config::settings::{Settings, SettingsError};
@@ -26,6 +27,7 @@
     pub hello: Hello,
     pub disk: Disk,
     pub events: mpsc::UnboundedSender<Event>,
+    pub endpoint_client: EndpointClient,
     /// Tasks that maintain the links to other controllers, by control address.
     pub links: BTreeMap<SocketAddr, AbortHandle>,
 }
@@ -58,7 +60,8 @@
     fn execute_action(&mut self, action: ServiceAction, owner: &str, epoch: u64, send_by: Duration) {
         let tenure = OrderTenure { owner: owner.to_owned(), epoch };
         let send_by = self.started + send_by;
-        tokio::task::spawn_local(execute_action(action, tenure, send_by, self.events.clone()));
+        let (client, events) = (self.endpoint_client.clone(), self.events.clone());
+        tokio::task::spawn_local(execute_action(client, action, tenure, send_by, events));
     }
 
     fn read_settings(&mut self) -> Result<Settings, SettingsError> {
--- a/crates/controller/src/controller/run.rs
+++ b/crates/controller/src/controller/run.rs
@@ -7,6 +7,7 @@
 use crate::controller::membership::links;
 use crate::controller::operator::http;
 use crate::controller::operator::unavailable::UnavailableCounts;
+use crate::controller::placement::endpoint_client::EndpointClient;
 use crate::controller::process::Process;
 use crate::controller::setup::Start;
 use crate::controller::{Controller, metrics};
@@ -46,7 +47,9 @@
     let (events, mut queue) = mpsc::unbounded_channel();
     let started = Instant::now();
     let (unavailable, disk) = (Rc::new(UnavailableCounts::default()), Arc::new(DiskCounts::default()));
-    let mut controller = start_process(settings, control, started, events.clone(), disk.clone())?;
+    let endpoint_client = EndpointClient::default();
+    let mut controller =
+        start_process(settings, control, started, events.clone(), disk.clone(), endpoint_client.clone())?;
     tokio::task::spawn_local(http::serve(calls, events.clone(), unavailable.clone()));
     tokio::task::spawn_local(links::accept(peer_links, events));
     let mut scrapes = Scrapes::at(metrics_at);
@@ -64,7 +67,8 @@
             }
             Some(scrape) = scrapes.next() => {
                 let mut exposition = controller.metrics();
-                metrics::add_process_metrics(&mut exposition, &unavailable, &disk);
+                let refusals = endpoint_client.refusals();
+                metrics::add_process_metrics(&mut exposition, &unavailable, &disk, &refusals);
                 scrape.answer(exposition);
             }
             () = tokio::time::sleep_until((started + wake).into()) => {}
@@ -81,6 +85,7 @@
     started: Instant,
     events: mpsc::UnboundedSender<Event>,
     counts: Arc<DiskCounts>,
+    endpoint_client: EndpointClient,
 ) -> Result<Controller, ControllerError> {
     let incarnation = draw_incarnation();
     let folder = settings.data_dir.clone().ok_or(ControllerError::Missing("DataDir"))?;
@@ -90,7 +95,8 @@
     let disk = Disk::start(directory, stores, events.clone(), counts)?;
     let hello = hello(&settings, control, incarnation);
     let link_port = settings.port_range.0;
-    let environment = Process { started, link_port, hello, disk, events, links: BTreeMap::new() };
+    let environment =
+        Process { started, link_port, hello, disk, events, endpoint_client, links: BTreeMap::new() };
     let start = Start { settings, control, incarnation, stored, fault: None };
     Controller::new(start, Box::new(environment))
 }
--- a/crates/http-framing/src/inspector.rs
+++ b/crates/http-framing/src/inspector.rs
@@ -48,6 +48,13 @@
         self.state = State::Head(Vec::new());
     }
 
+    /// Expects a response if the last one is complete, because a request is being sent. Not for HEAD requests.
+    pub fn on_request_bytes(&mut self) {
+        if matches!(self.state, State::Complete) {
+            self.expect(false);
+        }
+    }
+
     /// Inspects received bytes.
     ///
     /// # Errors
--- a/crates/http-framing/src/lib.rs
+++ b/crates/http-framing/src/lib.rs
@@ -5,7 +5,7 @@
 //! damaged where it tells the length of its body can then look complete, with a body that its sender did not send.
 //!
 //! A [`ResponseInspector`] sees the bytes of a connection before the library does, and refuses with a [`FramingError`] what
-//! has no single reading.
+//! has no single reading. [`InspectedStream`] puts it between a socket and the library.
 //!
 //! Invariant: of a response that is refused, the library never gets the bytes that would complete it.
 
@@ -23,4 +23,4 @@
 pub use error::FramingError;
 pub use head::{BodyLength, Head, read_head};
 pub use inspector::ResponseInspector;
-pub use stream::inspect_received;
+pub use stream::{InspectedStream, inspect_received};
--- a/crates/http-framing/tests/responses.rs
+++ b/crates/http-framing/tests/responses.rs
@@ -89,7 +89,7 @@
 fn responses_on_one_connection_are_told_apart() {
     let mut inspector = ResponseInspector::default();
     for body in ["a", "bc"] {
-        inspector.expect(false);
+        inspector.on_request_bytes();
         let bytes = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         assert_eq!(inspector.push(bytes.as_bytes()), Ok(()));
         assert!(inspector.is_complete());
