Control interface: its client refuses broken answers

What callers saw: `lanegate status`, and every other user of the client, took an answer with a damaged head for complete: a wrong body, a status of 600 or 999, or 101.

Change: its connections go through the inspector.

--- a/crates/control-http/src/client.rs
+++ b/crates/control-http/src/client.rs
@@ -7,6 +7,7 @@
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue, IF_MATCH, LOCATION};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use lanegate_http_framing::{FramingError, InspectedStream};
 use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
@@ -21,7 +22,7 @@
 /// Header that names the incarnation that a call is meant for; any other one at that address rejects the call.
 const EXPECT_INSTANCE: &str = "expect-instance";
 
-type HttpConnection = Connection<TokioIo<TcpStream>, Full<Bytes>>;
+type HttpConnection = Connection<TokioIo<InspectedStream>, Full<Bytes>>;
 
 /// A call; a body is JSON.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -101,8 +102,8 @@
     /// The answer was not complete in time.
     #[error("the answer was not complete in time")]
     Timeout,
-    /// The connection broke before the answer was complete.
-    #[error("the connection broke before the answer was complete: {0}")]
+    /// The connection broke before the answer was complete, or the answer is not a valid one.
+    #[error("no complete answer: {}", cause(.0))]
     Broken(#[source] hyper::Error),
     /// The body of the answer is larger than 4 MiB.
     #[error("the answer is too long")]
@@ -116,6 +117,11 @@
     }
 }
 
+/// What is wrong with an answer: where it ends is in doubt, or else what the HTTP library reports.
+fn cause(error: &hyper::Error) -> String {
+    FramingError::cause_of(error).map_or_else(|| error.to_string(), |refused| refused.to_string())
+}
+
 /// Makes one call on a new connection.
 ///
 /// # Errors
@@ -130,7 +136,8 @@
     connection.call_until(request, deadline).await
 }
 
-/// A connection for sequential calls. Its I/O only runs while a call is open.
+/// A connection for sequential calls. Its I/O only runs while a call is open. An answer whose end is in doubt is an error, and
+/// ends the connection.
 #[derive(Debug)]
 pub struct ClientConnection {
     address: SocketAddr,
@@ -153,7 +160,7 @@
         let _ = stream
             .set_nodelay(true)
             .inspect_err(|error| log::debug!("TCP_NODELAY not set error=\"{error}\""));
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake = http1::handshake(TokioIo::new(InspectedStream::new(stream))).await;
         let (sender, connection) = handshake.map_err(CallError::NotSent)?;
         Ok(ClientConnection { address, sender, driver: Driver { connection: Some(Box::pin(connection)) } })
     }
