Courier: a broken answer of an endpoint or of discovery proves nothing

What callers saw: 429, 503, 504 and 410 with a damaged head were believed. A message that may have run was sent again, or counted as over and never told; a list of discovery in such an answer came into force.

Change: the inspector stands in the link, for calls, probes, notices and the watch. A refused answer may have run, whatever its status; one whose first line says 200 has delivered, as the protocol says. Its connection is closed. A refused list is not used and is asked for again. The log names address, endpoint and reason (the courier has no metrics).

--- a/crates/http-framing/src/inspector.rs
+++ b/crates/http-framing/src/inspector.rs
@@ -100,6 +100,14 @@
         matches!(self.state, State::Complete)
     }
 
+    /// Why the response was refused, if it was.
+    pub fn refusal(&self) -> Option<FramingError> {
+        match self.state {
+            State::Refused(error) => Some(error),
+            _ => None,
+        }
+    }
+
     /// Inspects the beginning of bytes that have arrived and will be pushed later.
     ///
     /// # Errors
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -255,6 +255,9 @@
         }
         start_permit.begun.set(true);
         let answer = link.ask(request, until).await;
+        if let Some(refused) = link.refusal() {
+            log_line!("{host} at {to}: answer refused, {}: {refused}", refused.reason());
+        }
         if let Err(lost) = answer {
             let stood = idle.map_or("new".to_owned(), |i| format!("idle for {} ms", i.as_millis()));
             log_line!("{to} {lost:?}: on a connection {stood}");
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
+use lanegate_http_framing::FramingError;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde::Deserialize;
 use std::fmt;
@@ -170,6 +171,10 @@
         let request = Request::get(path).header(header::HOST, host).body(Full::<Bytes>::default());
         let Ok(request) = request else { return false };
         let Some(answer) = link.watch(request, schedule.answer).await else {
+            if let Some(refused) = link.refusal() {
+                self.log_refusal(refused);
+                return false;
+            }
             log_line!("discovery: no answer from {} in {:?}", self.address, schedule.answer);
             schedule.unanswered();
             return false;
@@ -215,12 +220,23 @@
                 }
             }
         }
+        if let Some(refused) = link.refusal() {
+            self.log_refusal(refused);
+            // The lists of an answer that is not valid are not relied on.
+            self.fresh = true;
+        }
         let cut = if splitter.is_within() { ", in the middle of a list" } else { "" };
         log_line!("discovery: the watch at {} has ended{cut}", self.address);
         heard
     }
 }
 
+impl Watch {
+    fn log_refusal(&self, refused: FramingError) {
+        log_line!("discovery: answer of {} refused, {}: {refused}", self.address, refused.reason());
+    }
+}
+
 /// One item of discovery's stream.
 #[derive(Debug, PartialEq)]
 enum Item {
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -5,8 +5,9 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use lanegate_http_framing::{FramingError, ResponseInspector, inspect_received};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::future::{Future, poll_fn};
@@ -31,11 +32,13 @@
 pub const UNREAD_GRACE: Duration = Duration::from_millis(20);
 const MAX_BODY: usize = 64 * 1024;
 
-/// The socket, the bytes written to it, and the response's first line.
+/// The socket, the bytes written to it, and what is known of the response ahead of the HTTP library.
 struct SharedSocket {
     stream: TcpStream,
     written: Cell<u64>,
     first: RefCell<FirstLine>,
+    /// Refuses a response whose end is in doubt.
+    inspector: RefCell<ResponseInspector>,
 }
 
 /// Finds the status in an answer's first line, past 1xx answers ahead. A head that cannot be parsed still
@@ -113,7 +116,9 @@
                     let before = buf.filled().len();
                     buf.advance(n);
                     self.0.first.borrow_mut().feed(&buf.filled()[before..]);
-                    return Poll::Ready(Ok(()));
+                    let mut inspector = self.0.inspector.borrow_mut();
+                    let received = &buf.filled()[before..];
+                    return Poll::Ready(inspect_received(&mut inspector, received, &[], &self.0.stream));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(e) => return Poll::Ready(Err(e)),
@@ -195,7 +200,7 @@
     pub headers: HeaderMap,
     /// When its head arrived.
     pub at: Instant,
-    /// Received completely, as its head declares.
+    /// Received completely, as its head declares, and valid.
     pub whole: bool,
     /// Whether the link can carry another request.
     pub reusable: bool,
@@ -263,7 +268,12 @@
     ) -> Option<Self> {
         let stream = timeout(within, TcpStream::connect(to)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let socket = Rc::new(SharedSocket { stream, written: Cell::new(0), first: RefCell::default() });
+        let socket = Rc::new(SharedSocket {
+            stream,
+            written: Cell::new(0),
+            first: RefCell::default(),
+            inspector: RefCell::default(),
+        });
         let io = TokioIo::new(CountingStream(socket.clone()));
         let (sender, driver) = http1::Builder::new().max_buf_size(MAX_BODY).handshake(io).await.ok()?;
         Some(Link { socket, sender, driver: Some(Box::pin(driver)), _permit: permit })
@@ -283,11 +293,17 @@
         quiet && self.driver.is_some() && !self.sender.is_closed()
     }
 
+    /// Why the last response was refused, if it was.
+    pub fn refusal(&self) -> Option<FramingError> {
+        self.socket.inspector.borrow().refusal()
+    }
+
     async fn start(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
         let before = self.socket.written.get();
         if drive(&mut self.driver, self.sender.ready()).await.is_err() {
             return Err(CallError::NotSent);
         }
+        self.socket.inspector.borrow_mut().expect(request.method() == Method::HEAD);
         let answer = self.sender.try_send_request(request);
         drive(&mut self.driver, answer).await.map_err(|e| {
             let unsent = e.message().is_some() || self.socket.written.get() == before;
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code)]
 
 use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -27,6 +29,18 @@
     }
 }
 
+/// Waits until a condition holds or the time is over; returns whether it holds.
+pub fn holds_within(time: Duration, mut holds: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + time;
+    while !holds() {
+        if Instant::now() >= end {
+            return false;
+        }
+        thread::sleep(5 * MS);
+    }
+    true
+}
+
 /// A request or response as read from the wire.
 #[derive(Clone, Debug, Default)]
 pub struct HttpMessage {
@@ -194,6 +208,10 @@
     pub partial_then_silent: Arc<AtomicBool>,
     /// Lists are sent as indented JSON, over several lines.
     pub indented: Arc<AtomicBool>,
+    /// The bytes with which the next watches are answered, before any that is answered in order.
+    pub raw_watches: Arc<Mutex<VecDeque<String>>>,
+    /// The bytes with which the next posts are answered, before any that is answered in order.
+    pub raw_posts: Arc<Mutex<VecDeque<String>>>,
 }
 
 impl Discovery {
@@ -213,6 +231,8 @@
             partial_watches: Arc::default(),
             partial_then_silent: Arc::default(),
             indented: Arc::default(),
+            raw_watches: Arc::default(),
+            raw_posts: Arc::default(),
         };
         let own = this.clone();
         thread::spawn(move || {
@@ -237,6 +257,10 @@
                 .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1))
                 .is_err();
             self.posts.fetch_add(1, Ordering::SeqCst);
+            if let Some(raw) = self.raw_posts.lock().expect("raw posts").pop_front() {
+                let _ = out.write_all(raw.as_bytes());
+                return;
+            }
             if none
                 && self.reject_batches.load(Ordering::SeqCst)
                 && page.body.split(|b| *b == b'\n').count() > 2
@@ -256,6 +280,13 @@
 
     fn watch(&self, out: &mut TcpStream) {
         let number = self.watches.fetch_add(1, Ordering::SeqCst);
+        if let Some(raw) = self.raw_watches.lock().expect("raw watches").pop_front() {
+            let _ = out.write_all(raw.as_bytes());
+            // The courier closes the connection of a watch that it does not follow.
+            let _ = out.set_read_timeout(Some(LIMIT));
+            let _ = out.read(&mut [0]);
+            return;
+        }
         let _ = out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
         let (mut sent, mut beat) = (0, Instant::now());
         while self.cut.load(Ordering::SeqCst) <= number {
@@ -381,6 +412,8 @@
     pub admin: Option<SocketAddr>,
     child: Child,
     log: Receiver<String>,
+    /// The lines that `has_logged` has read.
+    logged: RefCell<Vec<String>>,
 }
 
 pub fn command(folder: &Folder, discovery: &Discovery, config: &Value) -> Command {
@@ -456,7 +489,7 @@
                 break address;
             }
         };
-        Courier { address, admin, child, log: lines }
+        Courier { address, admin, child, log: lines, logged: RefCell::default() }
     }
 
     pub fn signal(&self, name: &str) {
@@ -490,6 +523,13 @@
         panic!("log line not seen within {LIMIT:?}: {words}");
     }
 
+    /// Whether a line of its log so far has these words. Lines that `wait_for_log` has read are gone.
+    pub fn has_logged(&self, words: &str) -> bool {
+        let mut logged = self.logged.borrow_mut();
+        logged.extend(self.log.try_iter());
+        logged.iter().any(|line| line.contains(words))
+    }
+
     /// Replaces the configuration file and sends SIGHUP to reload it.
     pub fn reload(&self, folder: &Folder, text: &str) {
         fs::write(folder.0.join("config.next"), text).expect("a config");
