Courier: a notice with a broken answer is sent again

What callers saw: the platform's answer to a notice counted by its status alone. A 200 whose rest could not be read, or a 400 that broke off, ended the notice, and the end of its message was never told.

Cause: Platform::send_once did not ask whether the answer had arrived whole.

Change: only a whole and valid answer ends a notice; else it is sent again, which does no harm.

--- a/src/node/outcomes.rs
+++ b/src/node/outcomes.rs
@@ -114,7 +114,12 @@
             .header(header::CONTENT_TYPE, "application/x-ndjson")
             .body(Full::new(Bytes::from(text)))
             .ok()?;
-        let answer = link.ask(request, Instant::now() + answer_timeout).await.ok()?;
+        let answer = link.ask(request, Instant::now() + answer_timeout).await;
+        if let Some(refused) = link.refusal() {
+            log_line!("outcomes: answer of {to} refused, {}: {refused}", refused.reason());
+        }
+        // A notice that is sent again does no harm; one that is given up too early is the end of a message untold.
+        let answer = answer.ok().filter(|answer| answer.whole)?;
         // After a reload this connection would send the next batch to the old address.
         if answer.reusable && to == self.address.get() {
             *self.idle.borrow_mut() = Some((link, Instant::now()));
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -113,3 +113,28 @@
     ];
     lengths.iter().fold(text, |text, (before, after)| text.replace(before, after))
 }
+
+#[test]
+fn a_notice_with_a_broken_answer_is_sent_again() {
+    let broken = [
+        "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\nTransfer-Encoding: x\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nContent-Length: 0\n\r\n",
+        "HTTP/1.1 204 No Content\r\nno field\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nno field\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nx",
+        "HTTP/1.1 400 Bad Request\r\nContent-Length: 9\r\n\r\nx",
+        "HTTP/1.1 400 Bad Request\r\nContent-Length: 0, 0\r\n\r\n",
+        "HTTP/1.1 000 No Content\r\nContent-Length: 0\r\n\r\n",
+    ];
+    let found = check_all(&broken, |text| {
+        let (folder, _endpoint, discovery) = one_endpoint(|_| Reply::Disconnect);
+        discovery.raw_posts.lock().expect("raw posts").push_back((*text).to_owned());
+        let courier = Courier::start(&folder, &discovery);
+        courier.submit_accepted("pay", "payment", 7, 20_000);
+        wait_until("the first post", || discovery.posts.load(Ordering::SeqCst) >= 1);
+        holds_within(OBSERVATION_TIME, || !discovery.results("pay").is_empty());
+        (discovery.results("pay") != ["dead"]).then(|| format!("{text:?}: {:?}", discovery.results("pay")))
+    });
+    assert!(found.is_empty(), "{} faults:\n{}", found.len(), found.join("\n"));
+}
