Test: the control client does not take an extra answer for the next one

Already handled: an answer that arrives behind another one on a kept connection is not returned to the next call, which fails instead. The test plays it from a stand-in behind each answer in order; it passed when it was written. Nothing else is changed.

--- a/crates/control-http/tests/broken_answers.rs
+++ b/crates/control-http/tests/broken_answers.rs
@@ -119,3 +119,19 @@
     };
     LocalSet::new().run_until(tries).await;
 }
+
+#[tokio::test]
+async fn an_extra_answer_is_not_taken_for_the_next_one() {
+    let tries = async {
+        for answer in IN_ORDER.iter().filter(|answer| !answer.until_close) {
+            let extra = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
+            let address = server(vec![answer.with_fields("") + extra, String::new()], false).await;
+            let mut connection = ClientConnection::open(address, TIMEOUT).await.expect("a connection");
+            let first = connection.call(&ClientRequest::get("/a"), TIMEOUT).await;
+            assert_eq!(first.expect("an answer").body, BODY, "{answer:?}");
+            let second = connection.call(&ClientRequest::get("/b"), TIMEOUT).await;
+            assert!(second.is_err(), "{answer:?}: {second:?}");
+        }
+    };
+    LocalSet::new().run_until(tries).await;
+}
